--- /dev/null
+++ b/api/optext/optext.go
@@ -0,0 +1,279 @@
+// Package optext is the operators' text: the one INI document that lists data
+// centres, services, pipelines and customers. Parse accepts a whole, valid
+// text or returns every fault with its line and a remedy.
+package optext
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"caperdrum.org/api/strictini"
+)
+
+// Kind is the sort of upstream behind a service.
+type Kind string
+
+// Kinds of services.
+const (
+	Engine    Kind = "engine"
+	Encoder   Kind = "encoder"
+	Retriever Kind = "retriever"
+	Reranker  Kind = "reranker"
+	Plain     Kind = "plain"
+)
+
+// Class orders requests when not all can be served.
+type Class string
+
+// Classes, most urgent first.
+const (
+	Confirmation Class = "confirmation"
+	Interactive  Class = "interactive"
+	Deferrable   Class = "deferrable"
+)
+
+// DataCenter is a place with its own failures and distances.
+type DataCenter struct {
+	Name   string `ini:"-" json:"name"`
+	Region string `ini:"region" json:"region"`
+}
+
+// Service is a set of interchangeable upstreams.
+type Service struct {
+	Name            string `ini:"-" json:"name"`
+	Kind            string `ini:"kind" required:"true" json:"kind"`
+	Repeatable      bool   `ini:"repeatable" json:"repeatable"`         // idempotent calls, safe to run twice
+	HonorsFencing   bool   `ini:"honors_fencing" json:"honors_fencing"` // refuses orders with an old fencing token by itself
+	Concurrency     int    `ini:"concurrency" json:"concurrency"`       // calls one upstream runs at a time
+	QueueLength     int    `ini:"queue_length" json:"queue_length"`     // attempts that may wait at one gate
+	RoutingPolicy   string `ini:"routing" json:"routing"`               // name of a routing policy
+	HedgePercent    int    `ini:"hedge_percent" json:"hedge_percent"`   // budget of hedged attempts, percent of requests; 0 switches hedging off
+	RetryPercent    int    `ini:"retry_percent" json:"retry_percent"`   // budget of retries, percent of requests
+	QueueDiscipline string `ini:"queue" json:"queue"`                   // fair or fifo
+}
+
+// Pipeline is a graph of stages that share one deadline.
+type Pipeline struct {
+	Name     string        `ini:"-" json:"name"`
+	Deadline time.Duration `ini:"deadline" required:"true" json:"deadline"`
+	Class    string        `ini:"class" json:"class"`
+	Model    string        `ini:"model" json:"model"` // model name that selects this pipeline at the chat endpoint
+	Refuse   bool          `ini:"refuse_late" json:"refuse_late"`
+	Stages   []*Stage      `ini:"-" json:"stages"` // in topological order
+}
+
+// Stage is one call of a pipeline.
+type Stage struct {
+	Name    string   `ini:"-" json:"name"`
+	Service string   `ini:"service" required:"true" json:"service"`
+	After   []string `ini:"after" json:"after"`
+}
+
+// Customer is a caller with a share of the capacity.
+type Customer struct {
+	Name  string  `ini:"-" json:"name"`
+	Share float64 `ini:"share" json:"share"` // weight in fair queues
+	Rate  float64 `ini:"rate" json:"rate"`   // requests per second over all entries; 0 means no limit
+}
+
+// Config is a whole, valid text.
+type Config struct {
+	DataCenters map[string]*DataCenter
+	Services    map[string]*Service
+	Pipelines   map[string]*Pipeline
+	Customers   map[string]*Customer
+	models      map[string]*Pipeline
+}
+
+// ByModel returns the pipeline that serves the chat endpoint's model name.
+func (c *Config) ByModel(model string) *Pipeline { return c.models[model] }
+
+const (
+	defaultConcurrency = 8
+	defaultQueueLength = 64
+	defaultHedge       = 3
+	defaultRetry       = 10
+)
+
+// RoutingPolicies are the accepted values of routing.
+var RoutingPolicies = []string{"predicted", "round-robin", "random", "least-in-flight"}
+
+// Parse reads a text. The error is of type strictini.Problems.
+func Parse(name string, data []byte) (*Config, error) {
+	f, err := strictini.Parse(name, data)
+	if err != nil {
+		return nil, err
+	}
+	p := parser{f: f, c: &Config{
+		DataCenters: map[string]*DataCenter{},
+		Services:    map[string]*Service{},
+		Pipelines:   map[string]*Pipeline{},
+		Customers:   map[string]*Customer{},
+		models:      map[string]*Pipeline{},
+	}}
+	for _, section := range f.Sections() {
+		p.section(section)
+	}
+	p.check()
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	return p.c, nil
+}
+
+type parser struct {
+	f      *strictini.File
+	c      *Config
+	stages []stageRef
+}
+
+type stageRef struct {
+	section, pipeline string
+	stage             *Stage
+}
+
+func (p *parser) section(section string) {
+	kind, name, found := strings.Cut(section, ":")
+	if !found || name == "" {
+		p.f.Fail(section, "", "section ["+section+"] has no name", "write [service:NAME], [pipeline:NAME], [stage:PIPELINE/NAME], [customer:NAME] or [data_center:NAME]")
+		return
+	}
+	switch kind {
+	case "data_center":
+		dc := &DataCenter{Name: name}
+		p.f.Decode(section, dc)
+		p.c.DataCenters[name] = dc
+	case "service":
+		p.service(section, name)
+	case "pipeline":
+		pl := &Pipeline{Name: name, Class: string(Interactive), Refuse: true}
+		p.f.Decode(section, pl)
+		p.c.Pipelines[name] = pl
+	case "stage":
+		p.stage(section, name)
+	case "customer":
+		cu := &Customer{Name: name, Share: 1}
+		p.f.Decode(section, cu)
+		p.c.Customers[name] = cu
+	default:
+		p.f.Fail(section, "", "unknown section kind "+kind, "use service, pipeline, stage, customer or data_center")
+	}
+}
+
+func (p *parser) service(section, name string) {
+	s := &Service{Name: name, Concurrency: defaultConcurrency, QueueLength: defaultQueueLength,
+		RoutingPolicy: RoutingPolicies[0], HedgePercent: defaultHedge, RetryPercent: defaultRetry, QueueDiscipline: "fair"}
+	p.f.Decode(section, s)
+	p.c.Services[name] = s
+	p.oneOf(section, "kind", s.Kind, string(Engine), string(Encoder), string(Retriever), string(Reranker), string(Plain))
+	p.oneOf(section, "routing", s.RoutingPolicy, RoutingPolicies...)
+	p.oneOf(section, "queue", s.QueueDiscipline, "fair", "fifo")
+	if s.Concurrency < 1 {
+		p.f.Fail(section, "concurrency", "concurrency is zero", "write 1 or more")
+	}
+}
+
+func (p *parser) stage(section, name string) {
+	pipeline, stage, found := strings.Cut(name, "/")
+	if !found || stage == "" {
+		p.f.Fail(section, "", "stage ["+section+"] names no pipeline", "write [stage:PIPELINE/NAME]")
+		return
+	}
+	st := &Stage{Name: stage}
+	p.f.Decode(section, st)
+	p.stages = append(p.stages, stageRef{section, pipeline, st})
+}
+
+func (p *parser) oneOf(section, key, value string, allowed ...string) {
+	for _, a := range allowed {
+		if value == a {
+			return
+		}
+	}
+	p.f.Fail(section, key, fmt.Sprintf("%s = %q is not known", key, value), "use one of: "+strings.Join(allowed, ", "))
+}
+
+func (p *parser) check() {
+	for _, r := range p.stages {
+		pl := p.c.Pipelines[r.pipeline]
+		if pl == nil {
+			p.f.Fail(r.section, "", "pipeline "+r.pipeline+" does not exist", "add [pipeline:"+r.pipeline+"]")
+			continue
+		}
+		if p.c.Services[r.stage.Service] == nil {
+			p.f.Fail(r.section, "service", "service "+r.stage.Service+" does not exist", "add [service:"+r.stage.Service+"]")
+		}
+		pl.Stages = append(pl.Stages, r.stage)
+	}
+	for _, name := range sortedKeys(p.c.Pipelines) {
+		p.pipeline(p.c.Pipelines[name])
+	}
+}
+
+func (p *parser) pipeline(pl *Pipeline) {
+	section := "pipeline:" + pl.Name
+	p.oneOf(section, "class", pl.Class, string(Confirmation), string(Interactive), string(Deferrable))
+	if pl.Deadline <= 0 {
+		p.f.Fail(section, "deadline", "deadline is zero", "write a duration such as 5s")
+	}
+	if len(pl.Stages) == 0 {
+		p.f.Fail(section, "", "pipeline "+pl.Name+" has no stage", "add [stage:"+pl.Name+"/NAME]")
+		return
+	}
+	if pl.Model != "" {
+		if other := p.c.models[pl.Model]; other != nil {
+			p.f.Fail(section, "model", "model "+pl.Model+" already selects pipeline "+other.Name, "name another model")
+		}
+		p.c.models[pl.Model] = pl
+	}
+	p.order(section, pl)
+}
+
+// order sorts the stages topologically (Kahn 1962), keeping the text's order
+// among stages that do not depend on each other.
+func (p *parser) order(section string, pl *Pipeline) {
+	done := map[string]bool{}
+	names := map[string]bool{}
+	for _, s := range pl.Stages {
+		names[s.Name] = true
+	}
+	var sorted []*Stage
+	for len(sorted) < len(pl.Stages) {
+		before := len(sorted)
+		for _, s := range pl.Stages {
+			if !done[s.Name] && p.ready(pl.Name, s, names, done) {
+				done[s.Name] = true
+				sorted = append(sorted, s)
+			}
+		}
+		if len(sorted) == before {
+			p.f.Fail(section, "", "stages of pipeline "+pl.Name+" wait for each other", "remove a cycle or an unknown name in after = ...")
+			return
+		}
+	}
+	pl.Stages = sorted
+}
+
+func (p *parser) ready(pipeline string, s *Stage, names, done map[string]bool) bool {
+	for _, a := range s.After {
+		if !names[a] {
+			p.f.Fail("stage:"+pipeline+"/"+s.Name, "after", "stage "+a+" does not exist", "name a stage of the same pipeline")
+			return true
+		}
+		if !done[a] {
+			return false
+		}
+	}
+	return true
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/api/timeline/timeline.go
@@ -0,0 +1,155 @@
+// Package timeline records typed events in a bounded ring, stamped with a
+// hybrid logical clock (Kulkarni et al., "Logical Physical Clocks", 2014), so
+// that the events of all processes merge into one order that respects cause
+// and effect. Recording never blocks.
+package timeline
+
+import (
+	"sort"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Stamp is a hybrid logical clock reading: milliseconds since the Unix epoch
+// in the upper 48 bits, a counter in the lower 16.
+type Stamp uint64
+
+const counterBits = 16
+
+// Time returns the physical part of s.
+func (s Stamp) Time() time.Time { return time.UnixMilli(int64(s >> counterBits)) }
+
+// String returns s in hexadecimal, as it travels in headers.
+func (s Stamp) String() string { return strconv.FormatUint(uint64(s), 16) }
+
+// ParseStamp reads what String wrote; anything else is zero.
+func ParseStamp(v string) Stamp {
+	n, err := strconv.ParseUint(v, 16, 64)
+	if err != nil {
+		return 0
+	}
+	return Stamp(n)
+}
+
+// maxAhead bounds how far a received stamp may push the clock ahead of the
+// wall clock, so that one wrong clock cannot spoil all others.
+const maxAhead = time.Minute
+
+// Clock is a hybrid logical clock. The zero value is ready.
+type Clock struct {
+	last atomic.Uint64
+}
+
+// Now returns a stamp later than all stamps returned or observed before.
+func (c *Clock) Now() Stamp {
+	wall := uint64(time.Now().UnixMilli()) << counterBits
+	for {
+		last := c.last.Load()
+		next := max(wall, last+1)
+		if c.last.CompareAndSwap(last, next) {
+			return Stamp(next)
+		}
+	}
+}
+
+// Observe moves the clock past s, a stamp received from another process.
+func (c *Clock) Observe(s Stamp) {
+	limit := uint64(time.Now().Add(maxAhead).UnixMilli()) << counterBits
+	if uint64(s) > limit {
+		return
+	}
+	for {
+		last := c.last.Load()
+		if last >= uint64(s) || c.last.CompareAndSwap(last, uint64(s)) {
+			return
+		}
+	}
+}
+
+// Kind names what happened.
+type Kind string
+
+// Event is one entry of the time line.
+type Event struct {
+	At       Stamp  `json:"at"`
+	Process  string `json:"process"`
+	VM       string `json:"vm"`
+	Kind     Kind   `json:"kind"`
+	Request  string `json:"request,omitempty"`
+	Attempt  string `json:"attempt,omitempty"`
+	Customer string `json:"customer,omitempty"`
+	Detail   string `json:"detail,omitempty"`
+}
+
+// Ring keeps the newest events of one process.
+type Ring struct {
+	Clock   *Clock
+	process string
+	vm      string
+
+	mu     sync.Mutex
+	events []Event
+	next   uint64
+}
+
+// NewRing returns a ring that keeps size events.
+func NewRing(process, vm string, size int) *Ring {
+	return &Ring{Clock: &Clock{}, process: process, vm: vm, events: make([]Event, 0, size)}
+}
+
+// Record stamps e and stores it over the oldest event.
+func (r *Ring) Record(e Event) {
+	e.At, e.Process, e.VM = r.Clock.Now(), r.process, r.vm
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.events) < cap(r.events) {
+		r.events = append(r.events, e)
+	} else {
+		r.events[r.next%uint64(cap(r.events))] = e
+	}
+	r.next++
+}
+
+// Filter selects events. Zero fields match everything.
+type Filter struct {
+	Request  string
+	Customer string
+	VM       string
+	Kind     Kind
+	Since    Stamp
+}
+
+// Matches reports whether e passes the filter.
+func (f Filter) Matches(e Event) bool {
+	return (f.Request == "" || f.Request == e.Request) &&
+		(f.Customer == "" || f.Customer == e.Customer) &&
+		(f.VM == "" || f.VM == e.VM) &&
+		(f.Kind == "" || f.Kind == e.Kind) &&
+		e.At >= f.Since
+}
+
+// Events returns the events that pass f in the order of their stamps.
+func (r *Ring) Events(f Filter) []Event {
+	r.mu.Lock()
+	out := make([]Event, 0, len(r.events))
+	for _, e := range r.events {
+		if f.Matches(e) {
+			out = append(out, e)
+		}
+	}
+	r.mu.Unlock()
+	Sort(out)
+	return out
+}
+
+// Sort orders events of several processes by stamp, then by process.
+func Sort(events []Event) {
+	sort.SliceStable(events, func(i, j int) bool {
+		if events[i].At != events[j].At {
+			return events[i].At < events[j].At
+		}
+		return events[i].Process < events[j].Process
+	})
+}
--- /dev/null
+++ b/api/verdict/verdict.go
@@ -0,0 +1,146 @@
+// Package verdict says, for every attempt that did not end in a whole answer,
+// whether the request may have run. The verdict decides what may be retried:
+// only NotRun is safe for a call that is not idempotent.
+package verdict
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Verdict is what is known about the execution of one attempt.
+type Verdict uint8
+
+const (
+	// MayHaveRun is the zero value: nothing rules out that the attempt ran.
+	MayHaveRun Verdict = iota
+	// NotRun is a promise: the attempt did not run and never will.
+	NotRun
+	// Ran says that the attempt ran, with or without a whole answer.
+	Ran
+)
+
+var names = [...]string{MayHaveRun: "may-have-run", NotRun: "not-run", Ran: "ran"}
+
+// String returns the spelling used in headers, logs and bodies.
+func (v Verdict) String() string {
+	if int(v) < len(names) {
+		return names[v]
+	}
+	return fmt.Sprintf("verdict(%d)", uint8(v))
+}
+
+// Parse reads the spelling of String. An unknown spelling is MayHaveRun, the
+// only reading that can never cause a second run.
+func Parse(s string) Verdict {
+	for v, name := range names {
+		if name == s {
+			return Verdict(v)
+		}
+	}
+	return MayHaveRun
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (v *Verdict) UnmarshalText(b []byte) error {
+	*v = Parse(string(b))
+	return nil
+}
+
+// Code is the machine-readable cause of a failed request.
+type Code string
+
+// Codes that callers and operators see.
+const (
+	CodeInvalid       Code = "invalid_request"
+	CodeUnknown       Code = "not_found"
+	CodeTooLarge      Code = "body_too_large"
+	CodeOverloaded    Code = "overloaded"
+	CodeDeadline      Code = "deadline_unreachable"
+	CodeTimeout       Code = "deadline_exceeded"
+	CodeNoEndpoint    Code = "no_endpoint"
+	CodeLeaving       Code = "upstream_leaving"
+	CodeTombstoned    Code = "attempt_tombstoned"
+	CodeIncarnation   Code = "incarnation_changed"
+	CodeConflict      Code = "idempotency_key_conflict"
+	CodeInProgress    Code = "idempotency_key_in_progress"
+	CodeNoQuorum      Code = "no_quorum"
+	CodeUpstream      Code = "upstream_failed"
+	CodeCut           Code = "answer_cut"
+	CodeStale         Code = "configuration_stale"
+	CodeShutdown      Code = "shutting_down"
+	CodeCustomerLimit Code = "customer_limit"
+)
+
+// Error is the failure of a request or attempt together with its verdict.
+type Error struct {
+	Verdict    Verdict       `json:"verdict"`
+	Code       Code          `json:"code"`
+	Message    string        `json:"message"`
+	Status     int           `json:"status"`                // HTTP status for the caller
+	RetryAfter time.Duration `json:"retry_after,omitempty"` // nanoseconds; zero when a resend is pointless
+}
+
+// New returns an Error whose message is formatted as by fmt.Sprintf.
+func New(v Verdict, code Code, format string, args ...any) *Error {
+	return &Error{Verdict: v, Code: code, Message: fmt.Sprintf(format, args...), Status: statusOf(code)}
+}
+
+// After sets when the caller should come back and returns e.
+func (e *Error) After(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s, %s)", e.Message, e.Code, e.Verdict)
+}
+
+func statusOf(c Code) int {
+	switch c {
+	case CodeInvalid:
+		return http.StatusBadRequest
+	case CodeUnknown:
+		return http.StatusNotFound
+	case CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case CodeConflict:
+		return http.StatusUnprocessableEntity
+	case CodeInProgress, CodeTombstoned, CodeIncarnation:
+		return http.StatusConflict
+	case CodeCustomerLimit:
+		return http.StatusTooManyRequests
+	case CodeUpstream, CodeCut:
+		return http.StatusBadGateway
+	case CodeTimeout:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// From returns the Error in err's chain, or one with verdict MayHaveRun that
+// carries err's message.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return New(MayHaveRun, CodeUpstream, "%s", err.Error())
+}
+
+// Of returns the verdict that err carries. A nil error is Ran; an error
+// without a verdict is MayHaveRun.
+func Of(err error) Verdict {
+	if err == nil {
+		return Ran
+	}
+	return From(err).Verdict
+}
--- /dev/null
+++ b/ctl/adminclient/adminclient.go
@@ -0,0 +1,194 @@
+// Package adminclient calls the administration API. It tries the control
+// processes in turn until the leader has answered.
+package adminclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/strictini"
+	"caperdrum.org/api/timeline"
+	"caperdrum.org/api/wire"
+)
+
+// Client calls the control processes at the given administration addresses.
+type Client struct {
+	addresses []string
+	http      *http.Client
+}
+
+const callTimeout = 6 * time.Second
+
+// New returns a client.
+func New(addresses []string) *Client {
+	return &Client{addresses: addresses, http: &http.Client{Timeout: callTimeout}}
+}
+
+// Refusal is a call that a control process understood and refused.
+type Refusal struct {
+	Status   int
+	Message  string              `json:"message"`
+	Remedy   string              `json:"remedy"`
+	Problems []strictini.Problem `json:"problems"`
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	if len(r.Problems) > 0 {
+		return strictini.Problems(r.Problems).Error()
+	}
+	if r.Remedy == "" {
+		return r.Message
+	}
+	return r.Message + "; " + r.Remedy
+}
+
+// call sends one call to one address. A conflict is decoded into out.
+func (c *Client) call(ctx context.Context, address, method, path string, in, out any) error {
+	var body bytes.Buffer
+	if in != nil {
+		if err := json.NewEncoder(&body).Encode(in); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, &body)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusConflict {
+		return errors.Trace(json.NewDecoder(resp.Body).Decode(out))
+	}
+	refusal := &Refusal{Status: resp.StatusCode}
+	if err := json.NewDecoder(resp.Body).Decode(refusal); err != nil {
+		refusal.Message = resp.Status
+	}
+	return refusal
+}
+
+const leaderPause = 100 * time.Millisecond
+
+// leader repeats an idempotent call until the leader answers or ctx ends.
+func (c *Client) leader(ctx context.Context, method, path string, in, out any) error {
+	var last error
+	for i := 0; ctx.Err() == nil; i++ {
+		last = c.call(ctx, c.addresses[i%len(c.addresses)], method, path, in, out)
+		if last == nil {
+			return nil
+		}
+		var r *Refusal
+		if errors.As(last, &r) && r.Status == http.StatusUnprocessableEntity {
+			return r
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(leaderPause):
+		}
+	}
+	return errors.Annotate(last, "no leader answered")
+}
+
+// Init makes the first control process the voter of a new cluster.
+func (c *Client) Init(ctx context.Context) (wire.ControlStatus, error) {
+	var st wire.ControlStatus
+	err := c.call(ctx, c.addresses[0], http.MethodPost, "/v1/init", nil, &st)
+	return st, err
+}
+
+// Apply proposes a change. The same change id makes a resend harmless.
+func (c *Client) Apply(ctx context.Context, change wire.ChangeRequest) (wire.ChangeResult, error) {
+	var res wire.ChangeResult
+	err := c.leader(ctx, http.MethodPost, "/v1/config", change, &res)
+	return res, err
+}
+
+// Validate has a text checked without proposing it.
+func (c *Client) Validate(ctx context.Context, text string) error {
+	var out struct{}
+	return c.leader(ctx, http.MethodPost, "/v1/config/validate", wire.ChangeRequest{Text: text}, &out)
+}
+
+// Diff compares a text with the one in force.
+func (c *Client) Diff(ctx context.Context, text string) (wire.ChangeResult, error) {
+	var res wire.ChangeResult
+	err := c.leader(ctx, http.MethodPost, "/v1/config/diff", wire.ChangeRequest{Text: text}, &res)
+	return res, err
+}
+
+// Config returns the text in force.
+func (c *Client) Config(ctx context.Context) (wire.ConfigText, error) {
+	var out wire.ConfigText
+	err := c.leader(ctx, http.MethodGet, "/v1/config", nil, &out)
+	return out, err
+}
+
+// ControlStatus is one control process's report, or why there is none.
+type ControlStatus struct {
+	Address string
+	Status  wire.ControlStatus
+	Err     error
+}
+
+// Status asks every control process.
+func (c *Client) Status(ctx context.Context) []ControlStatus {
+	out := make([]ControlStatus, len(c.addresses))
+	var wg sync.WaitGroup
+	for i, a := range c.addresses {
+		wg.Go(func() {
+			out[i].Address = a
+			out[i].Err = c.call(ctx, a, http.MethodGet, "/v1/status", nil, &out[i].Status)
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+// Members returns the leader's report of all members, sorted by id.
+func (c *Client) Members(ctx context.Context) ([]wire.MemberStatus, error) {
+	for _, st := range c.Status(ctx) {
+		if st.Err != nil || st.Status.State != "leader" {
+			continue
+		}
+		var out []wire.MemberStatus
+		if err := c.call(ctx, st.Address, http.MethodGet, "/v1/members", nil, &out); err != nil {
+			return nil, err
+		}
+		sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+		return out, nil
+	}
+	return nil, errors.New("no leader answered")
+}
+
+// Timeline collects the events of the processes at the given debug addresses
+// and names those that did not answer.
+func (c *Client) Timeline(ctx context.Context, addresses []string, query string) (events []timeline.Event, unreached []string) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, a := range addresses {
+		wg.Go(func() {
+			var part []timeline.Event
+			err := c.call(ctx, a, http.MethodGet, "/debug/timeline?"+query, nil, &part)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				unreached = append(unreached, a)
+			}
+			events = append(events, part...)
+		})
+	}
+	wg.Wait()
+	timeline.Sort(events)
+	sort.Strings(unreached)
+	return events, unreached
+}
--- /dev/null
+++ b/ctl/cmd/caperdrum/main.go
@@ -0,0 +1,35 @@
+// Command caperdrum is the operators' and developers' command.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"caperdrum.org/ctl/commands"
+)
+
+// version is set by the linker.
+var version = "development"
+
+func main() {
+	showVersion := flag.Bool("version", false, "print the version and exit")
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&commands.Version{Version: version}, "")
+	for _, c := range []subcommands.Command{&commands.Init{}, &commands.Apply{}, &commands.Diff{}, &commands.Validate{}, &commands.Status{}, &commands.Timeline{}} {
+		subcommands.Register(c, "operate")
+	}
+	for _, c := range []subcommands.Command{&commands.Standin{}, &commands.Demo{}} {
+		subcommands.Register(c, "try and measure")
+	}
+	flag.Parse()
+	if *showVersion {
+		fmt.Println("caperdrum", version)
+		return
+	}
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/ctl/commands/common.go
@@ -0,0 +1,57 @@
+// Package commands holds the subcommands of caperdrum.
+package commands
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"caperdrum.org/api/strictini"
+	"caperdrum.org/ctl/adminclient"
+)
+
+// adminFlags are shared by all commands that call the control processes.
+type adminFlags struct{ admin string }
+
+const adminEnv = "CAPERDRUM_ADMIN"
+
+func (a *adminFlags) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&a.admin, "admin", os.Getenv(adminEnv), "administration `addresses` of the control processes, comma-separated; default $"+adminEnv)
+}
+
+func (a *adminFlags) client() (*adminclient.Client, error) {
+	addresses := strictini.SplitList(a.admin)
+	if len(addresses) == 0 {
+		return nil, fmt.Errorf("no administration addresses: set -admin or $%s", adminEnv)
+	}
+	return adminclient.New(addresses), nil
+}
+
+func usage(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, err)
+	return subcommands.ExitUsageError
+}
+
+func failure(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, err)
+	return subcommands.ExitFailure
+}
+
+// readText returns the operators' text in the file that the single argument
+// names; "-" is standard input.
+func readText(f *flag.FlagSet) (string, error) {
+	if f.NArg() != 1 {
+		return "", fmt.Errorf("name one text file, or - for standard input")
+	}
+	var data []byte
+	var err error
+	if f.Arg(0) == "-" {
+		data, err = io.ReadAll(os.Stdin)
+	} else {
+		data, err = os.ReadFile(f.Arg(0))
+	}
+	return string(data), err
+}
--- /dev/null
+++ b/ctl/commands/config.go
@@ -0,0 +1,171 @@
+package commands
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/google/uuid"
+
+	"caperdrum.org/api/optext"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/ctl/adminclient"
+)
+
+// Validate checks a text without any process running.
+type Validate struct{}
+
+func (*Validate) Name() string             { return "validate" }
+func (*Validate) Synopsis() string         { return "check an operators' text" }
+func (*Validate) Usage() string            { return "validate FILE\n" }
+func (*Validate) SetFlags(f *flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (*Validate) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	text, err := readText(f)
+	if err != nil {
+		return usage(err)
+	}
+	c, err := optext.Parse(f.Arg(0), []byte(text))
+	if err != nil {
+		return usage(err)
+	}
+	fmt.Printf("valid: %d services, %d pipelines, %d customers, %d data centres\n", len(c.Services), len(c.Pipelines), len(c.Customers), len(c.DataCenters))
+	return subcommands.ExitSuccess
+}
+
+// Diff shows what a text would change.
+type Diff struct{ adminFlags }
+
+func (*Diff) Name() string     { return "diff" }
+func (*Diff) Synopsis() string { return "compare a text with the one in force" }
+func (*Diff) Usage() string    { return "diff [-admin ADDRESSES] FILE\n" }
+
+// Execute implements subcommands.Command.
+func (d *Diff) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	text, err := readText(f)
+	if err != nil {
+		return usage(err)
+	}
+	cl, err := d.client()
+	if err != nil {
+		return usage(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	res, err := cl.Diff(ctx, text)
+	if err != nil {
+		return failure(err)
+	}
+	fmt.Printf("version in force: %d\n%s", res.Version, res.Diff)
+	return subcommands.ExitSuccess
+}
+
+// Apply hands a text over and waits until it is in force.
+type Apply struct {
+	adminFlags
+	number   uint64
+	changeID string
+	timeout  time.Duration
+}
+
+func (*Apply) Name() string     { return "apply" }
+func (*Apply) Synopsis() string { return "put a text in force and wait until every process has it" }
+func (*Apply) Usage() string {
+	return "apply [-admin ADDRESSES] [-number N] [-change-id ID] FILE\n" +
+		"  A lost answer is no reason to worry: the same -change-id again gets the first answer.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (a *Apply) SetFlags(f *flag.FlagSet) {
+	a.adminFlags.SetFlags(f)
+	f.Uint64Var(&a.number, "number", 0, "number of the change; default the version in force plus one")
+	f.StringVar(&a.changeID, "change-id", "", "name of the change, the same for every resend; default random")
+	f.DurationVar(&a.timeout, "timeout", 20*time.Second, "how long to wait")
+}
+
+// Execute implements subcommands.Command.
+func (a *Apply) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	text, err := readText(f)
+	if err != nil {
+		return usage(err)
+	}
+	if _, err := optext.Parse(f.Arg(0), []byte(text)); err != nil {
+		return usage(err)
+	}
+	cl, err := a.client()
+	if err != nil {
+		return usage(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.timeout)
+	defer cancel()
+	change, err := a.change(ctx, cl, text)
+	if err != nil {
+		return failure(err)
+	}
+	res, err := cl.Apply(ctx, change)
+	if err != nil {
+		return failure(err)
+	}
+	if !res.Accepted {
+		fmt.Printf("refused: %s; version %d is in force, by change %s\n%s", res.Reason, res.Version, res.Winner, res.Diff)
+		return subcommands.ExitFailure
+	}
+	fmt.Printf("accepted: version %d, change %s\n", res.Version, change.ChangeID)
+	return waitInForce(ctx, cl, res.Version)
+}
+
+func (a *Apply) change(ctx context.Context, cl *adminclient.Client, text string) (wire.ChangeRequest, error) {
+	c := wire.ChangeRequest{Number: a.number, Text: text, ChangeID: a.changeID}
+	if c.ChangeID == "" {
+		c.ChangeID = uuid.NewString()
+	}
+	if c.Number == 0 {
+		current, err := cl.Config(ctx)
+		if err != nil {
+			return c, err
+		}
+		c.Number = current.Version + 1
+	}
+	return c, nil
+}
+
+const pollInterval = 50 * time.Millisecond
+
+// waitInForce waits until every member reports the version, and names those
+// that lag when time runs out.
+func waitInForce(ctx context.Context, cl *adminclient.Client, version uint64) subcommands.ExitStatus {
+	started := time.Now()
+	var members, behind []wire.MemberStatus
+	for {
+		rows, err := cl.Members(ctx)
+		if err == nil {
+			members, behind = rows, lagging(rows, version)
+			if len(behind) == 0 {
+				fmt.Printf("in force on %d of %d after %s\n", len(members), len(members), time.Since(started).Round(time.Millisecond))
+				return subcommands.ExitSuccess
+			}
+		}
+		select {
+		case <-ctx.Done():
+			fmt.Printf("in force on %d of %d\n", len(members)-len(behind), len(members))
+			for _, m := range behind {
+				fmt.Printf("  %s on %s: version %d, last seen %s ago\n", m.ID, m.VM, m.ConfigVersion, m.LastSeen.Round(time.Millisecond))
+			}
+			return subcommands.ExitFailure
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func lagging(rows []wire.MemberStatus, version uint64) []wire.MemberStatus {
+	var out []wire.MemberStatus
+	for _, m := range rows {
+		if m.ConfigVersion < version {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/node/announce/announce.go
@@ -0,0 +1,96 @@
+// Package announce watches the upstream beside an agent and takes it out of
+// service while it does not answer its health check.
+package announce
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/dig"
+
+	"caperdrum.org/node/gate"
+	"caperdrum.org/node/settings"
+)
+
+// Params are what the service needs.
+type Params struct {
+	dig.In
+	Settings *settings.Settings
+	Log      logr.Logger
+	Gate     *gate.Service `name:"gate"`
+}
+
+// Service is the health check of one upstream.
+type Service struct {
+	url    string
+	log    logr.Logger
+	gate   *gate.Service
+	client *http.Client
+	cancel context.CancelFunc
+}
+
+const (
+	checkInterval = time.Second
+	checkTimeout  = 2 * time.Second
+	failuresOut   = 2 // failed checks in a row that take the upstream out
+)
+
+// New returns the service. Until the first good check the upstream counts as
+// leaving.
+func New(p Params) *Service {
+	return &Service{url: "http://" + p.Settings.Agent.Upstream + p.Settings.Agent.HealthPath, log: p.Log, gate: p.Gate,
+		client: &http.Client{Timeout: checkTimeout}}
+}
+
+// Start implements kernel.Starter.
+func (s *Service) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.gate.SetHealthy(s.check(ctx))
+	go s.run(ctx)
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	return nil
+}
+
+func (s *Service) run(ctx context.Context) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	failures := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if s.check(ctx) {
+			failures = 0
+			s.gate.SetHealthy(true)
+			continue
+		}
+		failures++
+		if failures == failuresOut && ctx.Err() == nil {
+			s.log.Info("upstream out of service", "failed_checks", failures)
+			s.gate.SetHealthy(false)
+		}
+	}
+}
+
+func (s *Service) check(ctx context.Context) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.url, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode < http.StatusInternalServerError
+}
--- /dev/null
+++ b/node/cmd/caperdrumd/main.go
@@ -0,0 +1,114 @@
+// Command caperdrumd is caperdrum's daemon. It plays the roles that its
+// settings file names.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-logr/logr"
+
+	"caperdrum.org/api/timeline"
+	"caperdrum.org/node/admin"
+	"caperdrum.org/node/announce"
+	"caperdrum.org/node/configsync"
+	"caperdrum.org/node/control"
+	"caperdrum.org/node/debug"
+	"caperdrum.org/node/dispatch"
+	"caperdrum.org/node/gate"
+	"caperdrum.org/node/gateway"
+	"caperdrum.org/node/kernel"
+	"caperdrum.org/node/ledger"
+	"caperdrum.org/node/logging"
+	"caperdrum.org/node/peer"
+	"caperdrum.org/node/pipeline"
+	"caperdrum.org/node/routing"
+	"caperdrum.org/node/settings"
+)
+
+// version is set by the linker.
+var version = "development"
+
+// Exit statuses.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	path := flag.String("settings", "", "settings `file` (INI)")
+	check := flag.Bool("check", false, "check the settings and exit")
+	showVersion := flag.Bool("version", false, "print the version and exit")
+	flag.Parse()
+	if *showVersion {
+		fmt.Println("caperdrumd", version)
+		return exitOK
+	}
+	if *path == "" || flag.NArg() > 0 {
+		fmt.Fprintln(os.Stderr, "usage: caperdrumd -settings FILE [-check]")
+		return exitSettings
+	}
+	set, err := settings.Load(*path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if *check {
+		return exitOK
+	}
+	return serve(set)
+}
+
+func serve(set *settings.Settings) int {
+	log := logging.New(os.Stderr, set.Node.Name, set.Node.LogLevel)
+	k := kernel.New(log)
+	k.Supply(func() *settings.Settings { return set })
+	k.Supply(func() logr.Logger { return log })
+	k.Supply(func() *timeline.Ring { return timeline.NewRing(set.Node.Name, set.Node.VM, set.Node.Timeline) })
+	k.Supply(func() peer.Dialer { return peer.DialTCP })
+	if err := k.Add(modulesOf(set)...); err != nil {
+		log.Error(err, "modules")
+		return exitFailure
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	err := k.Run(ctx, func() (context.Context, context.CancelFunc) {
+		return context.WithTimeout(context.Background(), set.Node.DrainTimeout)
+	})
+	if err != nil {
+		log.Error(err, "failed")
+		return exitFailure
+	}
+	return exitOK
+}
+
+// modulesOf lists the modules of the process's roles in starting order; they
+// stop in the reverse order, so what callers reach stops first.
+func modulesOf(set *settings.Settings) []kernel.Module {
+	modules := []kernel.Module{{Name: "debug", New: debug.New}}
+	if set.Has(settings.Control) {
+		modules = append(modules, kernel.Module{Name: "control", New: control.New}, kernel.Module{Name: "admin", New: admin.New})
+	}
+	if set.Has(settings.Entry) || set.Has(settings.Agent) {
+		modules = append(modules, kernel.Module{Name: "configsync", New: configsync.New})
+	}
+	if set.Has(settings.Agent) {
+		modules = append(modules, kernel.Module{Name: "gate", New: gate.New}, kernel.Module{Name: "announce", New: announce.New})
+	}
+	if set.Has(settings.Entry) {
+		modules = append(modules,
+			kernel.Module{Name: "routing", New: routing.New},
+			kernel.Module{Name: "dispatch", New: dispatch.New},
+			kernel.Module{Name: "pipeline", New: pipeline.New},
+			kernel.Module{Name: "ledger", New: ledger.New},
+			kernel.Module{Name: "gateway", New: gateway.New})
+	}
+	return modules
+}
--- /dev/null
+++ b/node/consensus/node.go
@@ -0,0 +1,417 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+)
+
+// Config sets up a Node. Times are in ticks.
+type Config struct {
+	ID             NodeID
+	ElectionTicks  int // a follower waits this long, or up to twice it, for its leader
+	HeartbeatTicks int
+	MaxBatchBytes  int // bound of the entries in one message
+	Rand           *rand.Rand
+
+	// What the storage held, empty for a new replica.
+	HardState HardState
+	Snapshot  *Snapshot
+	Entries   []Entry
+}
+
+// Node is one replica. It is not safe for concurrent use: one goroutine owns
+// it.
+type Node struct {
+	cfg  Config
+	id   NodeID
+	log  raftLog
+	snap *Snapshot
+
+	term   uint64
+	vote   NodeID
+	role   Role
+	leader NodeID
+
+	members  Membership
+	progress map[NodeID]*Progress // leader only
+	votes    map[NodeID]bool      // candidates only
+
+	electionElapsed  int
+	heartbeatElapsed int
+	timeout          int
+
+	pendingMembership uint64 // no membership change may be proposed until this index is applied
+	transferee        NodeID
+
+	readSeq uint64
+	reads   []pendingRead
+
+	messages     []Message
+	readStates   []ReadState
+	savedHard    HardState
+	newSnapshot  *Snapshot
+	handedOut    bool
+	handedCommit uint64
+}
+
+type pendingRead struct {
+	id, seq, index uint64
+}
+
+// New returns a Node that continues from what cfg says was stored.
+func New(cfg Config) *Node {
+	n := &Node{cfg: cfg, id: cfg.ID, snap: cfg.Snapshot}
+	if cfg.Snapshot != nil {
+		n.log.restore(cfg.Snapshot)
+		n.members = cfg.Snapshot.Membership
+	}
+	for _, e := range cfg.Entries {
+		if e.Index == n.log.last()+1 {
+			n.log.entries = append(n.log.entries, e)
+		}
+	}
+	n.log.stable = n.log.last()
+	n.log.committed = max(n.log.committed, min(cfg.HardState.Commit, n.log.last()))
+	n.term, n.vote = cfg.HardState.Term, cfg.HardState.Vote
+	n.savedHard = n.hardState()
+	n.becomeFollower(n.term, "")
+	return n
+}
+
+// Bootstrap returns the snapshot from which the first replica of a new
+// cluster starts, as its only voter.
+func Bootstrap(p Peer, data []byte) *Snapshot {
+	return &Snapshot{Index: 1, Term: 1, Membership: Membership{Voters: []Peer{p}}, Data: data}
+}
+
+func (n *Node) hardState() HardState {
+	return HardState{Term: n.term, Vote: n.vote, Commit: n.log.committed}
+}
+
+// Has reports whether id is a voter.
+func (m Membership) Has(id NodeID) bool { return has(m.Voters, id) }
+
+// HasLearner reports whether id is a learner.
+func (m Membership) HasLearner(id NodeID) bool { return has(m.Learners, id) }
+
+func has(peers []Peer, id NodeID) bool {
+	return slices.ContainsFunc(peers, func(p Peer) bool { return p.ID == id })
+}
+
+// All returns voters and learners.
+func (m Membership) All() []Peer {
+	return append(slices.Clone(m.Voters), m.Learners...)
+}
+
+func (m Membership) quorum() int { return len(m.Voters)/2 + 1 }
+
+// Tick lets one unit of time pass.
+func (n *Node) Tick() {
+	n.electionElapsed++
+	if n.role != Leader {
+		if n.electionElapsed >= n.timeout && n.members.Has(n.id) {
+			n.campaign(true, false)
+		}
+		return
+	}
+	if n.electionElapsed >= n.cfg.ElectionTicks {
+		n.electionElapsed = 0
+		n.transferee = ""
+		n.checkQuorum()
+	}
+	n.heartbeatElapsed++
+	if n.role == Leader && n.heartbeatElapsed >= n.cfg.HeartbeatTicks {
+		n.heartbeatElapsed = 0
+		n.broadcastHeartbeat()
+	}
+}
+
+// checkQuorum makes a leader step down that has not heard from a quorum for
+// an election timeout. Together with the followers' refusal to vote while
+// they hear from a leader this bounds how long two leaders can coexist.
+func (n *Node) checkQuorum() {
+	active := 0
+	for _, v := range n.members.Voters {
+		pr := n.progress[v.ID]
+		if v.ID == n.id || pr != nil && pr.Active {
+			active++
+		}
+	}
+	for _, pr := range n.progress {
+		pr.Active = false
+	}
+	if active < n.members.quorum() {
+		n.becomeFollower(n.term, "")
+	}
+}
+
+func (n *Node) becomeFollower(term uint64, leader NodeID) {
+	if term > n.term {
+		n.term, n.vote = term, ""
+	}
+	n.role, n.leader = Follower, leader
+	n.progress, n.votes = nil, nil
+	n.transferee = ""
+	n.failReads()
+	n.resetElection()
+}
+
+func (n *Node) failReads() {
+	for _, r := range n.reads {
+		n.readStates = append(n.readStates, ReadState{ID: r.id, Failed: true})
+	}
+	n.reads = nil
+}
+
+func (n *Node) resetElection() {
+	n.electionElapsed = 0
+	n.timeout = n.cfg.ElectionTicks + n.cfg.Rand.IntN(n.cfg.ElectionTicks)
+}
+
+// campaign asks for votes. A pre-vote changes no term anywhere, so a replica
+// that was cut off cannot depose a working leader when it comes back.
+func (n *Node) campaign(pre, forced bool) {
+	n.resetElection()
+	n.leader = ""
+	n.votes = map[NodeID]bool{n.id: true}
+	kind, term := MsgPreVote, n.term+1
+	n.role = PreCandidate
+	if !pre {
+		n.term, n.vote, n.role = term, n.id, Candidate
+		kind = MsgVote
+	}
+	if n.won() {
+		n.advanceCampaign()
+		return
+	}
+	for _, v := range n.members.Voters {
+		if v.ID != n.id {
+			n.sendTerm(Message{Kind: kind, To: v.ID, Index: n.log.last(), LogTerm: n.log.lastTerm(), Forced: forced}, term)
+		}
+	}
+}
+
+func (n *Node) won() bool { return n.countVotes(true) >= n.members.quorum() }
+
+func (n *Node) countVotes(granted bool) int {
+	count := 0
+	for id, g := range n.votes {
+		if g == granted && n.members.Has(id) {
+			count++
+		}
+	}
+	return count
+}
+
+func (n *Node) advanceCampaign() {
+	if n.role == PreCandidate {
+		n.campaign(false, false)
+		return
+	}
+	n.becomeLeader()
+}
+
+func (n *Node) becomeLeader() {
+	n.role, n.leader = Leader, n.id
+	n.votes = nil
+	n.electionElapsed, n.heartbeatElapsed = 0, 0
+	n.progress = map[NodeID]*Progress{}
+	n.syncProgress()
+	// An unapplied membership entry of an earlier term may be in the log.
+	n.pendingMembership = n.log.last()
+	n.appendEntry(EntryNormal, nil)
+	n.broadcastAppend()
+}
+
+// syncProgress makes progress cover exactly the other members.
+func (n *Node) syncProgress() {
+	for _, p := range n.members.All() {
+		if p.ID != n.id && n.progress[p.ID] == nil {
+			n.progress[p.ID] = &Progress{Next: n.log.last() + 1, probing: true, Active: true}
+		}
+	}
+	for id := range n.progress {
+		if !n.members.Has(id) && !n.members.HasLearner(id) {
+			delete(n.progress, id)
+		}
+	}
+}
+
+func (n *Node) appendEntry(kind EntryKind, data []byte) uint64 {
+	e := Entry{Index: n.log.last() + 1, Term: n.term, Kind: kind, Data: data}
+	n.log.entries = append(n.log.entries, e)
+	return e.Index
+}
+
+// Propose appends a command to the leader's log and returns its index and
+// term. It is committed if an entry with that index and that term is.
+func (n *Node) Propose(data []byte) (index, term uint64, err error) {
+	if n.role != Leader || n.transferee != "" {
+		return 0, 0, ErrNotLeader
+	}
+	index = n.appendEntry(EntryNormal, data)
+	n.broadcastAppend()
+	return index, n.term, nil
+}
+
+// ProposeMembership replaces the membership. It must differ from the current
+// one by at most one voter, and only one change may be under way.
+func (n *Node) ProposeMembership(m Membership) error {
+	if n.role != Leader {
+		return ErrNotLeader
+	}
+	if n.pendingMembership > n.log.applied {
+		return ErrChangePending
+	}
+	if votersChanged(n.members, m) > 1 || len(m.Voters) == 0 {
+		return errors.NotValidf("membership change of more than one voter")
+	}
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	n.pendingMembership = n.appendEntry(EntryMembership, data)
+	n.broadcastAppend()
+	return nil
+}
+
+func votersChanged(a, b Membership) int {
+	changed := 0
+	for _, p := range a.Voters {
+		if !b.Has(p.ID) {
+			changed++
+		}
+	}
+	for _, p := range b.Voters {
+		if !a.Has(p.ID) {
+			changed++
+		}
+	}
+	return changed
+}
+
+// ReadIndex asks for a linearizable read point. The answer comes in
+// Ready.Reads under id.
+func (n *Node) ReadIndex(id uint64) error {
+	if n.role != Leader {
+		return ErrNotLeader
+	}
+	n.readSeq++
+	n.reads = append(n.reads, pendingRead{id: id, seq: n.readSeq, index: n.log.committed})
+	n.broadcastHeartbeat()
+	n.confirmReads()
+	return nil
+}
+
+// confirmReads releases the reads whose heartbeat round a quorum answered,
+// once an entry of this term is committed (thesis, section 6.4).
+func (n *Node) confirmReads() {
+	if t, _ := n.log.term(n.log.committed); t != n.term {
+		return
+	}
+	acked := n.quorumValue(func(pr *Progress) uint64 { return pr.readSeq }, n.readSeq)
+	for len(n.reads) > 0 && n.reads[0].seq <= acked {
+		r := n.reads[0]
+		n.reads = n.reads[1:]
+		n.readStates = append(n.readStates, ReadState{ID: r.id, Index: max(r.index, n.log.committed)})
+	}
+}
+
+// quorumValue returns the highest value that a quorum of voters has reached.
+func (n *Node) quorumValue(of func(*Progress) uint64, own uint64) uint64 {
+	values := make([]uint64, 0, len(n.members.Voters))
+	for _, v := range n.members.Voters {
+		switch pr := n.progress[v.ID]; {
+		case v.ID == n.id:
+			values = append(values, own)
+		case pr != nil:
+			values = append(values, of(pr))
+		default:
+			values = append(values, 0)
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)-n.members.quorum()]
+}
+
+// TransferLeadership lets the voter take over once its log is whole.
+func (n *Node) TransferLeadership(to NodeID) {
+	if n.role != Leader || to == n.id || !n.members.Has(to) {
+		return
+	}
+	n.transferee = to
+	n.electionElapsed = 0
+	n.continueTransfer()
+}
+
+func (n *Node) continueTransfer() {
+	pr := n.progress[n.transferee]
+	if pr != nil && pr.Match == n.log.last() {
+		n.send(Message{Kind: MsgTimeoutNow, To: n.transferee})
+	}
+}
+
+func (n *Node) send(m Message) { n.sendTerm(m, n.term) }
+
+func (n *Node) sendTerm(m Message, term uint64) {
+	m.From, m.Term = n.id, term
+	n.messages = append(n.messages, m)
+}
+
+func (n *Node) broadcastHeartbeat() {
+	for id, pr := range n.progress {
+		n.send(Message{Kind: MsgHeartbeat, To: id, Commit: min(n.log.committed, pr.Match), ReadSeq: n.readSeq})
+	}
+}
+
+func (n *Node) broadcastAppend() {
+	for id, pr := range n.progress {
+		if !pr.probing {
+			n.sendAppend(id, pr)
+		}
+	}
+	n.maybeCommit()
+}
+
+func (n *Node) sendAppend(id NodeID, pr *Progress) {
+	if pr.Snapshot != 0 {
+		return
+	}
+	prev := pr.Next - 1
+	prevTerm, ok := n.log.term(prev)
+	if !ok {
+		n.sendSnapshot(id, pr)
+		return
+	}
+	entries := n.log.slice(prev, n.log.last(), n.cfg.MaxBatchBytes)
+	n.send(Message{Kind: MsgAppend, To: id, Index: prev, LogTerm: prevTerm, Entries: entries, Commit: n.log.committed})
+	if !pr.probing {
+		pr.Next += uint64(len(entries))
+	}
+}
+
+func (n *Node) sendSnapshot(id NodeID, pr *Progress) {
+	if n.snap == nil {
+		return
+	}
+	pr.Snapshot = n.snap.Index
+	n.send(Message{Kind: MsgSnapshot, To: id, Snapshot: n.snap})
+}
+
+// maybeCommit moves the commit index to what a quorum has synced, if that
+// entry is of the current term (Raft paper, section 5.4.2).
+func (n *Node) maybeCommit() bool {
+	index := n.quorumValue(func(pr *Progress) uint64 { return pr.Match }, n.log.stable)
+	t, ok := n.log.term(index)
+	if index <= n.log.committed || !ok || t != n.term {
+		return false
+	}
+	n.log.committed = index
+	return true
+}
--- /dev/null
+++ b/node/consensus/ready.go
@@ -0,0 +1,148 @@
+package consensus
+
+import "github.com/fxamacker/cbor/v2"
+
+// HasReady reports whether Ready would return work.
+func (n *Node) HasReady() bool {
+	return n.hardState() != n.savedHard || n.log.stable < n.log.last() || n.newSnapshot != nil ||
+		len(n.messages) > 0 || n.log.applied < n.log.committed || len(n.readStates) > 0
+}
+
+// Ready hands out the work that has come up. Until Advance it must not be
+// called again, and nothing may be stepped, proposed or ticked.
+func (n *Node) Ready() Ready {
+	if n.handedOut {
+		panic("consensus: Ready before Advance")
+	}
+	n.handedOut = true
+	rd := Ready{
+		Snapshot: n.newSnapshot,
+		Messages: n.messages,
+		Reads:    n.readStates,
+		Entries:  n.log.slice(max(n.log.stable, n.log.first), n.log.last(), maxInt),
+	}
+	if hs := n.hardState(); hs != n.savedHard {
+		rd.HardState = &hs
+	}
+	// Only synced entries are applied: an entry of this very batch waits for
+	// the next Ready.
+	n.handedCommit = min(n.log.committed, n.log.stable)
+	rd.Committed = n.log.slice(n.log.applied, n.handedCommit, maxInt)
+	return rd
+}
+
+const maxInt = int(^uint(0) >> 1)
+
+// Advance says that the work of rd is done.
+func (n *Node) Advance(rd Ready) {
+	n.handedOut = false
+	n.messages, n.readStates, n.newSnapshot = nil, nil, nil
+	if rd.HardState != nil {
+		n.savedHard = *rd.HardState
+	}
+	if k := len(rd.Entries); k > 0 {
+		n.log.stable = rd.Entries[k-1].Index
+	}
+	for _, e := range rd.Committed {
+		n.log.applied = e.Index
+		if e.Kind == EntryMembership {
+			n.applyMembership(e.Data)
+		}
+	}
+	if n.role == Leader && n.maybeCommit() {
+		n.confirmReads()
+		n.broadcastCommit()
+	}
+}
+
+// broadcastCommit tells followers of a new commit index at once, so that they
+// apply without waiting for the next heartbeat.
+func (n *Node) broadcastCommit() {
+	for id, pr := range n.progress {
+		if !pr.probing {
+			n.sendAppend(id, pr)
+		}
+	}
+}
+
+func (n *Node) applyMembership(data []byte) {
+	var m Membership
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		panic("consensus: a committed membership does not decode: " + err.Error())
+	}
+	n.members = m
+	if n.role != Leader {
+		return
+	}
+	if !m.Has(n.id) {
+		n.becomeFollower(n.term, "")
+		return
+	}
+	n.syncProgress()
+	for id, pr := range n.progress {
+		if pr.probing {
+			n.sendAppend(id, pr)
+		}
+	}
+	if n.maybeCommit() {
+		n.broadcastCommit()
+	}
+}
+
+// Compact replaces the log up to index by a snapshot with the given state.
+// index must be the last applied one, since the snapshot takes the current
+// membership.
+func (n *Node) Compact(index uint64, data []byte) *Snapshot {
+	t, ok := n.log.term(index)
+	if !ok || index != n.log.applied {
+		return nil
+	}
+	n.snap = &Snapshot{Index: index, Term: t, Membership: n.members, Data: data}
+	return n.snap
+}
+
+// TrimLog drops entries up to index from memory; a snapshot must cover them.
+func (n *Node) TrimLog(index uint64) {
+	if n.snap != nil && index <= n.snap.Index && index <= n.log.stable {
+		n.log.compact(index)
+	}
+}
+
+// Status is a copy of what the node knows.
+type Status struct {
+	ID                 NodeID
+	Role               Role
+	Term               uint64
+	Leader             NodeID
+	First, Last        uint64
+	Committed, Applied uint64
+	Membership         Membership
+	MembershipPending  bool
+	Progress           map[NodeID]Progress // leader only
+	SnapshotIndex      uint64
+}
+
+// Status returns the node's current status.
+func (n *Node) Status() Status {
+	s := Status{ID: n.id, Role: n.role, Term: n.term, Leader: n.leader, First: n.log.first, Last: n.log.last(),
+		Committed: n.log.committed, Applied: n.log.applied, Membership: n.members,
+		MembershipPending: n.role == Leader && n.pendingMembership > n.log.applied}
+	if n.snap != nil {
+		s.SnapshotIndex = n.snap.Index
+	}
+	if n.role == Leader {
+		s.Progress = make(map[NodeID]Progress, len(n.progress))
+		for id, pr := range n.progress {
+			s.Progress[id] = *pr
+		}
+	}
+	return s
+}
+
+// HardState returns the hard state as it would be saved now.
+func (n *Node) HardState() HardState { return n.hardState() }
+
+// EntriesAfter returns the entries in memory after index.
+func (n *Node) EntriesAfter(index uint64) []Entry {
+	return n.log.slice(index, n.log.last(), maxInt)
+}
--- /dev/null
+++ b/node/control/links.go
@@ -0,0 +1,95 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"caperdrum.org/node/consensus"
+	"caperdrum.org/node/peer"
+)
+
+// links sends consensus messages. Each replica has a queue and a goroutine of
+// its own, so one that does not read holds up nobody.
+type links struct {
+	dial peer.Dialer
+	self consensus.Peer
+	ctx  context.Context
+	stop context.CancelFunc
+
+	mu     sync.Mutex
+	queues map[consensus.NodeID]chan consensus.Message
+	addr   map[consensus.NodeID]string // for replicas that are not in the membership (yet)
+}
+
+const (
+	queueLength = 1024
+	sendTimeout = time.Second
+)
+
+func newLinks(dial peer.Dialer) *links {
+	ctx, stop := context.WithCancel(context.Background())
+	return &links{dial: dial, ctx: ctx, stop: stop, queues: map[consensus.NodeID]chan consensus.Message{}, addr: map[consensus.NodeID]string{}}
+}
+
+// learn remembers where a replica that only sent us messages listens.
+func (l *links) learn(p consensus.Peer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addr[p.ID] = p.Address
+}
+
+// Send implements replica.Transport.
+func (l *links) Send(peers []consensus.Peer, messages []consensus.Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range peers {
+		l.addr[p.ID] = p.Address
+	}
+	for _, m := range messages {
+		q := l.queues[m.To]
+		if q == nil {
+			address := l.addr[m.To]
+			if address == "" {
+				continue
+			}
+			q = make(chan consensus.Message, queueLength)
+			l.queues[m.To] = q
+			go l.pump(address, q)
+		}
+		select {
+		case q <- m:
+		default: // consensus sends again what matters
+		}
+	}
+}
+
+func (l *links) pump(address string, q chan consensus.Message) {
+	client := peer.NewClient(address, l.dial)
+	defer client.Close()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case m := <-q:
+			batch := RaftBatch{From: l.self, Messages: append([]consensus.Message{m}, takeAll(q)...)}
+			ctx, cancel := context.WithTimeout(l.ctx, sendTimeout)
+			client.Call(ctx, MethodRaft, batch, nil) // lost batches are sent again by consensus
+			cancel()
+		}
+	}
+}
+
+func takeAll(q chan consensus.Message) []consensus.Message {
+	var out []consensus.Message
+	for {
+		select {
+		case m := <-q:
+			out = append(out, m)
+		default:
+			return out
+		}
+	}
+}
+
+func (l *links) close() { l.stop() }
--- /dev/null
+++ b/node/control/repair.go
@@ -0,0 +1,211 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/timeline"
+	"caperdrum.org/node/consensus"
+	"caperdrum.org/node/peer"
+)
+
+// repair lets the leader keep the wanted number of voters: it adds control
+// processes as learners, promotes those that caught up, and removes voters
+// that stay silent once a replacement votes.
+type repair struct {
+	s      *Service
+	silent map[consensus.NodeID]time.Time
+	report atomic.Pointer[string]
+}
+
+const (
+	repairInterval = 500 * time.Millisecond
+	silentLimit    = 5 * time.Second // a voter silent for this long is replaced
+	promoteLag     = 64              // entries by which a learner may lag when it is promoted
+)
+
+func newRepair(s *Service) *repair {
+	r := &repair{s: s, silent: map[consensus.NodeID]time.Time{}}
+	r.say("")
+	return r
+}
+
+func (r *repair) say(s string) { r.report.Store(&s) }
+
+// Report says what repair waits for; empty when the voter set is whole.
+func (r *repair) Report() string { return *r.report.Load() }
+
+func (r *repair) run(ctx context.Context) {
+	ticker := time.NewTicker(repairInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !r.s.replica.IsLeader() {
+			clear(r.silent)
+			r.say("")
+			continue
+		}
+		if err := r.step(ctx); err != nil {
+			r.s.log.V(1).Info("repair waits", "error", err.Error())
+		}
+	}
+}
+
+func (r *repair) step(ctx context.Context) error {
+	status := r.s.replica.Status()
+	r.noteSilence(status)
+	if status.MembershipPending {
+		return nil
+	}
+	spares := r.findSpares(ctx, status)
+	next, why := plan(status, spares, r.silentVoters(), r.s.set.Control.Voters)
+	r.say(why)
+	if next == nil {
+		return nil
+	}
+	err := r.s.replica.ChangeMembership(ctx, func(now consensus.Status) (consensus.Membership, bool) {
+		return *next, now.Role == consensus.Leader && now.Term == status.Term && !now.MembershipPending
+	})
+	if err == nil {
+		r.s.log.Info("membership change proposed", "why", why)
+		r.s.ring.Record(timeline.Event{Kind: "voters-change", Detail: why})
+	}
+	return errors.Trace(err)
+}
+
+// noteSilence tracks since when each other replica's log has stood still
+// without an answer.
+func (r *repair) noteSilence(status consensus.Status) {
+	now := time.Now()
+	for id, pr := range status.Progress {
+		if _, known := r.silent[id]; !known || pr.Active {
+			r.silent[id] = now
+		}
+	}
+	for id := range r.silent {
+		if _, known := status.Progress[id]; !known {
+			delete(r.silent, id)
+		}
+	}
+}
+
+func (r *repair) silentVoters() map[consensus.NodeID]bool {
+	out := map[consensus.NodeID]bool{}
+	for id, since := range r.silent {
+		out[id] = time.Since(since) > silentLimit
+	}
+	return out
+}
+
+// findSpares asks the listed control processes that are not members who they
+// are.
+func (r *repair) findSpares(ctx context.Context, status consensus.Status) []consensus.Peer {
+	var out []consensus.Peer
+	for _, address := range r.s.set.Peers.Control {
+		if address == r.s.set.Control.Listen || answering(status, r.silentVoters(), address) {
+			continue
+		}
+		p, err := r.ask(ctx, address)
+		if err == nil && !status.Membership.Has(p.ID) && !status.Membership.HasLearner(p.ID) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func answering(status consensus.Status, silent map[consensus.NodeID]bool, address string) bool {
+	for _, p := range status.Membership.All() {
+		if p.Address == address && !silent[p.ID] {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *repair) ask(ctx context.Context, address string) (consensus.Peer, error) {
+	client := peer.NewClient(address, r.s.links.dial)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(ctx, repairInterval)
+	defer cancel()
+	var id Identity
+	if err := client.Call(ctx, MethodIdentity, Empty{}, &id); err != nil {
+		return consensus.Peer{}, err
+	}
+	return id.Peer, nil
+}
+
+// plan returns the next membership, or nil, and what repair waits for. Each
+// step changes at most one voter. A silent voter is removed only after its
+// replacement votes, so the number of synced copies never falls.
+func plan(st consensus.Status, spares []consensus.Peer, silent map[consensus.NodeID]bool, want int) (*consensus.Membership, string) {
+	m := st.Membership
+	working := 0
+	for _, v := range m.Voters {
+		if v.ID == st.ID || !silent[v.ID] {
+			working++
+		}
+	}
+	for _, l := range m.Learners {
+		if silent[l.ID] {
+			return dropLearner(m, l.ID), fmt.Sprintf("learner %s is silent: removing it", l.ID)
+		}
+	}
+	if working < want {
+		return addVoter(st, spares, silent, working, want)
+	}
+	if len(m.Voters) > want {
+		for _, v := range m.Voters {
+			if v.ID != st.ID && silent[v.ID] {
+				return dropVoter(m, v.ID), fmt.Sprintf("voter %s is silent and replaced: removing it", v.ID)
+			}
+		}
+	}
+	return nil, ""
+}
+
+func addVoter(st consensus.Status, spares []consensus.Peer, silent map[consensus.NodeID]bool, working, want int) (*consensus.Membership, string) {
+	m := st.Membership
+	for _, l := range m.Learners {
+		if st.Progress[l.ID].Match+promoteLag >= st.Last && st.Progress[l.ID].Match >= st.SnapshotIndex {
+			return promote(m, l), fmt.Sprintf("learner %s caught up: promoting it", l.ID)
+		}
+	}
+	if len(m.Learners) > 0 {
+		return nil, fmt.Sprintf("%d of %d voters work: a learner is catching up", working, want)
+	}
+	if len(spares) == 0 {
+		return nil, fmt.Sprintf("%d of %d voters work: no spare control process answers", working, want)
+	}
+	next := consensus.Membership{Voters: m.Voters, Learners: append(append([]consensus.Peer(nil), m.Learners...), spares[0])}
+	return &next, fmt.Sprintf("%d of %d voters work: adding %s as a learner", working, want, spares[0].ID)
+}
+
+func promote(m consensus.Membership, l consensus.Peer) *consensus.Membership {
+	return &consensus.Membership{Voters: append(append([]consensus.Peer(nil), m.Voters...), l), Learners: without(m.Learners, l.ID)}
+}
+
+func dropVoter(m consensus.Membership, id consensus.NodeID) *consensus.Membership {
+	return &consensus.Membership{Voters: without(m.Voters, id), Learners: m.Learners}
+}
+
+func dropLearner(m consensus.Membership, id consensus.NodeID) *consensus.Membership {
+	return &consensus.Membership{Voters: m.Voters, Learners: without(m.Learners, id)}
+}
+
+func without(peers []consensus.Peer, id consensus.NodeID) []consensus.Peer {
+	var out []consensus.Peer
+	for _, p := range peers {
+		if p.ID != id {
+			out = append(out, p)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/node/control/service.go
@@ -0,0 +1,181 @@
+// Package control is the control role: it runs the replica and answers the
+// other processes' calls for configuration, leases and the ledger.
+package control
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"go.uber.org/dig"
+
+	"caperdrum.org/api/timeline"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/consensus"
+	"caperdrum.org/node/disk"
+	"caperdrum.org/node/kernel"
+	"caperdrum.org/node/peer"
+	"caperdrum.org/node/replica"
+	"caperdrum.org/node/settings"
+)
+
+// Methods of the control role.
+const (
+	MethodSync     = "control.sync"
+	MethodRenew    = "control.renew"
+	MethodClaim    = "control.claim"
+	MethodSettle   = "control.settle"
+	MethodIdentity = "control.identity"
+	MethodRaft     = "control.raft"
+)
+
+// Params are what the service needs.
+type Params struct {
+	dig.In
+	Settings *settings.Settings
+	Kernel   *kernel.Kernel
+	Log      logr.Logger
+	Ring     *timeline.Ring
+	Dial     peer.Dialer
+}
+
+// Service is the control role of one process.
+type Service struct {
+	set     *settings.Settings
+	kernel  *kernel.Kernel
+	log     logr.Logger
+	ring    *timeline.Ring
+	links   *links
+	server  *peer.Server
+	leases  *leases
+	follow  *follower
+	repair  *repair
+	replica *replica.Replica
+
+	cancel  context.CancelFunc
+	stopped chan struct{}
+}
+
+// New opens the data folder and prepares the service.
+func New(p Params) (*Service, error) {
+	s := &Service{set: p.Settings, kernel: p.Kernel, log: p.Log, ring: p.Ring, links: newLinks(p.Dial), server: peer.NewServer(), stopped: make(chan struct{})}
+	fs, err := disk.OpenDir(p.Settings.Node.DataDir)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	s.replica, err = replica.Open(replica.Options{
+		Name: wire.MemberID(p.Settings.Node.Name), Address: p.Settings.Control.Listen, FS: fs,
+		Transport: s.links, Log: p.Log, Seed: uint64(time.Now().UnixNano()),
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	s.links.self = s.replica.Self()
+	s.leases = newLeases(s.replica, p.Settings.Control.Lease, p.Ring)
+	s.follow = newFollower(s)
+	s.repair = newRepair(s)
+	peer.Handle(s.server, MethodSync, s.sync)
+	peer.Handle(s.server, MethodRenew, s.renew)
+	peer.Handle(s.server, MethodClaim, s.claim)
+	peer.Handle(s.server, MethodSettle, s.settle)
+	peer.Handle(s.server, MethodIdentity, s.identity)
+	peer.Handle(s.server, MethodRaft, s.raft)
+	return s, nil
+}
+
+// Replica returns this process's replica.
+func (s *Service) Replica() *replica.Replica { return s.replica }
+
+// Start implements kernel.Starter.
+func (s *Service) Start(context.Context) error {
+	l, err := net.Listen("tcp", s.set.Control.Listen)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	go s.run(ctx)
+	go s.server.Serve(l)
+	go func() {
+		<-ctx.Done()
+		l.Close()
+	}()
+	go s.leases.run(ctx)
+	go s.follow.run(ctx)
+	go s.repair.run(ctx)
+	return nil
+}
+
+func (s *Service) run(ctx context.Context) {
+	defer close(s.stopped)
+	if err := s.replica.Run(ctx); err != nil {
+		s.kernel.Fail(errors.Annotate(err, "replica"))
+	}
+}
+
+const transferTime = 500 * time.Millisecond
+
+// Stop implements kernel.Stopper. A leader hands over first, so that nobody
+// waits for an election.
+func (s *Service) Stop(ctx context.Context) error {
+	if s.replica.IsLeader() {
+		transferCtx, cancel := context.WithTimeout(ctx, transferTime)
+		defer cancel()
+		if s.replica.TransferLeadership(transferCtx) == nil {
+			s.waitUntilFollower(transferCtx)
+		}
+	}
+	s.cancel()
+	<-s.stopped
+	s.server.Close()
+	s.links.close()
+	return nil
+}
+
+func (s *Service) waitUntilFollower(ctx context.Context) {
+	for s.replica.IsLeader() && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// RaftBatch is a batch of messages between two replicas.
+type RaftBatch struct {
+	From     consensus.Peer      `json:"from"`
+	Messages []consensus.Message `json:"messages"`
+}
+
+// Empty is an answer without content.
+type Empty struct{}
+
+func (s *Service) raft(_ context.Context, b *RaftBatch) (*Empty, error) {
+	s.links.learn(b.From)
+	s.replica.Step(b.Messages)
+	return &Empty{}, nil
+}
+
+// Identity names a control process's replica, for the leader that wants to add
+// it.
+type Identity struct {
+	Name string         `json:"name"`
+	Peer consensus.Peer `json:"peer"`
+}
+
+func (s *Service) identity(context.Context, *Empty) (*Identity, error) {
+	return &Identity{Name: s.set.Node.Name, Peer: s.replica.Self()}, nil
+}
+
+// notLeader returns the error that sends a caller to the leader.
+func (s *Service) notLeader() error {
+	l := s.replica.Leader()
+	return &peer.ErrNotLeader{Leader: wire.MemberID(l.ID), Address: l.Address}
+}
+
+// leaderError replaces ErrNotLeader by one that says who leads.
+func (s *Service) leaderError(err error) error {
+	if errors.Is(err, replica.ErrNotLeader) {
+		return s.notLeader()
+	}
+	return err
+}
--- /dev/null
+++ b/node/debug/debug.go
@@ -0,0 +1,69 @@
+// Package debug serves a process's metrics (expvar) and time line over HTTP.
+package debug
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/juju/errors"
+	"go.uber.org/dig"
+
+	"caperdrum.org/api/timeline"
+	"caperdrum.org/node/settings"
+)
+
+// Params are what the service needs.
+type Params struct {
+	dig.In
+	Settings *settings.Settings
+	Ring     *timeline.Ring
+}
+
+// Server is the debug listener.
+type Server struct {
+	address string
+	http    *http.Server
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() string { return s.address }
+
+const readHeaderTimeout = 5 * time.Second
+
+// New returns the server; Start opens its listener.
+func New(p Params) *Server {
+	r := chi.NewRouter()
+	r.Handle("/debug/vars", expvar.Handler())
+	r.HandleFunc("/debug/pprof/*", pprof.Index)
+	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	r.Get("/debug/timeline", func(w http.ResponseWriter, req *http.Request) { writeTimeline(w, req, p.Ring) })
+	return &Server{address: p.Settings.Debug.Listen, http: &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout}}
+}
+
+func writeTimeline(w http.ResponseWriter, req *http.Request, ring *timeline.Ring) {
+	q := req.URL.Query()
+	f := timeline.Filter{Request: q.Get("request"), Customer: q.Get("customer"), VM: q.Get("vm"),
+		Kind: timeline.Kind(q.Get("kind")), Since: timeline.ParseStamp(q.Get("since"))}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(ring.Events(f))
+}
+
+// Start implements kernel.Starter.
+func (s *Server) Start(context.Context) error {
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s.address = l.Addr().String()
+	go s.http.Serve(l)
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (s *Server) Stop(ctx context.Context) error { return s.http.Shutdown(ctx) }
--- /dev/null
+++ b/node/disk/disk.go
@@ -0,0 +1,127 @@
+// Package disk is the small part of a file system that durable state needs.
+// Tests replace it with one that forgets unsynced bytes.
+package disk
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+
+	"github.com/juju/errors"
+)
+
+// File is an open file. Bytes written are durable only after Sync.
+type File interface {
+	io.Writer
+	io.Closer
+	Sync() error
+	Truncate(size int64) error
+}
+
+// FS is one data folder. Names are relative to it and hold no separators. A
+// created, renamed or removed name is durable only after SyncDir.
+type FS interface {
+	// Create opens a new file for writing; one of that name must not exist.
+	Create(name string) (File, error)
+	// Append opens an existing file; writes go to its end.
+	Append(name string) (File, error)
+	// ReadFile returns a file's bytes. The error satisfies os.IsNotExist when
+	// it does not exist.
+	ReadFile(name string) ([]byte, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// List returns all names, sorted.
+	List() ([]string, error)
+	SyncDir() error
+}
+
+const (
+	dirMode  = 0o700
+	fileMode = 0o600
+)
+
+// Dir is an FS in a folder of the operating system.
+type Dir struct{ path string }
+
+// OpenDir returns the FS of the folder, which it makes if it does not exist.
+func OpenDir(path string) (*Dir, error) {
+	if err := os.MkdirAll(path, dirMode); err != nil {
+		return nil, errors.Annotate(err, "data folder")
+	}
+	return &Dir{path: path}, nil
+}
+
+// Create implements FS.
+func (d *Dir) Create(name string) (File, error) {
+	return os.OpenFile(d.join(name), os.O_CREATE|os.O_EXCL|os.O_WRONLY, fileMode)
+}
+
+// Append implements FS.
+func (d *Dir) Append(name string) (File, error) {
+	return os.OpenFile(d.join(name), os.O_WRONLY|os.O_APPEND, fileMode)
+}
+
+// ReadFile implements FS.
+func (d *Dir) ReadFile(name string) ([]byte, error) { return os.ReadFile(d.join(name)) }
+
+// Rename implements FS.
+func (d *Dir) Rename(from, to string) error { return os.Rename(d.join(from), d.join(to)) }
+
+// Remove implements FS.
+func (d *Dir) Remove(name string) error { return os.Remove(d.join(name)) }
+
+// List implements FS.
+func (d *Dir) List() ([]string, error) {
+	entries, err := os.ReadDir(d.path)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		if e.Type().IsRegular() {
+			names = append(names, e.Name())
+		}
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+// SyncDir implements FS.
+func (d *Dir) SyncDir() error {
+	f, err := os.Open(d.path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+func (d *Dir) join(name string) string { return filepath.Join(d.path, name) }
+
+// WriteFile replaces a file's content atomically: after it returns nil the new
+// content is durable, and at no time is there a mixture of old and new.
+func WriteFile(fs FS, name string, data []byte) error {
+	tmp := name + ".tmp"
+	if err := fs.Remove(tmp); err != nil && !os.IsNotExist(err) {
+		return errors.Trace(err)
+	}
+	f, err := fs.Create(tmp)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := fs.Rename(tmp, name); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(fs.SyncDir())
+}
--- /dev/null
+++ b/node/gateway/call.go
@@ -0,0 +1,274 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+
+	"caperdrum.org/api/optext"
+	"caperdrum.org/api/timeline"
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/configsync"
+	"caperdrum.org/node/dispatch"
+	"caperdrum.org/node/pipeline"
+)
+
+// call is one caller's request.
+type call struct {
+	id       wire.RequestID
+	received time.Time
+	view     *configsync.View
+	customer *optext.Customer
+	timeout  time.Duration // zero when the caller named none
+	body     []byte
+	begun    bool // the response's status line was sent
+}
+
+func (c *call) customerName() string {
+	if c.customer == nil {
+		return ""
+	}
+	return c.customer.Name
+}
+
+const (
+	maxRequestID   = 128
+	defaultTimeout = 30 * time.Second // of a plain service's call without a timeout header
+	serviceClass   = optext.Interactive
+)
+
+// begin reads headers and body. The returned call is never nil.
+func (s *Service) begin(w http.ResponseWriter, r *http.Request) (*call, error) {
+	c := &call{id: wire.RequestID(r.Header.Get(wire.HeaderRequestID)), received: time.Now()}
+	if c.id == "" || len(c.id) > maxRequestID {
+		c.id = wire.RequestID(uuid.NewString())
+	}
+	w.Header().Set(wire.HeaderRequestID, string(c.id))
+	if refusal := s.admit(); refusal != nil {
+		return c, refusal
+	}
+	c.view = s.p.Sync.View()
+	w.Header().Set(wire.HeaderConfigVersion, strconv.FormatUint(c.view.Version, 10))
+	name := r.Header.Get(wire.HeaderCustomer)
+	c.customer = c.view.Config.Customers[name]
+	if c.customer == nil {
+		return c, verdict.New(verdict.NotRun, verdict.CodeInvalid, "customer %q is not known: set the header %s to a customer of the operators' text", name, wire.HeaderCustomer)
+	}
+	if err := c.readTimeout(r); err != nil {
+		return c, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.set.MaxBody))
+	if err != nil {
+		return c, bodyError(err, s.set.MaxBody)
+	}
+	c.body = body
+	s.p.Ring.Record(timeline.Event{Kind: "request", Request: string(c.id), Customer: name, Detail: r.Method + " " + r.URL.Path})
+	return c, nil
+}
+
+func (c *call) readTimeout(r *http.Request) error {
+	raw := r.Header.Get(wire.HeaderTimeout)
+	if raw == "" {
+		return nil
+	}
+	d, err := time.ParseDuration(raw)
+	if err != nil || d <= 0 {
+		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "header %s: %q is not a duration: write it like 1.5s or 800ms", wire.HeaderTimeout, raw)
+	}
+	c.timeout = d
+	return nil
+}
+
+func bodyError(err error, limit int64) error {
+	if _, ok := err.(*http.MaxBytesError); ok {
+		return verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the body exceeds %d bytes: send less or raise max_body_bytes", limit)
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeInvalid, "the body was cut: %v", err)
+}
+
+// deadline is the caller's timeout, but no later than the given limit.
+func (c *call) deadline(limit time.Duration) time.Time {
+	if c.timeout > 0 && c.timeout < limit {
+		limit = c.timeout
+	}
+	return c.received.Add(limit)
+}
+
+func (s *Service) chat(w http.ResponseWriter, r *http.Request, c *call) error {
+	in, err := readInput(c.body)
+	if err != nil {
+		return err
+	}
+	p := c.view.Config.ByModel(in.Model)
+	if p == nil {
+		return verdict.New(verdict.NotRun, verdict.CodeUnknown, "no pipeline serves model %q: name one that the operators' text lists", in.Model)
+	}
+	if len(in.Messages) == 0 {
+		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "the body has no messages")
+	}
+	return s.runPipeline(w, r, c, p, in)
+}
+
+func (s *Service) pipeline(w http.ResponseWriter, r *http.Request, c *call) error {
+	name := chi.URLParam(r, "pipeline")
+	p := c.view.Config.Pipelines[name]
+	if p == nil {
+		return verdict.New(verdict.NotRun, verdict.CodeUnknown, "pipeline %q is not in the operators' text", name)
+	}
+	in, err := readInput(c.body)
+	if err != nil {
+		return err
+	}
+	return s.runPipeline(w, r, c, p, in)
+}
+
+func readInput(body []byte) (pipeline.Input, error) {
+	in := pipeline.Input{}
+	if err := json.Unmarshal(body, &in); err != nil {
+		return in, verdict.New(verdict.NotRun, verdict.CodeInvalid, "the body is not the expected JSON: %v", err)
+	}
+	in.Raw = body
+	return in, nil
+}
+
+func (s *Service) runPipeline(w http.ResponseWriter, r *http.Request, c *call, p *optext.Pipeline, in pipeline.Input) error {
+	deadline := c.deadline(p.Deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	res, err := s.p.Pipeline.Run(ctx, &pipeline.Request{ID: c.id, Customer: c.customer, Pipeline: p, Config: c.view.Config, Deadline: deadline, Input: in})
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	return c.stream(w, res.Status, res.ContentType, res.Body)
+}
+
+// service passes a call on to a plain service. Calls that are not idempotent
+// and carry a key go through the ledger.
+func (s *Service) service(w http.ResponseWriter, r *http.Request, c *call) error {
+	name := chi.URLParam(r, "service")
+	sv := c.view.Config.Services[name]
+	if sv == nil {
+		return verdict.New(verdict.NotRun, verdict.CodeUnknown, "service %q is not in the operators' text", name)
+	}
+	deadline := c.deadline(defaultTimeout)
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	path := "/" + chi.URLParam(r, "*")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	class := serviceClass
+	if !sv.Repeatable {
+		class = optext.Confirmation
+	}
+	d := dispatch.Call{Request: c.id, Stage: name, Service: name, Customer: c.customer.Name, Class: string(class), Share: c.customer.Share,
+		Repeatable: sv.Repeatable, Method: r.Method, Path: path, ContentType: r.Header.Get("Content-Type"), Body: c.body, Deadline: deadline}
+	if key := r.Header.Get(wire.HeaderIdempotencyKey); key != "" && !sv.Repeatable {
+		return s.keyed(ctx, w, c, d, key, sv)
+	}
+	a, err := s.p.Pipeline.Call(ctx, d, sv)
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	return c.stream(w, a.Status, a.ContentType, a.Body)
+}
+
+func (s *Service) keyed(ctx context.Context, w http.ResponseWriter, c *call, d dispatch.Call, key string, sv *optext.Service) error {
+	res, err := s.p.Ledger.Run(ctx, key, d, sv.RoutingPolicy)
+	if err != nil {
+		return err
+	}
+	if res.Replayed {
+		w.Header().Set(wire.HeaderReplayed, "true")
+	}
+	h := w.Header()
+	h.Set(wire.HeaderVerdict, verdict.Ran.String())
+	h.Set("Content-Type", res.Outcome.ContentType)
+	h.Set("Content-Length", strconv.Itoa(len(res.Outcome.Body)))
+	c.begun = true
+	w.WriteHeader(res.Outcome.Status)
+	_, err = w.Write(res.Outcome.Body)
+	return err
+}
+
+const copyChunk = 32 << 10
+
+// stream copies an answer to the caller. A plain answer is held until it is
+// whole, so that a failure can still be told by status; an event stream is
+// passed on as it comes and is cut when its source is.
+func (c *call) stream(w http.ResponseWriter, status int, contentType string, body io.Reader) error {
+	if !strings.HasPrefix(contentType, wire.ContentEventStream) {
+		whole, err := io.ReadAll(body)
+		if err != nil {
+			return err
+		}
+		h := w.Header()
+		h.Set(wire.HeaderVerdict, verdict.Ran.String())
+		h.Set("Content-Type", contentType)
+		h.Set("Content-Length", strconv.Itoa(len(whole)))
+		c.begun = true
+		w.WriteHeader(status)
+		_, err = w.Write(whole)
+		return err
+	}
+	h := w.Header()
+	h.Set(wire.HeaderVerdict, verdict.Ran.String())
+	h.Set("Content-Type", contentType)
+	c.begun = true
+	w.WriteHeader(status)
+	return copyFlushing(w, body)
+}
+
+func copyFlushing(w http.ResponseWriter, body io.Reader) error {
+	flusher := http.NewResponseController(w)
+	buf := make([]byte, copyChunk)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return werr
+			}
+			flusher.Flush()
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// errorBody is the JSON that a caller gets instead of an answer.
+type errorBody struct {
+	Error struct {
+		Code      verdict.Code    `json:"code"`
+		Message   string          `json:"message"`
+		Verdict   verdict.Verdict `json:"verdict"`
+		RequestID wire.RequestID  `json:"request_id"`
+	} `json:"error"`
+}
+
+func writeError(w http.ResponseWriter, id wire.RequestID, e *verdict.Error) {
+	var b errorBody
+	b.Error.Code, b.Error.Message, b.Error.Verdict, b.Error.RequestID = e.Code, e.Message, e.Verdict, id
+	h := w.Header()
+	h.Set(wire.HeaderVerdict, e.Verdict.String())
+	h.Set("Content-Type", "application/json")
+	if e.RetryAfter > 0 {
+		h.Set(wire.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(e.Status)
+	json.NewEncoder(w).Encode(b)
+}
--- /dev/null
+++ b/node/gateway/gateway.go
@@ -0,0 +1,169 @@
+// Package gateway is the callers' HTTP interface of an entry.
+package gateway
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"go.uber.org/dig"
+
+	"caperdrum.org/api/timeline"
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/configsync"
+	"caperdrum.org/node/ledger"
+	"caperdrum.org/node/pipeline"
+	"caperdrum.org/node/settings"
+)
+
+// Params are what the service needs.
+type Params struct {
+	dig.In
+	Settings *settings.Settings
+	Log      logr.Logger
+	Ring     *timeline.Ring
+	Sync     *configsync.Service `name:"configsync"`
+	Pipeline *pipeline.Service   `name:"pipeline"`
+	Ledger   *ledger.Service     `name:"ledger"`
+}
+
+// Service is the callers' listener.
+type Service struct {
+	p        Params
+	set      settings.EntryRole
+	server   *http.Server
+	draining atomic.Bool
+	inFlight atomic.Int64
+}
+
+var (
+	requestsVar = expvar.NewMap("requests") // by verdict or "whole"
+	inFlightVar = expvar.NewInt("requests_in_flight")
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 32 << 10
+	balancerGrace     = 500 * time.Millisecond // time for the balancer to see that readiness ended
+)
+
+// New returns the gateway; Start opens its listener.
+func New(p Params) *Service {
+	s := &Service{p: p, set: p.Settings.Entry}
+	r := chi.NewRouter()
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Get("/readyz", s.ready)
+	r.Post("/v1/chat/completions", s.serve(s.chat))
+	r.Post("/v1/pipelines/{pipeline}", s.serve(s.pipeline))
+	r.HandleFunc("/v1/services/{service}", s.serve(s.service))
+	r.HandleFunc("/v1/services/{service}/*", s.serve(s.service))
+	r.NotFound(func(w http.ResponseWriter, req *http.Request) {
+		s.fail(w, "", verdict.New(verdict.NotRun, verdict.CodeUnknown, "no such path: %s; use /v1/chat/completions, /v1/pipelines/NAME or /v1/services/NAME/PATH", req.URL.Path))
+	})
+	s.server = &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return s
+}
+
+// Start implements kernel.Starter.
+func (s *Service) Start(context.Context) error {
+	l, err := net.Listen("tcp", s.set.Listen)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	go s.server.Serve(l)
+	return nil
+}
+
+// Stop implements kernel.Stopper: readiness ends first, so that the balancer
+// sends nothing more, then requests in flight are finished.
+func (s *Service) Stop(ctx context.Context) error {
+	s.draining.Store(true)
+	select {
+	case <-time.After(balancerGrace):
+	case <-ctx.Done():
+	}
+	return s.server.Shutdown(ctx)
+}
+
+func (s *Service) ready(w http.ResponseWriter, _ *http.Request) {
+	if reason := s.notReady(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Service) notReady() string {
+	v := s.p.Sync.View()
+	switch {
+	case s.draining.Load():
+		return "draining"
+	case v == nil || v.Version == 0:
+		return "no configuration yet"
+	case s.p.Sync.StampAge() > s.set.StaleAfter:
+		return "configuration not confirmed lately"
+	}
+	return ""
+}
+
+// admit refuses what cannot be served at all.
+func (s *Service) admit() *verdict.Error {
+	v := s.p.Sync.View()
+	switch {
+	case v == nil || v.Version == 0:
+		return verdict.New(verdict.NotRun, verdict.CodeStale, "this entry has no configuration yet").After(time.Second)
+	case s.set.RefuseStale && s.p.Sync.StampAge() > s.set.StaleAfter:
+		return verdict.New(verdict.NotRun, verdict.CodeStale, "this entry's configuration is not confirmed").After(time.Second)
+	case s.inFlight.Load() > int64(s.set.MaxInFlight):
+		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "this entry is full").After(time.Second)
+	}
+	return nil
+}
+
+// serve wraps a handler with admission, the request id and the accounting of
+// outcomes.
+func (s *Service) serve(handle func(http.ResponseWriter, *http.Request, *call) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		inFlightVar.Add(1)
+		defer func() {
+			s.inFlight.Add(-1)
+			inFlightVar.Add(-1)
+		}()
+		c, err := s.begin(w, r)
+		if err == nil {
+			err = handle(w, r, c)
+		}
+		s.end(w, r, c, err)
+	}
+}
+
+func (s *Service) end(w http.ResponseWriter, r *http.Request, c *call, err error) {
+	if err == nil {
+		requestsVar.Add("whole", 1)
+		s.p.Ring.Record(timeline.Event{Kind: "request-whole", Request: string(c.id), Customer: c.customerName()})
+		return
+	}
+	e := verdict.From(err)
+	requestsVar.Add(e.Verdict.String(), 1)
+	s.p.Ring.Record(timeline.Event{Kind: "request-failed", Request: string(c.id), Customer: c.customerName(), Detail: e.Error()})
+	if c.begun {
+		// The status line is gone: cutting the connection is the only way to
+		// keep the caller from taking a part for the whole.
+		panic(http.ErrAbortHandler)
+	}
+	s.fail(w, c.id, e)
+}
+
+// fail answers with an error before any part of an answer was sent.
+func (s *Service) fail(w http.ResponseWriter, id wire.RequestID, e *verdict.Error) {
+	writeError(w, id, e)
+}
--- /dev/null
+++ b/node/kernel/kernel.go
@@ -0,0 +1,176 @@
+// Package kernel is the core of the daemon. It knows module names and a life
+// cycle, nothing of what the modules do. A module's constructor names the
+// services it needs, by `name` tags of a dig.In struct; the kernel builds them
+// in dependency order, starts them, and stops them in the reverse order.
+package kernel
+
+import (
+	"context"
+	"reflect"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"go.uber.org/dig"
+)
+
+// Module is a named service of the daemon.
+type Module struct {
+	Name string
+	New  any // dig constructor whose first result is the service
+}
+
+// Validator is a service that checks its settings before anything starts.
+type Validator interface{ Validate() error }
+
+// Starter is a service that does work of its own. Start must not block; ctx
+// only bounds the start itself.
+type Starter interface {
+	Start(ctx context.Context) error
+}
+
+// Stopper is a service that must be stopped. Stop finishes work in flight
+// until ctx ends.
+type Stopper interface {
+	Stop(ctx context.Context) error
+}
+
+// Kernel holds the modules of one process.
+type Kernel struct {
+	log       logr.Logger
+	container *dig.Container
+	modules   []Module
+	services  map[string]any
+	started   []Module
+	failed    chan error
+}
+
+// New returns a kernel without modules.
+func New(log logr.Logger) *Kernel {
+	k := &Kernel{log: log, container: dig.New(), services: map[string]any{}, failed: make(chan error, 1)}
+	k.Supply(func() *Kernel { return k })
+	return k
+}
+
+// Supply adds a constructor of an unnamed value that all modules may ask for.
+func (k *Kernel) Supply(constructor any) {
+	if err := k.container.Provide(constructor); err != nil {
+		panic("kernel: " + err.Error())
+	}
+}
+
+// Add registers modules. They start in the order in which they are added.
+func (k *Kernel) Add(modules ...Module) error {
+	for _, m := range modules {
+		if err := k.container.Provide(m.New, dig.Name(m.Name)); err != nil {
+			return errors.Annotatef(err, "module %s", m.Name)
+		}
+		k.modules = append(k.modules, m)
+	}
+	return nil
+}
+
+// Fail reports that a running service can go on no longer. The process stops
+// with the first reported error.
+func (k *Kernel) Fail(err error) {
+	select {
+	case k.failed <- err:
+	default:
+	}
+}
+
+// Provision builds and validates every module without starting any.
+func (k *Kernel) Provision() error {
+	for _, m := range k.modules {
+		service, err := k.resolve(m)
+		if err != nil {
+			return errors.Annotatef(dig.RootCause(err), "module %s", m.Name)
+		}
+		k.services[m.Name] = service
+		if v, ok := service.(Validator); ok {
+			if err := v.Validate(); err != nil {
+				return errors.Annotatef(err, "module %s", m.Name)
+			}
+		}
+	}
+	return nil
+}
+
+// resolve asks the container for the named service through a dig.In struct
+// made for the constructor's result type.
+func (k *Kernel) resolve(m Module) (any, error) {
+	result := reflect.TypeOf(m.New).Out(0)
+	in := reflect.StructOf([]reflect.StructField{
+		{Name: "In", Type: reflect.TypeFor[dig.In](), Anonymous: true},
+		{Name: "Service", Type: result, Tag: reflect.StructTag(`name:"` + m.Name + `"`)},
+	})
+	var service any
+	invoke := reflect.MakeFunc(reflect.FuncOf([]reflect.Type{in}, nil, false), func(args []reflect.Value) []reflect.Value {
+		service = args[0].FieldByName("Service").Interface()
+		return nil
+	})
+	err := k.container.Invoke(invoke.Interface())
+	return service, err
+}
+
+// Lookup returns the service of the given name.
+func Lookup[T any](k *Kernel, name string) (T, bool) {
+	service, ok := k.services[name].(T)
+	return service, ok
+}
+
+// Start starts all modules. When one fails, those already started are stopped.
+func (k *Kernel) Start(ctx context.Context) error {
+	for _, m := range k.modules {
+		if s, ok := k.services[m.Name].(Starter); ok {
+			if err := s.Start(ctx); err != nil {
+				return errors.Annotatef(err, "module %s", m.Name)
+			}
+		}
+		k.started = append(k.started, m)
+		k.log.V(1).Info("module started", "module", m.Name)
+	}
+	return nil
+}
+
+// Stop stops the started modules in reverse order and returns the first error.
+func (k *Kernel) Stop(ctx context.Context) error {
+	var first error
+	for i := len(k.started) - 1; i >= 0; i-- {
+		m := k.started[i]
+		s, ok := k.services[m.Name].(Stopper)
+		if !ok {
+			continue
+		}
+		if err := s.Stop(ctx); err != nil {
+			k.log.Error(err, "module did not stop cleanly", "module", m.Name)
+			if first == nil {
+				first = errors.Annotatef(err, "module %s", m.Name)
+			}
+		}
+	}
+	k.started = nil
+	return first
+}
+
+// Run provisions and starts everything, waits until ctx ends or a service
+// fails, and then stops everything within the time that drain gives.
+func (k *Kernel) Run(ctx context.Context, drain func() (context.Context, context.CancelFunc)) error {
+	if err := k.Provision(); err != nil {
+		return err
+	}
+	err := k.Start(ctx)
+	if err == nil {
+		k.log.Info("ready")
+		select {
+		case <-ctx.Done():
+		case err = <-k.failed:
+		}
+	}
+	stopCtx, cancel := drain()
+	defer cancel()
+	if stopErr := k.Stop(stopCtx); err == nil {
+		err = stopErr
+	}
+	k.log.Info("stopped")
+	return err
+}
--- /dev/null
+++ b/node/pipeline/body.go
@@ -0,0 +1,197 @@
+package pipeline
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/optext"
+)
+
+// Upstream paths by kind of service.
+const (
+	pathEmbeddings = "/v1/embeddings"
+	pathSearch     = "/v1/search"
+	pathRerank     = "/v1/rerank"
+	pathChat       = "/v1/chat/completions"
+	pathPlain      = "/"
+	defaultTopK    = 8
+)
+
+type embedRequest struct {
+	Input string `json:"input"`
+}
+
+type embedAnswer struct {
+	Data []struct {
+		Embedding []float64 `json:"embedding"`
+	} `json:"data"`
+}
+
+type searchRequest struct {
+	Query  string    `json:"query"`
+	Vector []float64 `json:"vector,omitempty"`
+	TopK   int       `json:"top_k"`
+}
+
+// Document is a retrieved text.
+type Document struct {
+	ID   string `json:"id"`
+	Text string `json:"text"`
+}
+
+type searchAnswer struct {
+	Documents []Document `json:"documents"`
+}
+
+type rerankRequest struct {
+	Query     string     `json:"query"`
+	Documents []Document `json:"documents"`
+	TopN      int        `json:"top_n"`
+}
+
+type rerankAnswer struct {
+	Results []struct {
+		Index int     `json:"index"`
+		Score float64 `json:"relevance_score"`
+	} `json:"results"`
+	Documents []Document `json:"documents"`
+}
+
+type chatRequest struct {
+	Model    string    `json:"model,omitempty"`
+	Messages []message `json:"messages"`
+	Stream   bool      `json:"stream,omitempty"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type plainRequest struct {
+	Query  string                     `json:"query"`
+	Inputs map[string]json.RawMessage `json:"inputs,omitempty"`
+}
+
+// buildBody makes a stage's request from the caller's input and the answers of
+// the stages it comes after.
+func buildBody(sv *optext.Service, st *optext.Stage, r *Request, answers map[string][]byte, stream bool) (path string, body []byte, err error) {
+	in := r.Input
+	var v any
+	switch optext.Kind(sv.Kind) {
+	case optext.Encoder:
+		path, v = pathEmbeddings, embedRequest{Input: in.Query}
+	case optext.Retriever:
+		vector, err := vectorOf(st, r, answers)
+		if err != nil {
+			return "", nil, err
+		}
+		path, v = pathSearch, searchRequest{Query: in.Query, Vector: vector, TopK: topK(in)}
+	case optext.Reranker:
+		docs, err := documentsOf(st, r, answers)
+		if err != nil {
+			return "", nil, err
+		}
+		path, v = pathRerank, rerankRequest{Query: in.Query, Documents: docs, TopN: topK(in)}
+	case optext.Engine:
+		if len(st.After) == 0 && len(in.Messages) > 0 {
+			return pathChat, in.Raw, nil // the caller's own chat request, unchanged
+		}
+		v, err = chatOf(st, r, answers, stream)
+		if err != nil {
+			return "", nil, err
+		}
+		path = pathChat
+	default:
+		path, v = pathPlain, plainOf(st, in, answers)
+	}
+	body, err = json.Marshal(v)
+	return path, body, errors.Trace(err)
+}
+
+func topK(in Input) int {
+	if in.TopK > 0 {
+		return in.TopK
+	}
+	return defaultTopK
+}
+
+// inputsOf calls f with the answer of each stage that st comes after and whose
+// service has the given kind.
+func inputsOf(st *optext.Stage, r *Request, answers map[string][]byte, kind optext.Kind, f func([]byte) error) error {
+	for _, name := range st.After {
+		for _, other := range r.Pipeline.Stages {
+			if other.Name != name || optext.Kind(r.Config.Services[other.Service].Kind) != kind {
+				continue
+			}
+			if err := f(answers[name]); err != nil {
+				return errors.Annotatef(err, "answer of stage %s", name)
+			}
+		}
+	}
+	return nil
+}
+
+func vectorOf(st *optext.Stage, r *Request, answers map[string][]byte) ([]float64, error) {
+	var vector []float64
+	err := inputsOf(st, r, answers, optext.Encoder, func(b []byte) error {
+		var a embedAnswer
+		if err := json.Unmarshal(b, &a); err != nil {
+			return err
+		}
+		if len(a.Data) == 0 {
+			return errors.New("no embedding")
+		}
+		vector = a.Data[0].Embedding
+		return nil
+	})
+	return vector, err
+}
+
+// documentsOf collects retrieved documents, reranked ones in their new order.
+func documentsOf(st *optext.Stage, r *Request, answers map[string][]byte) ([]Document, error) {
+	var docs []Document
+	err := inputsOf(st, r, answers, optext.Retriever, func(b []byte) error {
+		var a searchAnswer
+		err := json.Unmarshal(b, &a)
+		docs = append(docs, a.Documents...)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	err = inputsOf(st, r, answers, optext.Reranker, func(b []byte) error {
+		var a rerankAnswer
+		err := json.Unmarshal(b, &a)
+		docs = append(docs, a.Documents...)
+		return err
+	})
+	return docs, err
+}
+
+func chatOf(st *optext.Stage, r *Request, answers map[string][]byte, stream bool) (chatRequest, error) {
+	docs, err := documentsOf(st, r, answers)
+	if err != nil {
+		return chatRequest{}, err
+	}
+	var context strings.Builder
+	for _, d := range docs {
+		context.WriteString("[" + d.ID + "] " + d.Text + "\n")
+	}
+	return chatRequest{Model: r.Input.Model, Stream: stream, Messages: []message{
+		{Role: "system", Content: "Answer from these documents:\n" + context.String()},
+		{Role: "user", Content: r.Input.Query},
+	}}, nil
+}
+
+func plainOf(st *optext.Stage, in Input, answers map[string][]byte) plainRequest {
+	p := plainRequest{Query: in.Query, Inputs: map[string]json.RawMessage{}}
+	for _, name := range st.After {
+		if json.Valid(answers[name]) {
+			p.Inputs[name] = answers[name]
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/node/replica/loop.go
@@ -0,0 +1,240 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"caperdrum.org/node/consensus"
+)
+
+// Run owns the consensus node until ctx ends or the disk fails. After a disk
+// error it returns at once: a replica that cannot sync must not take part.
+func (r *Replica) Run(ctx context.Context) error {
+	defer r.log.Close()
+	defer close(r.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	stamps := time.NewTicker(stampInterval)
+	defer stamps.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			r.node.Tick()
+		case <-stamps.C:
+			r.requestStamp()
+		case f := <-r.calls:
+			f()
+		case messages := <-r.steps:
+			r.step(messages)
+		case p := <-r.propose:
+			r.take(p)
+		}
+		r.drain()
+		if err := r.process(); err != nil {
+			r.opts.Log.Error(err, "replica stopped")
+			return err
+		}
+	}
+}
+
+// drain takes in what else is waiting, so that one sync serves it all.
+func (r *Replica) drain() {
+	for range maxProposals {
+		select {
+		case p := <-r.propose:
+			r.take(p)
+		case messages := <-r.steps:
+			r.step(messages)
+		default:
+			return
+		}
+	}
+}
+
+func (r *Replica) step(messages []consensus.Message) {
+	for _, m := range messages {
+		r.node.Step(m)
+	}
+}
+
+func (r *Replica) take(p *proposal) {
+	index, term, err := r.node.Propose(p.data)
+	if err != nil {
+		p.answer <- proposalAnswer{err: err}
+		return
+	}
+	p.term = term
+	if old := r.waiting[index]; old != nil {
+		old.answer <- proposalAnswer{err: errLost}
+	}
+	r.waiting[index] = p
+}
+
+// requestStamp lets a quorum confirm that this leader still leads.
+func (r *Replica) requestStamp() {
+	if r.node.Status().Role != consensus.Leader {
+		return
+	}
+	at := time.Now()
+	rd := &reader{answer: make(chan error, 1)}
+	r.nextID++
+	if r.node.ReadIndex(r.nextID) != nil {
+		return
+	}
+	r.readers[r.nextID] = rd
+	go func() {
+		if r.wait(context.Background(), rd.answer) == nil {
+			r.SetStamp(at)
+		}
+	}()
+}
+
+// process does the work of every Ready, in the order that Ready documents.
+func (r *Replica) process() error {
+	for r.node.HasReady() {
+		rd := r.node.Ready()
+		if err := r.save(rd); err != nil {
+			return err
+		}
+		r.send(rd)
+		if rd.Snapshot != nil {
+			if err := r.machine.Restore(rd.Snapshot.Data); err != nil {
+				return errors.Trace(err)
+			}
+		}
+		if err := r.apply(rd.Committed); err != nil {
+			return err
+		}
+		r.answerReads(rd.Reads)
+		r.node.Advance(rd)
+		if rd.Snapshot != nil || len(rd.Committed) > 0 {
+			r.publish()
+		}
+	}
+	if err := r.maybeCompact(); err != nil {
+		return err
+	}
+	s := r.node.Status()
+	r.status.Store(&s)
+	r.releaseWaiters()
+	if s.Role != consensus.Leader {
+		r.failWaiting(s)
+	}
+	return nil
+}
+
+func (r *Replica) save(rd consensus.Ready) error {
+	if rd.Snapshot != nil {
+		hs := r.currentHardState(rd)
+		return r.log.SaveSnapshot(rd.Snapshot, hs, rd.Entries)
+	}
+	return r.log.Save(rd.HardState, rd.Entries)
+}
+
+func (r *Replica) currentHardState(rd consensus.Ready) consensus.HardState {
+	if rd.HardState != nil {
+		return *rd.HardState
+	}
+	return r.node.HardState()
+}
+
+func (r *Replica) send(rd consensus.Ready) {
+	if len(rd.Messages) > 0 {
+		r.opts.Transport.Send(r.node.Status().Membership.All(), rd.Messages)
+	}
+}
+
+func (r *Replica) apply(entries []consensus.Entry) error {
+	for _, e := range entries {
+		var answer proposalAnswer
+		if e.Kind == consensus.EntryNormal && len(e.Data) > 0 {
+			res, err := r.machine.Apply(e.Data)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			answer.result = res
+		}
+		if p := r.waiting[e.Index]; p != nil {
+			delete(r.waiting, e.Index)
+			if p.term != e.Term {
+				answer = proposalAnswer{err: errLost}
+			}
+			p.answer <- answer
+		}
+	}
+	return nil
+}
+
+// failWaiting answers proposals of a lost leadership. They may still commit.
+func (r *Replica) failWaiting(s consensus.Status) {
+	for index, p := range r.waiting {
+		delete(r.waiting, index)
+		p.answer <- proposalAnswer{err: errLost}
+	}
+}
+
+func (r *Replica) answerReads(reads []consensus.ReadState) {
+	for _, rs := range reads {
+		rd := r.readers[rs.ID]
+		delete(r.readers, rs.ID)
+		switch {
+		case rd == nil:
+		case rs.Failed:
+			rd.answer <- consensus.ErrNotLeader
+		default:
+			rd.index = rs.Index
+			r.waiters = append(r.waiters, &applyWaiter{index: rs.Index, answer: rd.answer})
+		}
+	}
+}
+
+func (r *Replica) releaseWaiters() {
+	applied := r.node.Status().Applied
+	kept := r.waiters[:0]
+	for _, w := range r.waiters {
+		if w.index <= applied {
+			w.answer <- nil
+		} else {
+			kept = append(kept, w)
+		}
+	}
+	r.waiters = kept
+}
+
+func (r *Replica) publish() {
+	r.view.Store(r.machine.View())
+	s := r.node.Status()
+	r.status.Store(&s)
+	next := make(chan struct{})
+	close(*r.changed.Swap(&next))
+}
+
+// maybeCompact replaces a long log by a snapshot.
+func (r *Replica) maybeCompact() error {
+	if r.log.Size() < compactBytes {
+		return nil
+	}
+	s := r.node.Status()
+	if s.Applied <= s.SnapshotIndex {
+		return nil
+	}
+	data, err := r.machine.Snapshot()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	snap := r.node.Compact(s.Applied, data)
+	if snap == nil {
+		return nil
+	}
+	if err := r.log.SaveSnapshot(snap, r.node.HardState(), r.node.EntriesAfter(snap.Index)); err != nil {
+		return errors.Trace(err)
+	}
+	if snap.Index > trailing {
+		r.node.TrimLog(snap.Index - trailing)
+	}
+	return nil
+}
--- /dev/null
+++ b/node/replica/replica.go
@@ -0,0 +1,343 @@
+// Package replica drives consensus: it syncs, sends and applies what the pure
+// state machine hands out, and lets the other services propose commands and
+// read the state. One goroutine owns the consensus node and the state.
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/consensus"
+	"caperdrum.org/node/disk"
+	"caperdrum.org/node/state"
+	"caperdrum.org/node/wal"
+)
+
+const (
+	tickInterval   = 50 * time.Millisecond
+	electionTicks  = 12
+	heartbeatTicks = 2
+	maxBatchBytes  = 1 << 20
+	maxProposals   = 512      // proposals taken into one sync
+	compactBytes   = 16 << 20 // log file size that calls for a snapshot
+	trailing       = 1000     // entries kept after a snapshot for followers that lag
+	stampInterval  = 500 * time.Millisecond
+)
+
+// Transport sends messages to other replicas. It never blocks and may lose
+// messages.
+type Transport interface {
+	Send(peers []consensus.Peer, messages []consensus.Message)
+}
+
+// Options set up a Replica.
+type Options struct {
+	Name      wire.MemberID
+	Address   string // peer address of this process
+	FS        disk.FS
+	Transport Transport
+	Log       logr.Logger
+	Seed      uint64
+}
+
+// Replica is this process's copy of the replicated state.
+type Replica struct {
+	opts    Options
+	self    consensus.Peer
+	log     *wal.Log
+	node    *consensus.Node
+	machine *state.Machine
+
+	calls   chan func()
+	propose chan *proposal
+	steps   chan []consensus.Message
+	stop    chan struct{}
+	done    chan struct{}
+
+	waiting map[uint64]*proposal
+	readers map[uint64]*reader
+	nextID  uint64
+	waiters []*applyWaiter
+
+	view    atomic.Pointer[state.View]
+	status  atomic.Pointer[consensus.Status]
+	changed atomic.Pointer[chan struct{}]
+	stamp   atomic.Int64 // time of the last quorum confirmation, nanoseconds since start
+	start   time.Time
+}
+
+type proposal struct {
+	data   []byte
+	term   uint64
+	answer chan proposalAnswer
+}
+
+type proposalAnswer struct {
+	result state.Result
+	err    error
+}
+
+type reader struct {
+	index  uint64
+	answer chan error
+}
+
+type applyWaiter struct {
+	index  uint64
+	answer chan error
+}
+
+// Errors of a Replica. Both carry a verdict for the command.
+var (
+	errStopped = verdict.New(verdict.MayHaveRun, verdict.CodeShutdown, "the control process is stopping")
+	errLost    = verdict.New(verdict.MayHaveRun, verdict.CodeNoQuorum, "leadership was lost before the command was committed")
+)
+
+// ErrNotLeader says that the command was not taken.
+var ErrNotLeader = consensus.ErrNotLeader
+
+// Open reads the data folder. Run must be called to make progress.
+func Open(opts Options) (*Replica, error) {
+	log, stored, err := wal.Open(opts.FS)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	r := &Replica{
+		opts: opts, log: log, machine: state.New(),
+		self:    consensus.Peer{ID: consensus.NodeID(string(opts.Name) + "/" + stored.DiskID), Address: opts.Address},
+		calls:   make(chan func()),
+		propose: make(chan *proposal, maxProposals),
+		steps:   make(chan []consensus.Message, 64),
+		stop:    make(chan struct{}), done: make(chan struct{}),
+		waiting: map[uint64]*proposal{}, readers: map[uint64]*reader{},
+		start: time.Now(),
+	}
+	if stored.Snapshot != nil {
+		if err := r.machine.Restore(stored.Snapshot.Data); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	r.node = consensus.New(consensus.Config{
+		ID: r.self.ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, MaxBatchBytes: maxBatchBytes,
+		Rand:      rand.New(rand.NewPCG(opts.Seed, uint64(len(stored.DiskID)))),
+		HardState: stored.HardState, Snapshot: stored.Snapshot, Entries: stored.Entries,
+	})
+	ch := make(chan struct{})
+	r.changed.Store(&ch)
+	r.stamp.Store(-1)
+	r.publish()
+	return r, nil
+}
+
+// Self returns this replica's identity.
+func (r *Replica) Self() consensus.Peer { return r.self }
+
+// View returns the current state. It never blocks.
+func (r *Replica) View() *state.View { return r.view.Load() }
+
+// Status returns the consensus status. It never blocks.
+func (r *Replica) Status() consensus.Status { return *r.status.Load() }
+
+// Changed returns a channel that is closed at the next change of the view.
+func (r *Replica) Changed() <-chan struct{} { return *r.changed.Load() }
+
+// StampAge returns how long ago a quorum confirmed that the view was current,
+// or a negative duration when that never happened.
+func (r *Replica) StampAge() time.Duration {
+	s := r.stamp.Load()
+	if s < 0 {
+		return -1
+	}
+	return time.Since(r.start) - time.Duration(s)
+}
+
+// SetStamp records that the view is known to be current as of the given time.
+func (r *Replica) SetStamp(at time.Time) {
+	s := int64(at.Sub(r.start))
+	for {
+		old := r.stamp.Load()
+		if old >= s || r.stamp.CompareAndSwap(old, s) {
+			return
+		}
+	}
+}
+
+// Leader returns the leader's identity; it is empty when none is known.
+func (r *Replica) Leader() consensus.Peer {
+	s := r.status.Load()
+	for _, p := range s.Membership.All() {
+		if p.ID == s.Leader {
+			return p
+		}
+	}
+	return consensus.Peer{}
+}
+
+// IsLeader reports whether this replica leads, as far as it knows.
+func (r *Replica) IsLeader() bool { return r.status.Load().Role == consensus.Leader }
+
+// Propose commits c and returns its result. ErrNotLeader says that c was not
+// taken; after any other error it may be applied later.
+func (r *Replica) Propose(ctx context.Context, c state.Command) (state.Result, error) {
+	c.Now = time.Now().UnixMilli()
+	data, err := c.Encode()
+	if err != nil {
+		return state.Result{}, err
+	}
+	p := &proposal{data: data, answer: make(chan proposalAnswer, 1)}
+	select {
+	case r.propose <- p:
+	case <-ctx.Done():
+		return state.Result{}, ErrNotLeader
+	case <-r.done:
+		return state.Result{}, ErrNotLeader
+	}
+	select {
+	case a := <-p.answer:
+		return a.result, a.err
+	case <-ctx.Done():
+		return state.Result{}, errLost
+	case <-r.done:
+		return state.Result{}, errStopped
+	}
+}
+
+// ReadBarrier returns once the view holds everything that was committed
+// before the call.
+func (r *Replica) ReadBarrier(ctx context.Context) error {
+	_, err := r.ReadIndex(ctx)
+	return err
+}
+
+// ReadIndex is ReadBarrier and returns the log index that was waited for.
+func (r *Replica) ReadIndex(ctx context.Context) (uint64, error) {
+	rd := &reader{answer: make(chan error, 1)}
+	err := r.do(ctx, func() {
+		r.nextID++
+		if err := r.node.ReadIndex(r.nextID); err != nil {
+			rd.answer <- err
+			return
+		}
+		r.readers[r.nextID] = rd
+	})
+	if err != nil {
+		return 0, err
+	}
+	return rd.index, r.wait(ctx, rd.answer)
+}
+
+// WaitApplied returns once the view holds the entry at index.
+func (r *Replica) WaitApplied(ctx context.Context, index uint64) error {
+	w := &applyWaiter{index: index, answer: make(chan error, 1)}
+	err := r.do(ctx, func() {
+		r.waiters = append(r.waiters, w)
+		r.releaseWaiters()
+	})
+	if err != nil {
+		return err
+	}
+	return r.wait(ctx, w.answer)
+}
+
+func (r *Replica) wait(ctx context.Context, answer chan error) error {
+	select {
+	case err := <-answer:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-r.done:
+		return errStopped
+	}
+}
+
+// do runs f on the owning goroutine.
+func (r *Replica) do(ctx context.Context, f func()) error {
+	ran := make(chan struct{})
+	select {
+	case r.calls <- func() { f(); close(ran) }:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-r.done:
+		return errStopped
+	}
+	<-ran
+	return nil
+}
+
+// Step hands in messages from other replicas. It drops them when the replica
+// is too busy; consensus repeats what matters.
+func (r *Replica) Step(messages []consensus.Message) {
+	select {
+	case r.steps <- messages:
+	case <-r.done:
+	default:
+	}
+}
+
+// ErrInitialized says that the replica already belongs to a cluster.
+var ErrInitialized = errors.New("replica: this data folder already belongs to a cluster")
+
+// Init makes this replica the only voter of a new cluster.
+func (r *Replica) Init(ctx context.Context) error {
+	var result error
+	err := r.do(ctx, func() { result = r.init() })
+	if err != nil {
+		return err
+	}
+	return result
+}
+
+func (r *Replica) init() error {
+	s := r.node.Status()
+	if s.Last > 0 || s.Term > 0 {
+		return ErrInitialized
+	}
+	snap := consensus.Bootstrap(r.self, nil)
+	hs := consensus.HardState{Term: snap.Term, Commit: snap.Index}
+	if err := r.log.SaveSnapshot(snap, hs, nil); err != nil {
+		return errors.Trace(err)
+	}
+	r.node = consensus.New(consensus.Config{
+		ID: r.self.ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, MaxBatchBytes: maxBatchBytes,
+		Rand: rand.New(rand.NewPCG(r.opts.Seed, 1)), HardState: hs, Snapshot: snap,
+	})
+	return nil
+}
+
+// ChangeMembership proposes a membership that differs by at most one voter.
+func (r *Replica) ChangeMembership(ctx context.Context, change func(consensus.Status) (consensus.Membership, bool)) error {
+	var result error
+	err := r.do(ctx, func() {
+		if m, ok := change(r.node.Status()); ok {
+			result = r.node.ProposeMembership(m)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return result
+}
+
+// TransferLeadership hands the lead to another voter, if there is one that is
+// up to date.
+func (r *Replica) TransferLeadership(ctx context.Context) error {
+	return r.do(ctx, func() {
+		s := r.node.Status()
+		best := consensus.NodeID("")
+		for id, pr := range s.Progress {
+			if s.Membership.Has(id) && pr.Active && (best == "" || pr.Match > s.Progress[best].Match) {
+				best = id
+			}
+		}
+		if best != "" {
+			r.node.TransferLeadership(best)
+		}
+	})
+}
--- /dev/null
+++ b/node/settings/settings.go
@@ -0,0 +1,210 @@
+// Package settings reads and checks a process's INI settings. A file is
+// accepted whole or refused with every fault, its line and a remedy.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/strictini"
+	"caperdrum.org/api/wire"
+)
+
+// Role is a part that a process plays.
+type Role string
+
+// Roles of a process.
+const (
+	Entry   Role = "entry"
+	Control Role = "control"
+	Agent   Role = "agent"
+)
+
+// Node is the section [node].
+type Node struct {
+	Name         string        `ini:"name" required:"true"`
+	VM           string        `ini:"vm" required:"true"`
+	DataCenter   string        `ini:"data_center" required:"true"`
+	Roles        []string      `ini:"roles" required:"true"`
+	DataDir      string        `ini:"data_dir"`
+	DrainTimeout time.Duration `ini:"drain_timeout"`
+	LogLevel     string        `ini:"log_level"`
+	Timeline     int           `ini:"timeline_events"`
+}
+
+// Peers is the section [peers].
+type Peers struct {
+	Control []string `ini:"control" required:"true"` // peer addresses of the control processes
+}
+
+// ControlRole is the section [control].
+type ControlRole struct {
+	Listen string        `ini:"listen" required:"true"` // peer address
+	Admin  string        `ini:"admin" required:"true"`  // administration API
+	Lease  time.Duration `ini:"lease"`                  // a member silent for this long is removed
+	Voters int           `ini:"voters"`                 // replicas that repair keeps in the quorum
+}
+
+// EntryRole is the section [entry].
+type EntryRole struct {
+	Listen      string        `ini:"listen" required:"true"`
+	MaxBody     int64         `ini:"max_body_bytes"`
+	StaleAfter  time.Duration `ini:"stale_after"`   // age of the configuration's stamp that ends readiness
+	RefuseStale bool          `ini:"refuse_stale"`  // refuse requests as not run while stale
+	MaxInFlight int           `ini:"max_in_flight"` // requests served at a time
+	MaxAnswer   int64         `ini:"max_answer_bytes"`
+}
+
+// AgentRole is the section [agent].
+type AgentRole struct {
+	Listen      string        `ini:"listen" required:"true"`
+	Service     string        `ini:"service" required:"true"`
+	Upstream    string        `ini:"upstream" required:"true"` // host:port of the upstream
+	KeepAnswers time.Duration `ini:"keep_answers"`
+	MaxAnswer   int64         `ini:"max_answer_bytes"`
+	HealthPath  string        `ini:"health_path"`
+}
+
+// Debug is the section [debug].
+type Debug struct {
+	Listen string `ini:"listen" required:"true"` // metrics and time line
+}
+
+// Settings is a whole, checked file.
+type Settings struct {
+	File    string
+	Node    Node
+	Peers   Peers
+	Control ControlRole
+	Entry   EntryRole
+	Agent   AgentRole
+	Debug   Debug
+}
+
+// Has reports whether the process plays the role.
+func (s *Settings) Has(r Role) bool { return slices.Contains(s.Node.Roles, string(r)) }
+
+// Member returns this process's membership record without an incarnation.
+func (s *Settings) Member() wire.Member {
+	m := wire.Member{ID: wire.MemberID(s.Node.Name), Role: strings.Join(s.Node.Roles, "+"), VM: s.Node.VM,
+		DataCenter: s.Node.DataCenter, Debug: s.Debug.Listen}
+	if s.Has(Agent) {
+		m.Service, m.Gate = s.Agent.Service, s.Agent.Listen
+	}
+	return m
+}
+
+func defaults() *Settings {
+	return &Settings{
+		Node:    Node{DrainTimeout: 30 * time.Second, LogLevel: "info", Timeline: 4096},
+		Control: ControlRole{Lease: 3 * time.Second, Voters: 3},
+		Entry:   EntryRole{MaxBody: 4 << 20, StaleAfter: 5 * time.Second, MaxInFlight: 4096, MaxAnswer: 16 << 20},
+		Agent:   AgentRole{KeepAnswers: 2 * time.Minute, MaxAnswer: 16 << 20, HealthPath: "/health"},
+	}
+}
+
+// Load reads and checks the file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, strictini.Problems{{File: path, Fault: err.Error(), Remedy: "name a readable settings file"}}
+	}
+	return Parse(path, data)
+}
+
+// Parse checks settings held in memory.
+func Parse(path string, data []byte) (*Settings, error) {
+	f, err := strictini.Parse(path, data)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	s := defaults()
+	s.File = path
+	f.Decode("node", &s.Node)
+	f.Decode("peers", &s.Peers)
+	f.Decode("debug", &s.Debug)
+	known := []string{"node", "peers", "debug"}
+	for _, role := range []struct {
+		role Role
+		out  any
+	}{{Control, &s.Control}, {Entry, &s.Entry}, {Agent, &s.Agent}} {
+		known = append(known, string(role.role))
+		switch {
+		case s.Has(role.role):
+			f.Decode(string(role.role), role.out)
+		case f.Has(string(role.role)):
+			f.Fail(string(role.role), "", fmt.Sprintf("section [%s] stands without its role", role.role), "add it to roles or remove the section")
+		}
+	}
+	for _, name := range f.Sections() {
+		if !slices.Contains(known, name) {
+			f.Fail(name, "", "unknown section ["+name+"]", "use one of: "+strings.Join(known, ", "))
+		}
+	}
+	s.check(f)
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Settings) check(f *strictini.File) {
+	for _, r := range s.Node.Roles {
+		if !slices.Contains([]Role{Entry, Control, Agent}, Role(r)) {
+			f.Fail("node", "roles", fmt.Sprintf("unknown role %q", r), "use entry, control, agent")
+		}
+	}
+	if s.Node.LogLevel != "info" && s.Node.LogLevel != "debug" {
+		f.Fail("node", "log_level", "unknown log level", "use info or debug")
+	}
+	for _, a := range s.Peers.Control {
+		checkAddress(f, "peers", "control", a)
+	}
+	checkAddress(f, "debug", "listen", s.Debug.Listen)
+	if s.Has(Control) {
+		s.checkControl(f)
+	}
+	if s.Has(Entry) {
+		checkAddress(f, "entry", "listen", s.Entry.Listen)
+	}
+	if s.Has(Agent) {
+		checkAddress(f, "agent", "listen", s.Agent.Listen)
+		checkAddress(f, "agent", "upstream", s.Agent.Upstream)
+	}
+}
+
+func (s *Settings) checkControl(f *strictini.File) {
+	checkAddress(f, "control", "listen", s.Control.Listen)
+	checkAddress(f, "control", "admin", s.Control.Admin)
+	if s.Control.Voters%2 == 0 {
+		f.Fail("control", "voters", "an even number of voters", "use 1, 3 or 5")
+	}
+	if !slices.Contains(s.Peers.Control, s.Control.Listen) {
+		f.Fail("peers", "control", "this process's own peer address is not listed", "add "+s.Control.Listen)
+	}
+	if s.Node.DataDir == "" {
+		f.Fail("node", "data_dir", "a control process needs a data folder", "add data_dir = PATH")
+		return
+	}
+	if info, err := os.Stat(s.Node.DataDir); err != nil || !info.IsDir() {
+		f.Fail("node", "data_dir", "data folder "+s.Node.DataDir+" does not exist", "create it on a disk that lasts: mkdir -p "+s.Node.DataDir)
+	}
+}
+
+// checkAddress accepts IP:port; names are refused, since processes find each
+// other by IP numbers.
+func checkAddress(f *strictini.File, section, key, address string) {
+	if address == "" {
+		return // reported as missing
+	}
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil || port == "" {
+		f.Fail(section, key, fmt.Sprintf("%q is not an address", address), "write IP:PORT, such as 127.0.0.1:7100")
+	}
+}
--- /dev/null
+++ b/node/settings/settings_test.go
@@ -0,0 +1,69 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"caperdrum.org/node/settings"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
+
+const entryFile = `[node]
+name = e
+vm = v
+data_center = d
+roles = entry
+[peers]
+control = 127.0.0.1:7100
+[entry]
+listen = 127.0.0.1:8080
+[debug]
+listen = 127.0.0.1:7102
+`
+
+var _ = Describe("Parse", func() {
+	It("accepts the demonstration's files", func() {
+		files, err := filepath.Glob(absolute("../../examples/demo/*.ini"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(files)).To(BeNumerically(">", 10))
+		GinkgoT().Chdir(GinkgoT().TempDir())
+		for _, dir := range []string{"control-1", "control-2", "control-3"} {
+			Expect(os.MkdirAll(filepath.Join("data", dir), 0o700)).To(Succeed())
+		}
+		for _, f := range files {
+			if filepath.Base(f) == "text.ini" {
+				continue
+			}
+			data, err := os.ReadFile(f)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = settings.Parse(f, data)
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
+	DescribeTable("refuses faults with file, line and remedy",
+		func(text, want string) {
+			_, err := settings.Parse("s.ini", []byte(text))
+			Expect(err).To(MatchError(ContainSubstring(want)))
+		},
+		Entry("unknown key", entryFile+"colour = red\n", `s.ini:12: unknown key "colour" in [debug]; remove it`),
+		Entry("bad address", entryFile[:len(entryFile)-len("127.0.0.1:7102\n")]+"localhost\n", `s.ini:11: "localhost" is not an address; write IP:PORT`),
+		Entry("unknown section", entryFile+"[poem]\n", "s.ini:12: unknown section [poem]"),
+		Entry("control without a data folder", "[node]\nname = c\nvm = v\ndata_center = d\nroles = control\n[peers]\ncontrol = 127.0.0.1:1\n[control]\nlisten = 127.0.0.1:1\nadmin = 127.0.0.1:2\n[debug]\nlisten = 127.0.0.1:3\n", "a control process needs a data folder"),
+		Entry("missing section", "[node]\nname = c\nvm = v\ndata_center = d\nroles = entry\n", "section [peers] is missing"),
+	)
+})
+
+func absolute(path string) string {
+	abs, err := filepath.Abs(path)
+	Expect(err).NotTo(HaveOccurred())
+	return abs
+}
--- /dev/null
+++ b/node/state/state.go
@@ -0,0 +1,386 @@
+// Package state is the replicated state machine of the control processes:
+// configuration versions, the idempotency ledger, members and order fences.
+// Apply is deterministic: time comes inside the commands.
+package state
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+)
+
+// Command is one entry of the log. Every part that is set is applied, in the
+// order of the fields.
+type Command struct {
+	Now     int64                `cbor:"1,keyasint"` // leader's clock, milliseconds since the Unix epoch
+	Change  *wire.ChangeRequest  `cbor:"2,keyasint,omitempty"`
+	Join    []wire.Member        `cbor:"3,keyasint,omitempty"`
+	Remove  []Removal            `cbor:"4,keyasint,omitempty"`
+	Claims  []wire.ClaimRequest  `cbor:"5,keyasint,omitempty"`
+	Settles []wire.SettleRequest `cbor:"6,keyasint,omitempty"`
+	Fences  []wire.MemberID      `cbor:"7,keyasint,omitempty"` // upstreams for which a new fencing token is drawn
+}
+
+// Removal ends a membership, unless the process has since come back under
+// another incarnation.
+type Removal struct {
+	ID          wire.MemberID `cbor:"1,keyasint"`
+	Incarnation uint64        `cbor:"2,keyasint"`
+}
+
+// Result answers a Command part by part.
+type Result struct {
+	Change  *wire.ChangeResult
+	Claims  []wire.ClaimReply
+	Settles []wire.SettleReply
+	Fences  []uint64
+}
+
+const (
+	// ChangeWindow is how many changes keep their first answer for resends.
+	// An older resend is still never applied: its number is spent.
+	ChangeWindow = 100_000
+	// LedgerLifetime is how long a settled key keeps its outcome.
+	LedgerLifetime = 24 * time.Hour
+	memberLogSize  = 4096
+)
+
+type changeRecord struct {
+	ID     string            `cbor:"1,keyasint"`
+	Hash   uint64            `cbor:"2,keyasint"` // of number and text
+	Result wire.ChangeResult `cbor:"3,keyasint"`
+	At     int64             `cbor:"4,keyasint"`
+	Author string            `cbor:"5,keyasint,omitempty"`
+}
+
+type ledgerEntry struct {
+	Claim   wire.ClaimRequest `cbor:"1,keyasint"`
+	Outcome *wire.Outcome     `cbor:"2,keyasint,omitempty"`
+	At      int64             `cbor:"3,keyasint"` // of the claim, then of the settlement
+}
+
+type memberChange struct {
+	seq     uint64
+	id      wire.MemberID
+	removed bool
+}
+
+// stored is the part of a Machine that a snapshot holds.
+type stored struct {
+	Now        int64                          `cbor:"1,keyasint"`
+	Version    uint64                         `cbor:"2,keyasint"`
+	Text       string                         `cbor:"3,keyasint"`
+	Winner     string                         `cbor:"4,keyasint"` // change id of Version
+	Changes    []changeRecord                 `cbor:"5,keyasint"`
+	Ledger     map[wire.ClaimKey]*ledgerEntry `cbor:"-"`
+	LedgerList []*ledgerEntry                 `cbor:"6,keyasint"`
+	Members    map[wire.MemberID]wire.Member  `cbor:"7,keyasint"`
+	MembersSeq uint64                         `cbor:"8,keyasint"`
+	Fence      uint64                         `cbor:"9,keyasint"`
+	Fences     map[wire.MemberID]uint64       `cbor:"10,keyasint"`
+}
+
+// Machine is the state. One goroutine owns it; others read its View.
+type Machine struct {
+	s         stored
+	byChange  map[string]int // change id to position in s.Changes
+	memberLog []memberChange
+	expiry    []expiring // settled keys in order of settlement
+	view      *View
+}
+
+type expiring struct {
+	key wire.ClaimKey
+	at  int64
+}
+
+// View is an immutable picture of what followers of the state read.
+type View struct {
+	Config     wire.ConfigText
+	Winner     string
+	MembersSeq uint64
+	Members    map[wire.MemberID]wire.Member
+	Ledger     int
+	log        []memberChange
+}
+
+// New returns an empty machine.
+func New() *Machine {
+	m := &Machine{}
+	m.reset(stored{})
+	return m
+}
+
+func (m *Machine) reset(s stored) {
+	m.s = s
+	m.s.Ledger = map[wire.ClaimKey]*ledgerEntry{}
+	if m.s.Members == nil {
+		m.s.Members = map[wire.MemberID]wire.Member{}
+	}
+	if m.s.Fences == nil {
+		m.s.Fences = map[wire.MemberID]uint64{}
+	}
+	m.byChange = map[string]int{}
+	for i, c := range m.s.Changes {
+		m.byChange[c.ID] = i
+	}
+	m.expiry = nil
+	for _, e := range m.s.LedgerList {
+		m.s.Ledger[e.Claim.ClaimKey] = e
+		if e.Outcome != nil {
+			m.expiry = append(m.expiry, expiring{e.Claim.ClaimKey, e.At})
+		}
+	}
+	m.s.LedgerList = nil
+	sort.Slice(m.expiry, func(i, j int) bool { return m.expiry[i].at < m.expiry[j].at })
+	m.memberLog = nil
+	m.view = nil
+}
+
+// Apply executes one encoded Command.
+func (m *Machine) Apply(data []byte) (Result, error) {
+	var c Command
+	if err := cbor.Unmarshal(data, &c); err != nil {
+		return Result{}, errors.Annotate(err, "state: command")
+	}
+	m.s.Now = max(m.s.Now, c.Now)
+	m.expire()
+	var r Result
+	if c.Change != nil {
+		res := m.change(c.Change)
+		r.Change = &res
+	}
+	for _, member := range c.Join {
+		m.join(member)
+	}
+	for _, rm := range c.Remove {
+		m.remove(rm)
+	}
+	for _, claim := range c.Claims {
+		r.Claims = append(r.Claims, m.claim(claim))
+	}
+	for _, settle := range c.Settles {
+		r.Settles = append(r.Settles, m.settle(settle))
+	}
+	for _, id := range c.Fences {
+		r.Fences = append(r.Fences, m.fence(id))
+	}
+	m.view = nil
+	return r, nil
+}
+
+// change accepts a change whose number is the current version plus one. A
+// resend gets the first answer and has no effect.
+func (m *Machine) change(c *wire.ChangeRequest) wire.ChangeResult {
+	hash := changeHash(c)
+	if i, seen := m.byChange[c.ChangeID]; seen {
+		first := m.s.Changes[i]
+		if first.Hash != hash {
+			return wire.ChangeResult{Version: m.s.Version, Reason: "the change id was used for another change", Winner: first.ID}
+		}
+		res := first.Result
+		res.Resent = true
+		return res
+	}
+	res := wire.ChangeResult{Version: m.s.Version}
+	if c.Number == m.s.Version+1 {
+		m.s.Version, m.s.Text, m.s.Winner = c.Number, c.Text, c.ChangeID
+		res = wire.ChangeResult{Accepted: true, Version: c.Number}
+	} else {
+		res.Reason = "the number is not the current version plus one"
+		res.Winner = m.s.Winner
+	}
+	m.remember(changeRecord{ID: c.ChangeID, Hash: hash, Result: res, At: m.s.Now, Author: c.Author})
+	return res
+}
+
+func changeHash(c *wire.ChangeRequest) uint64 {
+	d := xxhash.New()
+	data, _ := cbor.Marshal([2]any{c.Number, c.Text}) // cannot fail for these types
+	d.Write(data)
+	return d.Sum64()
+}
+
+func (m *Machine) remember(r changeRecord) {
+	m.byChange[r.ID] = len(m.s.Changes)
+	m.s.Changes = append(m.s.Changes, r)
+	if len(m.s.Changes) < 2*ChangeWindow {
+		return
+	}
+	// Forget the older half at once, so that the cost per change is constant.
+	for _, old := range m.s.Changes[:ChangeWindow] {
+		delete(m.byChange, old.ID)
+	}
+	m.s.Changes = append([]changeRecord(nil), m.s.Changes[ChangeWindow:]...)
+	for i, c := range m.s.Changes {
+		m.byChange[c.ID] = i
+	}
+}
+
+func (m *Machine) join(member wire.Member) {
+	if m.s.Members[member.ID] == member {
+		return
+	}
+	m.s.Members[member.ID] = member
+	m.logMember(member.ID, false)
+}
+
+func (m *Machine) remove(r Removal) {
+	current, ok := m.s.Members[r.ID]
+	if !ok || current.Incarnation != r.Incarnation {
+		return
+	}
+	delete(m.s.Members, r.ID)
+	m.logMember(r.ID, true)
+}
+
+func (m *Machine) logMember(id wire.MemberID, removed bool) {
+	m.s.MembersSeq++
+	m.memberLog = append(m.memberLog, memberChange{m.s.MembersSeq, id, removed})
+	if len(m.memberLog) >= 2*memberLogSize {
+		m.memberLog = append([]memberChange(nil), m.memberLog[memberLogSize:]...)
+	}
+}
+
+func (m *Machine) claim(c wire.ClaimRequest) wire.ClaimReply {
+	e := m.s.Ledger[c.ClaimKey]
+	if e == nil {
+		m.s.Ledger[c.ClaimKey] = &ledgerEntry{Claim: c, At: m.s.Now}
+		return wire.ClaimReply{State: wire.ClaimGranted}
+	}
+	holder := e.Claim
+	switch {
+	case e.Claim.BodyHash != c.BodyHash:
+		return wire.ClaimReply{State: wire.ClaimMismatch}
+	case e.Outcome != nil:
+		return wire.ClaimReply{State: wire.ClaimSettled, Holder: &holder, Outcome: e.Outcome}
+	case e.Claim.Attempt == c.Attempt:
+		return wire.ClaimReply{State: wire.ClaimGranted} // the claim was sent twice
+	default:
+		return wire.ClaimReply{State: wire.ClaimHeld, Holder: &holder}
+	}
+}
+
+// settle records the first outcome of the attempt that holds the key. An
+// outcome for another attempt has no effect; the outcome that stands is
+// returned. An answer that comes to light later replaces MayHaveRun.
+func (m *Machine) settle(s wire.SettleRequest) wire.SettleReply {
+	e := m.s.Ledger[s.ClaimKey]
+	if e == nil || e.Claim.Attempt != s.Attempt {
+		return wire.SettleReply{Outcome: s.Outcome}
+	}
+	if e.Outcome != nil {
+		if e.Outcome.Verdict == verdict.MayHaveRun && s.Outcome.Verdict == verdict.Ran {
+			out := s.Outcome
+			e.Outcome = &out
+		}
+		return wire.SettleReply{Outcome: *e.Outcome}
+	}
+	if s.Outcome.Verdict == verdict.NotRun {
+		delete(m.s.Ledger, s.ClaimKey)
+		return wire.SettleReply{Outcome: s.Outcome}
+	}
+	out := s.Outcome
+	e.Outcome, e.At = &out, m.s.Now
+	m.expiry = append(m.expiry, expiring{s.ClaimKey, m.s.Now})
+	return wire.SettleReply{Outcome: out}
+}
+
+func (m *Machine) expire() {
+	limit := m.s.Now - LedgerLifetime.Milliseconds()
+	k := 0
+	for k < len(m.expiry) && m.expiry[k].at < limit {
+		delete(m.s.Ledger, m.expiry[k].key)
+		k++
+	}
+	m.expiry = m.expiry[k:]
+}
+
+func (m *Machine) fence(id wire.MemberID) uint64 {
+	m.s.Fence++
+	m.s.Fences[id] = m.s.Fence
+	return m.s.Fence
+}
+
+// Snapshot encodes the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	s := m.s
+	s.LedgerList = make([]*ledgerEntry, 0, len(s.Ledger))
+	for _, e := range s.Ledger {
+		s.LedgerList = append(s.LedgerList, e)
+	}
+	sort.Slice(s.LedgerList, func(i, j int) bool {
+		a, b := s.LedgerList[i].Claim.ClaimKey, s.LedgerList[j].Claim.ClaimKey
+		return a.Customer < b.Customer || a.Customer == b.Customer && a.Key < b.Key
+	})
+	data, err := cbor.Marshal(s)
+	return data, errors.Trace(err)
+}
+
+// Restore replaces the state by an encoded one; empty data is the empty state.
+func (m *Machine) Restore(data []byte) error {
+	var s stored
+	if len(data) > 0 {
+		if err := cbor.Unmarshal(data, &s); err != nil {
+			return errors.Annotate(err, "state: snapshot")
+		}
+	}
+	m.reset(s)
+	return nil
+}
+
+// View returns the current picture. It is safe to hand to other goroutines.
+func (m *Machine) View() *View {
+	if m.view != nil {
+		return m.view
+	}
+	members := make(map[wire.MemberID]wire.Member, len(m.s.Members))
+	for id, member := range m.s.Members {
+		members[id] = member
+	}
+	m.view = &View{
+		Config:     wire.ConfigText{Version: m.s.Version, Text: m.s.Text, Hash: xxhash.Sum64String(m.s.Text)},
+		Winner:     m.s.Winner,
+		MembersSeq: m.s.MembersSeq,
+		Members:    members,
+		Ledger:     len(m.s.Ledger),
+		log:        m.memberLog[:len(m.memberLog):len(m.memberLog)],
+	}
+	return m.view
+}
+
+// Delta returns what changed in the members after sequence number seq, or the
+// whole list when that is not known any more or was never given out here.
+func (v *View) Delta(seq uint64) *wire.MembersDelta {
+	if seq == v.MembersSeq {
+		return nil
+	}
+	d := &wire.MembersDelta{From: seq, To: v.MembersSeq}
+	if seq > v.MembersSeq || len(v.log) == 0 || v.log[0].seq > seq+1 {
+		d.From, d.Whole = 0, true
+		for _, m := range v.Members {
+			d.Changed = append(d.Changed, m)
+		}
+		return d
+	}
+	latest := map[wire.MemberID]bool{}
+	for _, c := range v.log {
+		if c.seq > seq {
+			latest[c.id] = true
+		}
+	}
+	for id := range latest {
+		if m, ok := v.Members[id]; ok {
+			d.Changed = append(d.Changed, m)
+		} else {
+			d.Removed = append(d.Removed, id)
+		}
+	}
+	return d
+}
