Administration API: teams, bearer keys, rights, history; time line as JSON and HTML

Cause: anybody who reached the administration port could change the text, and nobody could see who had. Ruled out: keys in settings files (a change would need every control process restarted); checking rights against a number further ahead than the text in force (two changes in a row would let the second in unchecked: such numbers are refused before they are proposed, with a test). Change: teams and hashed keys in the replicated state; roles viewer, operator and administrator; an operator changes only sections of its services and pipelines; init returns the first key once; caperdrum teams, key, history, members; timeline names control processes it cannot reach and writes JSON and one self-contained HTML page. The key is not sent to debug listeners. Conclusion: TLS is still missing, so keys travel in the clear beyond loopback.

--- /dev/null
+++ b/api/optext/sections.go
@@ -0,0 +1,101 @@
+package optext
+
+import (
+	"sort"
+	"strings"
+
+	"caperdrum.org/api/strictini"
+)
+
+// ChangedSections returns the names of the sections in which two texts
+// differ, sorted. Comments and blank lines do not count.
+func ChangedSections(from, to string) []string {
+	old, next := sectionBodies(from), sectionBodies(to)
+	changed := map[string]bool{}
+	for name, body := range old {
+		if next[name] != body {
+			changed[name] = true
+		}
+	}
+	for name, body := range next {
+		if old[name] != body {
+			changed[name] = true
+		}
+	}
+	return sortedKeys(changed)
+}
+
+// sectionBodies returns each section's keys in a normal form. A section that
+// stands with nothing in it still differs from one that is missing.
+func sectionBodies(text string) map[string]string {
+	out := map[string]string{}
+	name := ""
+	lines := map[string][]string{}
+	for line := range strings.Lines(text) {
+		line = strings.TrimSpace(line)
+		switch {
+		case line == "" || line[0] == '#' || line[0] == ';':
+		case line[0] == '[' && strings.HasSuffix(line, "]"):
+			name = strings.TrimSpace(line[1 : len(line)-1])
+			lines[name] = append(lines[name], "")
+		default:
+			key, value, _ := strings.Cut(line, "=")
+			lines[name] = append(lines[name], strings.TrimSpace(key)+"="+strings.TrimSpace(value))
+		}
+	}
+	for section, body := range lines {
+		sort.Strings(body)
+		out[section] = strings.Join(body, "\n")
+	}
+	return out
+}
+
+// Rights are the parts of a text that a team may change.
+type Rights struct {
+	All       bool
+	Services  []string
+	Pipelines []string
+}
+
+// Owns reports whether the rights cover the section.
+func (r Rights) Owns(section string) bool {
+	if r.All {
+		return true
+	}
+	kind, name, _ := strings.Cut(section, ":")
+	switch kind {
+	case "service":
+		return contains(r.Services, name)
+	case "pipeline":
+		return contains(r.Pipelines, name)
+	case "stage":
+		pipeline, _, _ := strings.Cut(name, "/")
+		return contains(r.Pipelines, pipeline)
+	}
+	return false
+}
+
+func contains(list []string, name string) bool {
+	for _, x := range list {
+		if x == name {
+			return true
+		}
+	}
+	return false
+}
+
+// CheckRights returns a problem for every changed section that the rights do
+// not cover.
+func CheckRights(changed []string, r Rights) error {
+	var problems strictini.Problems
+	for _, section := range changed {
+		if !r.Owns(section) {
+			problems = append(problems, strictini.Problem{File: "text", Fault: "section [" + section + "] is changed, which does not belong to your team",
+				Remedy: "leave it as it is in force, or ask an administrator"})
+		}
+	}
+	if len(problems) == 0 {
+		return nil
+	}
+	return problems
+}
--- a/api/timeline/timeline.go
+++ b/api/timeline/timeline.go
@@ -21,6 +21,9 @@
 // Time returns the physical part of s.
 func (s Stamp) Time() time.Time { return time.UnixMilli(int64(s >> counterBits)) }
 
+// StampOf returns the earliest stamp of the given time.
+func StampOf(t time.Time) Stamp { return Stamp(uint64(t.UnixMilli()) << counterBits) }
+
 // String returns s in hexadecimal, as it travels in headers.
 func (s Stamp) String() string { return strconv.FormatUint(uint64(s), 16) }
 
--- a/api/wire/messages.go
+++ b/api/wire/messages.go
@@ -71,7 +71,9 @@
 	Number   uint64 `json:"number"` // must be the current version plus one
 	Text     string `json:"text"`
 	ChangeID string `json:"change_id"` // a resend with the same id gets the first answer
-	Author   string `json:"author,omitempty"`
+	// Author and Sections are set by the administration API.
+	Author   string   `json:"author,omitempty"`
+	Sections []string `json:"sections,omitempty"`
 }
 
 // ChangeResult is the answer to a change, the same for every resend.
@@ -181,5 +183,6 @@
 	ConfigVersion uint64        `json:"config_version"`
 	StampAge      time.Duration `json:"stamp_age"`
 	LedgerEntries int           `json:"ledger_entries"`
+	Debug         string        `json:"debug"`            // address of the time line and the metrics
 	Repair        string        `json:"repair,omitempty"` // what repair of the voter set waits for
 }
--- a/ctl/adminclient/adminclient.go
+++ b/ctl/adminclient/adminclient.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/url"
 	"sort"
 	"sync"
 	"time"
@@ -21,14 +22,15 @@
 // Client calls the control processes at the given administration addresses.
 type Client struct {
 	addresses []string
+	key       string
 	http      *http.Client
 }
 
 const callTimeout = 6 * time.Second
 
-// New returns a client.
-func New(addresses []string) *Client {
-	return &Client{addresses: addresses, http: &http.Client{Timeout: callTimeout}}
+// New returns a client that authenticates with the bearer key, if there is one.
+func New(addresses []string, key string) *Client {
+	return &Client{addresses: addresses, key: key, http: &http.Client{Timeout: callTimeout}}
 }
 
 // Refusal is a call that a control process understood and refused.
@@ -50,7 +52,17 @@
 	return r.Message + "; " + r.Remedy
 }
 
-// call sends one call to one address. A conflict is decoded into out.
+// final reports whether another control process would refuse as well.
+func (r *Refusal) final() bool {
+	switch r.Status {
+	case http.StatusUnprocessableEntity, http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound, http.StatusConflict:
+		return true
+	}
+	return false
+}
+
+// call sends one call to one address. The conflict of a
+// change is an answer and is decoded into out.
 func (c *Client) call(ctx context.Context, address, method, path string, in, out any) error {
 	var body bytes.Buffer
 	if in != nil {
@@ -62,12 +74,15 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return errors.Trace(err)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusConflict {
+	if _, change := out.(*wire.ChangeResult); resp.StatusCode == http.StatusOK || change && resp.StatusCode == http.StatusConflict {
 		return errors.Trace(json.NewDecoder(resp.Body).Decode(out))
 	}
 	refusal := &Refusal{Status: resp.StatusCode}
@@ -88,7 +103,7 @@
 			return nil
 		}
 		var r *Refusal
-		if errors.As(last, &r) && r.Status == http.StatusUnprocessableEntity {
+		if errors.As(last, &r) && r.final() {
 			return r
 		}
 		select {
@@ -99,13 +114,17 @@
 	return errors.Annotate(last, "no leader answered")
 }
 
-// Init makes the first control process the voter of a new cluster.
-func (c *Client) Init(ctx context.Context) (wire.ControlStatus, error) {
-	var st wire.ControlStatus
-	err := c.call(ctx, c.addresses[0], http.MethodPost, "/v1/init", nil, &st)
-	return st, err
+// Init makes the first control process the voter of a new cluster. The answer
+// holds the first administrators' key, which is not shown again.
+func (c *Client) Init(ctx context.Context) (wire.InitReply, error) {
+	var reply wire.InitReply
+	err := c.call(ctx, c.addresses[0], http.MethodPost, "/v1/init", nil, &reply)
+	return reply, err
 }
 
+// WithKey returns a client that uses another key.
+func (c *Client) WithKey(key string) *Client { return New(c.addresses, key) }
+
 // Apply proposes a change. The same change id makes a resend harmless.
 func (c *Client) Apply(ctx context.Context, change wire.ChangeRequest) (wire.ChangeResult, error) {
 	var res wire.ChangeResult
@@ -175,10 +194,11 @@
 func (c *Client) Timeline(ctx context.Context, addresses []string, query string) (events []timeline.Event, unreached []string) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
+	debug := c.WithKey("") // the key is for the control processes only
 	for _, a := range addresses {
 		wg.Go(func() {
 			var part []timeline.Event
-			err := c.call(ctx, a, http.MethodGet, "/debug/timeline?"+query, nil, &part)
+			err := debug.call(ctx, a, http.MethodGet, "/debug/timeline?"+query, nil, &part)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -192,3 +212,42 @@
 	sort.Strings(unreached)
 	return events, unreached
 }
+
+// Teams lists the teams and their keys, without secrets.
+func (c *Client) Teams(ctx context.Context) ([]wire.TeamInfo, error) {
+	var out []wire.TeamInfo
+	err := c.leader(ctx, http.MethodGet, "/v1/teams", nil, &out)
+	return out, err
+}
+
+// PutTeam adds a team or replaces its rights.
+func (c *Client) PutTeam(ctx context.Context, t wire.TeamInfo) error {
+	var out struct{}
+	return c.leader(ctx, http.MethodPut, "/v1/teams/"+url.PathEscape(t.Name), t, &out)
+}
+
+// DeleteTeam removes a team and its keys.
+func (c *Client) DeleteTeam(ctx context.Context, name string) error {
+	var out struct{}
+	return c.leader(ctx, http.MethodDelete, "/v1/teams/"+url.PathEscape(name), nil, &out)
+}
+
+// AddKey makes one more key for a team. It is shown only in this answer.
+func (c *Client) AddKey(ctx context.Context, team string) (wire.NewKey, error) {
+	var out wire.NewKey
+	err := c.leader(ctx, http.MethodPost, "/v1/teams/"+url.PathEscape(team)+"/keys", nil, &out)
+	return out, err
+}
+
+// EndKey ends a key after the given time.
+func (c *Client) EndKey(ctx context.Context, id string, after time.Duration) error {
+	var out struct{}
+	return c.leader(ctx, http.MethodDelete, "/v1/keys/"+url.PathEscape(id)+"?after="+after.String(), nil, &out)
+}
+
+// History lists the latest changes, newest last.
+func (c *Client) History(ctx context.Context) ([]wire.ChangeInfo, error) {
+	var out []wire.ChangeInfo
+	err := c.leader(ctx, http.MethodGet, "/v1/config/history", nil, &out)
+	return out, err
+}
--- a/ctl/commands/common.go
+++ b/ctl/commands/common.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/google/subcommands"
 
@@ -14,12 +15,16 @@
 )
 
 // adminFlags are shared by all commands that call the control processes.
-type adminFlags struct{ admin string }
+type adminFlags struct{ admin, keyFile string }
 
-const adminEnv = "CAPERDRUM_ADMIN"
+const (
+	adminEnv = "CAPERDRUM_ADMIN"
+	keyEnv   = "CAPERDRUM_KEY"
+)
 
 func (a *adminFlags) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&a.admin, "admin", os.Getenv(adminEnv), "administration `addresses` of the control processes, comma-separated; default $"+adminEnv)
+	f.StringVar(&a.keyFile, "key-file", "", "`file` that holds the team's key; default the value of $"+keyEnv)
 }
 
 func (a *adminFlags) client() (*adminclient.Client, error) {
@@ -27,7 +32,15 @@
 	if len(addresses) == 0 {
 		return nil, fmt.Errorf("no administration addresses: set -admin or $%s", adminEnv)
 	}
-	return adminclient.New(addresses), nil
+	key := os.Getenv(keyEnv)
+	if a.keyFile != "" {
+		data, err := os.ReadFile(a.keyFile)
+		if err != nil {
+			return nil, err
+		}
+		key = strings.TrimSpace(string(data))
+	}
+	return adminclient.New(addresses, key), nil
 }
 
 func usage(err error) subcommands.ExitStatus {
--- a/ctl/commands/status.go
+++ b/ctl/commands/status.go
@@ -5,14 +5,12 @@
 	"flag"
 	"fmt"
 	"os"
-	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/google/subcommands"
 	"github.com/juju/errors"
 
-	"caperdrum.org/api/timeline"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/ctl/adminclient"
 )
@@ -21,6 +19,7 @@
 type Init struct {
 	adminFlags
 	voters  int
+	saveKey string
 	timeout time.Duration
 }
 
@@ -34,6 +33,7 @@
 func (i *Init) SetFlags(f *flag.FlagSet) {
 	i.adminFlags.SetFlags(f)
 	f.IntVar(&i.voters, "voters", 3, "voters to wait for")
+	f.StringVar(&i.saveKey, "save-key", "", "`file` to write the administrators' key to, instead of printing it")
 	f.DurationVar(&i.timeout, "timeout", 30*time.Second, "how long to wait")
 }
 
@@ -45,9 +45,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, i.timeout)
 	defer cancel()
-	if err := retryInit(ctx, cl); err != nil {
+	reply, err := retryInit(ctx, cl)
+	if err != nil {
+		return failure(err)
+	}
+	if err := i.showKey(reply.Key.Key); err != nil {
 		return failure(err)
 	}
+	cl = cl.WithKey(reply.Key.Key)
 	for ctx.Err() == nil {
 		for _, st := range cl.Status(ctx) {
 			if st.Err == nil && st.Status.State == "leader" && len(st.Status.Voters) >= i.voters {
@@ -60,13 +65,24 @@
 	return failure(fmt.Errorf("fewer than %d voters after %s: see caperdrum status", i.voters, i.timeout))
 }
 
+// showKey hands out the first administrators' key, which cannot be had again.
+func (i *Init) showKey(key string) error {
+	if i.saveKey != "" {
+		return os.WriteFile(i.saveKey, []byte(key+"\n"), keyFileMode)
+	}
+	fmt.Printf("administrators' key, shown once: %s\n", key)
+	return nil
+}
+
+const keyFileMode = 0o600
+
 // retryInit waits for a control process that is still starting.
-func retryInit(ctx context.Context, cl *adminclient.Client) error {
+func retryInit(ctx context.Context, cl *adminclient.Client) (wire.InitReply, error) {
 	for {
-		_, err := cl.Init(ctx)
+		reply, err := cl.Init(ctx)
 		var refusal *adminclient.Refusal
 		if err == nil || errors.As(err, &refusal) || ctx.Err() != nil {
-			return err
+			return reply, err
 		}
 		time.Sleep(pollInterval)
 	}
@@ -125,53 +141,3 @@
 	}
 	w.Flush()
 }
-
-// Timeline merges the events of all processes.
-type Timeline struct {
-	adminFlags
-	request, customer, vm, kind string
-	since                       time.Duration
-	also                        string
-}
-
-func (*Timeline) Name() string     { return "timeline" }
-func (*Timeline) Synopsis() string { return "show the events of all processes in one order" }
-func (*Timeline) Usage() string    { return "timeline [-admin ADDRESSES] [-request ID] [-since 1m]\n" }
-
-// SetFlags implements subcommands.Command.
-func (t *Timeline) SetFlags(f *flag.FlagSet) {
-	t.adminFlags.SetFlags(f)
-	f.StringVar(&t.request, "request", "", "only events of this request `id`")
-	f.StringVar(&t.customer, "customer", "", "only events of this customer")
-	f.StringVar(&t.vm, "vm", "", "only events of this VM")
-	f.StringVar(&t.kind, "kind", "", "only events of this kind")
-	f.DurationVar(&t.since, "since", 0, "only events of this last while")
-	f.StringVar(&t.also, "also", "", "further debug `addresses`, such as those of control processes, comma-separated")
-}
-
-// Execute implements subcommands.Command.
-func (t *Timeline) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	cl, err := t.client()
-	if err != nil {
-		return usage(err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
-	defer cancel()
-	events, unreached, err := t.collect(ctx, cl)
-	if err != nil {
-		return failure(err)
-	}
-	printEvents(events)
-	for _, a := range unreached {
-		fmt.Printf("not reached: %s\n", a)
-	}
-	return subcommands.ExitSuccess
-}
-
-func printEvents(events []timeline.Event) {
-	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	for _, e := range events {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", e.At.Time().Format("15:04:05.000"), e.Process, e.Kind, e.Request, strings.TrimSpace(e.Detail))
-	}
-	w.Flush()
-}
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -50,19 +51,36 @@
 func New(p Params) *Service {
 	s := &Service{p: p}
 	r := chi.NewRouter()
-	r.Route("/v1", func(r chi.Router) {
-		r.Post("/init", s.init)
-		r.Get("/status", s.status)
-		r.Get("/members", s.members)
-		r.Get("/config", s.config)
-		r.Post("/config/validate", s.validate)
-		r.Post("/config/diff", s.diff)
-		r.Post("/config", s.apply)
+	r.Post("/v1/init", s.init) // works once, on empty data folders
+	r.Group(func(r chi.Router) {
+		r.Use(s.authenticate)
+		s.routes(r)
 	})
 	s.server = &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout}
 	return s
 }
 
+// Handler returns the API without its listener.
+func (s *Service) Handler() http.Handler { return s.server.Handler }
+
+func (s *Service) routes(r chi.Router) {
+	r.Get("/v1/status", s.status)
+	r.Get("/v1/members", s.members)
+	r.Get("/v1/config", s.config)
+	r.Get("/v1/config/history", s.history)
+	r.Get("/v1/teams", s.listTeams)
+	r.Post("/v1/config/validate", s.validate)
+	r.Post("/v1/config/diff", s.diff)
+	r.With(require(wire.RoleOperator, wire.RoleAdministrator)).Post("/v1/config", s.apply)
+	r.Group(func(r chi.Router) {
+		r.Use(require(wire.RoleAdministrator))
+		r.Put("/v1/teams/{team}", s.putTeam)
+		r.Delete("/v1/teams/{team}", s.deleteTeam)
+		r.Post("/v1/teams/{team}/keys", s.addKey)
+		r.Delete("/v1/keys/{key}", s.endKey)
+	})
+}
+
 // Start implements kernel.Starter.
 func (s *Service) Start(context.Context) error {
 	l, err := net.Listen("tcp", s.p.Settings.Control.Admin)
@@ -76,6 +94,18 @@
 // Stop implements kernel.Stopper.
 func (s *Service) Stop(ctx context.Context) error { return s.server.Shutdown(ctx) }
 
+// errRefused says that the answer was written already.
+var errRefused = errors.New("admin: refused")
+
+// futureNumber refuses a change whose base does not exist yet. It must not be
+// proposed: the rights were checked against no text.
+type futureNumber struct{ number, current uint64 }
+
+// Error implements error.
+func (e *futureNumber) Error() string {
+	return fmt.Sprintf("number %d is not the version in force, %d, plus one", e.number, e.current)
+}
+
 // Error is the JSON body of a refused call.
 type Error struct {
 	Message  string              `json:"message"`
@@ -92,7 +122,10 @@
 
 func (s *Service) fail(w http.ResponseWriter, err error) {
 	var problems strictini.Problems
+	var future *futureNumber
 	switch {
+	case errors.As(err, &future):
+		writeJSON(w, http.StatusConflict, wire.ChangeResult{Version: future.current, Reason: future.Error()})
 	case errors.As(err, &problems):
 		writeJSON(w, http.StatusUnprocessableEntity, Error{Message: "the text is not valid", Remedy: "correct every line named", Problems: problems})
 	case errors.Is(err, replica.ErrNotLeader):
@@ -104,13 +137,32 @@
 	}
 }
 
+// init forms a new cluster and returns the first administrators' key.
 func (s *Service) init(w http.ResponseWriter, r *http.Request) {
 	if err := s.p.Control.Init(r.Context()); err != nil {
 		s.fail(w, err)
 		return
 	}
+	key, shown := newKey(firstTeam)
+	for _, c := range []state.TeamCommand{{Put: &state.Team{Name: firstTeam, Role: wire.RoleAdministrator}}, {AddKey: &key}} {
+		if err := s.commitFirst(r.Context(), w, c); err != nil {
+			return
+		}
+	}
 	s.p.Ring.Record(timeline.Event{Kind: "cluster-initialized"})
-	writeJSON(w, http.StatusOK, s.p.Control.Status())
+	writeJSON(w, http.StatusOK, wire.InitReply{Status: s.p.Control.Status(), Key: shown})
+}
+
+const electionPause = 50 * time.Millisecond
+
+// commitFirst waits for the new cluster's only voter to lead.
+func (s *Service) commitFirst(ctx context.Context, w http.ResponseWriter, c state.TeamCommand) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	for !s.p.Control.Replica().IsLeader() && ctx.Err() == nil {
+		time.Sleep(electionPause)
+	}
+	return s.commitTeam(ctx, w, c)
 }
 
 func (s *Service) status(w http.ResponseWriter, _ *http.Request) {
@@ -175,6 +227,10 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
 	defer cancel()
+	if err := s.checkRights(ctx, r, c); err != nil {
+		s.fail(w, err)
+		return
+	}
 	res, err := s.p.Control.Replica().Propose(ctx, state.Command{Change: c})
 	if err != nil {
 		s.fail(w, err)
@@ -186,10 +242,32 @@
 		status = http.StatusConflict
 		out.Diff = textDiff(s.p.Control.Replica().View().Config.Text, c.Text)
 	}
-	s.p.Ring.Record(timeline.Event{Kind: "config-change", Detail: c.ChangeID + " " + out.Reason})
+	s.p.Ring.Record(timeline.Event{Kind: "config-change", Detail: c.ChangeID + " by " + c.Author + " " + out.Reason})
 	writeJSON(w, status, out)
 }
 
+// checkRights notes who makes the change and what it touches, and refuses it
+// when that is not the team's own. The comparison is with the text in force;
+// if another change comes in between, the number is spent and this change is
+// refused anyway.
+func (s *Service) checkRights(ctx context.Context, r *http.Request, c *wire.ChangeRequest) error {
+	if err := s.p.Control.Replica().ReadBarrier(ctx); err != nil {
+		return err
+	}
+	team := callerOf(r)
+	current := s.p.Control.Replica().View().Config
+	c.Author = team.Name
+	c.Sections = nil
+	switch {
+	case c.Number <= current.Version:
+		return nil // a resend or a conflict: nothing will be applied
+	case c.Number > current.Version+1:
+		return &futureNumber{number: c.Number, current: current.Version}
+	}
+	c.Sections = optext.ChangedSections(current.Text, c.Text)
+	return optext.CheckRights(c.Sections, rightsOf(team))
+}
+
 const diffContext = 3
 
 func textDiff(from, to string) string {
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -45,10 +45,11 @@
 
 // ControlRole is the section [control].
 type ControlRole struct {
-	Listen string        `ini:"listen" required:"true"` // peer address
-	Admin  string        `ini:"admin" required:"true"`  // administration API
-	Lease  time.Duration `ini:"lease"`                  // a member silent for this long is removed
-	Voters int           `ini:"voters"`                 // replicas that repair keeps in the quorum
+	Listen    string        `ini:"listen" required:"true"` // peer address
+	Admin     string        `ini:"admin" required:"true"`  // administration API
+	Lease     time.Duration `ini:"lease"`                  // a member silent for this long is removed
+	Voters    int           `ini:"voters"`                 // replicas that repair keeps in the quorum
+	OpenAdmin bool          `ini:"open_admin"`             // administration without keys; loopback only
 }
 
 // EntryRole is the section [entry].
@@ -185,6 +186,9 @@
 	if s.Control.Voters%2 == 0 {
 		f.Fail("control", "voters", "an even number of voters", "use 1, 3 or 5")
 	}
+	if s.Control.OpenAdmin && !isLoopback(s.Control.Admin) {
+		f.Fail("control", "open_admin", "administration without keys on an address that others reach", "use keys, or a loopback address such as 127.0.0.1:7101")
+	}
 	if !slices.Contains(s.Peers.Control, s.Control.Listen) {
 		f.Fail("peers", "control", "this process's own peer address is not listed", "add "+s.Control.Listen)
 	}
@@ -208,3 +212,8 @@
 		f.Fail(section, key, fmt.Sprintf("%q is not an address", address), "write IP:PORT, such as 127.0.0.1:7100")
 	}
 }
+
+func isLoopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	return err == nil && net.ParseIP(host).IsLoopback()
+}
--- a/node/state/state.go
+++ b/node/state/state.go
@@ -25,6 +25,7 @@
 	Claims  []wire.ClaimRequest  `cbor:"5,keyasint,omitempty"`
 	Settles []wire.SettleRequest `cbor:"6,keyasint,omitempty"`
 	Fences  []wire.MemberID      `cbor:"7,keyasint,omitempty"` // upstreams for which a new fencing token is drawn
+	Team    *TeamCommand         `cbor:"20,keyasint,omitempty"`
 }
 
 // Removal ends a membership, unless the process has since come back under
@@ -40,6 +41,7 @@
 	Claims  []wire.ClaimReply
 	Settles []wire.SettleReply
 	Fences  []uint64
+	Team    *TeamResult
 }
 
 const (
@@ -57,6 +59,9 @@
 	Result wire.ChangeResult `cbor:"3,keyasint"`
 	At     int64             `cbor:"4,keyasint"`
 	Author string            `cbor:"5,keyasint,omitempty"`
+	Number uint64            `cbor:"6,keyasint,omitempty"`
+	// Sections are the parts of the text that the change touched.
+	Sections []string `cbor:"7,keyasint,omitempty"`
 }
 
 type ledgerEntry struct {
@@ -84,6 +89,8 @@
 	MembersSeq uint64                         `cbor:"8,keyasint"`
 	Fence      uint64                         `cbor:"9,keyasint"`
 	Fences     map[wire.MemberID]uint64       `cbor:"10,keyasint"`
+	Teams      map[string]Team                `cbor:"20,keyasint,omitempty"`
+	Keys       []Key                          `cbor:"21,keyasint,omitempty"`
 }
 
 // Machine is the state. One goroutine owns it; others read its View.
@@ -92,7 +99,10 @@
 	byChange  map[string]int // change id to position in s.Changes
 	memberLog []memberChange
 	expiry    []expiring // settled keys in order of settlement
-	view      *View
+
+	teamsView   *Teams            // of the current teams
+	historyView []wire.ChangeInfo // of the current changes
+	view        *View
 }
 
 type expiring struct {
@@ -107,6 +117,8 @@
 	MembersSeq uint64
 	Members    map[wire.MemberID]wire.Member
 	Ledger     int
+	Teams      *Teams
+	History    []wire.ChangeInfo // newest last
 	log        []memberChange
 }
 
@@ -141,6 +153,7 @@
 	sort.Slice(m.expiry, func(i, j int) bool { return m.expiry[i].at < m.expiry[j].at })
 	m.memberLog = nil
 	m.view = nil
+	m.teamsView, m.historyView = m.teams(), m.history()
 }
 
 // Apply executes one encoded Command.
@@ -171,6 +184,11 @@
 	for _, id := range c.Fences {
 		r.Fences = append(r.Fences, m.fence(id))
 	}
+	if c.Team != nil {
+		res := m.team(c.Team)
+		m.teamsView = m.teams()
+		r.Team = &res
+	}
 	m.view = nil
 	return r, nil
 }
@@ -196,7 +214,7 @@
 		res.Reason = "the number is not the current version plus one"
 		res.Winner = m.s.Winner
 	}
-	m.remember(changeRecord{ID: c.ChangeID, Hash: hash, Result: res, At: m.s.Now, Author: c.Author})
+	m.remember(changeRecord{ID: c.ChangeID, Hash: hash, Result: res, At: m.s.Now, Author: c.Author, Number: c.Number, Sections: c.Sections})
 	return res
 }
 
@@ -208,6 +226,7 @@
 }
 
 func (m *Machine) remember(r changeRecord) {
+	defer func() { m.historyView = m.history() }()
 	m.byChange[r.ID] = len(m.s.Changes)
 	m.s.Changes = append(m.s.Changes, r)
 	if len(m.s.Changes) < 2*ChangeWindow {
@@ -350,6 +369,8 @@
 		MembersSeq: m.s.MembersSeq,
 		Members:    members,
 		Ledger:     len(m.s.Ledger),
+		Teams:      m.teamsView,
+		History:    m.historyView,
 		log:        m.memberLog[:len(m.memberLog):len(m.memberLog)],
 	}
 	return m.view
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,7 +7,9 @@
 trap stop_all EXIT
 
 start_system
-"$root/bin/caperdrum" init || exit 1
+"$root/bin/caperdrum" init -save-key "$work/key" || exit 1
+CAPERDRUM_KEY=$(cat "$work/key")
+export CAPERDRUM_KEY
 "$root/bin/caperdrum" apply "$root/examples/demo/text.ini" || exit 1
 wait_ready 127.0.0.11:8080 || exit 1
 wait_ready 127.0.0.12:8080 || exit 1
