--- /dev/null
+++ b/node/consensus/cluster_test.go
@@ -0,0 +1,470 @@
+package consensus_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+
+	"caperdrum.org/node/consensus"
+	"caperdrum.org/node/disk/disktest"
+	"caperdrum.org/node/wal"
+)
+
+const (
+	electionTicks  = 6
+	heartbeatTicks = 2
+	poolLimit      = 400 // the oldest messages beyond this are lost
+)
+
+// fataler is what *rapid.T, *testing.T and *testing.F share.
+type fataler interface {
+	Fatalf(format string, args ...any)
+	Logf(format string, args ...any)
+}
+
+// host is one process: a node, its log and its disk. The state machine is the
+// hash of all entries applied.
+type host struct {
+	name    string
+	fs      *disktest.FS
+	log     *wal.Log
+	node    *consensus.Node // nil while the process is down
+	id      consensus.NodeID
+	index   uint64 // last entry in hash
+	hash    uint64
+	members consensus.Membership
+	applied uint64            // for the membership that is in force
+	waiting map[uint64]uint64 // proposals: index to term
+	reads   map[uint64]uint64 // read id to the index that it must not miss
+}
+
+// cluster runs hosts over a network that loses, delays, doubles and reorders,
+// and compares them with a list of the entries that were ever committed.
+type cluster struct {
+	t       fataler
+	rand    *rand.Rand
+	hosts   []*host
+	pool    []consensus.Message
+	cut     map[[2]string]bool // directed links that lose everything
+	list    []consensus.Entry  // the oracle: list[i] has index i+2
+	hashes  []uint64           // hash after list[:i]
+	acked   uint64             // last index whose proposer was told
+	leaders map[uint64]consensus.NodeID
+	forces  []consensus.Membership // every membership that may be in force
+	nextID  uint64
+	counter uint64
+	did     counts
+}
+
+func newCluster(t fataler, size int, seed uint64) *cluster {
+	c := &cluster{t: t, rand: rand.New(rand.NewPCG(seed, 7)), cut: map[[2]string]bool{},
+		leaders: map[uint64]consensus.NodeID{}, hashes: []uint64{0}}
+	for i := range size {
+		h := &host{name: string(rune('a' + i))}
+		c.hosts = append(c.hosts, h)
+		c.newDisk(h)
+		c.start(h)
+	}
+	c.init(c.hosts[0])
+	return c
+}
+
+func (c *cluster) newDisk(h *host) { h.fs = disktest.New(c.rand.Uint64()) }
+
+// init is what replica.Init does.
+func (c *cluster) init(h *host) {
+	snap := consensus.Bootstrap(consensus.Peer{ID: h.id}, snapshotData(0))
+	if err := h.log.SaveSnapshot(snap, consensus.HardState{Term: 1, Commit: 1}, nil); err != nil {
+		c.t.Fatalf("init: %v", err)
+	}
+	c.stop(h)
+	c.start(h)
+	c.forces = []consensus.Membership{snap.Membership}
+}
+
+// start opens the disk; it stays down when the planned crash strikes then.
+func (c *cluster) start(h *host) {
+	log, st, err := wal.Open(h.fs)
+	if err != nil {
+		if !isCrash(err) {
+			c.t.Fatalf("%s cannot open its folder after a crash: %v", h.name, err)
+		}
+		c.crash(h)
+		return
+	}
+	h.log, h.id = log, consensus.NodeID(h.name+"/"+st.DiskID)
+	h.index, h.hash = 0, 0
+	h.waiting, h.reads = map[uint64]uint64{}, map[uint64]uint64{}
+	if st.Snapshot != nil {
+		c.restore(h, st.Snapshot)
+	}
+	h.node = consensus.New(consensus.Config{ID: h.id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		MaxBatchBytes: 64, Rand: rand.New(rand.NewPCG(c.rand.Uint64(), 2)),
+		HardState: st.HardState, Snapshot: st.Snapshot, Entries: st.Entries})
+	c.work(h)
+}
+
+func isCrash(err error) bool {
+	return err != nil && bytes.Contains([]byte(err.Error()), []byte(disktest.ErrCrashed.Error()))
+}
+
+// stop ends a process. Its unsynced bytes stay in the file system.
+func (c *cluster) stop(h *host) { h.node, h.log = nil, nil }
+
+// crash is a loss of power.
+func (c *cluster) crash(h *host) {
+	c.did.Crashes++
+	c.stop(h)
+	h.fs.Crash()
+}
+
+// work does what replica.process does. A disk error is a loss of power.
+func (c *cluster) work(h *host) {
+	for h.node != nil && h.node.HasReady() {
+		rd := h.node.Ready()
+		if err := save(h, rd); err != nil {
+			c.crash(h)
+			return
+		}
+		c.post(rd.Messages)
+		if rd.Snapshot != nil {
+			c.restore(h, rd.Snapshot)
+		}
+		for _, e := range rd.Committed {
+			c.apply(h, e)
+		}
+		c.answer(h, rd.Reads)
+		h.node.Advance(rd)
+		c.noteForce(h)
+	}
+	c.observe(h)
+}
+
+func save(h *host, rd consensus.Ready) error {
+	if rd.Snapshot == nil {
+		return h.log.Save(rd.HardState, rd.Entries)
+	}
+	return h.log.SaveSnapshot(rd.Snapshot, h.node.HardState(), rd.Entries)
+}
+
+func (c *cluster) post(messages []consensus.Message) {
+	c.pool = append(c.pool, messages...)
+	if over := len(c.pool) - poolLimit; over > 0 {
+		c.pool = slices.Clone(c.pool[over:])
+	}
+}
+
+func entryHash(before uint64, e consensus.Entry) uint64 {
+	f := fnv.New64a()
+	fmt.Fprint(f, before, e.Index, e.Term, e.Kind)
+	f.Write(e.Data)
+	return f.Sum64()
+}
+
+func snapshotData(hash uint64) []byte { return binary.LittleEndian.AppendUint64(nil, hash) }
+
+// apply compares an entry with the list, or makes it the list's next.
+func (c *cluster) apply(h *host, e consensus.Entry) {
+	if e.Index != h.index+1 {
+		c.t.Fatalf("%s applies entry %d after %d", h.name, e.Index, h.index)
+	}
+	h.index, h.hash = e.Index, entryHash(h.hash, e)
+	i := int(e.Index) - 2
+	if i == len(c.list) {
+		c.list = append(c.list, e)
+		c.hashes = append(c.hashes, h.hash)
+	}
+	if c.hashes[i+1] != h.hash {
+		c.t.Fatalf("%s applied %d/%d at %d, the cluster had committed %d/%d", h.name, e.Term, e.Data, e.Index, c.list[i].Term, c.list[i].Data)
+	}
+	if term, ok := h.waiting[e.Index]; ok && term == e.Term {
+		c.acked = max(c.acked, e.Index)
+	}
+	delete(h.waiting, e.Index)
+}
+
+func (c *cluster) restore(h *host, s *consensus.Snapshot) {
+	c.did.Snapshots++
+	h.index, h.hash = s.Index, binary.LittleEndian.Uint64(s.Data)
+	if s.Index-1 > uint64(len(c.list)) || c.hashes[s.Index-1] != h.hash {
+		c.t.Fatalf("%s restored a snapshot at %d that differs from what was committed", h.name, s.Index)
+	}
+}
+
+func (c *cluster) answer(h *host, reads []consensus.ReadState) {
+	for _, r := range reads {
+		need, ok := h.reads[r.ID]
+		delete(h.reads, r.ID)
+		if !r.Failed {
+			c.did.Reads++
+		}
+		if ok && !r.Failed && r.Index < need {
+			c.t.Fatalf("%s confirmed a read at %d, but a write at %d was acknowledged before", h.name, r.Index, need)
+		}
+	}
+}
+
+// noteForce remembers a membership that a node put in force.
+func (c *cluster) noteForce(h *host) {
+	st := h.node.Status()
+	if len(st.Membership.Voters) == 0 {
+		return
+	}
+	if !slices.ContainsFunc(c.forces, func(m consensus.Membership) bool { return equalVoters(m, st.Membership) }) {
+		c.forces = append(c.forces, st.Membership)
+	}
+}
+
+func equalVoters(a, b consensus.Membership) bool {
+	return len(a.Voters) == len(b.Voters) && !slices.ContainsFunc(a.Voters, func(p consensus.Peer) bool { return !b.Has(p.ID) })
+}
+
+// observe checks what must hold of a node after each step.
+func (c *cluster) observe(h *host) {
+	if h.node == nil {
+		return
+	}
+	st := h.node.Status()
+	if st.Applied != h.index {
+		c.t.Fatalf("%s says it applied %d, but it got %d", h.name, st.Applied, h.index)
+	}
+	if st.Role != consensus.Leader {
+		clear(h.waiting)
+		return
+	}
+	if other, ok := c.leaders[st.Term]; ok && other != h.id {
+		c.t.Fatalf("term %d has two leaders, %s and %s", st.Term, other, h.id)
+	}
+	if _, seen := c.leaders[st.Term]; !seen {
+		c.leaders[st.Term] = h.id
+		c.checkComplete(h, st)
+	}
+}
+
+// checkComplete is Leader Completeness: a new leader holds every entry that
+// was committed in an earlier term.
+func (c *cluster) checkComplete(h *host, st consensus.Status) {
+	for _, e := range c.list {
+		if e.Index <= st.First || e.Term >= st.Term {
+			continue
+		}
+		got := h.node.EntriesAfter(e.Index - 1)
+		if len(got) == 0 || got[0].Term != e.Term || !bytes.Equal(got[0].Data, e.Data) {
+			c.t.Fatalf("the leader %s of term %d lacks the committed entry %d", h.name, st.Term, e.Index)
+		}
+	}
+}
+
+// checkLogs is Log Matching: two logs that agree on the term at an index agree
+// on all before.
+func (c *cluster) checkLogs() {
+	for i, a := range c.hosts {
+		for _, b := range c.hosts[i+1:] {
+			if a.node != nil && b.node != nil {
+				c.checkPair(a, b)
+			}
+		}
+	}
+}
+
+func (c *cluster) checkPair(a, b *host) {
+	first := max(a.node.Status().First, b.node.Status().First)
+	la, lb := a.node.EntriesAfter(first), b.node.EntriesAfter(first)
+	matched := false
+	for i := min(len(la), len(lb)) - 1; i >= 0; i-- {
+		same := la[i].Term == lb[i].Term
+		if same && !bytes.Equal(la[i].Data, lb[i].Data) || matched && !same {
+			c.t.Fatalf("the logs of %s and %s differ at %d but agree later", a.name, b.name, la[i].Index)
+		}
+		matched = matched || same
+	}
+}
+
+// deliver hands over the i-th message of the pool.
+func (c *cluster) deliver(i int, keep bool) {
+	m := c.pool[i]
+	if !keep {
+		c.pool = slices.Delete(c.pool, i, i+1)
+	}
+	if c.cut[[2]string{hostOf(m.From), hostOf(m.To)}] {
+		return
+	}
+	for _, h := range c.hosts {
+		if h.name == hostOf(m.To) && h.node != nil {
+			c.did.Inputs++
+			h.node.Step(m)
+			return
+		}
+	}
+}
+
+func hostOf(id consensus.NodeID) string { return string(id[:1]) }
+
+func (c *cluster) leader() *host {
+	var best *host
+	for _, h := range c.hosts {
+		if h.node == nil || h.node.Status().Role != consensus.Leader {
+			continue
+		}
+		if best == nil || h.node.Status().Term > best.node.Status().Term {
+			best = h
+		}
+	}
+	return best
+}
+
+func (c *cluster) propose(h *host) {
+	c.counter++
+	index, term, err := h.node.Propose(binary.AppendUvarint(nil, c.counter))
+	if err == nil {
+		h.waiting[index] = term
+	}
+}
+
+func (c *cluster) read(h *host) {
+	c.nextID++
+	if h.node.ReadIndex(c.nextID) == nil {
+		h.reads[c.nextID] = c.acked
+	}
+}
+
+func (c *cluster) compact(h *host, trailing uint64) {
+	st := h.node.Status()
+	if h.node.HasReady() || st.Applied <= st.SnapshotIndex {
+		return
+	}
+	s := h.node.Compact(st.Applied, snapshotData(h.hash))
+	if s == nil {
+		return
+	}
+	if err := h.log.SaveSnapshot(s, h.node.HardState(), h.node.EntriesAfter(s.Index)); err != nil {
+		c.crash(h)
+		return
+	}
+	if s.Index > trailing {
+		h.node.TrimLog(s.Index - trailing)
+	}
+}
+
+// mayWipe reports whether each membership that may be in force keeps a
+// majority of its disks without h.
+func (c *cluster) mayWipe(h *host) bool {
+	alive := map[consensus.NodeID]bool{}
+	for _, o := range c.hosts {
+		alive[o.id] = o != h
+	}
+	for _, m := range c.forces {
+		lived := 0
+		for _, v := range m.Voters {
+			if alive[v.ID] {
+				lived++
+			}
+		}
+		if lived <= len(m.Voters)/2 && m.Has(h.id) {
+			return false
+		}
+	}
+	return true
+}
+
+// wipe gives h an empty disk.
+func (c *cluster) wipe(h *host) {
+	c.did.Wipes++
+	c.stop(h)
+	c.newDisk(h)
+	c.start(h)
+}
+
+// reform proposes one change that a repair would make.
+func (c *cluster) reform(h *host, pick *host) {
+	st := h.node.Status()
+	next := consensus.Membership{Voters: slices.Clone(st.Membership.Voters), Learners: slices.Clone(st.Membership.Learners)}
+	isPick := func(p consensus.Peer) bool { return p.ID == pick.id }
+	gone := func(p consensus.Peer) bool {
+		return !slices.ContainsFunc(c.hosts, func(o *host) bool { return o.id == p.ID })
+	}
+	switch {
+	case slices.ContainsFunc(next.Voters, gone) && c.rand.IntN(2) == 0:
+		i := slices.IndexFunc(next.Voters, gone)
+		next.Voters = slices.Delete(next.Voters, i, i+1)
+	case next.Has(pick.id):
+		next.Voters = slices.DeleteFunc(next.Voters, isPick)
+	case next.HasLearner(pick.id):
+		next.Learners = slices.DeleteFunc(next.Learners, isPick)
+		next.Voters = append(next.Voters, consensus.Peer{ID: pick.id})
+	default:
+		next.Learners = append(next.Learners, consensus.Peer{ID: pick.id})
+	}
+	if c.durable(next) && h.node.ProposeMembership(next) == nil {
+		c.forces = append(c.forces, next)
+	}
+}
+
+// durable reports whether a majority of the voters' disks live.
+func (c *cluster) durable(m consensus.Membership) bool {
+	lived := 0
+	for _, h := range c.hosts {
+		if m.Has(h.id) {
+			lived++
+		}
+	}
+	return lived > len(m.Voters)/2
+}
+
+// settle heals everything and demands progress within bounded ticks.
+func (c *cluster) settle() {
+	clear(c.cut)
+	for _, h := range c.hosts {
+		for h.node == nil {
+			c.start(h)
+		}
+		h.fs.CrashAfter(-1)
+	}
+	for range 60 * electionTicks {
+		for _, h := range c.hosts {
+			h.node.Tick()
+			c.work(h)
+		}
+		for k := 0; len(c.pool) > 0 && k < 4*poolLimit; k++ {
+			c.deliver(0, false)
+			c.workAll()
+		}
+		if c.settled() {
+			c.checkLogs()
+			return
+		}
+	}
+	for _, h := range c.hosts {
+		c.t.Logf("%s %+v", h.name, h.node.Status())
+	}
+	c.t.Fatalf("no leader with all members caught up after 60 election timeouts without a failure")
+}
+
+func (c *cluster) workAll() {
+	for _, h := range c.hosts {
+		if h.node != nil {
+			c.work(h)
+		}
+	}
+}
+
+func (c *cluster) settled() bool {
+	l := c.leader()
+	if l == nil {
+		return false
+	}
+	st := l.node.Status()
+	if st.Applied != st.Last || st.Applied < uint64(len(c.list))+1 {
+		return false
+	}
+	for _, h := range c.hosts {
+		member := st.Membership.Has(h.id) || st.Membership.HasLearner(h.id)
+		if member && h.index != st.Applied {
+			return false
+		}
+	}
+	return true
+}
--- a/node/consensus/node.go
+++ b/node/consensus/node.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -14,7 +15,10 @@
 	ElectionTicks  int // a follower waits this long, or up to twice it, for its leader
 	HeartbeatTicks int
 	MaxBatchBytes  int // bound of the entries in one message
-	Rand           *rand.Rand
+	// MaxUncommittedBytes bounds what a leader that cannot commit piles up; 0
+	// is no bound.
+	MaxUncommittedBytes int
+	Rand                *rand.Rand
 
 	// What the storage held, empty for a new replica.
 	HardState HardState
@@ -41,6 +45,7 @@
 
 	electionElapsed  int
 	heartbeatElapsed int
+	transferElapsed  int
 	timeout          int
 
 	pendingMembership uint64 // no membership change may be proposed until this index is applied
@@ -53,6 +58,8 @@
 	readStates   []ReadState
 	savedHard    HardState
 	newSnapshot  *Snapshot
+	appendDue    bool // entries were proposed since the last broadcast
+	uncommitted  int  // bytes proposed in this term and not committed yet
 	handedOut    bool
 	handedCommit uint64
 }
@@ -76,6 +83,10 @@
 	n.log.stable = n.log.last()
 	n.log.committed = max(n.log.committed, min(cfg.HardState.Commit, n.log.last()))
 	n.term, n.vote = cfg.HardState.Term, cfg.HardState.Vote
+	if last := n.log.lastTerm(); last > n.term {
+		// The snapshot was synced, the hard state after it was not.
+		n.term, n.vote = last, ""
+	}
 	n.savedHard = n.hardState()
 	n.becomeFollower(n.term, "")
 	return n
@@ -112,16 +123,19 @@
 func (n *Node) Tick() {
 	n.electionElapsed++
 	if n.role != Leader {
-		if n.electionElapsed >= n.timeout && n.members.Has(n.id) {
+		if n.electionElapsed >= n.timeout && n.mayCampaign() {
 			n.campaign(true, false)
 		}
 		return
 	}
+	n.tickTransfer()
 	if n.electionElapsed >= n.cfg.ElectionTicks {
 		n.electionElapsed = 0
-		n.transferee = ""
 		n.checkQuorum()
 	}
+	for _, pr := range n.progress {
+		pr.snapshotWait++
+	}
 	n.heartbeatElapsed++
 	if n.role == Leader && n.heartbeatElapsed >= n.cfg.HeartbeatTicks {
 		n.heartbeatElapsed = 0
@@ -129,6 +143,25 @@
 	}
 }
 
+// mayCampaign excludes learners and replicas that never joined. A replica that
+// was removed may campaign, with the votes of the others only: it may hold the
+// only log that reaches far enough for the others to vote for (thesis, section
+// 4.2.2). The others ignore it while they have a leader.
+func (n *Node) mayCampaign() bool {
+	return len(n.members.Voters) > 0 && !n.members.HasLearner(n.id)
+}
+
+// tickTransfer takes proposals again when the transferee stays silent.
+func (n *Node) tickTransfer() {
+	if n.transferee == "" {
+		return
+	}
+	n.transferElapsed++
+	if n.transferElapsed >= n.cfg.ElectionTicks {
+		n.transferee = ""
+	}
+}
+
 // checkQuorum makes a leader step down that has not heard from a quorum for
 // an election timeout. Together with the followers' refusal to vote while
 // they hear from a leader this bounds how long two leaders can coexist.
@@ -175,6 +208,9 @@
 // that was cut off cannot depose a working leader when it comes back.
 func (n *Node) campaign(pre, forced bool) {
 	n.resetElection()
+	if n.log.applied < n.log.committed {
+		return // a committed membership may be among what is not applied
+	}
 	n.leader = ""
 	n.votes = map[NodeID]bool{n.id: true}
 	kind, term := MsgPreVote, n.term+1
@@ -220,10 +256,21 @@
 	n.electionElapsed, n.heartbeatElapsed = 0, 0
 	n.progress = map[NodeID]*Progress{}
 	n.syncProgress()
-	// An unapplied membership entry of an earlier term may be in the log.
-	n.pendingMembership = n.log.last()
-	n.appendEntry(EntryNormal, nil)
-	n.broadcastAppend()
+	n.uncommitted = 0
+	// An unapplied membership entry of an earlier term may be in the log. And
+	// until an entry of this term is committed, a change of an earlier leader
+	// may still win (Ongaro, "bug in single-server membership changes", 2015).
+	n.pendingMembership = n.appendEntry(EntryNormal, nil)
+	for _, id := range n.others() {
+		n.sendAppend(id, n.progress[id])
+	}
+	n.maybeCommit()
+}
+
+// others returns the replicas that the leader sends to, always in one order,
+// so that a run can be repeated.
+func (n *Node) others() []NodeID {
+	return slices.Sorted(maps.Keys(n.progress))
 }
 
 // syncProgress makes progress cover exactly the other members.
@@ -248,12 +295,17 @@
 
 // Propose appends a command to the leader's log and returns its index and
 // term. It is committed if an entry with that index and that term is.
+// The followers get it with the next Ready, together with what else comes.
 func (n *Node) Propose(data []byte) (index, term uint64, err error) {
 	if n.role != Leader || n.transferee != "" {
 		return 0, 0, ErrNotLeader
 	}
+	if limit := n.cfg.MaxUncommittedBytes; limit > 0 && n.uncommitted > 0 && n.uncommitted+len(data) > limit {
+		return 0, 0, ErrOverloaded
+	}
+	n.uncommitted += len(data)
 	index = n.appendEntry(EntryNormal, data)
-	n.broadcastAppend()
+	n.appendDue = true
 	return index, n.term, nil
 }
 
@@ -266,15 +318,29 @@
 	if n.pendingMembership > n.log.applied {
 		return ErrChangePending
 	}
-	if votersChanged(n.members, m) > 1 || len(m.Voters) == 0 {
-		return errors.NotValidf("membership change of more than one voter")
+	if err := validChange(n.members, m); err != nil {
+		return err
 	}
 	data, err := cbor.Marshal(m)
 	if err != nil {
 		return errors.Trace(err)
 	}
 	n.pendingMembership = n.appendEntry(EntryMembership, data)
-	n.broadcastAppend()
+	n.appendDue = true
+	return nil
+}
+
+func validChange(from, to Membership) error {
+	if votersChanged(from, to) > 1 || len(to.Voters) == 0 {
+		return errors.NotValidf("membership change of more than one voter")
+	}
+	seen := map[NodeID]bool{}
+	for _, p := range to.All() {
+		if p.ID == "" || seen[p.ID] {
+			return errors.NotValidf("membership with replica %q twice or unnamed", p.ID)
+		}
+		seen[p.ID] = true
+	}
 	return nil
 }
 
@@ -346,7 +412,7 @@
 		return
 	}
 	n.transferee = to
-	n.electionElapsed = 0
+	n.transferElapsed = 0
 	n.continueTransfer()
 }
 
@@ -365,18 +431,19 @@
 }
 
 func (n *Node) broadcastHeartbeat() {
-	for id, pr := range n.progress {
+	for _, id := range n.others() {
+		pr := n.progress[id]
 		n.send(Message{Kind: MsgHeartbeat, To: id, Commit: min(n.log.committed, pr.Match), ReadSeq: n.readSeq})
 	}
 }
 
 func (n *Node) broadcastAppend() {
-	for id, pr := range n.progress {
-		if !pr.probing {
+	n.appendDue = false
+	for _, id := range n.others() {
+		if pr := n.progress[id]; !pr.probing {
 			n.sendAppend(id, pr)
 		}
 	}
-	n.maybeCommit()
 }
 
 func (n *Node) sendAppend(id NodeID, pr *Progress) {
@@ -401,6 +468,7 @@
 		return
 	}
 	pr.Snapshot = n.snap.Index
+	pr.snapshotWait = 0
 	n.send(Message{Kind: MsgSnapshot, To: id, Snapshot: n.snap})
 }
 
@@ -412,6 +480,11 @@
 	if index <= n.log.committed || !ok || t != n.term {
 		return false
 	}
+	for _, e := range n.log.slice(n.log.committed, index, maxInt) {
+		if e.Term == n.term && e.Kind == EntryNormal {
+			n.uncommitted -= len(e.Data)
+		}
+	}
 	n.log.committed = index
 	return true
 }
--- a/node/consensus/ready.go
+++ b/node/consensus/ready.go
@@ -4,10 +4,15 @@
 
 // HasReady reports whether Ready would return work.
 func (n *Node) HasReady() bool {
-	return n.hardState() != n.savedHard || n.log.stable < n.log.last() || n.newSnapshot != nil ||
+	return n.hardStateDue() || n.appendDue || n.log.stable < n.log.last() || n.newSnapshot != nil ||
 		len(n.messages) > 0 || n.log.applied < n.log.committed || len(n.readStates) > 0
 }
 
+// hardStateDue reports whether term or vote are not synced yet.
+func (n *Node) hardStateDue() bool {
+	return n.term != n.savedHard.Term || n.vote != n.savedHard.Vote
+}
+
 // Ready hands out the work that has come up. Until Advance it must not be
 // called again, and nothing may be stepped, proposed or ticked.
 func (n *Node) Ready() Ready {
@@ -15,13 +20,17 @@
 		panic("consensus: Ready before Advance")
 	}
 	n.handedOut = true
+	if n.role == Leader && n.appendDue {
+		n.broadcastAppend()
+	}
+	n.appendDue = false
 	rd := Ready{
 		Snapshot: n.newSnapshot,
 		Messages: n.messages,
 		Reads:    n.readStates,
 		Entries:  n.log.slice(max(n.log.stable, n.log.first), n.log.last(), maxInt),
 	}
-	if hs := n.hardState(); hs != n.savedHard {
+	if hs := n.hardState(); n.hardStateDue() || hs != n.savedHard && len(rd.Entries) > 0 {
 		rd.HardState = &hs
 	}
 	// Only synced entries are applied: an entry of this very batch waits for
@@ -49,6 +58,7 @@
 			n.applyMembership(e.Data)
 		}
 	}
+	n.resignIfRemoved()
 	if n.role == Leader && n.maybeCommit() {
 		n.confirmReads()
 		n.broadcastCommit()
@@ -58,10 +68,15 @@
 // broadcastCommit tells followers of a new commit index at once, so that they
 // apply without waiting for the next heartbeat.
 func (n *Node) broadcastCommit() {
-	for id, pr := range n.progress {
-		if !pr.probing {
-			n.sendAppend(id, pr)
-		}
+	n.broadcastAppend()
+}
+
+// resignIfRemoved ends the lead of a replica outside the membership, once what
+// it had to commit is committed.
+func (n *Node) resignIfRemoved() {
+	t, _ := n.log.term(n.log.applied)
+	if n.role == Leader && !n.members.Has(n.id) && t == n.term {
+		n.becomeFollower(n.term, "")
 	}
 }
 
@@ -74,13 +89,9 @@
 	if n.role != Leader {
 		return
 	}
-	if !m.Has(n.id) {
-		n.becomeFollower(n.term, "")
-		return
-	}
 	n.syncProgress()
-	for id, pr := range n.progress {
-		if pr.probing {
+	for _, id := range n.others() {
+		if pr := n.progress[id]; pr.probing {
 			n.sendAppend(id, pr)
 		}
 	}
--- a/node/consensus/step.go
+++ b/node/consensus/step.go
@@ -1,5 +1,12 @@
 package consensus
 
+// The first retry of a snapshot comes after this many election timeouts; the
+// wait then doubles at most so many times.
+const (
+	snapshotRetryTimeouts = 4
+	maxSnapshotDoublings  = 5
+)
+
 // Step takes in a message. Messages for another NodeID are dropped: they are
 // meant for a disk that is gone.
 func (n *Node) Step(m Message) {
@@ -137,8 +144,7 @@
 		return
 	}
 	if t, ok := n.log.term(m.Index); !ok || t != m.LogTerm {
-		hint := min(n.log.last(), m.Index-1)
-		n.send(Message{Kind: MsgAppendReply, To: m.From, Index: m.Index, Reject: true, Hint: max(hint, n.log.committed)})
+		n.send(Message{Kind: MsgAppendReply, To: m.From, Index: m.Index, Reject: true, Hint: n.rejectHint(m)})
 		return
 	}
 	match := n.log.appendFrom(m.Index, m.Entries)
@@ -146,12 +152,31 @@
 	n.send(Message{Kind: MsgAppendReply, To: m.From, Index: match})
 }
 
+// rejectHint returns the last index that can agree with the leader: entries of
+// a term above the leader's at that place are skipped in one go.
+func (n *Node) rejectHint(m Message) uint64 {
+	hint := min(n.log.last(), m.Index-1)
+	for hint > n.log.committed {
+		if t, ok := n.log.term(hint); ok && t <= m.LogTerm {
+			break
+		}
+		hint--
+	}
+	return max(hint, n.log.committed)
+}
+
 func (n *Node) handleSnapshot(m Message) {
 	s := m.Snapshot
 	if s == nil || s.Index <= n.log.committed {
 		n.send(Message{Kind: MsgAppendReply, To: m.From, Index: n.log.committed})
 		return
 	}
+	if t, ok := n.log.term(s.Index); ok && t == s.Term {
+		// What follows in the log may be acknowledged already: keep it.
+		n.log.committed = s.Index
+		n.send(Message{Kind: MsgAppendReply, To: m.From, Index: s.Index})
+		return
+	}
 	n.log.restore(s)
 	n.members = s.Membership
 	n.snap, n.newSnapshot = s, s
@@ -176,7 +201,7 @@
 	pr.Match = max(pr.Match, m.Index)
 	pr.Next = max(pr.Next, pr.Match+1)
 	if pr.Snapshot != 0 && pr.Match >= pr.Snapshot {
-		pr.Snapshot = 0
+		pr.Snapshot, pr.snapshotRetries = 0, 0
 	}
 	pr.probing = false
 	if n.maybeCommit() {
@@ -203,10 +228,22 @@
 	pr.readSeq = max(pr.readSeq, m.ReadSeq)
 	n.confirmReads()
 	if pr.Match < n.log.last() {
-		pr.Snapshot = 0 // a lost snapshot is sent again
+		n.retrySnapshot(pr)
 		if pr.Next <= pr.Match {
 			pr.Next = pr.Match + 1
 		}
 		n.sendAppend(m.From, pr)
 	}
 }
+
+// retrySnapshot lets a snapshot that was not acknowledged be sent again. The
+// wait doubles, because a large one takes long on a slow link and a copy
+// behind it would only make that longer.
+func (n *Node) retrySnapshot(pr *Progress) {
+	wait := snapshotRetryTimeouts * n.cfg.ElectionTicks << min(pr.snapshotRetries, maxSnapshotDoublings)
+	if pr.Snapshot == 0 || pr.snapshotWait < wait {
+		return
+	}
+	pr.Snapshot = 0
+	pr.snapshotRetries++
+}
--- a/node/consensus/types.go
+++ b/node/consensus/types.go
@@ -32,7 +32,11 @@
 	Data  []byte    `json:"d,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
-// HardState must be synced before any message of the same Ready is sent.
+// HardState must be synced before any message of the same Ready is sent. A
+// commit index alone need not be: it comes with the next entries. It must not
+// come later than they do, because a membership is in force when it is applied
+// and a replica that holds a second change must know after a restart that the
+// first one is committed.
 type HardState struct {
 	Term   uint64 `cbor:"1,keyasint"`
 	Vote   NodeID `cbor:"2,keyasint"`
@@ -132,6 +136,7 @@
 // Errors of Propose and ReadIndex.
 var (
 	ErrNotLeader     = errors.New("consensus: not the leader")
+	ErrOverloaded    = errors.New("consensus: too many bytes wait for a quorum")
 	ErrChangePending = errors.New("consensus: a membership change is not applied yet")
 )
 
@@ -139,8 +144,11 @@
 type Progress struct {
 	Match    uint64 // highest entry known to be synced there
 	Next     uint64
-	Active   bool // heard from since the last check of the quorum
-	Snapshot uint64
+	Active   bool   // heard from since the last check of the quorum
+	Snapshot uint64 // index of the snapshot under way, 0 for none
 	probing  bool
 	readSeq  uint64
+
+	snapshotWait    int // ticks since the snapshot was sent
+	snapshotRetries int // unanswered ones in a row
 }
