Replica: appends go out before the leader's own sync; memory and log bounded

Cause: the leader synced first and sent afterwards, so a proposal paid two syncs in a row; the answer left before the view held the command; ReadIndex read its result before it was there; trailing entries and uncommitted proposals had no bound in bytes; all replicas of one seed waited alike for elections. Change: Ready.Early holds a leader's appends, sent while it syncs (thesis, 10.2.1). A failed sync in Init stops the replica.

--- a/node/consensus/cluster_test.go
+++ b/node/consensus/cluster_test.go
@@ -125,6 +125,7 @@
 func (c *cluster) work(h *host) {
 	for h.node != nil && h.node.HasReady() {
 		rd := h.node.Ready()
+		c.post(rd.Early)
 		if err := save(h, rd); err != nil {
 			c.crash(h)
 			return
--- a/node/consensus/node_test.go
+++ b/node/consensus/node_test.go
@@ -32,7 +32,7 @@
 func drain(n *consensus.Node) (out []consensus.Message) {
 	for n.HasReady() {
 		rd := n.Ready()
-		out = append(out, rd.Messages...)
+		out = append(append(out, rd.Early...), rd.Messages...)
 		n.Advance(rd)
 	}
 	return out
--- a/node/consensus/ready.go
+++ b/node/consensus/ready.go
@@ -30,6 +30,9 @@
 		Reads:    n.readStates,
 		Entries:  n.log.slice(max(n.log.stable, n.log.first), n.log.last(), maxInt),
 	}
+	if !n.hardStateDue() && n.role == Leader {
+		rd.Early, rd.Messages = splitAppends(rd.Messages)
+	}
 	if hs := n.hardState(); n.hardStateDue() || hs != n.savedHard && len(rd.Entries) > 0 {
 		rd.HardState = &hs
 	}
@@ -40,6 +43,17 @@
 	return rd
 }
 
+func splitAppends(messages []Message) (appends, others []Message) {
+	for _, m := range messages {
+		if m.Kind == MsgAppend {
+			appends = append(appends, m)
+		} else {
+			others = append(others, m)
+		}
+	}
+	return appends, others
+}
+
 const maxInt = int(^uint(0) >> 1)
 
 // Advance says that the work of rd is done.
@@ -150,6 +164,9 @@
 	return s
 }
 
+// Membership returns the membership in force here.
+func (n *Node) Membership() Membership { return n.members }
+
 // HardState returns the hard state as it would be saved now.
 func (n *Node) HardState() HardState { return n.hardState() }
 
--- a/node/consensus/types.go
+++ b/node/consensus/types.go
@@ -105,10 +105,13 @@
 	Failed bool
 }
 
-// Ready is what the caller must do, in this order: store Snapshot, append
-// Entries and HardState and sync them, send Messages, restore Snapshot, apply
-// Committed, answer Reads, then call Advance.
+// Ready is what the caller must do, in this order: send Early, store Snapshot,
+// append Entries and HardState and sync them, send Messages, restore Snapshot,
+// apply Committed, answer Reads, then call Advance.
 type Ready struct {
+	// Early are a leader's appends. They do not depend on its own sync, so that
+	// all replicas sync at the same time (thesis, section 10.2.1).
+	Early     []Message
 	HardState *HardState
 	Entries   []Entry // an entry replaces every stored entry at its index and after
 	Snapshot  *Snapshot
--- a/node/replica/loop.go
+++ b/node/replica/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -14,17 +13,17 @@
 func (r *Replica) Run(ctx context.Context) error {
 	defer r.log.Close()
 	defer close(r.done)
-	ticker := time.NewTicker(tickInterval)
+	ticker := r.opts.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
-	stamps := time.NewTicker(stampInterval)
+	stamps := r.opts.Clock.NewTicker(stampInterval)
 	defer stamps.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-ticker.Chan():
 			r.node.Tick()
-		case <-stamps.C:
+		case <-stamps.Chan():
 			r.requestStamp()
 		case f := <-r.calls:
 			f()
@@ -63,6 +62,9 @@
 
 func (r *Replica) take(p *proposal) {
 	index, term, err := r.node.Propose(p.data)
+	if err == consensus.ErrOverloaded {
+		err = errOverloaded
+	}
 	if err != nil {
 		p.answer <- proposalAnswer{err: err}
 		return
@@ -79,7 +81,7 @@
 	if r.node.Status().Role != consensus.Leader {
 		return
 	}
-	at := time.Now()
+	at := r.opts.Clock.Now()
 	rd := &reader{answer: make(chan error, 1)}
 	r.nextID++
 	if r.node.ReadIndex(r.nextID) != nil {
@@ -95,18 +97,23 @@
 
 // process does the work of every Ready, in the order that Ready documents.
 func (r *Replica) process() error {
+	if r.fatal != nil {
+		return r.fatal
+	}
 	for r.node.HasReady() {
 		rd := r.node.Ready()
+		r.send(rd.Early)
 		if err := r.save(rd); err != nil {
 			return err
 		}
-		r.send(rd)
+		r.send(rd.Messages)
 		if rd.Snapshot != nil {
 			if err := r.machine.Restore(rd.Snapshot.Data); err != nil {
 				return errors.Trace(err)
 			}
 		}
-		if err := r.apply(rd.Committed); err != nil {
+		answers, err := r.apply(rd.Committed)
+		if err != nil {
 			return err
 		}
 		r.answerReads(rd.Reads)
@@ -114,6 +121,10 @@
 		if rd.Snapshot != nil || len(rd.Committed) > 0 {
 			r.publish()
 		}
+		// The proposer must find its command in the view.
+		for _, a := range answers {
+			a.to.answer <- a.proposalAnswer
+		}
 	}
 	if err := r.maybeCompact(); err != nil {
 		return err
@@ -122,7 +133,7 @@
 	r.status.Store(&s)
 	r.releaseWaiters()
 	if s.Role != consensus.Leader {
-		r.failWaiting(s)
+		r.failWaiting()
 	}
 	return nil
 }
@@ -142,19 +153,26 @@
 	return r.node.HardState()
 }
 
-func (r *Replica) send(rd consensus.Ready) {
-	if len(rd.Messages) > 0 {
-		r.opts.Transport.Send(r.node.Status().Membership.All(), rd.Messages)
+func (r *Replica) send(messages []consensus.Message) {
+	if len(messages) > 0 {
+		r.opts.Transport.Send(r.node.Membership().All(), messages)
 	}
 }
 
-func (r *Replica) apply(entries []consensus.Entry) error {
+type appliedProposal struct {
+	proposalAnswer
+	to *proposal
+}
+
+// apply returns the answers that are due once the view is published.
+func (r *Replica) apply(entries []consensus.Entry) ([]appliedProposal, error) {
+	var answers []appliedProposal
 	for _, e := range entries {
 		var answer proposalAnswer
 		if e.Kind == consensus.EntryNormal && len(e.Data) > 0 {
 			res, err := r.machine.Apply(e.Data)
 			if err != nil {
-				return errors.Trace(err)
+				return nil, errors.Trace(err)
 			}
 			answer.result = res
 		}
@@ -163,14 +181,14 @@
 			if p.term != e.Term {
 				answer = proposalAnswer{err: errLost}
 			}
-			p.answer <- answer
+			answers = append(answers, appliedProposal{answer, p})
 		}
 	}
-	return nil
+	return answers, nil
 }
 
 // failWaiting answers proposals of a lost leadership. They may still commit.
-func (r *Replica) failWaiting(s consensus.Status) {
+func (r *Replica) failWaiting() {
 	for index, p := range r.waiting {
 		delete(r.waiting, index)
 		p.answer <- proposalAnswer{err: errLost}
@@ -215,7 +233,7 @@
 
 // maybeCompact replaces a long log by a snapshot.
 func (r *Replica) maybeCompact() error {
-	if r.log.Size() < compactBytes {
+	if r.log.Size() < max(compactBytes, r.snapshotBytes) {
 		return nil
 	}
 	s := r.node.Status()
@@ -233,8 +251,26 @@
 	if err := r.log.SaveSnapshot(snap, r.node.HardState(), r.node.EntriesAfter(snap.Index)); err != nil {
 		return errors.Trace(err)
 	}
-	if snap.Index > trailing {
-		r.node.TrimLog(snap.Index - trailing)
-	}
+	r.snapshotBytes = int64(len(data))
+	r.trim(snap.Index)
 	return nil
 }
+
+// trim keeps the newest entries before the snapshot for followers that lag a
+// little, bounded in number and bytes.
+func (r *Replica) trim(index uint64) {
+	first := r.node.Status().First
+	if index > trailing {
+		first = max(first, index-trailing)
+	}
+	entries := r.node.EntriesAfter(first)
+	entries = entries[:index-first]
+	size := 0
+	for k := len(entries); k > 0; k-- {
+		if size += len(entries[k-1].Data); size > trailingBytes {
+			first = entries[k-1].Index
+			break
+		}
+	}
+	r.node.TrimLog(first)
+}
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -9,7 +9,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 
 	"caperdrum.org/api/verdict"
@@ -27,7 +29,9 @@
 	maxBatchBytes  = 1 << 20
 	maxProposals   = 512      // proposals taken into one sync
 	compactBytes   = 16 << 20 // log file size that calls for a snapshot
-	trailing       = 1000     // entries kept after a snapshot for followers that lag
+	trailing       = 1000     // entries kept before a snapshot for followers that lag
+	trailingBytes  = 4 << 20  // and their bytes
+	maxUncommitted = 8 << 20  // bytes that may wait for a quorum; below compactBytes
 	stampInterval  = 500 * time.Millisecond
 )
 
@@ -45,6 +49,7 @@
 	Transport Transport
 	Log       logr.Logger
 	Seed      uint64
+	Clock     clockwork.Clock // nil is the system's
 }
 
 // Replica is this process's copy of the replicated state.
@@ -63,8 +68,11 @@
 
 	waiting map[uint64]*proposal
 	readers map[uint64]*reader
-	nextID  uint64
-	waiters []*applyWaiter
+
+	snapshotBytes int64 // size of the last snapshot
+	fatal         error // the disk failed outside process
+	nextID        uint64
+	waiters       []*applyWaiter
 
 	view    atomic.Pointer[state.View]
 	status  atomic.Pointer[consensus.Status]
@@ -94,8 +102,10 @@
 	answer chan error
 }
 
-// Errors of a Replica. Both carry a verdict for the command.
+// Errors of a Replica. All carry a verdict for the command.
 var (
+	errOverloaded = verdict.New(verdict.NotRun, verdict.CodeOverloaded, "too many commands wait for a quorum")
+
 	errStopped = verdict.New(verdict.MayHaveRun, verdict.CodeShutdown, "the control process is stopping")
 	errLost    = verdict.New(verdict.MayHaveRun, verdict.CodeNoQuorum, "leadership was lost before the command was committed")
 )
@@ -105,6 +115,9 @@
 
 // Open reads the data folder. Run must be called to make progress.
 func Open(opts Options) (*Replica, error) {
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
 	log, stored, err := wal.Open(opts.FS)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -117,18 +130,14 @@
 		steps:   make(chan []consensus.Message, 64),
 		stop:    make(chan struct{}), done: make(chan struct{}),
 		waiting: map[uint64]*proposal{}, readers: map[uint64]*reader{},
-		start: time.Now(),
+		start: opts.Clock.Now(),
 	}
 	if stored.Snapshot != nil {
 		if err := r.machine.Restore(stored.Snapshot.Data); err != nil {
 			return nil, errors.Trace(err)
 		}
 	}
-	r.node = consensus.New(consensus.Config{
-		ID: r.self.ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, MaxBatchBytes: maxBatchBytes,
-		Rand:      rand.New(rand.NewPCG(opts.Seed, uint64(len(stored.DiskID)))),
-		HardState: stored.HardState, Snapshot: stored.Snapshot, Entries: stored.Entries,
-	})
+	r.node = r.newNode(stored.HardState, stored.Snapshot, stored.Entries)
 	ch := make(chan struct{})
 	r.changed.Store(&ch)
 	r.stamp.Store(-1)
@@ -136,6 +145,16 @@
 	return r, nil
 }
 
+func (r *Replica) newNode(hs consensus.HardState, snap *consensus.Snapshot, entries []consensus.Entry) *consensus.Node {
+	return consensus.New(consensus.Config{
+		ID: r.self.ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		MaxBatchBytes: maxBatchBytes, MaxUncommittedBytes: maxUncommitted,
+		// Replicas with one seed must not wait alike, or no election ends.
+		Rand:      rand.New(rand.NewPCG(r.opts.Seed, xxhash.Sum64String(string(r.self.ID)))),
+		HardState: hs, Snapshot: snap, Entries: entries,
+	})
+}
+
 // Self returns this replica's identity.
 func (r *Replica) Self() consensus.Peer { return r.self }
 
@@ -155,7 +174,7 @@
 	if s < 0 {
 		return -1
 	}
-	return time.Since(r.start) - time.Duration(s)
+	return r.opts.Clock.Since(r.start) - time.Duration(s)
 }
 
 // SetStamp records that the view is known to be current as of the given time.
@@ -186,7 +205,7 @@
 // Propose commits c and returns its result. ErrNotLeader says that c was not
 // taken; after any other error it may be applied later.
 func (r *Replica) Propose(ctx context.Context, c state.Command) (state.Result, error) {
-	c.Now = time.Now().UnixMilli()
+	c.Now = r.opts.Clock.Now().UnixMilli()
 	data, err := c.Encode()
 	if err != nil {
 		return state.Result{}, err
@@ -230,7 +249,10 @@
 	if err != nil {
 		return 0, err
 	}
-	return rd.index, r.wait(ctx, rd.answer)
+	if err := r.wait(ctx, rd.answer); err != nil {
+		return 0, err
+	}
+	return rd.index, nil
 }
 
 // WaitApplied returns once the view holds the entry at index.
@@ -302,12 +324,10 @@
 	snap := consensus.Bootstrap(r.self, nil)
 	hs := consensus.HardState{Term: snap.Term, Commit: snap.Index}
 	if err := r.log.SaveSnapshot(snap, hs, nil); err != nil {
-		return errors.Trace(err)
+		r.fatal = errors.Trace(err)
+		return r.fatal
 	}
-	r.node = consensus.New(consensus.Config{
-		ID: r.self.ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, MaxBatchBytes: maxBatchBytes,
-		Rand: rand.New(rand.NewPCG(r.opts.Seed, 1)), HardState: hs, Snapshot: snap,
-	})
+	r.node = r.newNode(hs, snap, nil)
 	return nil
 }
 
