make fuzz and make mutate

Cause: nothing showed that the tests would notice a broken safeguard. A test for figure 8 of the Raft paper is new.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULES = ./api/... ./node/... ./fake/... ./ctl/...
 LDFLAGS = -ldflags "-X main.version=$(VERSION)"
 
-.PHONY: build demo test race lint fuzz bench clean
+.PHONY: build demo test race lint fuzz mutate bench clean
 
 build:
 	go build $(LDFLAGS) -o bin/ ./node/cmd/caperdrumd ./ctl/cmd/caperdrum
@@ -16,6 +16,14 @@
 race:
 	go test -race -short $(MODULES)
 
+# Long runs of the rapid machines and fuzz targets with a fresh seed.
+fuzz:
+	./scripts/fuzz.sh
+
+# Breaks one safeguard at a time in a scratch copy; the tests must notice.
+mutate:
+	./scripts/mutate.sh
+
 lint:
 	@files=$$(gofmt -l api node fake ctl); if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
 	go vet $(MODULES)
--- a/node/consensus/node_test.go
+++ b/node/consensus/node_test.go
@@ -236,6 +236,21 @@
 	}
 }
 
+// Raft paper, figure 8.
+func TestOnlyEntriesOfTheTermAreCommittedByCount(t *testing.T) {
+	n := newNode("a", 3, peers("a", "b", "c"), 2)
+	elect(t, n, "b")
+	drain(n)
+	n.Step(consensus.Message{Kind: consensus.MsgAppendReply, From: "b", To: "a", Term: n.Status().Term, Index: 2})
+	if st := n.Status(); st.Committed != 1 {
+		t.Fatalf("committed %d, which a later leader may still replace", st.Committed)
+	}
+	ack(n, "b")
+	if st := n.Status(); st.Committed != 3 {
+		t.Fatalf("committed %d after an entry of the term", st.Committed)
+	}
+}
+
 func TestProposalsWithoutQuorumAreBounded(t *testing.T) {
 	n := newNode("a", 1, peers("a", "b", "c"))
 	elect(t, n, "b")
