--- a/node/consensus/node.go
+++ b/node/consensus/node.go
@@ -4,9 +4,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-
-	"github.com/fxamacker/cbor/v2"
-	"github.com/juju/errors"
 )
 
 // Config sets up a Node. Times are in ticks.
@@ -64,10 +61,6 @@
 	handedCommit uint64
 }
 
-type pendingRead struct {
-	id, seq, index uint64
-}
-
 // New returns a Node that continues from what cfg says was stored.
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, id: cfg.ID, snap: cfg.Snapshot}
@@ -102,23 +95,6 @@
 	return HardState{Term: n.term, Vote: n.vote, Commit: n.log.committed}
 }
 
-// Has reports whether id is a voter.
-func (m Membership) Has(id NodeID) bool { return has(m.Voters, id) }
-
-// HasLearner reports whether id is a learner.
-func (m Membership) HasLearner(id NodeID) bool { return has(m.Learners, id) }
-
-func has(peers []Peer, id NodeID) bool {
-	return slices.ContainsFunc(peers, func(p Peer) bool { return p.ID == id })
-}
-
-// All returns voters and learners.
-func (m Membership) All() []Peer {
-	return append(slices.Clone(m.Voters), m.Learners...)
-}
-
-func (m Membership) quorum() int { return len(m.Voters)/2 + 1 }
-
 // Tick lets one unit of time pass.
 func (n *Node) Tick() {
 	n.electionElapsed++
@@ -143,25 +119,6 @@
 	}
 }
 
-// mayCampaign excludes learners and replicas that never joined. A replica that
-// was removed may campaign, with the votes of the others only: it may hold the
-// only log that reaches far enough for the others to vote for (thesis, section
-// 4.2.2). The others ignore it while they have a leader.
-func (n *Node) mayCampaign() bool {
-	return len(n.members.Voters) > 0 && !n.members.HasLearner(n.id)
-}
-
-// tickTransfer takes proposals again when the transferee stays silent.
-func (n *Node) tickTransfer() {
-	if n.transferee == "" {
-		return
-	}
-	n.transferElapsed++
-	if n.transferElapsed >= n.cfg.ElectionTicks {
-		n.transferee = ""
-	}
-}
-
 // checkQuorum makes a leader step down that has not heard from a quorum for
 // an election timeout. Together with the followers' refusal to vote while
 // they hear from a leader this bounds how long two leaders can coexist.
@@ -192,81 +149,11 @@
 	n.resetElection()
 }
 
-func (n *Node) failReads() {
-	for _, r := range n.reads {
-		n.readStates = append(n.readStates, ReadState{ID: r.id, Failed: true})
-	}
-	n.reads = nil
-}
-
 func (n *Node) resetElection() {
 	n.electionElapsed = 0
 	n.timeout = n.cfg.ElectionTicks + n.cfg.Rand.IntN(n.cfg.ElectionTicks)
 }
 
-// campaign asks for votes. A pre-vote changes no term anywhere, so a replica
-// that was cut off cannot depose a working leader when it comes back.
-func (n *Node) campaign(pre, forced bool) {
-	n.resetElection()
-	if n.log.applied < n.log.committed {
-		return // a committed membership may be among what is not applied
-	}
-	n.leader = ""
-	n.votes = map[NodeID]bool{n.id: true}
-	kind, term := MsgPreVote, n.term+1
-	n.role = PreCandidate
-	if !pre {
-		n.term, n.vote, n.role = term, n.id, Candidate
-		kind = MsgVote
-	}
-	if n.won() {
-		n.advanceCampaign()
-		return
-	}
-	for _, v := range n.members.Voters {
-		if v.ID != n.id {
-			n.sendTerm(Message{Kind: kind, To: v.ID, Index: n.log.last(), LogTerm: n.log.lastTerm(), Forced: forced}, term)
-		}
-	}
-}
-
-func (n *Node) won() bool { return n.countVotes(true) >= n.members.quorum() }
-
-func (n *Node) countVotes(granted bool) int {
-	count := 0
-	for id, g := range n.votes {
-		if g == granted && n.members.Has(id) {
-			count++
-		}
-	}
-	return count
-}
-
-func (n *Node) advanceCampaign() {
-	if n.role == PreCandidate {
-		n.campaign(false, false)
-		return
-	}
-	n.becomeLeader()
-}
-
-func (n *Node) becomeLeader() {
-	n.role, n.leader = Leader, n.id
-	n.votes = nil
-	n.electionElapsed, n.heartbeatElapsed = 0, 0
-	n.progress = map[NodeID]*Progress{}
-	n.syncProgress()
-	n.uncommitted = 0
-	// An unapplied membership entry of an earlier term may be in the log. And
-	// until an entry of this term is committed, a change of an earlier leader
-	// may still win (Ongaro, "bug in single-server membership changes", 2015).
-	n.pendingMembership = n.appendEntry(EntryNormal, nil)
-	for _, id := range n.others() {
-		n.sendAppend(id, n.progress[id])
-	}
-	n.maybeCommit()
-}
-
 // others returns the replicas that the leader sends to, always in one order,
 // so that a run can be repeated.
 func (n *Node) others() []NodeID {
@@ -309,83 +196,6 @@
 	return index, n.term, nil
 }
 
-// ProposeMembership replaces the membership. It must differ from the current
-// one by at most one voter, and only one change may be under way.
-func (n *Node) ProposeMembership(m Membership) error {
-	if n.role != Leader {
-		return ErrNotLeader
-	}
-	if n.pendingMembership > n.log.applied {
-		return ErrChangePending
-	}
-	if err := validChange(n.members, m); err != nil {
-		return err
-	}
-	data, err := cbor.Marshal(m)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	n.pendingMembership = n.appendEntry(EntryMembership, data)
-	n.appendDue = true
-	return nil
-}
-
-func validChange(from, to Membership) error {
-	if votersChanged(from, to) > 1 || len(to.Voters) == 0 {
-		return errors.NotValidf("membership change of more than one voter")
-	}
-	seen := map[NodeID]bool{}
-	for _, p := range to.All() {
-		if p.ID == "" || seen[p.ID] {
-			return errors.NotValidf("membership with replica %q twice or unnamed", p.ID)
-		}
-		seen[p.ID] = true
-	}
-	return nil
-}
-
-func votersChanged(a, b Membership) int {
-	changed := 0
-	for _, p := range a.Voters {
-		if !b.Has(p.ID) {
-			changed++
-		}
-	}
-	for _, p := range b.Voters {
-		if !a.Has(p.ID) {
-			changed++
-		}
-	}
-	return changed
-}
-
-// ReadIndex asks for a linearizable read point. The answer comes in
-// Ready.Reads under id.
-func (n *Node) ReadIndex(id uint64) error {
-	if n.role != Leader {
-		return ErrNotLeader
-	}
-	n.readSeq++
-	n.reads = append(n.reads, pendingRead{id: id, seq: n.readSeq, index: n.log.committed})
-	n.broadcastHeartbeat()
-	n.confirmReads()
-	return nil
-}
-
-// confirmReads releases the reads whose heartbeat round a quorum answered,
-// once an entry of this term is committed (thesis, section 6.4).
-func (n *Node) confirmReads() {
-	if t, _ := n.log.term(n.log.committed); t != n.term {
-		return
-	}
-	acked := n.quorumValue(func(pr *Progress) uint64 { return pr.readSeq }, n.readSeq)
-	for len(n.reads) > 0 && n.reads[0].seq <= acked {
-		r := n.reads[0]
-		n.reads = n.reads[1:]
-		n.readStates = append(n.readStates, ReadState{ID: r.id, Index: max(r.index, n.log.committed)})
-	}
-}
-
 // quorumValue returns the highest value that a quorum of voters has reached.
 func (n *Node) quorumValue(of func(*Progress) uint64, own uint64) uint64 {
 	values := make([]uint64, 0, len(n.members.Voters))
@@ -406,23 +216,6 @@
 	return values[len(values)-n.members.quorum()]
 }
 
-// TransferLeadership lets the voter take over once its log is whole.
-func (n *Node) TransferLeadership(to NodeID) {
-	if n.role != Leader || to == n.id || !n.members.Has(to) {
-		return
-	}
-	n.transferee = to
-	n.transferElapsed = 0
-	n.continueTransfer()
-}
-
-func (n *Node) continueTransfer() {
-	pr := n.progress[n.transferee]
-	if pr != nil && pr.Match == n.log.last() {
-		n.send(Message{Kind: MsgTimeoutNow, To: n.transferee})
-	}
-}
-
 func (n *Node) send(m Message) { n.sendTerm(m, n.term) }
 
 func (n *Node) sendTerm(m Message, term uint64) {
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -63,7 +63,6 @@
 	calls   chan func()
 	propose chan *proposal
 	steps   chan []consensus.Message
-	stop    chan struct{}
 	done    chan struct{}
 
 	waiting map[uint64]*proposal
@@ -128,7 +127,7 @@
 		calls:   make(chan func()),
 		propose: make(chan *proposal, maxProposals),
 		steps:   make(chan []consensus.Message, 64),
-		stop:    make(chan struct{}), done: make(chan struct{}),
+		done:    make(chan struct{}),
 		waiting: map[uint64]*proposal{}, readers: map[uint64]*reader{},
 		start: opts.Clock.Now(),
 	}
