--- a/node/consensus/cluster_test.go
+++ b/node/consensus/cluster_test.go
@@ -35,8 +35,6 @@
 	id      consensus.NodeID
 	index   uint64 // last entry in hash
 	hash    uint64
-	members consensus.Membership
-	applied uint64            // for the membership that is in force
 	waiting map[uint64]uint64 // proposals: index to term
 	reads   map[uint64]uint64 // read id to the index that it must not miss
 }
