TLS: mutual between processes, towards callers and administrators, files reloaded

Cause: everything travelled in plain text; whoever reached a peer port could announce an upstream, vote or claim. Ruled out: TLS URLs in every HTTP client (the connection is encrypted below http.Transport instead, so gate and dispatch stay as they are); failing on a half-written certificate file (the old one stays in use). Change: node/security; section [tls]; without it only loopback listeners are accepted; caperdrum takes -tls-ca, -tls-cert and -tls-key. Figures: tests only; the cost as a ratio is not measured yet.

--- a/ctl/adminclient/adminclient.go
+++ b/ctl/adminclient/adminclient.go
@@ -5,9 +5,12 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"net/http"
 	"net/url"
+	"os"
 	"sort"
 	"sync"
 	"time"
@@ -23,14 +26,54 @@
 type Client struct {
 	addresses []string
 	key       string
+	scheme    string
 	http      *http.Client
 }
 
+// TLS names the PEM files for encrypted calls. Without a CA calls are plain
+// text. The certificate is shown to debug listeners, which admit only those
+// that the CA has signed.
+type TLS struct {
+	CA, Certificate, Key string
+}
+
+func (t TLS) config() (*tls.Config, error) {
+	ca, err := os.ReadFile(t.CA)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(ca) {
+		return nil, errors.Errorf("%s holds no certificate", t.CA)
+	}
+	cfg := &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}
+	if t.Certificate != "" {
+		cert, err := tls.LoadX509KeyPair(t.Certificate, t.Key)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		cfg.Certificates = []tls.Certificate{cert}
+	}
+	return cfg, nil
+}
+
 const callTimeout = 6 * time.Second
 
+// NewTLS is New with encrypted calls.
+func NewTLS(addresses []string, key string, t TLS) (*Client, error) {
+	c := New(addresses, key)
+	cfg, err := t.config()
+	if err != nil {
+		return nil, err
+	}
+	c.scheme = "https"
+	c.http.Transport = &http.Transport{TLSClientConfig: cfg}
+	return c, nil
+}
+
 // New returns a client that authenticates with the bearer key, if there is one.
 func New(addresses []string, key string) *Client {
-	return &Client{addresses: addresses, key: key, http: &http.Client{Timeout: callTimeout}}
+	return &Client{addresses: addresses, key: key, scheme: "http", http: &http.Client{Timeout: callTimeout}}
 }
 
 // Refusal is a call that a control process understood and refused.
@@ -70,7 +113,7 @@
 			return errors.Trace(err)
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, &body)
+	req, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, &body)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -123,7 +166,11 @@
 }
 
 // WithKey returns a client that uses another key.
-func (c *Client) WithKey(key string) *Client { return New(c.addresses, key) }
+func (c *Client) WithKey(key string) *Client {
+	other := *c
+	other.key = key
+	return &other
+}
 
 // Apply proposes a change. The same change id makes a resend harmless.
 func (c *Client) Apply(ctx context.Context, change wire.ChangeRequest) (wire.ChangeResult, error) {
--- a/ctl/commands/common.go
+++ b/ctl/commands/common.go
@@ -15,16 +15,26 @@
 )
 
 // adminFlags are shared by all commands that call the control processes.
-type adminFlags struct{ admin, keyFile string }
+type adminFlags struct {
+	admin, keyFile string
+	tls            adminclient.TLS
+}
 
 const (
 	adminEnv = "CAPERDRUM_ADMIN"
 	keyEnv   = "CAPERDRUM_KEY"
+
+	caEnv      = "CAPERDRUM_TLS_CA"
+	certEnv    = "CAPERDRUM_TLS_CERT"
+	certKeyEnv = "CAPERDRUM_TLS_KEY"
 )
 
 func (a *adminFlags) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&a.admin, "admin", os.Getenv(adminEnv), "administration `addresses` of the control processes, comma-separated; default $"+adminEnv)
 	f.StringVar(&a.keyFile, "key-file", "", "`file` that holds the team's key; default the value of $"+keyEnv)
+	f.StringVar(&a.tls.CA, "tls-ca", os.Getenv(caEnv), "PEM `file` of the authority; default $"+caEnv+"; empty means plain text")
+	f.StringVar(&a.tls.Certificate, "tls-cert", os.Getenv(certEnv), "PEM `file` of your certificate, for the time line; default $"+certEnv)
+	f.StringVar(&a.tls.Key, "tls-key", os.Getenv(certKeyEnv), "PEM `file` of its key; default $"+certKeyEnv)
 }
 
 func (a *adminFlags) client() (*adminclient.Client, error) {
@@ -40,7 +50,10 @@
 		}
 		key = strings.TrimSpace(string(data))
 	}
-	return adminclient.New(addresses, key), nil
+	if a.tls.CA == "" {
+		return adminclient.New(addresses, key), nil
+	}
+	return adminclient.NewTLS(addresses, key, a.tls)
 }
 
 func usage(err error) subcommands.ExitStatus {
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -23,6 +22,7 @@
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/control"
 	"caperdrum.org/node/replica"
+	"caperdrum.org/node/security"
 	"caperdrum.org/node/settings"
 	"caperdrum.org/node/state"
 )
@@ -33,6 +33,7 @@
 	Settings *settings.Settings
 	Ring     *timeline.Ring
 	Control  *control.Service `name:"control"`
+	Security *security.Store  `optional:"true"`
 }
 
 // Service is the administration listener.
@@ -83,7 +84,7 @@
 
 // Start implements kernel.Starter.
 func (s *Service) Start(context.Context) error {
-	l, err := net.Listen("tcp", s.p.Settings.Control.Admin)
+	l, err := s.p.Security.Listen(s.p.Settings.Control.Admin, security.Callers)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/node/cmd/caperdrumd/main.go
+++ b/node/cmd/caperdrumd/main.go
@@ -27,6 +27,7 @@
 	"caperdrum.org/node/peer"
 	"caperdrum.org/node/pipeline"
 	"caperdrum.org/node/routing"
+	"caperdrum.org/node/security"
 	"caperdrum.org/node/settings"
 )
 
@@ -68,18 +69,24 @@
 
 func serve(set *settings.Settings) int {
 	log := logging.New(os.Stderr, set.Node.Name, set.Node.LogLevel)
+	store, err := security.New(security.Files(set.TLS))
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v; name readable PEM files in [tls]\n", set.File, err)
+		return exitSettings
+	}
 	k := kernel.New(log)
 	k.Supply(func() *settings.Settings { return set })
 	k.Supply(func() logr.Logger { return log })
 	k.Supply(func() *timeline.Ring { return timeline.NewRing(set.Node.Name, set.Node.VM, set.Node.Timeline) })
-	k.Supply(func() peer.Dialer { return peer.DialTCP })
+	k.Supply(func() *security.Store { return store })
+	k.Supply(func() peer.Dialer { return store.Dial })
 	if err := k.Add(modulesOf(set)...); err != nil {
 		log.Error(err, "modules")
 		return exitFailure
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	err := k.Run(ctx, func() (context.Context, context.CancelFunc) {
+	err = k.Run(ctx, func() (context.Context, context.CancelFunc) {
 		return context.WithTimeout(context.Background(), set.Node.DrainTimeout)
 	})
 	if err != nil {
--- a/node/control/service.go
+++ b/node/control/service.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -18,6 +17,7 @@
 	"caperdrum.org/node/kernel"
 	"caperdrum.org/node/peer"
 	"caperdrum.org/node/replica"
+	"caperdrum.org/node/security"
 	"caperdrum.org/node/settings"
 )
 
@@ -39,6 +39,7 @@
 	Log      logr.Logger
 	Ring     *timeline.Ring
 	Dial     peer.Dialer
+	Security *security.Store `optional:"true"`
 }
 
 // Service is the control role of one process.
@@ -46,6 +47,7 @@
 	set     *settings.Settings
 	kernel  *kernel.Kernel
 	log     logr.Logger
+	secure  *security.Store
 	ring    *timeline.Ring
 	links   *links
 	server  *peer.Server
@@ -60,7 +62,7 @@
 
 // New opens the data folder and prepares the service.
 func New(p Params) (*Service, error) {
-	s := &Service{set: p.Settings, kernel: p.Kernel, log: p.Log, ring: p.Ring, links: newLinks(p.Dial), server: peer.NewServer(), stopped: make(chan struct{})}
+	s := &Service{set: p.Settings, kernel: p.Kernel, log: p.Log, secure: p.Security, ring: p.Ring, links: newLinks(p.Dial), server: peer.NewServer(), stopped: make(chan struct{})}
 	fs, err := disk.OpenDir(p.Settings.Node.DataDir)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -90,7 +92,7 @@
 
 // Start implements kernel.Starter.
 func (s *Service) Start(context.Context) error {
-	l, err := net.Listen("tcp", s.set.Control.Listen)
+	l, err := s.secure.Listen(s.set.Control.Listen, security.Peers)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/node/debug/debug.go
+++ b/node/debug/debug.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"expvar"
-	"net"
 	"net/http"
 	"net/http/pprof"
 	"time"
@@ -15,6 +14,7 @@
 	"go.uber.org/dig"
 
 	"caperdrum.org/api/timeline"
+	"caperdrum.org/node/security"
 	"caperdrum.org/node/settings"
 )
 
@@ -23,12 +23,14 @@
 	dig.In
 	Settings *settings.Settings
 	Ring     *timeline.Ring
+	Security *security.Store `optional:"true"`
 }
 
 // Server is the debug listener.
 type Server struct {
-	address string
-	http    *http.Server
+	address  string
+	security *security.Store
+	http     *http.Server
 }
 
 // Address returns where the server listens.
@@ -43,7 +45,7 @@
 	r.HandleFunc("/debug/pprof/*", pprof.Index)
 	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	r.Get("/debug/timeline", func(w http.ResponseWriter, req *http.Request) { writeTimeline(w, req, p.Ring) })
-	return &Server{address: p.Settings.Debug.Listen, http: &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout}}
+	return &Server{address: p.Settings.Debug.Listen, security: p.Security, http: &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout}}
 }
 
 func writeTimeline(w http.ResponseWriter, req *http.Request, ring *timeline.Ring) {
@@ -56,7 +58,7 @@
 
 // Start implements kernel.Starter.
 func (s *Server) Start(context.Context) error {
-	l, err := net.Listen("tcp", s.address)
+	l, err := s.security.Listen(s.address, security.Peers)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -25,6 +25,7 @@
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/configsync"
 	"caperdrum.org/node/routing"
+	"caperdrum.org/node/security"
 )
 
 // Call is what an attempt asks of an upstream.
@@ -47,8 +48,9 @@
 // Params are what the service needs.
 type Params struct {
 	dig.In
-	Ring *timeline.Ring
-	Sync *configsync.Service `name:"configsync"`
+	Ring     *timeline.Ring
+	Sync     *configsync.Service `name:"configsync"`
+	Security *security.Store     `optional:"true"`
 }
 
 // Service sends attempts.
@@ -59,7 +61,6 @@
 }
 
 const (
-	connectTimeout  = time.Second
 	settleTimeout   = time.Second // a gate asked about an attempt must answer within
 	maxReattach     = 3
 	idleConnections = 256
@@ -67,8 +68,7 @@
 
 // New returns the service.
 func New(p Params) *Service {
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	t := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections, DisableCompression: true}
+	t := &http.Transport{DialContext: p.Security.DialNetwork, MaxIdleConnsPerHost: idleConnections, DisableCompression: true}
 	return &Service{ring: p.Ring, sync: p.Sync, client: &http.Client{Transport: t}}
 }
 
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -10,7 +10,6 @@
 	"expvar"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -27,6 +26,7 @@
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/configsync"
+	"caperdrum.org/node/security"
 	"caperdrum.org/node/settings"
 )
 
@@ -37,6 +37,7 @@
 	Log      logr.Logger
 	Ring     *timeline.Ring
 	Sync     *configsync.Service `name:"configsync"`
+	Security *security.Store     `optional:"true"`
 }
 
 // Service is the gate of one upstream.
@@ -45,6 +46,7 @@
 	log    logr.Logger
 	ring   *timeline.Ring
 	sync   *configsync.Service
+	secure *security.Store
 	table  *table
 	client *http.Client
 	once   *http.Client // for attempts that must not be sent twice
@@ -78,7 +80,7 @@
 
 // New returns the gate; Start opens its listener.
 func New(p Params) *Service {
-	s := &Service{set: p.Settings.Agent, log: p.Log, ring: p.Ring, sync: p.Sync, incarnation: p.Sync.Self().Incarnation}
+	s := &Service{set: p.Settings.Agent, log: p.Log, ring: p.Ring, sync: p.Sync, secure: p.Security, incarnation: p.Sync.Self().Incarnation}
 	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns, DisableCompression: true}}
 	// On a fresh connection the transport never repeats a request by itself.
 	s.once = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
@@ -107,7 +109,7 @@
 
 // Start implements kernel.Starter.
 func (s *Service) Start(context.Context) error {
-	l, err := net.Listen("tcp", s.set.Listen)
+	l, err := s.secure.Listen(s.set.Listen, security.Peers)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"expvar"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -20,6 +19,7 @@
 	"caperdrum.org/node/configsync"
 	"caperdrum.org/node/ledger"
 	"caperdrum.org/node/pipeline"
+	"caperdrum.org/node/security"
 	"caperdrum.org/node/settings"
 )
 
@@ -32,6 +32,7 @@
 	Sync     *configsync.Service `name:"configsync"`
 	Pipeline *pipeline.Service   `name:"pipeline"`
 	Ledger   *ledger.Service     `name:"ledger"`
+	Security *security.Store     `optional:"true"`
 }
 
 // Service is the callers' listener.
@@ -74,7 +75,7 @@
 
 // Start implements kernel.Starter.
 func (s *Service) Start(context.Context) error {
-	l, err := net.Listen("tcp", s.set.Listen)
+	l, err := s.p.Security.Listen(s.set.Listen, security.Callers)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -77,6 +77,16 @@
 	Listen string `ini:"listen" required:"true"` // metrics and time line
 }
 
+// TLS is the section [tls]. Without it everything is plain text, which is
+// accepted on loopback addresses only.
+type TLS struct {
+	CA                string `ini:"ca" required:"true"`
+	Certificate       string `ini:"certificate" required:"true"`
+	Key               string `ini:"key" required:"true"`
+	CallerCertificate string `ini:"caller_certificate"`
+	CallerKey         string `ini:"caller_key"`
+}
+
 // Settings is a whole, checked file.
 type Settings struct {
 	File    string
@@ -86,6 +96,7 @@
 	Entry   EntryRole
 	Agent   AgentRole
 	Debug   Debug
+	TLS     TLS
 }
 
 // Has reports whether the process plays the role.
@@ -130,7 +141,10 @@
 	f.Decode("node", &s.Node)
 	f.Decode("peers", &s.Peers)
 	f.Decode("debug", &s.Debug)
-	known := []string{"node", "peers", "debug"}
+	known := []string{"node", "peers", "debug", "tls"}
+	if f.Has("tls") {
+		f.Decode("tls", &s.TLS)
+	}
 	for _, role := range []struct {
 		role Role
 		out  any
@@ -164,6 +178,7 @@
 	if s.Node.LogLevel != "info" && s.Node.LogLevel != "debug" {
 		f.Fail("node", "log_level", "unknown log level", "use info or debug")
 	}
+	s.checkPlainText(f)
 	for _, a := range s.Peers.Control {
 		checkAddress(f, "peers", "control", a)
 	}
@@ -213,6 +228,20 @@
 	}
 }
 
+// checkPlainText refuses listeners that others reach without encryption.
+func (s *Settings) checkPlainText(f *strictini.File) {
+	if s.TLS.CA != "" || f.Has("tls") {
+		return
+	}
+	for _, l := range []struct{ section, key, address string }{
+		{"control", "listen", s.Control.Listen}, {"control", "admin", s.Control.Admin}, {"entry", "listen", s.Entry.Listen},
+		{"agent", "listen", s.Agent.Listen}, {"debug", "listen", s.Debug.Listen}} {
+		if l.address != "" && !isLoopback(l.address) {
+			f.Fail(l.section, l.key, l.address+" is reached by others and there is no [tls] section", "add [tls] with ca, certificate and key, or use a loopback address")
+		}
+	}
+}
+
 func isLoopback(address string) bool {
 	host, _, err := net.SplitHostPort(address)
 	return err == nil && net.ParseIP(host).IsLoopback()
