admin_test: the log buffer is safe for concurrent use

Cause: the specs read the log while control's goroutines still write it; the race run failed now and then. Ruled out: a race in the product (only the test's bytes.Buffer is shared). Change: gbytes.Buffer, which locks. The checks are the same. Conclusion: test fault, mended.

--- a/node/admin/admin_test.go
+++ b/node/admin/admin_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"caperdrum.org/api/timeline"
 	"caperdrum.org/api/wire"
@@ -38,12 +39,12 @@
 // api is one control process with its administration handler.
 type api struct {
 	handler http.Handler
-	logs    *bytes.Buffer
+	logs    *gbytes.Buffer
 	ring    *timeline.Ring
 }
 
 func start() *api {
-	a := &api{logs: &bytes.Buffer{}, ring: timeline.NewRing("c", "v", 100)}
+	a := &api{logs: gbytes.NewBuffer(), ring: timeline.NewRing("c", "v", 100)}
 	set := &settings.Settings{Node: settings.Node{Name: "c", VM: "v", DataCenter: "d", DataDir: GinkgoT().TempDir()},
 		Control: settings.ControlRole{Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Lease: time.Second, Voters: 1}}
 	log := logging.New(a.logs, "c", "debug")
@@ -147,7 +148,7 @@
 
 		var teams json.RawMessage
 		Expect(a.call(root, "GET", "/v1/teams", nil, &teams)).To(Equal(http.StatusOK))
-		seen := string(teams) + a.logs.String() + fmt.Sprint(a.ring.Events(timeline.Filter{}))
+		seen := string(teams) + string(a.logs.Contents()) + fmt.Sprint(a.ring.Events(timeline.Filter{}))
 		for _, key := range []string{root, first.Key, second.Key} {
 			Expect(seen).NotTo(ContainSubstring(key[strings.LastIndex(key, "_")+1:]))
 		}
