--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,9 @@
 	go vet $(MODULES)
 	go run honnef.co/go/tools/cmd/staticcheck $(MODULES)
 
+# A short run at the size of one deployment, under 3 minutes.
+bench: build
+	./scripts/bench.sh -scenario main -measure 6s
+
 clean:
 	rm -rf bin
--- /dev/null
+++ b/ctl/bench/bench.go
@@ -0,0 +1,211 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/schollz/progressbar/v3"
+
+	"caperdrum.org/ctl/adminclient"
+)
+
+// Config says what to measure and where.
+type Config struct {
+	Deployment   Deployment
+	Scenarios    []Scenario
+	Policies     []Policy
+	Text         string // of the operators; policies vary it
+	Repeats      int
+	Seed         uint64
+	Entries      []string // addresses
+	Admin        []string
+	Control      string // of the stand-ins
+	EntryPIDFile string // holds the process id of the entry to kill; empty leaves such scenarios out
+	Progress     io.Writer
+}
+
+// Bench is one measurement.
+type Bench struct {
+	c       Config
+	system  *system
+	up      *upstreams
+	sender  *httpSender
+	results map[string]*Result
+	order   []*Result
+	tag     string // of this measurement
+	runs    int
+}
+
+// New returns a measurement of a running system.
+func New(c Config) *Bench {
+	b := newBalancer(c.Entries)
+	agents := 0
+	for _, p := range c.Deployment.Pools {
+		agents += p.Count
+	}
+	return &Bench{c: c, up: newUpstreams(c.Control), sender: newSender(b), results: map[string]*Result{}, tag: uuid.NewString()[:tagLength],
+		system: &system{admin: adminclient.New(c.Admin), balancer: b, agents: agents, http: &http.Client{Timeout: controlTimeout}}}
+}
+
+// Run measures every scenario under every policy, and all that again for each
+// repeat, with the policies' order turned round, so that a drift of the
+// machine hits all alike. Equal repeats have equal schedules for all policies.
+func (b *Bench) Run(ctx context.Context) ([]*Result, error) {
+	b.sender.balancer.watch(ctx)
+	for _, sc := range b.c.Scenarios {
+		if sc.KillEntry > 0 && b.c.EntryPIDFile == "" {
+			fmt.Fprintf(b.c.Progress, "%s: not run, no entry to kill was named\n", sc.Name)
+			continue
+		}
+		for repeat := range b.c.Repeats {
+			for i := range b.c.Policies {
+				n := i
+				if repeat%2 == 1 {
+					n = len(b.c.Policies) - 1 - i
+				}
+				if err := b.one(ctx, sc, b.c.Policies[n], b.c.Seed+uint64(repeat)); err != nil {
+					return b.finish(), fmt.Errorf("%s under %s: %w", sc.Name, b.c.Policies[n].Name, err)
+				}
+			}
+		}
+	}
+	return b.finish(), nil
+}
+
+func (b *Bench) finish() []*Result {
+	for _, r := range b.order {
+		r.finish()
+	}
+	return b.order
+}
+
+func (b *Bench) result(sc Scenario, p Policy) *Result {
+	key := sc.Name + " " + p.Name
+	if b.results[key] == nil {
+		b.results[key] = newResult(sc, p.Name)
+		b.order = append(b.order, b.results[key])
+	}
+	return b.results[key]
+}
+
+const (
+	tagLength  = 8
+	settleTime = 300 * time.Millisecond // for work that was cancelled at the end
+	startDelay = 200 * time.Millisecond // before the first request
+)
+
+func (b *Bench) one(ctx context.Context, sc Scenario, p Policy, seed uint64) error {
+	if err := b.prepare(ctx, sc, p); err != nil {
+		return err
+	}
+	b.runs++
+	plan := Plan{Deployment: b.c.Deployment, Scenario: sc, Seed: seed, Tag: fmt.Sprintf("%s-%03d", b.tag, b.runs), Rates: NominalRates(b.c.Deployment, sc, b.c.Seed)}
+	schedule := plan.Schedule()
+	markFitting(plan, schedule)
+	r := b.result(sc, p)
+	before := b.system.counters(ctx)
+	outcomes := b.load(ctx, sc, p, schedule, r)
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	t, err := b.up.truth(ctx)
+	if err != nil {
+		return err
+	}
+	r.check(outcomes, t)
+	for name, v := range b.system.counters(ctx) {
+		r.Counters[name] += max(v-before[name], 0) // a restarted entry starts at zero
+	}
+	_, ideal := idealHits(b.c.Deployment, schedule)
+	r.Runs++
+	r.Hits += (t.hitShare() - r.Hits) / float64(r.Runs)
+	r.Ideal += (ideal - r.Ideal) / float64(r.Runs)
+	r.Seconds += (total(sc.Profile) - sc.Warm).Seconds()
+	return b.up.reset(ctx)
+}
+
+func (b *Bench) prepare(ctx context.Context, sc Scenario, p Policy) error {
+	if err := b.up.reset(ctx); err != nil {
+		return err
+	}
+	text, err := p.Apply(b.c.Text)
+	if err != nil {
+		return err
+	}
+	if err := b.system.apply(ctx, text); err != nil {
+		return err
+	}
+	if err := b.system.ready(ctx); err != nil {
+		return err
+	}
+	if sc.LoadLag > 0 {
+		return b.up.loadLag(ctx, sc.LoadLag)
+	}
+	return nil
+}
+
+// load runs the schedule, with the scenario's faults at their times.
+func (b *Bench) load(ctx context.Context, sc Scenario, p Policy, schedule []*Request, r *Result) []Outcome {
+	bar := progressbar.NewOptions(len(schedule), progressbar.OptionSetWriter(b.c.Progress), progressbar.OptionSetDescription(sc.Name+" / "+p.Name),
+		progressbar.OptionShowCount(), progressbar.OptionThrottle(time.Second/4), progressbar.OptionClearOnFinish())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	time.Sleep(startDelay)
+	for _, f := range sc.Faults {
+		go b.inject(ctx, f)
+	}
+	if sc.KillEntry > 0 {
+		go b.killEntry(ctx, sc.KillEntry)
+	}
+	var mu sync.Mutex
+	outcomes := make([]Outcome, 0, len(schedule))
+	Run(ctx, clockwork.NewRealClock(), schedule, b.sender, func(o Outcome) {
+		mu.Lock()
+		defer mu.Unlock()
+		outcomes = append(outcomes, o)
+		r.count(o)
+		bar.Add(1)
+	})
+	bar.Finish()
+	return outcomes
+}
+
+func (b *Bench) inject(ctx context.Context, f TimedFault) {
+	if !pause(ctx, f.At) {
+		return
+	}
+	for _, name := range f.targets(b.c.Deployment) {
+		if err := b.up.fault(ctx, name, f.Fault); err != nil {
+			fmt.Fprintf(b.c.Progress, "fault at %s not in force: %v\n", name, err)
+		}
+	}
+}
+
+// killEntry kills the entry whose process id stands in the file, without
+// warning. Whoever started it starts it again.
+func (b *Bench) killEntry(ctx context.Context, at time.Duration) {
+	if !pause(ctx, at) {
+		return
+	}
+	data, err := os.ReadFile(b.c.EntryPIDFile)
+	if err == nil {
+		var pid int
+		if pid, err = strconv.Atoi(strings.TrimSpace(string(data))); err == nil {
+			err = syscall.Kill(pid, syscall.SIGKILL)
+		}
+	}
+	if err != nil {
+		fmt.Fprintf(b.c.Progress, "entry not killed: %v\n", err)
+	}
+}
--- /dev/null
+++ b/ctl/bench/plot.go
@@ -0,0 +1,67 @@
+package bench
+
+import (
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotHeight   = 9 * vg.Centimeter
+	plotMargin   = 6 * vg.Centimeter
+	perScenario  = 2.6 * vg.Centimeter
+	barsOfGroup  = 1.8 * vg.Centimeter
+	labelTilt    = 0.4  // radians
+	legendMargin = 1.25 // of the full height, to keep the legend off the bars
+)
+
+// WritePlot draws the share attained of what the capacity allows, one group of
+// bars for each scenario and one bar for each policy. The file's extension,
+// svg or png among others, chooses the format.
+func (r *Report) WritePlot(path string) error {
+	scenarios, policies, value := r.grid()
+	p := plot.New()
+	p.Title.Text = "Attained within capacity, " + r.Deployment
+	p.Y.Label.Text = "per cent"
+	p.Y.Min, p.Y.Max = 0, 100*legendMargin
+	p.Legend.Top = true
+	width := barsOfGroup / vg.Length(max(len(policies), 1))
+	for i, policy := range policies {
+		values := make(plotter.Values, len(scenarios))
+		for j, s := range scenarios {
+			values[j] = 100 * value[s+" "+policy]
+		}
+		bars, err := plotter.NewBarChart(values, width)
+		if err != nil {
+			return err
+		}
+		bars.Color = plotutil.Color(i)
+		bars.LineStyle.Width = 0
+		bars.Offset = width * vg.Length(2*i-len(policies)+1) / 2
+		p.Add(bars)
+		p.Legend.Add(policy, bars)
+	}
+	p.NominalX(scenarios...)
+	p.X.Tick.Label.Rotation = -labelTilt
+	return p.Save(plotMargin+perScenario*vg.Length(len(scenarios)), plotHeight, path)
+}
+
+// grid returns the scenarios and policies in the order of the results.
+func (r *Report) grid() (scenarios, policies []string, value map[string]float64) {
+	value = map[string]float64{}
+	seen := map[string]bool{}
+	add := func(list []string, prefix, name string) []string {
+		if seen[prefix+name] {
+			return list
+		}
+		seen[prefix+name] = true
+		return append(list, name)
+	}
+	for _, x := range r.Results {
+		scenarios = add(scenarios, "scenario ", x.Scenario)
+		policies = add(policies, "policy ", x.Policy)
+		value[x.Scenario+" "+x.Policy] = x.Total.Within()
+	}
+	return scenarios, policies, value
+}
--- /dev/null
+++ b/ctl/bench/result.go
@@ -0,0 +1,268 @@
+package bench
+
+import (
+	"time"
+
+	hdrhistogram "github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Count is how many requests were offered and attained. Fitting ones are
+// within capacity.
+type Count struct {
+	Offered         int `json:"offered"`
+	Attained        int `json:"attained"`
+	Fitting         int `json:"fitting"`
+	FittingAttained int `json:"fitting_attained"`
+}
+
+func (c *Count) add(o Count) {
+	c.Offered += o.Offered
+	c.Attained += o.Attained
+	c.Fitting += o.Fitting
+	c.FittingAttained += o.FittingAttained
+}
+
+// Of returns the attained share of all offered.
+func (c Count) Of() float64 { return share(c.Attained, c.Offered) }
+
+// Within returns the attained share of what the capacity allows. Which ones
+// of an overload are attained is the system's choice, so all count.
+func (c Count) Within() float64 { return min(1, share(c.Attained, c.Fitting)) }
+
+func share(n, of int) float64 {
+	if of == 0 {
+		return 1
+	}
+	return float64(n) / float64(of)
+}
+
+// Result is what one scenario gave under one policy, over all repeats.
+type Result struct {
+	Scenario   string  `json:"scenario"`
+	Policy     string  `json:"policy"`
+	Assumption string  `json:"assumption"`
+	Runs       int     `json:"runs"`
+	Seconds    float64 `json:"seconds"` // that count
+	Total      Count   `json:"total"`
+
+	ByFlow     map[string]*Count `json:"by_flow"`
+	ByCustomer map[string]*Count `json:"by_customer"`
+	Verdicts   map[string]int    `json:"verdicts"` // of requests without a whole answer
+	Reasons    map[string]int    `json:"reasons"`  // code of each failure
+
+	Late    int `json:"late"`
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"`
+	Wrong   int `json:"wrong"`
+
+	FalseNotRun   int `json:"false_not_run"`  // refused as not run, but the last stage ran
+	PartlyRun     int `json:"partly_run"`     // refused as not run, but an earlier stage ran
+	Doubled       int `json:"doubled"`        // keyed calls that ran more than once
+	Phantom       int `json:"phantom"`        // keyed calls answered whole that never ran
+	Resent        int `json:"resent"`         // requests sent more than once by the caller
+	SlowRefusals  int `json:"slow_refusals"`  // refusals after more than half the deadline
+	GeneratorLate int `json:"generator_late"` // requests that started over 20 ms late: the tool or machine was busy
+
+	Costs    map[string]Cost    `json:"costs"`
+	Counters map[string]float64 `json:"counters"`   // the entries' own, over the run
+	Hits     float64            `json:"hits"`       // share of prompt tokens cached, mean over runs
+	Ideal    float64            `json:"ideal_hits"` // with a single cache of the same memory
+
+	FirstToken   Quantiles `json:"first_token"`
+	BetweenToken Quantiles `json:"between_tokens"`
+	Latency      Quantiles `json:"latency"` // of whole answers
+
+	first, between, latency *hdrhistogram.Histogram
+}
+
+// Quantiles of a latency, in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50_ms"`
+	P95 float64 `json:"p95_ms"`
+	P99 float64 `json:"p99_ms"`
+}
+
+const (
+	maxLatency       = time.Minute
+	precision        = 3 // significant digits of the histograms
+	generatorLate    = 20 * time.Millisecond
+	slowRefusalParts = 2
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency.Microseconds(), precision)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	h.RecordValue(min(max(d, time.Microsecond), maxLatency).Microseconds()) // cannot fail within these bounds
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Quantiles{at(50), at(95), at(99)}
+}
+
+func newResult(sc Scenario, policy string) *Result {
+	return &Result{Scenario: sc.Name, Policy: policy, Assumption: sc.Assumption, ByFlow: map[string]*Count{}, ByCustomer: map[string]*Count{},
+		Verdicts: map[string]int{}, Reasons: map[string]int{}, Costs: map[string]Cost{}, Counters: map[string]float64{},
+		first: newHistogram(), between: newHistogram(), latency: newHistogram()}
+}
+
+// Extra returns the share of all slot time that hedges and retries cost.
+func (r *Result) Extra() float64 {
+	var extra, held float64
+	for _, c := range r.Costs {
+		extra += c.Extra
+		held += c.Held
+	}
+	if held == 0 {
+		return 0
+	}
+	return extra / held
+}
+
+// Held returns the slot time over all services, in seconds.
+func (r *Result) Held() float64 {
+	var held float64
+	for _, c := range r.Costs {
+		held += c.Held
+	}
+	return held
+}
+
+// HitsOfIdeal returns the cache hits relative to the ideal cache's.
+func (r *Result) HitsOfIdeal() float64 {
+	if r.Ideal == 0 {
+		return 1
+	}
+	return r.Hits / r.Ideal
+}
+
+// SmallestShare returns the attained share of the small customer that fared
+// worst. All that small customers offer is within their shares.
+func (r *Result) SmallestShare(d Deployment) float64 {
+	worst := 1.0
+	for _, c := range d.Customers {
+		if n := r.ByCustomer[c.Name]; n != nil && !c.Large {
+			worst = min(worst, n.Of())
+		}
+	}
+	return worst
+}
+
+func at(m map[string]*Count, key string) *Count {
+	if m[key] == nil {
+		m[key] = &Count{}
+	}
+	return m[key]
+}
+
+// count takes in one outcome. Histograms hold requests that count only.
+func (r *Result) count(o Outcome) {
+	if o.Request.Warm {
+		return
+	}
+	class := o.Class()
+	one := Count{Offered: 1}
+	if class == Attained {
+		one.Attained = 1
+	}
+	if o.Request.Fits {
+		one.Fitting, one.FittingAttained = 1, one.Attained
+	}
+	r.Total.add(one)
+	at(r.ByFlow, o.Request.Flow.Name).add(one)
+	at(r.ByCustomer, o.Request.Customer.Name).add(one)
+	if o.Late > generatorLate {
+		r.GeneratorLate++
+	}
+	if o.Reply.Sends > 1 {
+		r.Resent++
+	}
+	r.classify(o, class)
+	r.time(o)
+}
+
+func (r *Result) classify(o Outcome, class Class) {
+	switch class {
+	case TooLate:
+		r.Late++
+	case Refused:
+		r.Refused++
+		if o.Latency > o.Request.Flow.Deadline/slowRefusalParts {
+			r.SlowRefusals++
+		}
+	case Failed:
+		r.Failed++
+	case Wrong:
+		r.Wrong++
+	}
+	if o.Reply.Whole {
+		return
+	}
+	verdictName := "no answer"
+	if o.Reply.Answered {
+		verdictName = o.Reply.Verdict.String()
+	}
+	r.Verdicts[verdictName]++
+	r.Reasons[o.Request.Flow.Name+" "+verdictName+" "+code(o.Reply.Reason)]++
+}
+
+// code returns the start of a reason, which has few different values.
+func code(reason string) string {
+	for i, c := range reason {
+		if c == ':' {
+			return reason[:i]
+		}
+	}
+	return reason
+}
+
+func (r *Result) time(o Outcome) {
+	if o.First > 0 {
+		record(r.first, o.First)
+	}
+	for _, g := range o.Reply.Gaps {
+		record(r.between, g)
+	}
+	if o.Reply.Whole {
+		record(r.latency, o.Latency)
+	}
+}
+
+// check compares the outcomes with what the stand-ins ran.
+func (r *Result) check(outcomes []Outcome, t *truth) {
+	ran := t.ranAt()
+	for _, o := range outcomes {
+		if o.Request.Key != "" {
+			r.checkKeyed(o, t.bodies[string(o.Request.Body)])
+		}
+		if o.Class() != Refused || o.Reply.Sends > 1 {
+			continue // of several sends an earlier one may have run, by its own verdict
+		}
+		services := o.Request.Flow.Services
+		switch at := ran[o.Request.ID]; {
+		case at[services[len(services)-1]]:
+			r.FalseNotRun++
+		case len(at) > 0:
+			r.PartlyRun++
+		}
+	}
+	for s, c := range t.costs() {
+		sum := r.Costs[s]
+		r.Costs[s] = Cost{sum.Held + c.Held, sum.Extra + c.Extra, sum.Abandoned + c.Abandoned}
+	}
+}
+
+func (r *Result) checkKeyed(o Outcome, runs int) {
+	if runs > 1 {
+		r.Doubled++
+	}
+	if runs == 0 && o.Class() == Attained {
+		r.Phantom++
+	}
+}
+
+func (r *Result) finish() {
+	r.FirstToken, r.BetweenToken, r.Latency = quantiles(r.first), quantiles(r.between), quantiles(r.latency)
+}
--- /dev/null
+++ b/ctl/bench/sender.go
@@ -0,0 +1,239 @@
+package bench
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/ctl/client"
+	"caperdrum.org/fake/standin"
+)
+
+// balancer stands for the platform's balancer: it spreads requests over the
+// entries that report ready.
+type balancer struct {
+	entries []string
+	ready   []atomic.Bool
+	next    atomic.Uint64
+	http    *http.Client
+}
+
+const (
+	readyInterval = 100 * time.Millisecond
+	readyTimeout  = 500 * time.Millisecond
+)
+
+func newBalancer(entries []string) *balancer {
+	return &balancer{entries: entries, ready: make([]atomic.Bool, len(entries)), http: &http.Client{Timeout: readyTimeout}}
+}
+
+// watch follows the entries' readiness until ctx ends.
+func (b *balancer) watch(ctx context.Context) {
+	b.check()
+	go func() {
+		ticker := time.NewTicker(readyInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				b.check()
+			}
+		}
+	}()
+}
+
+func (b *balancer) check() {
+	var wg sync.WaitGroup
+	for i, e := range b.entries {
+		wg.Go(func() {
+			resp, err := b.http.Get("http://" + e + "/readyz")
+			if err == nil {
+				resp.Body.Close()
+			}
+			b.ready[i].Store(err == nil && resp.StatusCode == http.StatusOK)
+		})
+	}
+	wg.Wait()
+}
+
+func (b *balancer) readyCount() int {
+	n := 0
+	for i := range b.ready {
+		if b.ready[i].Load() {
+			n++
+		}
+	}
+	return n
+}
+
+// pick returns the next ready entry other than the one to avoid, or any.
+func (b *balancer) pick(avoid string) string {
+	first := b.next.Add(1)
+	for i := range uint64(len(b.entries)) {
+		n := (first + i) % uint64(len(b.entries))
+		if b.ready[n].Load() && b.entries[n] != avoid {
+			return b.entries[n]
+		}
+	}
+	return b.entries[first%uint64(len(b.entries))]
+}
+
+// httpSender sends over HTTP, as a caller behind the balancer would.
+type httpSender struct {
+	balancer *balancer
+	client   *http.Client
+}
+
+const (
+	idleConnections = 2048
+	connectTimeout  = time.Second
+	patience        = time.Second // beyond the deadline, for a late answer
+	maxSends        = 3
+	resendPause     = 50 * time.Millisecond
+)
+
+func newSender(b *balancer) *httpSender {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &httpSender{b, &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConnections, DisableCompression: true}}}
+}
+
+// Send implements Sender. What is sent again: any call whose connection failed
+// without an answer, if it is repeatable or has a key, and a keyed call whose
+// outcome is not known, through another entry.
+func (s *httpSender) Send(ctx context.Context, r *Request, deadline time.Time) Reply {
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(patience))
+	defer cancel()
+	entry := ""
+	for n := 1; ; n++ {
+		entry = s.balancer.pick(entry)
+		reply := s.once(ctx, entry, r, deadline)
+		reply.Sends = n
+		if reply.Whole || n == maxSends || !again(r, reply) || !time.Now().Before(deadline) {
+			return reply
+		}
+		time.Sleep(resendPause)
+	}
+}
+
+func again(r *Request, reply Reply) bool {
+	if !reply.Answered {
+		return true
+	}
+	return r.Key != "" && reply.Verdict != verdict.NotRun && reply.Status >= http.StatusInternalServerError
+}
+
+func (s *httpSender) once(ctx context.Context, entry string, r *Request, deadline time.Time) Reply {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+r.Path, bytes.NewReader(r.Body))
+	if err != nil {
+		return Reply{Reason: err.Error()}
+	}
+	h := req.Header
+	h.Set("Content-Type", "application/json")
+	h.Set(wire.HeaderCustomer, r.Customer.Name)
+	h.Set(wire.HeaderRequestID, r.ID)
+	h.Set(wire.HeaderTimeout, max(time.Until(deadline), time.Millisecond).String())
+	if r.Key != "" {
+		h.Set(wire.HeaderIdempotencyKey, r.Key)
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return Reply{Reason: errors.Cause(err).Error()}
+	}
+	defer resp.Body.Close()
+	reply := Reply{Status: resp.StatusCode, Answered: true, Verdict: verdict.Parse(resp.Header.Get(wire.HeaderVerdict))}
+	if resp.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(resp.Body) // a part explains as well
+		reply.Reason = failureOf(body)
+		return reply
+	}
+	if r.Stream {
+		reply.stream(resp.Body)
+	} else {
+		reply.plain(resp.Body)
+	}
+	return reply
+}
+
+// failureOf returns the code and the message of an error body.
+func failureOf(body []byte) string {
+	var b struct {
+		Error struct {
+			Code    string `json:"code"`
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(body, &b) != nil {
+		return "unreadable error body"
+	}
+	return b.Error.Code + ": " + b.Error.Message
+}
+
+func (p *Reply) plain(body io.Reader) {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		p.Reason = err.Error()
+		return
+	}
+	var a standin.PlainAnswer
+	if json.Unmarshal(data, &a) == nil {
+		p.Text = a.Confirmation
+	}
+	p.Whole = true
+}
+
+var (
+	dataPrefix = []byte("data: ")
+	doneMark   = []byte("[DONE]")
+)
+
+// stream reads an event stream and notes when each token came. An answer in
+// one piece is a stream of one token.
+func (p *Reply) stream(body io.Reader) {
+	var whole bytes.Buffer
+	var last time.Time
+	lines := bufio.NewReader(io.TeeReader(body, &whole))
+	for {
+		line, err := lines.ReadBytes('\n')
+		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), dataPrefix)
+		switch {
+		case ok && bytes.Equal(data, doneMark):
+			p.Whole = true
+		case ok && bytes.Contains(data, []byte(`"content"`)):
+			now := time.Now()
+			if last.IsZero() {
+				p.First = now
+			} else {
+				p.Gaps = append(p.Gaps, now.Sub(last))
+			}
+			last = now
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			p.Whole, p.Reason = false, err.Error()
+			return
+		}
+	}
+	text, err := client.ChatText(whole.Bytes())
+	if err != nil {
+		p.Reason = err.Error()
+	}
+	p.Text = text
+	if !p.Whole && p.Reason == "" {
+		p.Reason = "the stream ended without its final event"
+	}
+}
--- /dev/null
+++ b/ctl/bench/system.go
@@ -0,0 +1,153 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/ctl/adminclient"
+)
+
+// system is the running system under measurement.
+type system struct {
+	admin    *adminclient.Client
+	balancer *balancer
+	agents   int
+	text     string // in force
+	http     *http.Client
+}
+
+const (
+	applyTimeout = 20 * time.Second
+	readyWait    = 30 * time.Second
+	poll         = 50 * time.Millisecond
+)
+
+// apply puts a text in force everywhere, unless it is already.
+func (s *system) apply(ctx context.Context, text string) error {
+	if text == s.text {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	current, err := s.admin.Config(ctx)
+	if err != nil {
+		return err
+	}
+	res, err := s.admin.Apply(ctx, wire.ChangeRequest{Number: current.Version + 1, Text: text, ChangeID: uuid.NewString(), Author: "bench"})
+	if err != nil {
+		return err
+	}
+	if !res.Accepted {
+		return fmt.Errorf("the text was refused: %s", res.Reason)
+	}
+	s.text = text
+	return s.await(ctx, "the text in force", func(m wire.MemberStatus) bool { return m.ConfigVersion >= res.Version })
+}
+
+// ready waits until every agent takes work and every entry is ready.
+func (s *system) ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	if err := s.await(ctx, "every upstream in service", func(m wire.MemberStatus) bool { return !m.Leaving }); err != nil {
+		return err
+	}
+	for s.balancer.readyCount() < len(s.balancer.entries) {
+		if !pause(ctx, poll) {
+			return fmt.Errorf("only %d of %d entries are ready", s.balancer.readyCount(), len(s.balancer.entries))
+		}
+	}
+	return nil
+}
+
+func (s *system) await(ctx context.Context, what string, ok func(wire.MemberStatus) bool) error {
+	for {
+		rows, err := s.admin.Members(ctx)
+		agents, missing := 0, ""
+		for _, m := range rows {
+			if m.Service != "" {
+				agents++
+			}
+			if !ok(m) {
+				missing = string(m.ID)
+			}
+		}
+		if err == nil && missing == "" && agents >= s.agents {
+			return nil
+		}
+		if !pause(ctx, poll) {
+			return fmt.Errorf("no %s: %d of %d agents, missing %s (%v)", what, agents, s.agents, missing, err)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// counterWords are parts of the names of the metrics that a report shows.
+var counterWords = []string{"retries", "hedge", "resum", "eject", "brownout", "stage_upstream_seconds"}
+
+// counters sums up the entries' metrics by name.
+func (s *system) counters(ctx context.Context) map[string]float64 {
+	out := map[string]float64{}
+	rows, err := s.admin.Members(ctx)
+	if err != nil {
+		return out // a report without counters; the stand-ins have the costs
+	}
+	for _, m := range rows {
+		if strings.Contains(m.Role, "entry") {
+			s.addVars(ctx, m.Debug, out)
+		}
+	}
+	return out
+}
+
+func (s *system) addVars(ctx context.Context, address string, out map[string]float64) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/debug/vars", nil)
+	if err != nil {
+		return
+	}
+	resp, err := s.http.Do(req)
+	if err != nil {
+		return // an entry that was killed
+	}
+	defer resp.Body.Close()
+	var vars map[string]json.RawMessage
+	if json.NewDecoder(resp.Body).Decode(&vars) != nil {
+		return
+	}
+	for name, raw := range vars {
+		for _, w := range counterWords {
+			if strings.Contains(name, w) {
+				addNumbers(name, raw, out)
+				break
+			}
+		}
+	}
+}
+
+func addNumbers(name string, raw json.RawMessage, out map[string]float64) {
+	var one float64
+	if json.Unmarshal(raw, &one) == nil {
+		out[name] += one
+		return
+	}
+	var many map[string]float64
+	if json.Unmarshal(raw, &many) == nil {
+		for k, v := range many {
+			out[name+"/"+k] += v
+		}
+	}
+}
--- a/ctl/commands/standin.go
+++ b/ctl/commands/standin.go
@@ -5,44 +5,63 @@
 	"flag"
 	"net"
 	"net/http"
+	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
 
+	"caperdrum.org/api/strictini"
 	"caperdrum.org/fake/standin"
 )
 
-// Standin runs a stand-in upstream.
+// Standin runs stand-in upstreams.
 type Standin struct {
 	opts   standin.Options
-	listen string
+	config string
 }
 
 func (*Standin) Name() string     { return "standin" }
-func (*Standin) Synopsis() string { return "run a small stand-in for an upstream" }
+func (*Standin) Synopsis() string { return "run small stand-ins for upstreams" }
 func (*Standin) Usage() string {
-	return "standin -kind engine|encoder|retriever|reranker|plain -listen IP:PORT\n"
+	return "standin -kind engine|encoder|retriever|reranker|plain -listen IP:PORT\n" +
+		"standin -config FILE\n  Runs every [standin:NAME] of the file; [control] listen = IP:PORT opens the control of them all.\n"
 }
 
 // SetFlags implements subcommands.Command.
 func (s *Standin) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&s.opts.Kind, "kind", "plain", "kind of upstream")
-	f.StringVar(&s.listen, "listen", "127.0.0.1:9000", "`address` to listen on")
-	f.DurationVar(&s.opts.Delay, "delay", 2*time.Millisecond, "time until the first byte of an answer")
-	f.DurationVar(&s.opts.TokenDelay, "token-delay", 2*time.Millisecond, "engine: time between tokens")
-	f.IntVar(&s.opts.Tokens, "tokens", 16, "engine: tokens of an answer")
+	o := &s.opts
+	f.StringVar(&s.config, "config", "", "INI `file` with many stand-ins")
+	f.StringVar(&o.Kind, "kind", "plain", "kind of upstream")
+	f.StringVar(&o.Listen, "listen", "127.0.0.1:9000", "`address` to listen on")
+	f.DurationVar(&o.Delay, "delay", 2*time.Millisecond, "time until the first byte of an answer")
+	f.DurationVar(&o.TokenDelay, "token-delay", 2*time.Millisecond, "engine: time between tokens")
+	f.DurationVar(&o.SequenceDelay, "sequence-delay", 0, "engine: added to a step for each running sequence")
+	f.DurationVar(&o.PrefillDelay, "prefill-delay", 0, "engine: added to a step for each prompt token computed")
+	f.IntVar(&o.Tokens, "tokens", 16, "engine: tokens of an answer")
+	f.IntVar(&o.MaxBatch, "max-batch", 0, "engine: sequences that run at a time")
+	f.IntVar(&o.Concurrency, "concurrency", 0, "others: calls served at a time; 0 is no limit")
+	f.Float64Var(&o.Sigma, "sigma", 0, "others: of the log-normal service time")
+	f.Int64Var(&o.Seed, "seed", 1, "of everything random")
+	f.Float64Var(&o.Fault.Slow, "slow", 0, "fault: factor on all times")
+	f.BoolVar(&o.Fault.Silent, "silent", false, "fault: accept requests and never answer")
+	f.Float64Var(&o.Fault.Error, "error", 0, "fault: share of requests answered with status 500")
+	f.Float64Var(&o.Fault.Cut, "cut", 0, "fault: share of answers cut in the middle")
 }
 
 // Execute implements subcommands.Command.
 func (s *Standin) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	l, err := net.Listen("tcp", s.listen)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if s.config != "" {
+		return s.many(ctx)
+	}
+	l, err := net.Listen("tcp", s.opts.Listen)
 	if err != nil {
 		return failure(err)
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	server := &http.Server{Handler: standin.New(s.opts).Handler()}
 	go func() {
 		<-ctx.Done()
@@ -53,3 +72,59 @@
 	}
 	return subcommands.ExitSuccess
 }
+
+// standinControl is the section [control].
+type standinControl struct {
+	Listen string `ini:"listen" required:"true"`
+}
+
+const standinSection = "standin:"
+
+func (s *Standin) many(ctx context.Context) subcommands.ExitStatus {
+	control, items, err := readStandins(s.config)
+	if err != nil {
+		return usage(err)
+	}
+	host := standin.NewHost()
+	defer host.Close()
+	for name, o := range items {
+		if err := host.Add(name, o.Listen, o); err != nil {
+			return failure(err)
+		}
+	}
+	l, err := net.Listen("tcp", control.Listen)
+	if err != nil {
+		return failure(err)
+	}
+	if err := host.Serve(ctx, l); err != nil {
+		return failure(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func readStandins(path string) (standinControl, map[string]standin.Options, error) {
+	var control standinControl
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return control, nil, err
+	}
+	f, err := strictini.Parse(path, data)
+	if err != nil {
+		return control, nil, err
+	}
+	items := map[string]standin.Options{}
+	for _, section := range f.Sections() {
+		name, ok := strings.CutPrefix(section, standinSection)
+		switch {
+		case section == "control":
+			f.Decode(section, &control)
+		case ok:
+			var o standin.Options
+			f.Decode(section, &o)
+			items[name] = o
+		default:
+			f.Fail(section, "", "unknown section ["+section+"]", "use control or standin:NAME")
+		}
+	}
+	return control, items, f.Err()
+}
--- /dev/null
+++ b/fake/standin/cache.go
@@ -0,0 +1,90 @@
+package standin
+
+import (
+	"container/list"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Block names one block of a prompt together with everything before it.
+type Block uint64
+
+// Blocks returns the chain of whole blocks of a text. Equal prefixes have
+// equal chains.
+func Blocks(text string) []Block {
+	const size = BlockTokens * BytesPerToken
+	out := make([]Block, 0, len(text)/size)
+	var previous [8]byte
+	for ; len(text) >= size; text = text[size:] {
+		d := xxhash.New()
+		d.Write(previous[:])
+		d.WriteString(text[:size])
+		sum := d.Sum64()
+		binary.LittleEndian.PutUint64(previous[:], sum)
+		out = append(out, Block(sum))
+	}
+	return out
+}
+
+// PromptTokens returns how many tokens a text counts.
+func PromptTokens(text string) int { return (len(text) + BytesPerToken - 1) / BytesPerToken }
+
+// PrefixCache holds a limited number of blocks and drops the least recently
+// used. It is not safe for concurrent use.
+type PrefixCache struct {
+	capacity int
+	order    *list.List // of Block, most recently used first
+	blocks   map[Block]*list.Element
+	changed  func(b Block, stored bool) // optional
+}
+
+// NewPrefixCache returns an empty cache of the given number of blocks.
+func NewPrefixCache(capacity int) *PrefixCache {
+	return &PrefixCache{capacity: capacity, order: list.New(), blocks: map[Block]*list.Element{}}
+}
+
+// Len returns the number of blocks held.
+func (c *PrefixCache) Len() int { return c.order.Len() }
+
+// Match returns how many leading blocks are held.
+func (c *PrefixCache) Match(chain []Block) int {
+	for i, b := range chain {
+		if c.blocks[b] == nil {
+			return i
+		}
+	}
+	return len(chain)
+}
+
+// Store holds the chain and marks it as used, its first block last, so that a
+// chain is dropped from its end. Of a chain over the capacity the start is
+// held.
+func (c *PrefixCache) Store(chain []Block) {
+	chain = chain[:min(len(chain), max(c.capacity, 0))]
+	for i := len(chain) - 1; i >= 0; i-- {
+		b := chain[i]
+		if e := c.blocks[b]; e != nil {
+			c.order.MoveToFront(e)
+			continue
+		}
+		c.blocks[b] = c.order.PushFront(b)
+		c.note(b, true)
+	}
+	c.Shrink(c.capacity)
+}
+
+// Shrink drops the least recently used blocks until at most n are left.
+func (c *PrefixCache) Shrink(n int) {
+	for c.order.Len() > max(n, 0) {
+		b := c.order.Remove(c.order.Back()).(Block)
+		delete(c.blocks, b)
+		c.note(b, false)
+	}
+}
+
+func (c *PrefixCache) note(b Block, stored bool) {
+	if c.changed != nil {
+		c.changed(b, stored)
+	}
+}
--- /dev/null
+++ b/fake/standin/chat.go
@@ -0,0 +1,226 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// headerPriority orders an engine's waiting requests; lower runs first. The
+// body's field of the same name goes before it.
+const headerPriority = "X-Priority"
+
+func (s *Server) engineRoutes(r chi.Router) {
+	r.Post("/v1/chat/completions", s.chat)
+	r.Get("/load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.engine.load.report()) })
+	r.Get("/v1/cache/events", s.cacheEvents)
+	r.Post("/v1/kv/export", s.exportKV)
+	r.Post("/v1/kv/import", s.importKV)
+	r.Get("/v1/models", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, modelList{s.models.list()}) })
+	r.Post("/v1/models/load", s.loadModel)
+	r.Post("/v1/models/unload", s.unloadModel)
+}
+
+// ChatRequest is the part of an OpenAI chat request that the engine reads.
+type ChatRequest struct {
+	Model     string        `json:"model,omitempty"`
+	Messages  []ChatMessage `json:"messages"`
+	Stream    bool          `json:"stream,omitempty"`
+	MaxTokens int           `json:"max_tokens,omitempty"`
+	Priority  *int          `json:"priority,omitempty"`
+	Continue  bool          `json:"continue_final_message,omitempty"` // go on after the final assistant message
+}
+
+// ChatMessage is one turn of a chat.
+type ChatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// partial returns the text of the answer that the request holds already.
+func (c ChatRequest) partial() string {
+	if !c.Continue || len(c.Messages) == 0 {
+		return ""
+	}
+	return c.Messages[len(c.Messages)-1].Content
+}
+
+// Prompt returns what the engine generates from.
+func (c ChatRequest) Prompt() string {
+	var b strings.Builder
+	messages := c.Messages
+	if c.Continue && len(messages) > 0 {
+		messages = messages[:len(messages)-1]
+	}
+	for _, m := range messages {
+		b.WriteString(m.Role + ":" + m.Content + "\n")
+	}
+	return b.String()
+}
+
+// answerRole stands before an answer in a later turn's prompt.
+const answerRole = "assistant:"
+
+// computed returns the text that the engine prefills.
+func (c ChatRequest) computed() string {
+	if p := c.partial(); p != "" {
+		return c.Prompt() + answerRole + p
+	}
+	return c.Prompt()
+}
+
+type chatDelta struct {
+	Content string `json:"content,omitempty"`
+}
+
+type chatChoice struct {
+	Index   int        `json:"index"`
+	Delta   *chatDelta `json:"delta,omitempty"`
+	Message *chatDelta `json:"message,omitempty"`
+}
+
+type promptDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+type chatUsage struct {
+	PromptTokens        int           `json:"prompt_tokens"`
+	CompletionTokens    int           `json:"completion_tokens"`
+	PromptTokensDetails promptDetails `json:"prompt_tokens_details"`
+}
+
+type chatAnswer struct {
+	Object  string       `json:"object"`
+	Choices []chatChoice `json:"choices"`
+	Usage   *chatUsage   `json:"usage,omitempty"`
+}
+
+// chatRun is one chat request under way.
+type chatRun struct {
+	s      *Server
+	req    ChatRequest
+	id     string
+	prompt string
+	first  int // index of the first token to generate
+	tokens int // of the whole answer
+	seq    *sequence
+}
+
+func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
+	req, ok := read[ChatRequest](w, r)
+	if !ok {
+		return
+	}
+	if !s.models.serves(req.Model) {
+		http.Error(w, "model "+req.Model+" is not loaded", http.StatusNotFound)
+		return
+	}
+	if !sleep(r.Context(), s.clock, s.faults.slowed(s.opts.Delay)) {
+		return
+	}
+	run := s.newRun(r, req)
+	began := s.clock.Now()
+	ran := false
+	run.seq.started = func() {
+		ran, began = true, s.clock.Now()
+		s.log.begin(run.id)
+	}
+	whole := false
+	defer func() {
+		// The sequence's channel is closed by now, or its tokens are all read:
+		// started was called, if ever, before the first of them.
+		if ran {
+			s.log.end(run.id, s.clock.Since(began), whole)
+		}
+	}()
+	s.engine.submit(run.seq)
+	if req.Stream {
+		whole = run.stream(w)
+	} else {
+		whole = run.whole(w)
+	}
+	for range run.seq.out { // until the engine let go of it
+	}
+}
+
+func (s *Server) newRun(r *http.Request, req ChatRequest) *chatRun {
+	run := &chatRun{s: s, req: req, id: r.Header.Get(headerRequestID), prompt: req.Prompt(), tokens: s.opts.Tokens}
+	if req.MaxTokens > 0 {
+		run.tokens = req.MaxTokens
+	}
+	run.first = min(len(strings.Fields(req.partial())), run.tokens)
+	rest := strings.Builder{}
+	if run.first == 0 {
+		rest.WriteString(answerRole)
+	}
+	for i := run.first; i < run.tokens; i++ {
+		rest.WriteString(Token(run.prompt, i))
+	}
+	run.seq = &sequence{ctx: r.Context(), priority: priorityOf(r, req), prompt: req.computed(), tokens: run.tokens - run.first, answer: rest.String()}
+	return run
+}
+
+func priorityOf(r *http.Request, req ChatRequest) int {
+	if req.Priority != nil {
+		return *req.Priority
+	}
+	n, _ := strconv.Atoi(r.Header.Get(headerPriority)) // absent counts as zero
+	return n
+}
+
+func (c *chatRun) usage() *chatUsage {
+	prompt := PromptTokens(c.seq.prompt)
+	c.s.log.tokens(prompt, c.seq.cached)
+	return &chatUsage{PromptTokens: prompt, CompletionTokens: c.tokens - c.first, PromptTokensDetails: promptDetails{c.seq.cached}}
+}
+
+// whole writes the answer in one piece and reports whether it did.
+func (c *chatRun) whole(w http.ResponseWriter) bool {
+	n := 0
+	for range c.seq.out {
+		n++
+	}
+	if n < c.seq.tokens {
+		return false
+	}
+	c.s.answer(w, chatAnswer{Object: "chat.completion", Choices: []chatChoice{{Message: &chatDelta{Text(c.prompt, c.tokens)}}}, Usage: c.usage()})
+	return true
+}
+
+// stream writes the answer token by token and reports whether it came to the
+// end.
+func (c *chatRun) stream(w http.ResponseWriter) bool {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher := http.NewResponseController(w)
+	cutAfter := -1
+	if c.s.cut() {
+		cutAfter = c.seq.tokens / 2
+	}
+	n := 0
+	for i := range c.seq.out {
+		if n == cutAfter {
+			panic(http.ErrAbortHandler)
+		}
+		n++
+		writeEvent(w, chatAnswer{Object: "chat.completion.chunk", Choices: []chatChoice{{Delta: &chatDelta{Token(c.prompt, c.first+i)}}}})
+		if flusher.Flush() != nil {
+			return false
+		}
+	}
+	if n < c.seq.tokens {
+		return false
+	}
+	writeEvent(w, chatAnswer{Object: "chat.completion.chunk", Choices: []chatChoice{}, Usage: c.usage()})
+	io.WriteString(w, "data: [DONE]\n\n")
+	return true
+}
+
+func writeEvent(w io.Writer, v any) {
+	data, _ := json.Marshal(v)
+	fmt.Fprintf(w, "data: %s\n\n", data)
+}
--- /dev/null
+++ b/fake/standin/fault.go
@@ -0,0 +1,59 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Fault is what is wrong with a stand-in on command.
+type Fault struct {
+	Slow   float64 `json:"slow,omitempty"`   // factor on all times; zero and one change nothing
+	Silent bool    `json:"silent,omitempty"` // accepts requests, health checks too, and never answers
+	Refuse bool    `json:"refuse,omitempty"` // accepts no connection; takes effect in a Host
+	Error  float64 `json:"error,omitempty"`  // share of requests answered with status 500, not run
+	Cut    float64 `json:"cut,omitempty"`    // share of answers cut in the middle
+}
+
+// faults holds the fault in force.
+type faults struct {
+	mu     sync.Mutex
+	now    Fault
+	random *rand.Rand
+	ended  chan struct{} // closed when the fault changes
+}
+
+func newFaults(o Options) *faults {
+	return &faults{now: o.Fault, random: rand.New(rand.NewPCG(uint64(o.Seed), faultStream)), ended: make(chan struct{})}
+}
+
+func (f *faults) set(next Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = next
+	close(f.ended)
+	f.ended = make(chan struct{})
+}
+
+func (f *faults) get() (Fault, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now, f.ended
+}
+
+func (f *faults) slowed(d time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.now.Slow <= 0 {
+		return d
+	}
+	return time.Duration(float64(d) * f.now.Slow)
+}
+
+// hits draws whether something of the given share happens.
+func (f *faults) hits(share func(Fault) float64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := share(f.now)
+	return p > 0 && f.random.Float64() < p
+}
--- /dev/null
+++ b/fake/standin/kv.go
@@ -0,0 +1,69 @@
+package standin
+
+import (
+	"net/http"
+	"strconv"
+)
+
+// KV is an exported part of an engine's cache: the leading blocks of a
+// prompt. Export and import each take time by its size.
+type KV struct {
+	Blocks []Block `json:"blocks"`
+	Tokens int     `json:"tokens"`
+}
+
+// exportKV answers a chat request with the blocks of its prompt, and of the
+// part of the answer in it, that this engine holds.
+func (s *Server) exportKV(w http.ResponseWriter, r *http.Request) {
+	req, ok := read[ChatRequest](w, r)
+	if !ok {
+		return
+	}
+	held := s.engine.export(r.Context(), Blocks(req.computed()))
+	s.answer(w, KV{Blocks: held, Tokens: len(held) * BlockTokens})
+}
+
+func (s *Server) importKV(w http.ResponseWriter, r *http.Request) {
+	if kv, ok := read[KV](w, r); ok {
+		s.engine.takeIn(r.Context(), kv.Blocks)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+type eventPage struct {
+	Events []CacheEvent `json:"events"`
+}
+
+// cacheEvents answers with the published events after the sequence number
+// that the query names. Lost events leave gaps in the numbers.
+func (s *Server) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64) // absent is zero
+	writeJSON(w, eventPage{s.engine.events.after(after)})
+}
+
+type modelList struct {
+	Models []string `json:"models"`
+}
+
+type modelOrder struct {
+	Model string `json:"model"`
+}
+
+func (s *Server) loadModel(w http.ResponseWriter, r *http.Request) {
+	order, ok := read[modelOrder](w, r)
+	if !ok {
+		return
+	}
+	if err := s.models.load(r.Context(), order.Model); err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) unloadModel(w http.ResponseWriter, r *http.Request) {
+	if order, ok := read[modelOrder](w, r); ok {
+		s.models.unload(order.Model)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
--- a/fake/standin/standin.go
+++ b/fake/standin/standin.go
@@ -1,6 +1,8 @@
 // Package standin has small upstreams for demonstrations, tests and the load
-// tool: an engine, an encoder, a retriever, a reranker and a plain service.
-// Answers depend only on the request, so a test can tell a wrong one.
+// tool: an engine with continuous batching and a prefix cache, an encoder, a
+// retriever, a reranker and a plain service. Simulated work is sleep. Answers
+// depend only on the request, so a caller can tell a wrong one, and every
+// stand-in accounts for what it ran.
 package standin
 
 import (
@@ -10,274 +12,173 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
-	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/jonboulle/clockwork"
 )
 
-// Options set how a stand-in behaves.
-type Options struct {
-	Kind       string        // engine, encoder, retriever, reranker or plain
-	Delay      time.Duration // time until the first byte of an answer
-	TokenDelay time.Duration // engine: time between tokens
-	Tokens     int           // engine: tokens of an answer
-}
+// headerRequestID carries the id that a stand-in accounts its work to.
+const headerRequestID = "X-Request-Id"
 
 // Server is one stand-in.
 type Server struct {
-	opts Options
+	opts   Options
+	clock  clockwork.Clock
+	faults *faults
+	log    *runLog
+	pool   *pool   // all but engines
+	engine *engine // engines only
+	models *models // engines only
 
 	mu   sync.Mutex
 	runs map[string]int // plain: how often each body was run
 }
 
 // New returns a stand-in.
-func New(opts Options) *Server {
-	return &Server{opts: opts, runs: map[string]int{}}
+func New(opts Options) *Server { return newServer(opts, clockwork.NewRealClock()) }
+
+func newServer(opts Options, clock clockwork.Clock) *Server {
+	opts = opts.withDefaults()
+	s := &Server{opts: opts, clock: clock, faults: newFaults(opts), log: newRunLog(opts.Kind), runs: map[string]int{}}
+	if opts.Kind == KindEngine {
+		s.engine = newEngine(opts, clock, s.faults)
+		s.models = newModels(opts, clock)
+		return s
+	}
+	s.pool = newPool(opts, clock, s.faults)
+	return s
 }
 
 // Handler returns the stand-in's HTTP interface.
 func (s *Server) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Get("/health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Get("/fault", func(w http.ResponseWriter, _ *http.Request) { f, _ := s.faults.get(); writeJSON(w, f) })
+	r.Post("/fault", s.setFault)
+	r.Get("/account", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.log.account()) })
+	r.Group(func(r chi.Router) {
+		r.Use(s.failing)
+		r.Get("/health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+		s.workRoutes(r)
+	})
+	return r
+}
+
+func (s *Server) workRoutes(r chi.Router) {
 	switch s.opts.Kind {
-	case "engine":
-		r.Post("/v1/chat/completions", s.chat)
-	case "encoder":
+	case KindEngine:
+		s.engineRoutes(r)
+	case KindEncoder:
 		r.Post("/v1/embeddings", s.embed)
-	case "retriever":
+	case KindRetriever:
 		r.Post("/v1/search", s.search)
-	case "reranker":
+	case KindReranker:
 		r.Post("/v1/rerank", s.rerank)
 	default:
-		r.Get("/runs", s.showRuns)
+		r.Get("/runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Runs()) })
 		r.HandleFunc("/*", s.plain)
 	}
-	return r
 }
 
-func (s *Server) pause(r *http.Request, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	select {
-	case <-time.After(d):
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
+// Account returns the sums and the run log since the last reset.
+func (s *Server) Account() Account { return s.log.account() }
 
-func writeJSON(w http.ResponseWriter, v any) {
-	data, _ := json.Marshal(v) // the types below always encode
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	w.Write(data)
-}
-
-func read[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
-	var v T
-	if err := json.NewDecoder(r.Body).Decode(&v); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return v, false
+// Runs returns how often each body was run by a plain service.
+func (s *Server) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.runs))
+	for body, n := range s.runs {
+		out[body] = n
 	}
-	return v, true
+	return out
 }
 
-func hash(s string) uint64 {
-	h := fnv.New64a()
-	io.WriteString(h, s)
-	return h.Sum64()
-}
-
-// ChatRequest is the part of an OpenAI chat request that the engine reads.
-type ChatRequest struct {
-	Model    string `json:"model"`
-	Messages []struct {
-		Role    string `json:"role"`
-		Content string `json:"content"`
-	} `json:"messages"`
-	Stream    bool `json:"stream"`
-	MaxTokens int  `json:"max_tokens"`
-	Continue  bool `json:"continue_final_message"` // go on after the final assistant message
-}
-
-// Token returns the i-th token that the engine answers to a prompt.
-func Token(prompt string, i int) string {
-	return fmt.Sprintf("w%x-%d ", hash(prompt)&0xffff, i)
-}
-
-// Text returns the whole answer to a prompt.
-func Text(prompt string, tokens int) string {
-	var b strings.Builder
-	for i := range tokens {
-		b.WriteString(Token(prompt, i))
+// Reset forgets the accounts, the runs and the kept prefixes, and ends faults.
+func (s *Server) Reset() {
+	s.faults.set(Fault{})
+	s.log.reset()
+	s.mu.Lock()
+	s.runs = map[string]int{}
+	s.mu.Unlock()
+	if s.engine != nil {
+		s.engine.load.setLag(s.opts.LoadLag)
+		s.engine.reset()
 	}
-	return b.String()
 }
 
-// generated returns how many tokens of the answer the request holds already.
-func (c ChatRequest) generated() int {
-	if !c.Continue || len(c.Messages) == 0 {
-		return 0
-	}
-	return len(strings.Fields(c.Messages[len(c.Messages)-1].Content))
-}
+// SetFault puts a fault in force.
+func (s *Server) SetFault(f Fault) { s.faults.set(f) }
 
-// Prompt returns what the engine generates from.
-func (c ChatRequest) Prompt() string {
-	var b strings.Builder
-	messages := c.Messages
-	if c.Continue && len(messages) > 0 {
-		messages = messages[:len(messages)-1]
+func (s *Server) setFault(w http.ResponseWriter, r *http.Request) {
+	if f, ok := read[Fault](w, r); ok {
+		s.faults.set(f)
+		w.WriteHeader(http.StatusNoContent)
 	}
-	for _, m := range messages {
-		b.WriteString(m.Role + ":" + m.Content + "\n")
-	}
-	return b.String()
-}
-
-type chatDelta struct {
-	Content string `json:"content,omitempty"`
 }
 
-type chatChoice struct {
-	Index   int        `json:"index"`
-	Delta   *chatDelta `json:"delta,omitempty"`
-	Message *chatDelta `json:"message,omitempty"`
-}
-
-type chatAnswer struct {
-	Object  string       `json:"object"`
-	Choices []chatChoice `json:"choices"`
-}
-
-func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
-	req, ok := read[ChatRequest](w, r)
-	if !ok || !s.pause(r, s.opts.Delay) {
-		return
-	}
-	tokens := s.opts.Tokens
-	if req.MaxTokens > 0 {
-		tokens = req.MaxTokens
-	}
-	prompt := req.Prompt()
-	if !req.Stream {
-		if s.pause(r, time.Duration(tokens)*s.opts.TokenDelay) {
-			writeJSON(w, chatAnswer{Object: "chat.completion", Choices: []chatChoice{{Message: &chatDelta{Text(prompt, tokens)}}}})
+// failing applies the faults that keep a request from running.
+func (s *Server) failing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f, ended := s.faults.get()
+		if f.Silent {
+			io.Copy(io.Discard, r.Body) // the server sees a disconnect only after the body
+			select {
+			case <-r.Context().Done():
+			case <-ended:
+			}
+			panic(http.ErrAbortHandler)
 		}
-		return
-	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	flusher := http.NewResponseController(w)
-	for i := req.generated(); i < tokens; i++ {
-		if i > 0 && !s.pause(r, s.opts.TokenDelay) {
+		if r.URL.Path != "/health" && s.faults.hits(func(f Fault) float64 { return f.Error }) {
+			http.Error(w, "failing on command", http.StatusInternalServerError)
 			return
 		}
-		data, _ := json.Marshal(chatAnswer{Object: "chat.completion.chunk", Choices: []chatChoice{{Delta: &chatDelta{Token(prompt, i)}}}})
-		fmt.Fprintf(w, "data: %s\n\n", data)
-		flusher.Flush()
-	}
-	io.WriteString(w, "data: [DONE]\n\n")
+		next.ServeHTTP(w, r)
+	})
 }
 
-const dimensions = 8
-
-func (s *Server) embed(w http.ResponseWriter, r *http.Request) {
-	type request struct {
-		Input string `json:"input"`
-	}
-	type row struct {
-		Embedding []float64 `json:"embedding"`
-	}
-	req, ok := read[request](w, r)
-	if !ok || !s.pause(r, s.opts.Delay) {
-		return
-	}
-	vector := make([]float64, dimensions)
-	h := hash(req.Input)
-	for i := range vector {
-		vector[i] = float64(h>>(8*i)&0xff) / 255
-	}
-	writeJSON(w, struct {
-		Data []row `json:"data"`
-	}{[]row{{vector}}})
-}
-
-// Document is a retrieved text.
-type Document struct {
-	ID   string `json:"id"`
-	Text string `json:"text"`
+func writeJSON(w http.ResponseWriter, v any) {
+	data, _ := json.Marshal(v) // the types of this package always encode
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.Write(data)
 }
 
-func (s *Server) search(w http.ResponseWriter, r *http.Request) {
-	type request struct {
-		Query string `json:"query"`
-		TopK  int    `json:"top_k"`
-	}
-	req, ok := read[request](w, r)
-	if !ok || !s.pause(r, s.opts.Delay) {
+// answer writes a whole JSON answer, or half of it while answers are cut on
+// command.
+func (s *Server) answer(w http.ResponseWriter, v any) {
+	if !s.cut() {
+		writeJSON(w, v)
 		return
 	}
-	docs := make([]Document, req.TopK)
-	for i := range docs {
-		docs[i] = document(req.Query, i)
-	}
-	writeJSON(w, struct {
-		Documents []Document `json:"documents"`
-	}{docs})
+	data, _ := json.Marshal(v)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.Write(data[:len(data)/2])
+	http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
 }
 
-func (s *Server) rerank(w http.ResponseWriter, r *http.Request) {
-	type request struct {
-		Documents []Document `json:"documents"`
-		TopN      int        `json:"top_n"`
-	}
-	type result struct {
-		Index int     `json:"index"`
-		Score float64 `json:"relevance_score"`
-	}
-	req, ok := read[request](w, r)
-	if !ok || !s.pause(r, s.opts.Delay) {
-		return
-	}
-	n := min(req.TopN, len(req.Documents))
-	results := make([]result, n)
-	docs := make([]Document, n)
-	for i := range n {
-		j := len(req.Documents) - 1 - i
-		results[i] = result{j, 1 / float64(i+1)}
-		docs[i] = req.Documents[j]
-	}
-	writeJSON(w, struct {
-		Results   []result   `json:"results"`
-		Documents []Document `json:"documents"`
-	}{results, docs})
-}
+func (s *Server) cut() bool { return s.faults.hits(func(f Fault) float64 { return f.Cut }) }
 
-// plain runs a call that counts: every run of a body is remembered.
-func (s *Server) plain(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
+func read[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
+	var v T
+	data, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = json.Unmarshal(data, &v)
 	}
-	s.mu.Lock()
-	s.runs[string(body)]++
-	n := s.runs[string(body)]
-	s.mu.Unlock()
-	if !s.pause(r, s.opts.Delay) {
-		return
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return v, false
 	}
-	writeJSON(w, struct {
-		Confirmation string `json:"confirmation"`
-		Run          int    `json:"run"`
-	}{fmt.Sprintf("c%x", hash(string(body))), n})
+	return v, true
 }
 
-func (s *Server) showRuns(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	writeJSON(w, s.runs)
+func hash(s string) uint64 {
+	h := fnv.New64a()
+	io.WriteString(h, s)
+	return h.Sum64()
 }
+
+// Confirmation returns what a plain service confirms a body with.
+func Confirmation(body string) string { return fmt.Sprintf("c%x", hash(body)) }
