bench: key of the administrators, counters of each entry, ideal cache of what ran

A killed entry's counters start at zero, which hid those of the others. Change: init saves the key for the script; differences are taken per entry; the ideal cache sees the requests that an engine began.

--- a/ctl/bench/bench.go
+++ b/ctl/bench/bench.go
@@ -28,7 +28,7 @@
 	Repeats      int
 	Seed         uint64
 	Entries      []string // addresses
-	Admin        []string
+	Admin        *adminclient.Client
 	Control      string // of the stand-ins
 	EntryPIDFile string // holds the process id of the entry to kill; empty leaves such scenarios out
 	Progress     io.Writer
@@ -54,7 +54,7 @@
 		agents += p.Count
 	}
 	return &Bench{c: c, up: newUpstreams(c.Control), sender: newSender(b), results: map[string]*Result{}, tag: uuid.NewString()[:tagLength],
-		system: &system{admin: adminclient.New(c.Admin), balancer: b, agents: agents, http: &http.Client{Timeout: controlTimeout}}}
+		system: &system{admin: c.Admin, balancer: b, agents: agents, http: &http.Client{Timeout: controlTimeout}}}
 }
 
 // Run measures every scenario under every policy, and all that again for each
@@ -124,10 +124,8 @@
 		return err
 	}
 	r.check(outcomes, t)
-	for name, v := range b.system.counters(ctx) {
-		r.Counters[name] += max(v-before[name], 0) // a restarted entry starts at zero
-	}
-	_, ideal := idealHits(b.c.Deployment, schedule)
+	b.system.counters(ctx).since(before, r.Counters)
+	_, ideal := idealHits(b.c.Deployment, t.generated(schedule))
 	r.Runs++
 	r.Hits += (t.hitShare() - r.Hits) / float64(r.Runs)
 	r.Ideal += (ideal - r.Ideal) / float64(r.Runs)
--- a/ctl/bench/sender.go
+++ b/ctl/bench/sender.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,8 +13,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
-
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/ctl/client"
@@ -150,13 +149,13 @@
 	}
 	resp, err := s.client.Do(req)
 	if err != nil {
-		return Reply{Reason: errors.Cause(err).Error()}
+		return Reply{Reason: "connection: " + err.Error()}
 	}
 	defer resp.Body.Close()
 	reply := Reply{Status: resp.StatusCode, Answered: true, Verdict: verdict.Parse(resp.Header.Get(wire.HeaderVerdict))}
 	if resp.StatusCode != http.StatusOK {
 		body, _ := io.ReadAll(resp.Body) // a part explains as well
-		reply.Reason = failureOf(body)
+		reply.Reason = failureOf(resp.StatusCode, body)
 		return reply
 	}
 	if r.Stream {
@@ -168,7 +167,7 @@
 }
 
 // failureOf returns the code and the message of an error body.
-func failureOf(body []byte) string {
+func failureOf(status int, body []byte) string {
 	var b struct {
 		Error struct {
 			Code    string `json:"code"`
@@ -176,7 +175,7 @@
 		} `json:"error"`
 	}
 	if json.Unmarshal(body, &b) != nil {
-		return "unreadable error body"
+		return fmt.Sprintf("status %d of an upstream: %s", status, body)
 	}
 	return b.Error.Code + ": " + b.Error.Message
 }
--- a/ctl/bench/system.go
+++ b/ctl/bench/system.go
@@ -99,16 +99,32 @@
 // counterWords are parts of the names of the metrics that a report shows.
 var counterWords = []string{"retries", "hedge", "resum", "eject", "brownout", "stage_upstream_seconds"}
 
-// counters sums up the entries' metrics by name.
-func (s *system) counters(ctx context.Context) map[string]float64 {
-	out := map[string]float64{}
+// counters are the metrics of each entry by name.
+type counters map[wire.MemberID]map[string]float64
+
+// since adds to sum what the counters grew by. Those of an entry that was
+// started meanwhile began at zero.
+func (c counters) since(before counters, sum map[string]float64) {
+	for id, vars := range c {
+		for name, v := range vars {
+			if old := before[id][name]; old <= v {
+				v -= old
+			}
+			sum[name] += v
+		}
+	}
+}
+
+func (s *system) counters(ctx context.Context) counters {
+	out := counters{}
 	rows, err := s.admin.Members(ctx)
 	if err != nil {
 		return out // a report without counters; the stand-ins have the costs
 	}
 	for _, m := range rows {
 		if strings.Contains(m.Role, "entry") {
-			s.addVars(ctx, m.Debug, out)
+			out[m.ID] = map[string]float64{}
+			s.addVars(ctx, m.Debug, out[m.ID])
 		}
 	}
 	return out
--- a/ctl/bench/upstreams.go
+++ b/ctl/bench/upstreams.go
@@ -93,6 +93,18 @@
 	return out
 }
 
+// generated returns the requests that an engine began to work on.
+func (t *truth) generated(schedule []*Request) []*Request {
+	ran := t.ranAt()
+	var out []*Request
+	for _, r := range schedule {
+		if ran[r.ID][llm] {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // Cost is what one service's upstreams spent.
 type Cost struct {
 	Held      float64 `json:"held_seconds"`      // slot time in work
--- a/ctl/commands/bench.go
+++ b/ctl/commands/bench.go
@@ -82,11 +82,14 @@
 
 func (b *Bench) config(d bench.Deployment, text string) (bench.Config, error) {
 	c := bench.Config{Deployment: d, Text: text, Repeats: b.repeats, Seed: b.seed, Entries: strictini.SplitList(b.entries),
-		Admin: strictini.SplitList(b.admin), Control: b.control, EntryPIDFile: b.pidFile, Progress: os.Stderr}
-	if len(c.Entries) == 0 || len(c.Admin) == 0 || c.Control == "" {
+		Control: b.control, EntryPIDFile: b.pidFile, Progress: os.Stderr}
+	if len(c.Entries) == 0 || c.Control == "" {
 		return c, fmt.Errorf("name -entries, -admin and -standins, or run scripts/bench.sh")
 	}
 	var err error
+	if c.Admin, err = b.client(); err != nil {
+		return c, err
+	}
 	if c.Scenarios, err = bench.Choose(bench.Scenarios(b.measure), b.scenarios); err != nil {
 		return c, err
 	}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -49,7 +49,9 @@
 	fi
 done <"$work/processes"
 
-"$root/bin/caperdrum" init || exit 1
+"$root/bin/caperdrum" init -save-key "$work/key" || exit 1
+CAPERDRUM_KEY=$(cat "$work/key")
+export CAPERDRUM_KEY
 "$root/bin/caperdrum" apply "$work/text.ini" || exit 1
 for entry in ${entries//,/ }; do
 	wait_ready "$entry" || exit 1
