--- a/ctl/bench/plot.go
+++ b/ctl/bench/plot.go
@@ -19,8 +19,8 @@
 // WritePlot draws the share attained of what the capacity allows, one group of
 // bars for each scenario and one bar for each policy. The file's extension,
 // svg or png among others, chooses the format.
-func (r *Report) WritePlot(path string) error {
-	scenarios, policies, value := r.grid()
+func (r *Report) WritePlot(path string, d Deployment) error {
+	scenarios, policies, value := r.grid(d)
 	p := plot.New()
 	p.Title.Text = "Attained within capacity, " + r.Deployment
 	p.Y.Label.Text = "per cent"
@@ -48,7 +48,7 @@
 }
 
 // grid returns the scenarios and policies in the order of the results.
-func (r *Report) grid() (scenarios, policies []string, value map[string]float64) {
+func (r *Report) grid(d Deployment) (scenarios, policies []string, value map[string]float64) {
 	value = map[string]float64{}
 	seen := map[string]bool{}
 	add := func(list []string, prefix, name string) []string {
@@ -61,7 +61,7 @@
 	for _, x := range r.Results {
 		scenarios = add(scenarios, "scenario ", x.Scenario)
 		policies = add(policies, "policy ", x.Policy)
-		value[x.Scenario+" "+x.Policy] = x.Total.Within()
+		value[x.Scenario+" "+x.Policy] = x.Within(d)
 	}
 	return scenarios, policies, value
 }
--- a/ctl/bench/report.go
+++ b/ctl/bench/report.go
@@ -28,6 +28,16 @@
 	return os.WriteFile(path, append(data, '\n'), 0o644)
 }
 
+// ReadJSON reads a report that WriteJSON wrote.
+func ReadJSON(path string) (*Report, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	r := &Report{}
+	return r, json.Unmarshal(data, r)
+}
+
 const tableHead = "SCENARIO\tPOLICY\tOFFERED\tATTAINED\tWITHIN\tSMALL\tREFUSED\tLATE\tFAILED\tWRONG\tDOUBLED\tFALSE NOT-RUN\tPARTLY RUN\tEXTRA\tHITS/IDEAL\tFIRST p50/95/99 ms\tTOKEN p99\tHELD s"
 
 // WriteTable writes one row for each scenario and policy.
@@ -36,7 +46,7 @@
 	fmt.Fprintln(w, tableHead)
 	for _, x := range r.Results {
 		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%.0f/%.0f/%.0f\t%.0f\t%.1f\n",
-			x.Scenario, x.Policy, x.Total.Offered, percent(x.Total.Of()), percent(x.Total.Within()), percent(x.SmallestShare(d)),
+			x.Scenario, x.Policy, x.Total.Offered, percent(x.Total.Of()), percent(x.Within(d)), percent(x.SmallestShare(d)),
 			x.Refused, x.Late, x.Failed, x.Wrong, x.Doubled, x.FalseNotRun, x.PartlyRun, percent(x.Extra()), percent(x.HitsOfIdeal()),
 			x.FirstToken.P50, x.FirstToken.P95, x.FirstToken.P99, x.BetweenToken.P99, x.Held())
 	}
--- a/ctl/bench/result.go
+++ b/ctl/bench/result.go
@@ -25,8 +25,7 @@
 // Of returns the attained share of all offered.
 func (c Count) Of() float64 { return share(c.Attained, c.Offered) }
 
-// Within returns the attained share of what the capacity allows. Which ones
-// of an overload are attained is the system's choice, so all count.
+// Within returns the attained number as a share of what the capacity allows.
 func (c Count) Within() float64 { return min(1, share(c.Attained, c.Fitting)) }
 
 func share(n, of int) float64 {
@@ -138,6 +137,24 @@
 	return r.Hits / r.Ideal
 }
 
+// Within returns the attained share of what the capacity allows. Flows with the
+// same home service make up for each other, since which requests of an overload
+// are attained is the system's choice; different services do not.
+func (r *Result) Within(d Deployment) float64 {
+	home := map[string]*Count{}
+	for _, f := range d.Flows {
+		if n := r.ByFlow[f.Name]; n != nil {
+			at(home, f.Home).add(*n)
+		}
+	}
+	attained, fitting := 0, 0
+	for _, n := range home {
+		attained += min(n.Attained, n.Fitting)
+		fitting += n.Fitting
+	}
+	return share(attained, fitting)
+}
+
 // SmallestShare returns the attained share of the small customer that fared
 // worst. All that small customers offer is within their shares.
 func (r *Result) SmallestShare(d Deployment) float64 {
--- a/ctl/commands/bench.go
+++ b/ctl/commands/bench.go
@@ -20,7 +20,7 @@
 	adminFlags
 	deployment, scenarios, policies, text string
 	entries, control, net, prepare        string
-	pidFile, json, plot                   string
+	pidFile, json, plot, show             string
 	measure                               time.Duration
 	repeats                               int
 	seed                                  uint64
@@ -31,6 +31,7 @@
 func (*Bench) Synopsis() string { return "measure a running system under load and faults" }
 func (*Bench) Usage() string {
 	return "bench -prepare DIR [-deployment NAME] -text FILE\n  Writes a deployment on loopback; scripts/bench.sh starts it.\n" +
+		"bench -show FILE.json\n  Prints an earlier report.\n" +
 		"bench -entries A,B -admin A,B -standins A -text FILE [-scenario all] [-policies predicted,round-robin]\n" +
 		"  Loads the running system, which must stand over the stand-ins of the deployment.\n"
 }
@@ -49,6 +50,7 @@
 	f.StringVar(&b.pidFile, "entry-pid-file", "", "`file` with the process id of the entry that entry-killed kills")
 	f.StringVar(&b.json, "json", "", "write the report to this `file`")
 	f.StringVar(&b.plot, "plot", "", "draw the comparison into these `files`, .svg or .png, comma-separated")
+	f.StringVar(&b.show, "show", "", "print the report of this JSON `file` and stop")
 	f.DurationVar(&b.measure, "measure", 8*time.Second, "time that counts in each run")
 	f.IntVar(&b.repeats, "repeats", 1, "how often each scenario runs under each policy")
 	f.Uint64Var(&b.seed, "seed", 1, "of the load")
@@ -63,6 +65,9 @@
 	if err != nil {
 		return usage(err)
 	}
+	if b.show != "" {
+		return b.showReport()
+	}
 	text, err := os.ReadFile(b.text)
 	if err != nil {
 		return usage(fmt.Errorf("name the operators' text with -text: %w", err))
@@ -102,11 +107,7 @@
 func (b *Bench) run(ctx context.Context, c bench.Config) subcommands.ExitStatus {
 	results, err := bench.New(c).Run(ctx)
 	report := &bench.Report{At: time.Now(), Deployment: c.Deployment.Name, Seed: c.Seed, Repeats: c.Repeats, Results: results}
-	report.WriteTable(os.Stdout, c.Deployment)
-	if b.details {
-		report.WriteDetails(os.Stdout)
-	}
-	if werr := b.files(report); werr != nil {
+	if werr := b.print(report, c.Deployment); werr != nil {
 		return failure(werr)
 	}
 	if err != nil {
@@ -120,14 +121,33 @@
 	return subcommands.ExitSuccess
 }
 
-func (b *Bench) files(r *bench.Report) error {
+func (b *Bench) showReport() subcommands.ExitStatus {
+	report, err := bench.ReadJSON(b.show)
+	if err != nil {
+		return failure(err)
+	}
+	d, err := bench.ByName(report.Deployment)
+	if err == nil {
+		err = b.print(report, d)
+	}
+	if err != nil {
+		return failure(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (b *Bench) print(r *bench.Report, d bench.Deployment) error {
+	r.WriteTable(os.Stdout, d)
+	if b.details {
+		r.WriteDetails(os.Stdout)
+	}
 	if b.json != "" {
 		if err := r.WriteJSON(b.json); err != nil {
 			return err
 		}
 	}
 	for _, path := range strictini.SplitList(b.plot) {
-		if err := r.WritePlot(path); err != nil {
+		if err := r.WritePlot(path, d); err != nil {
 			return err
 		}
 	}
