--- a/ctl/bench/plot.go
+++ b/ctl/bench/plot.go
@@ -43,6 +43,7 @@
 		p.Legend.Add(policy, bars)
 	}
 	p.NominalX(scenarios...)
+	p.X.Min, p.X.Max = -0.5, float64(len(scenarios))-0.5 // whole groups
 	p.X.Tick.Label.Rotation = -labelTilt
 	return p.Save(plotMargin+perScenario*vg.Length(len(scenarios)), plotHeight, path)
 }
