--- a/ctl/bench/arrivals.go
+++ b/ctl/bench/arrivals.go
@@ -71,13 +71,24 @@
 	return max(1, min(int(n), f.Max))
 }
 
-const letters = "abcdefghijklmnopqrstuvwxyz "
+const (
+	letters   = "abcdefghijklmnopqrstuvwxyz "
+	proseSize = 1 << 16
+)
 
-// words returns text of n bytes.
-func words(random *rand.Rand, n int) string {
-	b := make([]byte, n)
+// prose is text to take words from.
+var prose = func() string {
+	random := rand.New(rand.NewPCG(1, 1))
+	b := make([]byte, proseSize)
 	for i := range b {
 		b[i] = letters[random.IntN(len(letters))]
 	}
 	return string(b)
+}()
+
+// words returns n bytes of text, at most half of the prose.
+func words(random *rand.Rand, n int) string {
+	n = min(n, proseSize/2)
+	start := random.IntN(proseSize - n)
+	return prose[start : start+n]
 }
