--- a/ctl/bench/report.go
+++ b/ctl/bench/report.go
@@ -54,6 +54,16 @@
 	r.writeNotes(out)
 }
 
+const doubtShare = 0.01 // of requests started late
+
+// doubt warns of a result that says more about the machine than the system.
+func (r *Result) doubt() string {
+	if share(r.GeneratorLate, r.Total.Offered) <= doubtShare {
+		return ""
+	}
+	return "; DO NOT COMPARE, repeat on a quieter machine"
+}
+
 func percent(x float64) string { return fmt.Sprintf("%.1f%%", 100*x) }
 
 // writeNotes tells what a reader must know beside the table.
@@ -65,7 +75,7 @@
 			seen[x.Scenario] = true
 		}
 		if x.GeneratorLate > 0 {
-			fmt.Fprintf(out, "  %s: %d requests started over %s late: the machine was busy\n", x.Policy, x.GeneratorLate, generatorLate)
+			fmt.Fprintf(out, "  %s: %d requests started over %s late: the machine was busy%s\n", x.Policy, x.GeneratorLate, generatorLate, x.doubt())
 		}
 		if x.Phantom > 0 {
 			fmt.Fprintf(out, "  %s: %d keyed calls were answered but never ran\n", x.Policy, x.Phantom)
