Routing as Filter, Score, Pick plugins; retry budget with an exact share and a refilling reserve

cause: routing knew one latency per endpoint whatever the size, no cache, no ejection of laggards; every choice allocated.

--- a/api/optext/optext.go
+++ b/api/optext/optext.go
@@ -52,6 +52,8 @@
 	HedgePercent    int    `ini:"hedge_percent" json:"hedge_percent"`   // budget of hedged attempts, percent of requests; 0 switches hedging off
 	RetryPercent    int    `ini:"retry_percent" json:"retry_percent"`   // budget of retries, percent of requests
 	QueueDiscipline string `ini:"queue" json:"queue"`                   // fair or fifo
+	Subset          int    `ini:"subset" json:"subset"`                 // upstreams that one entry uses; 0 means all
+	Ejection        bool   `ini:"ejection" json:"ejection"`             // leave out upstreams that fail or lag far behind the others
 }
 
 // Pipeline is a graph of stages that share one deadline.
@@ -164,7 +166,7 @@
 
 func (p *parser) service(section, name string) {
 	s := &Service{Name: name, Concurrency: defaultConcurrency, QueueLength: defaultQueueLength,
-		RoutingPolicy: RoutingPolicies[0], HedgePercent: defaultHedge, RetryPercent: defaultRetry, QueueDiscipline: "fair"}
+		RoutingPolicy: RoutingPolicies[0], HedgePercent: defaultHedge, RetryPercent: defaultRetry, QueueDiscipline: "fair", Ejection: true}
 	p.f.Decode(section, s)
 	p.c.Services[name] = s
 	p.oneOf(section, "kind", s.Kind, string(Engine), string(Encoder), string(Retriever), string(Reranker), string(Plain))
--- a/node/retry/retry.go
+++ b/node/retry/retry.go
@@ -2,24 +2,32 @@
 // a token bucket that fills with every first attempt.
 package retry
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
-// Budget allows extra attempts up to a share of the first attempts.
+// Budget allows extra attempts up to a share of the first attempts. So that a
+// service with few requests can retry too, a reserve is there from the start
+// and refills with time, whatever the number of requests.
 type Budget struct {
-	mu     sync.Mutex
-	tokens float64
-	cap    float64
-	share  float64
+	mu       sync.Mutex
+	percent  int64
+	tokens   int64 // hundredths of an extra attempt
+	refilled time.Time
 }
 
 const (
-	budgetReserve = 10  // extra attempts allowed before any first attempt was seen
-	budgetWindow  = 100 // upper bound of what is saved up, in extra attempts
+	attempt       = 100             // hundredths
+	budgetReserve = 10 * attempt    // allowed at any time when nothing was taken lately
+	budgetCap     = 100 * attempt   // saved up at most
+	refillEvery   = 5 * time.Second // for one attempt of the reserve
 )
 
 // NewBudget returns a budget of percent extra attempts per hundred first ones.
+// With percent zero it allows none.
 func NewBudget(percent int) *Budget {
-	b := &Budget{share: float64(percent) / 100, cap: budgetWindow}
+	b := &Budget{percent: int64(percent), refilled: time.Now()}
 	if percent > 0 {
 		b.tokens = budgetReserve
 	}
@@ -30,16 +38,28 @@
 func (b *Budget) First() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+b.share, b.cap)
+	b.tokens = min(b.tokens+b.percent, budgetCap)
 }
 
 // Take reports whether an extra attempt may be made, and counts it.
 func (b *Budget) Take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < 1 {
+	b.refill(time.Now())
+	if b.tokens < attempt {
 		return false
 	}
-	b.tokens--
+	b.tokens -= attempt
 	return true
 }
+
+func (b *Budget) refill(now time.Time) {
+	n := int64(now.Sub(b.refilled) / refillEvery)
+	if n <= 0 || b.percent <= 0 {
+		return
+	}
+	b.refilled = b.refilled.Add(time.Duration(n) * refillEvery)
+	if b.tokens < budgetReserve {
+		b.tokens = min(b.tokens+min(n, budgetReserve/attempt)*attempt, budgetReserve)
+	}
+}
--- /dev/null
+++ b/node/retry/retry_test.go
@@ -0,0 +1,92 @@
+package retry
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// bubbled hides the deadline of a test, which must not be asked for inside of
+// a synctest bubble.
+type bubbled struct{ rapid.TB }
+
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "1") // the same run every time; -rapid.seed still goes before it
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// TestBudget compares a budget with a list of all that happened: what was
+// taken never exceeds the reserve, its refills and the share of the first
+// attempts, and a refusal comes only when that is so.
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(bubbled{t}, func(t *rapid.T) {
+			percent := rapid.IntRange(0, 100).Draw(t, "percent")
+			b := NewBudget(percent)
+			var firsts, taken int
+			begun := time.Now()
+			t.Repeat(map[string]func(*rapid.T){
+				"first": func(t *rapid.T) {
+					n := rapid.IntRange(1, 200).Draw(t, "n")
+					firsts += n
+					for range n {
+						b.First()
+					}
+				},
+				"wait": func(t *rapid.T) {
+					time.Sleep(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
+				},
+				"take": func(t *rapid.T) {
+					ok := b.Take()
+					if ok {
+						taken++
+					}
+					seconds := int(time.Since(begun) / time.Second)
+					bound := 10 + firsts*percent/100 + seconds/5
+					if percent == 0 {
+						bound = 0
+					}
+					if taken > bound {
+						t.Fatalf("%d taken, at most %d allowed", taken, bound)
+					}
+					if !ok && percent > 0 && taken < 10 {
+						t.Fatalf("refused after only %d", taken)
+					}
+				},
+			})
+		})
+	})
+}
+
+// TestRareService: a service with a request an hour may retry it, every time.
+func TestRareService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(10)
+		for i := range 100 {
+			b.First()
+			if !b.Take() {
+				t.Fatalf("request %d may not be retried", i)
+			}
+			time.Sleep(time.Hour)
+		}
+	})
+}
+
+// TestShareIsExact: ten first attempts at ten percent earn one retry, not
+// nearly one.
+func TestShareIsExact(t *testing.T) {
+	b := NewBudget(10)
+	for b.Take() {
+	}
+	for range 10 {
+		b.First()
+	}
+	if !b.Take() || b.Take() {
+		t.Error("ten first attempts must earn exactly one retry")
+	}
+}
--- /dev/null
+++ b/node/routing/choose.go
@@ -0,0 +1,90 @@
+package routing
+
+// choice is the working memory of one choice. It is pooled, so that choosing
+// allocates nothing.
+type choice struct {
+	Request
+	group      *group
+	now        int64   // Unix nanoseconds
+	expected   float64 // seconds, for the whole size without cached parts
+	holders    []holder
+	candidates []candidate
+}
+
+const (
+	scanLimit  = 64 // up to this many endpoints all are scored
+	sampleSize = 32 // of more endpoints only a random sample is, and those with a cached prefix
+)
+
+// Choose returns an endpoint, or nil when none passes the filters.
+func (s *Service) Choose(r Request) *Endpoint {
+	st := s.table.Load().byService[r.Service]
+	if st == nil {
+		return nil
+	}
+	p, ok := s.policies[r.Policy]
+	if !ok {
+		p = s.policies[policyPredicted]
+	}
+	c := s.scratch.Get().(*choice)
+	c.reset(r, st.group)
+	e := c.choose(&p, st)
+	c.Request = Request{} // keep no caller's memory alive
+	c.group = nil
+	s.scratch.Put(c)
+	return e
+}
+
+func (c *choice) reset(r Request, g *group) {
+	c.Request = r
+	c.group = g
+	c.now = r.Now.UnixNano()
+	c.expected = g.expected(sizeClass(r.Size))
+	c.holders = c.holders[:0]
+	c.candidates = c.candidates[:0]
+	if g.prefixes != nil && len(r.Prefix) > 0 {
+		c.holders = g.prefixes.holders(r.Prefix, secondOf(c.now), c.holders)
+	}
+}
+
+func (c *choice) choose(p *policy, st *serviceTable) *Endpoint {
+	all := st.endpoints
+	if len(all) > scanLimit && len(p.scorers) > 0 {
+		c.sample(p, all, st.byIndex)
+	}
+	if len(c.candidates) == 0 {
+		c.scan(p, all, passesAll)
+	}
+	if len(c.candidates) == 0 {
+		c.scan(p, all, passesFirm)
+	}
+	if len(c.candidates) == 0 {
+		return nil
+	}
+	return p.picker.pick(c.candidates, c)
+}
+
+func (c *choice) scan(p *policy, all []*Endpoint, passes func(*Endpoint, *choice) bool) {
+	for _, e := range all {
+		if passes(e, c) {
+			c.candidates = append(c.candidates, candidate{e, p.cost(e, c)})
+		}
+	}
+}
+
+func (c *choice) consider(p *policy, e *Endpoint) {
+	if passesAll(e, c) {
+		c.candidates = append(c.candidates, candidate{e, p.cost(e, c)})
+	}
+}
+
+func (c *choice) sample(p *policy, all []*Endpoint, byIndex map[uint16]*Endpoint) {
+	for range sampleSize {
+		c.consider(p, all[random(len(all))])
+	}
+	for i := range c.holders {
+		if e := byIndex[c.holders[i].endpoint]; e != nil {
+			c.consider(p, e)
+		}
+	}
+}
--- a/node/routing/filter.go
+++ b/node/routing/filter.go
@@ -1,22 +1,19 @@
 package routing
 
-// filter drops endpoints that were tried already or are ejected. When nothing
-// but ejected endpoints is left it returns those: a guess that an endpoint is
-// bad must not make a service unavailable.
-func filter(all []*Endpoint, r Request) []*Endpoint {
-	out := make([]*Endpoint, 0, len(all))
-	var ejected []*Endpoint
-	for _, e := range all {
-		switch {
-		case r.Exclude[e.Member.ID]:
-		case e.Ejected(r.Now):
-			ejected = append(ejected, e)
-		default:
-			out = append(out, e)
-		}
-	}
-	if len(out) == 0 {
-		return ejected
-	}
-	return out
+// Each filter keeps or drops an endpoint and stands in a file of its own. The
+// chain is written out, not a list of interfaces, so that the compiler can
+// inline it: it runs for every endpoint of every choice.
+
+// passesFirm applies the filters that always hold.
+func passesFirm(e *Endpoint, r *choice) bool {
+	return leavingFilter{}.keep(e, r) &&
+		triedFilter{}.keep(e, r) &&
+		modelFilter{}.keep(e, r) &&
+		roleFilter{}.keep(e, r)
+}
+
+// passesAll applies all filters. The health filter is left out when nothing
+// passes: a guess that an endpoint is bad must not make a service unavailable.
+func passesAll(e *Endpoint, r *choice) bool {
+	return ejectedFilter{}.keep(e, r) && passesFirm(e, r)
 }
--- /dev/null
+++ b/node/routing/filter_leaving.go
@@ -0,0 +1,8 @@
+package routing
+
+// leavingFilter drops endpoints whose upstream takes no new work.
+type leavingFilter struct{}
+
+func (leavingFilter) keep(e *Endpoint, r *choice) bool {
+	return !e.Member.Leaving && e.offer.leavingUntil.Load() <= r.now
+}
--- /dev/null
+++ b/node/routing/filter_role.go
@@ -0,0 +1,9 @@
+package routing
+
+// roleFilter drops engines of another role than the request needs.
+type roleFilter struct{}
+
+func (roleFilter) keep(e *Endpoint, r *choice) bool {
+	o := e.offer.announced.Load()
+	return r.Role == "" || o == nil || o.Role == "" || o.Role == r.Role
+}
--- /dev/null
+++ b/node/routing/filter_tried.go
@@ -0,0 +1,8 @@
+package routing
+
+// triedFilter drops endpoints that the request tried already.
+type triedFilter struct{}
+
+func (triedFilter) keep(e *Endpoint, r *choice) bool {
+	return len(r.Exclude) == 0 || !r.Exclude[e.Member.ID]
+}
--- /dev/null
+++ b/node/routing/outlier.go
@@ -0,0 +1,113 @@
+package routing
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+)
+
+// health ejects an endpoint that fails again and again or is far slower than
+// its service's median. When the ejection ends, a single request probes it.
+type health struct {
+	failures  atomic.Int64 // in a row
+	ejections atomic.Int64 // in a row
+	ejectedTo atomic.Int64 // Unix nanoseconds; zero when not ejected
+	probing   atomic.Bool
+}
+
+const (
+	ejectFailures = 3
+	ejectTime     = 2 * time.Second // doubles with every ejection in a row
+	maxEjectTime  = 30 * time.Second
+	slowRatio     = 4 // times the median
+	slowSamples   = 3
+	ejectDivisor  = 3 // at most one of this many endpoints is ejected, but one of two
+)
+
+func (h *health) begin(now time.Time) {
+	if to := h.ejectedTo.Load(); to != 0 && now.UnixNano() >= to {
+		h.probing.Store(true)
+	}
+}
+
+func (h *health) release() { h.probing.Store(false) }
+
+func (h *health) succeeded() {
+	h.failures.Store(0)
+	if h.ejectedTo.Load() != 0 {
+		h.ejectedTo.Store(0)
+		h.ejections.Store(0)
+	}
+	h.release()
+}
+
+// shut reports whether the endpoint takes no request: it is ejected, or its
+// one probe is under way.
+func (h *health) shut(now int64) bool {
+	to := h.ejectedTo.Load()
+	if to == 0 {
+		return false
+	}
+	return now < to || h.probing.Load()
+}
+
+func (h *health) eject(now time.Time) {
+	n := min(h.ejections.Add(1), 5)
+	d := min(ejectTime<<(n-1), maxEjectTime)
+	h.ejectedTo.Store(now.Add(d).UnixNano())
+	h.release()
+}
+
+// Ejected reports whether the endpoint is left out at the moment.
+func (e *Endpoint) Ejected(now time.Time) bool { return e.health.shut(now.UnixNano()) }
+
+func (e *Endpoint) failed(now time.Time) {
+	n := e.health.failures.Add(1)
+	probe := e.health.ejectedTo.Load() != 0
+	if probe {
+		e.health.eject(now)
+		return
+	}
+	if n >= ejectFailures && e.mayEject() {
+		e.health.eject(now)
+	}
+}
+
+// mayEject bounds the share of a service's endpoints that are ejected.
+func (e *Endpoint) mayEject() bool {
+	if e.group == nil || !e.group.eject.Load() {
+		return false
+	}
+	all := *e.group.endpoints.Load()
+	ejected := 0
+	for _, other := range all {
+		if other.health.ejectedTo.Load() != 0 {
+			ejected++
+		}
+	}
+	allowed := len(all) / ejectDivisor
+	if len(all) == 2 {
+		allowed = 1
+	}
+	return ejected < allowed
+}
+
+func (e *Endpoint) ejectIfSlow(now time.Time) {
+	r := e.speed.ratio(now)
+	if r < slowRatio || e.speed.samples.Load() < slowSamples || e.health.ejectedTo.Load() != 0 || !e.mayEject() {
+		return
+	}
+	if r >= slowRatio*e.group.medianRatio(now) {
+		e.health.eject(now)
+	}
+}
+
+func (g *group) medianRatio(now time.Time) float64 {
+	all := *g.endpoints.Load()
+	ratios := make([]float64, len(all))
+	for i, e := range all {
+		ratios[i] = e.speed.ratio(now)
+	}
+	slices.Sort(ratios)
+	return ratios[len(ratios)/2]
+}
--- /dev/null
+++ b/node/routing/pick_baselines.go
@@ -0,0 +1,27 @@
+package routing
+
+// leastInFlight takes the endpoint with the fewest attempts of this entry.
+type leastInFlight struct{}
+
+func (leastInFlight) pick(c []candidate, _ *choice) *Endpoint {
+	start := random(len(c))
+	best := c[start].endpoint
+	for i := range c {
+		if e := c[(start+i)%len(c)].endpoint; e.InFlight() < best.InFlight() {
+			best = e
+		}
+	}
+	return best
+}
+
+// roundRobin takes the endpoints in turn.
+type roundRobin struct{}
+
+func (roundRobin) pick(c []candidate, r *choice) *Endpoint {
+	return c[r.group.next.Add(1)%uint64(len(c))].endpoint
+}
+
+// randomPick takes any endpoint.
+type randomPick struct{}
+
+func (randomPick) pick(c []candidate, _ *choice) *Endpoint { return c[random(len(c))].endpoint }
--- /dev/null
+++ b/node/routing/pick_best.go
@@ -0,0 +1,34 @@
+package routing
+
+// twoOfBest takes the better of two random ones among the candidates that are
+// nearly as good as the best. Entries that see the same state so do not all
+// send to the same endpoint (Mitzenmacher, "The Power of Two Choices in
+// Randomized Load Balancing", 2001).
+type twoOfBest struct{}
+
+const (
+	nearlyBest    = 1.15
+	nearSeconds   = 0.0002
+	clearlyBetter = 1.05 // a smaller difference is noise, and must not starve an endpoint
+)
+
+func (twoOfBest) pick(c []candidate, _ *choice) *Endpoint {
+	best := c[0].cost
+	for _, x := range c[1:] {
+		best = min(best, x.cost)
+	}
+	limit := best + (nearlyBest-1)*max(best, 0) + nearSeconds
+	near := 0
+	for i := range c {
+		if c[i].cost <= limit {
+			c[near], c[i] = c[i], c[near]
+			near++
+		}
+	}
+	a := c[random(near)]
+	b := c[random(near)]
+	if b.cost < a.cost-(clearlyBetter-1)*max(a.cost, 0) {
+		return b.endpoint
+	}
+	return a.endpoint
+}
--- /dev/null
+++ b/node/routing/policy.go
@@ -0,0 +1,32 @@
+package routing
+
+// policy is a named way to choose: the sum of its scores, then a pick.
+type policy struct {
+	scorers []scorer
+	picker  picker
+}
+
+// Names of policies in the operators' text.
+const (
+	policyPredicted     = "predicted"
+	policyLeastInFlight = "least-in-flight"
+	policyRoundRobin    = "round-robin"
+	policyRandom        = "random"
+)
+
+func policies(dataCenter string) map[string]policy {
+	return map[string]policy{
+		policyPredicted:     {[]scorer{finishScorer{}, prefixScorer{}, distanceScorer{dataCenter}}, twoOfBest{}},
+		policyLeastInFlight: {nil, leastInFlight{}},
+		policyRoundRobin:    {nil, roundRobin{}},
+		policyRandom:        {nil, randomPick{}},
+	}
+}
+
+func (p *policy) cost(e *Endpoint, r *choice) float64 {
+	sum := 0.0
+	for _, s := range p.scorers {
+		sum += s.score(e, r)
+	}
+	return sum
+}
--- /dev/null
+++ b/node/routing/prefix.go
@@ -0,0 +1,133 @@
+package routing
+
+import (
+	"encoding/binary"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	prefixBlock  = 256 // bytes of the messages
+	maxBlocks    = 128
+	prefixSlots  = 8       // per bucket: one cache line
+	prefixBucket = 1 << 14 // buckets: 131072 blocks, 1 MB a service
+	prefixFades  = 600     // seconds after which a block is taken to be evicted
+	maxHolders   = 8       // endpoints that one choice looks at for their cache
+)
+
+// PrefixHashes returns the chained hashes of a prompt's blocks, seeded with
+// the model; equal hashes at a position mean an equal prefix up to there. A
+// rest shorter than a block is left out.
+func PrefixHashes(model string, messages []byte) []uint64 {
+	n := min(len(messages)/prefixBlock, maxBlocks)
+	out := make([]uint64, n)
+	h := xxhash.Sum64String(model)
+	var d xxhash.Digest
+	var seed [8]byte
+	for i := range out {
+		binary.LittleEndian.PutUint64(seed[:], h)
+		d.Reset()
+		d.Write(seed[:])
+		d.Write(messages[i*prefixBlock : (i+1)*prefixBlock])
+		h = d.Sum64()
+		out[i] = h
+	}
+	return out
+}
+
+// prefixIndex is a bounded guess of which endpoint has which prompt blocks
+// cached, learned from what this entry sent. It is a set-associative table of
+// atomic words, so that readers and writers need no lock; a lost update costs
+// a wrong guess only.
+//
+// A word holds 32 bits of the hash, 16 bits of the endpoint's index and 16
+// bits of seconds.
+type prefixIndex struct {
+	buckets [prefixBucket][prefixSlots]atomic.Uint64
+}
+
+func word(hash uint64, endpoint uint16, second uint16) uint64 {
+	return (hash>>32|1)<<32 | uint64(endpoint)<<16 | uint64(second)
+}
+
+func (x *prefixIndex) bucket(hash uint64) *[prefixSlots]atomic.Uint64 {
+	return &x.buckets[hash%prefixBucket]
+}
+
+// add notes that the endpoint has the blocks. Second is a running count.
+func (x *prefixIndex) add(hashes []uint64, endpoint uint16, second uint16) {
+	for _, h := range hashes {
+		w := word(h, endpoint, second)
+		b := x.bucket(h)
+		victim, oldest := 0, -1
+		for i := range b {
+			v := b[i].Load()
+			if v>>16 == w>>16 || v == 0 {
+				victim = i
+				break
+			}
+			if age := int(second - uint16(v)); age > oldest {
+				victim, oldest = i, age
+			}
+		}
+		b[victim].Store(w)
+	}
+}
+
+// known reports whether any endpoint has the block.
+func (x *prefixIndex) known(hash uint64, second uint16) bool {
+	tag := hash>>32 | 1
+	b := x.bucket(hash)
+	for i := range b {
+		if v := b[i].Load(); v>>32 == tag && second-uint16(v) < prefixFades {
+			return true
+		}
+	}
+	return false
+}
+
+// holder is an endpoint and how many blocks of a prompt it has.
+type holder struct {
+	endpoint uint16
+	blocks   int
+}
+
+// holders appends to out the endpoints with the longest prefixes, longest
+// first. As chained hashes are known from the front, the longest known prefix
+// is found by bisection. From there on only every half of the way back is
+// looked at, so a shorter prefix may be credited with less than it has.
+func (x *prefixIndex) holders(hashes []uint64, second uint16, out []holder) []holder {
+	low, high := 0, len(hashes)
+	for low < high {
+		mid := (low + high) / 2
+		if x.known(hashes[mid], second) {
+			low = mid + 1
+		} else {
+			high = mid
+		}
+	}
+	for i := low - 1; i >= 0 && len(out) < maxHolders; i = (i+1)/2 - 1 {
+		tag := hashes[i]>>32 | 1
+		b := x.bucket(hashes[i])
+		for j := range b {
+			v := b[j].Load()
+			if v>>32 == tag && second-uint16(v) < prefixFades {
+				out = appendHolder(out, uint16(v>>16), i+1)
+			}
+		}
+	}
+	return out
+}
+
+func appendHolder(out []holder, endpoint uint16, blocks int) []holder {
+	for _, h := range out {
+		if h.endpoint == endpoint {
+			return out
+		}
+	}
+	if len(out) == maxHolders {
+		return out
+	}
+	return append(out, holder{endpoint, blocks})
+}
--- /dev/null
+++ b/node/routing/score_distance.go
@@ -0,0 +1,13 @@
+package routing
+
+// distanceScorer is the way to another data centre and back.
+type distanceScorer struct{ dataCenter string }
+
+const otherDataCenter = 0.001 // seconds
+
+func (d distanceScorer) score(e *Endpoint, _ *choice) float64 {
+	if e.Member.DataCenter == d.dataCenter {
+		return 0
+	}
+	return otherDataCenter
+}
--- /dev/null
+++ b/node/routing/speed.go
@@ -0,0 +1,118 @@
+package routing
+
+import (
+	"math"
+	"math/bits"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	sizeClasses    = 24
+	sizeUnit       = 256  // bytes; classes are powers of two of it
+	assumedLatency = 0.05 // seconds, until one was measured
+	baseWeight     = 0.05 // of a new sample in the service's average
+	ratioWeight    = 0.3  // of a new sample in the endpoint's own ratio
+	maxRatio       = 20
+	maxOutlier     = 4               // a sample counts as at most this many averages in the service's average
+	ratioFades     = 5 * time.Second // age at which half of a ratio's distance from one is forgotten
+	stalled        = 3               // expected times without any progress that count as slow
+)
+
+func sizeClass(size int) int {
+	return min(bits.Len(uint(max(size, 0)/sizeUnit)), sizeClasses-1)
+}
+
+// group is what the endpoints of one service share: the average time of an
+// answer by size, and the index of prompt prefixes.
+type group struct {
+	base      [sizeClasses]atomic.Uint64 // float64 bits, seconds
+	prefixes  *prefixIndex
+	endpoints atomic.Pointer[[]*Endpoint]
+	nextIndex uint16
+	next      atomic.Uint64 // of the round robin
+	eject     atomic.Bool   // outlier ejection is on
+}
+
+func (g *group) learn(class int, sample float64) {
+	b := &g.base[class]
+	old := math.Float64frombits(b.Load())
+	next := sample
+	if old > 0 {
+		next = old + baseWeight*(min(sample, maxOutlier*old)-old)
+	}
+	b.Store(math.Float64bits(next))
+}
+
+// expected returns the average time of an answer to a request of a size
+// class, in seconds; the nearest class that was measured stands in.
+func (g *group) expected(class int) float64 {
+	for d := range sizeClasses {
+		for _, c := range [2]int{class - d, class + d} {
+			if c < 0 || c >= sizeClasses {
+				continue
+			}
+			if v := math.Float64frombits(g.base[c].Load()); v > 0 {
+				return v
+			}
+		}
+	}
+	return assumedLatency
+}
+
+// speed is how an endpoint compares to its service's average: a ratio of
+// times, one for average, which fades back to one so that a slow endpoint is
+// tried again.
+type speed struct {
+	bits       atomic.Uint64 // float64 bits; zero is a ratio of one
+	samples    atomic.Int64
+	learnedAt  atomic.Int64 // Unix nanoseconds
+	progressAt atomic.Int64 // of the last end of an attempt, or of the start of the first one
+	waiting    atomic.Int64 // attempts begun and not ended
+	awaited    atomic.Int64 // expected time of the last attempt begun, nanoseconds
+}
+
+func (s *speed) begin(now time.Time, expected float64) {
+	if s.waiting.Add(1) == 1 {
+		s.progressAt.Store(now.UnixNano())
+	}
+	s.awaited.Store(int64(expected * float64(time.Second)))
+}
+
+func (s *speed) progress(now time.Time) {
+	s.waiting.Add(-1)
+	s.progressAt.Store(now.UnixNano())
+}
+
+func (s *speed) learn(now time.Time, sample float64) {
+	old := s.ratio(now)
+	next := old + ratioWeight*(min(sample, maxRatio)-old)
+	s.bits.Store(math.Float64bits(next))
+	s.learnedAt.Store(now.UnixNano())
+	s.samples.Add(1)
+}
+
+func (s *speed) ratio(now time.Time) float64 { return s.ratioAt(now.UnixNano()) }
+
+func (s *speed) ratioAt(now int64) float64 {
+	r := 1.0
+	if b := s.bits.Load(); b != 0 {
+		age := float64(now-s.learnedAt.Load()) / float64(ratioFades)
+		r = 1 + (math.Float64frombits(b)-1)/(1+age*age)
+	}
+	return max(r, s.stall(now))
+}
+
+// stall is the lower bound of the ratio that silence gives: attempts are
+// under way and none has ended for much longer than expected.
+func (s *speed) stall(now int64) float64 {
+	expected := s.awaited.Load()
+	if expected <= 0 || s.waiting.Load() <= 0 {
+		return 0
+	}
+	r := float64(now-s.progressAt.Load()) / float64(expected)
+	if r < stalled {
+		return 0
+	}
+	return min(r, maxRatio)
+}
--- /dev/null
+++ b/node/routing/subset.go
@@ -0,0 +1,40 @@
+package routing
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"caperdrum.org/api/wire"
+)
+
+// subset keeps size of a service's members for this entry, its own data
+// centre first and then by rendezvous hash (Thaler and Ravishankar, "A
+// Name-Based Mapping Scheme for Rendezvous", 1996), so that connections and
+// load estimates stay few and a change of members moves few of them. Size
+// zero keeps all.
+func subset(members []wire.Member, entry, dataCenter string, size int) []wire.Member {
+	if size <= 0 || len(members) <= size {
+		return members
+	}
+	type ranked struct {
+		member wire.Member
+		near   bool
+		weight uint64
+	}
+	list := make([]ranked, len(members))
+	for i, m := range members {
+		list[i] = ranked{m, m.DataCenter == dataCenter, xxhash.Sum64String(entry + "\x00" + string(m.ID))}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].near != list[j].near {
+			return list[i].near
+		}
+		return list[i].weight > list[j].weight
+	})
+	out := make([]wire.Member, size)
+	for i := range out {
+		out[i] = list[i].member
+	}
+	return out
+}
