--- a/api/optext/optext.go
+++ b/api/optext/optext.go
@@ -63,7 +63,10 @@
 	Class    string        `ini:"class" json:"class"`
 	Model    string        `ini:"model" json:"model"` // model name that selects this pipeline at the chat endpoint
 	Refuse   bool          `ini:"refuse_late" json:"refuse_late"`
-	Stages   []*Stage      `ini:"-" json:"stages"` // in topological order
+	// ShedOrder says when the pipeline is shed under overload, lowest first: 0
+	// means by class (deferrable 1, interactive 2, confirmation never), -1 never.
+	ShedOrder int      `ini:"shed_order" json:"shed_order"`
+	Stages    []*Stage `ini:"-" json:"stages"` // in topological order
 }
 
 // Stage is one call of a pipeline.
--- /dev/null
+++ b/node/admission/admission_test.go
@@ -0,0 +1,195 @@
+package admission
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"caperdrum.org/api/optext"
+	"caperdrum.org/api/verdict"
+)
+
+// bubbled hides the deadline of a test, which must not be asked for inside of
+// a synctest bubble.
+type bubbled struct{ rapid.TB }
+
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "1") // the same run every time; -rapid.seed still goes before it
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// TestRateHoldsInAnyWindow: over all entries never more than rate*window and
+// the bursts are admitted, whatever the pattern, the number of entries and the
+// entry that each request reaches; and a request that waited as long as it was
+// told is admitted.
+func TestRateHoldsInAnyWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(bubbled{t}, func(t *rapid.T) {
+			n := rapid.IntRange(1, 4).Draw(t, "entries")
+			c := &optext.Customer{Name: "c", Share: 1, Rate: rapid.Float64Range(0.5, 50).Draw(t, "rate")}
+			entries := make([]*Service, n)
+			for i := range entries {
+				entries[i] = NewWith(Limits{InFlight: 1 << 20})
+				entries[i].SetEntries(n)
+			}
+			burst := n * max(int(c.Rate/float64(n)), 1)
+			var admitted []time.Time
+			t.Repeat(map[string]func(*rapid.T){
+				"wait": func(t *rapid.T) {
+					time.Sleep(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+				},
+				"flood": func(t *rapid.T) {
+					e := entries[rapid.IntRange(0, n-1).Draw(t, "entry")]
+					for range rapid.IntRange(1, 100).Draw(t, "requests") {
+						if release, refusal := e.Admit(c, nil, 0); refusal == nil {
+							release()
+							admitted = append(admitted, time.Now())
+						}
+					}
+				},
+				"come back": func(t *rapid.T) {
+					e := entries[rapid.IntRange(0, n-1).Draw(t, "entry")]
+					_, refusal := e.Admit(c, nil, 0)
+					if refusal != nil {
+						if refusal.Verdict != verdict.NotRun || refusal.Code != verdict.CodeCustomerLimit || refusal.RetryAfter <= 0 {
+							t.Fatalf("refusal %+v", refusal)
+						}
+						time.Sleep(refusal.RetryAfter)
+						if _, refusal = e.Admit(c, nil, 0); refusal != nil {
+							t.Fatalf("refused after the time that it was told to wait: %v", refusal)
+						}
+					}
+					admitted = append(admitted, time.Now())
+				},
+				"": func(t *rapid.T) {
+					for i, from := range admitted {
+						window := admitted[len(admitted)-1].Sub(from).Seconds()
+						if got := len(admitted) - i; float64(got) > c.Rate*window+float64(burst)+1e-6 {
+							t.Fatalf("%d admitted in %g s at rate %g, burst %d", got, window, c.Rate, burst)
+						}
+					}
+				},
+			})
+		})
+	})
+}
+
+// TestShares: while the entry is half empty a customer may take what it wants;
+// then none exceeds its share of the places, and nothing is lost on release.
+func TestShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const places = 40
+		s := NewWith(Limits{InFlight: places, Bytes: 1000})
+		names := []string{"large", "small", "tiny"}
+		shares := []float64{6, 3, 1}
+		held := make([][]func(), len(names))
+		total, bytes := 0, 0
+		active := map[int]bool{}
+		t.Repeat(map[string]func(*rapid.T){
+			"admit": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(names)-1).Draw(t, "customer")
+				size := rapid.IntRange(0, 60).Draw(t, "size")
+				active[i] = true
+				sum := 0.0
+				for j := range active {
+					sum += shares[j]
+				}
+				release, refusal := s.Admit(&optext.Customer{Name: names[i], Share: shares[i]}, nil, size)
+				switch {
+				case refusal == nil:
+					held[i] = append(held[i], func() { release(); bytes -= size })
+					total++
+					bytes += size
+				case refusal.RetryAfter <= 0 || refusal.Verdict != verdict.NotRun:
+					t.Fatalf("refusal %+v", refusal)
+				case total < places/2 && bytes+size <= 1000:
+					t.Fatalf("refused with %d of %d places taken: %v", total, places, refusal)
+				}
+				if total > places || bytes > 1000 {
+					t.Fatalf("%d places and %d bytes are taken", total, bytes)
+				}
+				if refusal == nil && total > places/2 && float64(len(held[i])-1) >= places*shares[i]/sum {
+					t.Fatalf("%s holds %d places of a busy entry", names[i], len(held[i]))
+				}
+			},
+			"release": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(names)-1).Draw(t, "customer")
+				if n := len(held[i]); n > 0 {
+					held[i][n-1]()
+					held[i] = held[i][:n-1]
+					total--
+				}
+			},
+		})
+	})
+}
+
+// TestFlood: one large customer takes all it can get; a small one still gets
+// the places of its share.
+func TestFlood(t *testing.T) {
+	s := NewWith(Limits{InFlight: 100})
+	small := &optext.Customer{Name: "small", Share: 1}
+	large := &optext.Customer{Name: "large", Share: 3}
+	if release, refusal := s.Admit(small, nil, 0); refusal == nil {
+		release()
+	}
+	got := 0
+	for range 1000 {
+		if _, refusal := s.Admit(large, nil, 0); refusal == nil {
+			got++
+		}
+	}
+	if got != 75 {
+		t.Errorf("the large customer holds %d places, want 75", got)
+	}
+	for i := range 25 {
+		if _, refusal := s.Admit(small, nil, 0); refusal != nil {
+			t.Fatalf("the small customer's request %d is refused: %v", i, refusal)
+		}
+	}
+}
+
+// TestBrownoutOrder: under lasting overload drafts are shed before chat, a
+// pipeline's own order goes before its class, and confirmations are never shed;
+// when the overload is over everything is taken again.
+func TestBrownoutOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBrownout()
+		stage := []*optext.Stage{{Name: "s", Service: "llm"}}
+		draft := &optext.Pipeline{Class: string(optext.Deferrable), Stages: stage}
+		chat := &optext.Pipeline{Class: string(optext.Interactive), Stages: stage}
+		bid := &optext.Pipeline{Class: string(optext.Confirmation), Stages: stage}
+		kept := &optext.Pipeline{Class: string(optext.Deferrable), ShedOrder: neverShed, Stages: stage}
+		run := func(periods int, refused int) {
+			for range periods {
+				for i := range 20 {
+					b.report("llm", i < refused, time.Now())
+				}
+				time.Sleep(period)
+			}
+		}
+		check := func(when string, want ...float64) {
+			t.Helper()
+			for i, p := range []*optext.Pipeline{draft, chat, bid, kept} {
+				if got := b.share(p, time.Now()); got < want[i]-0.01 || got > want[i]+0.01 {
+					t.Errorf("%s: pipeline %d is shed at %g, want %g", when, i, got, want[i])
+				}
+			}
+		}
+		run(4, 0)
+		check("well", 0, 0, 0, 0)
+		run(2, 10)
+		check("overload begins", 0.5, 0, 0, 0)
+		run(4, 10)
+		check("overload lasts", 1, 0.5, 0, 0)
+		run(100, 10)
+		check("overload stays", 1, 1, 0, 0)
+		run(41, 0)
+		check("over", 0, 0, 0, 0)
+	})
+}
--- a/node/cmd/caperdrumd/main.go
+++ b/node/cmd/caperdrumd/main.go
@@ -14,6 +14,7 @@
 
 	"caperdrum.org/api/timeline"
 	"caperdrum.org/node/admin"
+	"caperdrum.org/node/admission"
 	"caperdrum.org/node/announce"
 	"caperdrum.org/node/configsync"
 	"caperdrum.org/node/control"
@@ -113,6 +114,7 @@
 		modules = append(modules,
 			kernel.Module{Name: "routing", New: routing.New},
 			kernel.Module{Name: "dispatch", New: dispatch.New},
+			kernel.Module{Name: "admission", New: admission.New},
 			kernel.Module{Name: "pipeline", New: pipeline.New},
 			kernel.Module{Name: "ledger", New: ledger.New},
 			kernel.Module{Name: "gateway", New: gateway.New})
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -30,7 +30,11 @@
 	customer *optext.Customer
 	timeout  time.Duration // zero when the caller named none
 	body     []byte
-	begun    bool // the response's status line was sent
+	pipeline *optext.Pipeline // nil for a single call
+	service  string           // of a single call
+	limit    time.Time        // the deadline, once it is known
+	release  func()           // ends the admission; nil when refused
+	begun    bool             // the response's status line was sent
 }
 
 func (c *call) customerName() string {
@@ -42,6 +46,7 @@
 
 const (
 	maxRequestID   = 128
+	bodyTimeout    = 20 * time.Second // for sending a body
 	defaultTimeout = 30 * time.Second // of a plain service's call without a timeout header
 	serviceClass   = optext.Interactive
 )
@@ -66,7 +71,7 @@
 	if err := c.readTimeout(r); err != nil {
 		return c, err
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.set.MaxBody))
+	body, err := s.readBody(w, r)
 	if err != nil {
 		return c, bodyError(err, s.set.MaxBody)
 	}
@@ -75,6 +80,18 @@
 	return c, nil
 }
 
+// readBody reads the whole body. A caller that sends it too slowly is cut off.
+func (s *Service) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if r.ContentLength > s.set.MaxBody {
+		return nil, &http.MaxBytesError{Limit: s.set.MaxBody}
+	}
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.set.MaxBody))
+	control.SetReadDeadline(time.Time{})
+	return body, err
+}
+
 func (c *call) readTimeout(r *http.Request) error {
 	raw := r.Header.Get(wire.HeaderTimeout)
 	if raw == "" {
@@ -89,7 +106,8 @@
 }
 
 func bodyError(err error, limit int64) error {
-	if _, ok := err.(*http.MaxBytesError); ok {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
 		return verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the body exceeds %d bytes: send less or raise max_body_bytes", limit)
 	}
 	return verdict.New(verdict.NotRun, verdict.CodeInvalid, "the body was cut: %v", err)
@@ -100,7 +118,8 @@
 	if c.timeout > 0 && c.timeout < limit {
 		limit = c.timeout
 	}
-	return c.received.Add(limit)
+	c.limit = c.received.Add(limit)
+	return c.limit
 }
 
 func (s *Service) chat(w http.ResponseWriter, r *http.Request, c *call) error {
@@ -137,10 +156,41 @@
 		return in, verdict.New(verdict.NotRun, verdict.CodeInvalid, "the body is not the expected JSON: %v", err)
 	}
 	in.Raw = body
+	if in.Query == "" && len(in.Messages) > 0 {
+		query, err := lastUserText(in.Messages)
+		if err != nil {
+			return in, verdict.New(verdict.NotRun, verdict.CodeInvalid, "messages must be a list of objects with role and content: %v", err)
+		}
+		in.Query = query
+	}
 	return in, nil
 }
 
+// lastUserText returns the text of the last user message, which is what a
+// pipeline with stages before its engine retrieves for. Content that is not
+// plain text counts as empty.
+func lastUserText(messages json.RawMessage) (string, error) {
+	var list []struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	}
+	if err := json.Unmarshal(messages, &list); err != nil {
+		return "", err
+	}
+	for i := len(list) - 1; i >= 0; i-- {
+		var text string
+		if list[i].Role == "user" && json.Unmarshal(list[i].Content, &text) == nil {
+			return text, nil
+		}
+	}
+	return "", nil
+}
+
 func (s *Service) runPipeline(w http.ResponseWriter, r *http.Request, c *call, p *optext.Pipeline, in pipeline.Input) error {
+	c.pipeline = p
+	if err := s.take(c); err != nil {
+		return err
+	}
 	deadline := c.deadline(p.Deadline)
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
@@ -160,6 +210,10 @@
 	if sv == nil {
 		return verdict.New(verdict.NotRun, verdict.CodeUnknown, "service %q is not in the operators' text", name)
 	}
+	c.service = name
+	if err := s.take(c); err != nil {
+		return err
+	}
 	deadline := c.deadline(defaultTimeout)
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
@@ -249,26 +303,3 @@
 		}
 	}
 }
-
-// errorBody is the JSON that a caller gets instead of an answer.
-type errorBody struct {
-	Error struct {
-		Code      verdict.Code    `json:"code"`
-		Message   string          `json:"message"`
-		Verdict   verdict.Verdict `json:"verdict"`
-		RequestID wire.RequestID  `json:"request_id"`
-	} `json:"error"`
-}
-
-func writeError(w http.ResponseWriter, id wire.RequestID, e *verdict.Error) {
-	var b errorBody
-	b.Error.Code, b.Error.Message, b.Error.Verdict, b.Error.RequestID = e.Code, e.Message, e.Verdict, id
-	h := w.Header()
-	h.Set(wire.HeaderVerdict, e.Verdict.String())
-	h.Set("Content-Type", "application/json")
-	if e.RetryAfter > 0 {
-		h.Set(wire.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
-	}
-	w.WriteHeader(e.Status)
-	json.NewEncoder(w).Encode(b)
-}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"caperdrum.org/api/timeline"
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/admission"
 	"caperdrum.org/node/configsync"
 	"caperdrum.org/node/ledger"
 	"caperdrum.org/node/pipeline"
@@ -26,22 +27,23 @@
 // Params are what the service needs.
 type Params struct {
 	dig.In
-	Settings *settings.Settings
-	Log      logr.Logger
-	Ring     *timeline.Ring
-	Sync     *configsync.Service `name:"configsync"`
-	Pipeline *pipeline.Service   `name:"pipeline"`
-	Ledger   *ledger.Service     `name:"ledger"`
-	Security *security.Store     `optional:"true"`
+	Settings  *settings.Settings
+	Log       logr.Logger
+	Ring      *timeline.Ring
+	Sync      *configsync.Service `name:"configsync"`
+	Admission *admission.Service  `name:"admission"`
+	Pipeline  *pipeline.Service   `name:"pipeline"`
+	Ledger    *ledger.Service     `name:"ledger"`
+	Security  *security.Store     `optional:"true"`
 }
 
 // Service is the callers' listener.
 type Service struct {
-	p        Params
-	set      settings.EntryRole
-	server   *http.Server
-	draining atomic.Bool
-	inFlight atomic.Int64
+	p         Params
+	set       settings.EntryRole
+	server    *http.Server
+	draining  atomic.Bool
+	receiving atomic.Int64 // requests that are read, refused, served or answered
 }
 
 var (
@@ -53,6 +55,7 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 32 << 10
+	receivingFactor   = 2                      // times the requests in service: others are being read or refused
 	balancerGrace     = 500 * time.Millisecond // time for the balancer to see that readiness ended
 )
 
@@ -62,6 +65,7 @@
 	r := chi.NewRouter()
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.Get("/readyz", s.ready)
+	r.Get("/v1/models", s.models)
 	r.Post("/v1/chat/completions", s.serve(s.chat))
 	r.Post("/v1/pipelines/{pipeline}", s.serve(s.pipeline))
 	r.HandleFunc("/v1/services/{service}", s.serve(s.service))
@@ -69,6 +73,11 @@
 	r.NotFound(func(w http.ResponseWriter, req *http.Request) {
 		s.fail(w, "", verdict.New(verdict.NotRun, verdict.CodeUnknown, "no such path: %s; use /v1/chat/completions, /v1/pipelines/NAME or /v1/services/NAME/PATH", req.URL.Path))
 	})
+	r.MethodNotAllowed(func(w http.ResponseWriter, req *http.Request) {
+		e := verdict.New(verdict.NotRun, verdict.CodeInvalid, "method %s is not allowed for %s: use POST", req.Method, req.URL.Path)
+		e.Status = http.StatusMethodNotAllowed
+		s.fail(w, "", e)
+	})
 	s.server = &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	return s
 }
@@ -123,8 +132,8 @@
 		return verdict.New(verdict.NotRun, verdict.CodeStale, "this entry has no configuration yet").After(time.Second)
 	case s.set.RefuseStale && s.p.Sync.StampAge() > s.set.StaleAfter:
 		return verdict.New(verdict.NotRun, verdict.CodeStale, "this entry's configuration is not confirmed").After(time.Second)
-	case s.inFlight.Load() > int64(s.set.MaxInFlight):
-		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "this entry is full").After(time.Second)
+	case s.receiving.Load() > receivingFactor*int64(s.set.MaxInFlight):
+		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "this entry receives too many requests").After(time.Second)
 	}
 	return nil
 }
@@ -133,13 +142,21 @@
 // outcomes.
 func (s *Service) serve(handle func(http.ResponseWriter, *http.Request, *call) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		s.inFlight.Add(1)
+		s.receiving.Add(1)
 		inFlightVar.Add(1)
 		defer func() {
-			s.inFlight.Add(-1)
+			s.receiving.Add(-1)
 			inFlightVar.Add(-1)
 		}()
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		c, err := s.begin(w, r)
+		defer func() {
+			if c.release != nil {
+				c.release()
+			}
+		}()
 		if err == nil {
 			err = handle(w, r, c)
 		}
@@ -147,7 +164,18 @@
 	}
 }
 
+// take admits the request, or refuses it at once.
+func (s *Service) take(c *call) error {
+	release, refusal := s.p.Admission.Admit(c.customer, c.pipeline, len(c.body))
+	if refusal != nil {
+		return refusal
+	}
+	c.release = release
+	return nil
+}
+
 func (s *Service) end(w http.ResponseWriter, r *http.Request, c *call, err error) {
+	c.countAttainment(err)
 	if err == nil {
 		requestsVar.Add("whole", 1)
 		s.p.Ring.Record(timeline.Event{Kind: "request-whole", Request: string(c.id), Customer: c.customerName()})
--- a/node/pipeline/body.go
+++ b/node/pipeline/body.go
@@ -99,11 +99,12 @@
 		if len(st.After) == 0 && len(in.Messages) > 0 {
 			return pathChat, in.Raw, nil // the caller's own chat request, unchanged
 		}
-		v, err = chatOf(st, r, answers, stream)
+		chat, err := chatOf(st, r, answers, stream)
 		if err != nil {
 			return "", nil, err
 		}
-		path = pathChat
+		body, err = withCallersFields(in, chat)
+		return pathChat, body, err
 	default:
 		path, v = pathPlain, plainOf(st, in, answers)
 	}
@@ -186,6 +187,32 @@
 	}}, nil
 }
 
+// notForEngines are the fields of a pipeline's request that are not the chat
+// API's.
+var notForEngines = []string{"query", "top_k"}
+
+// withCallersFields encodes a chat request. Fields of the caller's body that
+// this package does not know, such as temperature or stream_options, are kept.
+func withCallersFields(in Input, c chatRequest) ([]byte, error) {
+	own, err := json.Marshal(c)
+	if err != nil || len(in.Raw) == 0 {
+		return own, errors.Trace(err)
+	}
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(in.Raw, &fields); err != nil {
+		return nil, errors.Trace(err)
+	}
+	for _, name := range notForEngines {
+		delete(fields, name)
+	}
+	delete(fields, "stream")
+	if err := json.Unmarshal(own, &fields); err != nil {
+		return nil, errors.Trace(err)
+	}
+	body, err := json.Marshal(fields)
+	return body, errors.Trace(err)
+}
+
 func plainOf(st *optext.Stage, in Input, answers map[string][]byte) plainRequest {
 	p := plainRequest{Query: in.Query, Inputs: map[string]json.RawMessage{}}
 	for _, name := range st.After {
--- /dev/null
+++ b/node/pipeline/estimate.go
@@ -0,0 +1,137 @@
+package pipeline
+
+import (
+	"math"
+	"math/bits"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// histogram holds times in exponential buckets. Old samples lose weight: all
+// counts are halved when there are many, and every agePeriod as long as enough
+// remain, so that a rare service keeps what it learned.
+type histogram struct {
+	mu     sync.Mutex
+	counts [buckets]float32
+	total  float32
+	aged   time.Time
+}
+
+const (
+	buckets          = 168
+	bucketsPerOctave = 8
+	shortest         = 100 * time.Microsecond
+	fullWeight       = 512 // samples at which counts are halved
+	keptWeight       = 64  // samples that are kept however old
+	agePeriod        = 5 * time.Second
+	minSamples       = 16 // fewer say nothing
+)
+
+func bucketOf(d time.Duration) int {
+	if d <= shortest {
+		return 0
+	}
+	i := int(math.Log2(float64(d)/float64(shortest))*bucketsPerOctave) + 1
+	return min(i, buckets-1)
+}
+
+// boundOf returns the upper bound of a bucket.
+func boundOf(i int) time.Duration {
+	return time.Duration(float64(shortest) * math.Exp2(float64(i)/bucketsPerOctave))
+}
+
+func (h *histogram) add(d time.Duration, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.total >= fullWeight || h.total > keptWeight && now.Sub(h.aged) > agePeriod {
+		h.halve()
+		h.aged = now
+	}
+	h.counts[bucketOf(d)]++
+	h.total++
+}
+
+func (h *histogram) halve() {
+	h.total = 0
+	for i := range h.counts {
+		h.counts[i] /= 2
+		h.total += h.counts[i]
+	}
+}
+
+// quantile returns the time that a share q of the samples does not exceed.
+func (h *histogram) quantile(q float64) (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.total < minSamples {
+		return 0, false
+	}
+	rest := float32(q) * h.total
+	for i, n := range h.counts {
+		rest -= n
+		if rest <= 0 {
+			return boundOf(i), true
+		}
+	}
+	return boundOf(buckets - 1), true
+}
+
+const sizes = 8
+
+// estimate holds the times of one kind of work, by the size of its request.
+type estimate struct {
+	all    histogram
+	bySize [sizes]histogram
+}
+
+func sizeOf(bytes int) int { return min(bits.Len(uint(bytes)>>10)/2, sizes-1) }
+
+func (e *estimate) add(size int, d time.Duration) {
+	now := time.Now()
+	e.all.add(d, now)
+	e.bySize[sizeOf(size)].add(d, now)
+}
+
+func (e *estimate) quantile(size int, q float64) (time.Duration, bool) {
+	if d, ok := e.bySize[sizeOf(size)].quantile(q); ok {
+		return d, true
+	}
+	return e.all.quantile(q)
+}
+
+// estimates holds an estimate per name.
+type estimates struct{ m sync.Map }
+
+func (e *estimates) of(name string) *estimate {
+	if v, ok := e.m.Load(name); ok {
+		return v.(*estimate)
+	}
+	v, _ := e.m.LoadOrStore(name, &estimate{})
+	return v.(*estimate)
+}
+
+// gaps holds the usual time between two events of a service's streams.
+type gaps struct{ m sync.Map }
+
+// gap is a moving average in nanoseconds.
+type gap struct{ value atomic.Int64 }
+
+const gapWeight = 16 // one over the weight of a new sample
+
+func (g *gaps) of(service string) *gap {
+	if v, ok := g.m.Load(service); ok {
+		return v.(*gap)
+	}
+	v, _ := g.m.LoadOrStore(service, &gap{})
+	return v.(*gap)
+}
+
+func (g *gap) add(d time.Duration) {
+	old := g.value.Load()
+	if old == 0 {
+		g.value.Store(int64(d))
+		return
+	}
+	g.value.Store(old + (int64(d)-old)/gapWeight)
+}
--- /dev/null
+++ b/node/pipeline/fake_test.go
@@ -0,0 +1,125 @@
+package pipeline
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"caperdrum.org/api/optext"
+	"caperdrum.org/api/timeline"
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/configsync"
+	"caperdrum.org/node/dispatch"
+	"caperdrum.org/node/routing"
+)
+
+// bubbled hides the deadline of a test, which must not be asked for inside of
+// a synctest bubble.
+type bubbled struct{ rapid.TB }
+
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "1") // the same run every time; -rapid.seed still goes before it
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// fakeGate answers attempts by a function and notes them.
+type fakeGate struct {
+	mu     sync.Mutex
+	calls  []dispatch.Call
+	at     []wire.MemberID
+	answer func(ctx context.Context, n int, e *routing.Endpoint, c dispatch.Call) (*dispatch.Answer, error)
+}
+
+func (g *fakeGate) Do(ctx context.Context, e *routing.Endpoint, c dispatch.Call) (*dispatch.Answer, error) {
+	g.mu.Lock()
+	n := len(g.calls)
+	g.calls = append(g.calls, c)
+	g.at = append(g.at, e.Member.ID)
+	g.mu.Unlock()
+	return g.answer(ctx, n, e, c)
+}
+
+func (g *fakeGate) attempts() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.calls)
+}
+
+type noPressure struct{}
+
+func (noPressure) Report(string, bool) {}
+
+// newFake returns a service whose members all answer by g.
+func newFake(g *fakeGate, members int, services ...*optext.Service) *Service {
+	v := &configsync.View{Config: configOf(services...), ByService: map[string][]wire.Member{}}
+	for _, sv := range services {
+		for i := range members {
+			v.ByService[sv.Name] = append(v.ByService[sv.Name], wire.Member{ID: wire.MemberID(fmt.Sprintf("%s-%d", sv.Name, i))})
+		}
+	}
+	table := routing.NewTable("entry", "")
+	table.Update(v)
+	return newService(timeline.NewRing("entry", "vm", 16), table, g, noPressure{})
+}
+
+func configOf(services ...*optext.Service) *optext.Config {
+	c := &optext.Config{Services: map[string]*optext.Service{}}
+	for _, sv := range services {
+		c.Services[sv.Name] = sv
+	}
+	return c
+}
+
+func serviceOf(name string, kind optext.Kind, repeatable bool) *optext.Service {
+	return &optext.Service{Name: name, Kind: string(kind), Repeatable: repeatable, RetryPercent: 100, HedgePercent: 10, Ejection: true}
+}
+
+func callOf(sv *optext.Service, timeout time.Duration) dispatch.Call {
+	return dispatch.Call{Request: "r", Stage: sv.Name, Service: sv.Name, Customer: "c", Repeatable: sv.Repeatable,
+		Method: "POST", Path: "/", Body: []byte("{}"), Deadline: time.Now().Add(timeout)}
+}
+
+// after answers with a body when the time has passed, unless the attempt is
+// abandoned first.
+func after(ctx context.Context, d time.Duration, status int, body string) (*dispatch.Answer, error) {
+	select {
+	case <-time.After(d):
+		return &dispatch.Answer{Status: status, ContentType: "application/json", Body: &cutBody{ctx: ctx, data: []byte(body), end: io.EOF}}, nil
+	case <-ctx.Done():
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeTimeout, "abandoned")
+	}
+}
+
+// cutBody gives its data and then ends: with an error, or by silence until the
+// attempt is abandoned when end is nil.
+type cutBody struct {
+	ctx  context.Context
+	data []byte
+	end  error
+}
+
+func (b *cutBody) Read(p []byte) (int, error) {
+	if len(b.data) > 0 {
+		n := copy(p, b.data)
+		b.data = b.data[n:]
+		return n, nil
+	}
+	if b.end == nil {
+		<-b.ctx.Done()
+		return 0, verdict.New(verdict.Ran, verdict.CodeTimeout, "abandoned")
+	}
+	return 0, b.end
+}
+
+func (b *cutBody) Close() error { return nil }
+
+func errCut() error { return verdict.New(verdict.Ran, verdict.CodeCut, "cut") }
--- /dev/null
+++ b/node/pipeline/usage.go
@@ -0,0 +1,39 @@
+package pipeline
+
+import (
+	"bytes"
+	"strconv"
+)
+
+var (
+	keyCached = []byte(`"cached_tokens":`)
+	keyPrompt = []byte(`"prompt_tokens":`)
+)
+
+// cachedShare reads from the end of an engine's answer the share of the prompt
+// that it had cached, if its usage tells.
+func cachedShare(tail []byte) (float64, bool) {
+	cached, ok := numberAfter(tail, keyCached)
+	if !ok {
+		return 0, false
+	}
+	prompt, ok := numberAfter(tail, keyPrompt)
+	if !ok || prompt <= 0 {
+		return 0, false
+	}
+	return float64(cached) / float64(prompt), true
+}
+
+func numberAfter(text, key []byte) (int, bool) {
+	i := bytes.LastIndex(text, key)
+	if i < 0 {
+		return 0, false
+	}
+	rest := bytes.TrimLeft(text[i+len(key):], " ")
+	end := 0
+	for end < len(rest) && rest[end] >= '0' && rest[end] <= '9' {
+		end++
+	}
+	n, err := strconv.Atoi(string(rest[:end]))
+	return n, err == nil
+}
