--- a/node/pipeline/exchange_test.go
+++ b/node/pipeline/exchange_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -107,7 +108,7 @@
 func TestHedge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const calls = 1000
-		abandoned := 0
+		var abandoned atomic.Int64
 		g := &fakeGate{}
 		g.answer = func(ctx context.Context, n int, _ *routing.Endpoint, _ dispatch.Call) (*dispatch.Answer, error) {
 			if n%20 != 19 {
@@ -115,7 +116,7 @@
 			}
 			a, err := after(ctx, 50*quick, 200, "late")
 			if err != nil {
-				abandoned++
+				abandoned.Add(1)
 			}
 			return a, err
 		}
@@ -133,8 +134,8 @@
 			}
 		}
 		extra := g.attempts() - calls
-		if slow > 5 || extra > calls*sv.HedgePercent/100+10 || abandoned < extra-5 {
-			t.Errorf("%d of %d calls slow, %d extra attempts, %d abandoned", slow, calls, extra, abandoned)
+		if slow > 5 || extra > calls*sv.HedgePercent/100+10 || int(abandoned.Load()) < extra-5 {
+			t.Errorf("%d of %d calls slow, %d extra attempts, %d abandoned", slow, calls, extra, abandoned.Load())
 		}
 	})
 }
--- a/node/pipeline/resume_test.go
+++ b/node/pipeline/resume_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -227,8 +228,11 @@
 	cuts := drawCuts(t)
 	barren := 0
 	var fault error // of a request that an engine got
+	var mu sync.Mutex
 	g := &fakeGate{}
 	g.answer = func(ctx context.Context, n int, _ *routing.Endpoint, c dispatch.Call) (*dispatch.Answer, error) {
+		mu.Lock()
+		defer mu.Unlock()
 		var req resumedRequest
 		err := json.Unmarshal(c.Body, &req)
 		first := req.generated(tokens, own)
--- /dev/null
+++ b/node/routing/alloc_test.go
@@ -0,0 +1,21 @@
+//go:build !race
+
+package routing
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestChooseDoesNotAllocate holds the policy to no allocation a choice. The
+// race detector makes pools forget, so it does not run there.
+func TestChooseDoesNotAllocate(t *testing.T) {
+	s, es := newTestTable(30)
+	prefix := PrefixHashes("m", []byte(strings.Repeat("0123456789abcdef", 1024)))
+	es[3].Sent(prefix)
+	r := Request{Service: testService, Now: time.Now(), Size: 16 << 10, Prefix: prefix}
+	if n := testing.AllocsPerRun(200, func() { s.Choose(r) }); n >= 1 {
+		t.Errorf("%g allocations a choice", n)
+	}
+}
--- a/node/routing/bench_test.go
+++ b/node/routing/bench_test.go
@@ -33,14 +33,3 @@
 		}
 	}
 }
-
-// TestChooseDoesNotAllocate holds the policy to no allocation a choice.
-func TestChooseDoesNotAllocate(t *testing.T) {
-	s, es := newTestTable(30)
-	prefix := PrefixHashes("m", []byte(strings.Repeat("0123456789abcdef", 1024)))
-	es[3].Sent(prefix)
-	r := Request{Service: testService, Now: time.Now(), Size: 16 << 10, Prefix: prefix}
-	if n := testing.AllocsPerRun(200, func() { s.Choose(r) }); n >= 1 {
-		t.Errorf("%g allocations a choice", n)
-	}
-}
