--- a/node/routing/choose.go
+++ b/node/routing/choose.go
@@ -9,6 +9,7 @@
 	expected   float64 // seconds, for the whole size without cached parts
 	room       [maxHolders]holder
 	holders    []holder // in room
+	holderMask uint64   // bits of the holders' indexes, to rule out most endpoints at once
 	candidates []candidate
 }
 
@@ -43,6 +44,7 @@
 	c.now = r.Now.UnixNano()
 	c.expected = g.expected(sizeClass(r.Size))
 	c.holders = c.room[:0]
+	c.holderMask = 0
 	c.candidates = c.candidates[:0]
 	if g.prefixes != nil && len(r.Prefix) > 0 {
 		c.holders = g.prefixes.holders(r.Prefix, secondOf(c.now), c.holders)
@@ -51,6 +53,9 @@
 			known = c.holders[0].blocks
 		}
 		c.holders = st.ring.homes(r.Prefix, known, c.holders)
+		for i := range c.holders {
+			c.holderMask |= 1 << (c.holders[i].endpoint % 64)
+		}
 	}
 }
 
--- a/node/routing/score_prefix.go
+++ b/node/routing/score_prefix.go
@@ -13,6 +13,9 @@
 )
 
 func (prefixScorer) score(e *Endpoint, r *choice) float64 {
+	if r.holderMask&(1<<(e.index%64)) == 0 {
+		return 0
+	}
 	for i := range r.holders {
 		if h := &r.holders[i]; h.endpoint == e.index {
 			return -prefixGain(e, r, h)
--- a/node/routing/speed.go
+++ b/node/routing/speed.go
@@ -126,24 +126,26 @@
 func (s *speed) ratio(now time.Time) float64 { return s.ratioAt(now.UnixNano()) }
 
 func (s *speed) ratioAt(now int64) float64 {
-	fade := s.fade(now)
-	r := faded(&s.steady, fade)
-	if f := faded(&s.fast, fade); f > stragglerRatio {
-		r = max(r, f)
+	r := 1.0
+	if s.steady.Load() != 0 {
+		fade := s.fade(now)
+		r = faded(&s.steady, fade)
+		if f := faded(&s.fast, fade); f > stragglerRatio {
+			r = max(r, f)
+		}
+	}
+	if s.waiting.Load() > 0 {
+		r = max(r, s.stall(now))
 	}
-	return max(r, s.stall(now))
+	return r
 }
 
 // stall is the lower bound of the ratio that silence gives: attempts are
 // under way and none has ended for much longer than expected.
 func (s *speed) stall(now int64) float64 {
-	expected := s.awaited.Load()
-	if expected <= 0 || s.waiting.Load() <= 0 {
-		return 0
-	}
-	r := float64(now-s.progressAt.Load()) / float64(expected)
-	if r < stalled {
+	silence, expected := now-s.progressAt.Load(), s.awaited.Load()
+	if expected <= 0 || silence < stalled*expected {
 		return 0
 	}
-	return min(r, maxRatio)
+	return min(float64(silence)/float64(expected), maxRatio)
 }
