--- a/node/pipeline/exchange.go
+++ b/node/pipeline/exchange.go
@@ -88,13 +88,13 @@
 const streamBuffer = 16 << 10
 
 // attempt sends the call to an endpoint and waits for the whole answer, or for
-// the first byte of an event stream. When ctx ends the attempt is abandoned.
-func (s *Service) attempt(ctx context.Context, e *routing.Endpoint, w *work) (*answer, error) {
+// the first byte of an event stream. Cached is how many bytes of the prompt the
+// endpoint is expected to have cached. When ctx ends the attempt is abandoned.
+func (s *Service) attempt(ctx context.Context, e *routing.Endpoint, w *work, cached int) (*answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	c := w.Call
 	c.Attempt = wire.AttemptID(uuid.NewString())
 	m := &measured{s: s, ctx: ctx, w: w, endpoint: e, started: time.Now()}
-	cached := e.Cached(w.prefix)
 	if len(w.prefix) > 0 {
 		m.foretold = float64(cached) / float64(max(w.size, 1))
 	}
--- a/node/pipeline/race.go
+++ b/node/pipeline/race.go
@@ -42,6 +42,7 @@
 	running  int
 	hedge    int // number of the attempt that was a hedge; zero for none
 	started  time.Time
+	size     int // of the first attempt's request, without what its endpoint has cached
 
 	worst verdict.Verdict // over all attempts that ended
 	last  *verdict.Error
@@ -116,10 +117,15 @@
 	r.under[n] = e
 	r.launched++
 	r.running++
+	cached := e.Cached(r.w.prefix)
+	size := r.w.size - cached
+	if n == 0 {
+		r.size = size
+	}
 	go func() {
 		started := time.Now()
-		a, err := r.s.attempt(ctx, e, r.w)
-		r.s.learn(r.w, time.Since(started), err == nil, ctx.Err() != nil)
+		a, err := r.s.attempt(ctx, e, r.w, cached)
+		r.s.learn(r.w, size, time.Since(started), err == nil, ctx.Err() != nil)
 		r.results <- result{n, a, err, e}
 	}()
 }
@@ -137,14 +143,14 @@
 // learn notes the time of an answer, and of an attempt that was given up if it
 // took longer than usual: without those the estimate would never follow a
 // service that becomes slow as a whole.
-func (s *Service) learn(w *work, took time.Duration, ok, abandoned bool) {
+func (s *Service) learn(w *work, size int, took time.Duration, ok, abandoned bool) {
 	est := s.estimates.of(w.estimate())
 	if ok {
-		est.add(w.size, took)
+		est.add(size, took)
 		return
 	}
-	if usual, known := est.quantile(w.size, admitQuantile); abandoned && known && took > usual {
-		est.add(w.size, took)
+	if usual, known := est.quantile(size, admitQuantile); abandoned && known && took > usual {
+		est.add(size, took)
 	}
 }
 
@@ -255,14 +261,16 @@
 // late costs more than an average one.
 func (r *race) hedgeDelay() (time.Duration, bool) {
 	percent := r.w.service.HedgePercent
-	if percent <= 0 {
+	if percent <= 0 || 2*r.size < r.w.size {
+		// Elsewhere the cached prefix would have to be computed again, and its
+		// copy would push another one out.
 		return 0, false
 	}
 	q := max(1-float64(percent)/200, leastQuantile)
 	if e := r.under[0]; e != nil && e.Suspect(r.started) {
 		q = suspectQuantile
 	}
-	d, ok := r.s.estimates.of(r.w.estimate()).quantile(r.w.size, q)
+	d, ok := r.s.estimates.of(r.w.estimate()).quantile(r.size, q)
 	return max(d, minHedgeDelay), ok
 }
 
@@ -271,12 +279,12 @@
 func (r *race) lateDelay() time.Duration {
 	left := time.Until(r.w.Deadline)
 	est := r.s.estimates.of(r.w.estimate())
-	d, ok := est.quantile(r.w.size, lateQuantile)
+	d, ok := est.quantile(r.size, lateQuantile)
 	if !ok {
 		return max(left/coldShare, minLateDelay)
 	}
-	usual, _ := est.quantile(r.w.size, usualQuantile)
-	most, _ := est.quantile(r.w.size, mostQuantile)
+	usual, _ := est.quantile(r.size, usualQuantile)
+	most, _ := est.quantile(r.size, mostQuantile)
 	return max(min(lateFactor*d, max(left-most, usual)), minLateDelay)
 }
 
