A 5xx passed on to the caller is not attained

cause: attainment looked at the error only, and an upstream's 5xx is an answer. change: its status counts; the spec failed without the change.

--- a/node/gateway/attainment.go
+++ b/node/gateway/attainment.go
@@ -2,21 +2,22 @@
 
 import (
 	"expvar"
+	"net/http"
 	"time"
 )
 
 // Attainment: of all requests, those answered whole within their deadline.
-// Refused ones count as not attained. Keys are pipeline:NAME, service:NAME and
+// Refused ones and those answered with an upstream's 5xx are not attained. Keys are pipeline:NAME, service:NAME and
 // customer:NAME, each followed by .all or .whole.
 var attainmentVar = expvar.NewMap("attainment")
 
 func (c *call) countAttainment(err error) {
-	whole := err == nil && (c.limit.IsZero() || !time.Now().After(c.limit))
+	whole := err == nil && c.status < http.StatusInternalServerError && (c.limit.IsZero() || !time.Now().After(c.limit))
 	for _, key := range c.attainmentKeys() {
-		attainmentVar.Add(key+".all", 1)
 		if whole {
 			attainmentVar.Add(key+".whole", 1)
 		}
+		attainmentVar.Add(key+".all", 1)
 	}
 }
 
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -32,6 +32,7 @@
 	body     []byte
 	pipeline *optext.Pipeline // nil for a single call
 	service  string           // of a single call
+	status   int              // of the answer, once it was begun
 	limit    time.Time        // the deadline, once it is known
 	release  func()           // ends the admission; nil when refused
 	begun    bool             // the response's status line was sent
@@ -262,6 +263,7 @@
 // whole, so that a failure can still be told by status; an event stream is
 // passed on as it comes and is cut when its source is.
 func (c *call) stream(w http.ResponseWriter, status int, contentType string, body io.Reader) error {
+	c.status = status
 	if !strings.HasPrefix(contentType, wire.ContentEventStream) {
 		whole, err := io.ReadAll(body)
 		if err != nil {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -274,9 +274,13 @@
 		resp, data := s.do("GET", "/v1/services/price-list/p", "foundry", "")
 		Expect(resp.StatusCode).To(Equal(200), data)
 		Expect(s.gate.attempts).To(Equal(2))
+		all := fmt.Sprint(attainmentVar.Get("service:order-desk.all"))
+		whole := fmt.Sprint(attainmentVar.Get("service:order-desk.whole"))
 		resp, _ = s.do("POST", "/v1/services/order-desk/o", "foundry", "{}")
 		Expect(resp.StatusCode).To(Equal(500))
 		Expect(s.gate.attempts).To(Equal(3))
+		Eventually(func() string { return fmt.Sprint(attainmentVar.Get("service:order-desk.all")) }).ShouldNot(Equal(all))
+		Expect(fmt.Sprint(attainmentVar.Get("service:order-desk.whole"))).To(Equal(whole), "a 5xx is not attained")
 	})
 
 	It("is ready until it stops, and its stop cuts nothing", func() {
