--- a/api/verdict/verdict.go
+++ b/api/verdict/verdict.go
@@ -71,6 +71,7 @@
 	CodeConflict      Code = "idempotency_key_conflict"
 	CodeInProgress    Code = "idempotency_key_in_progress"
 	CodeNoQuorum      Code = "no_quorum"
+	CodeLedgerFull    Code = "ledger_full"
 	CodeUpstream      Code = "upstream_failed"
 	CodeCut           Code = "answer_cut"
 	CodeStale         Code = "configuration_stale"
--- a/api/wire/headers.go
+++ b/api/wire/headers.go
@@ -20,6 +20,7 @@
 	HeaderAttempt      = "Caperdrum-Attempt"
 	HeaderStage        = "Caperdrum-Stage"
 	HeaderIncarnation  = "Caperdrum-Incarnation"
+	HeaderGateTime     = "Caperdrum-Gate-Time" // see AttemptStatus.GateTime
 	HeaderBudget       = "Caperdrum-Budget-Ms" // milliseconds until the attempt is worthless
 	HeaderClass        = "Caperdrum-Class"
 	HeaderShare        = "Caperdrum-Share"
--- a/api/wire/messages.go
+++ b/api/wire/messages.go
@@ -100,6 +100,7 @@
 	Endpoint    MemberID  `json:"endpoint"`
 	Gate        string    `json:"gate"`
 	Incarnation uint64    `json:"incarnation"`
+	GateTime    int64     `json:"gate_time,omitempty"` // AttemptStatus.GateTime as read before the claim was sent
 	RequestID   RequestID `json:"request_id"`
 }
 
@@ -112,6 +113,7 @@
 	ClaimHeld     ClaimState = "held"     // another attempt holds it; settle that one first
 	ClaimSettled  ClaimState = "settled"  // the outcome is recorded
 	ClaimMismatch ClaimState = "mismatch" // the key was used with another body
+	ClaimFull     ClaimState = "full"     // the ledger is at its limit and takes no new key
 )
 
 // ClaimReply answers a claim. Holder is set for held and settled keys.
@@ -152,6 +154,10 @@
 	AttemptRunning    AttemptState = "running"
 	AttemptDone       AttemptState = "done"
 	AttemptTombstoned AttemptState = "tombstoned"
+	// AttemptForgotten says that the gate does not know the attempt and that
+	// the attempt is older than what the gate remembers: it may have run, and
+	// it will not be admitted.
+	AttemptForgotten AttemptState = "forgotten"
 )
 
 // AttemptStatus answers a status or cancel call at a gate.
@@ -161,6 +167,7 @@
 	Incarnation uint64       `json:"incarnation"`
 	Length      int64        `json:"length"`        // answer bytes received from the upstream so far
 	End         string       `json:"end,omitempty"` // end mark, once done
+	GateTime    int64        `json:"gate_time"`     // milliseconds on the clock of this incarnation, at least 1
 }
 
 // MemberStatus is one row of the members report.
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -43,6 +43,7 @@
 	ContentType string
 	Body        []byte
 	Deadline    time.Time
+	GateTime    int64 // gate time read before the key was claimed; zero without a key
 }
 
 // Params are what the service needs.
@@ -111,9 +112,16 @@
 	h.Set(wire.HeaderPath, c.Path)
 	h.Set(wire.HeaderIncarnation, strconv.FormatUint(e.Member.Incarnation, 10))
 	h.Set(wire.HeaderBudget, strconv.FormatInt(max(time.Until(c.Deadline).Milliseconds(), 0), 10))
+	setGateTime(h, c.GateTime)
 	return s.client.Do(req)
 }
 
+func setGateTime(h http.Header, gateTime int64) {
+	if gateTime > 0 {
+		h.Set(wire.HeaderGateTime, strconv.FormatInt(gateTime, 10))
+	}
+}
+
 func attemptURL(e *routing.Endpoint, id wire.AttemptID, rest string) string {
 	return "http://" + e.Member.Gate + "/v1/attempts/" + url.PathEscape(string(id)) + rest
 }
@@ -179,12 +187,12 @@
 	if errors.As(cause, &op) && op.Op == "dial" {
 		return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "the gate of %s is not reached", e.Member.ID)
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || !time.Now().Before(c.Deadline) {
 		// Also when the caller went away: the attempt must not start later.
 		go s.Cancel(e, c.Attempt, c.Repeatable)
 		return verdict.New(verdict.MayHaveRun, verdict.CodeTimeout, "the deadline passed before an answer came")
 	}
-	st, err := s.Cancel(e, c.Attempt, false)
+	st, err := s.CancelClaimed(context.WithoutCancel(ctx), e, c.Attempt, c.GateTime)
 	if err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "the connection to %s was lost: %v", e.Member.ID, cause)
 	}
@@ -206,21 +214,33 @@
 	if abandon {
 		rest += "?abandon=true"
 	}
-	return s.statusCall(ctx, e, http.MethodPost, attemptURL(e, id, rest))
+	return s.statusCall(ctx, e, http.MethodPost, attemptURL(e, id, rest), 0)
+}
+
+// CancelClaimed makes sure that the attempt of a claim, if it has not started,
+// never does. It never ends a running one. The state AttemptForgotten leaves
+// open whether the attempt ran.
+func (s *Service) CancelClaimed(ctx context.Context, e *routing.Endpoint, id wire.AttemptID, gateTime int64) (wire.AttemptStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	return s.statusCall(ctx, e, http.MethodPost, attemptURL(e, id, "/cancel"), gateTime)
 }
 
 // Status asks a gate what it knows of an attempt.
 func (s *Service) Status(ctx context.Context, e *routing.Endpoint, id wire.AttemptID) (wire.AttemptStatus, error) {
-	return s.statusCall(ctx, e, http.MethodGet, attemptURL(e, id, ""))
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	return s.statusCall(ctx, e, http.MethodGet, attemptURL(e, id, ""), 0)
 }
 
-func (s *Service) statusCall(ctx context.Context, e *routing.Endpoint, method, u string) (wire.AttemptStatus, error) {
+func (s *Service) statusCall(ctx context.Context, e *routing.Endpoint, method, u string, gateTime int64) (wire.AttemptStatus, error) {
 	var st wire.AttemptStatus
 	req, err := http.NewRequestWithContext(ctx, method, u, nil)
 	if err != nil {
 		return st, errors.Trace(err)
 	}
 	s.setCommon(req.Header)
+	setGateTime(req.Header, gateTime)
 	resp, err := s.client.Do(req)
 	if err != nil {
 		return st, errors.Trace(err)
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -233,7 +233,7 @@
 		stage: h.Get(wire.HeaderStage), customer: h.Get(wire.HeaderCustomer), class: optext.Class(h.Get(wire.HeaderClass)),
 		share: share, repeatable: h.Get(wire.HeaderRepeatable) == "true",
 		method: h.Get(wire.HeaderMethod), path: h.Get(wire.HeaderPath), header: h.Get("Content-Type"),
-		body: body, deadline: deadline,
+		body: body, deadline: deadline, gateTime: readGateTime(h),
 	}, nil
 }
 
@@ -308,6 +308,7 @@
 
 func (s *Service) writeStatus(w http.ResponseWriter, st wire.AttemptStatus) {
 	st.Incarnation = s.incarnation
+	st.GateTime = s.table.gateTime()
 	s.setCommon(w.Header())
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(st)
@@ -321,7 +322,7 @@
 // compare the incarnation: a tombstone of another incarnation proves nothing.
 func (s *Service) handleCancel(w http.ResponseWriter, r *http.Request) {
 	id := wire.AttemptID(chi.URLParam(r, "id"))
-	st := s.table.cancelAttempt(id, r.URL.Query().Get("abandon") == "true")
+	st := s.table.cancelClaimed(id, r.URL.Query().Get("abandon") == "true", readGateTime(r.Header))
 	s.ring.Record(timeline.Event{Kind: "attempt-cancelled", Attempt: string(id), Detail: string(st.State)})
 	s.writeStatus(w, st)
 }
--- a/node/gate/table.go
+++ b/node/gate/table.go
@@ -26,6 +26,7 @@
 	header     string // content type of the body
 	body       []byte
 	deadline   time.Time
+	gateTime   int64 // gate time that the entry read before it claimed the key; zero without a claim
 
 	state  wire.AttemptState
 	answer *answer
@@ -46,6 +47,7 @@
 // admitted again while it is kept.
 type table struct {
 	clock clockwork.Clock
+	start time.Time // zero of the gate time
 	run   runner
 
 	mu       sync.Mutex
@@ -83,7 +85,7 @@
 }
 
 func newTable(clock clockwork.Clock, run runner, l limits) *table {
-	return &table{clock: clock, run: run, attempts: map[wire.AttemptID]*attempt{}, limits: l}
+	return &table{clock: clock, start: clock.Now(), run: run, attempts: map[wire.AttemptID]*attempt{}, limits: l}
 }
 
 // submit admits a new attempt, or refuses it. Every refusal is NotRun and
@@ -119,6 +121,8 @@
 	wait := t.expectedWait()
 	left := a.deadline.Sub(t.clock.Now())
 	switch {
+	case t.tooOld(a.gateTime):
+		return verdict.New(verdict.NotRun, verdict.CodeTombstoned, "attempt %s comes too late after its claim", a.id).After(time.Second)
 	case t.leaving:
 		return verdict.New(verdict.NotRun, verdict.CodeLeaving, "the upstream is leaving").After(time.Second)
 	case left <= 0:
@@ -147,7 +151,7 @@
 func (t *table) begin(a *attempt) {
 	a.state = wire.AttemptRunning
 	t.running++
-	ctx, cancel := context.WithDeadline(context.Background(), a.deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), a.runLimit())
 	a.cancel = cancel
 	go t.run(ctx, a)
 }
@@ -235,6 +239,10 @@
 func (t *table) cancelAttempt(id wire.AttemptID, abandon bool) wire.AttemptStatus {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.cancelLocked(id, abandon)
+}
+
+func (t *table) cancelLocked(id wire.AttemptID, abandon bool) wire.AttemptStatus {
 	a := t.attempts[id]
 	switch {
 	case a == nil:
--- /dev/null
+++ b/node/ledger/fakes_test.go
@@ -0,0 +1,332 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"caperdrum.org/api/timeline"
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/dispatch"
+	"caperdrum.org/node/routing"
+	"caperdrum.org/node/state"
+)
+
+const (
+	keep     = 2 * time.Minute // of the gates, as in the settings
+	patience = 30 * time.Second
+)
+
+var errConnection = errors.New("connection lost")
+
+// operation is one message exchange that a request waits for. The scheduler
+// decides whether it happens, whether its answer comes, and when.
+type operation struct {
+	gate  *fakeGate // nil for control
+	ready func() bool
+	exec  func()
+	fail  func()
+}
+
+// request is one caller's request at one entry, run by its own goroutine. Only
+// one goroutine runs at a time: it stops at every exchange.
+type request struct {
+	w        *world
+	entry    int
+	key      wire.ClaimKey
+	call     dispatch.Call
+	ctx      context.Context
+	cancel   context.CancelFunc
+	pending  *operation
+	resume   chan struct{}
+	killed   bool
+	ended    bool
+	number   int
+	started  int64
+	attempts []wire.AttemptID
+	result   *Result
+	err      error
+}
+
+// GoString keeps the log of a failed run short.
+func (r *request) GoString() string {
+	return fmt.Sprintf("%s at entry %d, key %v, %v", r.call.Request, r.entry, r.key, r.attempts)
+}
+
+func (r *request) park(op *operation) {
+	r.pending = op
+	r.w.parked <- struct{}{}
+	<-r.resume
+	if r.killed {
+		runtime.Goexit()
+	}
+}
+
+// step lets a request go on until it stops again or ends.
+func (r *request) step() {
+	r.pending = nil
+	r.resume <- struct{}{}
+	<-r.w.parked
+}
+
+func exchange[T any](r *request, g *fakeGate, f func() (T, error)) (T, error) {
+	var out T
+	var err error
+	r.park(&operation{gate: g, exec: func() { out, err = f() }, fail: func() { err = errConnection }})
+	return out, err
+}
+
+// Claim and Settle apply to the real state machine.
+
+func (r *request) Claim(_ context.Context, c wire.ClaimRequest) (wire.ClaimReply, error) {
+	return exchange(r, nil, func() (wire.ClaimReply, error) {
+		return r.w.apply(state.Command{Claims: []wire.ClaimRequest{c}}).Claims[0], nil
+	})
+}
+
+func (r *request) Settle(_ context.Context, c wire.SettleRequest) (wire.SettleReply, error) {
+	return exchange(r, nil, func() (wire.SettleReply, error) {
+		return r.w.apply(state.Command{Settles: []wire.SettleRequest{c}}).Settles[0], nil
+	})
+}
+
+// The gates interface follows node/dispatch: the same reactions to the same
+// failures.
+
+func (r *request) Do(_ context.Context, e *routing.Endpoint, c dispatch.Call) (*dispatch.Answer, error) {
+	g := r.w.gate(e)
+	refusal, err := exchange(r, g, func() (*verdict.Error, error) { return g.submit(e, c, r.key), nil })
+	if err != nil {
+		return nil, r.resolveLost(g, e, c)
+	}
+	if refusal != nil {
+		return nil, refusal
+	}
+	return r.await(g, e, c.Attempt, func() error { return r.resolveLost(g, e, c) })
+}
+
+func (r *request) resolveLost(g *fakeGate, e *routing.Endpoint, c dispatch.Call) error {
+	if r.ctx.Err() != nil {
+		r.w.late = append(r.w.late, func() { g.cancel(c.Attempt, 0) })
+		return verdict.New(verdict.MayHaveRun, verdict.CodeTimeout, "deadline")
+	}
+	st, err := r.CancelClaimed(r.ctx, e, c.Attempt, c.GateTime)
+	if err == nil && st.Incarnation == e.Member.Incarnation && st.State == wire.AttemptTombstoned {
+		return verdict.New(verdict.NotRun, verdict.CodeUpstream, "cancelled")
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "connection lost")
+}
+
+// await reads an answer once it has ended at the gate.
+func (r *request) await(g *fakeGate, e *routing.Endpoint, id wire.AttemptID, lost func() error) (*dispatch.Answer, error) {
+	var answer *dispatch.Answer
+	var err error
+	same := func() bool { return g.incarnation == e.Member.Incarnation && g.attempts[id] != nil }
+	r.park(&operation{gate: g,
+		ready: func() bool { return r.ctx.Err() != nil || !same() || g.attempts[id].ended() },
+		exec: func() {
+			if r.ctx.Err() != nil || !same() {
+				err = errConnection
+				return
+			}
+			answer, err = g.attempts[id].read()
+		},
+		fail: func() { err = errConnection }})
+	if err == errConnection {
+		return nil, lost()
+	}
+	return answer, err
+}
+
+func (r *request) Attach(_ context.Context, e *routing.Endpoint, c dispatch.Call, _ int64) (*dispatch.Answer, error) {
+	g := r.w.gate(e)
+	known, err := exchange(r, g, func() (bool, error) { g.forget(); return g.attempts[c.Attempt] != nil, nil })
+	cut := verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "attach failed")
+	if err != nil {
+		return nil, cut
+	}
+	if !known {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUnknown, "attempt unknown")
+	}
+	return r.await(g, e, c.Attempt, func() error { return cut })
+}
+
+func (r *request) Status(_ context.Context, e *routing.Endpoint, id wire.AttemptID) (wire.AttemptStatus, error) {
+	g := r.w.gate(e)
+	return exchange(r, g, func() (wire.AttemptStatus, error) { return g.status(id), nil })
+}
+
+func (r *request) CancelClaimed(_ context.Context, e *routing.Endpoint, id wire.AttemptID, gateTime int64) (wire.AttemptStatus, error) {
+	g := r.w.gate(e)
+	return exchange(r, g, func() (wire.AttemptStatus, error) { return g.cancel(id, gateTime), nil })
+}
+
+func (r *request) Choose(q routing.Request) *routing.Endpoint {
+	for _, g := range r.w.gates[r.entry%len(r.w.gates):] {
+		if m := r.w.members[r.entry][g.id]; !q.Exclude[g.id] {
+			return &routing.Endpoint{Member: m}
+		}
+	}
+	return nil
+}
+
+// requestClock stops the request's goroutine while it sleeps.
+type requestClock struct {
+	clockwork.Clock
+	r *request
+}
+
+func (c requestClock) After(time.Duration) <-chan time.Time {
+	c.r.park(&operation{exec: func() {}, fail: func() {}})
+	ch := make(chan time.Time, 1)
+	ch <- c.Now()
+	return ch
+}
+
+// start runs a request until its first exchange.
+func (w *world) start(entry int, key wire.ClaimKey, body string) *request {
+	r := &request{w: w, entry: entry, key: key, resume: make(chan struct{})}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	w.requests++
+	r.number, r.started = w.requests, w.tick()
+	r.call = dispatch.Call{Request: wire.RequestID(fmt.Sprint("request-", w.requests)), Service: "desk", Customer: key.Customer, Body: []byte(body), Deadline: w.clock.Now().Add(patience)}
+	run := &runner{control: r, gates: r, chooser: r, clock: requestClock{w.clock, r}, times: w.times[entry],
+		newAttempt: func() wire.AttemptID {
+			w.attempts++
+			id := wire.AttemptID(fmt.Sprint("attempt-", w.attempts))
+			r.attempts = append(r.attempts, id)
+			return id
+		},
+		member: func(id wire.MemberID) (wire.Member, bool) { m, ok := w.members[entry][id]; return m, ok },
+		record: func(timeline.Kind, dispatch.Call, string) {}}
+	go func() {
+		defer func() { w.parked <- struct{}{} }()
+		r.result, r.err = run.Run(r.ctx, key.Key, r.call, "")
+		r.ended = true
+	}()
+	<-w.parked
+	return r
+}
+
+// fakeGate keeps the rules of node/gate: it forgets, it refuses what is too
+// old, and a new incarnation knows nothing.
+type fakeGate struct {
+	w           *world
+	id          wire.MemberID
+	incarnation uint64
+	started     time.Time
+	attempts    map[wire.AttemptID]*fakeAttempt
+}
+
+type fakeAttempt struct {
+	id     wire.AttemptID
+	key    wire.ClaimKey
+	until  time.Time // the caller's deadline
+	state  wire.AttemptState
+	at     time.Time // of its end
+	answer string    // when whole
+	status int
+	fault  *verdict.Error
+}
+
+func (a *fakeAttempt) ended() bool {
+	return a.state == wire.AttemptDone || a.state == wire.AttemptTombstoned
+}
+
+func (a *fakeAttempt) read() (*dispatch.Answer, error) {
+	if a.fault != nil {
+		return nil, a.fault
+	}
+	return &dispatch.Answer{Status: a.status, Body: io.NopCloser(strings.NewReader(a.answer))}, nil
+}
+
+func (g *fakeGate) time() int64 { return g.w.clock.Since(g.started).Milliseconds() + 1 }
+
+func (g *fakeGate) age(gateTime int64) time.Duration {
+	return time.Duration(g.time()-gateTime) * time.Millisecond
+}
+
+func (g *fakeGate) forget() {
+	for id, a := range g.attempts {
+		if a.ended() && g.w.clock.Since(a.at) > keep {
+			delete(g.attempts, id)
+		}
+	}
+}
+
+func (g *fakeGate) bury(id wire.AttemptID, why *verdict.Error) {
+	g.attempts[id] = &fakeAttempt{id: id, state: wire.AttemptTombstoned, at: g.w.clock.Now(), fault: why}
+}
+
+func (g *fakeGate) submit(e *routing.Endpoint, c dispatch.Call, key wire.ClaimKey) *verdict.Error {
+	g.forget()
+	known := g.attempts[c.Attempt]
+	switch {
+	case e.Member.Incarnation != g.incarnation:
+		return verdict.New(verdict.NotRun, verdict.CodeIncarnation, "restarted")
+	case known != nil && known.state == wire.AttemptTombstoned:
+		return verdict.New(verdict.NotRun, verdict.CodeTombstoned, "cancelled")
+	case known != nil:
+		return verdict.New(verdict.MayHaveRun, verdict.CodeInProgress, "known already")
+	case c.GateTime > 0 && g.age(c.GateTime) > keep/2:
+		why := verdict.New(verdict.NotRun, verdict.CodeTombstoned, "too late")
+		g.bury(c.Attempt, why)
+		return why
+	}
+	g.attempts[c.Attempt] = &fakeAttempt{id: c.Attempt, key: key, until: c.Deadline, state: wire.AttemptQueued}
+	return nil
+}
+
+func (g *fakeGate) status(id wire.AttemptID) wire.AttemptStatus {
+	st := wire.AttemptStatus{Attempt: id, State: wire.AttemptUnseen, Incarnation: g.incarnation, GateTime: g.time()}
+	if a := g.attempts[id]; a != nil {
+		st.State = a.state
+		if a.ended() {
+			st.End = wire.EndWhole
+			if a.fault != nil {
+				st.End = string(a.fault.Code)
+			}
+		}
+	}
+	return st
+}
+
+func (g *fakeGate) cancel(id wire.AttemptID, gateTime int64) wire.AttemptStatus {
+	g.forget()
+	a := g.attempts[id]
+	switch {
+	case a == nil && gateTime > 0 && g.age(gateTime) >= keep:
+		st := g.status(id)
+		st.State = wire.AttemptForgotten
+		return st
+	case a == nil || a.state == wire.AttemptQueued:
+		g.bury(id, verdict.New(verdict.NotRun, verdict.CodeTombstoned, "cancelled"))
+	}
+	return g.status(id)
+}
+
+// sweep ends what is past its time.
+func (g *fakeGate) sweep() {
+	now := g.w.clock.Now()
+	for _, a := range g.attempts {
+		switch {
+		case a.state == wire.AttemptQueued && now.After(a.until):
+			a.fault, a.state, a.at = verdict.New(verdict.NotRun, verdict.CodeDeadline, "too late"), wire.AttemptTombstoned, now
+		case a.state == wire.AttemptRunning && now.After(a.until.Add(patience)):
+			a.fault, a.state, a.at = verdict.New(verdict.MayHaveRun, verdict.CodeTimeout, "timeout"), wire.AttemptDone, now
+		}
+	}
+}
+
+func (g *fakeGate) restart() {
+	g.incarnation++
+	g.started = g.w.clock.Now()
+	g.attempts = map[wire.AttemptID]*fakeAttempt{}
+}
--- /dev/null
+++ b/node/ledger/interfaces.go
@@ -0,0 +1,29 @@
+package ledger
+
+import (
+	"context"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/dispatch"
+	"caperdrum.org/node/routing"
+)
+
+// control is the replicated ledger. A call that fails may still take effect,
+// also later and also twice.
+type control interface {
+	Claim(context.Context, wire.ClaimRequest) (wire.ClaimReply, error)
+	Settle(context.Context, wire.SettleRequest) (wire.SettleReply, error)
+}
+
+// gates carries attempts, and questions about them, to the gates.
+type gates interface {
+	Do(context.Context, *routing.Endpoint, dispatch.Call) (*dispatch.Answer, error)
+	Attach(ctx context.Context, e *routing.Endpoint, c dispatch.Call, offset int64) (*dispatch.Answer, error)
+	Status(context.Context, *routing.Endpoint, wire.AttemptID) (wire.AttemptStatus, error)
+	CancelClaimed(ctx context.Context, e *routing.Endpoint, id wire.AttemptID, gateTime int64) (wire.AttemptStatus, error)
+}
+
+// chooser picks the endpoint of an attempt.
+type chooser interface {
+	Choose(routing.Request) *routing.Endpoint
+}
--- /dev/null
+++ b/node/ledger/ledger_test.go
@@ -0,0 +1,439 @@
+package ledger
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/routing"
+	"caperdrum.org/node/state"
+)
+
+const (
+	entries = 3
+	gateNum = 2
+)
+
+// world is several entries and gates around the real state machine, and the
+// oracle: which attempt ran for which key, and what callers were told.
+type world struct {
+	t        *rapid.T
+	clock    *clockwork.FakeClock
+	parked   chan struct{}
+	machine  *state.Machine
+	gates    []*fakeGate
+	members  [entries]map[wire.MemberID]wire.Member // each entry's view, perhaps stale
+	times    [entries]*gateTimes
+	cut      [entries][gateNum]bool
+	live     []*request
+	late     []func() // messages still under way
+	requests int
+	attempts int
+
+	window int                    // grows when all keys expire
+	runs   map[wire.ClaimKey]int  // in this window
+	owner  map[string]answerOwner // by answer
+	seen   map[wire.ClaimKey]string
+	notRun map[wire.AttemptID]bool
+	ran    map[wire.AttemptID]bool
+
+	ticks   int64
+	history []porcupine.Operation
+}
+
+type answerOwner struct {
+	key    wire.ClaimKey
+	window int
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, clock: clockwork.NewFakeClock(), parked: make(chan struct{}), machine: state.New(),
+		runs: map[wire.ClaimKey]int{}, owner: map[string]answerOwner{}, seen: map[wire.ClaimKey]string{},
+		notRun: map[wire.AttemptID]bool{}, ran: map[wire.AttemptID]bool{}}
+	for i := range gateNum {
+		g := &fakeGate{w: w, id: wire.MemberID(fmt.Sprint("desk-", i))}
+		g.restart()
+		w.gates = append(w.gates, g)
+	}
+	for e := range entries {
+		w.members[e], w.times[e] = map[wire.MemberID]wire.Member{}, newGateTimes()
+		w.refresh(e)
+	}
+	return w
+}
+
+// tick is the time of the history.
+func (w *world) tick() int64 {
+	w.ticks++
+	return w.ticks
+}
+
+func (w *world) refresh(entry int) {
+	for _, g := range w.gates {
+		w.members[entry][g.id] = wire.Member{ID: g.id, Incarnation: g.incarnation}
+	}
+}
+
+func (w *world) gate(e *routing.Endpoint) *fakeGate {
+	i := slices.IndexFunc(w.gates, func(g *fakeGate) bool { return g.id == e.Member.ID })
+	return w.gates[i]
+}
+
+func (w *world) apply(c state.Command) state.Result {
+	c.Now = w.clock.Now().UnixMilli()
+	data, err := c.Encode()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r, err := w.machine.Apply(data)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return r
+}
+
+// begin starts a queued attempt: the upstream gets the call.
+func (w *world) begin(a *fakeAttempt) {
+	if w.notRun[a.id] {
+		w.t.Fatalf("%s runs after its caller was told that it did not run", a.id)
+	}
+	a.state = wire.AttemptRunning
+	w.ran[a.id] = true
+	w.runs[a.key]++
+	if w.runs[a.key] > 1 {
+		w.t.Fatalf("key %v runs again, as %s", a.key, a.id)
+	}
+}
+
+// ended checks what a caller was told.
+func (w *world) ended(r *request) {
+	w.live = slices.DeleteFunc(w.live, func(o *request) bool { return o == r })
+	r.cancel()
+	if r.err != nil {
+		v := verdict.From(r.err)
+		if v.RetryAfter == 0 && v.Code != verdict.CodeConflict {
+			w.t.Fatalf("no time to come back in %v", v)
+		}
+		if v.Verdict == verdict.NotRun {
+			w.toldNotRun(r)
+		}
+		return
+	}
+	answer := string(r.result.Outcome.Body)
+	owner, ok := w.owner[answer]
+	if !ok || owner.key != r.key {
+		w.t.Fatalf("key %v got answer %q of %v", r.key, answer, owner.key)
+	}
+	if owner.window != w.window {
+		return // its key expired while the entry stood still
+	}
+	if first, ok := w.seen[r.key]; ok && first != answer {
+		w.t.Fatalf("key %v got %q after %q", r.key, answer, first)
+	}
+	w.seen[r.key] = answer
+	w.history = append(w.history, porcupine.Operation{ClientId: r.number, Input: keyInWindow{r.key, w.window}, Call: r.started, Output: answer, Return: w.tick()})
+}
+
+func (w *world) toldNotRun(r *request) {
+	for _, id := range r.attempts {
+		if w.ran[id] {
+			w.t.Fatalf("%s ran, its caller was told that it did not", id)
+		}
+		w.notRun[id] = true
+	}
+}
+
+// pass performs the pending exchange of r under the given fault.
+func (w *world) pass(r *request, fault string) {
+	op := r.pending
+	if op.gate != nil && w.cut[r.entry][slices.Index(w.gates, op.gate)] {
+		fault = "lose request"
+	}
+	switch {
+	case op.ready != nil && fault == "":
+		op.exec()
+	case op.ready != nil, fault == "lose request":
+		op.fail()
+	case fault == "lose answer":
+		op.exec()
+		op.fail()
+	case fault == "delay":
+		w.late = append(w.late, op.exec)
+		op.fail()
+	case fault == "double":
+		w.late = append(w.late, op.exec)
+		op.exec()
+	default:
+		op.exec()
+	}
+	r.step()
+	if r.ended {
+		w.ended(r)
+	}
+}
+
+var (
+	drawKey   = rapid.SampledFrom([]wire.ClaimKey{{Customer: "a", Key: "b/c"}, {Customer: "a/b", Key: "c"}})
+	drawFault = rapid.SampledFrom([]string{"", "", "", "", "", "lose request", "lose answer", "delay", "double"})
+)
+
+// Start lets a caller send a key, for the first time or again.
+func (w *world) Start(t *rapid.T) {
+	if len(w.live) >= 4 {
+		t.Skip("enough")
+	}
+	body := "body"
+	if rapid.IntRange(0, 9).Draw(t, "other body") == 0 {
+		body = "other"
+	}
+	r := w.start(rapid.IntRange(0, entries-1).Draw(t, "entry"), drawKey.Draw(t, "key"), body)
+	w.live = append(w.live, r)
+}
+
+func (w *world) pick(t *rapid.T) *request {
+	var ready []*request
+	for _, r := range w.live {
+		if r.pending.ready == nil || r.pending.ready() {
+			ready = append(ready, r)
+		}
+	}
+	if len(ready) == 0 {
+		t.Skip("nobody can go on")
+	}
+	return rapid.SampledFrom(ready).Draw(t, "request")
+}
+
+// Step lets one request go on. It stands thrice, to be drawn often.
+func (w *world) Step(t *rapid.T) { w.pass(w.pick(t), drawFault.Draw(t, "fault")) }
+
+// StepWell lets one request go on without a fault.
+func (w *world) StepWell(t *rapid.T) { w.pass(w.pick(t), "") }
+
+// Break cuts the connection of a request that waits for an answer.
+func (w *world) Break(t *rapid.T) {
+	if len(w.live) == 0 {
+		t.Skip("none")
+	}
+	w.pass(rapid.SampledFrom(w.live).Draw(t, "request"), "lose request")
+}
+
+// Late delivers a message that was delayed or doubled.
+func (w *world) Late(t *rapid.T) {
+	if len(w.late) == 0 {
+		t.Skip("none")
+	}
+	i := rapid.IntRange(0, len(w.late)-1).Draw(t, "message")
+	f := w.late[i]
+	w.late = slices.Delete(w.late, i, i+1)
+	f()
+}
+
+// Kill ends an entry with all its requests; its messages may still arrive.
+func (w *world) Kill(t *rapid.T) {
+	entry := rapid.IntRange(0, entries-1).Draw(t, "entry")
+	for _, r := range slices.Clone(w.live) {
+		if r.entry != entry {
+			continue
+		}
+		if r.pending.ready == nil && rapid.Bool().Draw(t, "message under way") {
+			w.late = append(w.late, r.pending.exec)
+		}
+		w.kill(r)
+	}
+	w.times[entry] = newGateTimes()
+}
+
+func (w *world) kill(r *request) {
+	r.killed = true
+	r.step()
+	w.live = slices.DeleteFunc(w.live, func(o *request) bool { return o == r })
+}
+
+// Gate lets one attempt at a gate begin or end.
+func (w *world) Gate(t *rapid.T) {
+	g := rapid.SampledFrom(w.gates).Draw(t, "gate")
+	var open []*fakeAttempt
+	for _, a := range g.attempts {
+		if !a.ended() {
+			open = append(open, a)
+		}
+	}
+	if len(open) == 0 {
+		t.Skip("idle")
+	}
+	slices.SortFunc(open, func(a, b *fakeAttempt) int {
+		return len(a.id)*100 + int(a.id[len(a.id)-1]) - len(b.id)*100 - int(b.id[len(b.id)-1])
+	})
+	w.advance(t, g, open[rapid.IntRange(0, len(open)-1).Draw(t, "attempt")])
+}
+
+func (w *world) advance(t *rapid.T, g *fakeGate, a *fakeAttempt) {
+	outcomes := []string{"whole", "whole", "whole", "5xx", "cut"}
+	if a.state == wire.AttemptQueued {
+		outcomes = []string{"begin", "begin", "begin", "no connection", "drop"}
+	}
+	switch what := rapid.SampledFrom(outcomes).Draw(t, "what"); what {
+	case "begin":
+		w.begin(a)
+		return
+	case "whole", "5xx":
+		a.answer, a.status = "answer of "+string(a.id), 200
+		if what == "5xx" {
+			a.status = 503
+		}
+		w.owner[a.answer] = answerOwner{a.key, w.window}
+		a.state = wire.AttemptDone
+	case "cut":
+		a.fault, a.state = verdict.New(verdict.Ran, verdict.CodeCut, "cut"), wire.AttemptDone
+	case "no connection":
+		a.fault, a.state = verdict.New(verdict.NotRun, verdict.CodeUpstream, "dial"), wire.AttemptDone
+	case "drop":
+		a.fault, a.state = verdict.New(verdict.NotRun, verdict.CodeDeadline, "too late"), wire.AttemptTombstoned
+	}
+	a.at = w.clock.Now()
+}
+
+// Restart starts a gate afresh. Entries hear of it later.
+func (w *world) Restart(t *rapid.T) {
+	if rapid.IntRange(0, 2).Draw(t, "really") == 0 {
+		rapid.SampledFrom(w.gates).Draw(t, "gate").restart()
+	}
+}
+
+// Refresh brings one entry's view up to date.
+func (w *world) Refresh(t *rapid.T) { w.refresh(rapid.IntRange(0, entries-1).Draw(t, "entry")) }
+
+// Cut separates an entry from a gate, or joins them again.
+func (w *world) Cut(t *rapid.T) {
+	e, g := rapid.IntRange(0, entries-1).Draw(t, "entry"), rapid.IntRange(0, gateNum-1).Draw(t, "gate")
+	w.cut[e][g] = !w.cut[e][g]
+}
+
+// Pass moves the clock: within a deadline, past it, past the gates' memory, or
+// past the ledger's.
+func (w *world) Pass(t *rapid.T) {
+	steps := []time.Duration{time.Second, 15 * time.Second, patience, keep / 2, keep + time.Second}
+	d := rapid.SampledFrom(steps).Draw(t, "time")
+	if rapid.IntRange(0, 19).Draw(t, "expire") == 0 {
+		d = state.LedgerLifetime + time.Second
+		w.window++
+		clear(w.runs)
+		clear(w.seen)
+	}
+	w.clock.Advance(d)
+	for _, g := range w.gates {
+		g.sweep()
+	}
+	w.apply(state.Command{})
+	for _, r := range w.live {
+		if !w.clock.Now().Before(r.call.Deadline) {
+			r.cancel()
+		}
+	}
+}
+
+// Resend sends a key without any fault. It must get the answer that a caller
+// has seen.
+func (w *world) Resend(t *rapid.T) {
+	key := drawKey.Draw(t, "key")
+	entry := rapid.IntRange(0, entries-1).Draw(t, "entry")
+	cut := w.cut
+	w.cut = [entries][gateNum]bool{}
+	w.refresh(entry)
+	want, seen := w.seen[key]
+	if !seen {
+		want, seen = w.kept(key)
+	}
+	r := w.start(entry, key, "body")
+	for !r.ended {
+		if r.pending.ready != nil && !r.pending.ready() {
+			w.answerAll()
+		}
+		w.pass(r, "")
+	}
+	w.cut = cut
+	if seen && r.err != nil && verdict.From(r.err).Code == verdict.CodeConflict {
+		return // the key belongs to the other body
+	}
+	// An answer that a gate holds may be forgotten while it is asked for, but
+	// here no time passes.
+	if seen && (r.err != nil || string(r.result.Outcome.Body) != want) {
+		t.Fatalf("key %v: the answer %q was seen, a resend gets %v", key, want, r.err)
+	}
+}
+
+// answerAll lets the upstreams answer everything whole.
+func (w *world) answerAll() {
+	for _, g := range w.gates {
+		for _, a := range g.attempts {
+			if a.state == wire.AttemptQueued {
+				w.begin(a)
+			}
+			if a.state == wire.AttemptRunning {
+				a.answer, a.status, a.state, a.at = "answer of "+string(a.id), 200, wire.AttemptDone, w.clock.Now()
+				w.owner[a.answer] = answerOwner{a.key, w.window}
+			}
+		}
+	}
+}
+
+// kept returns the whole answer to a key that a gate still holds.
+func (w *world) kept(key wire.ClaimKey) (string, bool) {
+	for _, g := range w.gates {
+		g.forget()
+		for _, a := range g.attempts {
+			if a.key == key && a.answer != "" && w.owner[a.answer].window == w.window {
+				return a.answer, true
+			}
+		}
+	}
+	return "", false
+}
+
+// Check is made after every action.
+func (w *world) Check(*rapid.T) {}
+
+// answers is the model of keyed calls: a key has no answer until one is given,
+// and that one for ever.
+var answers = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		parts := map[keyInWindow][]porcupine.Operation{}
+		for _, o := range history {
+			parts[o.Input.(keyInWindow)] = append(parts[o.Input.(keyInWindow)], o)
+		}
+		return slices.Collect(maps.Values(parts))
+	},
+	Init: func() any { return "" },
+	Step: func(state, _, output any) (bool, any) {
+		answer, first := output.(string), state.(string)
+		return first == "" || answer == first, answer
+	},
+}
+
+type keyInWindow struct {
+	key    wire.ClaimKey
+	window int
+}
+
+func TestConfirmationsAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		defer func() {
+			for _, r := range slices.Clone(w.live) {
+				w.kill(r)
+			}
+		}()
+		t.Repeat(rapid.StateMachineActions(w))
+		if !porcupine.CheckOperations(answers, w.history) {
+			t.Fatalf("not linearizable: %v", w.history)
+		}
+	})
+}
--- /dev/null
+++ b/node/ledger/service.go
@@ -0,0 +1,85 @@
+// Package ledger is the entry's side of the idempotency ledger: a keyed call
+// to a service that is not idempotent runs at most once, whichever entry a
+// resend reaches, and every resend gets the recorded answer.
+package ledger
+
+import (
+	"context"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/dig"
+
+	"caperdrum.org/api/timeline"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/configsync"
+	"caperdrum.org/node/dispatch"
+	"caperdrum.org/node/peer"
+	"caperdrum.org/node/routing"
+)
+
+// Methods of the control role that this package calls.
+const (
+	MethodClaim  = "control.claim"
+	MethodSettle = "control.settle"
+)
+
+// Params are what the service needs.
+type Params struct {
+	dig.In
+	Ring     *timeline.Ring
+	Sync     *configsync.Service `name:"configsync"`
+	Routing  *routing.Service    `name:"routing"`
+	Dispatch *dispatch.Service   `name:"dispatch"`
+}
+
+// Service runs keyed calls.
+type Service struct {
+	runner
+	ring *timeline.Ring
+	sync *configsync.Service
+}
+
+// New returns the service.
+func New(p Params) *Service {
+	s := &Service{ring: p.Ring, sync: p.Sync}
+	s.runner = runner{
+		control:    leader{p.Sync.Control()},
+		gates:      p.Dispatch,
+		chooser:    p.Routing,
+		clock:      clockwork.NewRealClock(),
+		newAttempt: func() wire.AttemptID { return wire.AttemptID(uuid.NewString()) },
+		member:     s.member,
+		record:     s.record,
+		times:      newGateTimes(),
+	}
+	return s
+}
+
+// leader is the control interface over the peer links.
+type leader struct{ control *peer.Control }
+
+func (l leader) Claim(ctx context.Context, r wire.ClaimRequest) (wire.ClaimReply, error) {
+	var reply wire.ClaimReply
+	err := l.control.CallLeader(ctx, MethodClaim, r, &reply)
+	return reply, err
+}
+
+func (l leader) Settle(ctx context.Context, r wire.SettleRequest) (wire.SettleReply, error) {
+	var reply wire.SettleReply
+	err := l.control.CallLeader(ctx, MethodSettle, r, &reply)
+	return reply, err
+}
+
+func (s *Service) member(id wire.MemberID) (wire.Member, bool) {
+	v := s.sync.View()
+	if v == nil {
+		return wire.Member{}, false
+	}
+	m, ok := v.Members[id]
+	return m, ok
+}
+
+func (s *Service) record(kind timeline.Kind, c dispatch.Call, detail string) {
+	s.ring.Record(timeline.Event{Kind: kind, Request: string(c.Request), Customer: c.Customer, Detail: detail})
+}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -45,11 +45,14 @@
 
 // ControlRole is the section [control].
 type ControlRole struct {
-	Listen    string        `ini:"listen" required:"true"` // peer address
-	Admin     string        `ini:"admin" required:"true"`  // administration API
-	Lease     time.Duration `ini:"lease"`                  // a member silent for this long is removed
-	Voters    int           `ini:"voters"`                 // replicas that repair keeps in the quorum
-	OpenAdmin bool          `ini:"open_admin"`             // administration without keys; loopback only
+	Listen string        `ini:"listen" required:"true"` // peer address
+	Admin  string        `ini:"admin" required:"true"`  // administration API
+	Lease  time.Duration `ini:"lease"`                  // a member silent for this long is removed
+	Voters int           `ini:"voters"`                 // replicas that repair keeps in the quorum
+	// LedgerMax is the memory of the idempotency ledger, in bytes, from which on
+	// new keys are refused; zero is no limit.
+	LedgerMax int64 `ini:"ledger_max_bytes"`
+	OpenAdmin bool  `ini:"open_admin"` // administration without keys; loopback only
 }
 
 // EntryRole is the section [entry].
@@ -115,7 +118,7 @@
 func defaults() *Settings {
 	return &Settings{
 		Node:    Node{DrainTimeout: 30 * time.Second, LogLevel: "info", Timeline: 4096},
-		Control: ControlRole{Lease: 3 * time.Second, Voters: 3},
+		Control: ControlRole{Lease: 3 * time.Second, Voters: 3, LedgerMax: 512 << 20},
 		Entry:   EntryRole{MaxBody: 4 << 20, StaleAfter: 5 * time.Second, MaxInFlight: 4096, MaxAnswer: 16 << 20},
 		Agent:   AgentRole{KeepAnswers: 2 * time.Minute, MaxAnswer: 16 << 20, HealthPath: "/health"},
 	}
--- /dev/null
+++ b/node/state/changes_test.go
@@ -0,0 +1,96 @@
+package state
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+
+	"caperdrum.org/api/wire"
+)
+
+// compareAndSet is the model of operators' changes: a register whose version
+// goes up by one with each accepted change.
+var compareAndSet = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		version, number := state.(uint64), input.(uint64)
+		res, answered := output.(wire.ChangeResult)
+		accepted := number == version+1
+		if accepted {
+			version = number
+		}
+		return !answered || res.Accepted == accepted && res.Version == version, version
+	},
+}
+
+// operator is one change on its way: sent any number of times, answered once
+// or never.
+type operator struct {
+	request wire.ChangeRequest
+	call    int64
+	first   *wire.ChangeResult // as some delivery got it
+	told    int64              // time at which the operator heard of it; zero if never
+}
+
+// TestChangesAreLinearizable lets operators race for numbers while their
+// messages are delayed, doubled and lost, with a restore between.
+func TestChangesAreLinearizable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New()
+		var ops []*operator
+		version := uint64(0)
+		for now := int64(1); now < 60; now++ {
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				number := version + uint64(rapid.IntRange(0, 2).Draw(t, "ahead"))
+				ops = append(ops, &operator{call: now, request: wire.ChangeRequest{Number: number, ChangeID: fmt.Sprint(now), Text: fmt.Sprint(now)}})
+			case 1:
+				data, _ := m.Snapshot()
+				m = New()
+				if err := m.Restore(data); err != nil {
+					t.Fatal(err)
+				}
+			default:
+				if len(ops) == 0 {
+					continue
+				}
+				o := ops[rapid.IntRange(0, len(ops)-1).Draw(t, "message")]
+				data, _ := Command{Now: now, Change: &o.request}.Encode()
+				r, err := m.Apply(data)
+				if err != nil {
+					t.Fatal(err)
+				}
+				res := *r.Change
+				res.Resent = false
+				if o.first != nil && *o.first != res {
+					t.Fatalf("answers to one change: %+v, then %+v", *o.first, res)
+				}
+				o.first = &res
+				version = m.View().Config.Version
+				if o.told == 0 && rapid.Bool().Draw(t, "answer comes") {
+					o.told = now
+				}
+			}
+		}
+		if !porcupine.CheckOperations(compareAndSet, historyOf(ops)) {
+			t.Fatal("the changes are not linearizable")
+		}
+	})
+}
+
+func historyOf(ops []*operator) []porcupine.Operation {
+	var history []porcupine.Operation
+	for i, o := range ops {
+		op := porcupine.Operation{ClientId: i, Input: o.request.Number, Call: o.call, Return: math.MaxInt64}
+		if o.told > 0 {
+			op.Output, op.Return = *o.first, o.told
+		}
+		if o.first != nil {
+			history = append(history, op)
+		}
+	}
+	return history
+}
--- /dev/null
+++ b/node/state/ledger.go
@@ -0,0 +1,126 @@
+package state
+
+import (
+	"sort"
+	"time"
+
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+)
+
+// LedgerLifetime is how long a key is kept after its claim, and again after
+// its settlement. A resend that comes later is a new call.
+const LedgerLifetime = 24 * time.Hour
+
+// ledgerEntryBytes is what an entry costs besides its strings and its answer:
+// map slot, structs and expiry record, as measured.
+const ledgerEntryBytes = 640
+
+// ledgerEntry is immutable, so that a snapshot can be encoded while commands
+// are applied.
+type ledgerEntry struct {
+	Claim   wire.ClaimRequest `cbor:"1,keyasint"`
+	Outcome *wire.Outcome     `cbor:"2,keyasint,omitempty"`
+	At      int64             `cbor:"3,keyasint"` // of the claim, then of the settlement
+}
+
+func (e *ledgerEntry) size() int64 {
+	c := &e.Claim
+	n := len(c.Customer) + len(c.Key) + len(c.BodyHash) + len(c.Attempt) + len(c.Endpoint) + len(c.Gate) + len(c.RequestID)
+	if e.Outcome != nil {
+		n += len(e.Outcome.ContentType) + len(e.Outcome.Body)
+	}
+	return int64(ledgerEntryBytes + n)
+}
+
+// ledger maps idempotency keys to the attempt that holds each, and to its
+// outcome once that is known.
+type ledger struct {
+	entries map[wire.ClaimKey]*ledgerEntry
+	expiry  []expiring // in order of time; an entry that changed since has a later record
+	bytes   int64
+}
+
+type expiring struct {
+	key wire.ClaimKey
+	at  int64
+}
+
+func newLedger(list []*ledgerEntry) ledger {
+	l := ledger{entries: make(map[wire.ClaimKey]*ledgerEntry, len(list))}
+	for _, e := range list {
+		l.put(e)
+	}
+	sort.SliceStable(l.expiry, func(i, j int) bool { return l.expiry[i].at < l.expiry[j].at })
+	return l
+}
+
+func (l *ledger) put(e *ledgerEntry) {
+	key := e.Claim.ClaimKey
+	l.remove(key)
+	l.entries[key] = e
+	l.bytes += e.size()
+	l.expiry = append(l.expiry, expiring{key, e.At})
+}
+
+func (l *ledger) remove(key wire.ClaimKey) {
+	if e := l.entries[key]; e != nil {
+		l.bytes -= e.size()
+		delete(l.entries, key)
+	}
+}
+
+func (l *ledger) claim(c wire.ClaimRequest, now, limit int64) wire.ClaimReply {
+	e := l.entries[c.ClaimKey]
+	if e == nil {
+		if limit > 0 && l.bytes >= limit {
+			return wire.ClaimReply{State: wire.ClaimFull}
+		}
+		l.put(&ledgerEntry{Claim: c, At: now})
+		return wire.ClaimReply{State: wire.ClaimGranted}
+	}
+	holder := e.Claim
+	switch {
+	case e.Claim.BodyHash != c.BodyHash:
+		return wire.ClaimReply{State: wire.ClaimMismatch}
+	case e.Outcome != nil:
+		return wire.ClaimReply{State: wire.ClaimSettled, Holder: &holder, Outcome: e.Outcome}
+	case e.Claim.Attempt == c.Attempt:
+		return wire.ClaimReply{State: wire.ClaimGranted} // the claim was sent twice
+	default:
+		return wire.ClaimReply{State: wire.ClaimHeld, Holder: &holder}
+	}
+}
+
+// settle records the first outcome of the attempt that holds the key. An
+// outcome for another attempt has no effect; the outcome that stands is
+// returned. An answer that comes to light later replaces MayHaveRun.
+func (l *ledger) settle(s wire.SettleRequest, now int64) wire.SettleReply {
+	e := l.entries[s.ClaimKey]
+	if e == nil || e.Claim.Attempt != s.Attempt {
+		return wire.SettleReply{Outcome: s.Outcome}
+	}
+	if e.Outcome != nil && (e.Outcome.Verdict != verdict.MayHaveRun || s.Outcome.Verdict != verdict.Ran) {
+		return wire.SettleReply{Outcome: *e.Outcome}
+	}
+	if s.Outcome.Verdict == verdict.NotRun {
+		l.remove(s.ClaimKey)
+		return wire.SettleReply{Outcome: s.Outcome}
+	}
+	out := s.Outcome
+	l.put(&ledgerEntry{Claim: e.Claim, Outcome: &out, At: now})
+	return wire.SettleReply{Outcome: out}
+}
+
+// expire drops the entries that did not change for LedgerLifetime.
+func (l *ledger) expire(now int64) {
+	limit := now - LedgerLifetime.Milliseconds()
+	k := 0
+	for k < len(l.expiry) && l.expiry[k].at < limit {
+		if e := l.entries[l.expiry[k].key]; e != nil && e.At < limit {
+			l.remove(l.expiry[k].key)
+		}
+		k++
+	}
+	l.expiry = l.expiry[k:]
+}
--- /dev/null
+++ b/node/state/seed_test.go
@@ -0,0 +1,13 @@
+package state
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of rapid; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
--- a/node/state/state.go
+++ b/node/state/state.go
@@ -4,14 +4,12 @@
 package state
 
 import (
-	"sort"
-	"time"
+	"maps"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
-	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 )
 
@@ -25,7 +23,11 @@
 	Claims  []wire.ClaimRequest  `cbor:"5,keyasint,omitempty"`
 	Settles []wire.SettleRequest `cbor:"6,keyasint,omitempty"`
 	Fences  []wire.MemberID      `cbor:"7,keyasint,omitempty"` // upstreams for which a new fencing token is drawn
-	Team    *TeamCommand         `cbor:"20,keyasint,omitempty"`
+	// LedgerLimit is the size in bytes from which on Claims take no new key;
+	// zero is no limit. It comes with the command because settings may differ
+	// between replicas.
+	LedgerLimit int64        `cbor:"8,keyasint,omitempty"`
+	Team        *TeamCommand `cbor:"20,keyasint,omitempty"`
 }
 
 // Removal ends a membership, unless the process has since come back under
@@ -47,10 +49,8 @@
 const (
 	// ChangeWindow is how many changes keep their first answer for resends.
 	// An older resend is still never applied: its number is spent.
-	ChangeWindow = 100_000
-	// LedgerLifetime is how long a settled key keeps its outcome.
-	LedgerLifetime = 24 * time.Hour
-	memberLogSize  = 4096
+	ChangeWindow  = 100_000
+	memberLogSize = 4096
 )
 
 type changeRecord struct {
@@ -64,12 +64,6 @@
 	Sections []string `cbor:"7,keyasint,omitempty"`
 }
 
-type ledgerEntry struct {
-	Claim   wire.ClaimRequest `cbor:"1,keyasint"`
-	Outcome *wire.Outcome     `cbor:"2,keyasint,omitempty"`
-	At      int64             `cbor:"3,keyasint"` // of the claim, then of the settlement
-}
-
 type memberChange struct {
 	seq     uint64
 	id      wire.MemberID
@@ -78,36 +72,32 @@
 
 // stored is the part of a Machine that a snapshot holds.
 type stored struct {
-	Now        int64                          `cbor:"1,keyasint"`
-	Version    uint64                         `cbor:"2,keyasint"`
-	Text       string                         `cbor:"3,keyasint"`
-	Winner     string                         `cbor:"4,keyasint"` // change id of Version
-	Changes    []changeRecord                 `cbor:"5,keyasint"`
-	Ledger     map[wire.ClaimKey]*ledgerEntry `cbor:"-"`
-	LedgerList []*ledgerEntry                 `cbor:"6,keyasint"`
-	Members    map[wire.MemberID]wire.Member  `cbor:"7,keyasint"`
-	MembersSeq uint64                         `cbor:"8,keyasint"`
-	Fence      uint64                         `cbor:"9,keyasint"`
-	Fences     map[wire.MemberID]uint64       `cbor:"10,keyasint"`
-	Teams      map[string]Team                `cbor:"20,keyasint,omitempty"`
-	Keys       []Key                          `cbor:"21,keyasint,omitempty"`
+	Now        int64                         `cbor:"1,keyasint"`
+	Version    uint64                        `cbor:"2,keyasint"`
+	Text       string                        `cbor:"3,keyasint"`
+	Winner     string                        `cbor:"4,keyasint"` // change id of Version
+	Changes    []changeRecord                `cbor:"5,keyasint"`
+	LedgerList []*ledgerEntry                `cbor:"6,keyasint"` // set in snapshots only
+	Members    map[wire.MemberID]wire.Member `cbor:"7,keyasint"`
+	MembersSeq uint64                        `cbor:"8,keyasint"`
+	Fence      uint64                        `cbor:"9,keyasint"`
+	Fences     map[wire.MemberID]uint64      `cbor:"10,keyasint"`
+	Teams      map[string]Team               `cbor:"20,keyasint,omitempty"`
+	Keys       []Key                         `cbor:"21,keyasint,omitempty"`
 }
 
 // Machine is the state. One goroutine owns it; others read its View.
 type Machine struct {
 	s         stored
+	ledger    ledger
 	byChange  map[string]int // change id to position in s.Changes
 	memberLog []memberChange
-	expiry    []expiring // settled keys in order of settlement
+	view      *View
+	members   map[wire.MemberID]wire.Member // copy in the last view, until the members change
+	config    wire.ConfigText               // in the last view
 
 	teamsView   *Teams            // of the current teams
 	historyView []wire.ChangeInfo // of the current changes
-	view        *View
-}
-
-type expiring struct {
-	key wire.ClaimKey
-	at  int64
 }
 
 // View is an immutable picture of what followers of the state read.
@@ -119,6 +109,7 @@
 	Ledger     int
 	Teams      *Teams
 	History    []wire.ChangeInfo // newest last
+	LedgerSize int64             // bytes, as counted against the limit
 	log        []memberChange
 }
 
@@ -131,7 +122,6 @@
 
 func (m *Machine) reset(s stored) {
 	m.s = s
-	m.s.Ledger = map[wire.ClaimKey]*ledgerEntry{}
 	if m.s.Members == nil {
 		m.s.Members = map[wire.MemberID]wire.Member{}
 	}
@@ -142,28 +132,21 @@
 	for i, c := range m.s.Changes {
 		m.byChange[c.ID] = i
 	}
-	m.expiry = nil
-	for _, e := range m.s.LedgerList {
-		m.s.Ledger[e.Claim.ClaimKey] = e
-		if e.Outcome != nil {
-			m.expiry = append(m.expiry, expiring{e.Claim.ClaimKey, e.At})
-		}
-	}
+	m.ledger = newLedger(m.s.LedgerList)
 	m.s.LedgerList = nil
-	sort.Slice(m.expiry, func(i, j int) bool { return m.expiry[i].at < m.expiry[j].at })
 	m.memberLog = nil
-	m.view = nil
+	m.view, m.members, m.config = nil, nil, wire.ConfigText{}
 	m.teamsView, m.historyView = m.teams(), m.history()
 }
 
 // Apply executes one encoded Command.
 func (m *Machine) Apply(data []byte) (Result, error) {
 	var c Command
-	if err := cbor.Unmarshal(data, &c); err != nil {
+	if err := decoding.Unmarshal(data, &c); err != nil {
 		return Result{}, errors.Annotate(err, "state: command")
 	}
 	m.s.Now = max(m.s.Now, c.Now)
-	m.expire()
+	m.ledger.expire(m.s.Now)
 	var r Result
 	if c.Change != nil {
 		res := m.change(c.Change)
@@ -176,10 +159,10 @@
 		m.remove(rm)
 	}
 	for _, claim := range c.Claims {
-		r.Claims = append(r.Claims, m.claim(claim))
+		r.Claims = append(r.Claims, m.ledger.claim(claim, m.s.Now, c.LedgerLimit))
 	}
 	for _, settle := range c.Settles {
-		r.Settles = append(r.Settles, m.settle(settle))
+		r.Settles = append(r.Settles, m.ledger.settle(settle, m.s.Now))
 	}
 	for _, id := range c.Fences {
 		r.Fences = append(r.Fences, m.fence(id))
@@ -261,92 +244,24 @@
 
 func (m *Machine) logMember(id wire.MemberID, removed bool) {
 	m.s.MembersSeq++
+	m.members = nil
 	m.memberLog = append(m.memberLog, memberChange{m.s.MembersSeq, id, removed})
 	if len(m.memberLog) >= 2*memberLogSize {
 		m.memberLog = append([]memberChange(nil), m.memberLog[memberLogSize:]...)
 	}
 }
 
-func (m *Machine) claim(c wire.ClaimRequest) wire.ClaimReply {
-	e := m.s.Ledger[c.ClaimKey]
-	if e == nil {
-		m.s.Ledger[c.ClaimKey] = &ledgerEntry{Claim: c, At: m.s.Now}
-		return wire.ClaimReply{State: wire.ClaimGranted}
-	}
-	holder := e.Claim
-	switch {
-	case e.Claim.BodyHash != c.BodyHash:
-		return wire.ClaimReply{State: wire.ClaimMismatch}
-	case e.Outcome != nil:
-		return wire.ClaimReply{State: wire.ClaimSettled, Holder: &holder, Outcome: e.Outcome}
-	case e.Claim.Attempt == c.Attempt:
-		return wire.ClaimReply{State: wire.ClaimGranted} // the claim was sent twice
-	default:
-		return wire.ClaimReply{State: wire.ClaimHeld, Holder: &holder}
-	}
-}
-
-// settle records the first outcome of the attempt that holds the key. An
-// outcome for another attempt has no effect; the outcome that stands is
-// returned. An answer that comes to light later replaces MayHaveRun.
-func (m *Machine) settle(s wire.SettleRequest) wire.SettleReply {
-	e := m.s.Ledger[s.ClaimKey]
-	if e == nil || e.Claim.Attempt != s.Attempt {
-		return wire.SettleReply{Outcome: s.Outcome}
-	}
-	if e.Outcome != nil {
-		if e.Outcome.Verdict == verdict.MayHaveRun && s.Outcome.Verdict == verdict.Ran {
-			out := s.Outcome
-			e.Outcome = &out
-		}
-		return wire.SettleReply{Outcome: *e.Outcome}
-	}
-	if s.Outcome.Verdict == verdict.NotRun {
-		delete(m.s.Ledger, s.ClaimKey)
-		return wire.SettleReply{Outcome: s.Outcome}
-	}
-	out := s.Outcome
-	e.Outcome, e.At = &out, m.s.Now
-	m.expiry = append(m.expiry, expiring{s.ClaimKey, m.s.Now})
-	return wire.SettleReply{Outcome: out}
-}
-
-func (m *Machine) expire() {
-	limit := m.s.Now - LedgerLifetime.Milliseconds()
-	k := 0
-	for k < len(m.expiry) && m.expiry[k].at < limit {
-		delete(m.s.Ledger, m.expiry[k].key)
-		k++
-	}
-	m.expiry = m.expiry[k:]
-}
-
 func (m *Machine) fence(id wire.MemberID) uint64 {
 	m.s.Fence++
 	m.s.Fences[id] = m.s.Fence
 	return m.s.Fence
 }
 
-// Snapshot encodes the whole state.
-func (m *Machine) Snapshot() ([]byte, error) {
-	s := m.s
-	s.LedgerList = make([]*ledgerEntry, 0, len(s.Ledger))
-	for _, e := range s.Ledger {
-		s.LedgerList = append(s.LedgerList, e)
-	}
-	sort.Slice(s.LedgerList, func(i, j int) bool {
-		a, b := s.LedgerList[i].Claim.ClaimKey, s.LedgerList[j].Claim.ClaimKey
-		return a.Customer < b.Customer || a.Customer == b.Customer && a.Key < b.Key
-	})
-	data, err := cbor.Marshal(s)
-	return data, errors.Trace(err)
-}
-
 // Restore replaces the state by an encoded one; empty data is the empty state.
 func (m *Machine) Restore(data []byte) error {
 	var s stored
 	if len(data) > 0 {
-		if err := cbor.Unmarshal(data, &s); err != nil {
+		if err := decoding.Unmarshal(data, &s); err != nil {
 			return errors.Annotate(err, "state: snapshot")
 		}
 	}
@@ -359,16 +274,19 @@
 	if m.view != nil {
 		return m.view
 	}
-	members := make(map[wire.MemberID]wire.Member, len(m.s.Members))
-	for id, member := range m.s.Members {
-		members[id] = member
+	if m.members == nil {
+		m.members = maps.Clone(m.s.Members)
+	}
+	if m.config.Version != m.s.Version {
+		m.config = wire.ConfigText{Version: m.s.Version, Text: m.s.Text, Hash: xxhash.Sum64String(m.s.Text)}
 	}
 	m.view = &View{
-		Config:     wire.ConfigText{Version: m.s.Version, Text: m.s.Text, Hash: xxhash.Sum64String(m.s.Text)},
+		Config:     m.config,
 		Winner:     m.s.Winner,
 		MembersSeq: m.s.MembersSeq,
-		Members:    members,
-		Ledger:     len(m.s.Ledger),
+		Members:    m.members,
+		Ledger:     len(m.ledger.entries),
+		LedgerSize: m.ledger.bytes,
 		Teams:      m.teamsView,
 		History:    m.historyView,
 		log:        m.memberLog[:len(m.memberLog):len(m.memberLog)],
