--- a/node/gate/gatetime_test.go
+++ b/node/gate/gatetime_test.go
@@ -31,6 +31,9 @@
 	if st := tab.cancelClaimed("cancelled", false, claimed); st.State != wire.AttemptTombstoned {
 		t.Fatalf("cancelled before it came: %s", st.State)
 	}
+	if refusal := tab.submit(attemptOf("cancelled", claimed)); refusal == nil || refusal.Verdict != verdict.NotRun {
+		t.Fatalf("submitted after it was cancelled: %v", refusal)
+	}
 	if refusal := tab.submit(attemptOf("answered", claimed)); refusal != nil {
 		t.Fatal(refusal)
 	}
--- a/node/ledger/fakes_test.go
+++ b/node/ledger/fakes_test.go
@@ -228,6 +228,7 @@
 type fakeAttempt struct {
 	id     wire.AttemptID
 	key    wire.ClaimKey
+	body   string
 	until  time.Time // the caller's deadline
 	state  wire.AttemptState
 	at     time.Time // of its end
@@ -284,7 +285,7 @@
 		g.bury(c.Attempt, why)
 		return why
 	}
-	g.attempts[c.Attempt] = &fakeAttempt{id: c.Attempt, key: key, until: c.Deadline, state: wire.AttemptQueued}
+	g.attempts[c.Attempt] = &fakeAttempt{id: c.Attempt, key: key, body: string(c.Body), until: c.Deadline, state: wire.AttemptQueued}
 	return nil
 }
 
--- a/node/ledger/ledger_test.go
+++ b/node/ledger/ledger_test.go
@@ -25,7 +25,7 @@
 // world is several entries and gates around the real state machine, and the
 // oracle: which attempt ran for which key, and what callers were told.
 type world struct {
-	t        *rapid.T
+	t        fataler
 	clock    *clockwork.FakeClock
 	parked   chan struct{}
 	machine  *state.Machine
@@ -45,16 +45,25 @@
 	notRun map[wire.AttemptID]bool
 	ran    map[wire.AttemptID]bool
 
+	padding string // appended to the answers of answerAll
+	full    bool   // the ledger takes no new key
 	ticks   int64
 	history []porcupine.Operation
 }
 
+// fataler is a *testing.T or a *rapid.T.
+type fataler interface {
+	Fatal(...any)
+	Fatalf(string, ...any)
+}
+
 type answerOwner struct {
 	key    wire.ClaimKey
+	body   string
 	window int
 }
 
-func newWorld(t *rapid.T) *world {
+func newWorld(t fataler) *world {
 	w := &world{t: t, clock: clockwork.NewFakeClock(), parked: make(chan struct{}), machine: state.New(),
 		runs: map[wire.ClaimKey]int{}, owner: map[string]answerOwner{}, seen: map[wire.ClaimKey]string{},
 		notRun: map[wire.AttemptID]bool{}, ran: map[wire.AttemptID]bool{}}
@@ -89,6 +98,9 @@
 
 func (w *world) apply(c state.Command) state.Result {
 	c.Now = w.clock.Now().UnixMilli()
+	if w.full {
+		c.LedgerLimit = 1
+	}
 	data, err := c.Encode()
 	if err != nil {
 		w.t.Fatal(err)
@@ -129,8 +141,8 @@
 	}
 	answer := string(r.result.Outcome.Body)
 	owner, ok := w.owner[answer]
-	if !ok || owner.key != r.key {
-		w.t.Fatalf("key %v got answer %q of %v", r.key, answer, owner.key)
+	if !ok || owner.key != r.key || owner.body != string(r.call.Body) {
+		w.t.Fatalf("key %v with %q got answer %q of %+v", r.key, r.call.Body, answer, owner)
 	}
 	if owner.window != w.window {
 		return // its key expired while the entry stood still
@@ -289,7 +301,7 @@
 		if what == "5xx" {
 			a.status = 503
 		}
-		w.owner[a.answer] = answerOwner{a.key, w.window}
+		w.owner[a.answer] = answerOwner{a.key, a.body, w.window}
 		a.state = wire.AttemptDone
 	case "cut":
 		a.fault, a.state = verdict.New(verdict.Ran, verdict.CodeCut, "cut"), wire.AttemptDone
@@ -378,8 +390,8 @@
 				w.begin(a)
 			}
 			if a.state == wire.AttemptRunning {
-				a.answer, a.status, a.state, a.at = "answer of "+string(a.id), 200, wire.AttemptDone, w.clock.Now()
-				w.owner[a.answer] = answerOwner{a.key, w.window}
+				a.answer, a.status, a.state, a.at = "answer of "+string(a.id)+w.padding, 200, wire.AttemptDone, w.clock.Now()
+				w.owner[a.answer] = answerOwner{a.key, a.body, w.window}
 			}
 		}
 	}
--- a/node/ledger/seed_test.go
+++ b/node/ledger/seed_test.go
@@ -10,5 +10,6 @@
 func TestMain(m *testing.M) {
 	flag.Set("rapid.seed", "1")
 	flag.Set("rapid.steps", "100")
+	flag.Set("rapid.checks", "3000")
 	os.Exit(m.Run())
 }
--- a/node/state/ledger.go
+++ b/node/state/ledger.go
@@ -14,7 +14,7 @@
 
 // ledgerEntryBytes is what an entry costs besides its strings and its answer:
 // map slot, structs and expiry record, as measured.
-const ledgerEntryBytes = 640
+const ledgerEntryBytes = 430
 
 // ledgerEntry is immutable, so that a snapshot can be encoded while commands
 // are applied.
