--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -118,7 +118,7 @@
 func defaults() *Settings {
 	return &Settings{
 		Node:    Node{DrainTimeout: 30 * time.Second, LogLevel: "info", Timeline: 4096},
-		Control: ControlRole{Lease: 3 * time.Second, Voters: 3, LedgerMax: 512 << 20},
+		Control: ControlRole{Lease: 3 * time.Second, Voters: 3, LedgerMax: 128 << 20},
 		Entry:   EntryRole{MaxBody: 4 << 20, StaleAfter: 5 * time.Second, MaxInFlight: 4096, MaxAnswer: 16 << 20},
 		Agent:   AgentRole{KeepAnswers: 2 * time.Minute, MaxAnswer: 16 << 20, HealthPath: "/health"},
 	}
--- a/node/state/bench_test.go
+++ b/node/state/bench_test.go
@@ -48,10 +48,16 @@
 	}
 }
 
-// BenchmarkSnapshot takes and restores a ledger of 100000 keys.
+// BenchmarkSnapshot takes and restores ledgers.
 func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range []int{100_000, 500_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { benchmarkSnapshot(b, n) })
+	}
+}
+
+func benchmarkSnapshot(b *testing.B, n int) {
 	m := New()
-	fill(b, m, 100_000)
+	fill(b, m, n)
 	data, _ := m.Snapshot()
 	b.Run("capture", func(b *testing.B) {
 		for b.Loop() {
--- a/node/state/machine_test.go
+++ b/node/state/machine_test.go
@@ -225,7 +225,7 @@
 		} else if !bytes.Equal(first, data) {
 			t.Fatalf("machine %d differs from machine 0", i)
 		}
-		if m.ledger.bytes != newLedger(m.Capture().s.LedgerList).bytes {
+		if m.ledger.bytes != newLedger(m.Capture().ledger).bytes {
 			t.Fatalf("ledger size %d was not kept up", m.ledger.bytes)
 		}
 		v := m.View()
@@ -332,3 +332,18 @@
 		t.Fatal("the image changed with the machine")
 	}
 }
+
+// TestDamagedSnapshot cuts and lengthens a snapshot at every byte.
+func TestDamagedSnapshot(t *testing.T) {
+	m := New()
+	apply(t, m, Command{Now: 1, Claims: claims(0, 2), Join: []wire.Member{{ID: "a"}}})
+	data, _ := m.Snapshot()
+	for k := 1; k < len(data); k++ {
+		if New().Restore(data[:k]) == nil {
+			t.Fatalf("restored from %d of %d bytes", k, len(data))
+		}
+	}
+	if New().Restore(append(data, 0)) == nil {
+		t.Fatal("restored with a byte too many")
+	}
+}
--- a/node/state/snapshot.go
+++ b/node/state/snapshot.go
@@ -1,10 +1,13 @@
 package state
 
 import (
+	"bytes"
 	"maps"
 	"math"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
@@ -34,7 +37,10 @@
 
 // Image is the state at one moment. It stays as it is while the Machine goes
 // on, so that it can be encoded by another goroutine.
-type Image struct{ s stored }
+type Image struct {
+	s      stored
+	ledger []*ledgerEntry
+}
 
 // Capture takes an Image. It copies references, not contents.
 func (m *Machine) Capture() *Image {
@@ -43,18 +49,89 @@
 	s.Members = maps.Clone(s.Members)
 	s.Fences = maps.Clone(s.Fences)
 	s.Teams = maps.Clone(s.Teams)
-	s.LedgerList = make([]*ledgerEntry, 0, len(m.ledger.entries))
+	list := make([]*ledgerEntry, 0, len(m.ledger.entries))
 	for _, e := range m.ledger.entries {
-		s.LedgerList = append(s.LedgerList, e)
+		list = append(list, e)
 	}
-	return &Image{s}
+	return &Image{s, list}
 }
 
-// Encode returns the bytes that Restore reads. Equal states give equal bytes.
+// Encode returns the bytes that Restore reads, a CBOR sequence (RFC 8742) of
+// the state without the ledger and of the ledger's parts. Equal states give
+// equal bytes.
 func (i *Image) Encode() ([]byte, error) {
-	slices.SortFunc(i.s.LedgerList, func(a, b *ledgerEntry) int { return compareKeys(a.Claim.ClaimKey, b.Claim.ClaimKey) })
-	data, err := encoding.Marshal(i.s)
-	return data, errors.Trace(err)
+	slices.SortFunc(i.ledger, func(a, b *ledgerEntry) int { return compareKeys(a.Claim.ClaimKey, b.Claim.ClaimKey) })
+	parts, err := encodeLedger(i.ledger)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	s := i.s
+	s.Ledger = len(parts)
+	head, err := encoding.Marshal(s)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return bytes.Join(append([][]byte{head}, parts...), nil), nil
+}
+
+// The ledger is most of a snapshot. It is coded in parts of ledgerPart entries
+// by up to codecWorkers goroutines, because a replica waits for it.
+const (
+	ledgerPart   = 4096
+	codecWorkers = 4
+)
+
+func encodeLedger(list []*ledgerEntry) ([][]byte, error) {
+	chunks := slices.Collect(slices.Chunk(list, ledgerPart))
+	parts := make([][]byte, len(chunks))
+	err := parallel(len(chunks), func(k int) (err error) {
+		parts[k], err = encoding.Marshal(chunks[k])
+		return err
+	})
+	return parts, err
+}
+
+func decodeLedger(data []byte, n int) ([]*ledgerEntry, error) {
+	var parts []cbor.RawMessage
+	for len(data) > 0 {
+		var part cbor.RawMessage
+		rest, err := decoding.UnmarshalFirst(data, &part)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		parts, data = append(parts, part), rest
+	}
+	if len(parts) != n {
+		return nil, errors.Errorf("%d parts of the ledger, want %d", len(parts), n)
+	}
+	chunks := make([][]*ledgerEntry, n)
+	err := parallel(n, func(k int) error { return decoding.Unmarshal(parts[k], &chunks[k]) })
+	list := slices.Concat(chunks...)
+	if err == nil && slices.Contains(list, nil) {
+		err = errors.New("empty entry in the ledger")
+	}
+	return list, err
+}
+
+// parallel calls f for 0 to n-1 and returns the first error by number.
+func parallel(n int, f func(int) error) error {
+	errs := make([]error, n)
+	var next atomic.Int64
+	var wg sync.WaitGroup
+	for range min(n, codecWorkers) {
+		wg.Go(func() {
+			for k := int(next.Add(1)) - 1; k < n; k = int(next.Add(1)) - 1 {
+				errs[k] = f(k)
+			}
+		})
+	}
+	wg.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func compareKeys(a, b wire.ClaimKey) int {
--- a/node/state/state.go
+++ b/node/state/state.go
@@ -77,7 +77,7 @@
 	Text       string                        `cbor:"3,keyasint"`
 	Winner     string                        `cbor:"4,keyasint"` // change id of Version
 	Changes    []changeRecord                `cbor:"5,keyasint"`
-	LedgerList []*ledgerEntry                `cbor:"6,keyasint"` // set in snapshots only
+	Ledger     int                           `cbor:"6,keyasint"` // in snapshots only: number of ledger parts that follow
 	Members    map[wire.MemberID]wire.Member `cbor:"7,keyasint"`
 	MembersSeq uint64                        `cbor:"8,keyasint"`
 	Fence      uint64                        `cbor:"9,keyasint"`
@@ -116,11 +116,11 @@
 // New returns an empty machine.
 func New() *Machine {
 	m := &Machine{}
-	m.reset(stored{})
+	m.reset(stored{}, nil)
 	return m
 }
 
-func (m *Machine) reset(s stored) {
+func (m *Machine) reset(s stored, list []*ledgerEntry) {
 	m.s = s
 	if m.s.Members == nil {
 		m.s.Members = map[wire.MemberID]wire.Member{}
@@ -132,8 +132,8 @@
 	for i, c := range m.s.Changes {
 		m.byChange[c.ID] = i
 	}
-	m.ledger = newLedger(m.s.LedgerList)
-	m.s.LedgerList = nil
+	m.ledger = newLedger(list)
+	m.s.Ledger = 0
 	m.memberLog = nil
 	m.view, m.members, m.config = nil, nil, wire.ConfigText{}
 	m.teamsView, m.historyView = m.teams(), m.history()
@@ -261,11 +261,17 @@
 func (m *Machine) Restore(data []byte) error {
 	var s stored
 	if len(data) > 0 {
-		if err := decoding.Unmarshal(data, &s); err != nil {
+		rest, err := decoding.UnmarshalFirst(data, &s)
+		if err != nil {
 			return errors.Annotate(err, "state: snapshot")
 		}
+		data = rest
 	}
-	m.reset(s)
+	list, err := decodeLedger(data, s.Ledger)
+	if err != nil {
+		return errors.Annotate(err, "state: snapshot")
+	}
+	m.reset(s, list)
 	return nil
 }
 
