--- a/node/gate/gatetime.go
+++ b/node/gate/gatetime.go
@@ -40,7 +40,7 @@
 	return gateTime > 0 && t.age(gateTime) >= t.limits.keep
 }
 
-// cancelClaimed is cancelAttempt for an attempt whose claim carries a gate
+// cancelClaimed is cancelLocked for an attempt whose claim carries a gate
 // time; zero says that there is none.
 func (t *table) cancelClaimed(id wire.AttemptID, abandon bool, gateTime int64) wire.AttemptStatus {
 	t.mu.Lock()
--- a/node/gate/table.go
+++ b/node/gate/table.go
@@ -237,14 +237,8 @@
 	}
 }
 
-// cancelAttempt makes a tombstone if the attempt has not started, also when it
+// cancelLocked makes a tombstone if the attempt has not started, also when it
 // was never seen. With abandon set, a running attempt is ended as well.
-func (t *table) cancelAttempt(id wire.AttemptID, abandon bool) wire.AttemptStatus {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.cancelLocked(id, abandon)
-}
-
 func (t *table) cancelLocked(id wire.AttemptID, abandon bool) wire.AttemptStatus {
 	a := t.attempts[id]
 	switch {
--- a/node/ledger/service.go
+++ b/node/ledger/service.go
@@ -48,7 +48,7 @@
 		gates:      p.Dispatch,
 		chooser:    p.Routing,
 		clock:      clockwork.NewRealClock(),
-		newAttempt: func() wire.AttemptID { return wire.AttemptID(uuid.NewString()) },
+		newAttempt: func() wire.AttemptID { return wire.AttemptID(uuid.Must(uuid.NewV7()).String()) },
 		member:     s.member,
 		record:     s.record,
 		times:      newGateTimes(),
--- a/node/state/machine_test.go
+++ b/node/state/machine_test.go
@@ -264,14 +264,19 @@
 	return r
 }
 
-// TestLargeLedgerIsRestored goes above the element limit that the codec
-// library sets by default.
-func TestLargeLedgerIsRestored(t *testing.T) {
+// TestLargeStateIsRestored goes above the element limit that the codec library
+// sets by default, with ledger entries, changes and members.
+func TestLargeStateIsRestored(t *testing.T) {
 	const entries = 140_000
 	m := New()
 	for i := 0; i < entries; i += 1000 {
 		apply(t, m, Command{Now: 1, Claims: claims(i, 1000)})
 	}
+	for i := range entries {
+		id := fmt.Sprint(i)
+		m.remember(changeRecord{ID: id})
+		m.s.Members[wire.MemberID(id)] = wire.Member{ID: wire.MemberID(id)}
+	}
 	data, err := m.Snapshot()
 	if err != nil {
 		t.Fatal(err)
@@ -280,8 +285,8 @@
 	if err := restored.Restore(data); err != nil {
 		t.Fatal(err)
 	}
-	if got := restored.View().Ledger; got != entries {
-		t.Fatalf("%d entries restored, want %d", got, entries)
+	if got := restored.View(); got.Ledger != entries || len(got.Members) != entries || len(restored.s.Changes) != entries {
+		t.Fatalf("%d entries, %d members and %d changes restored, want %d each", got.Ledger, len(got.Members), len(restored.s.Changes), entries)
 	}
 }
 
