Orders, planner and weight store: state, agent, leader and stand-ins

cause: engines under orders did not exist. ruled out: an order sent by the leader to the agent (a cut-off leader could send); the agent asks instead and the leader answers after a read barrier.

--- a/api/optext/optext.go
+++ b/api/optext/optext.go
@@ -54,6 +54,15 @@
 	QueueDiscipline string `ini:"queue" json:"queue"`                   // fair or fifo
 	Subset          int    `ini:"subset" json:"subset"`                 // upstreams that one entry uses; 0 means all
 	Ejection        bool   `ini:"ejection" json:"ejection"`             // leave out upstreams that fail or lag far behind the others
+
+	Models      []string      `ini:"models" json:"models,omitempty"`             // MODEL@VERSION, or MODEL@VERSION/ADAPTER, that warm upstreams hold
+	EngineRole  string        `ini:"engine_role" json:"engine_role,omitempty"`   // role that the engines are told to play
+	Scale       string        `ini:"scale" json:"scale,omitempty"`               // off, threshold or forecast
+	MinWarm     int           `ini:"min_warm" json:"min_warm,omitempty"`         // upstreams that stay loaded in quiet hours
+	IdleAfter   time.Duration `ini:"idle_after" json:"idle_after,omitempty"`     // lower demand must last this long before an unload
+	WakeLead    time.Duration `ini:"wake_lead" json:"wake_lead,omitempty"`       // how far ahead of a forecast rise loading starts
+	LoadTimeout time.Duration `ini:"load_timeout" json:"load_timeout,omitempty"` // a load that takes longer has failed
+	WeightBytes int64         `ini:"weight_bytes" json:"weight_bytes,omitempty"` // bytes of one load from the weight store
 }
 
 // Pipeline is a graph of stages that share one deadline.
@@ -89,6 +98,7 @@
 	Services    map[string]*Service
 	Pipelines   map[string]*Pipeline
 	Customers   map[string]*Customer
+	WeightStore *WeightStore // nil when the text names none
 	models      map[string]*Pipeline
 }
 
@@ -162,19 +172,23 @@
 		cu := &Customer{Name: name, Share: 1}
 		p.f.Decode(section, cu)
 		p.c.Customers[name] = cu
+	case "weight_store":
+		p.weightStore(section, name)
 	default:
-		p.f.Fail(section, "", "unknown section kind "+kind, "use service, pipeline, stage, customer or data_center")
+		p.f.Fail(section, "", "unknown section kind "+kind, "use service, pipeline, stage, customer, data_center or weight_store")
 	}
 }
 
 func (p *parser) service(section, name string) {
 	s := &Service{Name: name, Concurrency: defaultConcurrency, QueueLength: defaultQueueLength,
 		RoutingPolicy: RoutingPolicies[0], HedgePercent: defaultHedge, RetryPercent: defaultRetry, QueueDiscipline: "fair", Ejection: true}
+	s.setScaleDefaults()
 	p.f.Decode(section, s)
 	p.c.Services[name] = s
 	p.oneOf(section, "kind", s.Kind, string(Engine), string(Encoder), string(Retriever), string(Reranker), string(Plain))
 	p.oneOf(section, "routing", s.RoutingPolicy, RoutingPolicies...)
 	p.oneOf(section, "queue", s.QueueDiscipline, "fair", "fifo")
+	p.scale(section, s)
 	if s.Concurrency < 1 {
 		p.f.Fail(section, "concurrency", "concurrency is zero", "write 1 or more")
 	}
@@ -212,6 +226,7 @@
 		}
 		pl.Stages = append(pl.Stages, r.stage)
 	}
+	p.checkWeights()
 	for _, name := range sortedKeys(p.c.Pipelines) {
 		p.pipeline(p.c.Pipelines[name])
 	}
--- a/api/wire/messages.go
+++ b/api/wire/messages.go
@@ -26,6 +26,7 @@
 	Gate        string   `json:"gate,omitempty"`    // agents only: address of the gate
 	Incarnation uint64   `json:"incarnation"`       // differs for every start of the process
 	Leaving     bool     `json:"leaving,omitempty"`
+	Holds       string   `json:"holds,omitempty"` // agents only: artifacts of the upstream, see JoinArtifacts
 }
 
 // SyncRequest renews the caller's lease and asks for what changed. The answer
--- a/ctl/cmd/caperdrum/main.go
+++ b/ctl/cmd/caperdrum/main.go
@@ -24,7 +24,7 @@
 		&commands.History{}, &commands.Timeline{}, &commands.Teams{}, &commands.Key{}} {
 		subcommands.Register(c, "operate")
 	}
-	for _, c := range []subcommands.Command{&commands.Standin{}, &commands.Demo{}, &commands.Bench{}} {
+	for _, c := range []subcommands.Command{&commands.Standin{}, &commands.WeightStore{}, &commands.Demo{}, &commands.Bench{}} {
 		subcommands.Register(c, "try and measure")
 	}
 	flag.Parse()
--- a/ctl/commands/standin.go
+++ b/ctl/commands/standin.go
@@ -49,6 +49,11 @@
 	f.BoolVar(&o.Fault.Silent, "silent", false, "fault: accept requests and never answer")
 	f.Float64Var(&o.Fault.Error, "error", 0, "fault: share of requests answered with status 500")
 	f.Float64Var(&o.Fault.Cut, "cut", 0, "fault: share of answers cut in the middle")
+	f.BoolVar(&o.Models.Enabled, "orders", false, "engine: serve only with a model that an order loaded")
+	f.BoolVar(&o.Models.IgnoreTokens, "ignore-tokens", false, "engine: do not check fencing tokens")
+	f.DurationVar(&o.Models.LoadTime, "load-time", 200*time.Millisecond, "engine: time of a load besides the transfer")
+	f.StringVar(&o.Models.Store, "weight-store", "", "engine: `address` of a weight store")
+	f.StringVar(&o.Models.FailLoads, "fail-loads", "", "engine: `version` whose loads fail")
 }
 
 // Execute implements subcommands.Command.
--- a/fake/standin/chat.go
+++ b/fake/standin/chat.go
@@ -109,6 +109,10 @@
 }
 
 func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
+	if !s.models.serves() {
+		http.Error(w, "no model is loaded", http.StatusServiceUnavailable)
+		return
+	}
 	req, ok := read[ChatRequest](w, r)
 	if !ok {
 		return
--- a/fake/standin/options.go
+++ b/fake/standin/options.go
@@ -14,6 +14,7 @@
 // Options set how a stand-in behaves. The zero value of any field chooses its
 // default or switches the feature off.
 type Options struct {
+	Models ModelOptions  `ini:"-"`      // engine: orders
 	Listen string        `ini:"listen"` // address; for a Host's configuration only
 	Kind   string        `ini:"kind" required:"true"`
 	Seed   int64         `ini:"seed"`  // of service times, lost events and random faults
--- a/fake/standin/standin.go
+++ b/fake/standin/standin.go
@@ -29,6 +29,7 @@
 	log    *runLog
 	pool   *pool   // all but engines
 	engine *engine // engines only
+	models *models // engines only
 
 	mu   sync.Mutex
 	runs map[string]int // plain: how often each body was run
@@ -39,7 +40,7 @@
 
 func newServer(opts Options, clock clockwork.Clock) *Server {
 	opts = opts.withDefaults()
-	s := &Server{opts: opts, clock: clock, faults: newFaults(opts), log: newRunLog(opts.Kind), runs: map[string]int{}}
+	s := &Server{opts: opts, clock: clock, faults: newFaults(opts), log: newRunLog(opts.Kind), runs: map[string]int{}, models: &models{opts: opts.Models}}
 	if opts.Kind == KindEngine {
 		s.engine = newEngine(opts, clock, s.faults)
 		return s
@@ -66,6 +67,9 @@
 	switch s.opts.Kind {
 	case KindEngine:
 		s.engineRoutes(r)
+		if s.opts.Models.Enabled {
+			s.routeModels(r)
+		}
 	case KindEncoder:
 		r.Post("/v1/embeddings", s.embed)
 	case KindRetriever:
--- a/node/cmd/caperdrumd/main.go
+++ b/node/cmd/caperdrumd/main.go
@@ -25,8 +25,10 @@
 	"caperdrum.org/node/kernel"
 	"caperdrum.org/node/ledger"
 	"caperdrum.org/node/logging"
+	"caperdrum.org/node/order"
 	"caperdrum.org/node/peer"
 	"caperdrum.org/node/pipeline"
+	"caperdrum.org/node/planner"
 	"caperdrum.org/node/routing"
 	"caperdrum.org/node/security"
 	"caperdrum.org/node/settings"
@@ -102,17 +104,18 @@
 func modulesOf(set *settings.Settings) []kernel.Module {
 	modules := []kernel.Module{{Name: "debug", New: debug.New}}
 	if set.Has(settings.Control) {
-		modules = append(modules, kernel.Module{Name: "control", New: control.New}, kernel.Module{Name: "admin", New: admin.New})
+		modules = append(modules, kernel.Module{Name: "control", New: control.New}, kernel.Module{Name: "planner", New: planner.New}, kernel.Module{Name: "admin", New: admin.New})
 	}
 	if set.Has(settings.Entry) || set.Has(settings.Agent) {
 		modules = append(modules, kernel.Module{Name: "configsync", New: configsync.New})
 	}
 	if set.Has(settings.Agent) {
-		modules = append(modules, kernel.Module{Name: "gate", New: gate.New}, kernel.Module{Name: "announce", New: announce.New})
+		modules = append(modules, kernel.Module{Name: "gate", New: gate.New}, kernel.Module{Name: "announce", New: announce.New}, kernel.Module{Name: "order", New: order.New})
 	}
 	if set.Has(settings.Entry) {
 		modules = append(modules,
 			kernel.Module{Name: "routing", New: routing.New},
+			kernel.Module{Name: "demand", New: order.NewDemand},
 			kernel.Module{Name: "dispatch", New: dispatch.New},
 			kernel.Module{Name: "admission", New: admission.New},
 			kernel.Module{Name: "pipeline", New: pipeline.New},
--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -118,6 +118,17 @@
 	}
 }
 
+// SetHolds announces what the upstream beside this process holds.
+func (s *Service) SetHolds(holds string) {
+	s.mu.Lock()
+	changed := s.member.Holds != holds
+	s.member.Holds = holds
+	s.mu.Unlock()
+	if changed {
+		s.Poke()
+	}
+}
+
 // Poke makes the next synchronization happen at once.
 func (s *Service) Poke() {
 	select {
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -56,6 +56,7 @@
 	mu        sync.Mutex
 	told      bool // told to leave
 	unhealthy bool // the upstream fails its health check
+	parked    bool // the upstream holds no model, or is about to drop one
 
 	incarnation uint64
 }
@@ -158,7 +159,7 @@
 }
 
 func (s *Service) applyLeaving() {
-	leaving := s.told || s.unhealthy
+	leaving := s.told || s.unhealthy || s.parked
 	s.table.setLeaving(leaving)
 	s.sync.SetLeaving(leaving)
 }
--- /dev/null
+++ b/node/planner/forecast.go
@@ -0,0 +1,88 @@
+package planner
+
+import (
+	"math"
+	"time"
+
+	"caperdrum.org/node/state"
+)
+
+// serviceMemory is what the planner remembers of a service.
+type serviceMemory struct {
+	window  slidingMax
+	slot    int // of the day; valid when started
+	peak    float64
+	started bool
+}
+
+const (
+	day        = 24 * time.Hour
+	slotLength = day / state.ForecastSlots
+	fallWeight = 0.3 // of a lower peak in the learned value; a higher one counts whole
+	perAttempt = 1000
+)
+
+func slotOf(t time.Time) int { return int(t.Sub(t.Truncate(day)) / slotLength) }
+
+// learn tracks the peak of the current slot of the day and, when the slot
+// ends, returns its new value: a rise is taken over at once, a fall by an
+// exponentially weighted average.
+func (m *serviceMemory) learn(now time.Time, service string, load float64, seen []uint32) []state.ForecastSlot {
+	slot := slotOf(now)
+	if m.started && slot == m.slot {
+		m.peak = max(m.peak, load)
+		return nil
+	}
+	ended, peak, whole := m.slot, m.peak, m.started
+	m.slot, m.peak, m.started = slot, load, true
+	if !whole {
+		return nil
+	}
+	old := 0.0
+	if ended < len(seen) {
+		old = float64(seen[ended]) / perAttempt
+	}
+	if peak < old {
+		peak = old + fallWeight*(peak-old)
+	}
+	value := uint32(math.Round(peak * perAttempt))
+	if ended < len(seen) && seen[ended] == value {
+		return nil
+	}
+	return []state.ForecastSlot{{Service: service, Slot: ended, Peak: value}}
+}
+
+// forecastPeak returns the largest learned load of the slots that touch the
+// time from now until lead has passed.
+func forecastPeak(seen []uint32, now time.Time, lead time.Duration) float64 {
+	if len(seen) < state.ForecastSlots {
+		return 0
+	}
+	peak := seen[slotOf(now)]
+	for d := slotLength; d < lead && d < day; d += slotLength {
+		peak = max(peak, seen[slotOf(now.Add(d))])
+	}
+	return float64(max(peak, seen[slotOf(now.Add(lead))])) / perAttempt
+}
+
+// slidingMax holds the maximum of a series over a trailing time span.
+type slidingMax struct {
+	points []point // falling values
+}
+
+type point struct {
+	at    time.Time
+	value int
+}
+
+// push adds a value and returns the maximum over the span.
+func (s *slidingMax) push(now time.Time, value int, span time.Duration) int {
+	for len(s.points) > 0 && s.points[len(s.points)-1].value <= value {
+		s.points = s.points[:len(s.points)-1]
+	}
+	s.points = append(s.points, point{now, value})
+	for now.Sub(s.points[0].at) > span {
+		s.points = s.points[1:]
+	}
+	return s.points[0].value
+}
--- /dev/null
+++ b/node/planner/service.go
@@ -0,0 +1,232 @@
+package planner
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/dig"
+
+	"caperdrum.org/api/optext"
+	"caperdrum.org/api/timeline"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/control"
+	"caperdrum.org/node/peer"
+	"caperdrum.org/node/replica"
+	"caperdrum.org/node/state"
+)
+
+// Params are what the service needs.
+type Params struct {
+	dig.In
+	Log     logr.Logger
+	Ring    *timeline.Ring
+	Control *control.Service `name:"control"`
+}
+
+// Service runs a Planner while this process leads.
+type Service struct {
+	log     logr.Logger
+	ring    *timeline.Ring
+	control *control.Service
+	replica *replica.Replica
+	start   time.Time
+	cancel  context.CancelFunc
+	poke    chan struct{}
+
+	mu     sync.Mutex
+	term   uint64 // of the leadership that the fields below belong to
+	polls  map[wire.MemberID]*poll
+	misses map[string]int64
+
+	// Owned by run.
+	planner    *Planner
+	storeRetry time.Time // no load is proposed before, since the budget lacked bytes
+	lastStep   time.Time
+	cfg        *optext.Config // of cfgVersion
+	cfgVersion uint64
+}
+
+// poll is the last report of one agent.
+type poll struct {
+	wire.OrderPoll
+	at       time.Time
+	counted  int64 // of Arrived
+	ordersIn bool  // reports of this poll are being replicated
+}
+
+const (
+	stepInterval = time.Second
+	stepPause    = 100 * time.Millisecond // at least this long between two plans
+	pollExpiry   = 5 * time.Second        // a report older than this counts for nothing
+	maxHold      = 5 * time.Second
+	proposeLimit = 2 * time.Second
+)
+
+var (
+	issuedVar  = expvar.NewInt("orders_issued")
+	endedVar   = expvar.NewMap("orders_ended")        // by state
+	heldVar    = expvar.NewMap("engine_seconds_held") // by service: engines that hold a model, times seconds
+	targetVar  = expvar.NewMap("engines_wanted")      // by service
+	refusedVar = expvar.NewMap("orders_refused")      // by reason
+)
+
+// New returns the service and adds its methods to the control role.
+func New(p Params) *Service {
+	s := &Service{log: p.Log, ring: p.Ring, control: p.Control, replica: p.Control.Replica(), start: time.Now(), poke: make(chan struct{}, 1)}
+	s.reset(0)
+	peer.Handle(p.Control.Server(), wire.MethodOrders, s.poll)
+	peer.Handle(p.Control.Server(), wire.MethodDemand, s.demand)
+	return s
+}
+
+func (s *Service) reset(term uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.term, s.polls, s.misses = term, map[wire.MemberID]*poll{}, map[string]int64{}
+	s.planner, s.lastStep = NewPlanner(), time.Time{}
+}
+
+// Start implements kernel.Starter.
+func (s *Service) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	go s.run(ctx)
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	return nil
+}
+
+func (s *Service) run(ctx context.Context) {
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.poke:
+			time.Sleep(stepPause)
+		}
+		status := s.replica.Status()
+		if !s.replica.IsLeader() {
+			continue
+		}
+		if status.Term != s.term {
+			s.reset(status.Term)
+		}
+		s.step(ctx, status.Term)
+	}
+}
+
+func (s *Service) wake() {
+	select {
+	case s.poke <- struct{}{}:
+	default:
+	}
+}
+
+// poll takes in an agent's report and answers with its order, if there is
+// one. The answer is read after a barrier, so a leader that was cut off from
+// its quorum never gives one.
+func (s *Service) poll(ctx context.Context, req *wire.OrderPoll) (*wire.OrderPollReply, error) {
+	if !s.replica.IsLeader() {
+		return nil, s.control.NotLeader()
+	}
+	if err := s.takeReports(ctx, req); err != nil {
+		return nil, s.control.LeaderError(err)
+	}
+	s.store(req)
+	if req.Established {
+		s.hold(ctx, req)
+	}
+	if err := s.replica.ReadBarrier(ctx); err != nil {
+		return nil, s.control.LeaderError(err)
+	}
+	return replyFor(s.replica.View(), req, time.Now()), nil
+}
+
+// takeReports replicates the outcomes of orders. They are final before the
+// poll that brought them counts as a report of the engine.
+func (s *Service) takeReports(ctx context.Context, req *wire.OrderPoll) error {
+	if len(req.Reports) == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	if old := s.polls[req.Upstream]; old != nil {
+		old.ordersIn = true
+	}
+	s.mu.Unlock()
+	_, err := s.replica.Propose(ctx, state.Command{Orders: &state.OrderCommand{End: req.Reports}})
+	for _, r := range req.Reports {
+		endedVar.Add(string(r.State), 1)
+		s.ring.Record(timeline.Event{Kind: "order-ended", Detail: string(r.Upstream) + " " + string(r.State) + " " + r.Detail})
+	}
+	return err
+}
+
+func (s *Service) store(req *wire.OrderPoll) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.polls[req.Upstream]
+	next := &poll{OrderPoll: *req, at: time.Now(), counted: req.Arrived}
+	if old != nil {
+		if old.Incarnation > req.Incarnation {
+			return // a late message of an earlier start
+		}
+		if old.Incarnation == req.Incarnation {
+			next.counted = min(old.counted, req.Arrived)
+		}
+	}
+	s.polls[req.Upstream] = next
+	if req.Queued > 0 || len(req.Reports) > 0 || old == nil {
+		s.wake()
+	}
+}
+
+func (s *Service) hold(ctx context.Context, req *wire.OrderPoll) {
+	timer := time.NewTimer(min(req.Wait, maxHold))
+	defer timer.Stop()
+	for {
+		changed := s.replica.Changed()
+		if s.replica.View().Fences[req.Upstream] > req.Seen {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func replyFor(v *state.View, req *wire.OrderPoll, now time.Time) *wire.OrderPollReply {
+	reply := &wire.OrderPollReply{Fence: v.Fences[req.Upstream]}
+	rec := v.Orders[req.Upstream]
+	if req.Established && rec.State == wire.OrderOpen && rec.Order.Token > req.Seen {
+		reply.Order = &rec.Order
+		reply.Age = max(0, now.Sub(time.UnixMilli(rec.Issued)))
+	}
+	return reply
+}
+
+func (s *Service) demand(_ context.Context, req *wire.DemandReport) (*control.Empty, error) {
+	if !s.replica.IsLeader() {
+		return nil, s.control.NotLeader()
+	}
+	s.mu.Lock()
+	for service, n := range req.Misses {
+		s.misses[service] += n
+	}
+	s.mu.Unlock()
+	s.wake()
+	return &control.Empty{}, nil
+}
--- a/node/routing/choose.go
+++ b/node/routing/choose.go
@@ -22,6 +22,7 @@
 func (s *Service) Choose(r Request) *Endpoint {
 	st := s.table.Load().byService[r.Service]
 	if st == nil {
+		s.noteEmpty(r)
 		return nil
 	}
 	p, ok := s.policies[r.Policy]
@@ -34,9 +35,19 @@
 	c.Request = Request{} // keep no caller's memory alive
 	c.group = nil
 	s.scratch.Put(c)
+	if e == nil {
+		s.noteEmpty(r)
+	}
 	return e
 }
 
+// noteEmpty tells that a first try found no endpoint.
+func (s *Service) noteEmpty(r Request) {
+	if s.onEmpty != nil && len(r.Exclude) == 0 {
+		s.onEmpty(r.Service)
+	}
+}
+
 func (c *choice) reset(r Request, st *serviceTable) {
 	g := st.group
 	c.Request = r
--- a/node/routing/routing.go
+++ b/node/routing/routing.go
@@ -44,8 +44,13 @@
 	table      atomic.Pointer[table]
 	mu         sync.Mutex // of Update
 	scratch    sync.Pool
+	onEmpty    func(service string)
 }
 
+// OnEmpty registers f, which is called, and must not block, when a first try
+// finds no endpoint. It must be called before requests are served.
+func (s *Service) OnEmpty(f func(service string)) { s.onEmpty = f }
+
 type table struct {
 	byService map[string]*serviceTable
 	byID      map[wire.MemberID]*Endpoint
--- /dev/null
+++ b/node/state/orders.go
@@ -0,0 +1,174 @@
+package state
+
+import (
+	"maps"
+
+	"caperdrum.org/api/wire"
+)
+
+// OrderCommand changes the orders. Each part is judged on its own.
+type OrderCommand struct {
+	Epoch    uint64             `cbor:"1,keyasint"`           // leader's term
+	Elapsed  int64              `cbor:"2,keyasint"`           // milliseconds on the leader's monotonic clock since any fixed point of its term
+	Rate     int64              `cbor:"3,keyasint,omitempty"` // weight store, bytes per second; 0 means no limit
+	Burst    int64              `cbor:"4,keyasint,omitempty"` // weight store, bytes
+	End      []wire.OrderReport `cbor:"5,keyasint,omitempty"`
+	Issue    []OrderIssue       `cbor:"6,keyasint,omitempty"`
+	Forecast []ForecastSlot     `cbor:"7,keyasint,omitempty"`
+}
+
+// OrderIssue asks for a token and opens an order. It is refused when After is
+// not the upstream's highest token (the decision was made on an older
+// picture), when an order is open there, or when the budget lacks the bytes.
+type OrderIssue struct {
+	After uint64     `cbor:"1,keyasint"`
+	Order wire.Order `cbor:"2,keyasint"` // without a token
+}
+
+// Refusal says why an order was not issued; empty when it was.
+type Refusal string
+
+// Reasons not to issue an order.
+const (
+	RefusedStale  Refusal = "a newer token was drawn"
+	RefusedOpen   Refusal = "an order is open"
+	RefusedBudget Refusal = "the weight store's budget lacks the bytes"
+)
+
+// IssueResult answers an OrderIssue.
+type IssueResult struct {
+	Token   uint64
+	Refused Refusal
+}
+
+// OrderRecord is the last order of an upstream.
+type OrderRecord struct {
+	Order  wire.Order      `cbor:"1,keyasint"`
+	State  wire.OrderState `cbor:"2,keyasint"`
+	Detail string          `cbor:"3,keyasint,omitempty"`
+	Issued int64           `cbor:"4,keyasint"` // leader's clock, milliseconds since the Unix epoch
+}
+
+// ForecastSlot replaces one slot of a service's forecast.
+type ForecastSlot struct {
+	Service string `cbor:"1,keyasint"`
+	Slot    int    `cbor:"2,keyasint"`
+	Peak    uint32 `cbor:"3,keyasint"` // attempts in flight or waiting, in thousandths
+}
+
+// ForecastSlots is the number of slots of a day.
+const ForecastSlots = 96
+
+// bucket is the weight store's token bucket. It is refilled only by time that
+// one leader measured between two of its commands, so neither a skewed clock
+// nor a change of leader can add to it.
+type bucket struct {
+	Epoch   uint64 `cbor:"1,keyasint"`
+	Elapsed int64  `cbor:"2,keyasint"`
+	Level   int64  `cbor:"3,keyasint"` // thousandths of a byte
+}
+
+const milli = 1000
+
+func (b *bucket) refill(c *OrderCommand) {
+	full := c.Burst * milli
+	switch {
+	case b.Epoch == 0:
+		b.Level = full
+	case b.Epoch == c.Epoch && c.Elapsed > b.Elapsed:
+		// Compared by division, since the product may overflow.
+		if c.Rate > 0 && c.Elapsed-b.Elapsed > (full-b.Level)/c.Rate {
+			b.Level = full
+		} else {
+			b.Level += (c.Elapsed - b.Elapsed) * c.Rate
+		}
+	case b.Epoch == c.Epoch:
+		return // proposals of one leader that overtook each other
+	}
+	b.Epoch, b.Elapsed = c.Epoch, c.Elapsed
+	b.Level = min(b.Level, full)
+}
+
+func (b *bucket) take(c *OrderCommand, bytes int64) bool {
+	if c.Rate <= 0 || bytes <= 0 {
+		return true
+	}
+	if b.Level < bytes*milli {
+		return false
+	}
+	b.Level -= bytes * milli
+	return true
+}
+
+func (m *Machine) applyOrders(c *OrderCommand) []IssueResult {
+	if c.Rate > 0 {
+		m.s.Bucket.refill(c)
+	}
+	if len(c.End)+len(c.Issue) > 0 {
+		m.s.Orders = cloneOrEmpty(m.s.Orders) // views share the old one
+	}
+	for _, report := range c.End {
+		m.endOrder(report)
+	}
+	var out []IssueResult
+	short := false // once bytes lack, no later and less urgent load overtakes
+	for _, issue := range c.Issue {
+		if short && issue.Order.Bytes > 0 {
+			out = append(out, IssueResult{Refused: RefusedBudget})
+			continue
+		}
+		r := m.issue(c, issue)
+		short = short || r.Refused == RefusedBudget
+		out = append(out, r)
+	}
+	m.applyForecast(c.Forecast)
+	return out
+}
+
+func cloneOrEmpty[K comparable, V any](old map[K]V) map[K]V {
+	if old == nil {
+		return map[K]V{}
+	}
+	return maps.Clone(old)
+}
+
+func (m *Machine) endOrder(r wire.OrderReport) {
+	rec, ok := m.s.Orders[r.Upstream]
+	if !ok || rec.State != wire.OrderOpen || rec.Order.Token != r.Token || r.State == wire.OrderOpen {
+		return
+	}
+	rec.State, rec.Detail = r.State, r.Detail
+	m.s.Orders[r.Upstream] = rec
+}
+
+func (m *Machine) issue(c *OrderCommand, i OrderIssue) IssueResult {
+	id := i.Order.Upstream
+	switch {
+	case m.s.Orders[id].State == wire.OrderOpen:
+		return IssueResult{Refused: RefusedOpen}
+	case m.s.Fences[id] != i.After:
+		return IssueResult{Refused: RefusedStale}
+	case !m.s.Bucket.take(c, i.Order.Bytes):
+		return IssueResult{Refused: RefusedBudget}
+	}
+	order := i.Order
+	order.Token = m.fence(id)
+	m.s.Orders[id] = OrderRecord{Order: order, State: wire.OrderOpen, Issued: m.s.Now}
+	return IssueResult{Token: order.Token}
+}
+
+func (m *Machine) applyForecast(slots []ForecastSlot) {
+	if len(slots) == 0 {
+		return
+	}
+	m.s.Forecast = cloneOrEmpty(m.s.Forecast)
+	for _, s := range slots {
+		if s.Slot < 0 || s.Slot >= ForecastSlots {
+			continue
+		}
+		day := make([]uint32, ForecastSlots)
+		copy(day, m.s.Forecast[s.Service])
+		day[s.Slot] = s.Peak
+		m.s.Forecast[s.Service] = day
+	}
+}
--- a/node/state/state.go
+++ b/node/state/state.go
@@ -26,8 +26,9 @@
 	// LedgerLimit is the size in bytes from which on Claims take no new key;
 	// zero is no limit. It comes with the command because settings may differ
 	// between replicas.
-	LedgerLimit int64        `cbor:"8,keyasint,omitempty"`
-	Team        *TeamCommand `cbor:"20,keyasint,omitempty"`
+	LedgerLimit int64         `cbor:"8,keyasint,omitempty"`
+	Team        *TeamCommand  `cbor:"20,keyasint,omitempty"`
+	Orders      *OrderCommand `cbor:"40,keyasint,omitempty"`
 }
 
 // Removal ends a membership, unless the process has since come back under
@@ -44,6 +45,7 @@
 	Settles []wire.SettleReply
 	Fences  []uint64
 	Team    *TeamResult
+	Orders  []IssueResult
 }
 
 const (
@@ -84,6 +86,9 @@
 	Fences     map[wire.MemberID]uint64      `cbor:"10,keyasint"`
 	Teams      map[string]Team               `cbor:"20,keyasint,omitempty"`
 	Keys       []Key                         `cbor:"21,keyasint,omitempty"`
+	Orders     map[wire.MemberID]OrderRecord `cbor:"40,keyasint,omitempty"`
+	Bucket     bucket                        `cbor:"41,keyasint"`
+	Forecast   map[string][]uint32           `cbor:"42,keyasint,omitempty"`
 }
 
 // Machine is the state. One goroutine owns it; others read its View.
@@ -108,8 +113,11 @@
 	Members    map[wire.MemberID]wire.Member
 	Ledger     int
 	Teams      *Teams
-	History    []wire.ChangeInfo // newest last
-	LedgerSize int64             // bytes, as counted against the limit
+	History    []wire.ChangeInfo             // newest last
+	LedgerSize int64                         // bytes, as counted against the limit
+	Orders     map[wire.MemberID]OrderRecord // last order of each upstream
+	Forecast   map[string][]uint32           // by service, see ForecastSlot
+	Fences     map[wire.MemberID]uint64      // highest token of each upstream
 	log        []memberChange
 }
 
@@ -172,6 +180,9 @@
 		m.teamsView = m.teams()
 		r.Team = &res
 	}
+	if c.Orders != nil {
+		r.Orders = m.applyOrders(c.Orders)
+	}
 	m.view = nil
 	return r, nil
 }
@@ -253,6 +264,7 @@
 
 func (m *Machine) fence(id wire.MemberID) uint64 {
 	m.s.Fence++
+	m.s.Fences = cloneOrEmpty(m.s.Fences) // views share the old one
 	m.s.Fences[id] = m.s.Fence
 	return m.s.Fence
 }
@@ -295,6 +307,9 @@
 		LedgerSize: m.ledger.bytes,
 		Teams:      m.teamsView,
 		History:    m.historyView,
+		Orders:     m.s.Orders,
+		Forecast:   m.s.Forecast,
+		Fences:     m.s.Fences,
 		log:        m.memberLog[:len(m.memberLog):len(m.memberLog)],
 	}
 	return m.view
