Orders: property tests of fencing, budget, hysteresis and reconciliation

cause: a roll-out told all engines of a service to drop the old version at once; TestRollout failed first with 4 of 4 engines interrupted. change: at most a quarter of the serving engines, at least one, change at a time. figures: 4 of 4 interrupted before, at most 1 of 4 after. conclusion: the pure parts hold under the mixes that the tests draw; separate processes come next.

--- /dev/null
+++ b/node/order/carrier_test.go
@@ -0,0 +1,191 @@
+package order_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/order"
+	"caperdrum.org/node/state"
+)
+
+const upstream = wire.MemberID("engine-1")
+
+// system is one engine that ignores fencing tokens, its agent, and control
+// leaders over one replicated log. Leaders propose on pictures of any age;
+// answers to polls are delayed, doubled and lost; agents restart; leaders
+// that are cut off answer nothing, since their read barrier fails.
+type system struct {
+	machine *state.Machine
+	carrier *order.Carrier
+	polls   []*wire.OrderPoll
+	replies []exchange
+
+	pictures []picture // that some leader may still act on
+	begun    []uint64  // tokens in the order in which the engine saw them
+	working  uint64    // order under way at the engine
+	sender   *order.Carrier
+}
+
+type exchange struct {
+	poll  *wire.OrderPoll
+	reply wire.OrderPollReply
+}
+
+type picture struct{ fence uint64 }
+
+func newSystem() *system {
+	return &system{machine: state.New(), carrier: order.NewCarrier(upstream)}
+}
+
+func (s *system) apply(t *rapid.T, c *state.OrderCommand) []state.IssueResult {
+	data, err := state.Command{Orders: c}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := s.machine.Apply(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res.Orders
+}
+
+func (s *system) look(*rapid.T) {
+	s.pictures = append(s.pictures, picture{s.machine.View().Fences[upstream]})
+}
+
+// decide lets a leader act on a picture that may be old; the same decision
+// may be replicated more than once.
+func (s *system) decide(t *rapid.T) {
+	if len(s.pictures) == 0 {
+		t.Skip("nobody has looked")
+	}
+	p := s.pictures[rapid.IntRange(0, len(s.pictures)-1).Draw(t, "picture")]
+	open := s.machine.View().Orders[upstream].State == wire.OrderOpen
+	kind := rapid.SampledFrom([]wire.OrderKind{wire.OrderLoad, wire.OrderUnload}).Draw(t, "kind")
+	res := s.apply(t, &state.OrderCommand{Epoch: 1, Issue: []state.OrderIssue{{After: p.fence, Order: wire.Order{Upstream: upstream, Kind: kind}}}})
+	if res[0].Refused == "" && open {
+		t.Fatal("an order was issued while another one is open")
+	}
+	if res[0].Refused == "" && res[0].Token <= p.fence {
+		t.Fatalf("token %d after fence %d", res[0].Token, p.fence)
+	}
+}
+
+// giveUp ends the open order without a report, as a leader does after its
+// timeout.
+func (s *system) giveUp(t *rapid.T) {
+	rec := s.machine.View().Orders[upstream]
+	s.apply(t, &state.OrderCommand{Epoch: 1, End: []wire.OrderReport{{Upstream: upstream, Token: rec.Order.Token, State: wire.OrderFailed}}})
+}
+
+func (s *system) ask(*rapid.T) {
+	p := &wire.OrderPoll{}
+	s.carrier.Fill(p)
+	s.polls = append(s.polls, p)
+}
+
+// answer is the leader's part after its barrier: it replicates the reports and
+// reads the newest state.
+func (s *system) answer(t *rapid.T) {
+	if len(s.polls) == 0 {
+		t.Skip("no poll")
+	}
+	p := s.polls[rapid.IntRange(0, len(s.polls)-1).Draw(t, "poll")]
+	s.apply(t, &state.OrderCommand{Epoch: 1, End: p.Reports})
+	v := s.machine.View()
+	reply := wire.OrderPollReply{Fence: v.Fences[upstream]}
+	if rec := v.Orders[upstream]; p.Established && rec.State == wire.OrderOpen && rec.Order.Token > p.Seen {
+		reply.Order = &rec.Order
+	}
+	s.replies = append(s.replies, exchange{p, reply})
+}
+
+// deliver hands an answer to the agent, perhaps late and perhaps again.
+func (s *system) deliver(t *rapid.T) {
+	if len(s.replies) == 0 {
+		t.Skip("no answer")
+	}
+	x := s.replies[rapid.IntRange(0, len(s.replies)-1).Draw(t, "answer")]
+	late := time.Duration(rapid.IntRange(0, 8).Draw(t, "seconds")) * time.Second
+	o := s.carrier.Take(x.poll, &x.reply, late, s.working != 0)
+	if o == nil {
+		return
+	}
+	if s.working != 0 {
+		t.Fatalf("order %d was passed on while %d is under way", o.Token, s.working)
+	}
+	if n := len(s.begun); n > 0 && o.Token <= s.begun[n-1] {
+		t.Fatalf("order %d was passed on after %d", o.Token, s.begun[n-1])
+	}
+	s.begun = append(s.begun, o.Token)
+	s.working, s.sender = o.Token, s.carrier
+}
+
+func (s *system) finish(t *rapid.T) {
+	if s.working == 0 {
+		t.Skip("the engine is idle")
+	}
+	s.sender.Finish(s.working, wire.OrderDone, "")
+	s.working = 0
+}
+
+// restart loses the agent's memory, and with its connections every answer to
+// it. The engine goes on with what it was told.
+func (s *system) restart(*rapid.T) {
+	s.carrier, s.polls, s.replies = order.NewCarrier(upstream), nil, nil
+}
+
+// TestOrdersNeverGoBackwards drives an engine that checks nothing itself.
+func TestOrdersNeverGoBackwards(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSystem()
+		t.Repeat(map[string]func(*rapid.T){
+			"look": s.look, "decide": s.decide, "give up": s.giveUp, "ask": s.ask, "answer": s.answer,
+			"deliver": s.deliver, "finish": s.finish, "restart": s.restart,
+		})
+	})
+}
+
+// TestOrdersArrive guards the test above against an agent that passes nothing
+// on: without faults every order is carried out and reported.
+func TestOrdersArrive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSystem()
+		rounds := rapid.IntRange(1, 20).Draw(t, "rounds")
+		for range rounds {
+			if rapid.Bool().Draw(t, "restart") {
+				s.restart(t)
+			}
+			s.roundTrip(t) // establishes the fence after a start
+			s.apply(t, &state.OrderCommand{Epoch: 1, Issue: []state.OrderIssue{{After: s.machine.View().Fences[upstream], Order: wire.Order{Upstream: upstream, Kind: wire.OrderLoad}}}})
+			s.roundTrip(t)
+			s.finish(t)
+			s.roundTrip(t)
+		}
+		if len(s.begun) != rounds {
+			t.Fatalf("%d of %d orders were carried out", len(s.begun), rounds)
+		}
+		if st := s.machine.View().Orders[upstream].State; st != wire.OrderDone {
+			t.Fatalf("the last order is %s", st)
+		}
+	})
+}
+
+func (s *system) roundTrip(t *rapid.T) {
+	s.polls, s.replies = nil, nil
+	s.ask(t)
+	p := s.polls[0]
+	s.apply(t, &state.OrderCommand{Epoch: 1, End: p.Reports})
+	v := s.machine.View()
+	reply := wire.OrderPollReply{Fence: v.Fences[upstream]}
+	if rec := v.Orders[upstream]; p.Established && rec.State == wire.OrderOpen && rec.Order.Token > p.Seen {
+		reply.Order = &rec.Order
+	}
+	if o := s.carrier.Take(p, &reply, 0, s.working != 0); o != nil {
+		s.begun = append(s.begun, o.Token)
+		s.working, s.sender = o.Token, s.carrier
+	}
+}
--- /dev/null
+++ b/node/planner/planner_test.go
@@ -0,0 +1,354 @@
+package planner_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/planner"
+	"caperdrum.org/node/state"
+)
+
+var (
+	model1 = wire.Artifact{Model: "m", Version: "1"}
+	model2 = wire.Artifact{Model: "m", Version: "2"}
+	origin = time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC)
+)
+
+func spec() planner.Spec {
+	return planner.Spec{Service: "llm", Artifacts: []wire.Artifact{model1}, Scale: true, MinWarm: 1, IdleAfter: 10 * time.Minute,
+		LoadTimeout: time.Minute, WeightBytes: 100, Deadline: time.Second}
+}
+
+// fleet is a control leader over replicated state with engines that carry out
+// orders when told to go on. Agents report without delay.
+type fleet struct {
+	machine *state.Machine
+	planner *planner.Planner
+	now     time.Time
+	spec    planner.Spec
+	engines map[wire.MemberID]*fakeEngine
+	ids     []wire.MemberID
+	issued  int
+	fails   map[failing]bool
+}
+
+type failing struct {
+	engine  wire.MemberID
+	version string
+}
+
+type fakeEngine struct {
+	holds, cached []wire.Artifact
+	open          *wire.Order
+	seen          uint64
+	load          int
+	stuck         bool
+}
+
+func newFleet(n int, sp planner.Spec) *fleet {
+	f := &fleet{machine: state.New(), planner: planner.NewPlanner(), now: origin, spec: sp, engines: map[wire.MemberID]*fakeEngine{}, fails: map[failing]bool{}}
+	for i := range n {
+		id := wire.MemberID(fmt.Sprintf("e%02d", i))
+		f.ids = append(f.ids, id)
+		f.engines[id] = &fakeEngine{}
+	}
+	return f
+}
+
+type fataler interface{ Fatalf(string, ...any) }
+
+func (f *fleet) apply(t fataler, c *state.OrderCommand) []state.IssueResult {
+	data, err := state.Command{Orders: c}.Encode()
+	if err != nil {
+		t.Fatalf("encode: %v", err)
+	}
+	res, err := f.machine.Apply(data)
+	if err != nil {
+		t.Fatalf("apply: %v", err)
+	}
+	return res.Orders
+}
+
+func (f *fleet) input(misses int64) planner.Input {
+	v := f.machine.View()
+	in := planner.Input{Now: f.now, Specs: []planner.Spec{f.spec}, Forecast: v.Forecast, Misses: map[string]int64{"llm": misses}}
+	for _, id := range f.ids {
+		e := f.engines[id]
+		pe := planner.Engine{ID: id, Service: "llm", Settled: true, Seen: e.seen, Fence: v.Fences[id], Last: v.Orders[id], Limit: 10, InFlight: e.load,
+			State: wire.EngineState{TakesOrders: true, Holds: slices.Clone(e.holds), Cached: slices.Clone(e.cached)}}
+		if e.open != nil {
+			pe.Running = e.open.Token
+		}
+		in.Engines = append(in.Engines, pe)
+	}
+	return in
+}
+
+// plan makes one plan, replicates it, and lets the agents fetch their orders.
+func (f *fleet) plan(t fataler, misses int64) planner.Plan {
+	p := f.planner.Plan(f.input(misses))
+	res := f.apply(t, &state.OrderCommand{Epoch: 1, Issue: p.Issue, End: p.End, Forecast: p.Forecast})
+	for i, r := range res {
+		if r.Refused != "" {
+			t.Fatalf("order %+v refused: %s", p.Issue[i].Order, r.Refused)
+		}
+		f.issued++
+	}
+	v := f.machine.View()
+	for _, id := range f.ids {
+		e, rec := f.engines[id], v.Orders[id]
+		switch {
+		case rec.State != wire.OrderOpen:
+			e.seen = max(e.seen, v.Fences[id])
+		case rec.Order.Token > e.seen && e.open == nil:
+			e.open, e.seen = &rec.Order, rec.Order.Token
+		}
+	}
+	return p
+}
+
+// finish lets the engines carry out what they were told.
+func (f *fleet) finish(t fataler) {
+	for _, id := range f.ids {
+		e := f.engines[id]
+		if e.open == nil || e.stuck {
+			continue
+		}
+		o := e.open
+		e.open = nil
+		report := wire.OrderReport{Upstream: id, Token: o.Token, State: wire.OrderDone}
+		switch {
+		case o.Kind == wire.OrderUnload:
+			e.holds = slices.DeleteFunc(e.holds, func(a wire.Artifact) bool { return a == o.Artifact })
+		case f.fails[failing{id, o.Artifact.Version}]:
+			report.State = wire.OrderFailed
+		default:
+			e.holds = append(e.holds, o.Artifact)
+			e.cached = append(e.cached, o.Artifact)
+		}
+		f.apply(t, &state.OrderCommand{Epoch: 1, End: []wire.OrderReport{report}})
+	}
+}
+
+func (f *fleet) round(t fataler, misses int64) planner.Plan {
+	f.now = f.now.Add(time.Second)
+	p := f.plan(t, misses)
+	f.finish(t)
+	return p
+}
+
+func (f *fleet) warm(a wire.Artifact) int {
+	n := 0
+	for _, e := range f.engines {
+		if slices.Contains(e.holds, a) {
+			n++
+		}
+	}
+	return n
+}
+
+// settle runs rounds without faults until the planner wants nothing more.
+func (f *fleet) settle(t fataler) {
+	quiet := 0
+	for range 2000 {
+		before := f.issued
+		f.round(t, 0)
+		if quiet++; f.issued != before {
+			quiet = 0
+		}
+		if quiet > 700 { // longer than IdleAfter and the pauses after failures
+			return
+		}
+	}
+	t.Fatalf("the planner never comes to rest")
+}
+
+// TestHysteresis compares the target with the maximum over the trailing window
+// and checks that no level is crossed upwards twice within IdleAfter.
+func TestHysteresis(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(8, spec())
+		type sample struct {
+			at   time.Time
+			need int
+		}
+		var needs []sample
+		crossed := map[int]time.Time{}
+		last := 0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			f.now = f.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "seconds")) * time.Second)
+			load := rapid.IntRange(0, 70).Draw(t, "load")
+			f.engines["e00"].load = load
+			need := max((load+6)/7, 1)
+			needs = append(needs, sample{f.now, need})
+			want := 0
+			for _, s := range needs {
+				if f.now.Sub(s.at) <= f.spec.IdleAfter {
+					want = max(want, s.need)
+				}
+			}
+			got := f.plan(t, 0).Targets["llm"]
+			f.finish(t)
+			if got != min(want, 8) {
+				t.Fatalf("target %d, want %d", got, want)
+			}
+			for level := last + 1; level <= got; level++ {
+				if at, ok := crossed[level]; ok && f.now.Sub(at) <= f.spec.IdleAfter {
+					t.Fatalf("level %d was reached twice within %s", level, f.now.Sub(at))
+				}
+				crossed[level] = f.now
+			}
+			last = got
+		}
+	})
+}
+
+// TestReconcile mixes leader changes, engines that forget, loads that fail and
+// agents that lose an order, then checks that the fleet comes to what is
+// wanted and that a new leader changes nothing there.
+func TestReconcile(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(2, 6).Draw(t, "engines"), spec())
+		pick := func(t *rapid.T) *fakeEngine { return f.engines[rapid.SampledFrom(f.ids).Draw(t, "engine")] }
+		t.Repeat(map[string]func(*rapid.T){
+			"plan": func(t *rapid.T) {
+				f.now = f.now.Add(time.Second)
+				f.plan(t, int64(rapid.IntRange(0, 40).Draw(t, "misses")))
+			},
+			"carry out":     func(t *rapid.T) { f.finish(t) },
+			"new leader":    func(*rapid.T) { f.planner = planner.NewPlanner() },
+			"forget":        func(t *rapid.T) { e := pick(t); e.holds, e.cached = nil, nil },
+			"agent restart": func(t *rapid.T) { pick(t).open = nil },
+			"load":          func(t *rapid.T) { pick(t).load = rapid.IntRange(0, 20).Draw(t, "attempts") },
+			"fail": func(t *rapid.T) {
+				id := rapid.SampledFrom(f.ids).Draw(t, "engine")
+				f.fails[failing{id, "1"}] = rapid.Bool().Draw(t, "fails")
+			},
+		})
+		clear(f.fails)
+		total := 0
+		for _, e := range f.engines {
+			total += e.load
+		}
+		f.settle(t)
+		want := min(max((total+6)/7, 1), len(f.ids))
+		if got := f.warm(model1); got != want {
+			t.Fatalf("%d engines are warm, want %d", got, want)
+		}
+		before := f.issued
+		f.planner = planner.NewPlanner()
+		f.settle(t)
+		if f.issued != before {
+			t.Fatalf("a new leader issued %d orders to a fleet at rest", f.issued-before)
+		}
+	})
+}
+
+// TestStuckLoadIsRetriedElsewhere: the order ends after its timeout, and
+// another engine gets the load while the stuck one is told nothing.
+func TestStuckLoadIsRetriedElsewhere(t *testing.T) {
+	f := newFleet(2, spec())
+	f.engines["e00"].stuck = true
+	for range 120 {
+		f.round(t, 1)
+	}
+	if len(f.engines["e01"].holds) == 0 {
+		t.Fatal("the load was not retried at the other engine")
+	}
+	if tokens := f.machine.View().Fences["e00"]; tokens != 1 {
+		t.Fatalf("the stuck engine was told something else, token %d", tokens)
+	}
+}
+
+// TestRollout: every engine comes to the new version, and at all times the
+// engines that serve without interruption are at least half.
+func TestRollout(t *testing.T) {
+	sp := spec()
+	sp.Scale = false
+	f := newFleet(4, sp)
+	f.settle(t)
+	f.spec.Artifacts = []wire.Artifact{model2}
+	for range 100 {
+		f.now = f.now.Add(time.Second)
+		f.plan(t, 0)
+		interrupted := 0
+		for _, e := range f.engines {
+			if len(e.holds) == 0 || e.open != nil && e.open.Kind != wire.OrderLoad {
+				interrupted++
+			}
+		}
+		if interrupted > 1 {
+			t.Fatalf("%d engines of 4 are interrupted at once", interrupted)
+		}
+		f.finish(t)
+	}
+	if f.warm(model2) != 4 || f.warm(model1) != 0 {
+		t.Fatalf("%d engines hold the new version and %d the old one", f.warm(model2), f.warm(model1))
+	}
+}
+
+// TestRollback: a version that cannot be loaded is given up after two engines
+// failed, while the old one keeps serving everywhere.
+func TestRollback(t *testing.T) {
+	sp := spec()
+	sp.Scale = false
+	f := newFleet(4, sp)
+	f.settle(t)
+	f.spec.Artifacts = []wire.Artifact{model2}
+	for _, id := range f.ids {
+		f.fails[failing{id, "2"}] = true
+	}
+	for range 100 {
+		if r := f.round(t, 0).Rollback; r != nil {
+			if r.From != model2 || r.To != model1 || f.warm(model1) != 4 {
+				t.Fatalf("rollback %+v with %d engines on the old version", r, f.warm(model1))
+			}
+			return
+		}
+	}
+	t.Fatal("no way back was proposed")
+}
+
+// TestForecastWakesAhead: a burst seen on one day is met warm on the next, and
+// urgent loads come first.
+func TestForecastWakesAhead(t *testing.T) {
+	sp := spec()
+	sp.Forecast, sp.WakeLead = true, 5*time.Minute
+	f := newFleet(8, sp)
+	const burst = 9 * 60 // minute of the day
+	for minute := range 2 * 24 * 60 {
+		f.now = origin.Add(time.Duration(minute) * time.Minute)
+		ofDay := minute % (24 * 60)
+		f.engines["e00"].load = 0
+		if ofDay >= burst && ofDay < burst+30 {
+			f.engines["e00"].load = 40
+		}
+		f.plan(t, 0)
+		f.finish(t)
+		if minute == 24*60+burst-1 && f.warm(model1) < 6 {
+			t.Fatalf("%d engines are warm a minute before the burst", f.warm(model1))
+		}
+		if ofDay == burst-10 && f.warm(model1) != 1 {
+			t.Fatalf("%d engines are warm in the quiet", f.warm(model1))
+		}
+	}
+}
+
+func TestMostUrgentDeadlineFirst(t *testing.T) {
+	slow, quick := spec(), spec()
+	slow.Service, slow.Deadline = "drafts", time.Minute
+	quick.Service = "quotes"
+	in := planner.Input{Now: origin, Specs: []planner.Spec{slow, quick}}
+	for _, service := range []string{"drafts", "quotes"} {
+		in.Engines = append(in.Engines, planner.Engine{ID: wire.MemberID(service), Service: service, Settled: true, State: wire.EngineState{TakesOrders: true}})
+	}
+	p := planner.NewPlanner().Plan(in)
+	if len(p.Issue) != 2 || p.Issue[0].Order.Upstream != "quotes" {
+		t.Fatalf("orders %+v", p.Issue)
+	}
+}
--- a/node/planner/reconcile.go
+++ b/node/planner/reconcile.go
@@ -9,6 +9,10 @@
 	"caperdrum.org/node/state"
 )
 
+// changeShare is the part of a service's serving engines, one in so many, that
+// a roll-out changes at a time.
+const changeShare = 4
+
 // reconcile compares what the engines report with what they should hold and
 // returns at most one order per engine.
 func (p *Planner) reconcile(in Input, spec Spec, engines []Engine, target int) []want {
@@ -23,6 +27,12 @@
 	for _, e := range engines {
 		waiting = waiting || e.Queued > 0
 	}
+	changing := 0 // wanted engines that serve and are told to change
+	for _, e := range ranked[:target] {
+		if e.Last.State == wire.OrderOpen && len(e.State.Holds) > 0 {
+			changing++
+		}
+	}
 	var out []want
 	for i, e := range ranked {
 		if !ready(e) {
@@ -32,6 +42,12 @@
 		if order == nil {
 			continue
 		}
+		if i < target && len(e.State.Holds) > 0 {
+			if changing >= max(1, target/changeShare) {
+				continue
+			}
+			changing++
+		}
 		order.Upstream, order.Timeout = e.ID, spec.LoadTimeout
 		out = append(out, want{issue: state.OrderIssue{After: e.Fence, Order: *order}, waiting: waiting, deadline: spec.Deadline})
 	}
