--- a/node/order/carrier_test.go
+++ b/node/order/carrier_test.go
@@ -11,6 +11,8 @@
 	"caperdrum.org/node/state"
 )
 
+const startLimit = 5 * time.Second // after which a permitted load may not begin
+
 const upstream = wire.MemberID("engine-1")
 
 // system is one engine that ignores fencing tokens, its agent, and control
@@ -52,6 +54,11 @@
 	return res.Orders
 }
 
+// fewBack chooses how old a message of n is; most are new.
+func fewBack(t *rapid.T, n int) int {
+	return min(n-1, rapid.SampledFrom([]int{0, 0, 0, 0, 1, 2, 5}).Draw(t, "back"))
+}
+
 func (s *system) look(*rapid.T) {
 	s.pictures = append(s.pictures, picture{s.machine.View().Fences[upstream]})
 }
@@ -62,7 +69,7 @@
 	if len(s.pictures) == 0 {
 		t.Skip("nobody has looked")
 	}
-	p := s.pictures[rapid.IntRange(0, len(s.pictures)-1).Draw(t, "picture")]
+	p := s.pictures[len(s.pictures)-1-fewBack(t, len(s.pictures))]
 	open := s.machine.View().Orders[upstream].State == wire.OrderOpen
 	kind := rapid.SampledFrom([]wire.OrderKind{wire.OrderLoad, wire.OrderUnload}).Draw(t, "kind")
 	res := s.apply(t, &state.OrderCommand{Epoch: 1, Issue: []state.OrderIssue{{After: p.fence, Order: wire.Order{Upstream: upstream, Kind: kind}}}})
@@ -93,7 +100,7 @@
 	if len(s.polls) == 0 {
 		t.Skip("no poll")
 	}
-	p := s.polls[rapid.IntRange(0, len(s.polls)-1).Draw(t, "poll")]
+	p := s.polls[len(s.polls)-1-fewBack(t, len(s.polls))]
 	s.apply(t, &state.OrderCommand{Epoch: 1, End: p.Reports})
 	v := s.machine.View()
 	reply := wire.OrderPollReply{Fence: v.Fences[upstream]}
@@ -108,12 +115,15 @@
 	if len(s.replies) == 0 {
 		t.Skip("no answer")
 	}
-	x := s.replies[rapid.IntRange(0, len(s.replies)-1).Draw(t, "answer")]
-	late := time.Duration(rapid.IntRange(0, 8).Draw(t, "seconds")) * time.Second
+	x := s.replies[len(s.replies)-1-fewBack(t, len(s.replies))]
+	late := time.Duration(rapid.SampledFrom([]int{0, 0, 0, 1, 8}).Draw(t, "seconds")) * time.Second
 	o := s.carrier.Take(x.poll, &x.reply, late, s.working != 0)
 	if o == nil {
 		return
 	}
+	if late > startLimit {
+		t.Fatalf("order %d was passed on %s after it was issued", o.Token, late)
+	}
 	if s.working != 0 {
 		t.Fatalf("order %d was passed on while %d is under way", o.Token, s.working)
 	}
@@ -145,6 +155,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"look": s.look, "decide": s.decide, "give up": s.giveUp, "ask": s.ask, "answer": s.answer,
 			"deliver": s.deliver, "finish": s.finish, "restart": s.restart,
+			"": func(t *rapid.T) { s.look(t); s.ask(t) }, // keeps the others fed
 		})
 	})
 }
--- a/node/planner/main_test.go
+++ b/node/planner/main_test.go
@@ -6,9 +6,10 @@
 	"testing"
 )
 
-// TestMain fixes the seed of the property tests; -rapid.seed overrides it.
+// TestMain fixes the seed and length of the property tests; flags override both.
 func TestMain(m *testing.M) {
 	flag.Set("rapid.seed", "1")
 	flag.Set("rapid.nofailfile", "true")
+	flag.Set("rapid.steps", "60")
 	os.Exit(m.Run())
 }
--- a/node/planner/planner_test.go
+++ b/node/planner/planner_test.go
@@ -48,6 +48,9 @@
 	seen          uint64
 	load          int
 	stuck         bool
+	forgot        bool              // lost its models since it last reported
+	outcome       *wire.OrderReport // not reported yet
+	reported      planner.Engine    // what the leader last heard
 }
 
 func newFleet(n int, sp planner.Spec) *fleet {
@@ -78,20 +81,21 @@
 	v := f.machine.View()
 	in := planner.Input{Now: f.now, Specs: []planner.Spec{f.spec}, Forecast: v.Forecast, Misses: map[string]int64{"llm": misses}}
 	for _, id := range f.ids {
-		e := f.engines[id]
-		pe := planner.Engine{ID: id, Service: "llm", Settled: true, Seen: e.seen, Fence: v.Fences[id], Last: v.Orders[id], Limit: 10, InFlight: e.load,
-			State: wire.EngineState{TakesOrders: true, Holds: slices.Clone(e.holds), Cached: slices.Clone(e.cached)}}
-		if e.open != nil {
-			pe.Running = e.open.Token
-		}
+		pe := f.engines[id].reported
+		pe.Fence, pe.Last = v.Fences[id], v.Orders[id]
 		in.Engines = append(in.Engines, pe)
 	}
 	return in
 }
 
-// plan makes one plan, replicates it, and lets the agents fetch their orders.
+// plan makes one plan on what the leader has heard, and replicates it.
 func (f *fleet) plan(t fataler, misses int64) planner.Plan {
 	p := f.planner.Plan(f.input(misses))
+	for _, i := range p.Issue {
+		if e := f.engines[i.Order.Upstream]; i.Order.Kind == wire.OrderLoad && !e.forgot && slices.Contains(e.holds, i.Order.Artifact) {
+			t.Fatalf("%s is told to load what it holds", i.Order.Upstream)
+		}
+	}
 	res := f.apply(t, &state.OrderCommand{Epoch: 1, Issue: p.Issue, End: p.End, Forecast: p.Forecast})
 	for i, r := range res {
 		if r.Refused != "" {
@@ -99,21 +103,40 @@
 		}
 		f.issued++
 	}
+	return p
+}
+
+// poll is one whole exchange between an agent and the leader.
+func (f *fleet) poll(t fataler, id wire.MemberID) {
+	e := f.engines[id]
+	if e.outcome != nil {
+		f.apply(t, &state.OrderCommand{Epoch: 1, End: []wire.OrderReport{*e.outcome}})
+		e.outcome = nil
+	}
+	e.forgot = false
+	e.reported = planner.Engine{ID: id, Service: "llm", Settled: true, Seen: e.seen, Limit: 10, InFlight: e.load,
+		State: wire.EngineState{TakesOrders: true, Holds: slices.Clone(e.holds), Cached: slices.Clone(e.cached)}}
+	if e.open != nil {
+		e.reported.Running = e.open.Token
+	}
 	v := f.machine.View()
+	rec := v.Orders[id]
+	switch {
+	case rec.State != wire.OrderOpen:
+		e.seen = max(e.seen, v.Fences[id])
+	case rec.Order.Token > e.seen && e.open == nil:
+		e.open, e.seen = &rec.Order, rec.Order.Token
+	}
+}
+
+func (f *fleet) pollAll(t fataler) {
 	for _, id := range f.ids {
-		e, rec := f.engines[id], v.Orders[id]
-		switch {
-		case rec.State != wire.OrderOpen:
-			e.seen = max(e.seen, v.Fences[id])
-		case rec.Order.Token > e.seen && e.open == nil:
-			e.open, e.seen = &rec.Order, rec.Order.Token
-		}
+		f.poll(t, id)
 	}
-	return p
 }
 
 // finish lets the engines carry out what they were told.
-func (f *fleet) finish(t fataler) {
+func (f *fleet) finish() {
 	for _, id := range f.ids {
 		e := f.engines[id]
 		if e.open == nil || e.stuck {
@@ -131,14 +154,17 @@
 			e.holds = append(e.holds, o.Artifact)
 			e.cached = append(e.cached, o.Artifact)
 		}
-		f.apply(t, &state.OrderCommand{Epoch: 1, End: []wire.OrderReport{report}})
+		e.outcome = &report
 	}
 }
 
 func (f *fleet) round(t fataler, misses int64) planner.Plan {
 	f.now = f.now.Add(time.Second)
+	f.pollAll(t)
 	p := f.plan(t, misses)
-	f.finish(t)
+	f.pollAll(t)
+	f.finish()
+	f.pollAll(t)
 	return p
 }
 
@@ -192,8 +218,8 @@
 					want = max(want, s.need)
 				}
 			}
-			got := f.plan(t, 0).Targets["llm"]
-			f.finish(t)
+			f.now = f.now.Add(-time.Second)
+			got := f.round(t, 0).Targets["llm"]
 			if got != min(want, 8) {
 				t.Fatalf("target %d, want %d", got, want)
 			}
@@ -220,10 +246,12 @@
 				f.now = f.now.Add(time.Second)
 				f.plan(t, int64(rapid.IntRange(0, 40).Draw(t, "misses")))
 			},
-			"carry out":     func(t *rapid.T) { f.finish(t) },
+			"carry out":     func(*rapid.T) { f.finish() },
+			"poll":          func(t *rapid.T) { f.poll(t, rapid.SampledFrom(f.ids).Draw(t, "engine")) },
+			"poll all":      func(t *rapid.T) { f.pollAll(t) },
 			"new leader":    func(*rapid.T) { f.planner = planner.NewPlanner() },
-			"forget":        func(t *rapid.T) { e := pick(t); e.holds, e.cached = nil, nil },
-			"agent restart": func(t *rapid.T) { pick(t).open = nil },
+			"forget":        func(t *rapid.T) { e := pick(t); e.holds, e.cached, e.forgot = nil, nil, true },
+			"agent restart": func(t *rapid.T) { f.restart(pick(t)) },
 			"load":          func(t *rapid.T) { pick(t).load = rapid.IntRange(0, 20).Draw(t, "attempts") },
 			"fail": func(t *rapid.T) {
 				id := rapid.SampledFrom(f.ids).Draw(t, "engine")
@@ -249,6 +277,32 @@
 	})
 }
 
+// restart loses what the agent knows; it reads the fence before it goes on.
+func (f *fleet) restart(e *fakeEngine) {
+	e.open, e.outcome = nil, nil
+	for _, id := range f.ids {
+		if f.engines[id] == e {
+			e.seen = f.machine.View().Fences[id]
+		}
+	}
+}
+
+// TestLostOrderIsRepeatedSoon: an order that a restarted agent does not know
+// ends at the next plan, not at its timeout.
+func TestLostOrderIsRepeatedSoon(t *testing.T) {
+	f := newFleet(1, spec())
+	f.pollAll(t)
+	f.plan(t, 0)
+	f.pollAll(t)
+	f.restart(f.engines["e00"])
+	for range 3 {
+		f.round(t, 0)
+	}
+	if f.warm(model1) != 1 {
+		t.Fatalf("still cold after 3 rounds: %+v", f.machine.View().Orders)
+	}
+}
+
 // TestStuckLoadIsRetriedElsewhere: the order ends after its timeout, and
 // another engine gets the load while the stuck one is told nothing.
 func TestStuckLoadIsRetriedElsewhere(t *testing.T) {
@@ -275,7 +329,9 @@
 	f.spec.Artifacts = []wire.Artifact{model2}
 	for range 100 {
 		f.now = f.now.Add(time.Second)
+		f.pollAll(t)
 		f.plan(t, 0)
+		f.pollAll(t)
 		interrupted := 0
 		for _, e := range f.engines {
 			if len(e.holds) == 0 || e.open != nil && e.open.Kind != wire.OrderLoad {
@@ -285,7 +341,7 @@
 		if interrupted > 1 {
 			t.Fatalf("%d engines of 4 are interrupted at once", interrupted)
 		}
-		f.finish(t)
+		f.finish()
 	}
 	if f.warm(model2) != 4 || f.warm(model1) != 0 {
 		t.Fatalf("%d engines hold the new version and %d the old one", f.warm(model2), f.warm(model1))
@@ -328,8 +384,7 @@
 		if ofDay >= burst && ofDay < burst+30 {
 			f.engines["e00"].load = 40
 		}
-		f.plan(t, 0)
-		f.finish(t)
+		f.round(t, 0)
 		if minute == 24*60+burst-1 && f.warm(model1) < 6 {
 			t.Fatalf("%d engines are warm a minute before the burst", f.warm(model1))
 		}
