--- a/node/order/carrier_test.go
+++ b/node/order/carrier_test.go
@@ -71,13 +71,17 @@
 	}
 	p := s.pictures[len(s.pictures)-1-fewBack(t, len(s.pictures))]
 	open := s.machine.View().Orders[upstream].State == wire.OrderOpen
+	now := s.machine.View().Fences[upstream]
 	kind := rapid.SampledFrom([]wire.OrderKind{wire.OrderLoad, wire.OrderUnload}).Draw(t, "kind")
 	res := s.apply(t, &state.OrderCommand{Epoch: 1, Issue: []state.OrderIssue{{After: p.fence, Order: wire.Order{Upstream: upstream, Kind: kind}}}})
 	if res[0].Refused == "" && open {
 		t.Fatal("an order was issued while another one is open")
 	}
-	if res[0].Refused == "" && res[0].Token <= p.fence {
-		t.Fatalf("token %d after fence %d", res[0].Token, p.fence)
+	if res[0].Refused == "" && p.fence != now {
+		t.Fatalf("a decision on fence %d was accepted after %d", p.fence, now)
+	}
+	if res[0].Refused == "" && res[0].Token <= now {
+		t.Fatalf("token %d after fence %d", res[0].Token, now)
 	}
 }
 
