--- a/node/planner/planner.go
+++ b/node/planner/planner.go
@@ -70,7 +70,7 @@
 
 const (
 	utilization   = 0.7  // share of an engine's limit that the working set plans with
-	urgent        = 0.85 // share of the warm engines' limits above which a peak counts whole
+	urgent        = 1.0  // share of the warm engines' limits above which a peak counts whole
 	ahead         = 0.85 // the same for loading ahead of demand; what is seen then adds the rest
 	defaultLimit  = 8
 	failurePause  = time.Minute // after a failed load an engine is passed over this long, times the failures
