Planner: a version that is wanted again starts without its old failures

cause: after the way back, a repaired version was rolled back at once for the failures of the first try. change: failures of artifacts that no service wants are forgotten; TestRollback goes on with the repaired version and failed first. conclusion: open: a new leader that takes over just after the version is wanted again still counts the last failed orders.

--- a/node/planner/planner.go
+++ b/node/planner/planner.go
@@ -113,6 +113,7 @@
 func (p *Planner) Plan(in Input) Plan {
 	out := Plan{Targets: map[string]int{}}
 	p.learnOutcomes(in)
+	p.forgetFailures(in.Specs)
 	out.End = p.overdue(in)
 	var wants []want
 	for _, spec := range in.Specs {
@@ -135,6 +136,17 @@
 	return out
 }
 
+// forgetFailures drops what failed of artifacts that are not wanted any more,
+// so that a version which is wanted again later starts afresh.
+func (p *Planner) forgetFailures(specs []Spec) {
+	for key := range p.failures {
+		wanted := slices.ContainsFunc(specs, func(s Spec) bool { return slices.Contains(s.Artifacts, key.artifact) })
+		if !wanted {
+			delete(p.failures, key)
+		}
+	}
+}
+
 func enginesOf(all []Engine, service string) []Engine {
 	var out []Engine
 	for _, e := range all {
--- a/node/planner/planner_test.go
+++ b/node/planner/planner_test.go
@@ -374,12 +374,30 @@
 			if r.From != model2 || r.To != model1 || f.warm(model1) != 4 {
 				t.Fatalf("rollback %+v with %d engines on the old version", r, f.warm(model1))
 			}
+			retryRollout(t, f)
 			return
 		}
 	}
 	t.Fatal("no way back was proposed")
 }
 
+// retryRollout: after the way back and a repair of the version, it is rolled
+// out as if it had never failed.
+func retryRollout(t *testing.T, f *fleet) {
+	f.spec.Artifacts = []wire.Artifact{model1}
+	f.round(t, 0)
+	clear(f.fails)
+	f.spec.Artifacts = []wire.Artifact{model2}
+	for range 100 {
+		if r := f.round(t, 0).Rollback; r != nil {
+			t.Fatalf("rolled back for old failures: %+v", r)
+		}
+	}
+	if f.warm(model2) != 4 {
+		t.Fatalf("%d engines hold the repaired version", f.warm(model2))
+	}
+}
+
 // TestForecastWakesAhead: a burst seen on one day is met warm on the next, and
 // urgent loads come first.
 func TestForecastWakesAhead(t *testing.T) {
