--- a/api/optext/optext.go
+++ b/api/optext/optext.go
@@ -55,7 +55,7 @@
 	Subset          int    `ini:"subset" json:"subset"`                 // upstreams that one entry uses; 0 means all
 	Ejection        bool   `ini:"ejection" json:"ejection"`             // leave out upstreams that fail or lag far behind the others
 
-	Models      []string      `ini:"models" json:"models,omitempty"`             // MODEL@VERSION, or MODEL@VERSION/ADAPTER, that warm upstreams hold
+	Models      string        `ini:"models" json:"models,omitempty"`             // MODEL@VERSION, or MODEL@VERSION/ADAPTER, that warm upstreams hold
 	EngineRole  string        `ini:"engine_role" json:"engine_role,omitempty"`   // role that the engines are told to play
 	Scale       string        `ini:"scale" json:"scale,omitempty"`               // off, threshold or forecast
 	MinWarm     int           `ini:"min_warm" json:"min_warm,omitempty"`         // upstreams that stay loaded in quiet hours
--- a/api/optext/scale.go
+++ b/api/optext/scale.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"caperdrum.org/api/strictini"
 )
 
 // Values of a service's key scale.
@@ -26,6 +28,10 @@
 	defaultLoadTimeout = 3 * time.Minute
 )
 
+// ModelList returns the parts of the key models. The field is one string, so
+// that services can be compared.
+func (s *Service) ModelList() []string { return strictini.SplitList(s.Models) }
+
 func (s *Service) setScaleDefaults() {
 	s.Scale, s.MinWarm = ScaleOff, defaultMinWarm
 	s.IdleAfter, s.WakeLead, s.LoadTimeout = defaultIdleAfter, defaultWakeLead, defaultLoadTimeout
@@ -42,7 +48,7 @@
 	if s.Scale != ScaleOff && len(s.Models) == 0 {
 		p.f.Fail(section, "scale", "scale needs models to load and unload", "add models = NAME@VERSION")
 	}
-	for _, m := range s.Models {
+	for _, m := range s.ModelList() {
 		model, version, found := strings.Cut(m, "@")
 		if !found || model == "" || version == "" {
 			p.f.Fail(section, "models", "model "+m+" names no version", "write NAME@VERSION")
--- a/node/planner/step.go
+++ b/node/planner/step.go
@@ -190,7 +190,7 @@
 		spec := Spec{Service: sv.Name, Role: sv.EngineRole, Scale: sv.Scale != optext.ScaleOff, Forecast: sv.Scale == optext.ScaleForecast,
 			MinWarm: sv.MinWarm, IdleAfter: sv.IdleAfter, WakeLead: sv.WakeLead, LoadTimeout: sv.LoadTimeout,
 			WeightBytes: sv.WeightBytes, Deadline: deadlineOf(cfg, sv.Name)}
-		for _, m := range sv.Models {
+		for _, m := range sv.ModelList() {
 			spec.Artifacts = append(spec.Artifacts, wire.ParseArtifact(m))
 		}
 		out = append(out, spec)
