Text deltas by hash of sections

Cause: a change of one customer sends the whole text (about 2 MB at 25,000 customers) to each member.

--- a/api/wire/messages.go
+++ b/api/wire/messages.go
@@ -26,6 +26,7 @@
 	Gate        string   `json:"gate,omitempty"`    // agents only: address of the gate
 	Incarnation uint64   `json:"incarnation"`       // differs for every start of the process
 	Leaving     bool     `json:"leaving,omitempty"`
+	Revision    uint64   `json:"revision,omitempty"` // grows with each change of the record within an incarnation
 }
 
 // SyncRequest renews the caller's lease and asks for what changed. The answer
@@ -33,6 +34,7 @@
 type SyncRequest struct {
 	Member        Member        `json:"member"`
 	ConfigVersion uint64        `json:"config_version"`
+	ConfigHash    uint64        `json:"config_hash"` // of the text held; 0 asks for the whole text
 	MembersSeq    uint64        `json:"members_seq"`
 	Wait          time.Duration `json:"wait"`
 }
@@ -41,9 +43,12 @@
 // current, Members when its sequence number is.
 type SyncReply struct {
 	Config     *ConfigText   `json:"config,omitempty"`
+	Delta      *ConfigDelta  `json:"delta,omitempty"` // instead of Config, when the caller's text is known
 	Members    *MembersDelta `json:"members,omitempty"`
 	Version    uint64        `json:"version"`     // highest accepted version known to the answering control process
-	StampAge   time.Duration `json:"stamp_age"`   // time since a quorum confirmed Version
+	MembersSeq uint64        `json:"members_seq"` // highest member sequence number known there
+	StampAge   time.Duration `json:"stamp_age"`   // time since a quorum confirmed Version and MembersSeq
+	Recorded   bool          `json:"recorded"`    // the members hold the caller's record as sent, or a later one
 	Renewed    bool          `json:"renewed"`     // false when the lease could not be renewed here
 	Leader     MemberID      `json:"leader"`      // control member that leads, if known
 	LeaderPeer string        `json:"leader_peer"` // its peer address
