--- a/api/wire/messages.go
+++ b/api/wire/messages.go
@@ -36,6 +36,7 @@
 	ConfigVersion uint64        `json:"config_version"`
 	ConfigHash    uint64        `json:"config_hash"` // of the text held; 0 asks for the whole text
 	MembersSeq    uint64        `json:"members_seq"`
+	Fault         string        `json:"fault,omitempty"` // why the caller could not take over the latest text
 	Wait          time.Duration `json:"wait"`
 }
 
@@ -172,7 +173,8 @@
 type MemberStatus struct {
 	Member
 	ConfigVersion uint64        `json:"config_version"`
-	LastSeen      time.Duration `json:"last_seen"` // age of the last renewal; -1 when not known here
+	LastSeen      time.Duration `json:"last_seen"`       // age of the last renewal; -1 when not known here
+	Fault         string        `json:"fault,omitempty"` // why it could not take over the latest text
 }
 
 // ControlStatus is the report of one control process.
--- a/ctl/commands/config.go
+++ b/ctl/commands/config.go
@@ -4,6 +4,8 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/google/subcommands"
@@ -139,27 +141,61 @@
 func waitInForce(ctx context.Context, cl *adminclient.Client, version uint64) subcommands.ExitStatus {
 	started := time.Now()
 	var members, behind []wire.MemberStatus
+	all := map[wire.MemberID]bool{}
 	for {
 		rows, err := cl.Members(ctx)
 		if err == nil {
 			members, behind = rows, lagging(rows, version)
+			for _, m := range rows {
+				all[m.ID] = true
+			}
 			if len(behind) == 0 {
-				fmt.Printf("in force on %d of %d after %s\n", len(members), len(members), time.Since(started).Round(time.Millisecond))
+				fmt.Printf("in force on %d of %d after %s\n", len(members), len(all), time.Since(started).Round(time.Millisecond))
+				printGone(all, members)
 				return subcommands.ExitSuccess
 			}
 		}
 		select {
 		case <-ctx.Done():
-			fmt.Printf("in force on %d of %d\n", len(members)-len(behind), len(members))
+			fmt.Printf("in force on %d of %d\n", len(members)-len(behind), len(all))
 			for _, m := range behind {
-				fmt.Printf("  %s on %s: version %d, last seen %s ago\n", m.ID, m.VM, m.ConfigVersion, m.LastSeen.Round(time.Millisecond))
+				fmt.Printf("  %s on %s: version %d; %s\n", m.ID, m.VM, m.ConfigVersion, why(m))
 			}
+			printGone(all, members)
 			return subcommands.ExitFailure
 		case <-time.After(pollInterval):
 		}
 	}
 }
 
+// silentAfter is the age of a renewal that a working process does not reach.
+const silentAfter = 1500 * time.Millisecond
+
+// why says what keeps a member from the latest version.
+func why(m wire.MemberStatus) string {
+	switch {
+	case m.LastSeen < 0:
+		return "the leader has not heard from it yet"
+	case m.Fault != "":
+		return "it cannot take the text over: " + m.Fault
+	case m.LastSeen > silentAfter:
+		return fmt.Sprintf("silent for %s: stalled, cut off or dead", m.LastSeen.Round(time.Millisecond))
+	default:
+		return fmt.Sprintf("it renewed its lease %s ago and has not taken the text over yet", m.LastSeen.Round(time.Millisecond))
+	}
+}
+
+// printGone names those that were members while the change was awaited and are
+// none any more. They may still run with an older version.
+func printGone(all map[wire.MemberID]bool, members []wire.MemberStatus) {
+	for _, m := range members {
+		delete(all, m.ID)
+	}
+	for _, id := range slices.Sorted(maps.Keys(all)) {
+		fmt.Printf("  %s: not a member any more; its lease ended or it left\n", id)
+	}
+}
+
 func lagging(rows []wire.MemberStatus, version uint64) []wire.MemberStatus {
 	var out []wire.MemberStatus
 	for _, m := range rows {
--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -9,17 +9,15 @@
 import (
 	"context"
 	"expvar"
-	"math/rand/v2"
-	"sort"
-	"sync"
+	"hash/fnv"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/juju/errors"
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/dig"
 
-	"caperdrum.org/api/optext"
 	"caperdrum.org/api/timeline"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/peer"
@@ -29,17 +27,6 @@
 // MethodSync is the control role's method that this package calls.
 const MethodSync = "control.sync"
 
-// View is an immutable picture of the configuration and the members. Version
-// is zero, and Config empty, until the first change was accepted.
-type View struct {
-	Config    *optext.Config
-	Version   uint64
-	Text      string
-	Seq       uint64
-	Members   map[wire.MemberID]wire.Member
-	ByService map[string][]wire.Member // agents that are not leaving, by service, sorted by id
-}
-
 // Params are what the service needs.
 type Params struct {
 	dig.In
@@ -51,29 +38,28 @@
 
 // Service holds the current view.
 type Service struct {
+	held    *Holder
 	log     logr.Logger
 	ring    *timeline.Ring
-	control *peer.Control
+	clock   clockwork.Clock
+	control *peer.Control // for calls to the leader
+	sources []source      // for synchronization, which any control process answers
+	current int
 
-	mu     sync.Mutex
-	member wire.Member
 	listen []func(*View)
-
-	view  atomic.Pointer[View]
-	stamp atomic.Int64 // Unix nanoseconds of the last quorum confirmation
-	poke  chan struct{}
+	poke   chan struct{}
+	saw    atomic.Uint64 // highest version heard of from others
 
 	cancel context.CancelFunc
 	done   chan struct{}
 }
 
-const (
-	syncWait    = time.Second // also the interval of lease renewal
-	syncTimeout = syncWait + 2*time.Second
-	pauseMin    = 50 * time.Millisecond
-	pauseMax    = time.Second
-	staleStamp  = 3 * time.Second // a control process with an older stamp is passed over
-)
+// source is one control process, as synchronization sees it.
+type source interface {
+	Call(ctx context.Context, method string, params, result any) error
+	Address() string
+	Close()
+}
 
 var versionVar = expvar.NewInt("config_version")
 
@@ -81,39 +67,38 @@
 func New(p Params) *Service {
 	m := p.Settings.Member()
 	m.Incarnation = uint64(time.Now().UnixNano())
-	return &Service{log: p.Log, ring: p.Ring, member: m, poke: make(chan struct{}, 1), done: make(chan struct{}),
+	s := &Service{held: NewHolder(m), log: p.Log, ring: p.Ring, clock: clockwork.NewRealClock(), poke: make(chan struct{}, 1), done: make(chan struct{}),
 		control: peer.NewControl(p.Settings.Peers.Control, p.Dial)}
+	for _, address := range p.Settings.Peers.Control {
+		s.sources = append(s.sources, peer.NewClient(address, p.Dial))
+	}
+	s.current = spread(m.ID, len(s.sources))
+	return s
+}
+
+// spread picks the control process to begin with, so that not all members
+// begin with the same.
+func spread(id wire.MemberID, n int) int {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return int(h.Sum32() % uint32(n))
 }
 
 // Control returns the client of the control processes.
 func (s *Service) Control() *peer.Control { return s.control }
 
 // View returns the current view, or nil before the first one.
-func (s *Service) View() *View { return s.view.Load() }
+func (s *Service) View() *View { return s.held.View() }
 
 // StampAge returns how long ago a quorum confirmed what this process holds.
-func (s *Service) StampAge() time.Duration {
-	at := s.stamp.Load()
-	if at == 0 {
-		return time.Duration(1<<63 - 1)
-	}
-	return time.Since(time.Unix(0, at))
-}
+func (s *Service) StampAge() time.Duration { return s.held.StampAge(s.clock.Now()) }
 
 // Self returns this process's member record.
-func (s *Service) Self() wire.Member {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.member
-}
+func (s *Service) Self() wire.Member { return s.held.Self() }
 
 // SetLeaving announces that this process takes no new work, or takes it again.
 func (s *Service) SetLeaving(leaving bool) {
-	s.mu.Lock()
-	changed := s.member.Leaving != leaving
-	s.member.Leaving = leaving
-	s.mu.Unlock()
-	if changed {
+	if s.held.SetLeaving(leaving) {
 		s.Poke()
 	}
 }
@@ -126,10 +111,22 @@
 	}
 }
 
-// Saw tells that another process holds the given version.
+// Saw tells that another process holds the given version. Each version pokes
+// once, however much traffic carries it.
 func (s *Service) Saw(version uint64) {
-	if v := s.View(); v != nil && version > v.Version {
-		s.Poke()
+	v := s.View()
+	if v == nil || version <= v.Version {
+		return
+	}
+	for {
+		old := s.saw.Load()
+		if version <= old {
+			return
+		}
+		if s.saw.CompareAndSwap(old, version) {
+			s.Poke()
+			return
+		}
 	}
 }
 
@@ -146,162 +143,26 @@
 }
 
 // Stop implements kernel.Stopper. It tells the control processes that this
-// one is gone.
+// one is gone, and returns when they have recorded it or farewellTime is over.
 func (s *Service) Stop(ctx context.Context) error {
 	s.cancel()
 	<-s.done
 	s.SetLeaving(true)
-	ctx, cancel := context.WithTimeout(ctx, syncWait)
-	defer cancel()
-	var reply wire.SyncReply
-	s.control.Current().Call(ctx, MethodSync, s.request(0), &reply) // best effort: the lease ends anyway
+	s.farewell(ctx)
 	s.control.Close()
-	return nil
-}
-
-func (s *Service) run(ctx context.Context) {
-	defer close(s.done)
-	pause := pauseMin
-	for ctx.Err() == nil {
-		err := s.syncOnce(ctx)
-		if err == nil {
-			pause = pauseMin
-			continue
-		}
-		s.log.V(1).Info("control process passed over", "address", s.control.Current().Address(), "error", err.Error())
-		s.control.Next()
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause/2 + rand.N(pause/2)):
-		}
-		pause = min(2*pause, pauseMax)
-	}
-}
-
-func (s *Service) request(wait time.Duration) wire.SyncRequest {
-	req := wire.SyncRequest{Member: s.Self(), Wait: wait}
-	if v := s.View(); v != nil {
-		req.ConfigVersion, req.MembersSeq = v.Version, v.Seq
-	}
-	return req
-}
-
-var errStale = errors.New("configsync: the control process has no fresh confirmation by a quorum")
-
-func (s *Service) syncOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
-	defer cancel()
-	go s.cutShort(ctx, cancel)
-	asked := time.Now()
-	var reply wire.SyncReply
-	err := s.control.Current().Call(ctx, MethodSync, s.request(syncWait), &reply)
-	if err != nil {
-		if errors.Is(ctx.Err(), context.Canceled) {
-			return nil // cut short by Poke or Stop
-		}
-		return err
-	}
-	if reply.StampAge < 0 || reply.StampAge > staleStamp {
-		return errStale
-	}
-	if err := s.take(&reply); err != nil {
-		return err
-	}
-	// The answer was held back, but its stamp's age was taken at the end; the
-	// time of the call is the safe bound for the start of the age.
-	s.setStamp(asked.Add(-reply.StampAge))
-	if !reply.Renewed {
-		return errors.New("configsync: the lease could not be renewed there")
+	for _, src := range s.sources {
+		src.Close()
 	}
 	return nil
 }
 
-// cutShort ends a held-back call when somebody asks for news at once.
-func (s *Service) cutShort(ctx context.Context, cancel context.CancelFunc) {
-	select {
-	case <-ctx.Done():
-	case <-s.poke:
-		cancel()
+func (s *Service) publish(v *View, old uint64) {
+	if v.Version != old {
+		versionVar.Set(int64(v.Version))
+		s.log.Info("configuration in force", "version", v.Version)
+		s.ring.Record(timeline.Event{Kind: "config-in-force", Detail: "version " + strconv.FormatUint(v.Version, 10)})
 	}
-}
-
-func (s *Service) setStamp(at time.Time) {
-	if n := at.UnixNano(); n > s.stamp.Load() {
-		s.stamp.Store(n)
-	}
-}
-
-func (s *Service) take(reply *wire.SyncReply) error {
-	old := s.View()
-	next := View{Config: &optext.Config{}, Members: map[wire.MemberID]wire.Member{}}
-	if old != nil {
-		next = *old
-	}
-	if err := next.takeConfig(reply.Config); err != nil {
-		return err
-	}
-	if err := next.takeMembers(reply.Members); err != nil {
-		return err
-	}
-	if old != nil && next.Version == old.Version && next.Seq == old.Seq {
-		return nil
-	}
-	if old == nil || next.Version != old.Version {
-		versionVar.Set(int64(next.Version))
-		s.log.Info("configuration in force", "version", next.Version)
-		s.ring.Record(timeline.Event{Kind: "config-in-force", Detail: versionString(next.Version)})
-	}
-	s.view.Store(&next)
 	for _, f := range s.listen {
-		f(&next)
-	}
-	return nil
-}
-
-func (v *View) takeConfig(c *wire.ConfigText) error {
-	if c == nil || c.Version <= v.Version {
-		return nil
-	}
-	parsed, err := optext.Parse("configuration", []byte(c.Text))
-	if err != nil {
-		return errors.Annotatef(err, "version %d", c.Version)
-	}
-	v.Config, v.Version, v.Text = parsed, c.Version, c.Text
-	return nil
-}
-
-func (v *View) takeMembers(d *wire.MembersDelta) error {
-	if d == nil || d.To <= v.Seq {
-		return nil
-	}
-	if !d.Whole && d.From != v.Seq {
-		return errors.Errorf("configsync: member delta from %d does not follow %d", d.From, v.Seq)
-	}
-	members := make(map[wire.MemberID]wire.Member, len(v.Members)+len(d.Changed))
-	if !d.Whole {
-		for id, m := range v.Members {
-			members[id] = m
-		}
-	}
-	for _, m := range d.Changed {
-		members[m.ID] = m
-	}
-	for _, id := range d.Removed {
-		delete(members, id)
-	}
-	v.Members, v.Seq = members, d.To
-	v.index()
-	return nil
-}
-
-func (v *View) index() {
-	v.ByService = map[string][]wire.Member{}
-	for _, m := range v.Members {
-		if m.Service != "" && !m.Leaving {
-			v.ByService[m.Service] = append(v.ByService[m.Service], m)
-		}
-	}
-	for _, list := range v.ByService {
-		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+		f(v)
 	}
 }
--- /dev/null
+++ b/node/configsync/holder.go
@@ -0,0 +1,146 @@
+package configsync
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/wire"
+)
+
+const (
+	staleStamp = 3 * time.Second // a control process with an older stamp is passed over
+	neverStamp = time.Duration(1<<63 - 1)
+)
+
+// Errors that make the process ask another control process.
+var (
+	errStale      = errors.New("configsync: the control process has no fresh confirmation by a quorum")
+	errBehind     = errors.New("configsync: the control process is behind what is held here")
+	errNotRenewed = errors.New("configsync: the lease could not be renewed there")
+)
+
+// Holder is the part of Service that decides what is held. It has no goroutine
+// and reads no clock. Take must not run twice at the same time.
+type Holder struct {
+	mu     sync.Mutex
+	member wire.Member
+	fault  error // of the last text; the next one must come whole
+
+	view  atomic.Pointer[View]
+	stamp atomic.Int64 // Unix nanoseconds of the last quorum confirmation
+}
+
+// NewHolder returns a Holder for the process with the given record.
+func NewHolder(m wire.Member) *Holder { return &Holder{member: m} }
+
+// View returns the current view, or nil before the first one.
+func (h *Holder) View() *View { return h.view.Load() }
+
+// Self returns the process's member record.
+func (h *Holder) Self() wire.Member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.member
+}
+
+// SetLeaving changes the record and reports whether it was another before.
+func (h *Holder) SetLeaving(leaving bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.member.Leaving == leaving {
+		return false
+	}
+	h.member.Leaving = leaving
+	h.member.Revision++
+	return true
+}
+
+// Request returns the next call to a control process, to be held there for wait.
+func (h *Holder) Request(wait time.Duration) wire.SyncRequest {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	req := wire.SyncRequest{Member: h.member, Wait: wait}
+	if v := h.View(); v != nil {
+		req.ConfigVersion, req.MembersSeq = v.Version, v.Seq
+		if h.fault == nil {
+			req.ConfigHash = v.Hash
+		}
+	}
+	if h.fault != nil {
+		req.Fault = h.fault.Error()
+	}
+	return req
+}
+
+// StampAge returns how long before now a quorum confirmed what is held.
+func (h *Holder) StampAge(now time.Time) time.Duration {
+	at := h.stamp.Load()
+	if at == 0 {
+		return neverStamp
+	}
+	return now.Sub(time.Unix(0, at))
+}
+
+// Take takes over what an answer to a call made at asked brings, and returns
+// the new view, or nil when nothing changed. A nil error says that the quorum's
+// confirmation was taken over too. A newer text or member list counts also
+// without one, since it was committed, but not as the first view.
+//
+// The stamp's age was measured after the call began, so asked minus the age is
+// no later than the confirmation.
+func (h *Holder) Take(reply *wire.SyncReply, asked time.Time) (*View, error) {
+	fresh := reply.StampAge >= 0 && reply.StampAge <= staleStamp
+	old := h.View()
+	if !fresh && old == nil {
+		return nil, errStale
+	}
+	next := emptyView()
+	if old != nil {
+		next = *old
+	}
+	if err := h.takeConfig(&next, reply); err != nil {
+		return nil, err
+	}
+	if err := next.takeMembers(reply.Members); err != nil {
+		return nil, err
+	}
+	if reply.Version < next.Version || reply.MembersSeq < next.Seq {
+		return nil, errBehind
+	}
+	if reply.Version > next.Version || reply.MembersSeq > next.Seq {
+		return nil, errors.Annotate(errGap, "the answer does not bring all that it knows of")
+	}
+	var changed *View
+	if old == nil || next.Version != old.Version || next.Seq != old.Seq {
+		h.view.Store(&next)
+		changed = &next
+	}
+	if !fresh {
+		return changed, errStale
+	}
+	h.confirm(asked.Add(-reply.StampAge))
+	return changed, nil
+}
+
+func (h *Holder) takeConfig(next *View, reply *wire.SyncReply) error {
+	err := next.takeText(reply.Config)
+	if err == nil {
+		err = next.takeDelta(reply.Delta)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.fault = err
+	return err
+}
+
+func (h *Holder) confirm(at time.Time) {
+	for n := at.UnixNano(); ; {
+		old := h.stamp.Load()
+		if old >= n || h.stamp.CompareAndSwap(old, n) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/node/configsync/loop.go
@@ -0,0 +1,168 @@
+package configsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/wire"
+)
+
+const (
+	syncWait   = time.Second            // how long an answer is held back; also the interval of lease renewal
+	grace      = 400 * time.Millisecond // how long an answer may take besides
+	graceLimit = 4 * time.Second        // of grace, which grows while no control process answers
+	seekWait   = 250 * time.Millisecond // hold at control processes that cannot renew the lease
+	pauseMin   = 25 * time.Millisecond
+	pauseMax   = 400 * time.Millisecond
+	cutMin     = 50 * time.Millisecond // a call is not cut short sooner
+	// farewellTime bounds how long a stopping process waits until its leaving
+	// is recorded; after that its lease ends by itself.
+	farewellTime = 1500 * time.Millisecond
+)
+
+// pace is how the next synchronization is done. After a failure the next
+// control process is asked for an answer at once, so that several that hang are
+// passed over within the lease.
+type pace struct {
+	wait  time.Duration
+	grace time.Duration
+	pause time.Duration
+	fails int // in a row, without any answer
+}
+
+func startPace() pace { return pace{wait: 0, grace: grace, pause: 0} }
+
+// after returns the pace after a synchronization with n control processes to
+// choose from, and whether to move on to the next one.
+func (p pace) after(err error, n int) (next pace, moveOn bool) {
+	switch {
+	case err == nil:
+		return pace{wait: syncWait, grace: grace}, false
+	case errors.Is(err, errNotRenewed):
+		// News still arrives through it. Others may reach the leader.
+		return pace{wait: jitter(seekWait), grace: grace}, true
+	case errors.Is(err, errGap) || errors.Is(err, errText):
+		// The list or the text comes whole next time.
+		return pace{wait: 0, grace: grace, pause: jitter(pauseMin), fails: p.fails + 1}, p.fails > 0
+	}
+	next = pace{wait: 0, grace: grace, pause: jitter(pauseMin), fails: p.fails + 1}
+	rounds := next.fails / n
+	if rounds > 0 {
+		next.pause = jitter(min(pauseMin<<min(rounds, 8), pauseMax))
+		next.grace = min(grace<<min(rounds, 8), graceLimit)
+	}
+	return next, true
+}
+
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
+
+func (s *Service) run(ctx context.Context) {
+	defer close(s.done)
+	for p := startPace(); ctx.Err() == nil; {
+		src := s.sources[s.current]
+		err := s.syncOnce(ctx, src, p)
+		if err != nil && ctx.Err() == nil {
+			s.log.V(1).Info("control process not used", "address", src.Address(), "error", err.Error())
+		}
+		var moveOn bool
+		p, moveOn = p.after(err, len(s.sources))
+		if moveOn {
+			s.current = (s.current + 1) % len(s.sources)
+		}
+		s.sleep(ctx, p.pause)
+	}
+}
+
+func (s *Service) sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-s.clock.After(d):
+	}
+}
+
+func (s *Service) syncOnce(ctx context.Context, src source, p pace) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	req := s.held.Request(p.wait)
+	asked := s.clock.Now()
+	var reply wire.SyncReply
+	answer := make(chan error, 1)
+	go func() { answer <- src.Call(ctx, MethodSync, req, &reply) }()
+	late := s.clock.NewTimer(p.wait + p.grace)
+	defer late.Stop()
+	var cut <-chan time.Time
+	poke := s.poke
+	for {
+		select {
+		case err := <-answer:
+			if err != nil {
+				return err
+			}
+			return s.accept(&reply, asked)
+		case <-late.Chan():
+			src.Close() // it may be cut silently
+			return errors.Errorf("configsync: no answer within %s", p.wait+p.grace)
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-poke:
+			poke = nil
+			if p.wait > 0 { // an answer that is not held back comes soon
+				cut = s.clock.After(max(0, cutMin-s.clock.Since(asked)))
+			}
+		case <-cut:
+			return nil // asked anew at once
+		}
+	}
+}
+
+func (s *Service) accept(reply *wire.SyncReply, asked time.Time) error {
+	old := uint64(0)
+	if v := s.View(); v != nil {
+		old = v.Version
+	}
+	changed, err := s.held.Take(reply, asked)
+	if changed != nil {
+		s.publish(changed, old)
+	}
+	if err == nil && !reply.Renewed {
+		return errNotRenewed
+	}
+	return err
+}
+
+// farewell asks one control process after the other until the leaving record
+// is in the members.
+func (s *Service) farewell(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, farewellTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		if s.recorded(ctx, s.sources[s.current]) {
+			return
+		}
+		s.current = (s.current + 1) % len(s.sources)
+		s.sleep(ctx, jitter(pauseMin))
+	}
+}
+
+func (s *Service) recorded(ctx context.Context, src source) bool {
+	ctx, cancel := context.WithTimeout(ctx, grace)
+	defer cancel()
+	for ctx.Err() == nil {
+		asked := s.clock.Now()
+		var reply wire.SyncReply
+		if src.Call(ctx, MethodSync, s.held.Request(seekWait), &reply) != nil {
+			return false
+		}
+		s.held.Take(&reply, asked) // moves the request on; nobody is told any more
+		if reply.Recorded {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/node/configsync/loop_test.go
@@ -0,0 +1,92 @@
+package configsync
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/wire"
+)
+
+// TestHangingControlsArePassedOverWithinTheLease lets the control process in
+// use and the one after it accept calls and never answer.
+func TestHangingControlsArePassedOverWithinTheLease(t *testing.T) {
+	const lease, controls = 3 * time.Second, 3
+	hang := errors.New("no answer")
+	p, _ := startPace().after(nil, controls)
+	silent := p.wait // the last renewal was made when the held-back call began
+	for range controls - 1 {
+		silent += p.wait + p.grace
+		var moveOn bool
+		if p, moveOn = p.after(hang, controls); !moveOn {
+			t.Fatal("stays with a control process that does not answer")
+		}
+		silent += p.pause
+	}
+	if silent >= lease {
+		t.Fatalf("no renewal for %s of a lease of %s", silent, lease)
+	}
+	for range 100 { // nobody answers for long
+		p, _ = p.after(hang, controls)
+		if p.pause > pauseMax || p.wait+p.grace > graceLimit {
+			t.Fatalf("pace %+v", p)
+		}
+	}
+}
+
+// TestTrafficPokesOncePerVersion keeps busy traffic from cutting each call
+// short before its answer.
+func TestTrafficPokesOncePerVersion(t *testing.T) {
+	s := &Service{held: NewHolder(wire.Member{}), clock: clockwork.NewFakeClock(), poke: make(chan struct{}, 1)}
+	poked := func() bool {
+		select {
+		case <-s.poke:
+			return true
+		default:
+			return false
+		}
+	}
+	text := "[data_center:a]\n"
+	first := wire.SyncReply{Version: 3, Config: &wire.ConfigText{Version: 3, Text: text, Hash: xxhash.Sum64String(text)}}
+	if _, err := s.held.Take(&first, time.Unix(1000, 0)); err != nil {
+		t.Fatal(err)
+	}
+	for i, c := range []struct {
+		version uint64
+		want    bool
+	}{{3, false}, {5, true}, {5, false}, {4, false}, {6, true}} {
+		s.Saw(c.version)
+		if poked() != c.want {
+			t.Fatalf("step %d: version %d poked: %v", i, c.version, !c.want)
+		}
+	}
+}
+
+// answers is a control process that gives the answers in turn, then the last
+// one again.
+type answers struct {
+	replies []wire.SyncReply
+	calls   int
+}
+
+func (a *answers) Call(_ context.Context, _ string, _, result any) error {
+	*result.(*wire.SyncReply) = a.replies[min(a.calls, len(a.replies)-1)]
+	a.calls++
+	return nil
+}
+func (a *answers) Address() string { return "" }
+func (a *answers) Close()          {}
+
+// TestFarewellWaitsUntilItIsRecorded answers twice without the record.
+func TestFarewellWaitsUntilItIsRecorded(t *testing.T) {
+	src := &answers{replies: []wire.SyncReply{{Renewed: true}, {Renewed: true}, {Renewed: true, Recorded: true}}}
+	s := &Service{held: NewHolder(wire.Member{}), clock: clockwork.NewRealClock(), sources: []source{src}}
+	s.farewell(context.Background())
+	if src.calls != 3 {
+		t.Fatalf("%d calls", src.calls)
+	}
+}
--- /dev/null
+++ b/node/configsync/view.go
@@ -0,0 +1,67 @@
+package configsync
+
+import (
+	"sort"
+
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/optext"
+	"caperdrum.org/api/wire"
+)
+
+// View is an immutable picture of the configuration and the members. Version
+// is zero, and Config empty, until the first change was accepted.
+type View struct {
+	Config    *optext.Config
+	Version   uint64
+	Text      string
+	Hash      uint64 // xxhash64 of Text
+	Seq       uint64
+	Members   map[wire.MemberID]wire.Member
+	ByService map[string][]wire.Member // agents that are not leaving, by service, sorted by id
+
+	ends []int // where the sections of Text end
+}
+
+func emptyView() View {
+	return View{Config: &optext.Config{}, Members: map[wire.MemberID]wire.Member{}}
+}
+
+// errGap says that a member delta does not follow what is held.
+var errGap = errors.New("configsync: the member delta does not follow the list held")
+
+func (v *View) takeMembers(d *wire.MembersDelta) error {
+	if d == nil || d.To <= v.Seq {
+		return nil
+	}
+	if !d.Whole && d.From != v.Seq {
+		return errors.Annotatef(errGap, "from %d to %d, held %d", d.From, d.To, v.Seq)
+	}
+	members := make(map[wire.MemberID]wire.Member, len(v.Members)+len(d.Changed))
+	if !d.Whole {
+		for id, m := range v.Members {
+			members[id] = m
+		}
+	}
+	for _, m := range d.Changed {
+		members[m.ID] = m
+	}
+	for _, id := range d.Removed {
+		delete(members, id)
+	}
+	v.Members, v.Seq = members, d.To
+	v.index()
+	return nil
+}
+
+func (v *View) index() {
+	v.ByService = map[string][]wire.Member{}
+	for _, m := range v.Members {
+		if m.Service != "" && !m.Leaving {
+			v.ByService[m.Service] = append(v.ByService[m.Service], m)
+		}
+	}
+	for _, list := range v.ByService {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+}
--- /dev/null
+++ b/node/control/cluster.go
@@ -0,0 +1,22 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"caperdrum.org/node/consensus"
+	"caperdrum.org/node/state"
+)
+
+// cluster is what synchronization and leases need of the replica.
+type cluster interface {
+	View() *state.View
+	Status() consensus.Status
+	StampAge() time.Duration
+	SetStamp(at time.Time)
+	IsLeader() bool
+	Leader() consensus.Peer
+	Changed() <-chan struct{}
+	Propose(ctx context.Context, c state.Command) (state.Result, error)
+	WaitApplied(ctx context.Context, index uint64) error
+}
--- a/node/control/leases.go
+++ b/node/control/leases.go
@@ -5,9 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"caperdrum.org/api/timeline"
 	"caperdrum.org/api/wire"
-	"caperdrum.org/node/replica"
 	"caperdrum.org/node/state"
 )
 
@@ -15,49 +16,60 @@
 type Renewal struct {
 	Member        wire.Member `json:"member"`
 	ConfigVersion uint64      `json:"config_version"`
+	Fault         string      `json:"fault,omitempty"`
 }
 
 // leases is the leader's memory of when it last heard from each member. It is
 // not replicated: a new leader grants every member one whole lease. Joining,
 // leaving and expiry are replicated.
 type leases struct {
-	replica *replica.Replica
+	cluster cluster
+	clock   clockwork.Clock
 	ttl     time.Duration
 	ring    *timeline.Ring
 
 	mu      sync.Mutex
 	seen    map[wire.MemberID]seen
-	pending []wire.Member
+	pending map[wire.MemberID]wire.Member
 	wake    chan struct{}
+
+	term     uint64    // of the leadership that leases were granted for
+	lastStep time.Time // of run's goroutine
 }
 
 type seen struct {
 	at          time.Time
 	incarnation uint64
 	version     uint64
+	fault       string
 }
 
-func newLeases(r *replica.Replica, ttl time.Duration, ring *timeline.Ring) *leases {
-	return &leases{replica: r, ttl: ttl, ring: ring, seen: map[wire.MemberID]seen{}, wake: make(chan struct{}, 1)}
+func newLeases(c cluster, clock clockwork.Clock, ttl time.Duration, ring *timeline.Ring) *leases {
+	return &leases{cluster: c, clock: clock, ttl: ttl, ring: ring, seen: map[wire.MemberID]seen{},
+		pending: map[wire.MemberID]wire.Member{}, wake: make(chan struct{}, 1)}
 }
 
 // renew notes signs of life and queues the members that the state does not
 // hold as they are.
 func (l *leases) renew(rs []Renewal) {
-	members := l.replica.View().Members
-	now := time.Now()
+	members := l.cluster.View().Members
+	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range rs {
+		known, ok := members[r.Member.ID]
 		old := l.seen[r.Member.ID]
-		if old.incarnation > r.Member.Incarnation {
-			continue // a late message of an earlier start
+		held := ok || now.Sub(old.at) <= l.ttl
+		if held && max(old.incarnation, known.Incarnation) > r.Member.Incarnation {
+			continue // a late message of an earlier start, or the VM's clock went back
 		}
-		l.seen[r.Member.ID] = seen{now, r.Member.Incarnation, r.ConfigVersion}
-		if known, ok := members[r.Member.ID]; ok && (known == r.Member || known.Incarnation > r.Member.Incarnation) {
+		l.seen[r.Member.ID] = seen{now, r.Member.Incarnation, r.ConfigVersion, r.Fault}
+		if waiting, queued := l.pending[r.Member.ID]; queued && !r.Member.Follows(waiting) {
 			continue
 		}
-		l.pending = append(l.pending, r.Member)
+		if !ok || r.Member.Follows(known) {
+			l.pending[r.Member.ID] = r.Member
+		}
 	}
 	if len(l.pending) > 0 {
 		select {
@@ -67,80 +79,102 @@
 	}
 }
 
-const expiryInterval = 250 * time.Millisecond
+const (
+	expiryInterval = 250 * time.Millisecond
+	// joinGap is the time between two commands of members, so that many that
+	// start at once share few commands and few deltas.
+	joinGap = 50 * time.Millisecond
+	// standstill is a pause between two steps after which the leader cannot
+	// tell who was silent: it did not listen itself.
+	standstill = time.Second
+)
 
 func (l *leases) run(ctx context.Context) {
-	ticker := time.NewTicker(expiryInterval)
+	ticker := l.clock.NewTicker(expiryInterval)
 	defer ticker.Stop()
-	leading := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-l.wake:
-		case <-ticker.C:
+		case <-ticker.Chan():
 		}
-		if !l.replica.IsLeader() {
-			leading = false
+		if !l.step(ctx) {
 			continue
 		}
-		if !leading {
-			leading = true
-			l.grantAll()
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.clock.After(joinGap):
 		}
-		l.commit(ctx)
 	}
 }
 
-// grantAll starts a new leadership: nobody expires before a whole lease.
-func (l *leases) grantAll() {
-	now := time.Now()
+// step replicates joins and expiries and reports whether there were any.
+func (l *leases) step(ctx context.Context) bool {
+	status := l.cluster.Status()
+	now := l.clock.Now()
+	still := now.Sub(l.lastStep) > standstill
+	l.lastStep = now
+	if !l.cluster.IsLeader() {
+		l.term = 0
+		l.takePending() // members renew at the leader
+		return false
+	}
+	if l.term != status.Term || still {
+		l.term = status.Term
+		l.grantAll(now)
+	}
+	return l.commit(ctx)
+}
+
+// grantAll grants every member a whole lease from now on.
+func (l *leases) grantAll(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id, m := range l.replica.View().Members {
-		if s := l.seen[id]; now.Sub(s.at) > l.ttl/2 {
-			l.seen[id] = seen{now, m.Incarnation, s.version}
-		}
+	for id, m := range l.cluster.View().Members {
+		s := l.seen[id]
+		s.at, s.incarnation = now, max(m.Incarnation, s.incarnation)
+		l.seen[id] = s
 	}
 }
 
-// commit replicates joins and expiries, if there are any.
-func (l *leases) commit(ctx context.Context) {
+func (l *leases) commit(ctx context.Context) bool {
 	cmd := state.Command{Join: l.takePending(), Remove: l.expired()}
 	if len(cmd.Join) == 0 && len(cmd.Remove) == 0 {
-		return
+		return false
 	}
 	for _, rm := range cmd.Remove {
 		l.ring.Record(timeline.Event{Kind: "lease-expired", Detail: string(rm.ID)})
 	}
-	ctx, cancel := context.WithTimeout(ctx, l.ttl)
+	ctx, cancel := context.WithTimeout(ctx, standstill/2)
 	defer cancel()
-	l.replica.Propose(ctx, cmd) // members renew again, so a lost command is made again
+	l.cluster.Propose(ctx, cmd) // members renew again, so a lost command is made again
+	return true
 }
 
 func (l *leases) takePending() []wire.Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	latest := map[wire.MemberID]int{}
-	var out []wire.Member
+	out := make([]wire.Member, 0, len(l.pending))
 	for _, m := range l.pending {
-		if i, ok := latest[m.ID]; ok {
-			out[i] = m
-			continue
-		}
-		latest[m.ID] = len(out)
 		out = append(out, m)
 	}
-	l.pending = nil
+	clear(l.pending)
 	return out
 }
 
+// expired lists the members whose lease has ended. What was seen of them is
+// kept until the removal is in the view, so that a lost command is made again;
+// then it is forgotten, so that the process may come back under any
+// incarnation.
 func (l *leases) expired() []state.Removal {
-	now := time.Now()
+	now := l.clock.Now()
+	members := l.cluster.View().Members
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []state.Removal
-	for id, m := range l.replica.View().Members {
+	for id, m := range members {
 		s, ok := l.seen[id]
 		if !ok {
 			l.seen[id] = seen{at: now, incarnation: m.Incarnation}
@@ -148,6 +182,10 @@
 		}
 		if now.Sub(s.at) > l.ttl {
 			out = append(out, state.Removal{ID: id, Incarnation: m.Incarnation})
+		}
+	}
+	for id, s := range l.seen {
+		if _, member := members[id]; !member && now.Sub(s.at) > l.ttl {
 			delete(l.seen, id)
 		}
 	}
@@ -156,15 +194,15 @@
 
 // report lists the members with what the leader last heard from them.
 func (l *leases) report() []wire.MemberStatus {
-	now := time.Now()
-	view := l.replica.View()
+	now := l.clock.Now()
+	view := l.cluster.View()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []wire.MemberStatus
 	for id, m := range view.Members {
 		row := wire.MemberStatus{Member: m, LastSeen: -1}
 		if s, ok := l.seen[id]; ok {
-			row.LastSeen, row.ConfigVersion = now.Sub(s.at), s.version
+			row.LastSeen, row.ConfigVersion, row.Fault = now.Sub(s.at), s.version, s.fault
 		}
 		out = append(out, row)
 	}
--- /dev/null
+++ b/node/control/leases_test.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/state"
+)
+
+// TestLeasesThatNobodyListenedTo lists times in which the leader could not
+// hear members; none of them may be removed after it.
+func TestLeasesThatNobodyListenedTo(t *testing.T) {
+	cases := map[string]func(w *world){
+		"the leader stood still": func(w *world) { w.clock.Advance(10 * time.Second) },
+		"the lead was lost and won in between": func(w *world) {
+			lead := w.nodes[0].svc.leases
+			for range 20 {
+				w.clock.Advance(expiryInterval)
+				lead.lastStep = w.clock.Now() // busy elsewhere
+			}
+			w.term++
+		},
+	}
+	for name, pass := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(nil)
+			lead := w.nodes[0].svc.leases
+			m := wire.Member{ID: "m0", Incarnation: 1}
+			lead.renew([]Renewal{{Member: m}})
+			lead.step(context.Background())
+			pass(w)
+			lead.step(context.Background())
+			if _, held := w.oracle.View().Members["m0"]; !held {
+				t.Fatal("removed")
+			}
+			for range 14 {
+				w.clock.Advance(expiryInterval)
+				lead.step(context.Background())
+			}
+			if _, held := w.oracle.View().Members["m0"]; held {
+				t.Fatal("a silent member was kept for longer than a lease")
+			}
+		})
+	}
+}
+
+// TestRestartStormIsBatched restarts many members at once: their joins share a
+// command.
+func TestRestartStormIsBatched(t *testing.T) {
+	w := newWorld(nil)
+	lead := w.nodes[0].svc.leases
+	for i := range 200 {
+		lead.renew([]Renewal{{Member: wire.Member{ID: wire.MemberID("m0" + string(rune('a'+i))), Incarnation: 1}}})
+	}
+	lead.step(context.Background())
+	if len(w.log) != 1 || len(w.oracle.View().Members) != 200 {
+		t.Fatalf("%d commands for %d members", len(w.log), len(w.oracle.View().Members))
+	}
+}
+
+// TestClockThatWentBack restarts a member under a lower incarnation: it is a
+// member again once the lease of the earlier start has ended.
+func TestClockThatWentBack(t *testing.T) {
+	w := newWorld(nil)
+	w.commit(state.Command{Join: []wire.Member{{ID: "m0", Incarnation: 9}}})
+	w.nodes[0].catchUp(1)
+	lead := w.nodes[0].svc.leases
+	for range 14 {
+		lead.step(context.Background())
+		lead.renew([]Renewal{{Member: wire.Member{ID: "m0", Incarnation: 5}}})
+		w.clock.Advance(expiryInterval)
+	}
+	lead.step(context.Background())
+	if m := w.oracle.View().Members["m0"]; m.Incarnation != 5 {
+		t.Fatalf("the members hold %+v", m)
+	}
+}
--- a/node/control/links.go
+++ b/node/control/links.go
@@ -25,6 +25,7 @@
 const (
 	queueLength = 1024
 	sendTimeout = time.Second
+	idleLimit   = time.Minute // after which a replica's queue is given up
 )
 
 func newLinks(dial peer.Dialer) *links {
@@ -55,7 +56,7 @@
 			}
 			q = make(chan consensus.Message, queueLength)
 			l.queues[m.To] = q
-			go l.pump(address, q)
+			go l.pump(m.To, address, q)
 		}
 		select {
 		case q <- m:
@@ -64,13 +65,20 @@
 	}
 }
 
-func (l *links) pump(address string, q chan consensus.Message) {
+func (l *links) pump(id consensus.NodeID, address string, q chan consensus.Message) {
 	client := peer.NewClient(address, l.dial)
 	defer client.Close()
+	idle := time.NewTimer(idleLimit)
+	defer idle.Stop()
 	for {
+		idle.Reset(idleLimit)
 		select {
 		case <-l.ctx.Done():
 			return
+		case <-idle.C:
+			if l.giveUp(id, q) {
+				return
+			}
 		case m := <-q:
 			batch := RaftBatch{From: l.self, Messages: append([]consensus.Message{m}, takeAll(q)...)}
 			ctx, cancel := context.WithTimeout(l.ctx, sendTimeout)
@@ -80,6 +88,18 @@
 	}
 }
 
+// giveUp forgets an idle queue, for instance of a disk that was replaced.
+func (l *links) giveUp(id consensus.NodeID, q chan consensus.Message) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(q) > 0 {
+		return false
+	}
+	delete(l.queues, id)
+	delete(l.addr, id)
+	return true
+}
+
 func takeAll(q chan consensus.Message) []consensus.Message {
 	var out []consensus.Message
 	for {
--- a/node/control/repair.go
+++ b/node/control/repair.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -105,22 +106,46 @@
 	return out
 }
 
-// findSpares asks the listed control processes that are not members who they
-// are.
+// findSpares asks the listed control processes that are not working members
+// who they are, all at once: those that are dead answer nothing.
 func (r *repair) findSpares(ctx context.Context, status consensus.Status) []consensus.Peer {
-	var out []consensus.Peer
-	for _, address := range r.s.set.Peers.Control {
+	if whole(status, r.silentVoters(), r.s.set.Control.Voters) {
+		return nil
+	}
+	found := make([]*consensus.Peer, len(r.s.set.Peers.Control)) // in the order of the settings
+	var wg sync.WaitGroup
+	for i, address := range r.s.set.Peers.Control {
 		if address == r.s.set.Control.Listen || answering(status, r.silentVoters(), address) {
 			continue
 		}
-		p, err := r.ask(ctx, address)
-		if err == nil && !status.Membership.Has(p.ID) && !status.Membership.HasLearner(p.ID) {
-			out = append(out, p)
+		wg.Go(func() {
+			p, err := r.ask(ctx, address)
+			if err == nil && !status.Membership.Has(p.ID) && !status.Membership.HasLearner(p.ID) {
+				found[i] = &p
+			}
+		})
+	}
+	wg.Wait()
+	var out []consensus.Peer
+	for _, p := range found {
+		if p != nil {
+			out = append(out, *p)
 		}
 	}
 	return out
 }
 
+// whole reports whether enough voters work, so that no spare is needed.
+func whole(st consensus.Status, silent map[consensus.NodeID]bool, want int) bool {
+	working := 0
+	for _, v := range st.Membership.Voters {
+		if v.ID == st.ID || !silent[v.ID] {
+			working++
+		}
+	}
+	return working >= want
+}
+
 func answering(status consensus.Status, silent map[consensus.NodeID]bool, address string) bool {
 	for _, p := range status.Membership.All() {
 		if p.Address == address && !silent[p.ID] {
--- a/node/control/service.go
+++ b/node/control/service.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	"go.uber.org/dig"
 
@@ -53,8 +54,11 @@
 	server  *peer.Server
 	leases  *leases
 	follow  *follower
+	news    *news
 	repair  *repair
 	replica *replica.Replica
+	cluster cluster // the replica, as synchronization and leases see it
+	clock   clockwork.Clock
 
 	cancel  context.CancelFunc
 	stopped chan struct{}
@@ -74,9 +78,11 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	s.cluster, s.clock = s.replica, clockwork.NewRealClock()
 	s.links.self = s.replica.Self()
-	s.leases = newLeases(s.replica, p.Settings.Control.Lease, p.Ring)
+	s.leases = newLeases(s.cluster, s.clock, p.Settings.Control.Lease, p.Ring)
 	s.follow = newFollower(s)
+	s.news = newNews(s.cluster)
 	s.repair = newRepair(s)
 	peer.Handle(s.server, MethodSync, s.sync)
 	peer.Handle(s.server, MethodRenew, s.renew)
@@ -104,6 +110,7 @@
 		<-ctx.Done()
 		l.Close()
 	}()
+	go s.news.run(ctx)
 	go s.leases.run(ctx)
 	go s.follow.run(ctx)
 	go s.repair.run(ctx)
@@ -170,7 +177,7 @@
 
 // notLeader returns the error that sends a caller to the leader.
 func (s *Service) notLeader() error {
-	l := s.replica.Leader()
+	l := s.cluster.Leader()
 	return &peer.ErrNotLeader{Leader: wire.MemberID(l.ID), Address: l.Address}
 }
 
--- a/node/control/sync.go
+++ b/node/control/sync.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/consensus"
+	"caperdrum.org/node/state"
 )
 
 // maxWait bounds how long a sync call is held back.
@@ -13,19 +15,20 @@
 // sync renews the caller's lease and answers as soon as there is news.
 func (s *Service) sync(ctx context.Context, req *wire.SyncRequest) (*wire.SyncReply, error) {
 	renewed := s.renewMember(req)
-	timer := time.NewTimer(min(req.Wait, maxWait))
+	timer := s.clock.NewTimer(min(req.Wait, maxWait))
 	defer timer.Stop()
+	late := false
 	for {
-		changed := s.replica.Changed()
+		changed := s.news.changed()
 		reply := s.reply(req)
 		reply.Renewed = renewed
-		if reply.Config != nil || reply.Members != nil {
+		if late || reply.Config != nil || reply.Delta != nil || reply.Members != nil {
 			return reply, nil
 		}
 		select {
 		case <-changed:
-		case <-timer.C:
-			return s.withStamp(reply), nil
+		case <-timer.Chan():
+			late = true
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -33,26 +36,34 @@
 }
 
 func (s *Service) renewMember(req *wire.SyncRequest) bool {
-	r := Renewal{Member: req.Member, ConfigVersion: req.ConfigVersion}
-	if s.replica.IsLeader() {
+	r := Renewal{Member: req.Member, ConfigVersion: req.ConfigVersion, Fault: req.Fault}
+	if s.cluster.IsLeader() {
 		s.leases.renew([]Renewal{r})
 		return true
 	}
-	return s.follow.add(r)
+	return s.follow.add(r, req.Wait == 0)
 }
 
+// reply reads the stamp before the view: what is read later is at least as new
+// as the stamp says.
 func (s *Service) reply(req *wire.SyncRequest) *wire.SyncReply {
-	v := s.replica.View()
-	reply := &wire.SyncReply{Version: v.Config.Version, Members: v.Delta(req.MembersSeq)}
-	if v.Config.Version > req.ConfigVersion {
-		reply.Config = &v.Config
-	}
-	leader := s.replica.Leader()
-	reply.Leader, reply.LeaderPeer = wire.MemberID(leader.ID), leader.Address
-	return s.withStamp(reply)
+	age := s.cluster.StampAge()
+	return answer(s.cluster.View(), req, age, s.cluster.Leader())
 }
 
-func (s *Service) withStamp(r *wire.SyncReply) *wire.SyncReply {
-	r.StampAge = s.replica.StampAge()
+// answer holds what the caller lacks of v. It is empty where the caller is
+// ahead of v.
+func answer(v *state.View, req *wire.SyncRequest, age time.Duration, leader consensus.Peer) *wire.SyncReply {
+	r := &wire.SyncReply{Version: v.Config.Version, MembersSeq: v.MembersSeq, Members: v.Delta(req.MembersSeq),
+		StampAge: age, Leader: wire.MemberID(leader.ID), LeaderPeer: leader.Address}
+	if v.Config.Version > req.ConfigVersion {
+		r.Delta = v.Texts.Delta(req.ConfigVersion, req.ConfigHash)
+		if r.Delta == nil {
+			config := v.Config
+			r.Config = &config
+		}
+	}
+	known, ok := v.Members[req.Member.ID]
+	r.Recorded = ok && !req.Member.Follows(known)
 	return r
 }
--- /dev/null
+++ b/node/peer/client.go
@@ -0,0 +1,119 @@
+package peer
+
+import (
+	"context"
+	"sync"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Client calls one address over one connection, which it opens when needed
+// and again after a failure.
+type Client struct {
+	address string
+	dial    Dialer
+	dialing chan struct{} // holds a token while somebody dials
+
+	mu   sync.Mutex
+	conn *jsonrpc2.Conn
+}
+
+// NewClient returns a client; it does not connect yet.
+func NewClient(address string, dial Dialer) *Client {
+	return &Client{address: address, dial: dial, dialing: make(chan struct{}, 1)}
+}
+
+// Address returns the address the client calls.
+func (c *Client) Address() string { return c.address }
+
+func (c *Client) connection(ctx context.Context) (*jsonrpc2.Conn, error) {
+	if conn := c.connected(); conn != nil {
+		return conn, nil
+	}
+	select {
+	case c.dialing <- struct{}{}:
+		defer func() { <-c.dialing }()
+	case <-ctx.Done():
+		return nil, errors.WithType(errors.Trace(ctx.Err()), ErrUnreachable)
+	}
+	if conn := c.connected(); conn != nil {
+		return conn, nil
+	}
+	raw, err := c.dial(ctx, c.address)
+	if err != nil {
+		return nil, errors.WithType(errors.Trace(err), ErrUnreachable)
+	}
+	refuse := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end only calls"}
+	})
+	conn := jsonrpc2.NewConn(context.Background(), stream(raw), refuse, jsonrpc2.SetLogger(silent{}))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn = conn
+	return conn, nil
+}
+
+func (c *Client) connected() *jsonrpc2.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil {
+		return nil
+	}
+	select {
+	case <-c.conn.DisconnectNotify():
+		c.conn = nil
+	default:
+	}
+	return c.conn
+}
+
+// Call sends params and decodes the answer into result. When ctx's deadline
+// passes first the connection is dropped, since it may be cut silently. When
+// ctx is cancelled it is kept for the other calls.
+func (c *Client) Call(ctx context.Context, method string, params, result any) error {
+	conn, err := c.connection(ctx)
+	if err != nil {
+		return err
+	}
+	err = conn.Call(ctx, method, params, result)
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.drop(conn)
+	}
+	if err != nil {
+		return decodeError(err)
+	}
+	return nil
+}
+
+// Notify sends params without waiting for an answer.
+func (c *Client) Notify(ctx context.Context, method string, params any) error {
+	conn, err := c.connection(ctx)
+	if err != nil {
+		return err
+	}
+	if err := conn.Notify(ctx, method, params); err != nil {
+		c.drop(conn)
+		return errors.Trace(err)
+	}
+	return nil
+}
+
+func (c *Client) drop(conn *jsonrpc2.Conn) {
+	c.mu.Lock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	c.mu.Unlock()
+	conn.Close()
+}
+
+// Close closes the connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
--- a/node/peer/peer.go
+++ b/node/peer/peer.go
@@ -34,7 +34,7 @@
 func (e *ErrNotLeader) Error() string { return "not the leader; the leader is " + string(e.Leader) }
 
 // ErrUnreachable says that a call was never sent.
-var ErrUnreachable = errors.New("peer: unreachable")
+const ErrUnreachable = errors.ConstError("peer: unreachable")
 
 // Dialer opens connections. Tests replace it to cut links.
 type Dialer func(ctx context.Context, address string) (net.Conn, error)
@@ -167,98 +167,37 @@
 }
 
 func stream(c net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewPlainObjectStream(c)
+	return jsonrpc2.NewPlainObjectStream(boundedConn{c})
 }
 
-type silent struct{}
-
-func (silent) Printf(string, ...any) {}
-
-// Client calls one address over one connection, which it opens when needed
-// and again after a failure.
-type Client struct {
-	address string
-	dial    Dialer
-
-	mu   sync.Mutex
-	conn *jsonrpc2.Conn
-}
-
-// NewClient returns a client; it does not connect yet.
-func NewClient(address string, dial Dialer) *Client {
-	return &Client{address: address, dial: dial}
-}
+const (
+	// writeTimeout bounds a write without progress: a peer that was cut off
+	// silently acknowledges nothing, and the kernel would keep a writer with a
+	// full send buffer waiting for many minutes.
+	writeTimeout = 2 * time.Second
+	writeChunk   = 64 << 10
+)
 
-// Address returns the address the client calls.
-func (c *Client) Address() string { return c.address }
+// boundedConn fails writes that make no progress within writeTimeout.
+type boundedConn struct{ net.Conn }
 
-func (c *Client) connection(ctx context.Context) (*jsonrpc2.Conn, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conn != nil {
-		select {
-		case <-c.conn.DisconnectNotify():
-			c.conn = nil
-		default:
-			return c.conn, nil
+// Write implements io.Writer.
+func (c boundedConn) Write(p []byte) (int, error) {
+	sent := 0
+	for sent < len(p) {
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return sent, err
+		}
+		n, err := c.Conn.Write(p[sent:min(len(p), sent+writeChunk)])
+		sent += n
+		if err != nil {
+			c.Close() // part of a message may have been sent
+			return sent, err
 		}
 	}
-	raw, err := c.dial(ctx, c.address)
-	if err != nil {
-		return nil, errors.Wrap(err, ErrUnreachable)
-	}
-	refuse := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end only calls"}
-	})
-	c.conn = jsonrpc2.NewConn(context.Background(), stream(raw), refuse, jsonrpc2.SetLogger(silent{}))
-	return c.conn, nil
-}
-
-// Call sends params and decodes the answer into result. When ctx ends first
-// the connection is dropped, since it may be cut silently.
-func (c *Client) Call(ctx context.Context, method string, params, result any) error {
-	conn, err := c.connection(ctx)
-	if err != nil {
-		return err
-	}
-	err = conn.Call(ctx, method, params, result)
-	if ctx.Err() != nil && err != nil {
-		c.drop(conn)
-	}
-	if err != nil {
-		return decodeError(err)
-	}
-	return nil
-}
-
-// Notify sends params without waiting for an answer.
-func (c *Client) Notify(ctx context.Context, method string, params any) error {
-	conn, err := c.connection(ctx)
-	if err != nil {
-		return err
-	}
-	if err := conn.Notify(ctx, method, params); err != nil {
-		c.drop(conn)
-		return errors.Trace(err)
-	}
-	return nil
+	return sent, nil
 }
 
-func (c *Client) drop(conn *jsonrpc2.Conn) {
-	c.mu.Lock()
-	if c.conn == conn {
-		c.conn = nil
-	}
-	c.mu.Unlock()
-	conn.Close()
-}
+type silent struct{}
 
-// Close closes the connection.
-func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conn != nil {
-		c.conn.Close()
-		c.conn = nil
-	}
-}
+func (silent) Printf(string, ...any) {}
--- a/node/state/state.go
+++ b/node/state/state.go
@@ -13,6 +13,7 @@
 
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/textdelta"
 )
 
 // Command is one entry of the log. Every part that is set is applied, in the
@@ -103,6 +104,7 @@
 	teamsView   *Teams            // of the current teams
 	historyView []wire.ChangeInfo // of the current changes
 	view        *View
+	parts       viewParts
 }
 
 type expiring struct {
@@ -113,6 +115,7 @@
 // View is an immutable picture of what followers of the state read.
 type View struct {
 	Config     wire.ConfigText
+	Texts      *textdelta.History
 	Winner     string
 	MembersSeq uint64
 	Members    map[wire.MemberID]wire.Member
@@ -154,6 +157,7 @@
 	m.memberLog = nil
 	m.view = nil
 	m.teamsView, m.historyView = m.teams(), m.history()
+	m.parts = viewParts{history: textdelta.NewHistory(m.s.Version, m.s.Text)}
 }
 
 // Apply executes one encoded Command.
@@ -209,6 +213,7 @@
 	res := wire.ChangeResult{Version: m.s.Version}
 	if c.Number == m.s.Version+1 {
 		m.s.Version, m.s.Text, m.s.Winner = c.Number, c.Text, c.ChangeID
+		m.parts.history = m.parts.history.Next(c.Number, c.Text)
 		res = wire.ChangeResult{Accepted: true, Version: c.Number}
 	} else {
 		res.Reason = "the number is not the current version plus one"
@@ -243,7 +248,7 @@
 }
 
 func (m *Machine) join(member wire.Member) {
-	if m.s.Members[member.ID] == member {
+	if old, known := m.s.Members[member.ID]; known && !member.Follows(old) {
 		return
 	}
 	m.s.Members[member.ID] = member
@@ -359,15 +364,12 @@
 	if m.view != nil {
 		return m.view
 	}
-	members := make(map[wire.MemberID]wire.Member, len(m.s.Members))
-	for id, member := range m.s.Members {
-		members[id] = member
-	}
 	m.view = &View{
-		Config:     wire.ConfigText{Version: m.s.Version, Text: m.s.Text, Hash: xxhash.Sum64String(m.s.Text)},
+		Config:     m.parts.history.Text(),
+		Texts:      m.parts.history,
 		Winner:     m.s.Winner,
 		MembersSeq: m.s.MembersSeq,
-		Members:    members,
+		Members:    m.memberView(),
 		Ledger:     len(m.s.Ledger),
 		Teams:      m.teamsView,
 		History:    m.historyView,
@@ -375,33 +377,3 @@
 	}
 	return m.view
 }
-
-// Delta returns what changed in the members after sequence number seq, or the
-// whole list when that is not known any more or was never given out here.
-func (v *View) Delta(seq uint64) *wire.MembersDelta {
-	if seq == v.MembersSeq {
-		return nil
-	}
-	d := &wire.MembersDelta{From: seq, To: v.MembersSeq}
-	if seq > v.MembersSeq || len(v.log) == 0 || v.log[0].seq > seq+1 {
-		d.From, d.Whole = 0, true
-		for _, m := range v.Members {
-			d.Changed = append(d.Changed, m)
-		}
-		return d
-	}
-	latest := map[wire.MemberID]bool{}
-	for _, c := range v.log {
-		if c.seq > seq {
-			latest[c.id] = true
-		}
-	}
-	for id := range latest {
-		if m, ok := v.Members[id]; ok {
-			d.Changed = append(d.Changed, m)
-		} else {
-			d.Removed = append(d.Removed, id)
-		}
-	}
-	return d
-}
--- a/node/textdelta/textdelta.go
+++ b/node/textdelta/textdelta.go
@@ -13,17 +13,23 @@
 )
 
 // Ends returns the byte offsets at which the sections of text end. A section
-// starts at each line that begins with a bracket; what stands before the first
-// one is a section too. Joined in order, the sections are the text.
+// starts at each line whose first character, blanks aside, is a bracket; what
+// stands before the first one is a section too. Joined in order, the sections
+// are the text.
 func Ends(text string) []int {
 	var ends []int
 	for at := 0; at < len(text); {
-		next := strings.Index(text[at:], "\n[")
-		if next < 0 {
-			return append(ends, len(text))
+		n := strings.IndexByte(text[at:], '\n')
+		if n < 0 {
+			break
 		}
-		at += next + 1
-		ends = append(ends, at)
+		at += n + 1
+		if strings.HasPrefix(strings.TrimLeft(text[at:], " \t"), "[") {
+			ends = append(ends, at)
+		}
+	}
+	if len(text) > 0 {
+		ends = append(ends, len(text))
 	}
 	return ends
 }
