Members leave a silent control process alone while others answer

Cause: during an election followers cannot renew, so members turned to the next control process, which was the silent one, and hung on it again: with 50 members a change accepted after 1767 ms was in force after 2261 ms. Change: one that did not answer is asked last for 3 s.

--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -46,6 +46,8 @@
 	sources []source      // for synchronization, which any control process answers
 	current int
 
+	unanswered []time.Time // by source: when it last did not answer; zero when it did since
+
 	listen []func(*View)
 	poke   chan struct{}
 	saw    atomic.Uint64 // highest version heard of from others
@@ -72,6 +74,7 @@
 	for _, address := range p.Settings.Peers.Control {
 		s.sources = append(s.sources, peer.NewClient(address, p.Dial))
 	}
+	s.unanswered = make([]time.Time, len(s.sources))
 	s.current = spread(m.ID, len(s.sources))
 	return s
 }
--- a/node/configsync/loop.go
+++ b/node/configsync/loop.go
@@ -18,6 +18,7 @@
 	pauseMin   = 25 * time.Millisecond
 	pauseMax   = 400 * time.Millisecond
 	cutMin     = 50 * time.Millisecond // a call is not cut short sooner
+	shunTime   = 3 * time.Second       // a control process that did not answer is asked last for this long
 	// farewellTime bounds how long a stopping process waits until its leaving
 	// is recorded; after that its lease ends by itself.
 	farewellTime = 1500 * time.Millisecond
@@ -70,12 +71,41 @@
 		var moveOn bool
 		p, moveOn = p.after(err, len(s.sources))
 		if moveOn {
-			s.current = (s.current + 1) % len(s.sources)
+			s.moveOn(err)
 		}
 		s.sleep(ctx, p.pause)
 	}
 }
 
+// moveOn picks the next control process. While others answer, one that did not
+// is left alone, so that a member does not hang on it again during an election.
+func (s *Service) moveOn(err error) {
+	n := len(s.sources)
+	if answered(err) {
+		s.unanswered[s.current] = time.Time{}
+	} else {
+		s.unanswered[s.current] = s.clock.Now()
+	}
+	for i := 1; i <= n; i++ {
+		k := (s.current + i) % n
+		if at := s.unanswered[k]; at.IsZero() || s.clock.Since(at) > shunTime {
+			s.current = k
+			return
+		}
+	}
+	s.current = (s.current + 1) % n
+}
+
+// answered reports whether a synchronization that failed was answered.
+func answered(err error) bool {
+	for _, known := range []error{errNotRenewed, errStale, errBehind, errGap, errText} {
+		if errors.Is(err, known) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Service) sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/node/configsync/loop_test.go
+++ b/node/configsync/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -90,3 +91,24 @@
 		t.Fatalf("%d calls", src.calls)
 	}
 }
+
+// TestSilentControlIsShunnedWhileOthersAnswer lets the only answering control
+// processes have no leader: the silent one is not asked again until shunTime
+// has passed, and all are asked when none answers.
+func TestSilentControlIsShunnedWhileOthersAnswer(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := &Service{clock: clock, sources: make([]source, 3), unanswered: make([]time.Time, 3)}
+	var asked []int
+	for _, err := range []error{errors.New("no answer"), errNotRenewed, errNotRenewed, errNotRenewed} {
+		s.moveOn(err)
+		asked = append(asked, s.current)
+	}
+	clock.Advance(shunTime + 1)
+	for range 4 {
+		s.moveOn(errors.New("no answer"))
+		asked = append(asked, s.current)
+	}
+	if want := []int{1, 2, 1, 2, 0, 1, 2, 0}; !slices.Equal(asked, want) {
+		t.Fatalf("asked %v, want %v", asked, want)
+	}
+}
