--- a/node/state/state.go
+++ b/node/state/state.go
@@ -4,13 +4,12 @@
 package state
 
 import (
-	"maps"
-
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/textdelta"
 )
 
 // Command is one entry of the log. Every part that is set is applied, in the
@@ -92,17 +91,17 @@
 	ledger    ledger
 	byChange  map[string]int // change id to position in s.Changes
 	memberLog []memberChange
-	view      *View
-	members   map[wire.MemberID]wire.Member // copy in the last view, until the members change
-	config    wire.ConfigText               // in the last view
 
 	teamsView   *Teams            // of the current teams
 	historyView []wire.ChangeInfo // of the current changes
+	view        *View
+	parts       viewParts
 }
 
 // View is an immutable picture of what followers of the state read.
 type View struct {
 	Config     wire.ConfigText
+	Texts      *textdelta.History
 	Winner     string
 	MembersSeq uint64
 	Members    map[wire.MemberID]wire.Member
@@ -135,8 +134,9 @@
 	m.ledger = newLedger(list)
 	m.s.Ledger = 0
 	m.memberLog = nil
-	m.view, m.members, m.config = nil, nil, wire.ConfigText{}
+	m.view = nil
 	m.teamsView, m.historyView = m.teams(), m.history()
+	m.parts = viewParts{history: textdelta.NewHistory(m.s.Version, m.s.Text)}
 }
 
 // Apply executes one encoded Command.
@@ -192,6 +192,7 @@
 	res := wire.ChangeResult{Version: m.s.Version}
 	if c.Number == m.s.Version+1 {
 		m.s.Version, m.s.Text, m.s.Winner = c.Number, c.Text, c.ChangeID
+		m.parts.history = m.parts.history.Next(c.Number, c.Text)
 		res = wire.ChangeResult{Accepted: true, Version: c.Number}
 	} else {
 		res.Reason = "the number is not the current version plus one"
@@ -226,7 +227,7 @@
 }
 
 func (m *Machine) join(member wire.Member) {
-	if m.s.Members[member.ID] == member {
+	if old, known := m.s.Members[member.ID]; known && !member.Follows(old) {
 		return
 	}
 	m.s.Members[member.ID] = member
@@ -244,7 +245,6 @@
 
 func (m *Machine) logMember(id wire.MemberID, removed bool) {
 	m.s.MembersSeq++
-	m.members = nil
 	m.memberLog = append(m.memberLog, memberChange{m.s.MembersSeq, id, removed})
 	if len(m.memberLog) >= 2*memberLogSize {
 		m.memberLog = append([]memberChange(nil), m.memberLog[memberLogSize:]...)
@@ -280,17 +280,12 @@
 	if m.view != nil {
 		return m.view
 	}
-	if m.members == nil {
-		m.members = maps.Clone(m.s.Members)
-	}
-	if m.config.Version != m.s.Version {
-		m.config = wire.ConfigText{Version: m.s.Version, Text: m.s.Text, Hash: xxhash.Sum64String(m.s.Text)}
-	}
 	m.view = &View{
-		Config:     m.config,
+		Config:     m.parts.history.Text(),
+		Texts:      m.parts.history,
 		Winner:     m.s.Winner,
 		MembersSeq: m.s.MembersSeq,
-		Members:    m.members,
+		Members:    m.memberView(),
 		Ledger:     len(m.ledger.entries),
 		LedgerSize: m.ledger.bytes,
 		Teams:      m.teamsView,
@@ -299,33 +294,3 @@
 	}
 	return m.view
 }
-
-// Delta returns what changed in the members after sequence number seq, or the
-// whole list when that is not known any more or was never given out here.
-func (v *View) Delta(seq uint64) *wire.MembersDelta {
-	if seq == v.MembersSeq {
-		return nil
-	}
-	d := &wire.MembersDelta{From: seq, To: v.MembersSeq}
-	if seq > v.MembersSeq || len(v.log) == 0 || v.log[0].seq > seq+1 {
-		d.From, d.Whole = 0, true
-		for _, m := range v.Members {
-			d.Changed = append(d.Changed, m)
-		}
-		return d
-	}
-	latest := map[wire.MemberID]bool{}
-	for _, c := range v.log {
-		if c.seq > seq {
-			latest[c.id] = true
-		}
-	}
-	for id := range latest {
-		if m, ok := v.Members[id]; ok {
-			d.Changed = append(d.Changed, m)
-		} else {
-			d.Removed = append(d.Removed, id)
-		}
-	}
-	return d
-}
