e2e: a harness for tests over separate processes

Cause: no test runs the daemons as the users do, as processes of their own. Ruled out: relays by address alone, since connections from loopback all come from 127.0.0.1; the relay finds the opener's process by its socket's inode. Change: module e2e with process control, relays that swallow, hold or delay per direction, and a load whose answers an oracle checks; settings [control] advertise and [agent] advertise, so that relays can stand between processes; client.Close.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,11 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo development)
-MODULES = ./api/... ./node/... ./fake/... ./ctl/...
+MODULES = ./api/... ./node/... ./fake/... ./ctl/... ./e2e/...
+# e2e runs no product code inside the test process: the race detector would see
+# nothing there. e2e-long builds the separate processes with it instead.
+IN_PROCESS = $(filter-out ./e2e/...,$(MODULES))
 LDFLAGS = -ldflags "-X main.version=$(VERSION)"
 
-.PHONY: build demo test race lint fuzz mutate bench clean
+.PHONY: build demo test race e2e-long lint fuzz mutate bench clean
 
 build:
 	go build $(LDFLAGS) -o bin/ ./node/cmd/caperdrumd ./ctl/cmd/caperdrum
@@ -14,7 +17,10 @@
 	go test $(MODULES)
 
 race:
-	go test -race -short $(MODULES)
+	go test -race -short $(IN_PROCESS)
+
+e2e-long:
+	go test -count=1 -timeout 60m -v ./e2e -args -long
 
 # Long runs of the rapid machines and fuzz targets with a fresh seed.
 fuzz:
@@ -25,7 +31,7 @@
 	./scripts/mutate.sh
 
 lint:
-	@files=$$(gofmt -l api node fake ctl); if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
+	@files=$$(gofmt -l api node fake ctl e2e); if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
 	go vet $(MODULES)
 	go run honnef.co/go/tools/cmd/staticcheck $(MODULES)
 
--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -27,6 +27,9 @@
 	return &Client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true}}}
 }
 
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
 // Request is one caller's request.
 type Request struct {
 	Entry     string // address
--- /dev/null
+++ b/e2e/harness/load.go
@@ -0,0 +1,294 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/ctl/client"
+	"caperdrum.org/fake/standin"
+)
+
+// Load sends confirmations and pipeline requests from several goroutines and
+// holds every answer against an oracle.
+type Load struct {
+	// Confirmed and Answered count whole answers to confirmations and to other
+	// requests, Refused errors with a verdict, Lost broken connections.
+	Confirmed, Answered, Refused, Lost atomic.Int64
+
+	s      *System
+	client *client.Client
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	next   atomic.Int64
+	strict bool // nothing may be lost or refused
+
+	mu   sync.Mutex
+	keys []*confirmation
+}
+
+// confirmation is what the oracle knows of one key.
+type confirmation struct {
+	key, body string
+	whole     []byte // the answer that was given whole
+	unknown   bool   // answered: may have run, never runs again
+	left      bool   // its only answer was a refusal as not run, and it is not sent again
+}
+
+const (
+	requestTimeout = 10 * time.Second
+	confirmWorkers = 6
+	requestWorkers = 4
+	maxSends       = 6 // of one key during a fault; the rest is sent when it is over
+	resendPause    = 100 * time.Millisecond
+	readyPoll      = 25 * time.Millisecond
+	notRun         = "not-run"
+)
+
+// StartLoad starts the load. It ends with Finish, or with the test.
+func (s *System) StartLoad() *Load { return s.startLoad(false) }
+
+// StartStrictLoad starts a load like a balancer's: it sends to entries that
+// say they are ready, and no request may fail.
+func (s *System) StartStrictLoad() *Load { return s.startLoad(true) }
+
+func (s *System) startLoad(strict bool) *Load {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Load{s: s, client: client.New(), cancel: cancel, strict: strict}
+	s.T.Cleanup(l.stop)
+	for range confirmWorkers {
+		l.wg.Go(func() {
+			for ctx.Err() == nil {
+				l.confirm()
+			}
+		})
+	}
+	for range requestWorkers {
+		l.wg.Go(func() {
+			for ctx.Err() == nil {
+				l.request()
+			}
+		})
+	}
+	return l
+}
+
+func (l *Load) stop() {
+	l.cancel()
+	l.wg.Wait()
+	l.client.Close()
+}
+
+// Await waits until n more confirmations and n more requests were answered
+// whole.
+func (l *Load) Await(n int64) {
+	l.s.T.Helper()
+	confirmed, answered := l.Confirmed.Load()+n, l.Answered.Load()+n
+	Eventually(l.s.T, func() string {
+		if c, a := l.Confirmed.Load(), l.Answered.Load(); c < confirmed || a < answered {
+			return fmt.Sprintf("%d confirmations and %d answers; %d and %d so far", confirmed, answered, c, a)
+		}
+		return ""
+	})
+}
+
+// entry picks the entry of the i-th send. A strict load asks for readiness
+// first, as the balancer does.
+func (l *Load) entry(i int64) *Entry {
+	for k := i; ; k++ {
+		e := l.s.Entries[int(k)%len(l.s.Entries)]
+		if !l.strict || Ready(e) {
+			return e
+		}
+		time.Sleep(readyPoll)
+	}
+}
+
+// send returns nil when no whole answer came back over the connection.
+func (l *Load) send(i int64, r client.Request) *client.Answer {
+	e := l.entry(i)
+	r.Entry, r.Customer, r.Timeout = e.Address, Customer, requestTimeout
+	a, err := l.client.Send(context.Background(), r)
+	switch {
+	case err != nil, a.Status == 200 && !a.Whole:
+		l.Lost.Add(1)
+		if l.strict {
+			l.s.T.Errorf("lost through %s: %v %+v", e.Name, err, a)
+		}
+		time.Sleep(resendPause)
+		return nil
+	case a.Whole && r.Key != "":
+		l.Confirmed.Add(1)
+	case a.Whole:
+		l.Answered.Add(1)
+	default:
+		l.Refused.Add(1)
+		if l.strict {
+			l.s.T.Errorf("refused through %s: %d %s %s", e.Name, a.Status, a.Verdict, a.Body)
+		}
+		time.Sleep(resendPause)
+	}
+	return a
+}
+
+func (l *Load) confirm() {
+	i := l.next.Add(1)
+	c := &confirmation{key: fmt.Sprintf("key-%d", i), body: fmt.Sprintf(`{"lot":"lot-%d"}`, i)}
+	l.mu.Lock()
+	l.keys = append(l.keys, c)
+	l.mu.Unlock()
+	for n := range int64(maxSends) {
+		a := l.sendKey(i+n, c)
+		if c.whole != nil || c.unknown {
+			return
+		}
+		if n == 0 && i%leftOut == 0 && a != nil && a.Verdict.String() == notRun {
+			c.left = true
+			return
+		}
+	}
+}
+
+// leftOut is the share of refused confirmations that are never sent again, so
+// that "not run" can be checked.
+const leftOut = 2
+
+func (l *Load) sendKey(i int64, c *confirmation) *client.Answer {
+	a := l.send(i, client.Request{Path: "/v1/services/" + Desk + "/confirm", Key: c.key, Body: []byte(c.body)})
+	if a == nil {
+		return nil
+	}
+	switch {
+	case a.Whole:
+		l.check(c, a)
+	case a.Verdict == verdict.MayHaveRun && a.RetryAfter == "":
+		c.unknown = true // final: the outcome is lost with its gate
+	}
+	return a
+}
+
+func (l *Load) check(c *confirmation, a *client.Answer) {
+	var got struct {
+		Confirmation string `json:"confirmation"`
+		Run          int    `json:"run"`
+	}
+	if err := json.Unmarshal(a.Body, &got); err != nil || got.Run != 1 || got.Confirmation == "" {
+		l.s.T.Errorf("%s: wrong answer %s", c.key, a.Body)
+	}
+	if c.whole != nil && !bytes.Equal(c.whole, a.Body) {
+		l.s.T.Errorf("%s: answered %s, then %s", c.key, c.whole, a.Body)
+	}
+	if c.unknown {
+		l.s.T.Errorf("%s: answered as lost, then whole", c.key)
+	}
+	c.whole = a.Body
+}
+
+func (l *Load) request() {
+	i := l.next.Add(1)
+	prompt := fmt.Sprintf("request %d", i)
+	r := client.Request{Path: "/v1/chat/completions", Body: fmt.Appendf(nil, `{"model":"desk-chat","stream":%v,"messages":[{"role":"user","content":%q}]}`, i%2 == 0, prompt)}
+	want := standin.Text("user:"+prompt+"\n", standinTokens)
+	if l.s.opts.Staged && i%3 == 0 {
+		r = client.Request{Path: "/v1/pipelines/quote", Body: fmt.Appendf(nil, `{"query":%q,"stream":%v}`, prompt, i%2 == 0)}
+		want = standin.PipelineText(prompt, standinTokens)
+	}
+	a := l.send(i, r)
+	if a == nil || !a.Whole {
+		return
+	}
+	if text, err := client.ChatText(a.Body); err != nil || text != want {
+		l.s.T.Errorf("%s: got %q, want %q (%v)", prompt, text, want, err)
+	}
+}
+
+// Finish ends the load. Faults must be over: every confirmation is sent again
+// until it is settled, and its answer must be the one given before.
+func (l *Load) Finish() {
+	l.s.T.Helper()
+	l.cancel()
+	l.wg.Wait()
+	l.strict = false
+	jobs := make(chan *confirmation)
+	var wg sync.WaitGroup
+	for range confirmWorkers {
+		wg.Go(func() {
+			for c := range jobs {
+				l.settle(c)
+			}
+		})
+	}
+	for _, c := range l.keys {
+		jobs <- c
+	}
+	close(jobs)
+	wg.Wait()
+	l.judge()
+}
+
+func (l *Load) settle(c *confirmation) {
+	if c.left {
+		return
+	}
+	end := time.Now().Add(hungAfter)
+	for i := int64(0); time.Now().Before(end); i++ {
+		if a := l.sendKey(i, c); a != nil && (a.Whole || c.unknown) {
+			return
+		}
+	}
+	l.s.T.Errorf("%s is never settled", c.key)
+}
+
+// judge compares the oracle with what ran.
+func (l *Load) judge() {
+	whole, unknown, left := 0, 0, 0
+	for _, c := range l.keys {
+		runs := l.s.Runs.Of(c.body)
+		switch {
+		case runs > 1:
+			l.s.T.Errorf("%s ran %d times", c.key, runs)
+		case c.left && runs != 0:
+			l.s.T.Errorf("%s was refused as not run, but ran", c.key)
+		case c.whole != nil && runs != 1:
+			l.s.T.Errorf("%s was answered whole, but ran %d times", c.key, runs)
+		}
+		whole += count(c.whole != nil)
+		unknown += count(c.unknown)
+		left += count(c.left)
+	}
+	l.s.T.Logf("%d keys: %d whole, %d may have run, %d refused for good; other requests: %d whole; sends: %d refused, %d lost",
+		len(l.keys), whole, unknown, left, l.Answered.Load(), l.Refused.Load(), l.Lost.Load())
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Unknown returns how many confirmations ended as perhaps run.
+func (l *Load) Unknown() int {
+	n := 0
+	for _, c := range l.keys {
+		n += count(c.unknown)
+	}
+	return n
+}
+
+// MustHold fails the test when any of the texts is missing from the log.
+func MustHold(t testing.TB, log []byte, texts ...string) {
+	t.Helper()
+	for _, x := range texts {
+		if !strings.Contains(string(log), x) {
+			t.Errorf("%q is missing from:\n%s", x, tail(log))
+		}
+	}
+}
--- /dev/null
+++ b/e2e/harness/opener.go
@@ -0,0 +1,72 @@
+package harness
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+)
+
+// outside names an opener that is not a process of the system.
+const outside = "test"
+
+// opener returns the name of the process that opened the connection: its
+// socket's inode stands in /proc/net/tcp and among the process's open files.
+func (n *Network) opener(c net.Conn) string {
+	inode := inodeOf(c.RemoteAddr().(*net.TCPAddr), c.LocalAddr().(*net.TCPAddr))
+	if inode == "" {
+		return outside
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name, p := range n.processes {
+		if pid := p.PID(); pid > 0 && holdsSocket(pid, inode) {
+			return name
+		}
+	}
+	return outside
+}
+
+func holdsSocket(pid int, inode string) bool {
+	dir := fmt.Sprintf("/proc/%d/fd", pid)
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return false
+	}
+	for _, e := range entries {
+		if to, err := os.Readlink(dir + "/" + e.Name()); err == nil && to == "socket:["+inode+"]" {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	columnLocal  = 1
+	columnRemote = 2
+	columnInode  = 9
+)
+
+func inodeOf(local, remote *net.TCPAddr) string {
+	f, err := os.Open("/proc/net/tcp")
+	if err != nil {
+		return ""
+	}
+	defer f.Close()
+	want := [2]string{procAddress(local), procAddress(remote)}
+	s := bufio.NewScanner(f)
+	for s.Scan() {
+		fields := strings.Fields(s.Text())
+		if len(fields) > columnInode && fields[columnLocal] == want[0] && fields[columnRemote] == want[1] {
+			return fields[columnInode]
+		}
+	}
+	return ""
+}
+
+// procAddress is the spelling of /proc/net/tcp on a little-endian machine.
+func procAddress(a *net.TCPAddr) string {
+	return fmt.Sprintf("%08X:%04X", binary.LittleEndian.Uint32(a.IP.To4()), a.Port)
+}
--- /dev/null
+++ b/e2e/harness/process.go
@@ -0,0 +1,168 @@
+package harness
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// hungAfter ends a test that waits for something that never happens. No
+// promise is measured with it.
+const hungAfter = 90 * time.Second
+
+// Process is one operating-system process under test.
+type Process struct {
+	Name string
+	t    testing.TB
+	argv []string
+	log  string
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+	status int
+}
+
+// newProcess returns a process that ends with the test.
+func newProcess(t testing.TB, name, dir string, argv ...string) *Process {
+	p := &Process{Name: name, t: t, argv: argv, log: filepath.Join(dir, name+".log")}
+	t.Cleanup(p.cleanup)
+	return p
+}
+
+func (p *Process) cleanup() {
+	p.Kill()
+	log := p.Log()
+	if bytes.Contains(log, []byte("DATA RACE")) {
+		p.t.Errorf("%s has a data race", p.Name)
+	}
+	if bytes.Contains(log, []byte("panic: ")) {
+		p.t.Errorf("%s panicked", p.Name)
+	}
+	if p.t.Failed() {
+		p.t.Logf("log of %s:\n%s", p.Name, tail(log))
+	}
+}
+
+const tailBytes = 6000
+
+func tail(log []byte) []byte { return log[max(0, len(log)-tailBytes):] }
+
+// Log returns what the process wrote on both outputs over all its starts.
+func (p *Process) Log() []byte {
+	data, err := os.ReadFile(p.log)
+	if err != nil && !os.IsNotExist(err) {
+		p.t.Error(err)
+	}
+	return data
+}
+
+// Start starts the process; it must not be running.
+func (p *Process) Start() {
+	p.t.Helper()
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer out.Close()
+	cmd := exec.Command(p.argv[0], p.argv[1:]...)
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	if err := cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	exited := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.exited = cmd, exited
+	p.mu.Unlock()
+	go func() {
+		cmd.Wait()
+		p.mu.Lock()
+		p.status = cmd.ProcessState.ExitCode()
+		p.mu.Unlock()
+		close(exited)
+	}()
+}
+
+// PID returns the process id, or zero when it is not running.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	select {
+	case <-p.exited:
+		return 0
+	default:
+		return p.cmd.Process.Pid
+	}
+}
+
+func (p *Process) signal(s syscall.Signal) {
+	if pid := p.PID(); pid > 0 {
+		syscall.Kill(pid, s)
+	}
+}
+
+// Kill sends SIGKILL and waits for the end.
+func (p *Process) Kill() {
+	p.signal(syscall.SIGKILL)
+	p.Wait()
+}
+
+// Stop sends SIGTERM and returns the exit status.
+func (p *Process) Stop() int {
+	p.signal(syscall.SIGTERM)
+	return p.Wait()
+}
+
+// Freeze sends SIGSTOP.
+func (p *Process) Freeze() { p.signal(syscall.SIGSTOP) }
+
+// Thaw sends SIGCONT.
+func (p *Process) Thaw() { p.signal(syscall.SIGCONT) }
+
+// Wait returns the exit status; -1 when a signal ended the process.
+func (p *Process) Wait() int {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	if exited == nil {
+		return 0
+	}
+	select {
+	case <-exited:
+	case <-time.After(hungAfter):
+		p.t.Errorf("%s does not end", p.Name)
+		p.signal(syscall.SIGKILL)
+		<-exited
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.status
+}
+
+const pollInterval = 20 * time.Millisecond
+
+// Eventually polls until done returns an empty string. The string says what
+// is still missing.
+func Eventually(t testing.TB, done func() string) {
+	t.Helper()
+	end := time.Now().Add(hungAfter)
+	for {
+		missing := done()
+		if missing == "" {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("never happened: %s", missing)
+		}
+		time.Sleep(pollInterval)
+	}
+}
--- /dev/null
+++ b/e2e/harness/system.go
@@ -0,0 +1,376 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/ctl/adminclient"
+)
+
+// Options set the size of a system.
+type Options struct {
+	Controls   int // default 3
+	Voters     int // default 3
+	Desks      int // upstreams of the service that is not idempotent; default 2
+	Engines    int // default 2
+	Staged     bool
+	GateRelays bool // put relays between entries and agents too
+}
+
+// Control is a control process.
+type Control struct {
+	*Process
+	Admin   string
+	DataDir string
+}
+
+// Entry is an entry process.
+type Entry struct {
+	*Process
+	Address string
+}
+
+// Agent is an agent process with its stand-in upstream.
+type Agent struct {
+	*Process
+	Gate     string // the gate's own address, without a relay
+	Upstream *Upstream
+}
+
+// System is a set of separate processes.
+type System struct {
+	T        testing.TB
+	Dir      string
+	Network  *Network
+	Controls []*Control
+	Entries  []*Entry
+	Agents   []*Agent
+	Runs     *Runs
+
+	opts  Options
+	ip    string
+	peers []string // advertised addresses of the control processes
+	used  map[string]bool
+}
+
+var systems atomic.Int64
+
+// Loopback folders 127.64.0.0 to 127.127.255.0, one for each system, so that
+// a port from the kernel cannot be taken by another process's connection.
+const (
+	firstNet = 64
+	nets     = 64
+	subnets  = 250
+)
+
+// New starts a whole system and puts Text in force.
+func New(t testing.TB, o Options) *System {
+	t.Helper()
+	s := Prepare(t, o)
+	for _, p := range s.Processes() {
+		p.Start()
+	}
+	s.Init()
+	s.MustApply(1, Text(""))
+	s.AwaitReady()
+	return s
+}
+
+// Prepare writes all settings and starts nothing.
+func Prepare(t testing.TB, o Options) *System {
+	o = withDefaults(o)
+	n := int(systems.Add(1))
+	s := &System{T: t, Dir: t.TempDir(), Network: newNetwork(t), Runs: &Runs{bodies: map[string]int{}}, opts: o, used: map[string]bool{},
+		ip: fmt.Sprintf("127.%d.%d.", firstNet+os.Getpid()%nets, 1+(os.Getpid()/nets+n*16)%subnets)}
+	for i := range o.Controls {
+		s.peers = append(s.peers, s.address(i+1))
+	}
+	for i := range o.Controls {
+		s.addControl(i)
+	}
+	for i, service := range services(o) {
+		s.addAgent(i, service)
+	}
+	for i := range entries {
+		s.addEntry(i)
+	}
+	return s
+}
+
+const entries = 2
+
+func withDefaults(o Options) Options {
+	set := func(v *int, d int) {
+		if *v == 0 {
+			*v = d
+		}
+	}
+	set(&o.Controls, 3)
+	set(&o.Voters, 3)
+	set(&o.Desks, 2)
+	set(&o.Engines, 2)
+	return o
+}
+
+func services(o Options) []string {
+	var out []string
+	add := func(name string, n int) {
+		for range n {
+			out = append(out, name)
+		}
+	}
+	add(Desk, o.Desks)
+	add("llm", o.Engines)
+	if o.Staged {
+		add("encoder", 2)
+		add("retriever", 2)
+		add("reranker", 2)
+	}
+	return out
+}
+
+// address returns a fresh address of the system's host number, with a port
+// from the kernel.
+func (s *System) address(host int) string {
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s%d:0", s.ip, host))
+		if err != nil {
+			s.T.Fatal(err)
+		}
+		a := l.Addr().String()
+		l.Close()
+		if !s.used[a] {
+			s.used[a] = true
+			return a
+		}
+	}
+}
+
+func (s *System) daemon(name, ini string) *Process {
+	path := filepath.Join(s.Dir, name+".ini")
+	if err := os.WriteFile(path, []byte(ini), 0o600); err != nil {
+		s.T.Fatal(err)
+	}
+	p := newProcess(s.T, name, s.Dir, Daemon(), "-settings", path)
+	s.Network.mu.Lock()
+	s.Network.processes[name] = p
+	s.Network.mu.Unlock()
+	return p
+}
+
+func (s *System) header(name, center, role string, host int) string {
+	return fmt.Sprintf("[node]\nname = %s\nvm = vm-%s\ndata_center = %s\nroles = %s\n%s[peers]\ncontrol = %s\n[debug]\nlisten = %s\n",
+		name, name, center, role, s.dataDir(name, role), strings.Join(s.peers, ", "), s.address(host))
+}
+
+func (s *System) dataDir(name, role string) string {
+	if role != "control" {
+		return ""
+	}
+	return "data_dir = " + filepath.Join(s.Dir, "data-"+name) + "\n"
+}
+
+func (s *System) addControl(i int) {
+	name := fmt.Sprintf("control-%d", i+1)
+	c := &Control{Admin: s.address(i + 1), DataDir: filepath.Join(s.Dir, "data-"+name)}
+	if err := os.Mkdir(c.DataDir, 0o700); err != nil {
+		s.T.Fatal(err)
+	}
+	listen := s.address(i + 1)
+	s.Network.relay(name, s.peers[i], listen)
+	c.Process = s.daemon(name, s.header(name, "north", "control", i+1)+
+		fmt.Sprintf("[control]\nlisten = %s\nadvertise = %s\nadmin = %s\nvoters = %d\nopen_admin = true\n", listen, s.peers[i], c.Admin, s.opts.Voters))
+	s.Controls = append(s.Controls, c)
+}
+
+const (
+	firstAgent = 20
+	firstEntry = 10
+)
+
+func (s *System) addAgent(i int, service string) {
+	name := fmt.Sprintf("agent-%s-%d", service, i+1)
+	host := firstAgent + i
+	a := &Agent{Gate: s.address(host)}
+	a.Upstream = s.startUpstream(s.address(host), service)
+	ini := s.header(name, "south", "agent", host) + fmt.Sprintf("[agent]\nlisten = %s\nservice = %s\nupstream = %s\n", a.Gate, service, a.Upstream.Address)
+	if s.opts.GateRelays {
+		advertised := s.address(host)
+		s.Network.relay(name, advertised, a.Gate)
+		ini += "advertise = " + advertised + "\n"
+	}
+	a.Process = s.daemon(name, ini)
+	s.Agents = append(s.Agents, a)
+}
+
+func (s *System) addEntry(i int) {
+	name := fmt.Sprintf("entry-%d", i+1)
+	e := &Entry{Address: s.address(firstEntry + i)}
+	e.Process = s.daemon(name, s.header(name, "north", "entry", firstEntry+i)+"[entry]\nlisten = "+e.Address+"\n")
+	s.Entries = append(s.Entries, e)
+}
+
+// Processes returns all processes.
+func (s *System) Processes() []*Process {
+	var out []*Process
+	for _, c := range s.Controls {
+		out = append(out, c.Process)
+	}
+	for _, a := range s.Agents {
+		out = append(out, a.Process)
+	}
+	for _, e := range s.Entries {
+		out = append(out, e.Process)
+	}
+	return out
+}
+
+// Admin returns a client of all control processes.
+func (s *System) Admin() *adminclient.Client {
+	var all []string
+	for _, c := range s.Controls {
+		all = append(all, c.Admin)
+	}
+	return adminclient.New(all, "")
+}
+
+// Init forms the cluster at the first control process and waits until repair
+// has made the wanted number of voters.
+func (s *System) Init() {
+	s.T.Helper()
+	Eventually(s.T, func() string {
+		if _, err := s.Admin().Init(context.Background()); err != nil {
+			return err.Error()
+		}
+		return ""
+	})
+	s.AwaitVoters()
+}
+
+// Status returns a control process's report, or nil when it gives none soon.
+func (s *System) Status(c *Control) *wire.ControlStatus {
+	if c.PID() == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	st := adminclient.New([]string{c.Admin}, "").Status(ctx)[0]
+	if st.Err != nil {
+		return nil
+	}
+	return &st.Status
+}
+
+const statusTimeout = time.Second
+
+// Leader waits for a leader other than those given and returns it.
+func (s *System) Leader(but ...*Control) *Control {
+	s.T.Helper()
+	var found *Control
+	Eventually(s.T, func() string {
+		for _, c := range s.Controls {
+			if contains(but, c) {
+				continue
+			}
+			if st := s.Status(c); st != nil && st.State == "leader" {
+				found = c
+				return ""
+			}
+		}
+		return "a leader"
+	})
+	return found
+}
+
+func contains(list []*Control, c *Control) bool {
+	for _, x := range list {
+		if x == c {
+			return true
+		}
+	}
+	return false
+}
+
+// AwaitVoters waits until the leader reports a whole set of voters.
+func (s *System) AwaitVoters() {
+	s.T.Helper()
+	Eventually(s.T, func() string {
+		st := s.Status(s.Leader())
+		if st == nil || len(st.Voters) != s.opts.Voters || len(st.Learners) != 0 || st.Repair != "" {
+			return fmt.Sprintf("a whole voter set: %+v", st)
+		}
+		return ""
+	})
+}
+
+// AwaitReady waits until every running entry is ready and knows every running
+// agent that is not leaving.
+func (s *System) AwaitReady() {
+	s.T.Helper()
+	for _, e := range s.Entries {
+		Eventually(s.T, func() string {
+			if e.PID() == 0 || Ready(e) {
+				return ""
+			}
+			return e.Name + " ready"
+		})
+	}
+	s.AwaitMembers()
+}
+
+// AwaitMembers waits until the members are exactly the running processes that
+// join.
+func (s *System) AwaitMembers() {
+	s.T.Helper()
+	Eventually(s.T, func() string {
+		rows, err := s.Admin().Members(context.Background())
+		if err != nil {
+			return err.Error()
+		}
+		known := map[string]bool{}
+		for _, m := range rows {
+			known[string(m.ID)] = !m.Leaving
+		}
+		for _, p := range s.members() {
+			if (p.PID() > 0) != known[p.Name] {
+				return "member " + p.Name
+			}
+		}
+		return ""
+	})
+}
+
+func (s *System) members() []*Process {
+	return s.Processes()[len(s.Controls):]
+}
+
+var probe = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// Ready asks an entry as the balancer does.
+func Ready(e *Entry) bool {
+	resp, err := probe.Get("http://" + e.Address + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Together runs f for every element at the same time.
+func Together[E any](list []E, f func(E)) {
+	var wg sync.WaitGroup
+	for _, e := range list {
+		wg.Go(func() { f(e) })
+	}
+	wg.Wait()
+}
--- a/node/control/repair.go
+++ b/node/control/repair.go
@@ -110,7 +110,7 @@
 func (r *repair) findSpares(ctx context.Context, status consensus.Status) []consensus.Peer {
 	var out []consensus.Peer
 	for _, address := range r.s.set.Peers.Control {
-		if address == r.s.set.Control.Listen || answering(status, r.silentVoters(), address) {
+		if address == r.s.set.Control.Advertise || answering(status, r.silentVoters(), address) {
 			continue
 		}
 		p, err := r.ask(ctx, address)
--- a/node/control/service.go
+++ b/node/control/service.go
@@ -68,7 +68,7 @@
 		return nil, errors.Trace(err)
 	}
 	s.replica, err = replica.Open(replica.Options{
-		Name: wire.MemberID(p.Settings.Node.Name), Address: p.Settings.Control.Listen, FS: fs,
+		Name: wire.MemberID(p.Settings.Node.Name), Address: p.Settings.Control.Advertise, FS: fs,
 		Transport: s.links, Log: p.Log, Seed: uint64(time.Now().UnixNano()),
 	})
 	if err != nil {
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -45,11 +45,13 @@
 
 // ControlRole is the section [control].
 type ControlRole struct {
-	Listen    string        `ini:"listen" required:"true"` // peer address
-	Admin     string        `ini:"admin" required:"true"`  // administration API
-	Lease     time.Duration `ini:"lease"`                  // a member silent for this long is removed
-	Voters    int           `ini:"voters"`                 // replicas that repair keeps in the quorum
-	OpenAdmin bool          `ini:"open_admin"`             // administration without keys; loopback only
+	Listen string `ini:"listen" required:"true"` // peer address
+	// Advertise is the address by which others reach Listen; default Listen.
+	Advertise string        `ini:"advertise"`
+	Admin     string        `ini:"admin" required:"true"` // administration API
+	Lease     time.Duration `ini:"lease"`                 // a member silent for this long is removed
+	Voters    int           `ini:"voters"`                // replicas that repair keeps in the quorum
+	OpenAdmin bool          `ini:"open_admin"`            // administration without keys; loopback only
 }
 
 // EntryRole is the section [entry].
@@ -65,6 +67,7 @@
 // AgentRole is the section [agent].
 type AgentRole struct {
 	Listen      string        `ini:"listen" required:"true"`
+	Advertise   string        `ini:"advertise"` // address by which entries reach Listen; default Listen
 	Service     string        `ini:"service" required:"true"`
 	Upstream    string        `ini:"upstream" required:"true"` // host:port of the upstream
 	KeepAnswers time.Duration `ini:"keep_answers"`
@@ -107,7 +110,7 @@
 	m := wire.Member{ID: wire.MemberID(s.Node.Name), Role: strings.Join(s.Node.Roles, "+"), VM: s.Node.VM,
 		DataCenter: s.Node.DataCenter, Debug: s.Debug.Listen}
 	if s.Has(Agent) {
-		m.Service, m.Gate = s.Agent.Service, s.Agent.Listen
+		m.Service, m.Gate = s.Agent.Service, s.Agent.Advertise
 	}
 	return m
 }
@@ -162,6 +165,7 @@
 			f.Fail(name, "", "unknown section ["+name+"]", "use one of: "+strings.Join(known, ", "))
 		}
 	}
+	s.fillAdvertised()
 	s.check(f)
 	if err := f.Err(); err != nil {
 		return nil, err
@@ -169,6 +173,17 @@
 	return s, nil
 }
 
+// fillAdvertised makes listening addresses the advertised ones where the file
+// names no others.
+func (s *Settings) fillAdvertised() {
+	if s.Control.Advertise == "" {
+		s.Control.Advertise = s.Control.Listen
+	}
+	if s.Agent.Advertise == "" {
+		s.Agent.Advertise = s.Agent.Listen
+	}
+}
+
 func (s *Settings) check(f *strictini.File) {
 	for _, r := range s.Node.Roles {
 		if !slices.Contains([]Role{Entry, Control, Agent}, Role(r)) {
@@ -191,12 +206,14 @@
 	}
 	if s.Has(Agent) {
 		checkAddress(f, "agent", "listen", s.Agent.Listen)
+		checkAddress(f, "agent", "advertise", s.Agent.Advertise)
 		checkAddress(f, "agent", "upstream", s.Agent.Upstream)
 	}
 }
 
 func (s *Settings) checkControl(f *strictini.File) {
 	checkAddress(f, "control", "listen", s.Control.Listen)
+	checkAddress(f, "control", "advertise", s.Control.Advertise)
 	checkAddress(f, "control", "admin", s.Control.Admin)
 	if s.Control.Voters%2 == 0 {
 		f.Fail("control", "voters", "an even number of voters", "use 1, 3 or 5")
@@ -204,8 +221,8 @@
 	if s.Control.OpenAdmin && !isLoopback(s.Control.Admin) {
 		f.Fail("control", "open_admin", "administration without keys on an address that others reach", "use keys, or a loopback address such as 127.0.0.1:7101")
 	}
-	if !slices.Contains(s.Peers.Control, s.Control.Listen) {
-		f.Fail("peers", "control", "this process's own peer address is not listed", "add "+s.Control.Listen)
+	if !slices.Contains(s.Peers.Control, s.Control.Advertise) {
+		f.Fail("peers", "control", "this process's own peer address is not listed", "add "+s.Control.Advertise)
 	}
 	if s.Node.DataDir == "" {
 		f.Fail("node", "data_dir", "a control process needs a data folder", "add data_dir = PATH")
