--- /dev/null
+++ b/e2e/disk_test.go
@@ -0,0 +1,206 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"caperdrum.org/e2e/harness"
+)
+
+// newestLog returns the path of the newest log file of a control process.
+func newestLog(t *testing.T, c *harness.Control) string {
+	t.Helper()
+	names, err := filepath.Glob(filepath.Join(c.DataDir, "log-*"))
+	if err != nil || len(names) == 0 {
+		t.Fatalf("no log file in %s: %v", c.DataDir, err)
+	}
+	return names[len(names)-1]
+}
+
+func rewrite(t *testing.T, path string, change func([]byte) []byte) {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, change(data), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestTornTail leaves half a record at the end of a log, as a crash in the
+// middle of a write does; the process must come back with all it had synced.
+func TestTornTail(t *testing.T) {
+	t.Parallel()
+	s := harness.New(t, harness.Options{})
+	load := s.StartLoad()
+	load.Await(phase)
+	for round := range 3 {
+		victim := s.Leader()
+		victim.Kill()
+		rewrite(t, newestLog(t, victim), func(data []byte) []byte {
+			return append(data, torn(round)...)
+		})
+		s.Leader(victim)
+		victim.Start()
+		s.AwaitVoters()
+		load.Await(phase / 4)
+	}
+	load.Finish()
+	noneUnknown(t, load)
+}
+
+// torn returns the first bytes of a record that was never synced.
+func torn(round int) []byte {
+	record := append([]byte{40, 0, 0, 0, 1, 2, 3, 4}, bytes.Repeat([]byte{0xa1}, 30)...)
+	return record[:[]int{3, 8, len(record)}[round]]
+}
+
+// TestCorruptMiddle flips one byte in the middle of a stopped process's log.
+// It must refuse to start and say what to do; done so, it is repaired in under
+// a new identity.
+func TestCorruptMiddle(t *testing.T) {
+	t.Parallel()
+	s := harness.New(t, harness.Options{})
+	load := s.StartLoad()
+	load.Await(phase)
+	victim := s.Controls[1]
+	victim.Kill()
+	path := newestLog(t, victim)
+	rewrite(t, path, func(data []byte) []byte {
+		data[len(data)/2] ^= 0x40
+		return data
+	})
+	victim.Start()
+	if status := victim.Wait(); status != 1 {
+		t.Errorf("exit status %d with a corrupt log", status)
+	}
+	harness.MustHold(t, victim.Log(), "corrupt", filepath.Base(path), "move the data folder away")
+	wipe(t, victim)
+	victim.Start()
+	s.AwaitVoters()
+	load.Await(phase)
+	load.Finish()
+	noneUnknown(t, load)
+}
+
+func wipe(t *testing.T, c *harness.Control) {
+	t.Helper()
+	if err := os.RemoveAll(c.DataDir); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Mkdir(c.DataDir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestWipedFolder brings a voter back with an empty folder: it must not vote
+// under its old name, and repair takes it in as a new replica.
+func TestWipedFolder(t *testing.T) {
+	t.Parallel()
+	s := harness.New(t, harness.Options{})
+	load := s.StartLoad()
+	load.Await(phase)
+	victim := s.Controls[2]
+	old := s.Status(victim).Voters
+	victim.Kill()
+	wipe(t, victim)
+	victim.Start()
+	harness.Eventually(t, func() string {
+		st := s.Status(s.Leader())
+		if st == nil || len(st.Voters) != 3 || st.Repair != "" || fmt.Sprint(st.Voters) == fmt.Sprint(old) {
+			return fmt.Sprintf("another voter in place of one of %v: %+v", old, st)
+		}
+		return ""
+	})
+	// The new replica holds the whole state: the other two may go.
+	s.MustApply(2, harness.Text("second"))
+	other := s.Leader(victim)
+	other.Kill()
+	s.MustApply(3, harness.Text("third"))
+	other.Start()
+	s.AwaitVersion(3)
+	load.Await(phase)
+	load.Finish()
+	noneUnknown(t, load)
+}
+
+// TestSecondLossAfterRepair loses a voter's disk for good, waits until repair
+// is reported done, and loses a second one at once.
+func TestSecondLossAfterRepair(t *testing.T) {
+	t.Parallel()
+	s := harness.New(t, harness.Options{Controls: 4})
+	load := s.StartLoad()
+	load.Await(phase)
+	lost := []*harness.Control{}
+	for number := uint64(2); number <= 3; number++ {
+		victim := voter(t, s, lost)
+		victim.Kill()
+		wipe(t, victim)
+		lost = append(lost, victim)
+		if number == 2 {
+			awaitReplaced(t, s, victim)
+		}
+		s.MustApply(number, harness.Text(fmt.Sprint(number)))
+	}
+	s.AwaitVersion(3)
+	load.Await(phase)
+	load.Finish()
+	noneUnknown(t, load)
+}
+
+// voter returns a voter that is not lost; the leader first.
+func voter(t *testing.T, s *harness.System, lost []*harness.Control) *harness.Control {
+	t.Helper()
+	return s.Leader(lost...)
+}
+
+func awaitReplaced(t *testing.T, s *harness.System, victim *harness.Control) {
+	t.Helper()
+	harness.Eventually(t, func() string {
+		st := s.Status(s.Leader(victim))
+		if st == nil || len(st.Voters) != 3 || len(st.Learners) > 0 || st.Repair != "" || strings.Contains(fmt.Sprint(st.Voters), victim.Name) {
+			return fmt.Sprintf("%s replaced: %+v", victim.Name, st)
+		}
+		return ""
+	})
+}
+
+// TestFullDisk limits the size of the leader's files so that a write fails: it
+// must stop with a clear message, and lose nothing that it had acknowledged.
+func TestFullDisk(t *testing.T) {
+	t.Parallel()
+	s := harness.New(t, harness.Options{})
+	load := s.StartLoad()
+	load.Await(phase)
+	leader := s.Leader()
+	leader.LimitFiles(fileSize(t, newestLog(t, leader)) + 16<<10)
+	if status := leader.Wait(); status != 1 {
+		t.Errorf("exit status %d on a full disk", status)
+	}
+	harness.MustHold(t, leader.Log(), "write failed", "free space")
+	s.Leader(leader)
+	load.Await(phase)
+	leader.Start()
+	s.AwaitVoters()
+	if _, err := s.Admin().Config(context.Background()); err != nil {
+		t.Error(err)
+	}
+	load.Await(phase)
+	load.Finish()
+	noneUnknown(t, load)
+}
+
+func fileSize(t *testing.T, path string) int64 {
+	t.Helper()
+	info, err := os.Stat(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return info.Size()
+}
--- a/e2e/harness/process.go
+++ b/e2e/harness/process.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // hungAfter ends a test that waits for something that never happens. No
@@ -166,3 +168,12 @@
 		time.Sleep(pollInterval)
 	}
 }
+
+// LimitFiles sets the largest size that a file of the running process may
+// grow to, in bytes. It lasts until the process ends.
+func (p *Process) LimitFiles(size int64) {
+	limit := unix.Rlimit{Cur: uint64(size), Max: uint64(size)}
+	if err := unix.Prlimit(p.PID(), unix.RLIMIT_FSIZE, &limit, nil); err != nil {
+		p.t.Fatal(err)
+	}
+}
--- a/e2e/kill_test.go
+++ b/e2e/kill_test.go
@@ -2,13 +2,23 @@
 
 import (
 	"testing"
+	"time"
 
 	"caperdrum.org/e2e/harness"
 )
 
-// phase is the number of whole answers between two steps of a test.
+// phase is the number of whole answers of each kind between two steps.
 const phase = 100
 
+// noneUnknown fails the test when a confirmation ended as perhaps run: only
+// the death of its agent may lead to that.
+func noneUnknown(t *testing.T, load *harness.Load) {
+	t.Helper()
+	if n := load.Unknown(); n > 0 {
+		t.Errorf("%d confirmations ended as perhaps run, though no agent died", n)
+	}
+}
+
 func TestKillLeader(t *testing.T) {
 	t.Parallel()
 	s := harness.New(t, harness.Options{})
@@ -22,7 +32,78 @@
 	s.AwaitVoters()
 	load.Await(phase)
 	load.Finish()
-	if n := load.Unknown(); n > 0 {
-		t.Errorf("%d confirmations unsettled, though no agent died", n)
+	noneUnknown(t, load)
+}
+
+func TestKillEntry(t *testing.T) {
+	t.Parallel()
+	s := harness.New(t, harness.Options{})
+	load := s.StartLoad()
+	load.Await(phase)
+	s.Entries[0].Kill()
+	load.Await(phase)
+	s.Entries[0].Start()
+	s.AwaitReady()
+	load.Await(phase)
+	load.Finish()
+	noneUnknown(t, load)
+}
+
+// TestKillAgentBeforeAnswer kills an agent whose upstream is working on
+// confirmations: they may have run, so none of them may run again.
+func TestKillAgentBeforeAnswer(t *testing.T) {
+	t.Parallel()
+	s := harness.New(t, harness.Options{})
+	load := s.StartLoad()
+	load.Await(phase)
+	desk := s.Agents[0]
+	began := desk.Upstream.Slow(time.Minute)
+	<-began
+	desk.Kill()
+	desk.Upstream.Slow(0)
+	load.Await(phase)
+	desk.Start()
+	s.AwaitReady()
+	load.Await(phase)
+	load.Finish()
+	if load.Unknown() == 0 {
+		t.Error("no confirmation was under way at the killed agent")
+	}
+}
+
+func TestRestartAllControls(t *testing.T) {
+	t.Parallel()
+	s := harness.New(t, harness.Options{})
+	load := s.StartLoad()
+	load.Await(phase)
+	s.MustApply(2, harness.Text("second"))
+	harness.Together(s.Controls, func(c *harness.Control) { c.Kill() })
+	for _, c := range s.Controls {
+		c.Start()
+	}
+	s.AwaitVersion(2)
+	s.MustApply(3, harness.Text("third"))
+	s.AwaitVersion(3)
+	load.Await(phase)
+	load.Finish()
+	noneUnknown(t, load)
+}
+
+// TestRestartStorm kills a third of the members at once.
+func TestRestartStorm(t *testing.T) {
+	t.Parallel()
+	s := harness.New(t, harness.Options{Desks: 3, Engines: 3})
+	load := s.StartLoad()
+	load.Await(phase)
+	storm := []*harness.Process{s.Entries[0].Process, s.Agents[0].Process, s.Agents[3].Process, s.Controls[0].Process}
+	for range 2 {
+		harness.Together(storm, (*harness.Process).Kill)
+		for _, p := range storm {
+			p.Start()
+		}
 	}
+	s.AwaitVoters()
+	s.AwaitReady()
+	load.Await(phase)
+	load.Finish()
 }
