--- a/e2e/harness/load.go
+++ b/e2e/harness/load.go
@@ -48,6 +48,7 @@
 	requestWorkers = 4
 	maxSends       = 6 // of one key during a fault; the rest is sent when it is over
 	resendPause    = 100 * time.Millisecond
+	thinkTime      = 10 * time.Millisecond // of a worker between two requests
 	readyPoll      = 25 * time.Millisecond
 	notRun         = "not-run"
 )
@@ -67,6 +68,7 @@
 		l.wg.Go(func() {
 			for ctx.Err() == nil {
 				l.confirm()
+				time.Sleep(thinkTime)
 			}
 		})
 	}
@@ -74,6 +76,7 @@
 		l.wg.Go(func() {
 			for ctx.Err() == nil {
 				l.request()
+				time.Sleep(thinkTime)
 			}
 		})
 	}
--- a/node/wal/wal.go
+++ b/node/wal/wal.go
@@ -65,7 +65,7 @@
 }
 
 func (l *Log) fail(err error) error {
-	l.failed = errors.Annotate(err, "wal: write failed")
+	l.failed = errors.Annotate(err, "wal: write failed; free space or replace the disk, then start the process again")
 	return l.failed
 }
 
