control: a lock keeps a second process out of the data folder

Cause: a control process opened, and so cut, the log before it took its address; a second start of the same settings could cut off the record that the first was writing. Ruled out: taking the address first, since settings may differ in the address and still name the same folder. Change: flock on DIR/lock before the log is opened. Tests: second start under load, frozen entry and agent, stops with work in flight, exit statuses. Conclusion: one process a folder.

--- a/e2e/harness/process.go
+++ b/e2e/harness/process.go
@@ -74,7 +74,7 @@
 	defer out.Close()
 	cmd := exec.Command(p.argv[0], p.argv[1:]...)
 	cmd.Stdout, cmd.Stderr = out, out
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
--- a/e2e/harness/upstream.go
+++ b/e2e/harness/upstream.go
@@ -75,16 +75,16 @@
 	return u.delay
 }
 
-const (
-	standinTokens = 8
-	standinDelay  = 2 * time.Millisecond
-)
+// Tokens is the length of an engine's answers.
+const Tokens = 8
+
+const standinDelay = 2 * time.Millisecond
 
 var kinds = map[string]string{Desk: "plain", "llm": "engine", "encoder": "encoder", "retriever": "retriever", "reranker": "reranker"}
 
 func (s *System) startUpstream(address, service string) *Upstream {
 	u := &Upstream{Address: address}
-	inner := standin.New(standin.Options{Kind: kinds[service], Delay: standinDelay, TokenDelay: standinDelay / 2, Tokens: standinTokens}).Handler()
+	inner := standin.New(standin.Options{Kind: kinds[service], Delay: standinDelay, TokenDelay: standinDelay / 2, Tokens: Tokens}).Handler()
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		s.T.Fatal(err)
--- a/node/control/service.go
+++ b/node/control/service.go
@@ -67,6 +67,9 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	if err := fs.Lock(); err != nil {
+		return nil, errors.Trace(err)
+	}
 	s.replica, err = replica.Open(replica.Options{
 		Name: wire.MemberID(p.Settings.Node.Name), Address: p.Settings.Control.Advertise, FS: fs,
 		Transport: s.links, Log: p.Log, Seed: uint64(time.Now().UnixNano()),
--- a/node/disk/disk.go
+++ b/node/disk/disk.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"syscall"
 
 	"github.com/juju/errors"
 )
@@ -42,7 +43,10 @@
 )
 
 // Dir is an FS in a folder of the operating system.
-type Dir struct{ path string }
+type Dir struct {
+	path string
+	lock *os.File
+}
 
 // OpenDir returns the FS of the folder, which it makes if it does not exist.
 func OpenDir(path string) (*Dir, error) {
@@ -52,6 +56,29 @@
 	return &Dir{path: path}, nil
 }
 
+// ErrInUse says that another process holds the data folder.
+var ErrInUse = errors.New("the data folder is in use by another process; stop that one first")
+
+const lockName = "lock"
+
+// Lock keeps other processes out of the folder for as long as this process
+// lives. A second process would cut off the record that the first is writing.
+func (d *Dir) Lock() error {
+	f, err := os.OpenFile(d.join(lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		return errors.Annotate(ErrInUse, d.path)
+	}
+	d.lock = f
+	return nil
+}
+
+// Unlock lets other processes in.
+func (d *Dir) Unlock() error { return d.lock.Close() }
+
 // Create implements FS.
 func (d *Dir) Create(name string) (File, error) {
 	return os.OpenFile(d.join(name), os.O_CREATE|os.O_EXCL|os.O_WRONLY, fileMode)
