--- a/e2e/cut_test.go
+++ b/e2e/cut_test.go
@@ -31,7 +31,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	if res, err := adminclient.New([]string{c.Admin}).Apply(ctx, harness.Change(2, harness.Text("cut off"))); err == nil && res.Accepted {
+	if res, err := adminclient.New([]string{c.Admin}, "").Apply(ctx, harness.Change(2, harness.Text("cut off"))); err == nil && res.Accepted {
 		t.Errorf("%s took a change while it was cut off: %+v", c.Name, res)
 	}
 }
@@ -92,7 +92,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	res, err := adminclient.New(addresses).Apply(ctx, harness.Change(number, text))
+	res, err := adminclient.New(addresses, "").Apply(ctx, harness.Change(number, text))
 	if err != nil || !res.Accepted {
 		t.Fatalf("change %d: %+v %v", number, res, err)
 	}
@@ -139,7 +139,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), longCut())
 		defer cancel()
-		res, err := adminclient.New([]string{old.Admin}).Apply(ctx, harness.Change(2, harness.Text("late")))
+		res, err := adminclient.New([]string{old.Admin}, "").Apply(ctx, harness.Change(2, harness.Text("late")))
 		late <- err == nil && res.Accepted
 	}()
 	s.Leader(old)
