e2e: probes for free ports and starts of processes keep apart

Cause: between fork and exec a child holds the listening socket of a probe in another test, so a port that was just closed was still taken: two failures to listen, in two of three whole runs. Ruled out: ports of the kernel's range (the second failure was below it). Change: a lock between probes and starts.

--- a/e2e/harness/process.go
+++ b/e2e/harness/process.go
@@ -17,6 +17,19 @@
 // promise is measured with it.
 const hungAfter = 90 * time.Second
 
+// forking keeps starts of processes and probes for free ports apart: between
+// fork and exec a child holds the probe's socket, and the port stays taken
+// after the probe has closed it.
+var forking sync.RWMutex
+
+// Output runs a command to its end and returns what it wrote.
+func Output(cmd *exec.Cmd) []byte {
+	forking.Lock()
+	defer forking.Unlock()
+	out, _ := cmd.CombinedOutput() // the caller looks at the exit status
+	return out
+}
+
 // Process is one operating-system process under test.
 type Process struct {
 	Name string
@@ -75,7 +88,10 @@
 	cmd := exec.Command(p.argv[0], p.argv[1:]...)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	forking.Lock()
+	err = cmd.Start()
+	forking.Unlock()
+	if err != nil {
 		p.t.Fatal(err)
 	}
 	exited := make(chan struct{})
--- a/e2e/harness/system.go
+++ b/e2e/harness/system.go
@@ -143,6 +143,8 @@
 // address returns a fresh address of the system's host number. Its port lies
 // below those that the kernel gives to others, on any address, and was free.
 func (s *System) address(host int) string {
+	forking.RLock()
+	defer forking.RUnlock()
 	for {
 		port := firstPort + rand.IntN(ports)
 		a := fmt.Sprintf("%s%d:%d", s.ip, host, port)
--- a/e2e/settings_test.go
+++ b/e2e/settings_test.go
@@ -53,7 +53,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			cmd := exec.Command(c.argv[0], c.argv[1:]...)
 			cmd.Env = []string{}
-			out, _ := cmd.CombinedOutput()
+			out := harness.Output(cmd)
 			if got := cmd.ProcessState.ExitCode(); got != c.status {
 				t.Errorf("exit status %d, want %d: %s", got, c.status, out)
 			}
