--- a/node/control/repair.go
+++ b/node/control/repair.go
@@ -115,7 +115,7 @@
 	found := make([]*consensus.Peer, len(r.s.set.Peers.Control)) // in the order of the settings
 	var wg sync.WaitGroup
 	for i, address := range r.s.set.Peers.Control {
-		if address == r.s.set.Control.Listen || answering(status, r.silentVoters(), address) {
+		if address == r.s.set.Control.Advertise || answering(status, r.silentVoters(), address) {
 			continue
 		}
 		wg.Go(func() {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -17,7 +17,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
-	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
