--- a/node/control/system_test.go
+++ b/node/control/system_test.go
@@ -118,7 +118,7 @@
 	}
 	for i, address := range s.addresses {
 		set := &settings.Settings{Node: settings.Node{Name: fmt.Sprint("control-", i), DataDir: tb.TempDir()},
-			Peers: settings.Peers{Control: s.addresses}, Control: settings.ControlRole{Listen: address, Lease: testLease, Voters: controls}}
+			Peers: settings.Peers{Control: s.addresses}, Control: settings.ControlRole{Listen: address, Advertise: address, Lease: testLease, Voters: controls}}
 		svc, err := New(Params{Settings: set, Kernel: kernel.New(logr.Discard()), Log: logr.Discard(),
 			Ring: timeline.NewRing("c", "v", 16), Dial: s.network.from(address)})
 		if err != nil {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -128,7 +128,7 @@
 func (s *system) startControl(gate string, members bool) string {
 	server := peer.NewServer()
 	peer.Handle(server, configsync.MethodSync, func(_ context.Context, r *wire.SyncRequest) (*wire.SyncReply, error) {
-		reply := &wire.SyncReply{Version: 1, Renewed: true}
+		reply := &wire.SyncReply{Version: 1, MembersSeq: 1, Renewed: true, Recorded: true}
 		if r.ConfigVersion == 0 {
 			reply.Config = &wire.ConfigText{Version: 1, Text: text, Hash: xxhash.Sum64String(text)}
 		}
