--- a/api/wire/messages.go
+++ b/api/wire/messages.go
@@ -152,6 +152,8 @@
 	AttemptRunning    AttemptState = "running"
 	AttemptDone       AttemptState = "done"
 	AttemptTombstoned AttemptState = "tombstoned"
+	// AttemptForgotten is older than what the gate remembers: it may have run.
+	AttemptForgotten AttemptState = "forgotten"
 )
 
 // AttemptStatus answers a status or cancel call at a gate.
--- a/node/dispatch/body.go
+++ b/node/dispatch/body.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return verdict.New(verdict.Ran, verdict.CodeCut, "the answer was cut: %v", err)
 	}
-	if resp.Header.Get(wire.HeaderError) != "" || resp.Header.Get(wire.HeaderAttempt) != string(b.call.Attempt) {
+	if resp.Header.Get(wire.HeaderError) != "" || !belongs(resp, b.endpoint, b.call) {
 		resp.Body.Close()
 		return verdict.New(verdict.Ran, verdict.CodeCut, "the answer was cut: %v", errors.Cause(cause))
 	}
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -41,6 +41,7 @@
 	Method      string
 	Path        string
 	ContentType string
+	Header      http.Header // more request headers; only those pass that wire.PassToUpstream names
 	Body        []byte
 	Deadline    time.Time
 }
@@ -61,15 +62,18 @@
 }
 
 const (
-	settleTimeout   = time.Second // a gate asked about an attempt must answer within
+	settleTimeout   = time.Second           // a gate asked about an attempt must answer within
+	lateSettle      = 50 * time.Millisecond // the same once the caller must be answered
 	maxReattach     = 3
 	idleConnections = 256
+	idleTimeout     = 90 * time.Second // shorter than the gate's
 )
 
 // New returns the service.
 func New(p Params) *Service {
-	t := &http.Transport{DialContext: p.Security.DialNetwork, MaxIdleConnsPerHost: idleConnections, DisableCompression: true}
-	return &Service{ring: p.Ring, sync: p.Sync, client: &http.Client{Transport: t}}
+	t := &http.Transport{DialContext: p.Security.DialNetwork, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	client := &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	return &Service{ring: p.Ring, sync: p.Sync, client: client}
 }
 
 // Answer is an upstream's answer. Body returns io.EOF only when the answer was
@@ -77,16 +81,21 @@
 type Answer struct {
 	Status      int
 	ContentType string
+	Header      http.Header // the headers that pass back to the caller
 	Body        io.ReadCloser
 }
 
 // Do submits an attempt and returns once the upstream's response header came.
+// The attempt's id must come from wire.NewAttemptID and is used once.
 func (s *Service) Do(ctx context.Context, e *routing.Endpoint, c Call) (*Answer, error) {
 	resp, err := s.submit(ctx, e, c)
-	if err != nil {
-		return nil, s.resolveLost(ctx, e, c, err)
+	if err == nil {
+		var a *Answer
+		if a, err = s.open(ctx, e, c, resp); !errors.Is(err, errNoAnswer) {
+			return a, err
+		}
 	}
-	return s.open(ctx, e, c, resp)
+	return s.recover(ctx, e, c, err)
 }
 
 func (s *Service) submit(ctx context.Context, e *routing.Endpoint, c Call) (*http.Response, error) {
@@ -98,8 +107,11 @@
 	// refuse the second copy, but then the answer to the first would be lost.
 	req.GetBody = nil
 	h := req.Header
+	wire.PassToUpstream(h, c.Header)
 	s.setCommon(h)
-	h.Set("Content-Type", c.ContentType)
+	if c.ContentType != "" {
+		h.Set("Content-Type", c.ContentType)
+	}
 	h.Set(wire.HeaderRequestID, string(c.Request))
 	h.Set(wire.HeaderStage, c.Stage)
 	h.Set(wire.HeaderService, c.Service)
@@ -149,52 +161,93 @@
 	e.Report(n[0], n[1], n[2])
 }
 
-// open checks a gate's response and wraps its body.
+// errNoAnswer says that a response told nothing about the attempt.
+const errNoAnswer = errors.ConstError("the response tells nothing about the attempt")
+
+// open checks a gate's response and wraps its body. The error is a
+// verdict.Error from the gate, or errNoAnswer.
 func (s *Service) open(ctx context.Context, e *routing.Endpoint, c Call, resp *http.Response) (*Answer, error) {
 	s.observe(e, resp.Header)
 	if resp.Header.Get(wire.HeaderError) != "" {
 		defer resp.Body.Close()
-		v := &verdict.Error{}
-		if err := json.NewDecoder(resp.Body).Decode(v); err != nil {
-			return nil, verdict.New(verdict.MayHaveRun, verdict.CodeCut, "the gate's refusal was cut: %v", err)
-		}
-		return nil, v
-	}
-	if resp.Header.Get(wire.HeaderAttempt) != string(c.Attempt) || resp.Header.Get(wire.HeaderStage) != c.Stage {
-		resp.Body.Close()
-		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeCut, "the answer belongs to another attempt")
+		return nil, refusal(resp)
 	}
 	status, err := strconv.Atoi(resp.Header.Get(wire.HeaderStatus))
-	if err != nil {
+	if err != nil || !belongs(resp, e, c) {
 		resp.Body.Close()
-		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeCut, "the answer has no status")
+		return nil, errNoAnswer
 	}
 	body := &bodyReader{s: s, ctx: ctx, endpoint: e, call: c, resp: resp, sum: xxhash.New()}
-	return &Answer{Status: status, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+	a := &Answer{Status: status, ContentType: resp.Header.Get("Content-Type"), Header: http.Header{}, Body: body}
+	wire.PassToCaller(a.Header, resp.Header)
+	return a, nil
+}
+
+func refusal(resp *http.Response) error {
+	v := &verdict.Error{}
+	if err := json.NewDecoder(resp.Body).Decode(v); err != nil || v.Code == "" || v.Status == 0 {
+		return errNoAnswer
+	}
+	return v
+}
+
+// belongs reports whether a response is the answer to this attempt, from the
+// gate's start that it was sent to.
+func belongs(resp *http.Response, e *routing.Endpoint, c Call) bool {
+	h := resp.Header
+	return resp.StatusCode == http.StatusOK && h.Get(wire.HeaderAttempt) == string(c.Attempt) && h.Get(wire.HeaderStage) == c.Stage &&
+		h.Get(wire.HeaderIncarnation) == strconv.FormatUint(e.Member.Incarnation, 10)
 }
 
-// resolveLost finds out what became of an attempt whose submission failed.
-func (s *Service) resolveLost(ctx context.Context, e *routing.Endpoint, c Call, cause error) error {
+// recover finds out what became of an attempt whose response was lost, and
+// goes on with its answer if it runs.
+func (s *Service) recover(ctx context.Context, e *routing.Endpoint, c Call, cause error) (*Answer, error) {
 	var op *net.OpError
 	if errors.As(cause, &op) && op.Op == "dial" {
-		return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "the gate of %s is not reached", e.Member.ID)
+		return nil, verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "the gate of %s is not reached", e.Member.ID)
 	}
 	if ctx.Err() != nil {
-		// Also when the caller went away: the attempt must not start later.
-		go s.Cancel(e, c.Attempt, c.Repeatable)
-		return verdict.New(verdict.MayHaveRun, verdict.CodeTimeout, "the deadline passed before an answer came")
+		return nil, s.giveUp(e, c)
 	}
 	st, err := s.Cancel(e, c.Attempt, false)
 	if err != nil {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "the connection to %s was lost: %v", e.Member.ID, cause)
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "the connection to %s was lost: %v", e.Member.ID, cause)
 	}
-	if st.Incarnation != e.Member.Incarnation {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeIncarnation, "the gate of %s was restarted", e.Member.ID)
+	if v := s.settled(e, st); v != nil {
+		return nil, v
 	}
-	if st.State == wire.AttemptTombstoned {
-		return verdict.New(verdict.NotRun, verdict.CodeUpstream, "the connection to %s was lost; the attempt is cancelled", e.Member.ID)
+	if a, err := s.Attach(ctx, e, c, 0); err == nil || !errors.Is(err, errNoAnswer) {
+		return a, err
+	}
+	return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "the answer of %s was lost", e.Member.ID)
+}
+
+// giveUp makes sure that an attempt whose caller has gone, or whose deadline
+// has passed, does not start later. The caller is answered soon in any case.
+func (s *Service) giveUp(e *routing.Endpoint, c Call) error {
+	ctx, cancel := context.WithTimeout(context.Background(), lateSettle)
+	defer cancel()
+	st, err := s.cancelCall(ctx, e, c.Attempt, c.Repeatable)
+	if err != nil {
+		go s.Cancel(e, c.Attempt, c.Repeatable)
+	} else if v := s.settled(e, st); v != nil {
+		return v
 	}
-	return verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "the connection to %s was lost", e.Member.ID)
+	return verdict.New(verdict.MayHaveRun, verdict.CodeTimeout, "the deadline passed before an answer came")
+}
+
+// settled returns the verdict that a status after a cancellation allows, or
+// nil when the attempt has started.
+func (s *Service) settled(e *routing.Endpoint, st wire.AttemptStatus) *verdict.Error {
+	switch {
+	case st.Incarnation != e.Member.Incarnation:
+		return verdict.New(verdict.MayHaveRun, verdict.CodeIncarnation, "the gate of %s was restarted", e.Member.ID)
+	case st.State == wire.AttemptTombstoned:
+		return verdict.New(verdict.NotRun, verdict.CodeUpstream, "the attempt at %s is cancelled", e.Member.ID).After(settleTimeout)
+	case st.State != wire.AttemptRunning && st.State != wire.AttemptDone:
+		return verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "the gate of %s does not know the attempt", e.Member.ID)
+	}
+	return nil
 }
 
 // Cancel makes sure that an attempt that has not started never does. With
@@ -202,6 +255,10 @@
 func (s *Service) Cancel(e *routing.Endpoint, id wire.AttemptID, abandon bool) (wire.AttemptStatus, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
+	return s.cancelCall(ctx, e, id, abandon)
+}
+
+func (s *Service) cancelCall(ctx context.Context, e *routing.Endpoint, id wire.AttemptID, abandon bool) (wire.AttemptStatus, error) {
 	rest := "/cancel"
 	if abandon {
 		rest += "?abandon=true"
@@ -227,6 +284,9 @@
 	}
 	defer resp.Body.Close()
 	s.observe(e, resp.Header)
+	if resp.StatusCode != http.StatusOK {
+		return st, errors.Errorf("the gate answers with status %d", resp.StatusCode)
+	}
 	return st, errors.Trace(json.NewDecoder(resp.Body).Decode(&st))
 }
 
--- a/node/gate/answer.go
+++ b/node/gate/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,38 +14,52 @@
 // answer is what an upstream sent for one attempt. One goroutine appends; any
 // number read, each from its own offset, while it grows and after it ended.
 type answer struct {
-	mu          sync.Mutex
-	status      int // zero until the upstream's response header came
-	contentType string
-	data        []byte
-	sum         *xxhash.Digest
-	end         string         // end mark; empty while it grows
-	failure     *verdict.Error // set when it ended without being whole
-	grown       chan struct{}  // closed at every change
+	mu      sync.Mutex
+	status  int // zero until the upstream's response header came
+	header  http.Header
+	data    []byte
+	length  int64
+	sum     *xxhash.Digest
+	end     string         // end mark; empty while it grows
+	failure *verdict.Error // set when it ended without being whole
+	dropped bool           // the bytes were given up, the fact remains
+	grown   chan struct{}  // closed at the next change; nil while nobody waits
 }
 
-func newAnswer() *answer {
-	return &answer{sum: xxhash.New(), grown: make(chan struct{})}
-}
+func newAnswer() *answer { return &answer{} }
 
 func (a *answer) signal() {
-	close(a.grown)
-	a.grown = make(chan struct{})
+	if a.grown != nil {
+		close(a.grown)
+		a.grown = nil
+	}
+}
+
+// change returns a channel that is closed at the next change.
+func (a *answer) change() <-chan struct{} {
+	if a.grown == nil {
+		a.grown = make(chan struct{})
+	}
+	return a.grown
 }
 
-func (a *answer) start(status int, contentType string) {
+func (a *answer) start(status int, header http.Header) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.status, a.contentType = status, contentType
+	a.status, a.header = status, header
+	a.sum = xxhash.New()
 	a.signal()
 }
 
-func (a *answer) append(p []byte) {
+// append adds bytes and returns the length after them.
+func (a *answer) append(p []byte) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.data = append(a.data, p...)
+	a.length = int64(len(a.data))
 	a.sum.Write(p)
 	a.signal()
+	return a.length
 }
 
 // finish sets the end mark. A nil failure means that the answer is whole.
@@ -61,40 +76,42 @@
 	a.signal()
 }
 
+// drop gives the bytes up. Only an answer that ended may be dropped.
+func (a *answer) drop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.data, a.dropped = nil, true
+}
+
 // head waits until the upstream has answered or failed.
-func (a *answer) head(ctx context.Context) (status int, contentType string, failure *verdict.Error, err error) {
+func (a *answer) head(ctx context.Context) (status int, header http.Header, failure *verdict.Error, err error) {
 	for {
 		a.mu.Lock()
-		status, contentType, failure = a.status, a.contentType, a.failure
-		known, grown := status != 0 || a.end != "", a.grown
-		a.mu.Unlock()
-		if known {
-			return status, contentType, failure, nil
+		if a.status != 0 || a.end != "" {
+			defer a.mu.Unlock()
+			return a.status, a.header, a.failure, nil
 		}
+		grown := a.change()
+		a.mu.Unlock()
 		select {
 		case <-grown:
 		case <-ctx.Done():
-			return 0, "", nil, ctx.Err()
+			return 0, nil, nil, ctx.Err()
 		}
 	}
 }
 
-// next waits for bytes after offset. It returns them, and the end mark once
-// there are no more. The bytes must not be changed.
+// next waits for bytes after offset. It returns them, and the end mark if
+// nothing follows them. The bytes must not be changed.
 func (a *answer) next(ctx context.Context, offset int64) (data []byte, end string, err error) {
 	for {
 		a.mu.Lock()
-		if offset <= int64(len(a.data)) {
-			data = a.data[offset:]
+		if offset < int64(len(a.data)) || a.end != "" {
+			defer a.mu.Unlock()
+			return a.data[min(offset, int64(len(a.data))):], a.end, nil
 		}
-		end, grown := a.end, a.grown
+		grown := a.change()
 		a.mu.Unlock()
-		if len(data) > 0 {
-			return data, "", nil
-		}
-		if end != "" {
-			return nil, end, nil
-		}
 		select {
 		case <-grown:
 		case <-ctx.Done():
@@ -103,10 +120,12 @@
 	}
 }
 
-func (a *answer) length() int64 {
+// size returns the length so far and the end mark, and whether the bytes were
+// dropped.
+func (a *answer) size() (length int64, end string, dropped bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return int64(len(a.data))
+	return a.length, a.end, a.dropped
 }
 
 func (a *answer) checksum() uint64 {
@@ -114,9 +133,3 @@
 	defer a.mu.Unlock()
 	return a.sum.Sum64()
 }
-
-func (a *answer) endMark() string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.end
-}
--- a/node/gate/queue.go
+++ b/node/gate/queue.go
@@ -9,15 +9,24 @@
 
 // fairQueue orders waiting attempts: by class first, within a class by
 // start-time fair queueing over customers (Goyal, Vin and Cheng, 1996), within
-// a customer by deadline. With fifo set it is a plain queue, the baseline.
+// a customer by deadline. A class that waits is passed over at most
+// maxPassedOver times in a row, so that a flood of a more urgent class slows a
+// less urgent one down but never stops it. With fifo set it is a plain queue,
+// the baseline. Every operation is O(log n) in attempts and customers, but for
+// victim, which is linear in the attempts that wait.
 type fairQueue struct {
-	fifo    bool
-	classes [numClasses]classQueue
-	length  int
-	arrival uint64
+	fifo      bool
+	classes   [numClasses]classQueue
+	deadlines attemptHeap // all attempts that wait, by deadline
+	arrival   uint64
 }
 
-const numClasses = 3
+const (
+	numClasses    = 3
+	maxPassedOver = 16
+	minShare      = 0.01
+	maxShare      = 1e6
+)
 
 func classRank(c optext.Class) int {
 	switch c {
@@ -30,50 +39,57 @@
 	}
 }
 
+// clampShare makes a usable weight of any number, also of NaN.
+func clampShare(share float64) float64 {
+	if !(share >= minShare) {
+		return minShare
+	}
+	return min(share, maxShare)
+}
+
+// classQueue is the fair queue of one class.
 type classQueue struct {
-	virtual   float64 // start tag of the attempt last taken
-	customers map[string]*customerQueue
+	virtual    float64 // start tag of the attempt last taken
+	customers  map[string]*customerQueue
+	active     tagHeap // customers with waiting attempts, by start tag
+	idle       tagHeap // customers without, whose tag is still ahead of virtual
+	shares     float64 // sum over active customers
+	length     int
+	passedOver int
 }
 
+// customerQueue holds a customer's waiting attempts of one class. Its tag is
+// the start tag of its next attempt.
 type customerQueue struct {
-	finish  float64 // finish tag of the customer's last attempt taken
-	waiting deadlineHeap
+	name     string
+	tag      float64
+	share    float64
+	waiting  attemptHeap
+	position int // in active or idle
 }
 
-type deadlineHeap []*attempt
-
-func (h deadlineHeap) Len() int { return len(h) }
-func (h deadlineHeap) Less(i, j int) bool {
-	if !h[i].order.Equal(h[j].order) {
-		return h[i].order.Before(h[j].order)
+func newFairQueue(fifo bool) fairQueue {
+	q := fairQueue{fifo: fifo, deadlines: attemptHeap{slot: slotDeadline}}
+	for i := range q.classes {
+		q.classes[i].customers = map[string]*customerQueue{}
 	}
-	return h[i].arrival < h[j].arrival
-}
-func (h deadlineHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].position, h[j].position = i, j
-}
-func (h *deadlineHeap) Push(x any) {
-	a := x.(*attempt)
-	a.position = len(*h)
-	*h = append(*h, a)
-}
-func (h *deadlineHeap) Pop() any {
-	old := *h
-	a := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	a.position = -1
-	return a
+	return q
 }
 
-func (q *fairQueue) len() int { return q.length }
+func (q *fairQueue) len() int { return q.deadlines.Len() }
 
-func (q *fairQueue) key(a *attempt) (int, string) {
+func (q *fairQueue) class(a *attempt) *classQueue {
 	if q.fifo {
-		return 0, ""
+		return &q.classes[0]
 	}
-	return classRank(a.class), a.customer
+	return &q.classes[classRank(a.class)]
+}
+
+func (q *fairQueue) customer(a *attempt) string {
+	if q.fifo {
+		return ""
+	}
+	return a.customer
 }
 
 func (q *fairQueue) push(a *attempt) {
@@ -83,66 +99,205 @@
 	if q.fifo {
 		a.order = time.Time{}
 	}
-	rank, customer := q.key(a)
-	c := &q.classes[rank]
-	if c.customers == nil {
-		c.customers = map[string]*customerQueue{}
+	a.waiting = true
+	q.class(a).push(a, q.customer(a))
+	heap.Push(&q.deadlines, a)
+}
+
+// pop returns the attempt to run next, or nil.
+func (q *fairQueue) pop() *attempt {
+	c := q.nextClass()
+	if c == nil {
+		return nil
 	}
-	cq := c.customers[customer]
-	if cq == nil {
-		cq = &customerQueue{finish: c.virtual}
-		c.customers[customer] = cq
+	a := c.pop()
+	a.waiting = false
+	heap.Remove(&q.deadlines, a.position[slotDeadline])
+	return a
+}
+
+// nextClass returns the most urgent class that waits, or one that was passed
+// over too often.
+func (q *fairQueue) nextClass() *classQueue {
+	var first, next *classQueue
+	for i := range q.classes {
+		c := &q.classes[i]
+		if c.length == 0 {
+			c.passedOver = 0
+			continue
+		}
+		if first == nil {
+			first = c
+		}
+		if next == nil && c.passedOver >= maxPassedOver {
+			next = c
+		}
 	}
-	if len(cq.waiting) == 0 {
-		cq.finish = max(cq.finish, c.virtual)
+	if next == nil {
+		next = first
 	}
-	heap.Push(&cq.waiting, a)
-	q.length++
+	for i := range q.classes {
+		if c := &q.classes[i]; c != next && c.length > 0 {
+			c.passedOver++
+		}
+	}
+	if next != nil {
+		next.passedOver = 0
+	}
+	return next
 }
 
-// pop returns the attempt to run next, or nil.
-func (q *fairQueue) pop() *attempt {
+// remove takes a waiting attempt out. It reports whether a was waiting.
+func (q *fairQueue) remove(a *attempt) bool {
+	if !a.waiting {
+		return false
+	}
+	a.waiting = false
+	q.class(a).remove(a, q.customer(a))
+	heap.Remove(&q.deadlines, a.position[slotDeadline])
+	return true
+}
+
+// earliest returns the waiting attempt with the earliest deadline, or nil.
+func (q *fairQueue) earliest() *attempt {
+	if q.len() == 0 {
+		return nil
+	}
+	return q.deadlines.list[0]
+}
+
+// ahead estimates how many waiting attempts would be taken before a new one:
+// those of more urgent classes, and of its own class what the shares allow.
+func (q *fairQueue) ahead(a *attempt) int {
+	n := 0
+	own := q.class(a)
 	for i := range q.classes {
-		if a := q.classes[i].pop(); a != nil {
-			q.length--
-			return a
+		if &q.classes[i] == own {
+			break
 		}
+		n += q.classes[i].length
 	}
-	return nil
+	return n + own.ahead(q.customer(a), clampShare(a.share))
 }
 
-func (c *classQueue) pop() *attempt {
-	var best *customerQueue
-	var name string
-	for n, cq := range c.customers {
-		if len(cq.waiting) == 0 {
-			if cq.finish <= c.virtual {
-				delete(c.customers, n) // idle and without debt
-			}
-			continue
+// victim returns the waiting attempt that a new one may push out of a full
+// queue, or nil: one of a less urgent class, or else of the customer of the
+// same class that waits with the most attempts for its share, if that is more
+// than the new one's customer would then have.
+func (q *fairQueue) victim(a *attempt) *attempt {
+	own := q.class(a)
+	for i := numClasses - 1; i >= 0 && !q.fifo; i-- {
+		c := &q.classes[i]
+		if c == own {
+			break
 		}
-		if best == nil || cq.finish < best.finish || cq.finish == best.finish && n < name {
-			best, name = cq, n
+		if c.length > 0 {
+			return c.longest().latest()
 		}
 	}
-	if best == nil {
+	if own.length == 0 {
 		return nil
 	}
-	a := heap.Pop(&best.waiting).(*attempt)
-	c.virtual = best.finish
-	best.finish += 1 / max(a.share, minShare)
+	cq, have := own.longest(), 1.0
+	if mine := own.customers[q.customer(a)]; mine != nil {
+		have += float64(mine.waiting.Len())
+	}
+	if cq.name == q.customer(a) || cq.backlog() <= have/clampShare(a.share) {
+		return nil
+	}
+	return cq.latest()
+}
+
+func (c *classQueue) push(a *attempt, customer string) {
+	cq := c.customers[customer]
+	if cq == nil {
+		cq = &customerQueue{name: customer, tag: c.virtual, position: -1, waiting: attemptHeap{slot: slotCustomer}}
+		c.customers[customer] = cq
+	}
+	if cq.waiting.Len() == 0 {
+		c.activate(cq)
+	}
+	c.shares += clampShare(a.share) - cq.share
+	cq.share = clampShare(a.share)
+	heap.Push(&cq.waiting, a)
+	c.length++
+}
+
+func (c *classQueue) activate(cq *customerQueue) {
+	if cq.position >= 0 {
+		heap.Remove(&c.idle, cq.position)
+	}
+	cq.tag = max(cq.tag, c.virtual)
+	cq.share = 0
+	heap.Push(&c.active, cq)
+}
+
+func (c *classQueue) pop() *attempt {
+	cq := c.active[0]
+	a := heap.Pop(&cq.waiting).(*attempt)
+	c.length--
+	c.virtual = cq.tag
+	cq.tag += 1 / clampShare(a.share)
+	heap.Fix(&c.active, 0)
+	c.settle(cq)
+	for len(c.idle) > 0 && c.idle[0].tag <= c.virtual {
+		delete(c.customers, heap.Pop(&c.idle).(*customerQueue).name)
+	}
 	return a
 }
 
-const minShare = 0.01
+func (c *classQueue) remove(a *attempt, customer string) {
+	cq := c.customers[customer]
+	heap.Remove(&cq.waiting, a.position[slotCustomer])
+	c.length--
+	c.settle(cq)
+}
 
-// remove takes a waiting attempt out.
-func (q *fairQueue) remove(a *attempt) {
-	rank, customer := q.key(a)
-	cq := q.classes[rank].customers[customer]
-	if cq == nil || a.position < 0 || a.position >= len(cq.waiting) || cq.waiting[a.position] != a {
+// settle moves a customer without waiting attempts out of active. When the
+// last one leaves, a busy period of the class ends and all debts with it.
+func (c *classQueue) settle(cq *customerQueue) {
+	if cq.waiting.Len() > 0 {
+		return
+	}
+	heap.Remove(&c.active, cq.position)
+	c.shares -= cq.share
+	if len(c.active) == 0 {
+		clear(c.customers)
+		c.idle, c.virtual, c.shares = nil, 0, 0
 		return
 	}
-	heap.Remove(&cq.waiting, a.position)
-	q.length--
+	heap.Push(&c.idle, cq)
+}
+
+func (c *classQueue) ahead(customer string, share float64) int {
+	total, own := c.shares+share, 0
+	if cq := c.customers[customer]; cq != nil && cq.waiting.Len() > 0 {
+		total, own = c.shares, cq.waiting.Len()
+	}
+	return min(c.length, int(float64(own+1)*total/share)-1)
+}
+
+// longest returns the active customer with the most waiting attempts for its
+// share.
+func (c *classQueue) longest() *customerQueue {
+	var most *customerQueue
+	for _, cq := range c.active {
+		if most == nil || cq.backlog() > most.backlog() || cq.backlog() == most.backlog() && cq.name < most.name {
+			most = cq
+		}
+	}
+	return most
+}
+
+func (cq *customerQueue) backlog() float64 { return float64(cq.waiting.Len()) / cq.share }
+
+// latest returns the attempt that the customer would run last.
+func (cq *customerQueue) latest() *attempt {
+	last := 0
+	for i := range cq.waiting.list {
+		if cq.waiting.Less(last, i) {
+			last = i
+		}
+	}
+	return cq.waiting.list[last]
 }
--- a/node/gate/run.go
+++ b/node/gate/run.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,6 +20,9 @@
 
 const readChunk = 32 << 10
 
+// begin implements starter.
+func (s *Service) begin(ctx context.Context, a *attempt) { go s.run(ctx, a) }
+
 // run performs one started attempt against the upstream.
 func (s *Service) run(ctx context.Context, a *attempt) {
 	started := time.Now()
@@ -25,39 +31,50 @@
 	took := time.Since(started)
 	ranVar.Add(1)
 	busyVar.Add(took.Seconds())
-	detail := fmt.Sprintf("%s bytes=%d ms=%.1f", a.stage, a.answer.length(), float64(took.Microseconds())/1000)
+	s.record("attempt-done", a, runDetail(a, failure, took))
+	s.table.finished(a, failure)
+}
+
+func runDetail(a *attempt, failure *verdict.Error, took time.Duration) string {
 	if failure != nil {
-		detail = fmt.Sprintf("%s failed: %s", a.stage, failure)
+		return a.stage + " failed: " + failure.Error()
 	}
-	s.record("attempt-done", a, detail)
-	s.table.finished(a, failure, took)
+	length, _, _ := a.answer.size()
+	return a.stage + " bytes=" + strconv.FormatInt(length, 10) + " ms=" + strconv.FormatFloat(took.Seconds()*1e3, 'f', 1, 64)
 }
 
 func (s *Service) call(ctx context.Context, a *attempt) *verdict.Error {
-	req, err := http.NewRequestWithContext(ctx, a.method, "http://"+s.set.Upstream+a.path, bytes.NewReader(a.body))
+	// The transport may repeat a repeatable attempt on a new connection, so a
+	// failed dial proves nothing once a header was written.
+	var written atomic.Bool
+	trace := &httptrace.ClientTrace{WroteHeaders: func() { written.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), a.method, "http://"+s.set.Upstream+a.path, bytes.NewReader(a.body))
 	if err != nil {
 		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "no request can be made of %s %s", a.method, a.path)
 	}
-	if a.header != "" {
-		req.Header.Set("Content-Type", a.header)
-	}
+	req.Header = a.header
 	req.Header.Set(wire.HeaderRequestID, string(a.request))
+	if req.Header["User-Agent"] == nil {
+		req.Header["User-Agent"] = nil
+	}
 	client := s.client
 	if !a.repeatable {
 		client = s.once
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return callFailure(ctx, err)
+		return callFailure(ctx, err, written.Load())
 	}
 	defer resp.Body.Close()
-	a.answer.start(resp.StatusCode, resp.Header.Get("Content-Type"))
-	return s.readBody(ctx, a, resp)
+	passed := http.Header{}
+	wire.PassToCaller(passed, resp.Header)
+	a.answer.start(resp.StatusCode, passed)
+	return s.readAnswer(a, resp)
 }
 
-func callFailure(ctx context.Context, err error) *verdict.Error {
+func callFailure(ctx context.Context, err error, written bool) *verdict.Error {
 	v := verdict.MayHaveRun
-	if isDialError(err) {
+	if !written && isDialError(err) {
 		v = verdict.NotRun
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -66,16 +83,20 @@
 	return verdict.New(v, verdict.CodeUpstream, "upstream: %v", err).After(time.Second)
 }
 
-func (s *Service) readBody(ctx context.Context, a *attempt, resp *http.Response) *verdict.Error {
-	buf := make([]byte, readChunk)
+var readBuffers = sync.Pool{New: func() any { return new([readChunk]byte) }}
+
+func (s *Service) readAnswer(a *attempt, resp *http.Response) *verdict.Error {
+	buf := readBuffers.Get().(*[readChunk]byte)
+	defer readBuffers.Put(buf)
 	var tail []byte
+	length := int64(0)
 	for {
-		n, err := resp.Body.Read(buf)
+		n, err := resp.Body.Read(buf[:])
+		if length+int64(n) > s.set.MaxAnswer {
+			return verdict.New(verdict.Ran, verdict.CodeTooLarge, "the answer exceeds %d bytes", s.set.MaxAnswer)
+		}
 		if n > 0 {
-			if a.answer.length()+int64(n) > s.set.MaxAnswer {
-				return verdict.New(verdict.Ran, verdict.CodeTooLarge, "the answer exceeds %d bytes", s.set.MaxAnswer)
-			}
-			a.answer.append(buf[:n])
+			length = a.answer.append(buf[:n])
 			tail = lastBytes(tail, buf[:n])
 		}
 		if err == io.EOF {
@@ -89,12 +110,15 @@
 
 const tailSize = 64
 
+// lastBytes returns the last tailSize bytes of tail followed by p.
 func lastBytes(tail, p []byte) []byte {
-	tail = append(tail, p...)
-	if len(tail) > tailSize {
-		tail = append([]byte(nil), tail[len(tail)-tailSize:]...)
+	if len(p) >= tailSize {
+		return append(tail[:0], p[len(p)-tailSize:]...)
+	}
+	if over := len(tail) + len(p) - tailSize; over > 0 {
+		tail = append(tail[:0], tail[over:]...)
 	}
-	return tail
+	return append(tail, p...)
 }
 
 // checkWhole tells a whole event stream from one that ended early but cleanly.
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -172,7 +172,7 @@
 		class = optext.Confirmation
 	}
 	d := dispatch.Call{Request: c.id, Stage: name, Service: name, Customer: c.customer.Name, Class: string(class), Share: c.customer.Share,
-		Repeatable: sv.Repeatable, Method: r.Method, Path: path, ContentType: r.Header.Get("Content-Type"), Body: c.body, Deadline: deadline}
+		Repeatable: sv.Repeatable, Method: r.Method, Path: path, ContentType: r.Header.Get("Content-Type"), Header: r.Header, Body: c.body, Deadline: deadline}
 	if key := r.Header.Get(wire.HeaderIdempotencyKey); key != "" && !sv.Repeatable {
 		return s.keyed(ctx, w, c, d, key, sv)
 	}
@@ -181,6 +181,7 @@
 		return err
 	}
 	defer a.Body.Close()
+	wire.PassToCaller(w.Header(), a.Header)
 	return c.stream(w, a.Status, a.ContentType, a.Body)
 }
 
--- a/node/ledger/ledger.go
+++ b/node/ledger/ledger.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/google/uuid"
 	"go.uber.org/dig"
 
 	"caperdrum.org/api/timeline"
@@ -71,7 +70,7 @@
 		if e == nil {
 			return nil, verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "no upstream of %s can take the call", c.Service).After(comeBack)
 		}
-		c.Attempt = wire.AttemptID(uuid.NewString())
+		c.Attempt = wire.NewAttemptID()
 		claim := wire.ClaimRequest{ClaimKey: wire.ClaimKey{Customer: c.Customer, Key: key}, BodyHash: hash, Attempt: c.Attempt,
 			Endpoint: e.Member.ID, Gate: e.Member.Gate, Incarnation: e.Member.Incarnation, RequestID: c.Request}
 		result, err := s.round(ctx, claim, c, e)
--- a/node/pipeline/pipeline.go
+++ b/node/pipeline/pipeline.go
@@ -13,7 +13,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"go.uber.org/dig"
 
 	"caperdrum.org/api/optext"
@@ -299,7 +298,7 @@
 }
 
 func (s *Service) attempt(ctx context.Context, e *routing.Endpoint, c dispatch.Call) (*dispatch.Answer, error) {
-	c.Attempt = wire.AttemptID(uuid.NewString())
+	c.Attempt = wire.NewAttemptID()
 	started := time.Now()
 	s.p.Ring.Record(timeline.Event{Kind: "attempt-sent", Request: string(c.Request), Attempt: string(c.Attempt), Customer: c.Customer,
 		Detail: c.Stage + " to " + string(e.Member.ID)})
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -68,6 +68,7 @@
 	Service     string        `ini:"service" required:"true"`
 	Upstream    string        `ini:"upstream" required:"true"` // host:port of the upstream
 	KeepAnswers time.Duration `ini:"keep_answers"`
+	KeepBytes   int64         `ini:"keep_answer_bytes"` // of ended answers, over all attempts
 	MaxAnswer   int64         `ini:"max_answer_bytes"`
 	HealthPath  string        `ini:"health_path"`
 }
@@ -117,7 +118,7 @@
 		Node:    Node{DrainTimeout: 30 * time.Second, LogLevel: "info", Timeline: 4096},
 		Control: ControlRole{Lease: 3 * time.Second, Voters: 3},
 		Entry:   EntryRole{MaxBody: 4 << 20, StaleAfter: 5 * time.Second, MaxInFlight: 4096, MaxAnswer: 16 << 20},
-		Agent:   AgentRole{KeepAnswers: 2 * time.Minute, MaxAnswer: 16 << 20, HealthPath: "/health"},
+		Agent:   AgentRole{KeepAnswers: 2 * time.Minute, KeepBytes: 8 << 20, MaxAnswer: 16 << 20, HealthPath: "/health"},
 	}
 }
 
