--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULES = ./api/... ./node/... ./fake/... ./ctl/...
 LDFLAGS = -ldflags "-X main.version=$(VERSION)"
 
-.PHONY: build demo test race lint fuzz mutate bench clean
+.PHONY: build demo test race lint fuzz mutate bench bench-path clean
 
 build:
 	go build $(LDFLAGS) -o bin/ ./node/cmd/caperdrumd ./ctl/cmd/caperdrum
@@ -35,3 +35,6 @@
 
 clean:
 	rm -rf bin
+
+bench-path: build
+	./scripts/bench_path.sh
--- /dev/null
+++ b/node/dispatch/wrong_test.go
@@ -0,0 +1,73 @@
+package dispatch_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+)
+
+// A response that ends cleanly but is not the whole answer to this attempt is
+// never taken for it.
+func TestWrongResponsesAreNotTaken(t *testing.T) {
+	const incarnation, sum = 7, "44bc2cf5ad770999" // xxhash64 of "abc"
+	right := map[string]string{wire.HeaderIncarnation: "7", wire.HeaderStage: "s", wire.HeaderStatus: "200",
+		wire.TrailerEnd: wire.EndWhole, wire.TrailerLength: "3", wire.TrailerSum: sum}
+	cases := []struct {
+		name, header, value string
+		ok                  bool
+	}{
+		{"right", "", "", true},
+		{"no end mark", wire.TrailerEnd, "", false},
+		{"end mark of a cut answer", wire.TrailerEnd, string(verdict.CodeCut), false},
+		{"other length", wire.TrailerLength, "4", false},
+		{"other checksum", wire.TrailerSum, "0", false},
+		{"other attempt", wire.HeaderAttempt, "other", false},
+		{"other stage", wire.HeaderStage, "other", false},
+		{"other incarnation", wire.HeaderIncarnation, "8", false},
+		{"no status", wire.HeaderStatus, "", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			call := newCall("/", "abc")
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if strings.HasSuffix(r.URL.Path, "/cancel") {
+					io.WriteString(w, `{"state":"running","incarnation":7}`)
+					return
+				}
+				set := func(name, value string) {
+					if name == c.header {
+						value = c.value
+					}
+					w.Header().Set(name, value)
+				}
+				w.Header().Set("Trailer", wire.TrailerEnd+","+wire.TrailerLength+","+wire.TrailerSum)
+				for _, name := range []string{wire.HeaderIncarnation, wire.HeaderStage, wire.HeaderStatus} {
+					set(name, right[name])
+				}
+				set(wire.HeaderAttempt, string(call.Attempt))
+				if strings.HasSuffix(r.URL.RawQuery, "offset=3") {
+					w.WriteHeader(http.StatusOK)
+				} else {
+					io.WriteString(w, "abc")
+				}
+				for _, name := range []string{wire.TrailerEnd, wire.TrailerLength, wire.TrailerSum} {
+					set(name, right[name])
+				}
+			}))
+			defer server.Close()
+			got, _, err := do(context.Background(), endpoint(server.Listener.Addr().String(), incarnation), call)
+			if c.ok != (err == nil) || c.ok && got != "abc" {
+				t.Errorf("%q, %v", got, err)
+			}
+			if err != nil && verdict.Of(err) == verdict.NotRun {
+				t.Errorf("not run: %v", err)
+			}
+		})
+	}
+}
--- a/node/gate/table_test.go
+++ b/node/gate/table_test.go
@@ -35,10 +35,11 @@
 
 func newGateModel() *gateModel {
 	m := &gateModel{clock: clockwork.NewFakeClockAt(time.Unix(1_700_000_000, 0)), runs: map[wire.AttemptID]int{}, notRun: map[wire.AttemptID]string{}}
-	m.restart(limits{concurrency: 2, queueLength: 4, refuseLate: true, keep: testKeep, keepBytes: 30})
+	m.restart(limits{concurrency: 2, queueLength: 4, refuseLate: true, keep: testKeep, keepBytes: 4})
 	return m
 }
 
+// restart begins a new start of the gate, which knows nothing of earlier ones.
 func (m *gateModel) restart(l limits) {
 	m.start++
 	m.admitted, m.running, m.wrote = map[wire.AttemptID]*attempt{}, map[wire.AttemptID]context.Context{}, map[wire.AttemptID][]byte{}
