--- a/api/optext/optext.go
+++ b/api/optext/optext.go
@@ -52,7 +52,7 @@
 	HedgePercent    int    `ini:"hedge_percent" json:"hedge_percent"`   // budget of hedged attempts, percent of requests; 0 switches hedging off
 	RetryPercent    int    `ini:"retry_percent" json:"retry_percent"`   // budget of retries, percent of requests
 	QueueDiscipline string `ini:"queue" json:"queue"`                   // fair or fifo
-	Limiter         string `ini:"limiter" json:"limiter"`               // how the gate sets its limit: fixed, or aimd or vegas with concurrency as the maximum
+	Limiter         string `ini:"limiter" json:"limiter"`               // how the gate sets its limit: fixed, or climb with concurrency as the maximum
 }
 
 // Pipeline is a graph of stages that share one deadline.
@@ -171,7 +171,7 @@
 	p.oneOf(section, "kind", s.Kind, string(Engine), string(Encoder), string(Retriever), string(Reranker), string(Plain))
 	p.oneOf(section, "routing", s.RoutingPolicy, RoutingPolicies...)
 	p.oneOf(section, "queue", s.QueueDiscipline, "fair", "fifo")
-	p.oneOf(section, "limiter", s.Limiter, "fixed", "aimd", "vegas")
+	p.oneOf(section, "limiter", s.Limiter, "fixed", "climb")
 	if s.Concurrency < 1 {
 		p.f.Fail(section, "concurrency", "concurrency is zero", "write 1 or more")
 	}
--- a/node/gate/limiter.go
+++ b/node/gate/limiter.go
@@ -17,20 +17,15 @@
 // Names of the limiters in the operators' text.
 const (
 	limiterFixed = "fixed"
-	limiterAIMD  = "aimd"
-	limiterVegas = "vegas"
+	limiterClimb = "climb"
 )
 
 func newLimiter(name string, most int) limiter {
 	most = max(most, 1)
-	switch name {
-	case limiterAIMD:
-		return &aimdLimiter{most: float64(most), now: float64(most)}
-	case limiterVegas:
-		return &vegasLimiter{most: float64(most), now: float64(most)}
-	default:
-		return fixedLimiter(most)
+	if name == limiterClimb {
+		return &climbLimiter{most: float64(most), now: max(float64(most)/climbStart, 1), factor: climbStep}
 	}
+	return fixedLimiter(most)
 }
 
 // fixedLimiter is the number that the operators' text gives.
@@ -40,88 +35,42 @@
 
 func (l fixedLimiter) done(time.Time, time.Duration, int, *verdict.Error) {}
 
-// shortest tracks the shortest run of the last window or two, the time that
-// the upstream needs without a queue of its own.
-type shortest struct {
-	current, previous time.Duration
-	since             time.Time
-}
-
-const shortestWindow = 30 * time.Second
-
-func (s *shortest) add(now time.Time, took time.Duration) time.Duration {
-	if now.Sub(s.since) > shortestWindow {
-		s.previous, s.current, s.since = s.current, took, now
-	}
-	s.current = min(s.current, took)
-	if s.previous > 0 {
-		return min(s.previous, s.current)
-	}
-	return s.current
-}
-
-// aimdLimiter raises the limit by one a round while runs stay fast and cuts it
-// by a part, at most once a run time, when they fail or take much longer than
-// the shortest (additive increase, multiplicative decrease; Chiu and Jain,
-// 1989).
-type aimdLimiter struct {
+// climbLimiter seeks the limit with the most runs ended per second: it changes
+// the limit by a part each round and turns round when the rate fell (hill
+// climbing, as in Hellerstein, Morrison and Eilebrecht, "Applying Control
+// Theory in the Real World", 2009). A round counts only while the limit binds.
+type climbLimiter struct {
 	most, now float64
-	base      shortest
-	cutAt     time.Time
+	factor    float64 // of the next change
+	last      float64 // runs per second of the round before
+	ended     int
+	since     time.Time
 }
 
 const (
-	aimdCut      = 0.85
-	aimdSlowdown = 2.0
+	climbStep   = 1.15
+	climbRounds = 3 // runs of a round, in limits
+	climbStart  = 8 // the first limit is this part of the maximum: a thrashing upstream would answer too seldom to learn from
 )
 
-func (l *aimdLimiter) limit() int { return max(int(l.now), 1) }
+func (l *climbLimiter) limit() int { return max(int(l.now), 1) }
 
-func (l *aimdLimiter) done(now time.Time, took time.Duration, running int, failure *verdict.Error) {
-	congested := failure != nil && failure.Code != verdict.CodeTooLarge
-	if failure == nil {
-		base := l.base.add(now, took)
-		congested = float64(took) > aimdSlowdown*float64(base)
-	}
-	if congested {
-		if now.Sub(l.cutAt) >= took {
-			l.now, l.cutAt = max(l.now*aimdCut, 1), now
-		}
+func (l *climbLimiter) done(now time.Time, _ time.Duration, running int, failure *verdict.Error) {
+	if running < l.limit() || l.since.IsZero() {
+		l.since, l.ended = now, 0
 		return
 	}
-	if running >= l.limit() {
-		l.now = min(l.now+1/l.now, l.most)
+	if failure == nil {
+		l.ended++
 	}
-}
-
-// vegasLimiter estimates how many of the running attempts wait inside the
-// upstream, limit × (1 − shortest/took), and keeps that number between two
-// bounds (after TCP Vegas; Brakmo and Peterson, 1995).
-type vegasLimiter struct {
-	most, now float64
-	base      shortest
-	took      ewma // seconds
-}
-
-const (
-	vegasFew  = 0.35 // parts of the limit
-	vegasMany = 0.55
-)
-
-func (l *vegasLimiter) limit() int { return max(int(l.now), 1) }
-
-func (l *vegasLimiter) done(now time.Time, took time.Duration, running int, failure *verdict.Error) {
-	if failure != nil {
-		l.now = max(l.now-1/l.now, 1)
+	took := now.Sub(l.since).Seconds()
+	if took <= 0 || l.ended < climbRounds*l.limit() {
 		return
 	}
-	base := l.base.add(now, took)
-	l.took.add(took.Seconds())
-	waiting := 1 - base.Seconds()/max(l.took.value, base.Seconds())
-	switch {
-	case waiting > vegasMany:
-		l.now = max(l.now-1/l.now, 1)
-	case waiting < vegasFew && running >= l.limit():
-		l.now = min(l.now+1/l.now, l.most)
+	rate := float64(l.ended) / took
+	if rate < l.last {
+		l.factor = 1 / l.factor
 	}
+	l.now = min(max(l.now*l.factor, 1), l.most)
+	l.last, l.since, l.ended = rate, now, 0
 }
