--- a/fake/pathbench/path_test.go
+++ b/fake/pathbench/path_test.go
@@ -31,6 +31,16 @@
 	calls, tokens, failed atomic.Int64
 	mu                    sync.Mutex
 	whole, first, between []time.Duration
+	failure               string // the first one
+}
+
+func (l *load) fail(why string) {
+	l.failed.Add(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failure == "" {
+		l.failure = why
+	}
 }
 
 func (l *load) add(whole, first time.Duration, between []time.Duration) {
@@ -48,7 +58,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := client.Do(req)
 	if err != nil {
-		l.failed.Add(1)
+		l.fail(err.Error())
 		return
 	}
 	defer resp.Body.Close()
@@ -57,6 +67,11 @@
 	last := started
 	tokens := 0
 	r := bufio.NewReader(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(r)
+		l.fail(resp.Status + " " + string(text))
+		return
+	}
 	for {
 		line, err := r.ReadSlice('\n')
 		if len(line) > 1 {
@@ -72,8 +87,8 @@
 		if err == io.EOF {
 			break
 		}
-		if err != nil || resp.StatusCode != http.StatusOK {
-			l.failed.Add(1)
+		if err != nil {
+			l.fail(err.Error())
 			return
 		}
 	}
@@ -143,7 +158,7 @@
 			float64(path.calls.Load())/float64(max(direct.calls.Load(), 1)))
 		half := openLoop(rate/2, c.path, c.body)
 		base := openLoop(rate/2, c.direct, c.body)
-		t.Logf("%s, half load: %.0f calls/s, %d failed", c.name, rate/2, half.failed.Load())
+		t.Logf("%s, half load: %.0f calls/s, %d failed %s", c.name, rate/2, half.failed.Load(), half.failure)
 		report(t, c.name+" whole", half.whole, base.whole)
 		report(t, c.name+" first byte", half.first, base.first)
 		report(t, c.name+" between tokens", half.between, base.between)
