--- a/scripts/bench_path.sh
+++ b/scripts/bench_path.sh
@@ -15,7 +15,9 @@
 export GOMAXPROCS=2
 daemon entry-1
 unset GOMAXPROCS
-"$root/bin/caperdrum" init >/dev/null || exit 1
+"$root/bin/caperdrum" init -save-key "$work/key" >/dev/null || exit 1
+CAPERDRUM_KEY=$(cat "$work/key")
+export CAPERDRUM_KEY
 sed -e 's/^concurrency = .*//; s/^\[service:.*/&\nconcurrency = 128/' "$root/examples/demo/text.ini" >"$work/text.ini"
 "$root/bin/caperdrum" apply "$work/text.ini" >/dev/null || exit 1
 wait_ready 127.0.0.11:8080 || exit 1
--- a/scripts/idle.sh
+++ b/scripts/idle.sh
@@ -8,7 +8,9 @@
 ticks() { awk '{ print $14 + $15 }' "/proc/$1/stat"; }
 
 start_system
-"$root/bin/caperdrum" init >/dev/null || exit 1
+"$root/bin/caperdrum" init -save-key "$work/key" >/dev/null || exit 1
+CAPERDRUM_KEY=$(cat "$work/key")
+export CAPERDRUM_KEY
 "$root/bin/caperdrum" apply "$root/examples/demo/text.ini" >/dev/null || exit 1
 wait_ready 127.0.0.11:8080 || exit 1
 sleep 5
