--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 IN_PROCESS = $(filter-out ./e2e/...,$(MODULES))
 LDFLAGS = -ldflags "-X main.version=$(VERSION)"
 
-.PHONY: build demo test race e2e-long lint fuzz mutate bench clean
+.PHONY: build demo test race e2e-long lint fuzz mutate bench bench-path clean
 
 build:
 	go build $(LDFLAGS) -o bin/ ./node/cmd/caperdrumd ./ctl/cmd/caperdrum
@@ -42,3 +42,6 @@
 
 clean:
 	rm -rf bin
+
+bench-path: build
+	./scripts/bench_path.sh
--- a/api/optext/optext.go
+++ b/api/optext/optext.go
@@ -54,6 +54,7 @@
 	QueueDiscipline string `ini:"queue" json:"queue"`                   // fair or fifo
 	Subset          int    `ini:"subset" json:"subset"`                 // upstreams that one entry uses; 0 means all
 	Ejection        bool   `ini:"ejection" json:"ejection"`             // leave out upstreams that fail or lag far behind the others
+	Limiter         string `ini:"limiter" json:"limiter"`               // how the gate sets its limit: fixed, or climb with concurrency as the maximum
 }
 
 // Pipeline is a graph of stages that share one deadline.
@@ -169,12 +170,13 @@
 
 func (p *parser) service(section, name string) {
 	s := &Service{Name: name, Concurrency: defaultConcurrency, QueueLength: defaultQueueLength,
-		RoutingPolicy: RoutingPolicies[0], HedgePercent: defaultHedge, RetryPercent: defaultRetry, QueueDiscipline: "fair", Ejection: true}
+		RoutingPolicy: RoutingPolicies[0], HedgePercent: defaultHedge, RetryPercent: defaultRetry, QueueDiscipline: "fair", Ejection: true, Limiter: "fixed"}
 	p.f.Decode(section, s)
 	p.c.Services[name] = s
 	p.oneOf(section, "kind", s.Kind, string(Engine), string(Encoder), string(Retriever), string(Reranker), string(Plain))
 	p.oneOf(section, "routing", s.RoutingPolicy, RoutingPolicies...)
 	p.oneOf(section, "queue", s.QueueDiscipline, "fair", "fifo")
+	p.oneOf(section, "limiter", s.Limiter, "fixed", "climb")
 	if s.Concurrency < 1 {
 		p.f.Fail(section, "concurrency", "concurrency is zero", "write 1 or more")
 	}
--- a/api/verdict/verdict.go
+++ b/api/verdict/verdict.go
@@ -70,6 +70,7 @@
 	CodeIncarnation   Code = "incarnation_changed"
 	CodeConflict      Code = "idempotency_key_conflict"
 	CodeInProgress    Code = "idempotency_key_in_progress"
+	CodeOutcomeLost   Code = "outcome_lost" // final: the call of this key ran or may have run, and its answer cannot be had
 	CodeNoQuorum      Code = "no_quorum"
 	CodeLedgerFull    Code = "ledger_full"
 	CodeUpstream      Code = "upstream_failed"
@@ -118,7 +119,7 @@
 		return http.StatusConflict
 	case CodeCustomerLimit:
 		return http.StatusTooManyRequests
-	case CodeUpstream, CodeCut:
+	case CodeUpstream, CodeCut, CodeOutcomeLost:
 		return http.StatusBadGateway
 	case CodeTimeout:
 		return http.StatusGatewayTimeout
--- a/api/wire/messages.go
+++ b/api/wire/messages.go
@@ -106,7 +106,6 @@
 	Endpoint    MemberID  `json:"endpoint"`
 	Gate        string    `json:"gate"`
 	Incarnation uint64    `json:"incarnation"`
-	GateTime    int64     `json:"gate_time,omitempty"` // AttemptStatus.GateTime as read before the claim was sent
 	RequestID   RequestID `json:"request_id"`
 }
 
@@ -173,7 +172,6 @@
 	Incarnation uint64       `json:"incarnation"`
 	Length      int64        `json:"length"`        // answer bytes received from the upstream so far
 	End         string       `json:"end,omitempty"` // end mark, once done
-	GateTime    int64        `json:"gate_time"`     // milliseconds on the clock of this incarnation, at least 1
 }
 
 // MemberStatus is one row of the members report.
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -41,9 +41,10 @@
 	Method      string
 	Path        string
 	ContentType string
+	Header      http.Header // more request headers; only those pass that wire.PassToUpstream names
 	Body        []byte
 	Deadline    time.Time
-	GateTime    int64 // gate time read before the key was claimed; zero without a key
+	Claimed     bool // an idempotency key is claimed for the attempt
 }
 
 // Params are what the service needs.
@@ -62,15 +63,18 @@
 }
 
 const (
-	settleTimeout   = time.Second // a gate asked about an attempt must answer within
+	settleTimeout   = time.Second           // a gate asked about an attempt must answer within
+	lateSettle      = 50 * time.Millisecond // the same once the caller must be answered
 	maxReattach     = 3
 	idleConnections = 256
+	idleTimeout     = 90 * time.Second // shorter than the gate's
 )
 
 // New returns the service.
 func New(p Params) *Service {
-	t := &http.Transport{DialContext: p.Security.DialNetwork, MaxIdleConnsPerHost: idleConnections, DisableCompression: true}
-	return &Service{ring: p.Ring, sync: p.Sync, client: &http.Client{Transport: t}}
+	t := &http.Transport{DialContext: p.Security.DialNetwork, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	client := &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	return &Service{ring: p.Ring, sync: p.Sync, client: client}
 }
 
 // Answer is an upstream's answer. Body returns io.EOF only when the answer was
@@ -78,16 +82,21 @@
 type Answer struct {
 	Status      int
 	ContentType string
+	Header      http.Header // the headers that pass back to the caller
 	Body        io.ReadCloser
 }
 
 // Do submits an attempt and returns once the upstream's response header came.
+// The attempt's id must come from wire.NewAttemptID and is used once.
 func (s *Service) Do(ctx context.Context, e *routing.Endpoint, c Call) (*Answer, error) {
 	resp, err := s.submit(ctx, e, c)
-	if err != nil {
-		return nil, s.resolveLost(ctx, e, c, err)
+	if err == nil {
+		var a *Answer
+		if a, err = s.open(ctx, e, c, resp); !errors.Is(err, errNoAnswer) {
+			return a, err
+		}
 	}
-	return s.open(ctx, e, c, resp)
+	return s.recover(ctx, e, c, err)
 }
 
 func (s *Service) submit(ctx context.Context, e *routing.Endpoint, c Call) (*http.Response, error) {
@@ -99,29 +108,28 @@
 	// refuse the second copy, but then the answer to the first would be lost.
 	req.GetBody = nil
 	h := req.Header
+	wire.PassToUpstream(h, c.Header)
 	s.setCommon(h)
-	h.Set("Content-Type", c.ContentType)
+	if c.ContentType != "" {
+		h.Set("Content-Type", c.ContentType)
+	}
 	h.Set(wire.HeaderRequestID, string(c.Request))
 	h.Set(wire.HeaderStage, c.Stage)
 	h.Set(wire.HeaderService, c.Service)
 	h.Set(wire.HeaderCustomer, c.Customer)
 	h.Set(wire.HeaderClass, c.Class)
 	h.Set(wire.HeaderShare, strconv.FormatFloat(c.Share, 'g', -1, 64))
+	if c.Claimed {
+		h.Set(wire.HeaderClaimed, "true")
+	}
 	h.Set(wire.HeaderRepeatable, strconv.FormatBool(c.Repeatable))
 	h.Set(wire.HeaderMethod, c.Method)
 	h.Set(wire.HeaderPath, c.Path)
 	h.Set(wire.HeaderIncarnation, strconv.FormatUint(e.Member.Incarnation, 10))
 	h.Set(wire.HeaderBudget, strconv.FormatInt(max(time.Until(c.Deadline).Milliseconds(), 0), 10))
-	setGateTime(h, c.GateTime)
 	return s.client.Do(req)
 }
 
-func setGateTime(h http.Header, gateTime int64) {
-	if gateTime > 0 {
-		h.Set(wire.HeaderGateTime, strconv.FormatInt(gateTime, 10))
-	}
-}
-
 func attemptURL(e *routing.Endpoint, id wire.AttemptID, rest string) string {
 	return "http://" + e.Member.Gate + "/v1/attempts/" + url.PathEscape(string(id)) + rest
 }
@@ -157,103 +165,143 @@
 	e.Report(n[0], n[1], n[2])
 }
 
-// open checks a gate's response and wraps its body.
+// errNoAnswer says that a response told nothing about the attempt.
+const errNoAnswer = errors.ConstError("the response tells nothing about the attempt")
+
+// open checks a gate's response and wraps its body. The error is a
+// verdict.Error from the gate, or errNoAnswer.
 func (s *Service) open(ctx context.Context, e *routing.Endpoint, c Call, resp *http.Response) (*Answer, error) {
 	s.observe(e, resp.Header)
 	if resp.Header.Get(wire.HeaderError) != "" {
 		defer resp.Body.Close()
-		v := &verdict.Error{}
-		if err := json.NewDecoder(resp.Body).Decode(v); err != nil {
-			return nil, verdict.New(verdict.MayHaveRun, verdict.CodeCut, "the gate's refusal was cut: %v", err)
-		}
-		return nil, v
-	}
-	if resp.Header.Get(wire.HeaderAttempt) != string(c.Attempt) || resp.Header.Get(wire.HeaderStage) != c.Stage {
-		resp.Body.Close()
-		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeCut, "the answer belongs to another attempt")
+		return nil, refusal(resp)
 	}
 	status, err := strconv.Atoi(resp.Header.Get(wire.HeaderStatus))
-	if err != nil {
+	if err != nil || !belongs(resp, e, c) {
 		resp.Body.Close()
-		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeCut, "the answer has no status")
+		return nil, errNoAnswer
 	}
 	body := &bodyReader{s: s, ctx: ctx, endpoint: e, call: c, resp: resp, sum: xxhash.New()}
-	return &Answer{Status: status, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+	a := &Answer{Status: status, ContentType: resp.Header.Get("Content-Type"), Header: http.Header{}, Body: body}
+	wire.PassToCaller(a.Header, resp.Header)
+	return a, nil
+}
+
+func refusal(resp *http.Response) error {
+	v := &verdict.Error{}
+	if err := json.NewDecoder(resp.Body).Decode(v); err != nil || v.Code == "" || v.Status == 0 {
+		return errNoAnswer
+	}
+	return v
+}
+
+// belongs reports whether a response is the answer to this attempt, from the
+// gate's start that it was sent to.
+func belongs(resp *http.Response, e *routing.Endpoint, c Call) bool {
+	h := resp.Header
+	return resp.StatusCode == http.StatusOK && h.Get(wire.HeaderAttempt) == string(c.Attempt) && h.Get(wire.HeaderStage) == c.Stage &&
+		h.Get(wire.HeaderIncarnation) == strconv.FormatUint(e.Member.Incarnation, 10)
 }
 
-// resolveLost finds out what became of an attempt whose submission failed.
-func (s *Service) resolveLost(ctx context.Context, e *routing.Endpoint, c Call, cause error) error {
+// recover finds out what became of an attempt whose response was lost, and
+// goes on with its answer if it runs.
+func (s *Service) recover(ctx context.Context, e *routing.Endpoint, c Call, cause error) (*Answer, error) {
 	var op *net.OpError
 	if errors.As(cause, &op) && op.Op == "dial" {
-		return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "the gate of %s is not reached", e.Member.ID)
+		return nil, verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "the gate of %s is not reached", e.Member.ID)
 	}
 	if ctx.Err() != nil || !time.Now().Before(c.Deadline) {
-		// Also when the caller went away: the attempt must not start later.
-		go s.giveUp(e, c)
-		return verdict.New(verdict.MayHaveRun, verdict.CodeTimeout, "the deadline passed before an answer came")
+		return nil, s.giveUp(e, c)
 	}
-	st, err := s.CancelClaimed(context.WithoutCancel(ctx), e, c.Attempt, c.GateTime)
+	st, err := s.Cancel(e, c.Attempt, false)
 	if err != nil {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "the connection to %s was lost: %v", e.Member.ID, cause)
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "the connection to %s was lost: %v", e.Member.ID, cause)
 	}
-	if st.Incarnation != e.Member.Incarnation {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeIncarnation, "the gate of %s was restarted", e.Member.ID)
+	if v := s.settled(e, st); v != nil {
+		return nil, v
 	}
-	if st.State == wire.AttemptTombstoned {
-		return verdict.New(verdict.NotRun, verdict.CodeUpstream, "the connection to %s was lost; the attempt is cancelled", e.Member.ID)
+	if a, err := s.Attach(ctx, e, c, 0); err == nil || !errors.Is(err, errNoAnswer) {
+		return a, err
 	}
-	return verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "the connection to %s was lost", e.Member.ID)
+	return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "the answer of %s was lost", e.Member.ID)
 }
 
-// giveUp cancels an attempt that nobody waits for any more.
-func (s *Service) giveUp(e *routing.Endpoint, c Call) {
-	s.cancel(context.Background(), e, c.Attempt, c.Repeatable, c.GateTime)
+// giveUp makes sure that an attempt whose caller has gone, or whose deadline
+// has passed, does not start later. The caller is answered soon in any case.
+func (s *Service) giveUp(e *routing.Endpoint, c Call) error {
+	ctx, cancel := context.WithTimeout(context.Background(), lateSettle)
+	defer cancel()
+	st, err := s.cancelCall(ctx, e, c.Attempt, c.Repeatable)
+	if err != nil {
+		go s.Cancel(e, c.Attempt, c.Repeatable)
+	} else if v := s.settled(e, st); v != nil {
+		return v
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.CodeTimeout, "the deadline passed before an answer came")
+}
+
+// settled returns the verdict that a status after a cancellation allows, or
+// nil when the attempt has started.
+func (s *Service) settled(e *routing.Endpoint, st wire.AttemptStatus) *verdict.Error {
+	switch {
+	case st.Incarnation != e.Member.Incarnation:
+		return verdict.New(verdict.MayHaveRun, verdict.CodeIncarnation, "the gate of %s was restarted", e.Member.ID)
+	case st.State == wire.AttemptTombstoned:
+		return verdict.New(verdict.NotRun, verdict.CodeUpstream, "the attempt at %s is cancelled", e.Member.ID).After(settleTimeout)
+	case st.State != wire.AttemptRunning && st.State != wire.AttemptDone:
+		return verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "the gate of %s does not know the attempt", e.Member.ID)
+	}
+	return nil
 }
 
 // Cancel makes sure that an attempt that has not started never does. With
 // abandon set, a running one is ended too.
 func (s *Service) Cancel(e *routing.Endpoint, id wire.AttemptID, abandon bool) (wire.AttemptStatus, error) {
-	return s.cancel(context.Background(), e, id, abandon, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	return s.cancelCall(ctx, e, id, abandon)
+}
+
+func (s *Service) cancelCall(ctx context.Context, e *routing.Endpoint, id wire.AttemptID, abandon bool) (wire.AttemptStatus, error) {
+	rest := "/cancel"
+	if abandon {
+		rest += "?abandon=true"
+	}
+	return s.statusCall(ctx, e, http.MethodPost, attemptURL(e, id, rest))
 }
 
 // CancelClaimed makes sure that the attempt of a claim, if it has not started,
 // never does. It never ends a running one. The state AttemptForgotten leaves
 // open whether the attempt ran.
-func (s *Service) CancelClaimed(ctx context.Context, e *routing.Endpoint, id wire.AttemptID, gateTime int64) (wire.AttemptStatus, error) {
-	return s.cancel(ctx, e, id, false, gateTime)
-}
-
-func (s *Service) cancel(ctx context.Context, e *routing.Endpoint, id wire.AttemptID, abandon bool, gateTime int64) (wire.AttemptStatus, error) {
+func (s *Service) CancelClaimed(ctx context.Context, e *routing.Endpoint, id wire.AttemptID) (wire.AttemptStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	rest := "/cancel"
-	if abandon {
-		rest += "?abandon=true"
-	}
-	return s.statusCall(ctx, e, http.MethodPost, attemptURL(e, id, rest), gateTime)
+	return s.cancelCall(ctx, e, id, false)
 }
 
 // Status asks a gate what it knows of an attempt.
 func (s *Service) Status(ctx context.Context, e *routing.Endpoint, id wire.AttemptID) (wire.AttemptStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	return s.statusCall(ctx, e, http.MethodGet, attemptURL(e, id, ""), 0)
+	return s.statusCall(ctx, e, http.MethodGet, attemptURL(e, id, ""))
 }
 
-func (s *Service) statusCall(ctx context.Context, e *routing.Endpoint, method, u string, gateTime int64) (wire.AttemptStatus, error) {
+func (s *Service) statusCall(ctx context.Context, e *routing.Endpoint, method, u string) (wire.AttemptStatus, error) {
 	var st wire.AttemptStatus
 	req, err := http.NewRequestWithContext(ctx, method, u, nil)
 	if err != nil {
 		return st, errors.Trace(err)
 	}
 	s.setCommon(req.Header)
-	setGateTime(req.Header, gateTime)
 	resp, err := s.client.Do(req)
 	if err != nil {
 		return st, errors.Trace(err)
 	}
 	defer resp.Body.Close()
 	s.observe(e, resp.Header)
+	if resp.StatusCode != http.StatusOK {
+		return st, errors.Errorf("the gate answers with status %d", resp.StatusCode)
+	}
 	return st, errors.Trace(json.NewDecoder(resp.Body).Decode(&st))
 }
 
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -79,6 +79,7 @@
 	h := w.Header()
 	h.Set("Trailer", wire.TrailerEnd+","+wire.TrailerLength+","+wire.TrailerSum)
 	h.Set(wire.HeaderAttempt, rest)
+	h.Set(wire.HeaderIncarnation, r.Header.Get(wire.HeaderIncarnation))
 	h.Set(wire.HeaderStage, r.Header.Get(wire.HeaderStage))
 	h.Set(wire.HeaderStatus, strconv.Itoa(status))
 	h.Set("Content-Type", contentType)
--- a/node/ledger/holder.go
+++ b/node/ledger/holder.go
@@ -65,7 +65,7 @@
 		case <-r.clock.After(unseenPause):
 		}
 	}
-	return r.gates.CancelClaimed(ctx, e, holder.Attempt, holder.GateTime)
+	return r.gates.CancelClaimed(ctx, e, holder.Attempt)
 }
 
 // settleWithoutAnswer handles the states in which no answer can come.
--- a/node/ledger/service.go
+++ b/node/ledger/service.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 
-	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/dig"
 
@@ -48,10 +47,9 @@
 		gates:      p.Dispatch,
 		chooser:    p.Routing,
 		clock:      clockwork.NewRealClock(),
-		newAttempt: func() wire.AttemptID { return wire.AttemptID(uuid.Must(uuid.NewV7()).String()) },
+		newAttempt: wire.NewAttemptID,
 		member:     s.member,
 		record:     s.record,
-		times:      newGateTimes(),
 	}
 	return s
 }
--- a/node/state/machine_test.go
+++ b/node/state/machine_test.go
@@ -295,7 +295,7 @@
 	for i := range list {
 		id := fmt.Sprintf("%016d", from+i)
 		list[i] = wire.ClaimRequest{ClaimKey: wire.ClaimKey{Customer: "customer", Key: id + id}, Attempt: wire.AttemptID(id + id + "----"),
-			BodyHash: id + id + id + id, Endpoint: "desk-1", Gate: "127.0.0.1:7000", Incarnation: 1, GateTime: 1, RequestID: wire.RequestID(id + id + "----")}
+			BodyHash: id + id + id + id, Endpoint: "desk-1", Gate: "127.0.0.1:7000", Incarnation: 1, RequestID: wire.RequestID(id + id + "----")}
 	}
 	return list
 }
