--- a/node/ledger/interfaces.go
+++ b/node/ledger/interfaces.go
@@ -20,7 +20,7 @@
 	Do(context.Context, *routing.Endpoint, dispatch.Call) (*dispatch.Answer, error)
 	Attach(ctx context.Context, e *routing.Endpoint, c dispatch.Call, offset int64) (*dispatch.Answer, error)
 	Status(context.Context, *routing.Endpoint, wire.AttemptID) (wire.AttemptStatus, error)
-	CancelClaimed(ctx context.Context, e *routing.Endpoint, id wire.AttemptID, gateTime int64) (wire.AttemptStatus, error)
+	CancelClaimed(ctx context.Context, e *routing.Endpoint, id wire.AttemptID) (wire.AttemptStatus, error)
 }
 
 // chooser picks the endpoint of an attempt.
--- a/node/ledger/run.go
+++ b/node/ledger/run.go
@@ -43,7 +43,6 @@
 	newAttempt func() wire.AttemptID
 	member     func(wire.MemberID) (wire.Member, bool)
 	record     func(kind timeline.Kind, c dispatch.Call, detail string)
-	times      *gateTimes
 }
 
 // Run claims the key, runs the call once and records its outcome before it
@@ -58,7 +57,7 @@
 		return res, nil
 	}
 	out := *verdict.From(err)
-	if out.RetryAfter == 0 && out.Code != verdict.CodeConflict {
+	if out.RetryAfter == 0 && !final(out.Code) {
 		out.RetryAfter = comeBack
 	}
 	return nil, &out
@@ -81,7 +80,6 @@
 		}
 		if verdict.From(err).Code != verdict.CodeInProgress {
 			tried[e.Member.ID] = true
-			r.times.drop(e.Member.ID)
 		}
 	}
 	return nil, verdict.New(verdict.NotRun, verdict.CodeDeadline, "no upstream of %s took the call in time", c.Service)
@@ -100,6 +98,11 @@
 	return true
 }
 
+// final reports whether a resend of the key would only get the same answer.
+func final(c verdict.Code) bool {
+	return c == verdict.CodeConflict || c == verdict.CodeOutcomeLost
+}
+
 // bodyHash ties a key to the call it was first used for.
 func bodyHash(c dispatch.Call) string {
 	h := sha256.New()
@@ -114,14 +117,12 @@
 // round makes one claim and acts on its outcome. A NotRun error means that the
 // claim's attempt never runs.
 func (r *runner) round(ctx context.Context, key string, c dispatch.Call, e *routing.Endpoint) (*Result, error) {
+	// The attempt is named before the claim is sent: a gate that has forgotten
+	// it can tell by its time of issue.
 	c.Attempt = r.newAttempt()
-	gateTime, err := r.gateTime(ctx, e, c.Attempt)
-	if err != nil {
-		return nil, err
-	}
-	c.GateTime = gateTime
+	c.Claimed = true
 	claim := wire.ClaimRequest{ClaimKey: wire.ClaimKey{Customer: c.Customer, Key: key}, BodyHash: bodyHash(c), Attempt: c.Attempt,
-		Endpoint: e.Member.ID, Gate: e.Member.Gate, Incarnation: e.Member.Incarnation, GateTime: gateTime, RequestID: c.Request}
+		Endpoint: e.Member.ID, Gate: e.Member.Gate, Incarnation: e.Member.Incarnation, RequestID: c.Request}
 	reply, err := r.control.Claim(ctx, claim)
 	if err != nil {
 		// The claim may stand, but its attempt was never submitted and never
@@ -143,24 +144,6 @@
 	}
 }
 
-// gateTime reads the gate's clock. It is read before the claim is sent, so
-// that the gate can tell how old the claim is at most.
-func (r *runner) gateTime(ctx context.Context, e *routing.Endpoint, id wire.AttemptID) (int64, error) {
-	now := r.clock.Now()
-	if t, ok := r.times.get(e.Member, now); ok {
-		return t, nil
-	}
-	st, err := r.gates.Status(ctx, e, id)
-	switch {
-	case err != nil:
-		return 0, verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "the gate of %s is not reached", e.Member.ID)
-	case st.Incarnation != e.Member.Incarnation:
-		return 0, verdict.New(verdict.NotRun, verdict.CodeIncarnation, "the gate of %s was restarted", e.Member.ID)
-	}
-	r.times.put(e.Member.ID, gateReading{st.Incarnation, st.GateTime, now})
-	return st.GateTime, nil
-}
-
 func (r *runner) runClaimed(ctx context.Context, claim wire.ClaimRequest, c dispatch.Call, e *routing.Endpoint) (*Result, error) {
 	started := r.clock.Now()
 	e.Begin()
@@ -203,9 +186,9 @@
 func answerOf(o wire.Outcome, replayed bool) (*Result, error) {
 	switch {
 	case o.Verdict == verdict.MayHaveRun:
-		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "the call of this key may have run; its answer is lost and it is not run again")
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeOutcomeLost, "the call of this key may have run; its answer is lost and it is not run again")
 	case o.Status == 0:
-		return nil, verdict.New(verdict.Ran, verdict.CodeUpstream, "the call ran; its answer was larger than the %d bytes that are kept", maxOutcome)
+		return nil, verdict.New(verdict.Ran, verdict.CodeOutcomeLost, "the call ran; its answer was larger than the %d bytes that are kept", maxOutcome)
 	}
 	return &Result{Outcome: o, Replayed: replayed}, nil
 }
--- a/node/pipeline/exchange.go
+++ b/node/pipeline/exchange.go
@@ -11,8 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
-
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
@@ -93,7 +91,7 @@
 func (s *Service) attempt(ctx context.Context, e *routing.Endpoint, w *work, cached int) (*answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	c := w.Call
-	c.Attempt = wire.AttemptID(uuid.NewString())
+	c.Attempt = wire.NewAttemptID()
 	m := &measured{s: s, ctx: ctx, w: w, endpoint: e, started: time.Now()}
 	if len(w.prefix) > 0 {
 		m.foretold = float64(cached) / float64(max(w.size, 1))
