Routing: a request for a model goes only to engines that hold it

Cause: the member record said what an upstream holds (Holds), but nobody called SetOffer, so the model filter kept every engine; during a roll-out a request could reach an engine without its model, which then refused it. Ruled out: comparing the request's model with Holds alone. A pipeline's public model name need not be an engine's artifact; such names pass. Change: Update sets each endpoint's offer from the record. The lists speak only about models that the service's text names; an adapter is asked for under its own name. Roles are not announced in the member record, so the role filter stays unfed.

--- a/node/routing/filter_model.go
+++ b/node/routing/filter_model.go
@@ -12,7 +12,7 @@
 		}
 	}
 	o := e.offer.announced.Load()
-	return o == nil || offers(o.Models, r.Model) && offers(o.Adapters, r.Adapter)
+	return o == nil || !o.lacks(r.Model) && offers(o.Adapters, r.Adapter)
 }
 
 func offers(list []string, name string) bool {
--- a/node/routing/offer.go
+++ b/node/routing/offer.go
@@ -1,8 +1,11 @@
 package routing
 
 import (
+	"strings"
 	"sync/atomic"
 	"time"
+
+	"caperdrum.org/api/wire"
 )
 
 // Offer is what an engine serves. A nil list means anything.
@@ -10,6 +13,14 @@
 	Models   []string
 	Adapters []string
 	Role     string // prefill, decode, or empty for both
+
+	named map[string]bool // names that the lists speak about; nil means all names
+}
+
+// lacks reports whether the lists rule a model out. A name that the operators'
+// text does not give to the service's engines may stand for any that is held.
+func (o *Offer) lacks(model string) bool {
+	return !offers(o.Models, model) && (o.named == nil || o.named[model])
 }
 
 // offer is what is known of an endpoint's offer: what it announced, and what
@@ -31,6 +42,44 @@
 	leavingTime = 3 * time.Second  // by then the members list says the same
 )
 
+// offerOf returns what the member announced that its upstream holds, or nil
+// for one that takes no orders. An adapter is asked for under its own name.
+func offerOf(m wire.Member, named map[string]bool) *Offer {
+	if m.Holds == "" {
+		return nil
+	}
+	o := &Offer{named: named}
+	for part := range strings.SplitSeq(m.Holds, ",") {
+		o.Models = append(o.Models, servedName(part))
+	}
+	return o
+}
+
+// servedName returns the name that a request gives for an artifact.
+func servedName(artifact string) string {
+	a := wire.ParseArtifact(artifact)
+	if a.Adapter != "" {
+		return a.Adapter
+	}
+	return a.Model
+}
+
+// namesOf returns the names under which requests ask for the artifacts.
+func namesOf(artifacts []string) map[string]bool {
+	names := map[string]bool{}
+	for _, a := range artifacts {
+		names[servedName(a)] = true
+	}
+	return names
+}
+
+// sameButHolds reports whether two records differ at most in what the upstream
+// holds. Such a change leaves the endpoint's counters as they are.
+func sameButHolds(a, b wire.Member) bool {
+	a.Holds, a.Revision = b.Holds, b.Revision
+	return a == b
+}
+
 // SetOffer notes what the endpoint announced; nil means anything.
 func (e *Endpoint) SetOffer(o *Offer) { e.offer.announced.Store(o) }
 
--- a/node/routing/routing.go
+++ b/node/routing/routing.go
@@ -89,16 +89,19 @@
 		sv := v.Config.Services[name]
 		st := &serviceTable{group: old.groupOf(name, sv), byIndex: map[uint16]*Endpoint{}}
 		size := 0
+		named := map[string]bool{}
 		if sv != nil {
 			size = sv.Subset
 			st.group.eject.Store(sv.Ejection)
+			named = namesOf(sv.ModelList())
 		}
 		for _, m := range subset(members, s.entry, s.dataCenter, size) {
 			e := old.byID[m.ID]
-			if e == nil || e.Member != m || e.group != st.group {
+			if e == nil || !sameButHolds(e.Member, m) || e.group != st.group {
 				st.group.nextIndex++
 				e = &Endpoint{Member: m, group: st.group, index: st.group.nextIndex}
 			}
+			e.SetOffer(offerOf(m, named))
 			st.endpoints = append(st.endpoints, e)
 			st.byIndex[e.index] = e
 			next.byID[m.ID] = e
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -33,7 +33,10 @@
 	for spec in engine:engine-1:21 engine:engine-2:22 encoder:encoder-1:23 retriever:retriever-1:24 \
 		reranker:reranker-1:25 plain:desk-1:26 plain:desk-2:27; do
 		IFS=: read -r kind name ip <<<"$spec"
-		start "upstream-$name" "$root/bin/caperdrum" standin -kind "$kind" -listen "127.0.0.$ip:9000"
+		local options=
+		if [ "$kind" = engine ]; then options=${STANDIN_ENGINE:-}; fi
+		# shellcheck disable=SC2086 # several options
+		start "upstream-$name" "$root/bin/caperdrum" standin -kind "$kind" -listen "127.0.0.$ip:9000" $options
 		daemon "agent-$name"
 	done
 }
