Orders ride on synchronization; cost by service and stage in status

Cause: an agent polled the leader for orders every 1.75 s, held there, and asked its engine over a fresh connection each time; every commit woke every held poll. Its health check left bodies unread, which also cost a connection each time. Ruled out: a longer held poll. It would hang on a frozen leader while synchronization has long moved on. Change: answers to control.sync carry two hints, the highest token known for the caller and the term, and are not held back when one grows. The agent asks the leader when a hint grew, when its report differs from the last one, or after 10 s; it looks at the gate's load every second and at the engine every 2 s on a kept connection. What decides is unchanged: the order is still read at the leader after a barrier. A report counts for 25 s (was 5 s); agents that die leave with their lease as before.

--- a/api/wire/messages.go
+++ b/api/wire/messages.go
@@ -39,6 +39,8 @@
 	MembersSeq    uint64        `json:"members_seq"`
 	Fault         string        `json:"fault,omitempty"` // why the caller could not take over the latest text
 	Wait          time.Duration `json:"wait"`
+	Fence         uint64        `json:"fence,omitempty"` // highest token heard of for the caller
+	Term          uint64        `json:"term,omitempty"`  // highest term heard of
 }
 
 // SyncReply carries what the caller lacks. Config is nil when the caller is
@@ -54,6 +56,10 @@
 	Renewed    bool          `json:"renewed"`     // false when the lease could not be renewed here
 	Leader     MemberID      `json:"leader"`      // control member that leads, if known
 	LeaderPeer string        `json:"leader_peer"` // its peer address
+
+	// Hints, which need not be current: they only say when to ask the leader.
+	Fence uint64 `json:"fence,omitempty"` // highest token known there for the caller
+	Term  uint64 `json:"term,omitempty"`  // of the answering control process
 }
 
 // ConfigText is one accepted version of the operators' text.
--- a/api/wire/order.go
+++ b/api/wire/order.go
@@ -113,9 +113,8 @@
 	Busy        bool       `json:"busy,omitempty"`  // an order is under way at the engine
 }
 
-// OrderPoll is an agent's report and its question for orders. The answer is
-// held back until there is an order with a token above Seen, or Wait has
-// passed.
+// OrderPoll is an agent's report and its question for orders. Answers to
+// synchronization say when there is an order to ask for.
 type OrderPoll struct {
 	Upstream    MemberID      `json:"upstream"`
 	Service     string        `json:"service"`
@@ -129,7 +128,6 @@
 	Queued      int           `json:"queued"`
 	InFlight    int           `json:"in_flight"`
 	Limit       int           `json:"limit"`
-	Wait        time.Duration `json:"wait"`
 }
 
 // OrderPollReply is read from the state after a read barrier with a quorum.
--- a/ctl/bench/report.go
+++ b/ctl/bench/report.go
@@ -101,7 +101,7 @@
 			fmt.Fprintf(out, "  without a whole answer: %s: %d\n", s, x.Reasons[s])
 		}
 		for _, s := range sorted(x.Counters) {
-			fmt.Fprintf(out, "  entries' %s: %.6g\n", s, x.Counters[s])
+			fmt.Fprintf(out, "  processes' %s: %.6g\n", s, x.Counters[s])
 		}
 	}
 }
--- a/ctl/bench/result.go
+++ b/ctl/bench/result.go
@@ -63,7 +63,7 @@
 	GeneratorLate int `json:"generator_late"` // requests that started over 20 ms late: the tool or machine was busy
 
 	Costs    map[string]Cost    `json:"costs"`
-	Counters map[string]float64 `json:"counters"`   // the entries' own, over the run
+	Counters map[string]float64 `json:"counters"`   // the processes' own, over the run
 	Hits     float64            `json:"hits"`       // share of prompt tokens cached, mean over runs
 	Ideal    float64            `json:"ideal_hits"` // with a single cache of the same memory
 
--- a/ctl/bench/system.go
+++ b/ctl/bench/system.go
@@ -97,9 +97,13 @@
 }
 
 // counterWords are parts of the names of the metrics that a report shows.
-var counterWords = []string{"retries", "hedge", "resum", "eject", "brownout", "stage_upstream_seconds"}
+var counterWords = []string{"retries", "hedge", "resum", "eject", "brownout", "stage_upstream_seconds", heldSeconds}
 
-// counters are the metrics of each entry by name.
+// heldSeconds is how long an agent's upstream was loaded.
+const heldSeconds = "upstream_held_seconds"
+
+// counters are the metrics of each entry, and those of each agent under its
+// service, by name.
 type counters map[wire.MemberID]map[string]float64
 
 // since adds to sum what the counters grew by. Those of an entry that was
@@ -122,10 +126,13 @@
 		return out // a report without counters; the stand-ins have the costs
 	}
 	for _, m := range rows {
-		if strings.Contains(m.Role, "entry") {
-			out[m.ID] = map[string]float64{}
-			s.addVars(ctx, m.Debug, out[m.ID])
+		vars := map[string]float64{}
+		s.addVars(ctx, m.Debug, vars)
+		if held, ok := vars[heldSeconds]; ok { // an agent's: loaded time counts as the service's cost
+			delete(vars, heldSeconds)
+			vars[heldSeconds+"/"+m.Service] = held
 		}
+		out[m.ID] = vars
 	}
 	return out
 }
--- /dev/null
+++ b/ctl/commands/cost.go
@@ -0,0 +1,92 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/ctl/adminclient"
+)
+
+// cost is what the running processes have counted since their starts.
+type cost struct {
+	services map[string]*serviceCost
+	stages   map[string]*stageCost
+	silent   []string // debug addresses that did not answer
+}
+
+// serviceCost is in seconds over all upstreams of a service.
+type serviceCost struct {
+	upstreams           int
+	held, waking, inUse float64
+}
+
+// stageCost is in seconds over all attempts of a stage.
+type stageCost struct{ calls, used, wasted float64 }
+
+// gatherCost asks all members.
+func gatherCost(ctx context.Context, cl *adminclient.Client, members []wire.MemberStatus) *cost {
+	addresses := make([]string, len(members))
+	for i, m := range members {
+		addresses[i] = m.Debug
+	}
+	return sumCost(members, cl.Vars(ctx, addresses))
+}
+
+// sumCost adds up the metrics of members, which stand in the same order.
+func sumCost(members []wire.MemberStatus, vars []adminclient.Vars) *cost {
+	c := &cost{services: map[string]*serviceCost{}, stages: map[string]*stageCost{}}
+	for i, v := range vars {
+		if v.Err != nil {
+			c.silent = append(c.silent, v.Address)
+			continue
+		}
+		if service := members[i].Service; service != "" {
+			s := entryOf(c.services, service)
+			s.upstreams++
+			s.held += v.Number("upstream_held_seconds")
+			s.waking += v.Number("upstream_wake_seconds")
+			s.inUse += v.Number("gate_busy_seconds")
+		}
+		for stage, n := range v.Numbers("stage_calls") {
+			entryOf(c.stages, stage).calls += n
+		}
+		for stage, n := range v.Numbers("stage_upstream_seconds") {
+			entryOf(c.stages, stage).used += n
+		}
+		for stage, n := range v.Numbers("stage_wasted_seconds") {
+			entryOf(c.stages, stage).wasted += n
+		}
+	}
+	return c
+}
+
+func entryOf[T any](m map[string]*T, key string) *T {
+	if m[key] == nil {
+		m[key] = new(T)
+	}
+	return m[key]
+}
+
+func (c *cost) print(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "SERVICE\tUPSTREAMS\tHELD s\tWAKING s\tATTEMPTS RAN s")
+	for _, name := range slices.Sorted(maps.Keys(c.services)) {
+		s := c.services[name]
+		fmt.Fprintf(w, "%s\t%d\t%.1f\t%.1f\t%.1f\n", name, s.upstreams, s.held, s.waking, s.inUse)
+	}
+	w.Flush()
+	fmt.Fprintln(w, "STAGE\tATTEMPTS\tTIME s\tWASTED s")
+	for _, name := range slices.Sorted(maps.Keys(c.stages)) {
+		s := c.stages[name]
+		fmt.Fprintf(w, "%s\t%.0f\t%.1f\t%.1f\n", name, s.calls, s.used, s.wasted)
+	}
+	w.Flush()
+	for _, a := range c.silent {
+		fmt.Fprintf(out, "cost not counted: %s did not answer\n", a)
+	}
+}
--- a/ctl/commands/status.go
+++ b/ctl/commands/status.go
@@ -91,9 +91,11 @@
 // Status prints what the control processes report.
 type Status struct{ adminFlags }
 
-func (*Status) Name() string     { return "status" }
-func (*Status) Synopsis() string { return "show the control processes and the members" }
-func (*Status) Usage() string    { return "status [-admin ADDRESSES]\n" }
+func (*Status) Name() string { return "status" }
+func (*Status) Synopsis() string {
+	return "show the control processes, the members and the cost by service and stage"
+}
+func (*Status) Usage() string { return "status [-admin ADDRESSES]\n" }
 
 // Execute implements subcommands.Command.
 func (s *Status) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -109,6 +111,7 @@
 		return failure(err)
 	}
 	printMembers(members)
+	gatherCost(ctx, cl, members).print(os.Stdout)
 	if !ok {
 		return subcommands.ExitFailure
 	}
--- a/node/announce/announce.go
+++ b/node/announce/announce.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -34,7 +35,8 @@
 const (
 	checkInterval = time.Second
 	checkTimeout  = 2 * time.Second
-	failuresOut   = 2 // failed checks in a row that take the upstream out
+	maxBody       = 4 << 10 // bytes of an answer that are read
+	failuresOut   = 2       // failed checks in a row that take the upstream out
 )
 
 // New returns the service. Until the first good check the upstream counts as
@@ -91,6 +93,7 @@
 	if err != nil {
 		return false
 	}
+	io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody)) // an unread body costs the connection
 	resp.Body.Close()
 	return resp.StatusCode < http.StatusInternalServerError
 }
--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -49,6 +49,7 @@
 	unanswered []time.Time // by source: when it last did not answer; zero when it did since
 
 	listen []func(*View)
+	onHint []func()
 	poke   chan struct{}
 	saw    atomic.Uint64 // highest version heard of from others
 
--- a/node/configsync/holder.go
+++ b/node/configsync/holder.go
@@ -28,6 +28,7 @@
 	mu     sync.Mutex
 	member wire.Member
 	fault  error // of the last text; the next one must come whole
+	hint   Hint
 
 	view  atomic.Pointer[View]
 	stamp atomic.Int64 // Unix nanoseconds of the last quorum confirmation
@@ -75,7 +76,7 @@
 func (h *Holder) Request(wait time.Duration) wire.SyncRequest {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	req := wire.SyncRequest{Member: h.member, Wait: wait}
+	req := wire.SyncRequest{Member: h.member, Wait: wait, Fence: h.hint.Fence, Term: h.hint.Term}
 	if v := h.View(); v != nil {
 		req.ConfigVersion, req.MembersSeq = v.Version, v.Seq
 		if h.fault == nil {
--- a/node/configsync/loop.go
+++ b/node/configsync/loop.go
@@ -156,6 +156,7 @@
 	if v := s.View(); v != nil {
 		old = v.Version
 	}
+	s.takeHint(reply)
 	changed, err := s.held.Take(reply, asked)
 	if changed != nil {
 		s.publish(changed, old)
--- /dev/null
+++ b/node/control/hint_test.go
@@ -0,0 +1,92 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/configsync"
+	"caperdrum.org/node/consensus"
+	"caperdrum.org/node/state"
+)
+
+// hinting is a cluster whose fences and term change by hand.
+type hinting struct {
+	cluster // nil: what is not overridden is not called
+	machine *state.Machine
+	view    *state.View
+	term    uint64
+}
+
+func (h *hinting) View() *state.View        { return h.view }
+func (h *hinting) Status() consensus.Status { return consensus.Status{Term: h.term} }
+func (h *hinting) StampAge() time.Duration  { return 0 }
+func (h *hinting) IsLeader() bool           { return false }
+func (h *hinting) Leader() consensus.Peer   { return consensus.Peer{} }
+
+func (h *hinting) draw(t *testing.T, id wire.MemberID) {
+	data, err := state.Command{Fences: []wire.MemberID{id}}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := h.machine.Apply(data); err != nil {
+		t.Fatal(err)
+	}
+	h.view = h.machine.View()
+}
+
+// TestHintEndsHold shows that a held-back answer comes at once, without a step
+// of the clock, when a token is drawn for the caller or the term changes, and
+// not when one is drawn for somebody else.
+func TestHintEndsHold(t *testing.T) {
+	h := &hinting{machine: state.New(), term: 1}
+	h.view = h.machine.View()
+	clock := clockwork.NewFakeClock()
+	s := &Service{cluster: h, clock: clock, news: newNews(h)}
+	s.follow = &follower{cluster: h, clock: clock, wake: make(chan struct{}, 1), pending: map[wire.MemberID]queued{}, told: map[wire.MemberID]uint64{}}
+	held := configsync.NewHolder(wire.Member{ID: "a"})
+	answers := make(chan *wire.SyncReply, 1)
+	ask := func() {
+		req := held.Request(time.Second)
+		go func() {
+			reply, err := s.sync(context.Background(), &req)
+			if err != nil {
+				t.Error(err)
+			}
+			answers <- reply
+		}()
+		if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	take := func(fence, term uint64) {
+		t.Helper()
+		s.news.check()
+		if !held.TakeHint(<-answers) || held.Hint() != (configsync.Hint{Fence: fence, Term: term}) {
+			t.Fatalf("hint %+v", held.Hint())
+		}
+	}
+	held.TakeHint(&wire.SyncReply{Term: 1})
+	ask()
+	h.draw(t, "b")
+	s.news.check() // of no concern here: the answer stays held back
+	h.draw(t, "a")
+	take(2, 1)
+	ask()
+	h.term = 2
+	take(2, 2)
+	if held.TakeHint(&wire.SyncReply{Fence: 1, Term: 1}) {
+		t.Fatal("a hint went back")
+	}
+	ask()
+	select {
+	case r := <-answers:
+		t.Fatalf("an answer without news: %+v", r)
+	default:
+	}
+	clock.Advance(time.Second)
+	<-answers
+}
--- a/node/control/news.go
+++ b/node/control/news.go
@@ -5,12 +5,14 @@
 	"sync/atomic"
 )
 
-// news wakes the held-back sync calls when the configuration or the members
-// changed. Most commands change neither.
+// news wakes the held-back sync calls when the configuration, the members, the
+// fences or the term changed. Most commands change none of them.
 type news struct {
 	cluster cluster
 	version uint64
 	seq     uint64
+	fence   uint64
+	term    uint64
 	next    atomic.Pointer[chan struct{}]
 }
 
@@ -37,11 +39,11 @@
 }
 
 func (n *news) check() {
-	v := n.cluster.View()
-	if v.Config.Version == n.version && v.MembersSeq == n.seq {
+	v, term := n.cluster.View(), n.cluster.Status().Term
+	if v.Config.Version == n.version && v.MembersSeq == n.seq && v.Fence == n.fence && term == n.term {
 		return
 	}
-	n.version, n.seq = v.Config.Version, v.MembersSeq
+	n.version, n.seq, n.fence, n.term = v.Config.Version, v.MembersSeq, v.Fence, term
 	next := make(chan struct{})
 	close(*n.next.Swap(&next))
 }
--- a/node/control/sync.go
+++ b/node/control/sync.go
@@ -22,7 +22,8 @@
 		changed := s.news.changed()
 		reply := s.reply(req)
 		reply.Renewed = renewed
-		if late || reply.Config != nil || reply.Delta != nil || reply.Members != nil {
+		hinted := reply.Fence > req.Fence || reply.Term > req.Term
+		if late || hinted || reply.Config != nil || reply.Delta != nil || reply.Members != nil {
 			return reply, nil
 		}
 		select {
@@ -48,7 +49,10 @@
 // as the stamp says.
 func (s *Service) reply(req *wire.SyncRequest) *wire.SyncReply {
 	age := s.cluster.StampAge()
-	return answer(s.cluster.View(), req, age, s.cluster.Leader())
+	view := s.cluster.View()
+	r := answer(view, req, age, s.cluster.Leader())
+	r.Fence, r.Term = view.Fences[req.Member.ID], s.cluster.Status().Term
+	return r
 }
 
 // answer holds what the caller lacks of v. It is empty where the caller is
--- a/node/order/engine.go
+++ b/node/order/engine.go
@@ -23,20 +23,23 @@
 
 const (
 	stateTimeout  = 2 * time.Second
-	maxDetail     = 256 // bytes of an engine's message that a report keeps
+	readerIdle    = 4 * time.Second // shorter than the usual keep-alive of model servers
+	maxDetail     = 256             // bytes of an engine's message that a report keeps
 	maxStateBytes = 1 << 20
 )
 
 // engine is the client of the upstream's order interface.
 type engine struct {
 	base   string
-	client *http.Client
+	client *http.Client // of orders
+	reader *http.Client // of the engine's state
 }
 
 // newEngine sends every order on a fresh connection, on which the transport
 // never repeats a request by itself.
 func newEngine(address string) *engine {
-	return &engine{base: "http://" + address, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &engine{base: "http://" + address, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		reader: &http.Client{Transport: &http.Transport{IdleConnTimeout: readerIdle}}}
 }
 
 // state asks the engine what it holds. An upstream without the interface takes
@@ -48,11 +51,12 @@
 	if err != nil {
 		return wire.EngineState{}, errors.Trace(err)
 	}
-	resp, err := e.client.Do(req)
+	resp, err := e.reader.Do(req)
 	if err != nil {
 		return wire.EngineState{}, errors.Trace(err)
 	}
 	defer resp.Body.Close()
+	defer io.Copy(io.Discard, io.LimitReader(resp.Body, maxDetail)) // an unread body costs the connection
 	var st wire.EngineState
 	if resp.StatusCode != http.StatusOK {
 		return st, nil
--- a/node/order/service.go
+++ b/node/order/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"reflect"
 	"sync"
 	"time"
 
@@ -40,7 +41,14 @@
 	engine  *engine
 	cancel  context.CancelFunc
 	done    chan struct{}
-	hurry   chan struct{} // an order ended or the text changed: poll at once
+	hurry   chan struct{} // an order ended, the text changed or a hint came: poll at once
+
+	// Owned by run.
+	meter    meter
+	takes    bool            // the upstream takes orders
+	looked   time.Time       // when the engine was asked last
+	reported *wire.OrderPoll // the last one that a leader answered, or nil
+	asked    time.Time       // when it was sent
 
 	refreshing sync.Mutex // a picture of the engine is stored before a newer one is asked for
 
@@ -51,11 +59,11 @@
 }
 
 const (
-	pollWait     = 1500 * time.Millisecond // below the limit of one call to a control process
-	pollTimeout  = 5 * time.Second
-	pollPause    = 250 * time.Millisecond // between two polls
-	noOrderPause = 5 * time.Second        // between two looks at an upstream that takes no orders
-	drainPause   = 20 * time.Millisecond
+	checkInterval = time.Second      // between two looks at the gate's load, which cost no message
+	lookInterval  = 2 * time.Second  // between two looks at the engine
+	idleReport    = 10 * time.Second // between two polls that say the same
+	pollTimeout   = 5 * time.Second
+	drainPause    = 20 * time.Millisecond
 )
 
 var (
@@ -75,6 +83,7 @@
 			s.wake()
 		}
 	})
+	p.Sync.OnHint(s.wake)
 	return s
 }
 
@@ -104,21 +113,45 @@
 
 func (s *Service) run(ctx context.Context) {
 	defer close(s.done)
-	for ctx.Err() == nil {
-		pause := pollPause
-		if takes := s.refresh(ctx); !takes {
-			pause = noOrderPause
-		} else if err := s.pollOnce(ctx); err != nil && ctx.Err() == nil {
-			s.log.V(1).Info("no orders read", "error", err.Error())
-		}
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for woken := true; ; {
+		s.turn(ctx, woken)
 		select {
 		case <-ctx.Done():
+			return
 		case <-s.hurry:
-		case <-time.After(pause):
+			woken = true
+		case <-ticker.C:
+			woken = false
 		}
 	}
 }
 
+// turn asks the leader when there is something to say or to fetch.
+func (s *Service) turn(ctx context.Context, woken bool) {
+	if now := time.Now(); woken || now.Sub(s.looked) >= lookInterval {
+		s.looked, s.takes = now, s.refresh(ctx)
+	}
+	p := s.poll()
+	held, waking := s.meter.advance(time.Now(), p.Engine)
+	heldVar.Add(held)
+	wakeVar.Add(waking)
+	if !s.takes || !woken && !s.due(p) {
+		return
+	}
+	if err := s.ask(ctx, p); err != nil {
+		s.reported = nil
+		s.log.V(1).Info("no orders read", "error", err.Error())
+	}
+}
+
+// due reports whether p differs from what the leader knows, there is an order
+// to fetch, or the leader has not heard from here for long.
+func (s *Service) due(p *wire.OrderPoll) bool {
+	return s.reported == nil || time.Since(s.asked) >= idleReport || s.sync.Hint().Fence > p.Seen || !reflect.DeepEqual(p, s.reported)
+}
+
 // refresh reads what the engine holds and announces it. It reports whether the
 // upstream takes orders. An engine that cannot be asked counts as busy: its
 // health check decides on its traffic.
@@ -155,43 +188,34 @@
 func (s *Service) poll() *wire.OrderPoll {
 	t := s.gate.Traffic()
 	p := &wire.OrderPoll{Service: s.set.Service, Incarnation: s.sync.Self().Incarnation, Arrived: t.Arrived,
-		Queued: t.Queued, InFlight: t.InFlight, Limit: t.Limit, Wait: pollWait}
+		Queued: t.Queued, InFlight: t.InFlight, Limit: t.Limit}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p.Engine = s.state
 	s.carrier.Fill(p)
-	if len(p.Reports) > 0 {
-		p.Wait = 0
-	}
 	return p
 }
 
-func (s *Service) pollOnce(ctx context.Context) error {
+// ask sends p and begins the order that the answer brings.
+func (s *Service) ask(ctx context.Context, p *wire.OrderPoll) error {
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	p := s.poll()
-	go s.cutShort(callCtx, cancel)
 	sent := time.Now()
 	var reply wire.OrderPollReply
 	if err := s.control.CallLeader(callCtx, wire.MethodOrders, p, &reply); err != nil {
 		return errors.Trace(err)
 	}
+	s.reported, s.asked = p, sent
 	s.mu.Lock()
 	o := s.carrier.Take(p, &reply, time.Since(sent), s.state.Busy)
 	s.mu.Unlock()
 	if o != nil {
 		go s.carryOut(ctx, o)
 	}
-	return nil
-}
-
-// cutShort ends a held-back poll when an order ended, so that it is reported.
-func (s *Service) cutShort(ctx context.Context, cancel context.CancelFunc) {
-	select {
-	case <-ctx.Done():
-	case <-s.hurry:
-		cancel()
+	if !p.Established {
+		s.wake() // the fence is known now: an order may wait behind it
 	}
+	return nil
 }
 
 // carryOut passes one order on and remembers its outcome. What takes something
--- a/node/planner/service.go
+++ b/node/planner/service.go
@@ -60,8 +60,9 @@
 const (
 	stepInterval = time.Second
 	stepPause    = 100 * time.Millisecond // at least this long between two plans
-	pollExpiry   = 5 * time.Second        // a report older than this counts for nothing
-	maxHold      = 5 * time.Second
+	// pollExpiry is the age from which a report counts for nothing. An idle
+	// agent reports every 10 s; one that died loses its lease much sooner.
+	pollExpiry   = 25 * time.Second
 	proposeLimit = 2 * time.Second
 )
 
@@ -143,9 +144,6 @@
 		return nil, s.control.LeaderError(err)
 	}
 	s.store(req)
-	if req.Established {
-		s.hold(ctx, req)
-	}
 	if err := s.replica.ReadBarrier(ctx); err != nil {
 		return nil, s.control.LeaderError(err)
 	}
@@ -190,24 +188,6 @@
 	}
 }
 
-func (s *Service) hold(ctx context.Context, req *wire.OrderPoll) {
-	timer := time.NewTimer(min(req.Wait, maxHold))
-	defer timer.Stop()
-	for {
-		changed := s.replica.Changed()
-		if s.replica.View().Fences[req.Upstream] > req.Seen {
-			return
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 func replyFor(v *state.View, req *wire.OrderPoll, now time.Time) *wire.OrderPollReply {
 	reply := &wire.OrderPollReply{Fence: v.Fences[req.Upstream]}
 	rec := v.Orders[req.Upstream]
--- a/node/state/state.go
+++ b/node/state/state.go
@@ -117,6 +117,7 @@
 	Orders     map[wire.MemberID]OrderRecord // last order of each upstream
 	Forecast   map[string][]uint32           // by service, see ForecastSlot
 	Fences     map[wire.MemberID]uint64      // highest token of each upstream
+	Fence      uint64                        // highest token of all
 	log        []memberChange
 }
 
@@ -305,6 +306,7 @@
 		Orders:     m.s.Orders,
 		Forecast:   m.s.Forecast,
 		Fences:     m.s.Fences,
+		Fence:      m.s.Fence,
 		log:        m.memberLog[:len(m.memberLog):len(m.memberLog)],
 	}
 	return m.view
