Control: fewer and cheaper heartbeats

Cause: a profile of the idle leader shows JSON and wake-ups: each heartbeat is a call with an answer, and its reply is another one; reads and stamps send heartbeats besides the periodic ones. Ruled out: a longer election timeout, which would slow fail-over. Change: heartbeats alone go as notifications, except one in 500 ms, whose answer finds out a link that was cut silently as soon as before; a heartbeat of a read puts off the next periodic one; periodic ones every 150 ms (100). The election timeout stays 600 to 1200 ms.

--- a/node/consensus/node.go
+++ b/node/consensus/node.go
@@ -114,7 +114,6 @@
 	}
 	n.heartbeatElapsed++
 	if n.role == Leader && n.heartbeatElapsed >= n.cfg.HeartbeatTicks {
-		n.heartbeatElapsed = 0
 		n.broadcastHeartbeat()
 	}
 }
@@ -223,7 +222,10 @@
 	n.messages = append(n.messages, m)
 }
 
+// broadcastHeartbeat also puts off the next periodic one: a read's round tells
+// the followers the same.
 func (n *Node) broadcastHeartbeat() {
+	n.heartbeatElapsed = 0
 	for _, id := range n.others() {
 		pr := n.progress[id]
 		n.send(Message{Kind: MsgHeartbeat, To: id, Commit: min(n.log.committed, pr.Match), ReadSeq: n.readSeq})
--- a/node/control/links.go
+++ b/node/control/links.go
@@ -25,7 +25,9 @@
 const (
 	queueLength = 1024
 	sendTimeout = time.Second
-	idleLimit   = time.Minute // after which a replica's queue is given up
+	// confirmInterval bounds, with sendTimeout, how long a silent cut goes unseen.
+	confirmInterval = 500 * time.Millisecond
+	idleLimit       = time.Minute // after which a replica's queue is given up
 )
 
 func newLinks(dial peer.Dialer) *links {
@@ -68,6 +70,7 @@
 func (l *links) pump(id consensus.NodeID, address string, q chan consensus.Message) {
 	client := peer.NewClient(address, l.dial)
 	defer client.Close()
+	var confirmed time.Time // when the other end last answered
 	idle := time.NewTimer(idleLimit)
 	defer idle.Stop()
 	for {
@@ -81,13 +84,35 @@
 			}
 		case m := <-q:
 			batch := RaftBatch{From: l.self, Messages: append([]consensus.Message{m}, takeAll(q)...)}
-			ctx, cancel := context.WithTimeout(l.ctx, sendTimeout)
-			client.Call(ctx, MethodRaft, batch, nil) // lost batches are sent again by consensus
-			cancel()
+			if l.deliver(client, batch, time.Since(confirmed) >= confirmInterval) {
+				confirmed = time.Now()
+			}
 		}
 	}
 }
 
+// deliver sends a batch and reports whether the other end answered. Lost ones
+// are sent again by consensus. Heartbeats alone go without an answer, except
+// one in confirmInterval, which finds out a link that was cut silently.
+func (l *links) deliver(client *peer.Client, batch RaftBatch, confirm bool) bool {
+	ctx, cancel := context.WithTimeout(l.ctx, sendTimeout)
+	defer cancel()
+	if !confirm && heartbeatsOnly(batch.Messages) {
+		client.Notify(ctx, MethodRaft, batch)
+		return false
+	}
+	return client.Call(ctx, MethodRaft, batch, nil) == nil
+}
+
+func heartbeatsOnly(messages []consensus.Message) bool {
+	for _, m := range messages {
+		if m.Kind != consensus.MsgHeartbeat && m.Kind != consensus.MsgHeartbeatReply {
+			return false
+		}
+	}
+	return true
+}
+
 // giveUp forgets an idle queue, for instance of a disk that was replaced.
 func (l *links) giveUp(id consensus.NodeID, q chan consensus.Message) bool {
 	l.mu.Lock()
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -25,7 +25,7 @@
 const (
 	tickInterval   = 50 * time.Millisecond
 	electionTicks  = 12
-	heartbeatTicks = 2
+	heartbeatTicks = 3
 	maxBatchBytes  = 1 << 20
 	maxProposals   = 512      // proposals taken into one sync
 	compactBytes   = 16 << 20 // log file size that calls for a snapshot
