--- a/e2e/harness/system.go
+++ b/e2e/harness/system.go
@@ -25,7 +25,8 @@
 	Desks      int // upstreams of the service that is not idempotent; default 2
 	Engines    int // default 2
 	Staged     bool
-	GateRelays bool // put relays between entries and agents too
+	GateRelays bool          // put relays between entries and agents too
+	LoadTime   time.Duration // when set, engines take orders, ignore fencing tokens and load this long
 }
 
 // Control is a control process.
--- a/e2e/harness/upstream.go
+++ b/e2e/harness/upstream.go
@@ -84,7 +84,8 @@
 
 func (s *System) startUpstream(address, service string) *Upstream {
 	u := &Upstream{Address: address}
-	inner := standin.New(standin.Options{Kind: kinds[service], Delay: standinDelay, TokenDelay: standinDelay / 2, Tokens: Tokens}).Handler()
+	models := standin.ModelOptions{Enabled: s.opts.LoadTime > 0, IgnoreTokens: true, LoadTime: s.opts.LoadTime}
+	inner := standin.New(standin.Options{Kind: kinds[service], Delay: standinDelay, TokenDelay: standinDelay / 2, Tokens: Tokens, Models: models}).Handler()
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		s.T.Fatal(err)
