--- a/node/control/hint_test.go
+++ b/node/control/hint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,12 +18,12 @@
 type hinting struct {
 	cluster // nil: what is not overridden is not called
 	machine *state.Machine
-	view    *state.View
-	term    uint64
+	view    atomic.Pointer[state.View]
+	term    atomic.Uint64
 }
 
-func (h *hinting) View() *state.View        { return h.view }
-func (h *hinting) Status() consensus.Status { return consensus.Status{Term: h.term} }
+func (h *hinting) View() *state.View        { return h.view.Load() }
+func (h *hinting) Status() consensus.Status { return consensus.Status{Term: h.term.Load()} }
 func (h *hinting) StampAge() time.Duration  { return 0 }
 func (h *hinting) IsLeader() bool           { return false }
 func (h *hinting) Leader() consensus.Peer   { return consensus.Peer{} }
@@ -35,15 +36,16 @@
 	if _, err := h.machine.Apply(data); err != nil {
 		t.Fatal(err)
 	}
-	h.view = h.machine.View()
+	h.view.Store(h.machine.View())
 }
 
 // TestHintEndsHold shows that a held-back answer comes at once, without a step
 // of the clock, when a token is drawn for the caller or the term changes, and
 // not when one is drawn for somebody else.
 func TestHintEndsHold(t *testing.T) {
-	h := &hinting{machine: state.New(), term: 1}
-	h.view = h.machine.View()
+	h := &hinting{machine: state.New()}
+	h.view.Store(h.machine.View())
+	h.term.Store(1)
 	clock := clockwork.NewFakeClock()
 	s := &Service{cluster: h, clock: clock, news: newNews(h)}
 	s.follow = &follower{cluster: h, clock: clock, wake: make(chan struct{}, 1), pending: map[wire.MemberID]queued{}, told: map[wire.MemberID]uint64{}}
@@ -76,7 +78,7 @@
 	h.draw(t, "a")
 	take(2, 1)
 	ask()
-	h.term = 2
+	h.term.Store(2)
 	take(2, 2)
 	if held.TakeHint(&wire.SyncReply{Fence: 1, Term: 1}) {
 		t.Fatal("a hint went back")
