An entry is ready only when routing has taken the view over

Cause: two specs of node/gateway failed in one of three whole runs with -race at a load near 20 ("no upstream can take the call", 503; a fourth run was cut by its time limit). The view was visible, so the entry was ready, before the listeners (routing) had been called; a request in between found no upstream. Ruled out: the tests. They wait for readiness, as a balancer does. Change: configsync.TakenOver, set after the listeners; part of readiness. Tests: TestTakenOver; no spec was changed. The old failure was not brought about again before the change, so the cause rests on reading the code.

--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -50,6 +50,7 @@
 
 	listen []func(*View)
 	onHint []func()
+	taken  atomic.Bool // every listener has seen a view
 	poke   chan struct{}
 	saw    atomic.Uint64 // highest version heard of from others
 
@@ -176,4 +177,9 @@
 	for _, f := range s.listen {
 		f(v)
 	}
+	s.taken.Store(true)
 }
+
+// TakenOver reports whether every service of this process has seen a view. A
+// moment before, View returns one that, say, routing does not know yet.
+func (s *Service) TakenOver() bool { return s.taken.Load() }
--- /dev/null
+++ b/node/configsync/taken_test.go
@@ -0,0 +1,34 @@
+package configsync
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
+
+	"caperdrum.org/api/timeline"
+	"caperdrum.org/api/wire"
+)
+
+// TestTakenOver shows that a view which a listener has not finished with does
+// not count as taken over, though View returns it already.
+func TestTakenOver(t *testing.T) {
+	s := &Service{held: NewHolder(wire.Member{ID: "a"}), log: logr.Discard(), ring: timeline.NewRing("a", "v", 16)}
+	calls := 0
+	s.OnChange(func(*View) {
+		calls++
+		if s.View() == nil || s.TakenOver() {
+			t.Errorf("within the listener: view %v, taken over %t", s.View(), s.TakenOver())
+		}
+	})
+	const text = "[service:s]\nkind = plain\n"
+	reply := &wire.SyncReply{Version: 1, MembersSeq: 1, Renewed: true, Config: &wire.ConfigText{Version: 1, Text: text, Hash: xxhash.Sum64String(text)},
+		Members: &wire.MembersDelta{To: 1, Whole: true}}
+	if err := s.accept(reply, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	if calls != 1 || !s.TakenOver() {
+		t.Fatalf("%d calls, taken over %t", calls, s.TakenOver())
+	}
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -118,6 +118,8 @@
 		return "draining"
 	case v == nil || v.Version == 0:
 		return "no configuration yet"
+	case !s.p.Sync.TakenOver():
+		return "configuration not taken over yet"
 	case s.p.Sync.StampAge() > s.set.StaleAfter:
 		return "configuration not confirmed lately"
 	}
