--- /dev/null
+++ b/ctl/capacity/fit.go
@@ -0,0 +1,45 @@
+// Package capacity measures how the cost of control grows with the number of
+// members, on one machine, and works out from these slopes what each role
+// spends at larger sizes. Command capacity writes the result into
+// docs/CAPACITY.md.
+package capacity
+
+import "math"
+
+// Line is a straight line fitted to measured points by least squares.
+type Line struct {
+	Base, Slope float64
+	R2          float64 // share of the variance that the line explains, 1 at best
+	From, To    float64 // range of x that was measured
+}
+
+// Fit returns the least-squares line through the points. It needs two
+// different x at least; else the slope is NaN.
+func Fit(x, y []float64) Line {
+	n := float64(len(x))
+	var sx, sy float64
+	l := Line{From: math.Inf(1), To: math.Inf(-1)}
+	for i := range x {
+		sx += x[i]
+		sy += y[i]
+		l.From, l.To = min(l.From, x[i]), max(l.To, x[i])
+	}
+	var xx, xy, yy float64
+	for i := range x {
+		dx, dy := x[i]-sx/n, y[i]-sy/n
+		xx += dx * dx
+		xy += dx * dy
+		yy += dy * dy
+	}
+	l.Slope = xy / xx
+	l.Base = sy/n - l.Slope*sx/n
+	l.R2 = 1
+	if yy > 0 {
+		l.R2 = xy * xy / (xx * yy)
+	}
+	return l
+}
+
+// At returns the line's value at x. A negative base, which noise gives, counts
+// as none.
+func (l Line) At(x float64) float64 { return max(l.Base, 0) + l.Slope*x }
--- a/node/control/ledger_bench_test.go
+++ b/node/control/ledger_bench_test.go
@@ -23,7 +23,7 @@
 
 // openReplica starts the only voter of a cluster on the disk that holds
 // CAPERDRUM_BENCH_DIR, or the temporary folder.
-func openReplica(b *testing.B) *replica.Replica {
+func openReplica(b *testing.B) (*replica.Replica, string) {
 	dir, err := os.MkdirTemp(os.Getenv("CAPERDRUM_BENCH_DIR"), "claims")
 	if err != nil {
 		b.Fatal(err)
@@ -47,7 +47,21 @@
 	for !r.IsLeader() {
 		<-r.Changed()
 	}
-	return r
+	return r, dir
+}
+
+// fileBytes is the size of all files in the folder.
+func fileBytes(b *testing.B, dir string) (n int64) {
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, f := range files {
+		if info, err := f.Info(); err == nil {
+			n += info.Size()
+		}
+	}
+	return n
 }
 
 // BenchmarkClaims has many callers claim at once: each claim as a log entry of
@@ -56,7 +70,7 @@
 	for _, callers := range []int{1, 32, 256} {
 		for _, batched := range []bool{false, true} {
 			b.Run(fmt.Sprintf("callers=%d/batched=%t", callers, batched), func(b *testing.B) {
-				r := openReplica(b)
+				r, dir := openReplica(b)
 				claim := func(c wire.ClaimRequest) error {
 					_, err := r.Propose(context.Background(), state.Command{Claims: []wire.ClaimRequest{c}})
 					return err
@@ -64,9 +78,12 @@
 				if batched {
 					claim = newBatch(r).claim
 				}
+				before := fileBytes(b, dir)
 				b.ResetTimer()
 				runClaims(b, callers, claim)
+				b.StopTimer()
 				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+				b.ReportMetric(float64(fileBytes(b, dir)-before)/float64(b.N), "log-B/claim")
 			})
 		}
 	}
