docs/CAPACITY.md: what each role costs at the size to design for

Ruled out: fits to the in-process benches (roles mixed); a text of 25,000 customers in hundreds of members of one process (memory). Change: make capacity (two runs: sizes, texts), tables, plots, the page; DESIGN weighs what is not built.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 IN_PROCESS = $(filter-out ./e2e/...,$(MODULES))
 LDFLAGS = -ldflags "-X main.version=$(VERSION)"
 
-.PHONY: build demo test race e2e-long lint fuzz mutate bench bench-path clean
+.PHONY: build demo test race e2e-long lint fuzz mutate bench bench-path capacity clean
 
 build:
 	go build $(LDFLAGS) -o bin/ ./node/cmd/caperdrumd ./ctl/cmd/caperdrum
@@ -45,3 +45,10 @@
 
 bench-path: build
 	./scripts/bench_path.sh
+
+# Measures control's costs by the number of members (5 minutes), and writes the
+# tables of docs/CAPACITY.md and its plots.
+capacity: build
+	go run ./ctl/cmd/capacity -part sizes
+	go run ./ctl/cmd/capacity -part texts
+	go run ./ctl/cmd/capacity
--- a/ctl/capacity/capacity_test.go
+++ b/ctl/capacity/capacity_test.go
@@ -47,7 +47,7 @@
 	return Sample{Members: n, Customers: customers, Idle: spread,
 		Aside:     Phase{Seconds: seconds, Leader: Usage{CPU: seconds * (2000 + 10*x)}, Follower: Usage{CPU: seconds * (1000 + 100*x/2)}},
 		Changes:   add(400e3*large, 90e3*large+60*x/3, 700*x, 800*x),
-		Restarts:  add(5000, 40*x/3, 20*x, 900*x),
+		Restarts:  add(5000, 40*x/3, 20*x*x, 900*x),
 		Heap:      x * (50e3 + 600*x + 6e6*large),
 		LeaderRSS: 20e6 + 4e3*x + 100e6*large,
 	}
@@ -66,9 +66,9 @@
 		{"leader base", s.LeaderBase.CPU, 2000}, {"follower base", s.FollowerBase.CPU, 1000},
 		{"attached", s.Attached.CPU, 100}, {"attached at the leader", s.AttachedLeader.CPU, 150}, {"renewed", s.Renewed.CPU, 10},
 		{"member", s.Member.CPU, 30}, {"member bytes", s.Member.Bytes, 500},
-		{"change", s.Change.CPU, 400e3}, {"change at a follower", s.ChangeFollower.CPU, 90e3}, {"change attached", s.ChangeAttached.CPU, 60},
-		{"change in the member", s.ChangeMember.CPU, 700}, {"its bytes", s.ChangeMember.Bytes, 800},
-		{"restart", s.Restart.CPU, 5000}, {"restart attached", s.RestartAttached.CPU, 40}, {"restart bytes", s.RestartMember.Bytes, 900},
+		{"change", s.Change.Large.CPU, 400e3}, {"change at a follower", s.ChangeFollower.Large.CPU, 90e3}, {"change attached", s.ChangeAttached.CPU, 60},
+		{"change in the member", s.ChangeMember.Large.CPU, 700}, {"its bytes", s.ChangeMember.Small.Bytes, 800},
+		{"restart", s.Restart.CPU, 5000}, {"restart attached", s.RestartAttached.CPU, 40}, {"restart in a member", s.RestartMember.CPU, 20}, {"its bytes", s.RestartMember.Bytes, 900},
 		{"view base", s.ViewBase, 50e3}, {"view", s.ViewMember, 600}, {"leader memory", s.LeaderRSS.Slope, 4e3},
 	} {
 		if !near(c.got, c.want) {
@@ -77,21 +77,28 @@
 	}
 }
 
+func TestChangeGrowsWithTheText(t *testing.T) {
+	c := Change{Small: Cost{CPU: 10, Bytes: 100}, Large: Cost{CPU: 50, Bytes: 900}}
+	if got := c.of(0.25); got != (Cost{CPU: 20, Bytes: 300}) {
+		t.Error(got)
+	}
+}
+
 func TestRows(t *testing.T) {
 	s := Slopes{LeaderBase: Cost{CPU: 1000}, FollowerBase: Cost{CPU: 500}, Attached: Cost{CPU: 100}, AttachedLeader: Cost{CPU: 150}, Renewed: Cost{CPU: 10},
-		Member: Cost{CPU: 30, Bytes: 500}, Change: Cost{CPU: 8000}, ChangeFollower: Cost{CPU: 4000, Bytes: 100}, ChangeMember: Cost{CPU: 20}, ViewBase: 1e6, ViewMember: 1000}
-	flat := s.Rows(Plan{Members: 1000, Customers: 25_000, Voters: 5, Changes: 0.5})
+		Member: Cost{CPU: 30, Bytes: 500}, Change: Change{Large: Cost{CPU: 8000}}, ChangeFollower: Change{Large: Cost{CPU: 4000, Bytes: 100}}, ChangeMember: Change{Large: Cost{CPU: 20}}, RestartMember: Cost{CPU: 2, Bytes: 70}, ViewBase: 1e6, ViewMember: 1000}
+	flat := s.Rows(Plan{Members: 1000, Customers: 25_000, Voters: 5, Changes: 0.5, Restarts: 0.1})
 	want := []Row{
 		{Role: "control, leader", Calls: 208, Cost: Cost{CPU: 1000 + 200*150 + 800*10 + 4000, Bytes: 50}},
 		{Role: "control, follower", Calls: 202, Cost: Cost{CPU: 500 + 200*100 + 2000, Bytes: 50}},
-		{Role: "entry or agent, control only", Calls: 1, Cost: Cost{CPU: 40, Bytes: 500}, Memory: 2e6},
+		{Role: "entry or agent, control only", Calls: 1, Cost: Cost{CPU: 240, Bytes: 507}, Memory: 16.7e6},
 	}
 	relayed := s.Rows(Plan{Members: 1000, Customers: 0, Voters: 5, Relays: 10})
 	want = append(want,
-		Row{Role: "control, leader", Calls: 20, Cost: Cost{CPU: 1000 + 1000*10}},
-		Row{Role: "control, follower", Calls: 2, Cost: Cost{CPU: 500}},
+		Row{Role: "control, leader", Calls: 22, Cost: Cost{CPU: 1000 + 2*150 + 1000*10}},
+		Row{Role: "control, follower", Calls: 4, Cost: Cost{CPU: 500 + 2*100}},
 		Row{Role: "relay", Calls: 102, Cost: Cost{CPU: 500 + 100*100}},
-		Row{Role: "entry or agent, control only", Calls: 1, Cost: Cost{CPU: 30, Bytes: 500}, Memory: 2e6})
+		Row{Role: "entry or agent, control only", Calls: 1, Cost: Cost{CPU: 30, Bytes: 500}, Memory: 16.7e6})
 	for i, got := range append(flat, relayed...) {
 		w := want[i]
 		if got.Role != w.Role || !near(got.Calls, w.Calls) || !near(got.CPU, w.CPU) || !near(got.Bytes, w.Bytes) || !near(got.Memory, w.Memory) {
--- a/ctl/capacity/measure.go
+++ b/ctl/capacity/measure.go
@@ -40,24 +40,31 @@
 	Texts []Sample  `json:"texts"` // few members, large text
 }
 
-// Measure runs one cluster after the other.
-func (o Options) Measure(ctx context.Context) (*Measurement, error) {
-	m := &Measurement{When: time.Now().UTC()}
-	for _, n := range o.Sizes {
-		s, err := o.run(ctx, n, smallText)
+// MeasureSizes replaces the samples with a small text. It calls save after
+// each, since a run may be ended early.
+func (o Options) MeasureSizes(ctx context.Context, m *Measurement, save func() error) error {
+	m.When, m.Sizes = time.Now().UTC(), nil
+	return o.measure(ctx, &m.Sizes, o.Sizes, smallText, save)
+}
+
+// MeasureTexts replaces the samples with a large text.
+func (o Options) MeasureTexts(ctx context.Context, m *Measurement, save func() error) error {
+	m.Texts = nil
+	return o.measure(ctx, &m.Texts, o.TextSizes, o.Customers, save)
+}
+
+func (o Options) measure(ctx context.Context, out *[]Sample, sizes []int, customers int, save func() error) error {
+	for _, n := range sizes {
+		s, err := o.run(ctx, n, customers)
 		if err != nil {
-			return nil, errors.Annotatef(err, "%d members", n)
+			return errors.Annotatef(err, "%d members, %d customers", n, customers)
 		}
-		m.Sizes = append(m.Sizes, *s)
-	}
-	for _, n := range o.TextSizes {
-		s, err := o.run(ctx, n, o.Customers)
-		if err != nil {
-			return nil, errors.Annotatef(err, "%d members, %d customers", n, o.Customers)
+		*out = append(*out, *s)
+		if err := save(); err != nil {
+			return err
 		}
-		m.Texts = append(m.Texts, *s)
 	}
-	return m, nil
+	return nil
 }
 
 // run is one cluster with its members.
--- a/ctl/capacity/model.go
+++ b/ctl/capacity/model.go
@@ -33,6 +33,16 @@
 	return Cost{CPU: c.CPU + o.CPU*times, Bytes: c.Bytes + o.Bytes*times}
 }
 
+// Change is the cost of a change of one customer.
+type Change struct {
+	Small, Large Cost // with 100 and 25,000 customers in the text
+}
+
+// of returns the cost with a share of the large text.
+func (c Change) of(share float64) Cost {
+	return Cost{}.plus(c.Small, 1-share).plus(c.Large, share)
+}
+
 // Slopes are the costs of control by their causes.
 type Slopes struct {
 	LeaderBase, FollowerBase Cost // a second, without members
@@ -41,14 +51,14 @@
 	Renewed                  Cost // a second and member whose renewals a follower passes on to the leader
 	Member                   Cost // a second, in the member
 
-	Change         Cost // a change with a large text, at the leader of three
-	ChangeFollower Cost // the same at a follower
+	Change         Change // at the leader of three
+	ChangeFollower Change
 	ChangeAttached Cost // a change and attached member, at control
-	ChangeMember   Cost // a change, in the member with a large text
+	ChangeMember   Change
 
 	Restart         Cost // a restart, at the leader
 	RestartAttached Cost // a restart and attached member, at control
-	RestartMember   Cost // a restart, in each member that learns of it
+	RestartMember   Cost // a restart, in each member that learns of it, by members known (CPU) and at all (Bytes)
 
 	ViewBase, ViewMember float64 // bytes of a member's view, by members known
 	TextMember           float64 // bytes of a large text in a member
@@ -78,13 +88,21 @@
 	s.AttachedLeader = spread.plus(s.Renewed, -(voters - 1))
 	s.Member = slope(rate(idle, membersCPU), rate(idle, membersBytes), 1)
 
-	s.Change = base(event(m.Texts, changed, leaderCPU), event(m.Texts, changed, leaderBytes))
-	s.ChangeFollower = base(event(m.Texts, changed, followerCPU), event(m.Texts, changed, followerBytes))
+	change := func(samples []Sample, cpu, bytes func(Phase) float64) Cost {
+		return base(event(samples, changed, cpu), event(samples, changed, bytes))
+	}
+	s.Change = Change{change(m.Sizes, leaderCPU, leaderBytes), change(m.Texts, leaderCPU, leaderBytes)}
+	s.ChangeFollower = Change{change(m.Sizes, followerCPU, followerBytes), change(m.Texts, followerCPU, followerBytes)}
 	s.ChangeAttached = slope(event(m.Sizes, changed, followerCPU), event(m.Sizes, changed, followerBytes), voters)
-	s.ChangeMember = slope(event(m.Texts, changed, membersCPU), event(m.Texts, changed, membersBytes), 1)
+	inMember := func(samples []Sample) Cost {
+		return slope(event(samples, changed, membersCPU), event(samples, changed, membersBytes), 1)
+	}
+	s.ChangeMember = Change{inMember(m.Sizes), inMember(m.Texts)}
 	s.Restart = base(event(m.Sizes, restarted, leaderCPU), event(m.Sizes, restarted, leaderBytes))
 	s.RestartAttached = slope(event(m.Sizes, restarted, followerCPU), event(m.Sizes, restarted, followerBytes), voters)
-	s.RestartMember = slope(event(m.Sizes, restarted, membersCPU), event(m.Sizes, restarted, membersBytes), 1)
+	// A member copies its list with each restart, so its time grows with the list.
+	copied := fitOver(m.Sizes, func(s Sample) float64 { return s.Restarts.perEvent(s.Idle, membersCPU) / float64(s.Members) })
+	s.RestartMember = Cost{copied.Slope, event(m.Sizes, restarted, membersBytes).Slope}
 
 	view := fitOver(m.Sizes, func(s Sample) float64 { return s.Heap / float64(s.Members) })
 	s.ViewBase, s.ViewMember = max(view.Base, 0), view.Slope
@@ -115,6 +133,15 @@
 	Memory float64 // bytes
 }
 
+const (
+	// idleResident is an idle agent of the demonstration, in bytes; see
+	// MEASUREMENTS.md and scripts/idle.sh.
+	idleResident = 12.7e6
+	// collectorFactor is how far the heap may outgrow what is in use before
+	// the next collection, with Go's default GOGC=100.
+	collectorFactor = 2
+)
+
 // renewalCalls are the calls that a follower makes at the leader, a second.
 const renewalCalls = 2
 
@@ -123,7 +150,7 @@
 	text := p.Customers / 25_000 // the cost of a change grows with the text
 	attached, renewed := p.Members/p.Voters, p.Members*(p.Voters-1)/p.Voters
 	if p.Relays > 0 {
-		attached, renewed = 0, p.Members
+		attached, renewed = p.Relays/p.Voters, p.Members
 	}
 	perMember := s.ChangeAttached
 	events := func(c Cost, n float64) Cost {
@@ -131,12 +158,13 @@
 	}
 
 	leader := s.LeaderBase.plus(s.AttachedLeader, attached).plus(s.Renewed, renewed)
-	leader = events(leader, attached).plus(s.Change, p.Changes*text).plus(s.Restart, p.Restarts)
+	leader = events(leader, attached).plus(s.Change.of(text), p.Changes).plus(s.Restart, p.Restarts)
 	// What a follower reads the leader wrote; half of its bytes are its log.
-	more := Cost{Bytes: s.ChangeFollower.Bytes / 2}
-	leader = leader.plus(more, p.Changes*text*(p.Voters-voters))
-	follower := events(s.FollowerBase.plus(s.Attached, attached), attached).plus(s.ChangeFollower, p.Changes*text)
-	member := s.Member.plus(s.ChangeMember, p.Changes).plus(s.RestartMember, p.Restarts*p.Members)
+	more := Cost{Bytes: s.ChangeFollower.of(text).Bytes / 2}
+	leader = leader.plus(more, p.Changes*(p.Voters-voters))
+	follower := events(s.FollowerBase.plus(s.Attached, attached), attached).plus(s.ChangeFollower.of(text), p.Changes)
+	learned := Cost{CPU: s.RestartMember.CPU * p.Members, Bytes: s.RestartMember.Bytes}
+	member := s.Member.plus(s.ChangeMember.of(text), p.Changes).plus(learned, p.Restarts)
 
 	control := s.LeaderRSS.At(p.Members) + s.TextControl*text
 	senders := p.Voters - 1
@@ -149,9 +177,10 @@
 	}
 	if p.Relays > 0 {
 		n := p.Members / p.Relays
-		relay := events(s.FollowerBase.plus(s.Attached, n), n).plus(s.ChangeFollower, p.Changes*text)
+		// It takes changes as a member does, by deltas.
+		relay := events(s.FollowerBase.plus(s.Attached, n), n).plus(s.ChangeMember.of(text), p.Changes).plus(learned, p.Restarts)
 		rows = append(rows, Row{p.Name, "relay", n + renewalCalls, relay, control})
 	}
 	view := s.ViewBase + s.ViewMember*p.Members + s.TextMember*text
-	return append(rows, Row{p.Name, "entry or agent, control only", 1, member, view})
+	return append(rows, Row{p.Name, "entry or agent, control only", 1, member, idleResident + collectorFactor*view})
 }
--- a/ctl/capacity/page.go
+++ b/ctl/capacity/page.go
@@ -9,13 +9,14 @@
 	"github.com/juju/errors"
 )
 
-// Load reads the figures of an earlier run.
+// Load reads the figures of earlier runs. Without a file it returns an empty
+// measurement and the error.
 func Load(path string) (*Measurement, error) {
+	m := &Measurement{}
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return m, errors.Trace(err)
 	}
-	m := &Measurement{}
 	return m, errors.Trace(json.Unmarshal(data, m))
 }
 
@@ -37,6 +38,9 @@
 
 // Write puts tables and plots of the measurement into the page's folder.
 func Write(docs string, m *Measurement) error {
+	if len(m.Sizes) < 2 || len(m.Texts) < 2 {
+		return errors.New("capacity: two sizes and two texts at least must be measured first, with -part sizes and -part texts")
+	}
 	path := filepath.Join(docs, pageName)
 	page, err := os.ReadFile(path)
 	if err != nil {
--- a/ctl/capacity/tables.go
+++ b/ctl/capacity/tables.go
@@ -50,14 +50,15 @@
 		{"leader without members, a second", s.LeaderBase}, {"follower without members, a second", s.FollowerBase},
 		{"member that synchronizes at the leader, a second", s.AttachedLeader}, {"member that synchronizes at a follower, a second", s.Attached},
 		{"renewals passed on to the leader, a second and member", s.Renewed}, {"in the member, a second", s.Member},
-		{"change, 25,000 customers, at the leader of three", s.Change}, {"the same at a follower", s.ChangeFollower},
-		{"change, 100 customers, at control for each member attached", s.ChangeAttached}, {"change, 25,000 customers, in the member", s.ChangeMember},
+		{"change, 25,000 customers, at the leader of three", s.Change.Large}, {"the same at a follower", s.ChangeFollower.Large},
+		{"change, 100 customers, at the leader of three", s.Change.Small}, {"the same at a follower", s.ChangeFollower.Small},
+		{"change, 100 customers, at control for each member attached", s.ChangeAttached}, {"change, 25,000 customers, in the member", s.ChangeMember.Large}, {"change, 100 customers, in the member", s.ChangeMember.Small},
 		{"restart, at the leader", s.Restart}, {"restart, at control for each member attached", s.RestartAttached},
-		{"restart, in each member that learns of it", s.RestartMember},
+		{"restart, in each member that learns of it (processor time: for each member it knows)", s.RestartMember},
 	} {
-		fmt.Fprintf(b, "| %s | %.0f | %.0f |\n", r.name, r.CPU, r.Bytes)
+		fmt.Fprintf(b, "| %s | %.1f | %.0f |\n", r.name, r.CPU, r.Bytes)
 	}
-	fmt.Fprintf(b, "\nMemory: a member's view %.0f kB and %.0f B for each member known; 25,000 customers %.1f MB in a member; leader %.1f MB and %.1f kB for each member, and %.0f MB with 25,000 customers.\n\n",
+	fmt.Fprintf(b, "\nMemory in use: a member's view %.0f kB and %.0f B for each member known; 25,000 customers %.1f MB in a member; leader %.1f MB and %.1f kB for each member, and %.0f MB with 25,000 customers.\n\n",
 		s.ViewBase/1000, s.ViewMember, s.TextMember/1e6, s.LeaderRSS.Base/1e6, s.LeaderRSS.Slope/1000, s.TextControl/1e6)
 }
 
--- a/ctl/cmd/capacity/main.go
+++ b/ctl/cmd/capacity/main.go
@@ -11,6 +11,9 @@
 	"os/signal"
 	"path/filepath"
 	"runtime"
+	"syscall"
+
+	"github.com/juju/errors"
 
 	"caperdrum.org/ctl/capacity"
 )
@@ -18,38 +21,32 @@
 func main() {
 	daemon := flag.String("daemon", "bin/caperdrumd", "`path` of caperdrumd")
 	docs := flag.String("docs", "docs", "`folder` of CAPACITY.md")
-	keep := flag.Bool("keep", false, "use the figures of the last run, in capacity.json, and measure nothing")
-	quick := flag.Bool("quick", false, "small sizes only; writes nothing")
+	part := flag.String("part", "", "measure `sizes` or texts; else only write the tables from the last figures")
 	flag.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := run(ctx, *daemon, *docs, *keep, *quick); err != nil {
+	if err := run(ctx, *daemon, *docs, *part); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, daemon, docs string, keep, quick bool) error {
+// run keeps the figures in capacity.json, beside the page.
+func run(ctx context.Context, daemon, docs, part string) error {
 	figures := filepath.Join(docs, "capacity.json")
-	if keep {
-		m, err := capacity.Load(figures)
-		if err != nil {
-			return err
-		}
-		return capacity.Write(docs, m)
-	}
-	o := capacity.Options{Daemon: daemon, Sizes: []int{10, 50, 200, 500, 1000}, TextSizes: []int{2, 12}, Customers: 25_000,
-		Progress: func(s string) { fmt.Fprintln(os.Stderr, s) }}
-	if quick {
-		o.Sizes, o.TextSizes = []int{5, 20}, []int{2, 4}
-	}
-	m, err := o.Measure(ctx)
-	if err != nil || quick {
+	m, err := capacity.Load(figures)
+	if err != nil && (part == "" || !errors.Is(err, os.ErrNotExist)) {
 		return err
 	}
 	m.Cores = runtime.NumCPU()
-	if err := m.Save(figures); err != nil {
-		return err
+	save := func() error { return m.Save(figures) }
+	o := capacity.Options{Daemon: daemon, Sizes: []int{10, 50, 200, 500, 1000}, TextSizes: []int{2, 12}, Customers: 25_000,
+		Progress: func(s string) { fmt.Fprintln(os.Stderr, s) }}
+	switch part {
+	case "sizes":
+		return o.MeasureSizes(ctx, m, save)
+	case "texts":
+		return o.MeasureTexts(ctx, m, save)
 	}
 	return capacity.Write(docs, m)
 }
