--- a/ctl/commands/demo.go
+++ b/ctl/commands/demo.go
@@ -68,6 +68,7 @@
 		{"an operators' change, and the same change again", run.change},
 		{"an unknown customer is refused as not run", run.refusal},
 		{"the time line of the first request", run.timeline},
+		{"cost by stage, over both entries", run.cost},
 	}
 	for _, s := range steps {
 		fmt.Printf("\n== %s\n", s.title)
--- a/e2e/freeze_test.go
+++ b/e2e/freeze_test.go
@@ -33,4 +33,5 @@
 	s.AwaitReady()
 	load.Await(phase)
 	load.Finish()
+	noneUnknown(t, load)
 }
