--- a/ctl/cmd/caperdrum/main.go
+++ b/ctl/cmd/caperdrum/main.go
@@ -20,7 +20,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&commands.Version{Version: version}, "")
-	for _, c := range []subcommands.Command{&commands.Init{}, &commands.Apply{}, &commands.Diff{}, &commands.Validate{}, &commands.Status{}, &commands.Members{},
+	for _, c := range []subcommands.Command{&commands.Init{}, &commands.Get{}, &commands.Apply{}, &commands.Diff{}, &commands.Validate{}, &commands.Status{}, &commands.Members{},
 		&commands.History{}, &commands.Timeline{}, &commands.Teams{}, &commands.Key{}} {
 		subcommands.Register(c, "operate")
 	}
--- a/ctl/commands/status.go
+++ b/ctl/commands/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
 	"text/tabwriter"
 	"time"
@@ -116,13 +117,12 @@
 }
 
 func printControl(rows []adminclient.ControlStatus) bool {
-	ok := true
+	var failed []adminclient.ControlStatus
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "CONTROL\tSTATE\tTERM\tCOMMIT\tAPPLIED\tVOTERS\tVERSION\tSTAMP AGE\tLEDGER\tREPAIR")
 	for _, r := range rows {
 		if r.Err != nil {
-			ok = false
-			fmt.Fprintf(w, "%s\tunreached: %v\n", r.Address, r.Err)
+			failed = append(failed, r)
 			continue
 		}
 		s := r.Status
@@ -130,7 +130,20 @@
 			s.ConfigVersion, s.StampAge.Round(time.Millisecond), s.LedgerEntries, s.Repair)
 	}
 	w.Flush()
-	return ok
+	for _, r := range failed {
+		fmt.Printf("%s: %s\n", r.Address, noStatus(r.Err))
+	}
+	return len(failed) == 0
+}
+
+// noStatus says why a control process gave no report. One that has no state
+// yet knows no keys either, and refuses them all.
+func noStatus(err error) string {
+	var refusal *adminclient.Refusal
+	if errors.As(err, &refusal) && refusal.Status == http.StatusUnauthorized {
+		return "refused the key: it is not valid, or this process has no state yet"
+	}
+	return "not reached: " + err.Error()
 }
 
 func printMembers(rows []wire.MemberStatus) {
