--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -97,10 +97,13 @@
 	gate    *fakeGate
 	service *Service
 	entry   *httptest.Server
+	sync    *configsync.Service
 	stop    []func()
 }
 
-func newSystem(members bool) *system {
+// newSystem starts an entry. Each of the functions is called with every view
+// before the entry's own services have it.
+func newSystem(members bool, first ...func(*configsync.View)) *system {
 	s := &system{gate: &fakeGate{answer: func(w io.Writer, _ int, _ string, body []byte) (int, string) {
 		w.Write(body)
 		return http.StatusOK, "application/json"
@@ -114,6 +117,10 @@
 	}
 	ring := timeline.NewRing("entry-1", "vm", 64)
 	sync := configsync.New(configsync.Params{Settings: set, Log: logr.Discard(), Ring: ring, Dial: peer.DialTCP})
+	s.sync = sync
+	for _, f := range first {
+		sync.OnChange(f)
+	}
 	routes := routing.New(routing.Params{Settings: set, Sync: sync})
 	sender := dispatch.New(dispatch.Params{Ring: ring, Sync: sync})
 	admit := admission.New(admission.Params{Settings: set, Sync: sync})
@@ -195,7 +202,7 @@
 	start := func(members bool) {
 		s = newSystem(members)
 		DeferCleanup(s.close)
-		Eventually(s.service.notReady).Should(BeEmpty())
+		Eventually(s.service.notReady, "30s").Should(BeEmpty())
 	}
 
 	DescribeTable("refuses at once and says what to do",
@@ -280,10 +287,24 @@
 		resp, _ = s.do("POST", "/v1/services/order-desk/o", "foundry", "{}")
 		Expect(resp.StatusCode).To(Equal(500))
 		Expect(s.gate.attempts).To(Equal(3))
-		Eventually(func() string { return fmt.Sprint(attainmentVar.Get("service:order-desk.all")) }).ShouldNot(Equal(all))
+		Eventually(func() string { return fmt.Sprint(attainmentVar.Get("service:order-desk.all")) }, "30s").ShouldNot(Equal(all))
 		Expect(fmt.Sprint(attainmentVar.Get("service:order-desk.whole"))).To(Equal(whole), "a 5xx is not attained")
 	})
 
+	It("is not ready before its services have the first view", func() {
+		goOn := make(chan struct{})
+		release := sync.OnceFunc(func() { close(goOn) })
+		s = newSystem(true, func(*configsync.View) { <-goOn })
+		DeferCleanup(s.close)
+		DeferCleanup(release) // before close, which waits for it
+		Eventually(s.sync.StampAge, "30s").Should(BeNumerically("<", time.Hour)) // the view is held and confirmed
+		Expect(s.service.notReady()).To(Equal("no configuration yet"))
+		release()
+		Eventually(s.service.notReady, "30s").Should(BeEmpty())
+		resp, data := s.do("POST", "/v1/services/price-list/p", "foundry", "{}")
+		Expect(resp.StatusCode).To(Equal(200), data)
+	})
+
 	It("is ready until it stops, and its stop cuts nothing", func() {
 		start(true)
 		arrived, goOn := make(chan struct{}), make(chan struct{})
@@ -302,20 +323,20 @@
 			_, data := s.do("POST", "/v1/services/order-desk/o", "foundry", "{}")
 			answered <- data
 		}()
-		<-arrived
+		Eventually(arrived, "30s").Should(BeClosed())
 		stopped := make(chan error)
 		go func() { stopped <- s.service.Stop(context.Background()) }()
-		Eventually(s.service.notReady).Should(Equal("draining"))
+		Eventually(s.service.notReady, "30s").Should(Equal("draining"))
 		Eventually(func() error {
 			c, err := net.Dial("tcp", address)
 			if err == nil {
 				c.Close()
 			}
 			return err
-		}, "5s").Should(HaveOccurred()) // the listener is closed, the request is still open
+		}, "30s").Should(HaveOccurred()) // the listener is closed, the request is still open
 		Expect(stopped).NotTo(Receive())
 		close(goOn)
-		Eventually(answered).Should(Receive(Equal("whole")))
-		Eventually(stopped, "5s").Should(Receive(BeNil()))
+		Eventually(answered, "30s").Should(Receive(Equal("whole")))
+		Eventually(stopped, "30s").Should(Receive(BeNil()))
 	})
 })
