--- a/e2e/harness/system.go
+++ b/e2e/harness/system.go
@@ -183,9 +183,9 @@
 	return newProcess(s.T, p.Name+"-twin", s.T.TempDir(), p.argv...)
 }
 
-func (s *System) header(name, center, role string, host int) string {
+func (s *System) header(name, dataCenter, role string, host int) string {
 	return fmt.Sprintf("[node]\nname = %s\nvm = vm-%s\ndata_center = %s\nroles = %s\n%s[peers]\ncontrol = %s\n[debug]\nlisten = %s\n",
-		name, name, center, role, s.dataDir(name, role), strings.Join(s.peers, ", "), s.address(host))
+		name, name, dataCenter, role, s.dataDir(name, role), strings.Join(s.peers, ", "), s.address(host))
 }
 
 func (s *System) dataDir(name, role string) string {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -296,7 +296,7 @@
 		release := sync.OnceFunc(func() { close(goOn) })
 		s = newSystem(true, func(*configsync.View) { <-goOn })
 		DeferCleanup(s.close)
-		DeferCleanup(release) // before close, which waits for it
+		DeferCleanup(release)                                                    // before close, which waits for it
 		Eventually(s.sync.StampAge, "30s").Should(BeNumerically("<", time.Hour)) // the view is held and confirmed
 		Expect(s.service.notReady()).To(Equal("no configuration yet"))
 		release()
