--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -39,6 +39,7 @@
 	fi
 	runs=$(grep -o 'after [0-9]* tests' <<<"$out" | head -1)
 	what=$(grep -o '\(failed\|panic\) after [0-9]* tests: .*' <<<"$out" | head -1 | cut -d: -f2- | cut -c1-110)
+	[ -z "$what" ] && what=$(grep -o '[a-z_]*\.go:[0-9]*: .*' <<<"$out" | grep -m1 -v ' keys: ' | cut -c1-110)
 	echo "mutation=\"$name\" result=caught runs=\"${runs:--}\" seconds=$took said=\"${what# }\""
 done <scripts/mutations.txt
 exit $missed
