--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -42,6 +42,7 @@
 	p         Params
 	set       settings.EntryRole
 	server    *http.Server
+	taken     atomic.Bool // the entry's services have a view
 	draining  atomic.Bool
 	receiving atomic.Int64 // requests that are read, refused, served or answered
 }
@@ -62,6 +63,8 @@
 // New returns the gateway; Start opens its listener.
 func New(p Params) *Service {
 	s := &Service{p: p, set: p.Settings.Entry}
+	// The services that New was given were told of the view before.
+	p.Sync.OnChange(func(*configsync.View) { s.taken.Store(true) })
 	r := chi.NewRouter()
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.Get("/readyz", s.ready)
@@ -116,7 +119,7 @@
 	switch {
 	case s.draining.Load():
 		return "draining"
-	case v == nil || v.Version == 0:
+	case v == nil || v.Version == 0 || !s.taken.Load():
 		return "no configuration yet"
 	case s.p.Sync.StampAge() > s.set.StaleAfter:
 		return "configuration not confirmed lately"
--- a/node/pipeline/resume.go
+++ b/node/pipeline/resume.go
@@ -88,7 +88,9 @@
 // next reads an event, and abandons the attempt when none comes for much
 // longer than usual.
 func (r *resumer) next() error {
-	err := r.cur.event(&r.event, r.patience)
+	watch := time.AfterFunc(r.patience(), r.cur.fail)
+	err := readEvent(r.cur.events, &r.event)
+	watch.Stop()
 	if err == io.EOF {
 		return verdict.New(verdict.Ran, verdict.CodeCut, "the stream ended without its final event")
 	}
--- a/node/pipeline/sse.go
+++ b/node/pipeline/sse.go
@@ -18,7 +18,6 @@
 	donePayload = []byte("[DONE]")
 	doneEvent   = []byte("data: [DONE]\n\n")
 	dataField   = []byte("data:")
-	eventEnd    = []byte("\n\n")
 )
 
 func (e *event) done() bool { return bytes.Equal(e.data, donePayload) }
