Makefile: orders over separate processes are never cached either

Cause: ctl/orderstest builds and starts the binaries as e2e does, so go's cache passed its result over a change of the product too, and it ran once more under `make race`, where it has nothing to find. Its ports came from 127.0.0.1, where a connection of somebody else can take one before the cluster listens. Change: both run with -count=1, one package after the other; orderstest draws its ports on a loopback address of its own process.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,11 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo development)
 MODULES = ./api/... ./node/... ./fake/... ./ctl/... ./e2e/...
-# e2e runs no product code inside the test process: the race detector would see
-# nothing there. e2e-long builds the separate processes with it instead.
-IN_PROCESS = $(filter-out ./e2e/...,$(MODULES))
+# Tests over separate processes run no product code inside the test process: the
+# race detector would see nothing there. e2e-long builds the processes with it
+# instead. Their results are never taken from go's cache, which does not know
+# the binaries that they build and start.
+PROCESSES = caperdrum.org/e2e caperdrum.org/ctl/orderstest
+IN_PROCESS = $(filter-out $(PROCESSES),$(shell go list $(MODULES)))
 # Set by .ci/run from KNOWN-RED.txt: a pattern of tests that are passed over.
 SKIP ?=
 PASS_OVER = $(if $(SKIP),-skip '$(SKIP)')
@@ -16,11 +19,9 @@
 demo: build
 	./scripts/demo.sh
 
-# The results of e2e are never taken from go's cache: it does not know the
-# binaries that the tests build and start.
 test:
 	go test $(PASS_OVER) $(IN_PROCESS)
-	go test $(PASS_OVER) -count=1 -parallel 4 -timeout 20m ./e2e/...
+	go test $(PASS_OVER) -count=1 -p 1 -parallel 4 -timeout 20m $(PROCESSES)
 
 race:
 	go test $(PASS_OVER) -race -short $(IN_PROCESS)
--- a/ctl/orderstest/cluster_test.go
+++ b/ctl/orderstest/cluster_test.go
@@ -25,6 +25,13 @@
 	patience = 90 * time.Second // on a busy machine; nothing is asserted about time
 )
 
+// Loopback networks 127.192.0.0 to 127.223.0.0; e2e has others.
+const (
+	firstNet = 192
+	nets     = 32
+	subnets  = 250
+)
+
 // cluster is a running system of separate processes on kernel-chosen ports.
 type cluster struct {
 	t       *testing.T
@@ -40,8 +47,12 @@
 	version uint64
 }
 
+// freeAddress returns a free address on a loopback address of this process's
+// own. On 127.0.0.1 the kernel would give the port to a connection of somebody
+// else before the cluster listens on it.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", firstNet+pid%nets, 1+pid/nets%subnets))
 	if err != nil {
 		t.Fatal(err)
 	}
