e2e: a request that never reached its upstream does not hang the test

Ruled out: the product's stop; no process was stopping, and the refusal was true and at once. Change: such a refusal is answered by sending again until the upstream has begun, within a bound that fails the test; any other early answer fails at once. What is checked of work in flight is as before.

--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"caperdrum.org/api/verdict"
 	"caperdrum.org/ctl/client"
 	"caperdrum.org/e2e/harness"
 	"caperdrum.org/fake/standin"
@@ -46,11 +47,9 @@
 	}
 	for role, pick := range stops {
 		confirming, streaming := desk.Upstream.Slow(longWork), engine.Upstream.Slow(longWork)
-		confirmed := sendAside(t, client.Request{Entry: s.Entries[0].Address, Path: "/v1/services/" + harness.Desk + "/confirm", Key: "key-" + role, Body: []byte(role)})
-		streamed := sendAside(t, client.Request{Entry: s.Entries[0].Address, Path: "/v1/chat/completions",
+		confirmed := inFlight(t, confirming, client.Request{Entry: s.Entries[0].Address, Path: "/v1/services/" + harness.Desk + "/confirm", Key: "key-" + role, Body: []byte(role)})
+		streamed := inFlight(t, streaming, client.Request{Entry: s.Entries[0].Address, Path: "/v1/chat/completions",
 			Body: fmt.Appendf(nil, `{"model":"desk-chat","stream":true,"messages":[{"role":"user","content":%q}]}`, role)})
-		<-confirming
-		<-streaming
 		p := pick()
 		if status := p.Stop(); status != 0 {
 			t.Errorf("%s: exit status %d", p.Name, status)
@@ -70,7 +69,33 @@
 	}
 }
 
-const longWork = 3 * time.Second
+const (
+	longWork  = 3 * time.Second
+	hungAfter = 90 * time.Second // ends a hung test
+	sendPause = 100 * time.Millisecond
+)
+
+// inFlight sends the request until the upstream has begun with it, and returns
+// where its answer comes. An entry that has not heard yet of an agent that just
+// joined refuses it as not run; any other answer before the beginning fails.
+func inFlight(t *testing.T, began <-chan string, r client.Request) <-chan *client.Answer {
+	t.Helper()
+	hung := time.After(hungAfter)
+	for {
+		answered := sendAside(t, r)
+		select {
+		case <-began:
+			return answered
+		case a := <-answered:
+			if a == nil || a.Verdict != verdict.NotRun {
+				t.Fatalf("answered before the upstream began: %+v", a)
+			}
+			time.Sleep(sendPause)
+		case <-hung:
+			t.Fatal("the upstream never began")
+		}
+	}
+}
 
 func sendAside(t *testing.T, r client.Request) <-chan *client.Answer {
 	out := make(chan *client.Answer, 1)
