--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 
 test:
 	go test $(PASS_OVER) $(IN_PROCESS)
-	go test $(PASS_OVER) -count=1 -p 1 -parallel 4 -timeout 20m $(PROCESSES)
+	go test $(PASS_OVER) -count=1 -p 1 -parallel 4 -timeout 10m $(PROCESSES)
 
 race:
 	go test $(PASS_OVER) -race -short $(IN_PROCESS)
--- a/ctl/bench/system.go
+++ b/ctl/bench/system.go
@@ -131,19 +131,10 @@
 }
 
 func (s *system) addVars(ctx context.Context, address string, out map[string]float64) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/debug/vars", nil)
-	if err != nil {
-		return
-	}
-	resp, err := s.http.Do(req)
+	vars, err := s.admin.Vars(ctx, address)
 	if err != nil {
 		return // an entry that was killed
 	}
-	defer resp.Body.Close()
-	var vars map[string]json.RawMessage
-	if json.NewDecoder(resp.Body).Decode(&vars) != nil {
-		return
-	}
 	for name, raw := range vars {
 		for _, w := range counterWords {
 			if strings.Contains(name, w) {
