--- a/ctl/bench/bench.go
+++ b/ctl/bench/bench.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -54,7 +53,7 @@
 		agents += p.Count
 	}
 	return &Bench{c: c, up: newUpstreams(c.Control), sender: newSender(b), results: map[string]*Result{}, tag: uuid.NewString()[:tagLength],
-		system: &system{admin: c.Admin, balancer: b, agents: agents, http: &http.Client{Timeout: controlTimeout}}}
+		system: &system{admin: c.Admin, balancer: b, agents: agents}}
 }
 
 // Run measures every scenario under every policy, and all that again for each
--- a/ctl/bench/system.go
+++ b/ctl/bench/system.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"strings"
 	"time"
 
@@ -20,7 +19,6 @@
 	balancer *balancer
 	agents   int
 	text     string // in force
-	http     *http.Client
 }
 
 const (
