--- a/ctl/adminclient/vars.go
+++ b/ctl/adminclient/vars.go
@@ -17,12 +17,11 @@
 // Vars asks the processes at the given debug addresses for their metrics.
 func (c *Client) Vars(ctx context.Context, addresses []string) []Vars {
 	out := make([]Vars, len(addresses))
-	debug := c.WithKey("") // the key is for the control processes only
 	var wg sync.WaitGroup
 	for i, a := range addresses {
 		wg.Go(func() {
 			out[i].Address = a
-			out[i].Err = debug.call(ctx, a, http.MethodGet, "/debug/vars", nil, &out[i].Values)
+			out[i].Values, out[i].Err = c.ProcessVars(ctx, a)
 		})
 	}
 	wg.Wait()
@@ -42,3 +41,12 @@
 	json.Unmarshal(v.Values[name], &m)
 	return m
 }
+
+// ProcessVars returns the metrics (expvar) of the process at the debug
+// address, by name and still encoded.
+func (c *Client) ProcessVars(ctx context.Context, address string) (map[string]json.RawMessage, error) {
+	debug := c.WithKey("") // the key is for the control processes only
+	var vars map[string]json.RawMessage
+	err := debug.call(ctx, address, http.MethodGet, "/debug/vars", nil, &vars)
+	return vars, err
+}
