--- a/fake/pathbench/path_test.go
+++ b/fake/pathbench/path_test.go
@@ -150,17 +150,21 @@
 		{"small call", "http://" + *entry + "/v1/services/order-desk/call", "http://" + *plain + "/call", `{"lot":1}`},
 		{"stream of 200 tokens", "http://" + *entry + "/v1/chat/completions", "http://" + *engine + "/v1/chat/completions", chat},
 	} {
-		direct, path := closedLoop(*agents, c.direct, c.body), closedLoop(*agents, c.path, c.body)
-		seconds := length.Seconds()
-		rate := float64(path.calls.Load()) / seconds
-		t.Logf("%s, full load: path %.0f calls/s %.0f tokens/s %d failed; direct %.0f calls/s %.0f tokens/s; ratio %.2f", c.name, rate,
-			float64(path.tokens.Load())/seconds, path.failed.Load(), float64(direct.calls.Load())/seconds, float64(direct.tokens.Load())/seconds,
-			float64(path.calls.Load())/float64(max(direct.calls.Load(), 1)))
-		half := openLoop(rate/2, c.path, c.body)
-		base := openLoop(rate/2, c.direct, c.body)
-		t.Logf("%s, half load: %.0f calls/s, %d failed %s", c.name, rate/2, half.failed.Load(), half.failure)
-		report(t, c.name+" whole", half.whole, base.whole)
-		report(t, c.name+" first byte", half.first, base.first)
-		report(t, c.name+" between tokens", half.between, base.between)
+		t.Run(c.name, func(t *testing.T) { measure(t, c.name, c.path, c.direct, c.body) })
 	}
 }
+
+func measure(t *testing.T, name, pathURL, directURL, body string) {
+	direct, path := closedLoop(*agents, directURL, body), closedLoop(*agents, pathURL, body)
+	seconds := length.Seconds()
+	rate := float64(path.calls.Load()) / seconds
+	t.Logf("%s, full load: path %.0f calls/s %.0f tokens/s %d failed %s; direct %.0f calls/s %.0f tokens/s; ratio %.2f", name, rate,
+		float64(path.tokens.Load())/seconds, path.failed.Load(), path.failure, float64(direct.calls.Load())/seconds, float64(direct.tokens.Load())/seconds,
+		float64(path.calls.Load())/float64(max(direct.calls.Load(), 1)))
+	half := openLoop(rate/2, pathURL, body)
+	base := openLoop(rate/2, directURL, body)
+	t.Logf("%s, half load: %.0f calls/s, %d failed %s", name, rate/2, half.failed.Load(), half.failure)
+	report(t, name+" whole", half.whole, base.whole)
+	report(t, name+" first byte", half.first, base.first)
+	report(t, name+" between tokens", half.between, base.between)
+}
