gate: keep connections for calls that may not be repeated

Cause: each such call dialled the upstream anew, 23 % of the agent's processor time at full load of small calls (profile of 4 s). Ruled out: that the transport may repeat on a kept connection. In net/http shouldRetryRequest and isReplayable repeat a request on a reused connection only when its body is empty or GetBody is set. Change: a request with a body goes out on a kept connection with GetBody nil; one without a body keeps a connection of its own. The bench tells the processor time of entry and agents a call, which depends far less on the machine's other load than rates do; BIN compares two builds.

--- a/fake/pathbench/path_test.go
+++ b/fake/pathbench/path_test.go
@@ -19,6 +19,7 @@
 	plain  = flag.String("plain", "", "address of a plain stand-in")
 	engine = flag.String("engine", "", "address of an engine stand-in")
 	length = flag.Duration("length", 5*time.Second, "time of one measurement")
+	pids   = flag.String("pids", "", "NAME=PID,... of processes whose processor time is told")
 	agents = flag.Int("workers", 64, "callers at full load")
 )
 
@@ -155,7 +156,14 @@
 }
 
 func measure(t *testing.T, name, pathURL, directURL, body string) {
-	direct, path := closedLoop(*agents, directURL, body), closedLoop(*agents, pathURL, body)
+	direct := closedLoop(*agents, directURL, body)
+	before := processorTimes(t)
+	path := closedLoop(*agents, pathURL, body)
+	for name, used := range processorTimes(t) {
+		used -= before[name]
+		t.Logf("%s: %v of processor a call, so two cores bear %.0f calls/s", name, used/time.Duration(max(path.calls.Load(), 1)),
+			2*float64(path.calls.Load())/max(used.Seconds(), tick.Seconds()))
+	}
 	seconds := length.Seconds()
 	rate := float64(path.calls.Load()) / seconds
 	t.Logf("%s, full load: path %.0f calls/s %.0f tokens/s %d failed %s; direct %.0f calls/s %.0f tokens/s; ratio %.2f", name, rate,
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -36,16 +36,15 @@
 
 // Service is the gate of one upstream.
 type Service struct {
-	set     settings.AgentRole
-	log     logr.Logger
-	ring    *timeline.Ring
-	sync    *configsync.Service
-	secure  *security.Store
-	table   *table
-	client  *http.Client
-	once    *http.Client // for attempts that must not be sent twice
-	server  *http.Server
-	address string
+	set      settings.AgentRole
+	log      logr.Logger
+	ring     *timeline.Ring
+	sync     *configsync.Service
+	secure   *security.Store
+	table    *table
+	upstream upstreamClients
+	server   *http.Server
+	address  string
 
 	mu        sync.Mutex
 	told      bool // told to leave
@@ -67,20 +66,14 @@
 	defaultConcurrency = 8
 	defaultQueue       = 64
 	drainPoll          = 20 * time.Millisecond // only while the process stops
-	idleConns          = 64
-	// upstreamIdle is shorter than the usual keep-alive of model servers, so
-	// that a request seldom meets a connection about to be closed.
-	upstreamIdle      = 4 * time.Second
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
+	readHeaderTimeout  = 10 * time.Second
+	idleTimeout        = 2 * time.Minute
 )
 
 // New returns the gate; Start opens its listener.
 func New(p Params) *Service {
 	s := &Service{set: p.Settings.Agent, log: p.Log, ring: p.Ring, sync: p.Sync, secure: p.Security, incarnation: p.Sync.Self().Incarnation}
-	s.client = upstreamClient(&http.Transport{MaxIdleConnsPerHost: idleConns, IdleConnTimeout: upstreamIdle, DisableCompression: true})
-	// On a fresh connection the transport never repeats a request by itself.
-	s.once = upstreamClient(&http.Transport{DisableKeepAlives: true, DisableCompression: true})
+	s.upstream = newUpstreamClients()
 	s.table = newTable(clockwork.NewRealClock(), s.incarnation, s.begin, s.limitsOf(nil))
 	p.Sync.OnChange(func(v *configsync.View) { s.table.setLimits(s.limitsOf(v.Config.Services[s.set.Service])) })
 	r := chi.NewRouter()
@@ -93,12 +86,6 @@
 	return s
 }
 
-// upstreamClient hands redirects to the caller: to follow one would run the
-// attempt again, elsewhere.
-func upstreamClient(t *http.Transport) *http.Client {
-	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
-}
-
 func (s *Service) limitsOf(sv *optext.Service) limits {
 	l := limits{concurrency: defaultConcurrency, queueLength: defaultQueue, refuseLate: true, keep: s.set.KeepAnswers, keepBytes: s.set.KeepBytes}
 	if sv != nil {
--- a/node/gate/run.go
+++ b/node/gate/run.go
@@ -57,11 +57,7 @@
 	if req.Header["User-Agent"] == nil {
 		req.Header["User-Agent"] = nil
 	}
-	client := s.client
-	if !a.repeatable {
-		client = s.once
-	}
-	resp, err := client.Do(req)
+	resp, err := s.upstream.of(req, a.repeatable).Do(req)
 	if err != nil {
 		return callFailure(ctx, err, written.Load())
 	}
--- a/scripts/bench_path.sh
+++ b/scripts/bench_path.sh
@@ -3,6 +3,7 @@
 # processes on loopback; the entry has two cores.
 #   BENCH_NET      first three bytes of the addresses, 127.5.0 by default, so
 #                  that it runs beside the demonstration and other benches
+#   BIN            folder of the programs, to compare two builds
 #   TLS=1          encrypts between all processes
 #   TIMELINE=N     events that a process keeps
 #   ONLY=REGEXP    subtests, for example small_call or stream
@@ -13,6 +14,7 @@
 source "$(dirname "$0")/lib.sh"
 trap stop_all EXIT
 net=${BENCH_NET:-127.5.0}
+bin=${BIN:-$root/bin}
 CAPERDRUM_ADMIN=$net.1:7101,$net.2:7101,$net.3:7101
 export CAPERDRUM_ADMIN
 
@@ -30,20 +32,20 @@
 	"$root/scripts/certificates.sh" "$work/tls" "$net".{1,2,3,11,21,26} || exit 1
 fi
 sed -i -e 's/^concurrency = .*//; s/^\[service:.*/&\nconcurrency = 128/' "$work/settings/text.ini"
-bench_daemon() { start "$1" "$root/bin/caperdrumd" -settings "$work/settings/$1.ini"; }
+bench_daemon() { start "$1" "$bin/caperdrumd" -settings "$work/settings/$1.ini"; }
 
 for n in 1 2 3; do bench_daemon "control-$n"; done
-start engine "$root/bin/caperdrum" standin -kind engine -listen "$net.21:9000" -delay 0 -token-delay 0
-start desk-1 "$root/bin/caperdrum" standin -kind plain -listen "$net.26:9000" -delay 0
+start engine "$bin/caperdrum" standin -kind engine -listen "$net.21:9000" -delay 0 -token-delay 0
+start desk-1 "$bin/caperdrum" standin -kind plain -listen "$net.26:9000" -delay 0
 bench_daemon agent-engine-1
 bench_daemon agent-desk-1
 export GOMAXPROCS=2
 bench_daemon entry-1
 unset GOMAXPROCS
-"$root/bin/caperdrum" init -save-key "$work/key" >/dev/null || exit 1
+"$bin/caperdrum" init -save-key "$work/key" >/dev/null || exit 1
 CAPERDRUM_KEY=$(cat "$work/key")
 export CAPERDRUM_KEY
-"$root/bin/caperdrum" apply "$work/settings/text.ini" >/dev/null || exit 1
+"$bin/caperdrum" apply "$work/settings/text.ini" >/dev/null || exit 1
 wait_ready "$net.11:8080" || exit 1
 sleep 2
 profile() { # address file
@@ -54,4 +56,4 @@
 if [ -n "${PROFILE_ENGINE:-}" ]; then profile "$net.21:7102" "$PROFILE_ENGINE" & fi
 echo "load average: $(cut -d' ' -f1-3 /proc/loadavg)"
 cd "$root" && go test ./fake/pathbench -count 1 -v -run "TestPath/${ONLY:-.}" -args -entry "$net.11:8080" -plain "$net.26:9000" -engine "$net.21:9000" \
-	-length "${LENGTH:-4s}"
+	-length "${LENGTH:-4s}" -pids "entry=${pids[entry-1]},agent-desk=${pids[agent-desk-1]},agent-engine=${pids[agent-engine-1]}"
