gate: write a plain answer in as few writes as its length allows

Cause: each part of any answer was flushed, so a small one left in two writes and reached the entry in two reads, though an entry passes on a plain answer only when it is whole. Change: only event streams are flushed as their bytes come, each at once as before. The test fails without the change.

--- a/node/gate/http.go
+++ b/node/gate/http.go
@@ -151,8 +151,12 @@
 
 const answerTrailers = wire.TrailerEnd + "," + wire.TrailerLength + "," + wire.TrailerSum + "," + wire.TrailerLoad
 
+// copyAnswer sends an event stream's bytes on as they come. An entry passes on
+// any other answer only when it is whole, so that one leaves in as few writes
+// as its length allows.
 func (s *Service) copyAnswer(w http.ResponseWriter, r *http.Request, a *attempt, offset int64) {
 	flusher := http.NewResponseController(w)
+	streams := strings.HasPrefix(w.Header().Get("Content-Type"), wire.ContentEventStream)
 	for {
 		data, end, err := a.answer.next(r.Context(), offset)
 		if err != nil {
@@ -170,7 +174,9 @@
 			h.Set(wire.TrailerLoad, s.loadString())
 			return
 		}
-		flusher.Flush()
+		if streams {
+			flusher.Flush()
+		}
 	}
 }
 
--- /dev/null
+++ b/node/gate/stream_test.go
@@ -0,0 +1,41 @@
+package gate
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"caperdrum.org/api/wire"
+)
+
+// finishingWriter ends the answer once its first bytes were written.
+type finishingWriter struct {
+	*httptest.ResponseRecorder
+	a *attempt
+}
+
+func (w *finishingWriter) Write(p []byte) (int, error) {
+	w.a.answer.finish(nil)
+	return w.ResponseRecorder.Write(p)
+}
+
+// An event stream's bytes leave as they come; any other answer is of use to an
+// entry only when it is whole, so it is not written in parts.
+func TestOnlyEventStreamsAreFlushed(t *testing.T) {
+	for contentType, flushed := range map[string]bool{wire.ContentEventStream + "; charset=utf-8": true, "application/json": false, "": false} {
+		m := newGateModel()
+		s := &Service{table: m.table}
+		a := &attempt{answer: newAnswer()}
+		a.answer.start(http.StatusOK, nil)
+		a.answer.append([]byte("first part"))
+		w := &finishingWriter{httptest.NewRecorder(), a}
+		w.Header().Set("Content-Type", contentType)
+		s.copyAnswer(w, httptest.NewRequest(http.MethodPost, "/", nil), a, 0)
+		if w.Flushed != flushed {
+			t.Errorf("%q: flushed %v before its end", contentType, w.Flushed)
+		}
+		if w.Body.String() != "first part" || w.Header().Get(wire.TrailerEnd) != wire.EndWhole {
+			t.Errorf("%q: answer %q, end %q", contentType, w.Body, w.Header().Get(wire.TrailerEnd))
+		}
+	}
+}
