--- a/fake/pathbench/path_test.go
+++ b/fake/pathbench/path_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"crypto/tls"
+	"crypto/x509"
 	"flag"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -20,6 +23,7 @@
 	engine = flag.String("engine", "", "address of an engine stand-in")
 	length = flag.Duration("length", 5*time.Second, "time of one measurement")
 	pids   = flag.String("pids", "", "NAME=PID,... of processes whose processor time is told")
+	caFile = flag.String("ca", "", "PEM file of the authority, when the entry encrypts")
 	agents = flag.Int("workers", 64, "callers at full load")
 )
 
@@ -143,13 +147,30 @@
 	}
 }
 
+func trust(t *testing.T, file string) {
+	ca, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(ca) {
+		t.Fatalf("%s holds no certificate", file)
+	}
+	client.Transport.(*http.Transport).TLSClientConfig = &tls.Config{RootCAs: pool}
+}
+
 func TestPath(t *testing.T) {
 	if *entry == "" {
 		t.Skip("runs from scripts/bench_path.sh")
 	}
+	base := "http://" + *entry
+	if *caFile != "" {
+		base = "https://" + *entry
+		trust(t, *caFile)
+	}
 	for _, c := range []struct{ name, path, direct, body string }{
-		{"small call", "http://" + *entry + "/v1/services/order-desk/call", "http://" + *plain + "/call", `{"lot":1}`},
-		{"stream of 200 tokens", "http://" + *entry + "/v1/chat/completions", "http://" + *engine + "/v1/chat/completions", chat},
+		{"small call", base + "/v1/services/order-desk/call", "http://" + *plain + "/call", `{"lot":1}`},
+		{"stream of 200 tokens", base + "/v1/chat/completions", "http://" + *engine + "/v1/chat/completions", chat},
 	} {
 		t.Run(c.name, func(t *testing.T) { measure(t, c.name, c.path, c.direct, c.body) })
 	}
--- a/scripts/bench_path.sh
+++ b/scripts/bench_path.sh
@@ -4,7 +4,7 @@
 #   BENCH_NET      first three bytes of the addresses, 127.5.0 by default, so
 #                  that it runs beside the demonstration and other benches
 #   BIN            folder of the programs, to compare two builds
-#   TLS=1          encrypts between all processes
+#   TLS=1          encrypts between all processes, callers' connections too
 #   TIMELINE=N     events that a process keeps
 #   ONLY=REGEXP    subtests, for example small_call or stream
 #   PROFILE=FILE, PROFILE_AGENT=FILE, PROFILE_ENGINE=FILE
@@ -30,6 +30,7 @@
 done
 if [ -n "${TLS:-}" ]; then
 	"$root/scripts/certificates.sh" "$work/tls" "$net".{1,2,3,11,21,26} || exit 1
+	export CAPERDRUM_TLS_CA=$work/tls/ca.pem
 fi
 sed -i -e 's/^concurrency = .*//; s/^\[service:.*/&\nconcurrency = 128/' "$work/settings/text.ini"
 bench_daemon() { start "$1" "$bin/caperdrumd" -settings "$work/settings/$1.ini"; }
@@ -46,7 +47,14 @@
 CAPERDRUM_KEY=$(cat "$work/key")
 export CAPERDRUM_KEY
 "$bin/caperdrum" apply "$work/settings/text.ini" >/dev/null || exit 1
-wait_ready "$net.11:8080" || exit 1
+if [ -n "${TLS:-}" ]; then
+	for _ in $(seq 1 200); do
+		curl -fsS --cacert "$work/tls/ca.pem" -o /dev/null "https://$net.11:8080/readyz" 2>/dev/null && break
+		sleep 0.05
+	done
+else
+	wait_ready "$net.11:8080" || exit 1
+fi
 sleep 2
 profile() { # address file
 	curl -s -o "$2" "http://$1/debug/pprof/profile?seconds=${PROFILE_SECONDS:-8}"
@@ -56,4 +64,5 @@
 if [ -n "${PROFILE_ENGINE:-}" ]; then profile "$net.21:7102" "$PROFILE_ENGINE" & fi
 echo "load average: $(cut -d' ' -f1-3 /proc/loadavg)"
 cd "$root" && go test ./fake/pathbench -count 1 -v -run "TestPath/${ONLY:-.}" -args -entry "$net.11:8080" -plain "$net.26:9000" -engine "$net.21:9000" \
-	-length "${LENGTH:-4s}" -pids "entry=${pids[entry-1]},agent-desk=${pids[agent-desk-1]},agent-engine=${pids[agent-engine-1]}"
+	-length "${LENGTH:-4s}" -pids "entry=${pids[entry-1]},agent-desk=${pids[agent-desk-1]},agent-engine=${pids[agent-engine-1]}" \
+	-ca "${CAPERDRUM_TLS_CA:-}"
