--- a/fake/pathbench/path_test.go
+++ b/fake/pathbench/path_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"crypto/tls"
+	"crypto/x509"
 	"flag"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -19,6 +22,8 @@
 	plain  = flag.String("plain", "", "address of a plain stand-in")
 	engine = flag.String("engine", "", "address of an engine stand-in")
 	length = flag.Duration("length", 5*time.Second, "time of one measurement")
+	pids   = flag.String("pids", "", "NAME=PID,... of processes whose processor time is told")
+	caFile = flag.String("ca", "", "PEM file of the authority, when the entry encrypts")
 	agents = flag.Int("workers", 64, "callers at full load")
 )
 
@@ -142,25 +147,53 @@
 	}
 }
 
+func trust(t *testing.T, file string) {
+	ca, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(ca) {
+		t.Fatalf("%s holds no certificate", file)
+	}
+	client.Transport.(*http.Transport).TLSClientConfig = &tls.Config{RootCAs: pool}
+}
+
 func TestPath(t *testing.T) {
 	if *entry == "" {
 		t.Skip("runs from scripts/bench_path.sh")
 	}
+	base := "http://" + *entry
+	if *caFile != "" {
+		base = "https://" + *entry
+		trust(t, *caFile)
+	}
 	for _, c := range []struct{ name, path, direct, body string }{
-		{"small call", "http://" + *entry + "/v1/services/order-desk/call", "http://" + *plain + "/call", `{"lot":1}`},
-		{"stream of 200 tokens", "http://" + *entry + "/v1/chat/completions", "http://" + *engine + "/v1/chat/completions", chat},
+		{"small call", base + "/v1/services/order-desk/call", "http://" + *plain + "/call", `{"lot":1}`},
+		{"stream of 200 tokens", base + "/v1/chat/completions", "http://" + *engine + "/v1/chat/completions", chat},
 	} {
-		direct, path := closedLoop(*agents, c.direct, c.body), closedLoop(*agents, c.path, c.body)
-		seconds := length.Seconds()
-		rate := float64(path.calls.Load()) / seconds
-		t.Logf("%s, full load: path %.0f calls/s %.0f tokens/s %d failed; direct %.0f calls/s %.0f tokens/s; ratio %.2f", c.name, rate,
-			float64(path.tokens.Load())/seconds, path.failed.Load(), float64(direct.calls.Load())/seconds, float64(direct.tokens.Load())/seconds,
-			float64(path.calls.Load())/float64(max(direct.calls.Load(), 1)))
-		half := openLoop(rate/2, c.path, c.body)
-		base := openLoop(rate/2, c.direct, c.body)
-		t.Logf("%s, half load: %.0f calls/s, %d failed %s", c.name, rate/2, half.failed.Load(), half.failure)
-		report(t, c.name+" whole", half.whole, base.whole)
-		report(t, c.name+" first byte", half.first, base.first)
-		report(t, c.name+" between tokens", half.between, base.between)
+		t.Run(c.name, func(t *testing.T) { measure(t, c.name, c.path, c.direct, c.body) })
+	}
+}
+
+func measure(t *testing.T, name, pathURL, directURL, body string) {
+	direct := closedLoop(*agents, directURL, body)
+	before := processorTimes(t)
+	path := closedLoop(*agents, pathURL, body)
+	for name, used := range processorTimes(t) {
+		used -= before[name]
+		t.Logf("%s: %v of processor a call, so two cores bear %.0f calls/s", name, used/time.Duration(max(path.calls.Load(), 1)),
+			2*float64(path.calls.Load())/max(used.Seconds(), tick.Seconds()))
 	}
+	seconds := length.Seconds()
+	rate := float64(path.calls.Load()) / seconds
+	t.Logf("%s, full load: path %.0f calls/s %.0f tokens/s %d failed %s; direct %.0f calls/s %.0f tokens/s; ratio %.2f", name, rate,
+		float64(path.tokens.Load())/seconds, path.failed.Load(), path.failure, float64(direct.calls.Load())/seconds, float64(direct.tokens.Load())/seconds,
+		float64(path.calls.Load())/float64(max(direct.calls.Load(), 1)))
+	half := openLoop(rate/2, pathURL, body)
+	base := openLoop(rate/2, directURL, body)
+	t.Logf("%s, half load: %.0f calls/s, %d failed %s", name, rate/2, half.failed.Load(), half.failure)
+	report(t, name+" whole", half.whole, base.whole)
+	report(t, name+" first byte", half.first, base.first)
+	report(t, name+" between tokens", half.between, base.between)
 }
