gate: refuse early what a long queue would refuse late; exact fair wait

Cause: an attempt was admitted while the expected wait just fitted into its deadline, so a queue under overload stood at the edge: longer runs and newcomers of other customers made its end late (slow refusals, answers cut). The wait of a customer with little waiting was estimated by its share of the whole backlog, although start-time fair queueing serves it next, and a second request shortly after its first waited for its share to come round. Ruled out (TestOverloadedGate on the old code): the discipline itself. Change: a customer with others waiting needs twice the expected wait left; `ahead` counts tags as the queue will pop them, and for a less urgent class what may pass over it; a customer under its share has a credit of two attempts. Small customers still lose at the entry.

--- a/node/gate/queue.go
+++ b/node/gate/queue.go
@@ -13,7 +13,7 @@
 // maxPassedOver times in a row, so that a flood of a more urgent class slows a
 // less urgent one down but never stops it. With fifo set it is a plain queue,
 // the baseline. Every operation is O(log n) in attempts and customers, but for
-// victim, which is linear in the attempts that wait.
+// ahead and victim, which are linear in the customers and attempts that wait.
 type fairQueue struct {
 	fifo      bool
 	classes   [numClasses]classQueue
@@ -26,6 +26,10 @@
 	maxPassedOver = 16
 	minShare      = 0.01
 	maxShare      = 1e6
+	// burstCredit is how many attempts a customer that used less than its share
+	// may have run ahead of its turn. Its share in the long run stays the same.
+	burstCredit = 2
+	maxCredit   = burstCredit / minShare
 )
 
 func classRank(c optext.Class) int {
@@ -49,11 +53,10 @@
 
 // classQueue is the fair queue of one class.
 type classQueue struct {
-	virtual    float64 // start tag of the attempt last taken
+	virtual    float64 // greatest start tag taken
 	customers  map[string]*customerQueue
 	active     tagHeap // customers with waiting attempts, by start tag
-	idle       tagHeap // customers without, whose tag is still ahead of virtual
-	shares     float64 // sum over active customers
+	idle       tagHeap // customers without, that have not earned the whole credit yet
 	length     int
 	passedOver int
 }
@@ -168,16 +171,28 @@
 
 // ahead estimates how many waiting attempts would be taken before a new one:
 // those of more urgent classes, and of its own class what the shares allow.
+// While a more urgent class waits, more of it is taken to come, up to what may
+// pass over each attempt of this class.
 func (q *fairQueue) ahead(a *attempt) int {
-	n := 0
+	urgent := 0
 	own := q.class(a)
 	for i := range q.classes {
 		if &q.classes[i] == own {
 			break
 		}
-		n += q.classes[i].length
+		urgent += q.classes[i].length
 	}
-	return n + own.ahead(q.customer(a), clampShare(a.share))
+	n := own.ahead(q.customer(a), clampShare(a.share))
+	if urgent == 0 {
+		return n
+	}
+	return n + max(urgent, (n+1)*maxPassedOver)
+}
+
+// waits reports whether an attempt's customer has others of its class waiting.
+func (q *fairQueue) waits(a *attempt) bool {
+	cq := q.class(a).customers[q.customer(a)]
+	return cq != nil && cq.waiting.Len() > 0
 }
 
 // victim returns the waiting attempt that a new one may push out of a full
@@ -211,24 +226,22 @@
 func (c *classQueue) push(a *attempt, customer string) {
 	cq := c.customers[customer]
 	if cq == nil {
-		cq = &customerQueue{name: customer, tag: c.virtual, position: -1, waiting: attemptHeap{slot: slotCustomer}}
+		cq = &customerQueue{name: customer, tag: c.virtual - maxCredit, position: -1, waiting: attemptHeap{slot: slotCustomer}}
 		c.customers[customer] = cq
 	}
 	if cq.waiting.Len() == 0 {
-		c.activate(cq)
+		c.activate(cq, clampShare(a.share))
 	}
-	c.shares += clampShare(a.share) - cq.share
 	cq.share = clampShare(a.share)
 	heap.Push(&cq.waiting, a)
 	c.length++
 }
 
-func (c *classQueue) activate(cq *customerQueue) {
+func (c *classQueue) activate(cq *customerQueue, share float64) {
 	if cq.position >= 0 {
 		heap.Remove(&c.idle, cq.position)
 	}
-	cq.tag = max(cq.tag, c.virtual)
-	cq.share = 0
+	cq.tag = max(cq.tag, c.virtual-burstCredit/share)
 	heap.Push(&c.active, cq)
 }
 
@@ -236,11 +249,11 @@
 	cq := c.active[0]
 	a := heap.Pop(&cq.waiting).(*attempt)
 	c.length--
-	c.virtual = cq.tag
+	c.virtual = max(c.virtual, cq.tag)
 	cq.tag += 1 / clampShare(a.share)
 	heap.Fix(&c.active, 0)
 	c.settle(cq)
-	for len(c.idle) > 0 && c.idle[0].tag <= c.virtual {
+	for len(c.idle) > 0 && c.idle[0].tag <= c.virtual-maxCredit {
 		delete(c.customers, heap.Pop(&c.idle).(*customerQueue).name)
 	}
 	return a
@@ -260,21 +273,29 @@
 		return
 	}
 	heap.Remove(&c.active, cq.position)
-	c.shares -= cq.share
 	if len(c.active) == 0 {
 		clear(c.customers)
-		c.idle, c.virtual, c.shares = nil, 0, 0
+		c.idle, c.virtual = nil, 0
 		return
 	}
 	heap.Push(&c.idle, cq)
 }
 
+// ahead returns how many of the class's waiting attempts have a start tag up to
+// that of a new one. It is linear in the customers that wait.
 func (c *classQueue) ahead(customer string, share float64) int {
-	total, own := c.shares+share, 0
-	if cq := c.customers[customer]; cq != nil && cq.waiting.Len() > 0 {
-		total, own = c.shares, cq.waiting.Len()
+	tag, n := c.virtual-burstCredit/share, 0
+	if cq := c.customers[customer]; cq != nil {
+		n = cq.waiting.Len()
+		tag = max(cq.tag, tag)
+	}
+	tag += float64(n) / share
+	for _, cq := range c.active {
+		if cq.name != customer && cq.tag <= tag {
+			n += min(cq.waiting.Len(), int((tag-cq.tag)*cq.share)+1)
+		}
 	}
-	return min(c.length, int(float64(own+1)*total/share)-1)
+	return n
 }
 
 // longest returns the active customer with the most waiting attempts for its
--- a/node/gate/table.go
+++ b/node/gate/table.go
@@ -94,7 +94,12 @@
 }
 
 const (
-	ewmaWeight    = 0.1
+	ewmaWeight = 0.1
+	// backlogMargin is how many times over the expected wait must fit into the
+	// time left of an attempt whose customer has others waiting. The rest is for
+	// runs longer than the average and for customers that go ahead; a longer
+	// queue would not get more work done, and its end is refused late.
+	backlogMargin = 2
 	retryAfterMin = 100 * time.Millisecond
 )
 
@@ -193,7 +198,7 @@
 		return verdict.New(verdict.NotRun, verdict.CodeIncarnation, "this gate was restarted; choose again").After(retryAfterMin)
 	case t.leaving:
 		return verdict.New(verdict.NotRun, verdict.CodeLeaving, "the upstream is leaving").After(time.Second)
-	case left <= 0 || t.estimates() && wait+t.expectedRun() > left:
+	case left <= 0 || t.estimates() && t.margin(a)*wait+t.expectedRun() > left:
 		return lateError(wait)
 	case t.running >= t.limit() && t.queue.len() >= t.limits.queueLength && !t.pushOut(a):
 		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the queue is full").After(max(wait, retryAfterMin))
@@ -233,6 +238,13 @@
 	return time.Duration(rounds * t.service.value * float64(time.Second))
 }
 
+func (t *table) margin(a *attempt) time.Duration {
+	if t.queue.waits(a) {
+		return backlogMargin
+	}
+	return 1
+}
+
 func (t *table) limit() int { return t.limiter.limit() }
 
 // lateAnswer is how long past its caller's deadline a claimed attempt that has
