pipeline: TestPolicies gives the same figures every run; hedges keep no reserve

Cause of the varying verdict: the endpoints' picks drew from the global source, all attempts shared one source of noise in the order of goroutines, and a context ends its children in random order (the order of abandoned attempts moved the averages). Change: routing.Service.Seed for simulations; noise by request and member; attempts abandoned together end in the order of their members. No threshold was changed. Cause: each hedge budget began with a reserve of 10, refilled with time, on top of its percentage. TestBudget covers both.

--- a/node/pipeline/pipeline.go
+++ b/node/pipeline/pipeline.go
@@ -128,23 +128,23 @@
 	budget  *retry.Budget
 }
 
-func (s *Service) budget(all map[string]*budgetOf, name string, percent int) *retry.Budget {
+func (s *Service) budget(all map[string]*budgetOf, name string, percent int, make func(int) *retry.Budget) *retry.Budget {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := all[name]
 	if b == nil || b.percent != percent {
-		b = &budgetOf{percent, retry.NewBudget(percent)}
+		b = &budgetOf{percent, make(percent)}
 		all[name] = b
 	}
 	return b.budget
 }
 
 func (s *Service) retryBudget(sv *optext.Service) *retry.Budget {
-	return s.budget(s.retries, sv.Name, sv.RetryPercent)
+	return s.budget(s.retries, sv.Name, sv.RetryPercent, retry.NewBudget)
 }
 
 func (s *Service) hedgeBudget(sv *optext.Service) *retry.Budget {
-	return s.budget(s.hedges, sv.Name, sv.HedgePercent)
+	return s.budget(s.hedges, sv.Name, sv.HedgePercent, retry.NewHedgeBudget)
 }
 
 func (s *Service) record(kind timeline.Kind, c *dispatch.Call, detail string) {
--- a/node/pipeline/policy_test.go
+++ b/node/pipeline/policy_test.go
@@ -15,6 +15,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
@@ -86,7 +88,6 @@
 	upstreams map[wire.MemberID]*upstream
 	ideal     *lru
 	mu        sync.Mutex
-	noise     *rand.Rand
 
 	sent, whole, hits, idealHits, runs int
 	refused                            int // as not run
@@ -102,6 +103,7 @@
 	}
 	if silent {
 		<-ctx.Done()
+		abandoned(e)
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeTimeout, "silent")
 	}
 	wait := time.Duration(float64(u.waiting.Load()) / trialSlots * float64(trialMean))
@@ -115,17 +117,26 @@
 		u.waiting.Add(-1)
 	case <-ctx.Done():
 		u.waiting.Add(-1)
+		abandoned(e)
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeTimeout, "abandoned")
 	}
 	defer func() { <-u.places }()
 	return tr.run(ctx, e, u, c, factor)
 }
 
+// abandoned lets attempts that are abandoned at the same moment, as by the
+// deadline of their request, end in the order of their members: a context ends
+// its children in random order.
+func abandoned(e *routing.Endpoint) {
+	time.Sleep(time.Duration(xxhash.Sum64String(string(e.Member.ID)) % 1000))
+}
+
 func (tr *trial) run(ctx context.Context, e *routing.Endpoint, u *upstream, c dispatch.Call, factor float64) (*dispatch.Answer, error) {
 	base := math.Float64frombits(binary.LittleEndian.Uint64(c.Body))
 	session := binary.LittleEndian.Uint64(c.Body[8:])
+	random := rand.New(rand.NewPCG(math.Float64bits(base), xxhash.Sum64String(string(e.Member.ID)))) // whatever the order of goroutines
+	factor *= math.Exp(noise * random.NormFloat64())
 	tr.mu.Lock()
-	factor *= math.Exp(noise * tr.noise.NormFloat64())
 	tr.runs++
 	tr.mu.Unlock()
 	cached := 0
@@ -139,6 +150,9 @@
 	began := time.Now()
 	a, err := after(ctx, time.Duration(base*factor*float64(trialMean)), 200,
 		fmt.Sprintf(`{"usage":{"prompt_tokens":%d,"prompt_tokens_details":{"cached_tokens":%d}}}`, len(c.Body), cached))
+	if err != nil {
+		abandoned(e)
+	}
 	tr.mu.Lock()
 	tr.held += time.Since(began)
 	if err == nil {
@@ -155,7 +169,6 @@
 
 func (tr *trial) play() {
 	tr.began = time.Now()
-	tr.noise = rand.New(rand.NewPCG(2, 2))
 	tr.upstreams = map[wire.MemberID]*upstream{}
 	tr.ideal = newLRU(trialMembers * 40)
 	sv := tr.policy
@@ -174,6 +187,7 @@
 	entries := make([]*Service, trialEntries)
 	for i := range entries {
 		table := routing.NewTable(fmt.Sprint("entry-", i), "")
+		table.Seed(uint64(i))
 		table.Update(v)
 		entries[i] = newService(newFake(&fakeGate{}, 1, &sv).ring, table, tr, noPressure{})
 	}
--- a/node/retry/retry.go
+++ b/node/retry/retry.go
@@ -13,6 +13,7 @@
 type Budget struct {
 	mu       sync.Mutex
 	percent  int64
+	reserve  int64 // hundredths
 	tokens   int64 // hundredths of an extra attempt
 	refilled time.Time
 }
@@ -26,10 +27,16 @@
 
 // NewBudget returns a budget of percent extra attempts per hundred first ones.
 // With percent zero it allows none.
-func NewBudget(percent int) *Budget {
-	b := &Budget{percent: int64(percent), refilled: time.Now()}
+func NewBudget(percent int) *Budget { return newBudget(percent, budgetReserve) }
+
+// NewHedgeBudget returns a budget without a reserve: nothing has failed yet
+// when a hedge is sent, so a service with few requests can do without.
+func NewHedgeBudget(percent int) *Budget { return newBudget(percent, 0) }
+
+func newBudget(percent int, reserve int64) *Budget {
+	b := &Budget{percent: int64(percent), reserve: reserve, refilled: time.Now()}
 	if percent > 0 {
-		b.tokens = budgetReserve
+		b.tokens = reserve
 	}
 	return b
 }
@@ -59,7 +66,7 @@
 		return
 	}
 	b.refilled = b.refilled.Add(time.Duration(n) * refillEvery)
-	if b.tokens < budgetReserve {
-		b.tokens = min(b.tokens+min(n, budgetReserve/attempt)*attempt, budgetReserve)
+	if b.tokens < b.reserve {
+		b.tokens = min(b.tokens+min(n, b.reserve/attempt)*attempt, b.reserve)
 	}
 }
--- a/node/retry/retry_test.go
+++ b/node/retry/retry_test.go
@@ -27,7 +27,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		rapid.Check(bubbled{t}, func(t *rapid.T) {
 			percent := rapid.IntRange(0, 100).Draw(t, "percent")
-			b := NewBudget(percent)
+			b, reserve := NewBudget(percent), 10
+			if rapid.Bool().Draw(t, "of hedges") {
+				b, reserve = NewHedgeBudget(percent), 0
+			}
 			var firsts, taken int
 			begun := time.Now()
 			t.Repeat(map[string]func(*rapid.T){
@@ -47,14 +50,17 @@
 						taken++
 					}
 					seconds := int(time.Since(begun) / time.Second)
-					bound := 10 + firsts*percent/100 + seconds/5
+					bound := reserve + firsts*percent/100 + seconds/5
+					if reserve == 0 {
+						bound = firsts * percent / 100
+					}
 					if percent == 0 {
 						bound = 0
 					}
 					if taken > bound {
 						t.Fatalf("%d taken, at most %d allowed", taken, bound)
 					}
-					if !ok && percent > 0 && taken < 10 {
+					if !ok && percent > 0 && taken < reserve {
 						t.Fatalf("refused after only %d", taken)
 					}
 				},
--- a/node/routing/choose.go
+++ b/node/routing/choose.go
@@ -5,8 +5,9 @@
 type choice struct {
 	Request
 	group      *group
-	now        int64   // Unix nanoseconds
-	expected   float64 // seconds, for the whole size without cached parts
+	random     func(n int) int // below n
+	now        int64           // Unix nanoseconds
+	expected   float64         // seconds, for the whole size without cached parts
 	room       [maxHolders]holder
 	holders    []holder // in room
 	holderMask uint64   // bits of the holders' indexes, to rule out most endpoints at once
@@ -31,6 +32,7 @@
 	}
 	c := s.scratch.Get().(*choice)
 	c.reset(r, st)
+	c.random = s.random
 	e := c.choose(&p, st)
 	c.Request = Request{} // keep no caller's memory alive
 	c.group = nil
@@ -103,7 +105,7 @@
 
 func (c *choice) sample(p *policy, all []*Endpoint, byIndex map[uint16]*Endpoint) {
 	for range sampleSize {
-		c.consider(p, all[random(len(all))])
+		c.consider(p, all[c.random(len(all))])
 	}
 	for i := range c.holders {
 		if e := byIndex[c.holders[i].endpoint]; e != nil {
--- a/node/routing/pick.go
+++ b/node/routing/pick.go
@@ -1,7 +1,5 @@
 package routing
 
-import "math/rand/v2"
-
 // picker takes one of the candidates, of which there is at least one.
 type picker interface {
 	pick(c []candidate, r *choice) *Endpoint
@@ -12,5 +10,3 @@
 	endpoint *Endpoint
 	cost     float64
 }
-
-func random(n int) int { return rand.IntN(n) }
--- a/node/routing/pick_baselines.go
+++ b/node/routing/pick_baselines.go
@@ -3,8 +3,8 @@
 // leastInFlight takes the endpoint with the fewest attempts of this entry.
 type leastInFlight struct{}
 
-func (leastInFlight) pick(c []candidate, _ *choice) *Endpoint {
-	start := random(len(c))
+func (leastInFlight) pick(c []candidate, r *choice) *Endpoint {
+	start := r.random(len(c))
 	best := c[start].endpoint
 	for i := range c {
 		if e := c[(start+i)%len(c)].endpoint; e.InFlight() < best.InFlight() {
@@ -24,4 +24,4 @@
 // randomPick takes any endpoint.
 type randomPick struct{}
 
-func (randomPick) pick(c []candidate, _ *choice) *Endpoint { return c[random(len(c))].endpoint }
+func (randomPick) pick(c []candidate, r *choice) *Endpoint { return c[r.random(len(c))].endpoint }
--- a/node/routing/pick_best.go
+++ b/node/routing/pick_best.go
@@ -12,7 +12,7 @@
 	clearlyBetter = 1.05 // a smaller difference is noise, and must not starve an endpoint
 )
 
-func (twoOfBest) pick(c []candidate, _ *choice) *Endpoint {
+func (twoOfBest) pick(c []candidate, r *choice) *Endpoint {
 	best := c[0].cost
 	for _, x := range c[1:] {
 		best = min(best, x.cost)
@@ -25,8 +25,8 @@
 			near++
 		}
 	}
-	a := c[random(near)]
-	b := c[random(near)]
+	a := c[r.random(near)]
+	b := c[r.random(near)]
 	if b.cost < a.cost-(clearlyBetter-1)*max(a.cost, 0) {
 		return b.endpoint
 	}
--- a/node/routing/routing.go
+++ b/node/routing/routing.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,6 +46,7 @@
 	mu         sync.Mutex // of Update
 	scratch    sync.Pool
 	onEmpty    func(service string)
+	random     func(n int) int // below n
 }
 
 // OnEmpty registers f, which is called, and must not block, when a first try
@@ -72,12 +74,24 @@
 
 // NewTable returns a service for the named entry that knows what Update tells.
 func NewTable(entry, dataCenter string) *Service {
-	s := &Service{entry: entry, dataCenter: dataCenter, policies: policies(dataCenter)}
+	s := &Service{entry: entry, dataCenter: dataCenter, policies: policies(dataCenter), random: rand.IntN}
 	s.scratch.New = func() any { return &choice{} }
 	s.table.Store(&table{byService: map[string]*serviceTable{}})
 	return s
 }
 
+// Seed makes the service draw the same random numbers every run, for
+// simulations. It must be called before the first choice.
+func (s *Service) Seed(seed uint64) {
+	var mu sync.Mutex
+	source := rand.New(rand.NewPCG(seed, seed))
+	s.random = func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return source.IntN(n)
+	}
+}
+
 // Update publishes the table of a new view. Endpoints of a known incarnation
 // keep their counters.
 func (s *Service) Update(v *configsync.View) {
