admission: a customer banks what it leaves of its part, up to 4 requests

Cause: a small customer's rate at one service is a fraction of a request a period, so a single arrival counted as a rate above its part and the next was shed.

--- a/node/admission/shed.go
+++ b/node/admission/shed.go
@@ -42,6 +42,8 @@
 	rate   float64 // moving average over periods
 	part   float64 // admitted part
 	credit float64 // admits the part evenly: a request passes when it reaches one
+	grant  float64 // requests per period that the customer may have admitted
+	bank   float64 // what it left of earlier grants: lets a burst pass
 }
 
 const (
@@ -54,6 +56,7 @@
 	leastBudget   = 0.5  // requests a period, so that an end of the overload is seen
 	demandWeight  = 0.5  // of the last period in a demand's rate
 	budgetWeight  = 0.5  // of the last overloaded period in the budget
+	mostBanked    = 4    // requests
 	leastRate     = 0.01 // a demand below is forgotten
 )
 
@@ -99,10 +102,14 @@
 		return ""
 	}
 	worst.credit += worst.part
-	if worst.credit < 1 {
+	switch {
+	case worst.credit >= 1:
+		worst.credit--
+	case worst.bank >= 1:
+		worst.bank--
+	default:
 		return scarce
 	}
-	worst.credit--
 	return ""
 }
 
@@ -111,7 +118,7 @@
 func (l *serviceLoad) want(key demandKey, share float64) *demand {
 	d := l.demand[key]
 	if d == nil {
-		d = &demand{part: 1}
+		d = &demand{part: 1, bank: mostBanked}
 		l.demand[key] = d
 	}
 	d.share = max(share, leastRate)
@@ -145,6 +152,7 @@
 		if passed > idlePeriods {
 			d.rate = 0
 		}
+		d.bank = min(d.bank+max(d.grant*passed-d.now, 0), mostBanked)
 		d.now = 0
 		if d.rate < leastRate {
 			delete(l.demand, key)
@@ -172,7 +180,7 @@
 	sum, exempt := 0.0, 0.0
 	customers := map[string]*customerDemand{}
 	for key, d := range l.demand {
-		d.part = 1
+		d.part, d.grant = 1, mostBanked
 		sum += d.rate
 		if key.order == neverShed {
 			exempt += d.rate
@@ -213,7 +221,7 @@
 func (c *customerDemand) spend(budget float64) {
 	sort.Slice(c.list, func(i, j int) bool { return c.list[i].order > c.list[j].order })
 	for _, d := range c.list {
-		d.part = min(budget/d.rate, 1)
+		d.part, d.grant = min(budget/d.rate, 1), budget
 		budget = max(budget-d.rate, 0)
 	}
 }
--- a/node/admission/shed_test.go
+++ b/node/admission/shed_test.go
@@ -138,3 +138,23 @@
 		t.Errorf("%d drafts pass while chat of the same customer is shed", m.sent["L draft"])
 	}
 }
+
+// TestShedLetsASmallBurstPass: a customer that uses a part of its share, but in
+// bursts of a few requests, loses none of them to a flood.
+func TestShedLetsASmallBurstPass(t *testing.T) {
+	chat := workOf(optext.Interactive, 0)
+	flood, small := caller{"l chat", 39, chat, 300}, caller{"s chat", 1, chat, 1}
+	m := newOverloadModel(10)
+	m.run(50, []caller{flood})
+	offered, sent := 0, 0
+	for range 20 {
+		for range 3 {
+			m.run(1, []caller{small, flood})
+			offered, sent = offered+m.offered[small.name], sent+m.sent[small.name]
+		}
+		m.run(21, []caller{flood})
+	}
+	if offered != 60 || sent < offered {
+		t.Errorf("%d of %d requests passed, which are half of the customer's share", sent, offered)
+	}
+}
