pipeline: a stream leaves an engine that turned slow

Change: after at least 4 gaps and 300 ms at four times the usual pace the stream is resumed at another engine, once, within the retry budget, and the slow engine counts as failing.

--- a/node/pipeline/resume.go
+++ b/node/pipeline/resume.go
@@ -32,6 +32,7 @@
 	first    bool // no event of the current engine was read yet
 	barren   int  // resumptions in a row without any new text
 	gap      *gap
+	pace     pace
 }
 
 const (
@@ -43,7 +44,7 @@
 )
 
 func newResumer(ctx context.Context, s *Service, w *work, st *stream) *resumer {
-	return &resumer{ctx: ctx, s: s, w: w, cur: st, lastData: time.Now(), first: true, gap: s.gaps.of(w.Service)}
+	return &resumer{ctx: ctx, s: s, w: w, cur: st, lastData: time.Now(), first: true, gap: s.gaps.of(w.Service), pace: pace{usual: s.gaps.of(w.Service).usual()}}
 }
 
 // Read implements io.Reader. It returns as many whole events as have come.
@@ -75,6 +76,9 @@
 		if err == nil {
 			err = r.pass()
 		}
+		if err == nil && r.leaveSlow() {
+			err = verdict.New(verdict.Ran, verdict.CodeCut, "the engine was much slower than usual")
+		}
 		if err != nil {
 			r.cut(err)
 			return
@@ -105,6 +109,7 @@
 
 func (r *resumer) noteData(now time.Time) {
 	if !r.first {
+		r.pace.add(now.Sub(r.lastData))
 		r.gap.add(now.Sub(r.lastData))
 	}
 	r.first = false
@@ -115,7 +120,7 @@
 // it: an engine that hangs may still send them.
 func (r *resumer) patience() time.Duration {
 	limit := coldSilence
-	if usual := time.Duration(r.gap.value.Load()); usual > 0 && !r.first {
+	if usual := r.gap.usual(); usual > 0 && !r.first {
 		limit = max(silenceFactor*usual, minSilence)
 	}
 	limit = min(limit, max(time.Until(r.w.Deadline)/2, minSilence))
@@ -187,7 +192,7 @@
 		return verdict.New(verdict.Ran, verdict.CodeCut, "the stream was cut and holds more than one choice of plain text")
 	case r.stuck(&p):
 		return verdict.New(verdict.Ran, verdict.CodeCut, "the stream was cut again and again without any new text")
-	case !r.s.retryBudget(r.w.service).Take():
+	case !r.pace.paid && !r.s.retryBudget(r.w.service).Take():
 		return verdict.New(verdict.Ran, verdict.CodeCut, "the stream was cut and the retry budget is used up")
 	}
 	body, err := continuation(r.w.Body, &p)
@@ -226,6 +231,7 @@
 	r.s.record("stream-resumed", &r.w.Call, r.w.Stage)
 	r.cur, r.origin = a.stream, p
 	r.first, r.lastData = true, time.Now()
+	r.pace = pace{usual: r.pace.usual, moved: r.pace.paid}
 	return nil
 }
 
