--- a/node/pipeline/estimate.go
+++ b/node/pipeline/estimate.go
@@ -127,8 +127,6 @@
 	return v.(*gap)
 }
 
-func (g *gap) usual() time.Duration { return time.Duration(g.value.Load()) }
-
 func (g *gap) add(d time.Duration) {
 	old := g.value.Load()
 	if old == 0 {
--- a/node/pipeline/resume.go
+++ b/node/pipeline/resume.go
@@ -32,7 +32,6 @@
 	first    bool // no event of the current engine was read yet
 	barren   int  // resumptions in a row without any new text
 	gap      *gap
-	pace     pace
 }
 
 const (
@@ -44,7 +43,7 @@
 )
 
 func newResumer(ctx context.Context, s *Service, w *work, st *stream) *resumer {
-	return &resumer{ctx: ctx, s: s, w: w, cur: st, lastData: time.Now(), first: true, gap: s.gaps.of(w.Service), pace: pace{usual: s.gaps.of(w.Service).usual()}}
+	return &resumer{ctx: ctx, s: s, w: w, cur: st, lastData: time.Now(), first: true, gap: s.gaps.of(w.Service)}
 }
 
 // Read implements io.Reader. It returns as many whole events as have come.
@@ -76,9 +75,6 @@
 		if err == nil {
 			err = r.pass()
 		}
-		if err == nil && r.leaveSlow() {
-			err = verdict.New(verdict.Ran, verdict.CodeCut, "the engine was much slower than usual")
-		}
 		if err != nil {
 			r.cut(err)
 			return
@@ -109,7 +105,6 @@
 
 func (r *resumer) noteData(now time.Time) {
 	if !r.first {
-		r.pace.add(now.Sub(r.lastData))
 		r.gap.add(now.Sub(r.lastData))
 	}
 	r.first = false
@@ -120,7 +115,7 @@
 // it: an engine that hangs may still send them.
 func (r *resumer) patience() time.Duration {
 	limit := coldSilence
-	if usual := r.gap.usual(); usual > 0 && !r.first {
+	if usual := time.Duration(r.gap.value.Load()); usual > 0 && !r.first {
 		limit = max(silenceFactor*usual, minSilence)
 	}
 	limit = min(limit, max(time.Until(r.w.Deadline)/2, minSilence))
@@ -192,7 +187,7 @@
 		return verdict.New(verdict.Ran, verdict.CodeCut, "the stream was cut and holds more than one choice of plain text")
 	case r.stuck(&p):
 		return verdict.New(verdict.Ran, verdict.CodeCut, "the stream was cut again and again without any new text")
-	case !r.pace.paid && !r.s.retryBudget(r.w.service).Take():
+	case !r.s.retryBudget(r.w.service).Take():
 		return verdict.New(verdict.Ran, verdict.CodeCut, "the stream was cut and the retry budget is used up")
 	}
 	body, err := continuation(r.w.Body, &p)
@@ -231,7 +226,6 @@
 	r.s.record("stream-resumed", &r.w.Call, r.w.Stage)
 	r.cur, r.origin = a.stream, p
 	r.first, r.lastData = true, time.Now()
-	r.pace = pace{usual: r.pace.usual, moved: r.pace.paid}
 	return nil
 }
 
