pipeline: an upstream that answers errors counts as failing, not as the fastest

Cause: an attempt answered with status 500 ended as answered, so routing learned that the failing upstream was the fastest and sent it the most, until the retry budget was used up. Test: TestErrorAnswersSpeakAgainstTheUpstream, before 434 of 500 calls failed and 494 attempts went to the failing one, after none and 6.

--- a/node/pipeline/exchange.go
+++ b/node/pipeline/exchange.go
@@ -107,7 +107,7 @@
 		return nil, err
 	}
 	e.Sent(w.prefix)
-	m.ReadCloser = a.Body
+	m.ReadCloser, m.status = a.Body, a.Status
 	out := &answer{status: a.Status, contentType: a.ContentType}
 	if strings.HasPrefix(a.ContentType, wire.ContentEventStream) {
 		out.stream, err = begun(m, cancel, w.Repeatable)
@@ -163,6 +163,7 @@
 	endpoint *routing.Endpoint
 	flight   routing.Flight
 	started  time.Time
+	status   int     // of the answer
 	foretold float64 // share of the prompt that was expected to be cached
 	tail     []byte
 	silent   atomic.Bool
@@ -208,6 +209,9 @@
 	m.once.Do(func() {
 		took := time.Since(m.started)
 		o := outcomeOf(m.ctx, err)
+		if err == nil {
+			o = outcomeOfStatus(m.status)
+		}
 		if m.silent.Load() {
 			o = routing.Failed
 		}
@@ -254,6 +258,18 @@
 	return routing.Failed
 }
 
+// outcomeOfStatus keeps an upstream that answers errors at once from looking
+// like the fastest one.
+func outcomeOfStatus(status int) routing.Outcome {
+	switch {
+	case status >= http.StatusInternalServerError:
+		return routing.Failed
+	case status == http.StatusTooManyRequests:
+		return routing.Refused
+	}
+	return routing.Answered
+}
+
 func (s *Service) noteCapacity(w *work, err error) {
 	if verdict.LacksCapacity(err) {
 		s.pressure.Report(w.Service, true)
--- a/node/pipeline/exchange_test.go
+++ b/node/pipeline/exchange_test.go
@@ -298,3 +298,32 @@
 		t.Errorf("%s holds a pipeline's field", body)
 	}
 }
+
+// TestErrorAnswersSpeakAgainstTheUpstream: one of four that answers 500 at once
+// must lose its traffic instead of drawing it as the fastest one.
+func TestErrorAnswersSpeakAgainstTheUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		failed, bad := 0, 0
+		g := &fakeGate{}
+		g.answer = func(ctx context.Context, _ int, e *routing.Endpoint, _ dispatch.Call) (*dispatch.Answer, error) {
+			if e.Member.ID == "s-0" {
+				failed++
+				return after(ctx, time.Millisecond, 500, "{}")
+			}
+			return after(ctx, 50*time.Millisecond, 200, "{}")
+		}
+		sv := serviceOf("s", optext.Plain, true)
+		sv.RoutingPolicy, sv.RetryPercent, sv.HedgePercent = "predicted", 10, 0
+		s := newFake(g, 4, sv)
+		for range 500 {
+			a, err := s.exchange(t.Context(), &work{Call: callOf(sv, time.Second), service: sv, size: 100})
+			if err != nil || a.status != 200 {
+				bad++
+			}
+		}
+		t.Logf("%d of 500 calls failed; the failing upstream got %d attempts", bad, failed)
+		if bad > 0 || failed > 50 {
+			t.Errorf("%d of 500 calls failed; the failing upstream got %d attempts", bad, failed)
+		}
+	})
+}
