--- a/node/pipeline/exchange.go
+++ b/node/pipeline/exchange.go
@@ -122,6 +122,7 @@
 	}
 	s.record("attempt-sent", &c, c.Stage+" to "+string(e.Member.ID))
 	m.flight = e.Start(w.size - cached)
+	s.pressure.Report(w.Service, false)
 	a, err := s.dispatch.Do(ctx, e, c)
 	if err != nil {
 		cancel()
@@ -130,7 +131,7 @@
 		return nil, err
 	}
 	e.Sent(w.prefix)
-	m.ReadCloser = a.Body
+	m.ReadCloser, m.status = a.Body, a.Status
 	out := &answer{status: a.Status, contentType: a.ContentType}
 	if strings.HasPrefix(a.ContentType, wire.ContentEventStream) {
 		out.stream, err = begun(m, cancel, w.Repeatable)
@@ -186,6 +187,7 @@
 	endpoint *routing.Endpoint
 	flight   routing.Flight
 	started  time.Time
+	status   int     // of the answer
 	foretold float64 // share of the prompt that was expected to be cached
 	tail     []byte
 	silent   atomic.Bool
@@ -231,6 +233,9 @@
 	m.once.Do(func() {
 		took := time.Since(m.started)
 		o := outcomeOf(m.ctx, err)
+		if err == nil {
+			o = outcomeOfStatus(m.status)
+		}
 		if m.silent.Load() {
 			o = routing.Failed
 		}
@@ -277,13 +282,20 @@
 	return routing.Failed
 }
 
-func (s *Service) noteCapacity(w *work, err error) {
-	if err == nil {
-		s.pressure.Report(w.Service, false)
-		return
+// outcomeOfStatus keeps an upstream that answers errors at once from looking
+// like the fastest one.
+func outcomeOfStatus(status int) routing.Outcome {
+	switch {
+	case status >= http.StatusInternalServerError:
+		return routing.Failed
+	case status == http.StatusTooManyRequests:
+		return routing.Refused
 	}
-	switch v := verdict.From(err); {
-	case v.Verdict == verdict.NotRun && (v.Code == verdict.CodeOverloaded || v.Code == verdict.CodeDeadline):
+	return routing.Answered
+}
+
+func (s *Service) noteCapacity(w *work, err error) {
+	if verdict.LacksCapacity(err) {
 		s.pressure.Report(w.Service, true)
 	}
 }
--- a/node/pipeline/pipeline.go
+++ b/node/pipeline/pipeline.go
@@ -42,9 +42,10 @@
 	Do(context.Context, *routing.Endpoint, dispatch.Call) (*dispatch.Answer, error)
 }
 
-// pressure is told whether attempts were refused for lack of capacity.
+// pressure is told of every attempt that is sent, and of those that were
+// refused for lack of capacity.
 type pressure interface {
-	Report(service string, overloaded bool)
+	Report(service string, refused bool)
 }
 
 // Service runs pipelines and single calls.
@@ -127,23 +128,23 @@
 	budget  *retry.Budget
 }
 
-func (s *Service) budget(all map[string]*budgetOf, name string, percent int) *retry.Budget {
+func (s *Service) budget(all map[string]*budgetOf, name string, percent int, make func(int) *retry.Budget) *retry.Budget {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := all[name]
 	if b == nil || b.percent != percent {
-		b = &budgetOf{percent, retry.NewBudget(percent)}
+		b = &budgetOf{percent, make(percent)}
 		all[name] = b
 	}
 	return b.budget
 }
 
 func (s *Service) retryBudget(sv *optext.Service) *retry.Budget {
-	return s.budget(s.retries, sv.Name, sv.RetryPercent)
+	return s.budget(s.retries, sv.Name, sv.RetryPercent, retry.NewBudget)
 }
 
 func (s *Service) hedgeBudget(sv *optext.Service) *retry.Budget {
-	return s.budget(s.hedges, sv.Name, sv.HedgePercent)
+	return s.budget(s.hedges, sv.Name, sv.HedgePercent, retry.NewHedgeBudget)
 }
 
 func (s *Service) record(kind timeline.Kind, c *dispatch.Call, detail string) {
