Stand-in engine: a limit on tokens counts new tokens; the bench keeps wrong answers

Kept word for word, each lacked exactly the tokens that had been passed on before its stream was resumed: the entry lowers max_tokens by what was generated, as the chat API means it, and the stand-in took the limit as that of the whole answer. Change: the stand-in adds the limit to what the request holds; wrong answers are kept in the report, five a row. Test failed first. Conclusion: a fault of the instrument, not of the product.

--- a/ctl/bench/report.go
+++ b/ctl/bench/report.go
@@ -70,6 +70,9 @@
 func (r *Report) writeNotes(out io.Writer) {
 	seen := map[string]bool{}
 	for _, x := range r.Results {
+		for _, a := range x.WrongAnswers {
+			fmt.Fprintf(out, "%s %s: WRONG answer to %s (%s, sent %d times)\n  want %q\n  got  %q\n", x.Scenario, x.Policy, a.Request, a.Flow, a.Sends, a.Want, a.Got)
+		}
 		if !seen[x.Scenario] {
 			fmt.Fprintf(out, "%s: %s\n", x.Scenario, x.Assumption)
 			seen[x.Scenario] = true
--- a/ctl/bench/result.go
+++ b/ctl/bench/result.go
@@ -54,6 +54,8 @@
 	Failed  int `json:"failed"`
 	Wrong   int `json:"wrong"`
 
+	WrongAnswers []WrongAnswer `json:"wrong_answers,omitempty"` // the first few
+
 	FalseNotRun   int `json:"false_not_run"`  // refused as not run, but the last stage ran
 	PartlyRun     int `json:"partly_run"`     // refused as not run, but an earlier stage ran
 	Doubled       int `json:"doubled"`        // keyed calls that ran more than once
@@ -202,6 +204,18 @@
 	r.time(o)
 }
 
+// maxWrongKept bounds the wrong answers that are kept word for word.
+const maxWrongKept = 5
+
+// WrongAnswer is an answer that did not belong to its request.
+type WrongAnswer struct {
+	Request string `json:"request"`
+	Flow    string `json:"flow"`
+	Sends   int    `json:"sends"`
+	Want    string `json:"want"`
+	Got     string `json:"got"`
+}
+
 func (r *Result) classify(o Outcome, class Class) {
 	switch class {
 	case TooLate:
@@ -215,6 +229,9 @@
 		r.Failed++
 	case Wrong:
 		r.Wrong++
+		if len(r.WrongAnswers) < maxWrongKept {
+			r.WrongAnswers = append(r.WrongAnswers, WrongAnswer{o.Request.ID, o.Request.Flow.Name, o.Reply.Sends, o.Request.Expect, o.Reply.Text})
+		}
 	}
 	if o.Reply.Whole {
 		return
--- a/fake/standin/chat.go
+++ b/fake/standin/chat.go
@@ -147,10 +147,11 @@
 
 func (s *Server) newRun(r *http.Request, req ChatRequest) *chatRun {
 	run := &chatRun{s: s, req: req, id: r.Header.Get(headerRequestID), prompt: req.Prompt(), tokens: s.opts.Tokens}
+	run.first = len(strings.Fields(req.partial()))
 	if req.MaxTokens > 0 {
-		run.tokens = req.MaxTokens
+		run.tokens = run.first + req.MaxTokens // the limit counts new tokens
 	}
-	run.first = min(len(strings.Fields(req.partial())), run.tokens)
+	run.first = min(run.first, run.tokens)
 	rest := strings.Builder{}
 	if run.first == 0 {
 		rest.WriteString(answerRole)
--- a/fake/standin/standin_test.go
+++ b/fake/standin/standin_test.go
@@ -130,3 +130,19 @@
 		t.Fatalf("after 2 s: load of %d running, %d of 100 events at a loss of a half", got, len(events))
 	}
 }
+
+// TestContinuationLimitsNewTokens continues an answer under a limit: as in the
+// chat API, it counts the tokens still to come, not those in the request.
+func TestContinuationLimitsNewTokens(t *testing.T) {
+	engine := httptest.NewServer(New(Options{Kind: KindEngine, Tokens: 9}).Handler())
+	defer engine.Close()
+	question := chatOf("how many?")
+	rest := resumed(question, 3)
+	rest.MaxTokens = 2
+	_, answer := post(t, engine.URL+"/v1/chat/completions", "limited", rest)
+	for i, want := range map[int]bool{2: false, 3: true, 4: true, 5: false} {
+		if strings.Contains(answer, Token(question.Prompt(), i)) != want {
+			t.Errorf("token %d: want %v in %s", i, want, answer)
+		}
+	}
+}
