peer: the search for a leader ends

Cause: CallLeader repeated no_quorum, shutting_down and not-leader until the caller's context ended, so a keyed call without a quorum was held until its deadline. A context that had ended before the first attempt gave no error at all, and the empty reply was read as a conflict of keys. Ruled out: a bound per call alone holds each new call for the whole bound. Change: a call is given up after SearchLimit (2.5 s, a little above the worst fail-over). Once no leader was found for as long, calls under way end and new ones fail at once; one goroutine asks for the leader (control.lead) meanwhile. Before: TestSearchEnds does not return in 10 s, TestEndedCallIsNoAnswer gets no error. After: both pass, 20 runs under -race.

--- a/node/control/service.go
+++ b/node/control/service.go
@@ -93,6 +93,7 @@
 	peer.Handle(s.server, MethodSettle, s.settle)
 	peer.Handle(s.server, MethodIdentity, s.identity)
 	peer.Handle(s.server, MethodRaft, s.raft)
+	peer.Handle(s.server, peer.MethodLead, s.lead)
 	return s, nil
 }
 
@@ -184,6 +185,14 @@
 	return &peer.ErrNotLeader{Leader: wire.MemberID(l.ID), Address: l.Address}
 }
 
+// lead answers only where a quorum confirmed the lead lately.
+func (s *Service) lead(context.Context, *Empty) (*Empty, error) {
+	if _, ok := stampOf(s.cluster); !ok || !s.cluster.IsLeader() {
+		return nil, s.notLeader()
+	}
+	return &Empty{}, nil
+}
+
 // leaderError replaces ErrNotLeader by one that says who leads.
 func (s *Service) leaderError(err error) error {
 	if errors.Is(err, replica.ErrNotLeader) {
--- a/node/peer/control.go
+++ b/node/peer/control.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 
 	"caperdrum.org/api/verdict"
@@ -13,14 +14,20 @@
 // Control calls the control processes. It remembers which one leads and finds
 // the new leader after a change.
 type Control struct {
+	clock clockwork.Clock
+	ctx   context.Context // ends with Close
+	close context.CancelFunc
+
 	mu      sync.Mutex
 	clients []*Client
 	current int
+	search  *search // nil while the leader answers
 }
 
 // NewControl returns a Control over the given addresses.
 func NewControl(addresses []string, dial Dialer) *Control {
-	c := &Control{}
+	c := &Control{clock: clockwork.NewRealClock()}
+	c.ctx, c.close = context.WithCancel(context.Background())
 	for _, a := range addresses {
 		c.clients = append(c.clients, NewClient(a, dial))
 	}
@@ -32,24 +39,46 @@
 	callLimit  = 2 * time.Second // a control process that does not answer by then is passed over
 )
 
-// CallLeader repeats an idempotent call until the leader has answered it or
-// ctx has ended.
+// ErrNoLeader says that no leader answered a call in time. The call may have
+// reached one, and may take effect.
+const ErrNoLeader = errors.ConstError("peer: no leader answered")
+
+// CallLeader repeats an idempotent call until the leader has answered it, ctx
+// has ended or SearchLimit is over. Once no leader has been found for
+// SearchLimit it fails at once, with ErrNoLeader as in the other two cases.
 func (c *Control) CallLeader(ctx context.Context, method string, params, result any) error {
+	caller := ctx
+	ctx, cancel := context.WithCancel(caller)
+	defer cancel()
+	defer c.clock.AfterFunc(SearchLimit, cancel).Stop()
 	var last error
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !c.givenUp() {
 		client := c.pick()
 		last = c.callOnce(ctx, client, method, params, result)
-		if last == nil {
-			return nil
-		}
-		var v *verdict.Error
-		if errors.As(last, &v) && !leadershipEnded(v) {
+		if led(last) {
+			c.found()
 			return last
 		}
+		if errors.Is(caller.Err(), context.Canceled) {
+			break // the caller left; that says nothing about the leader
+		}
+		c.missed()
 		c.moveOn(client, last)
 		sleep(ctx, retryPause)
 	}
-	return errors.Annotatef(last, "no leader answered %s", method)
+	if last == nil {
+		last = ErrNoLeader
+	}
+	return errors.WithType(errors.Annotate(last, method), ErrNoLeader)
+}
+
+// led reports whether err, or its absence, is a leader's answer.
+func led(err error) bool {
+	if err == nil {
+		return true
+	}
+	var v *verdict.Error
+	return errors.As(err, &v) && !leadershipEnded(v)
 }
 
 // leadershipEnded reports whether the called process stopped leading while it
@@ -61,6 +90,9 @@
 func (c *Control) callOnce(ctx context.Context, client *Client, method string, params, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
+	if s := c.searching(); s != nil {
+		defer s.onExpiry(cancel)()
+	}
 	return client.Call(ctx, method, params, result)
 }
 
@@ -103,6 +135,8 @@
 
 // Close closes all connections.
 func (c *Control) Close() {
+	c.close()
+	c.found()
 	for _, cl := range c.clients {
 		cl.Close()
 	}
--- a/node/peer/handover_test.go
+++ b/node/peer/handover_test.go
@@ -32,6 +32,10 @@
 func serve(t *testing.T, answer func() (*spoken, error)) string {
 	s := NewServer()
 	Handle(s, "say", func(context.Context, *spoken) (*spoken, error) { return answer() })
+	return listen(t, s)
+}
+
+func listen(t *testing.T, s *Server) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/node/peer/search_test.go
@@ -0,0 +1,108 @@
+package peer
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+)
+
+// leading is one control process that leads, does not lead, or hangs.
+type leading struct {
+	leads, hangs atomic.Bool
+	asked        atomic.Int64 // calls, without questions for the leader
+	arrived      chan struct{}
+}
+
+func (l *leading) handle(ctx context.Context) (*spoken, error) {
+	if l.hangs.Load() {
+		<-ctx.Done()
+	}
+	if !l.leads.Load() {
+		return nil, &ErrNotLeader{}
+	}
+	return &spoken{"answered"}, nil
+}
+
+func (l *leading) control(t *testing.T) (*Control, *clockwork.FakeClock) {
+	l.arrived = make(chan struct{}, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	s := NewServer()
+	Handle(s, MethodLead, func(context.Context, *spoken) (*spoken, error) { return l.handle(ctx) })
+	Handle(s, "say", func(context.Context, *spoken) (*spoken, error) {
+		l.asked.Add(1)
+		select {
+		case l.arrived <- struct{}{}:
+		default:
+		}
+		return l.handle(ctx)
+	})
+	address := listen(t, s)
+	clock := clockwork.NewFakeClock()
+	c := NewControl([]string{address}, DialTCP)
+	c.clock = clock
+	t.Cleanup(func() {
+		c.Close()
+		cancel()
+	})
+	return c, clock
+}
+
+// TestSearchEnds has callers without a deadline of their own. They are answered
+// once no leader was found for SearchLimit, later ones at once and without a
+// call, and calls pass again once there is a leader.
+func TestSearchEnds(t *testing.T) {
+	for _, name := range []string{"does not lead", "hangs"} {
+		t.Run(name, func(t *testing.T) {
+			l := &leading{}
+			l.hangs.Store(name == "hangs")
+			c, clock := l.control(t)
+			ended := make(chan error, 1)
+			go func() { ended <- c.CallLeader(context.Background(), "say", spoken{}, nil) }()
+			<-l.arrived
+			if name == "hangs" {
+				// Another caller misses the leader meanwhile.
+				short, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+				c.CallLeader(short, "say", spoken{}, nil)
+				cancel()
+			}
+			for c.searching() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			clock.Advance(SearchLimit)
+			if err := <-ended; !errors.Is(err, ErrNoLeader) {
+				t.Fatalf("first call: %v", err)
+			}
+			before := l.asked.Load()
+			if err := c.CallLeader(context.Background(), "say", spoken{}, nil); !errors.Is(err, ErrNoLeader) || l.asked.Load() != before {
+				t.Fatalf("later call: %v after %d calls", err, l.asked.Load()-before)
+			}
+			if name == "hangs" {
+				return
+			}
+			l.leads.Store(true)
+			for c.givenUp() {
+				time.Sleep(time.Millisecond)
+			}
+			var got spoken
+			if err := c.CallLeader(context.Background(), "say", spoken{}, &got); err != nil || got.Text != "answered" {
+				t.Fatalf("with a leader: %+v, %v", got, err)
+			}
+		})
+	}
+}
+
+// TestEndedCallIsNoAnswer calls with a context that has ended: no answer was
+// read, so there must be an error.
+func TestEndedCallIsNoAnswer(t *testing.T) {
+	l := &leading{}
+	c, _ := l.control(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := c.CallLeader(ctx, "say", spoken{}, nil); !errors.Is(err, ErrNoLeader) {
+		t.Fatalf("got %v", err)
+	}
+}
