--- a/node/ledger/fakes_test.go
+++ b/node/ledger/fakes_test.go
@@ -46,6 +46,7 @@
 	cancel   context.CancelFunc
 	pending  *operation
 	resume   chan struct{}
+	life     int // of the entry
 	killed   bool
 	ended    bool
 	number   int
@@ -87,16 +88,37 @@
 
 func (r *request) Claim(_ context.Context, c wire.ClaimRequest) (wire.ClaimReply, error) {
 	return exchange(r, nil, func() (wire.ClaimReply, error) {
-		return r.w.apply(state.Command{Claims: []wire.ClaimRequest{c}}).Claims[0], nil
+		return r.w.claim(r, c), nil
 	})
 }
 
 func (r *request) Settle(_ context.Context, c wire.SettleRequest) (wire.SettleReply, error) {
 	return exchange(r, nil, func() (wire.SettleReply, error) {
-		return r.w.apply(state.Command{Settles: []wire.SettleRequest{c}}).Settles[0], nil
+		return r.w.settle(c), nil
 	})
 }
 
+// claim and settle apply to the state machine.
+
+func (w *world) claim(r *request, c wire.ClaimRequest) wire.ClaimReply {
+	reply := w.apply(state.Command{Claims: []wire.ClaimRequest{c}}).Claims[0]
+	if reply.State == wire.ClaimGranted && w.holders[c.ClaimKey].attempt != c.Attempt {
+		w.holders[c.ClaimKey] = holding{c.Attempt, r, w.spent[c.Attempt]}
+	}
+	w.spent[c.Attempt] = true
+	return reply
+}
+
+func (w *world) settle(c wire.SettleRequest) wire.SettleReply {
+	if c.Outcome.Verdict == verdict.NotRun {
+		w.spent[c.Attempt] = true
+	}
+	if w.holders[c.ClaimKey].attempt == c.Attempt {
+		delete(w.holders, c.ClaimKey)
+	}
+	return w.apply(state.Command{Settles: []wire.SettleRequest{c}}).Settles[0]
+}
+
 // The gates interface follows node/dispatch: the same reactions to the same
 // failures.
 
@@ -192,7 +214,7 @@
 
 // start runs a request until its first exchange.
 func (w *world) start(entry int, key wire.ClaimKey, body string) *request {
-	r := &request{w: w, entry: entry, key: key, resume: make(chan struct{})}
+	r := &request{w: w, entry: entry, life: w.lives[entry], key: key, resume: make(chan struct{})}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	w.requests++
 	r.number, r.started = w.requests, w.tick()
@@ -204,8 +226,9 @@
 			r.attempts = append(r.attempts, id)
 			return id
 		},
-		member: func(id wire.MemberID) (wire.Member, bool) { m, ok := w.members[entry][id]; return m, ok },
-		record: func(timeline.Kind, dispatch.Call, string) {}}
+		member:     func(id wire.MemberID) (wire.Member, bool) { m, ok := w.members[entry][id]; return m, ok },
+		unrecorded: func(s wire.SettleRequest) { w.owed[entry] = append(w.owed[entry], s) },
+		record:     func(timeline.Kind, dispatch.Call, string) {}}
 	go func() {
 		defer func() { w.parked <- struct{}{} }()
 		r.result, r.err = run.Run(r.ctx, key.Key, r.call, "")
--- a/node/ledger/ledger_test.go
+++ b/node/ledger/ledger_test.go
@@ -44,12 +44,30 @@
 	notRun map[wire.AttemptID]bool
 	ran    map[wire.AttemptID]bool
 
+	owed    [entries][]wire.SettleRequest // that control has not confirmed
+	lives   [entries]int                  // grows when an entry dies
+	holders map[wire.ClaimKey]holding     // unsettled claims
+	spent   map[wire.AttemptID]bool       // whose claim was taken or released before
+
 	padding string // appended to the answers of answerAll
 	full    bool   // the ledger takes no new key
 	ticks   int64
 	history []porcupine.Operation
 }
 
+// holding is an unsettled claim. A late one was taken a second time, or after its
+// release: the leader takes an entry's calls in the order they were sent, and what
+// a former leader took is in the log before them or never.
+type holding struct {
+	attempt wire.AttemptID
+	request *request
+	late    bool
+}
+
+// dead reports whether the entry that made the claim is gone: only the gate can
+// say then what became of it.
+func (h holding) dead() bool { return h.request.life != h.request.w.lives[h.request.entry] }
+
 // fataler is a *testing.T or a *rapid.T.
 type fataler interface {
 	Fatal(...any)
@@ -65,7 +83,7 @@
 func newWorld(t fataler) *world {
 	w := &world{t: t, clock: clockwork.NewFakeClock(), parked: make(chan struct{}), machine: state.New(),
 		runs: map[wire.ClaimKey]int{}, owner: map[string]answerOwner{}, seen: map[wire.ClaimKey]string{},
-		notRun: map[wire.AttemptID]bool{}, ran: map[wire.AttemptID]bool{}}
+		notRun: map[wire.AttemptID]bool{}, ran: map[wire.AttemptID]bool{}, holders: map[wire.ClaimKey]holding{}, spent: map[wire.AttemptID]bool{}}
 	for i := range gateNum {
 		g := &fakeGate{w: w, id: wire.MemberID(fmt.Sprint("desk-", i))}
 		g.restart()
@@ -250,6 +268,8 @@
 // Kill ends an entry with all its requests; its messages may still arrive.
 func (w *world) Kill(t *rapid.T) {
 	entry := rapid.IntRange(0, entries-1).Draw(t, "entry")
+	w.owed[entry] = nil
+	w.lives[entry]++
 	for _, r := range slices.Clone(w.live) {
 		if r.entry != entry {
 			continue
@@ -337,6 +357,7 @@
 		w.window++
 		clear(w.runs)
 		clear(w.seen)
+		clear(w.holders)
 	}
 	w.clock.Advance(d)
 	for _, g := range w.gates {
@@ -408,8 +429,35 @@
 	return "", false
 }
 
-// Check is made after every action.
-func (w *world) Check(*rapid.T) {}
+// Record lets an entry record what it owes, perhaps with a fault.
+func (w *world) Record(t *rapid.T) {
+	entry := rapid.IntRange(0, entries-1).Draw(t, "entry")
+	if len(w.owed[entry]) == 0 {
+		t.Skip("nothing")
+	}
+	r := w.owed[entry][0]
+	switch rapid.SampledFrom([]string{"", "", "lose request", "lose answer"}).Draw(t, "fault") {
+	case "":
+		w.settle(r)
+		w.owed[entry] = w.owed[entry][1:]
+	case "lose answer":
+		w.settle(r)
+	}
+}
+
+// Check is made after every action. A key whose caller was told that its call
+// did not run is not held by that call, unless its entry still owes the release.
+func (w *world) Check(t *rapid.T) {
+	for key, h := range w.holders {
+		r := h.request
+		if h.late || h.dead() || !r.ended || r.err == nil || verdict.Of(r.err) != verdict.NotRun {
+			continue
+		}
+		if !slices.ContainsFunc(w.owed[r.entry], func(s wire.SettleRequest) bool { return s.Attempt == h.attempt }) {
+			t.Fatalf("key %v is held by %s, whose caller was told %v", key, h.attempt, r.err)
+		}
+	}
+}
 
 // answers is the model of keyed calls: a key has no answer until one is given,
 // and that one for ever.
@@ -451,6 +499,7 @@
 	add("break", 1, w.Break)
 	add("kill", 1, w.Kill)
 	add("restart", 1, w.Restart)
+	add("record", 2, w.Record)
 	add("refresh", 1, w.Refresh)
 	add("cut", 1, w.Cut)
 	return actions
--- a/node/ledger/run.go
+++ b/node/ledger/run.go
@@ -9,11 +9,13 @@
 	"unicode/utf8"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
 
 	"caperdrum.org/api/timeline"
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/dispatch"
+	"caperdrum.org/node/peer"
 	"caperdrum.org/node/routing"
 )
 
@@ -42,6 +44,7 @@
 	clock      clockwork.Clock
 	newAttempt func() wire.AttemptID
 	member     func(wire.MemberID) (wire.Member, bool)
+	unrecorded func(wire.SettleRequest) // records it later
 	record     func(kind timeline.Kind, c dispatch.Call, detail string)
 }
 
@@ -136,7 +139,11 @@
 	reply, err := r.control.Claim(ctx, claim)
 	if err != nil {
 		// The claim may stand, but its attempt was never submitted and never
-		// will be: whoever finds the claim has the gate confirm that.
+		// will be. Whoever finds the claim has the gate confirm that; since the
+		// gate may be gone by then, it is released from here as well.
+		if !errors.Is(err, peer.ErrNotTaken) {
+			r.unrecorded(wire.SettleRequest{ClaimKey: claim.ClaimKey, Attempt: claim.Attempt, Outcome: wire.Outcome{Verdict: verdict.NotRun}})
+		}
 		return nil, verdict.New(verdict.NotRun, verdict.CodeNoQuorum, "the key could not be claimed: %v", err)
 	}
 	r.record("key-"+timeline.Kind(reply.State), c, string(claim.Attempt))
@@ -208,9 +215,11 @@
 func (r *runner) settle(claim wire.ClaimRequest, o wire.Outcome) (wire.Outcome, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
-	reply, err := r.control.Settle(ctx, wire.SettleRequest{ClaimKey: claim.ClaimKey, Attempt: claim.Attempt, Outcome: o})
+	request := wire.SettleRequest{ClaimKey: claim.ClaimKey, Attempt: claim.Attempt, Outcome: o}
+	reply, err := r.control.Settle(ctx, request)
 	if err != nil {
-		// The gate keeps the answer; a resend records it.
+		// The gate keeps the answer: a resend records it, if it is first.
+		r.unrecorded(request)
 		return o, verdict.New(verdict.MayHaveRun, verdict.CodeNoQuorum, "the outcome could not be recorded: %v", err)
 	}
 	return reply.Outcome, nil
--- a/node/ledger/service.go
+++ b/node/ledger/service.go
@@ -35,8 +35,11 @@
 // Service runs keyed calls.
 type Service struct {
 	runner
-	ring *timeline.Ring
-	sync *configsync.Service
+	ring  *timeline.Ring
+	sync  *configsync.Service
+	later *unrecorded
+
+	cancel context.CancelFunc
 }
 
 // New returns the service.
@@ -51,9 +54,26 @@
 		member:     s.member,
 		record:     s.record,
 	}
+	s.later = newUnrecorded(s.control, s.clock)
+	s.unrecorded = s.later.add
 	return s
 }
 
+// Start implements kernel.Starter.
+func (s *Service) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	go s.later.run(ctx)
+	return nil
+}
+
+// Stop implements kernel.Stopper. What is not recorded by then is left to
+// resends.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	return nil
+}
+
 // leader is the control interface over the peer links.
 type leader struct{ control *peer.Control }
 
--- /dev/null
+++ b/node/ledger/unrecorded_test.go
@@ -0,0 +1,49 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+
+	"caperdrum.org/api/wire"
+)
+
+// TestUnrecorded fails every other settlement. Each is recorded once, in the
+// end, and nothing is kept beyond the bounds.
+func TestUnrecorded(t *testing.T) {
+	u := newUnrecorded(nil, clockwork.NewFakeClock())
+	var mu sync.Mutex
+	tries, recorded := 0, map[string]int{}
+	u.settle = func(_ context.Context, r wire.SettleRequest) error {
+		mu.Lock()
+		defer mu.Unlock()
+		if tries++; tries%2 == 0 {
+			return errors.New("no leader")
+		}
+		recorded[r.Key]++
+		return nil
+	}
+	for i := range 3*unrecordedBatch + 5 {
+		u.add(wire.SettleRequest{ClaimKey: wire.ClaimKey{Key: string(rune('a' + i))}})
+	}
+	for u.step(context.Background()) {
+	}
+	if len(recorded) != 3*unrecordedBatch+5 || u.bytes != 0 {
+		t.Fatalf("%d recorded, %d bytes left", len(recorded), u.bytes)
+	}
+	for key, n := range recorded {
+		if n != 1 {
+			t.Errorf("%q recorded %d times", key, n)
+		}
+	}
+	large := wire.SettleRequest{Outcome: wire.Outcome{Body: make([]byte, maxOutcome)}}
+	for range unrecordedBytes/maxOutcome + 1 {
+		u.add(large)
+	}
+	if len(u.list) != unrecordedBytes/maxOutcome || u.bytes != unrecordedBytes {
+		t.Fatalf("%d kept with %d bytes", len(u.list), u.bytes)
+	}
+}
--- a/node/peer/control.go
+++ b/node/peer/control.go
@@ -43,6 +43,10 @@
 // reached one, and may take effect.
 const ErrNoLeader = errors.ConstError("peer: no leader answered")
 
+// ErrNotTaken says, beside ErrNoLeader, that no process took the call: it has no
+// effect, now or later.
+const ErrNotTaken = errors.ConstError("peer: call not taken")
+
 // CallLeader repeats an idempotent call until the leader has answered it, ctx
 // has ended or SearchLimit is over. Once no leader has been found for
 // SearchLimit it fails at once, with ErrNoLeader as in the other two cases.
@@ -52,13 +56,15 @@
 	defer cancel()
 	defer c.clock.AfterFunc(SearchLimit, cancel).Stop()
 	var last error
+	taken := false
 	for ctx.Err() == nil && !c.givenUp() {
 		client := c.pick()
 		last = c.callOnce(ctx, client, method, params, result)
 		if led(last) {
 			c.found()
-			return last
+			return untaken(last, taken)
 		}
+		taken = taken || !refused(last)
 		if errors.Is(caller.Err(), context.Canceled) {
 			break // the caller left; that says nothing about the leader
 		}
@@ -69,7 +75,22 @@
 	if last == nil {
 		last = ErrNoLeader
 	}
-	return errors.WithType(errors.Annotate(last, method), ErrNoLeader)
+	return untaken(errors.WithType(errors.Annotate(last, method), ErrNoLeader), taken)
+}
+
+// untaken adds ErrNotTaken to a failure of a call that no process took.
+func untaken(err error, taken bool) error {
+	if err == nil || taken || !refused(err) && !errors.Is(err, ErrNoLeader) {
+		return err
+	}
+	return errors.WithType(err, ErrNotTaken)
+}
+
+// refused reports whether err proves that the call was not taken.
+func refused(err error) bool {
+	var nl *ErrNotLeader
+	var v *verdict.Error
+	return errors.As(err, &nl) || errors.Is(err, ErrUnreachable) || errors.As(err, &v) && v.Verdict == verdict.NotRun
 }
 
 // led reports whether err, or its absence, is a leader's answer.
--- a/node/peer/search_test.go
+++ b/node/peer/search_test.go
@@ -73,11 +73,12 @@
 				time.Sleep(time.Millisecond)
 			}
 			clock.Advance(SearchLimit)
-			if err := <-ended; !errors.Is(err, ErrNoLeader) {
+			// A call that hangs may have been taken; one that is refused was not.
+			if err := <-ended; !errors.Is(err, ErrNoLeader) || errors.Is(err, ErrNotTaken) != (name == "does not lead") {
 				t.Fatalf("first call: %v", err)
 			}
 			before := l.asked.Load()
-			if err := c.CallLeader(context.Background(), "say", spoken{}, nil); !errors.Is(err, ErrNoLeader) || l.asked.Load() != before {
+			if err := c.CallLeader(context.Background(), "say", spoken{}, nil); !errors.Is(err, ErrNotTaken) || l.asked.Load() != before {
 				t.Fatalf("later call: %v after %d calls", err, l.asked.Load()-before)
 			}
 			if name == "hangs" {
