gate: a stopping gate refuses new work for a while before it is gone

The stopping gate had no work, closed its kept connections at once, and a submission on one of them met EOF: the entry cannot tell that from a call that ran, and the new start of the gate knows nothing of it. Ruled out: the ledger (its verdict is right for what it saw); the entry repeating the submission (it could run twice). Change: Stop refuses as not run, upstream_leaving, for leave_grace (1 s) while the entries hear of the leaving; then it closes. Tests: TestStoppingGateStillRefuses fails with the grace at zero (EOF, may-have-run) and passes with it. Conclusion: an entry that is cut off from control for longer than the grace can still meet a closing gate.

--- a/node/dispatch/path_test.go
+++ b/node/dispatch/path_test.go
@@ -91,8 +91,12 @@
 }
 
 func startGate(t *testing.T, u *upstream) (*gate.Service, uint64) {
+	return startGraceful(t, u, 0)
+}
+
+func startGraceful(t *testing.T, u *upstream, grace time.Duration) (*gate.Service, uint64) {
 	set := &settings.Settings{Agent: settings.AgentRole{Listen: "127.0.0.1:0", Upstream: u.Listener.Addr().String(),
-		KeepAnswers: time.Minute, KeepBytes: 1 << 20, MaxAnswer: 1 << 20}}
+		KeepAnswers: time.Minute, KeepBytes: 1 << 20, MaxAnswer: 1 << 20, LeaveGrace: grace}}
 	sync := newSync()
 	g := gate.New(gate.Params{Settings: set, Log: logr.Discard(), Ring: timeline.NewRing("gate", "vm", 64), Sync: sync})
 	if err := g.Start(context.Background()); err != nil {
@@ -285,3 +289,39 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// A stopping gate refuses new work as not run for a while. If it closed its
+// connections at once, a submission on a kept one would be lost, and nobody
+// could say that it had not run.
+func TestStoppingGateStillRefuses(t *testing.T) {
+	u := newUpstream(t)
+	g, incarnation := startGraceful(t, u, time.Hour)
+	e, d := endpoint(g.Address(), incarnation), newDispatch()
+	a, err := d.Do(context.Background(), e, newCall("/plain", "first"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.Copy(io.Discard, a.Body)
+	a.Body.Close()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error)
+	go func() { stopped <- g.Stop(ctx) }()
+	refused := 0
+	for refused < 3 {
+		a, err := d.Do(context.Background(), e, newCall("/plain", "late"))
+		if err == nil { // admitted before the stop took effect
+			io.Copy(io.Discard, a.Body)
+			a.Body.Close()
+			continue
+		}
+		if v := verdict.From(err); v.Verdict != verdict.NotRun || v.Code != verdict.CodeLeaving {
+			t.Fatalf("a stopping gate answered %v", v)
+		}
+		refused++
+	}
+	cancel()
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -110,16 +110,22 @@
 }
 
 // Stop implements kernel.Stopper: no new work, then every attempt in flight
-// is brought to its end.
+// is brought to its end. New work is refused as not run until the entries have
+// heard of the leaving: a submission that met a closing connection instead
+// could not be told from one that ran.
 func (s *Service) Stop(ctx context.Context) error {
 	s.Leave(true)
+	heard := time.Now().Add(s.set.LeaveGrace)
 	for {
 		queued, running, _ := s.table.load()
-		if queued+running == 0 {
+		if queued+running == 0 && !time.Now().Before(heard) {
 			break
 		}
 		select {
 		case <-ctx.Done():
+			if queued+running == 0 {
+				return s.server.Close()
+			}
 			s.server.Close()
 			return errors.Errorf("gate: %d attempts cut at the end of the drain time", queued+running)
 		case <-time.After(drainPoll):
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -77,6 +77,7 @@
 	KeepBytes   int64         `ini:"keep_answer_bytes"` // of ended answers, over all attempts
 	MaxAnswer   int64         `ini:"max_answer_bytes"`
 	HealthPath  string        `ini:"health_path"`
+	LeaveGrace  time.Duration `ini:"leave_grace"` // how long a stopping gate still refuses new work instead of being gone
 }
 
 // Debug is the section [debug].
@@ -124,7 +125,7 @@
 		Node:    Node{DrainTimeout: 30 * time.Second, LogLevel: "info", Timeline: 4096},
 		Control: ControlRole{Lease: 3 * time.Second, Voters: 3, LedgerMax: 128 << 20},
 		Entry:   EntryRole{MaxBody: 4 << 20, StaleAfter: 5 * time.Second, MaxInFlight: 4096, MaxAnswer: 16 << 20},
-		Agent:   AgentRole{KeepAnswers: 2 * time.Minute, KeepBytes: 8 << 20, MaxAnswer: 16 << 20, HealthPath: "/health"},
+		Agent:   AgentRole{KeepAnswers: 2 * time.Minute, KeepBytes: 8 << 20, MaxAnswer: 16 << 20, HealthPath: "/health", LeaveGrace: time.Second},
 	}
 }
 
