--- a/node/cmd/caperdrumd/main.go
+++ b/node/cmd/caperdrumd/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	runtimedebug "runtime/debug"
 	"syscall"
 
 	"github.com/go-logr/logr"
@@ -70,7 +71,21 @@
 	return serve(set)
 }
 
+// entryGCPercent lets an entry's heap grow to four times what is live before
+// it is collected. An entry's live heap is small and its garbage, a request's
+// buffers and headers, is not: at 100 the collector took a quarter of the
+// processor time of a call.
+const entryGCPercent = 300
+
+// tuneCollector leaves a value from the environment (GOGC) in force.
+func tuneCollector(set *settings.Settings) {
+	if os.Getenv("GOGC") == "" && set.Has(settings.Entry) {
+		runtimedebug.SetGCPercent(entryGCPercent)
+	}
+}
+
 func serve(set *settings.Settings) int {
+	tuneCollector(set)
 	log := logging.New(os.Stderr, set.Node.Name, set.Node.LogLevel)
 	store, err := security.New(security.Files(set.TLS))
 	if err != nil {
