Repair: plan finishes its work, and says whole only when it is

Ruled out: dropping the silent voter before its replacement votes (one copy less meanwhile); Match against the commit index of now (flickers with entries under way, so it is the index committed a step, 500 ms, ago).

Change: voters above the wanted number go first, silent ones before others, the one that holds the least next, only once all that work hold what was committed; a learner is promoted only when heard from since the last check of the quorum; a learner not needed is removed; the report names a voter that misses entries and says when a change is under way.

Conclusion: "the voters that hold the state never fall" holds up to the wanted number; a voter above it is removed. Not covered: a voter dead for less than silentLimit, with no writes since, is not in the report yet.

--- a/node/control/repair.go
+++ b/node/control/repair.go
@@ -21,6 +21,8 @@
 	s      *Service
 	silent map[consensus.NodeID]time.Time
 	report atomic.Pointer[string]
+
+	term, committed uint64 // at the last step
 }
 
 const (
@@ -63,11 +65,13 @@
 func (r *repair) step(ctx context.Context) error {
 	status := r.s.replica.Status()
 	r.noteSilence(status)
+	need := r.need(status)
 	if status.MembershipPending {
+		r.say("a change of the voters is under way")
 		return nil
 	}
 	spares := r.findSpares(ctx, status)
-	next, why := plan(status, spares, r.silentVoters(), r.s.set.Control.Voters)
+	next, why := plan(status, spares, r.silentVoters(), r.s.set.Control.Voters, need)
 	r.say(why)
 	if next == nil {
 		return nil
@@ -82,6 +86,17 @@
 	return errors.Trace(err)
 }
 
+// need returns the entry that a whole voter holds: the last one committed a
+// step ago, as entries of the last moments may be under way.
+func (r *repair) need(status consensus.Status) uint64 {
+	need := r.committed
+	if r.term != status.Term {
+		need = status.Committed
+	}
+	r.term, r.committed = status.Term, status.Committed
+	return need
+}
+
 // noteSilence tracks since when each other replica's log has stood still
 // without an answer.
 func (r *repair) noteSilence(status consensus.Status) {
@@ -109,7 +124,7 @@
 // findSpares asks the listed control processes that are not working members
 // who they are, all at once: those that are dead answer nothing.
 func (r *repair) findSpares(ctx context.Context, status consensus.Status) []consensus.Peer {
-	if whole(status, r.silentVoters(), r.s.set.Control.Voters) {
+	if countWorking(status, r.silentVoters()) >= r.s.set.Control.Voters {
 		return nil
 	}
 	found := make([]*consensus.Peer, len(r.s.set.Peers.Control)) // in the order of the settings
@@ -135,17 +150,6 @@
 	return out
 }
 
-// whole reports whether enough voters work, so that no spare is needed.
-func whole(st consensus.Status, silent map[consensus.NodeID]bool, want int) bool {
-	working := 0
-	for _, v := range st.Membership.Voters {
-		if v.ID == st.ID || !silent[v.ID] {
-			working++
-		}
-	}
-	return working >= want
-}
-
 func answering(status consensus.Status, silent map[consensus.NodeID]bool, address string) bool {
 	for _, p := range status.Membership.All() {
 		if p.Address == address && !silent[p.ID] {
@@ -167,39 +171,90 @@
 	return id.Peer, nil
 }
 
-// plan returns the next membership, or nil, and what repair waits for. Each
-// step changes at most one voter. A silent voter is removed only after its
-// replacement votes, so the number of synced copies never falls.
-func plan(st consensus.Status, spares []consensus.Peer, silent map[consensus.NodeID]bool, want int) (*consensus.Membership, string) {
+// plan returns the next membership, or nil, and what repair waits for: nothing
+// only when the wanted number of voters work and hold every entry up to need,
+// with no other member. Each step changes at most one voter. A voter is removed
+// only when there are more than wanted and all that work are whole, so that the
+// number of synced copies among the wanted voters never falls.
+func plan(st consensus.Status, spares []consensus.Peer, silent map[consensus.NodeID]bool, want int, need uint64) (*consensus.Membership, string) {
 	m := st.Membership
+	for _, l := range m.Learners {
+		if silent[l.ID] {
+			return dropLearner(m, l.ID), fmt.Sprintf("learner %s is silent: removing it", l.ID)
+		}
+	}
+	if len(m.Voters) > want {
+		return removeVoter(st, silent, want, need)
+	}
+	if working := countWorking(st, silent); working < want {
+		return addVoter(st, spares, working, want)
+	}
+	if len(m.Learners) > 0 {
+		id := m.Learners[0].ID
+		return dropLearner(m, id), fmt.Sprintf("%d voters work: removing learner %s, which is not needed", want, id)
+	}
+	return nil, missing(st, silent, need)
+}
+
+func countWorking(st consensus.Status, silent map[consensus.NodeID]bool) int {
 	working := 0
-	for _, v := range m.Voters {
+	for _, v := range st.Membership.Voters {
 		if v.ID == st.ID || !silent[v.ID] {
 			working++
 		}
 	}
-	for _, l := range m.Learners {
-		if silent[l.ID] {
-			return dropLearner(m, l.ID), fmt.Sprintf("learner %s is silent: removing it", l.ID)
+	return working
+}
+
+// missing names a voter that is not silent and lacks entries up to need; empty
+// when there is none.
+func missing(st consensus.Status, silent map[consensus.NodeID]bool, need uint64) string {
+	for _, v := range st.Membership.Voters {
+		match := st.Progress[v.ID].Match
+		if v.ID != st.ID && !silent[v.ID] && match < need {
+			return fmt.Sprintf("voter %s holds entries up to %d, not yet %d", v.ID, match, need)
 		}
 	}
-	if working < want {
-		return addVoter(st, spares, silent, working, want)
+	return ""
+}
+
+// removeVoter brings a voter set that is too large down: a silent voter goes
+// first, else the one that holds the least, the newest of equals, once all
+// answer.
+func removeVoter(st consensus.Status, silent map[consensus.NodeID]bool, want int, need uint64) (*consensus.Membership, string) {
+	m := st.Membership
+	if why := missing(st, silent, need); why != "" {
+		return nil, why
 	}
-	if len(m.Voters) > want {
-		for _, v := range m.Voters {
-			if v.ID != st.ID && silent[v.ID] {
-				return dropVoter(m, v.ID), fmt.Sprintf("voter %s is silent and replaced: removing it", v.ID)
-			}
+	var last *consensus.Peer
+	idle := ""
+	for _, v := range m.Voters {
+		if v.ID == st.ID {
+			continue
+		}
+		if silent[v.ID] {
+			return dropVoter(m, v.ID), fmt.Sprintf("voter %s is silent and replaced: removing it", v.ID)
+		}
+		if !st.Progress[v.ID].Active {
+			idle = string(v.ID)
 		}
+		if last == nil || st.Progress[v.ID].Match <= st.Progress[last.ID].Match {
+			last = &v
+		}
+	}
+	if idle != "" || last == nil {
+		return nil, fmt.Sprintf("%d voters for %d: waiting to hear from %s", len(m.Voters), want, idle)
 	}
-	return nil, ""
+	return dropVoter(m, last.ID), fmt.Sprintf("%d voters for %d: removing %s", len(m.Voters), want, last.ID)
 }
 
-func addVoter(st consensus.Status, spares []consensus.Peer, silent map[consensus.NodeID]bool, working, want int) (*consensus.Membership, string) {
+// addVoter promotes a learner that caught up and was heard from lately, or adds
+// a spare as a learner.
+func addVoter(st consensus.Status, spares []consensus.Peer, working, want int) (*consensus.Membership, string) {
 	m := st.Membership
 	for _, l := range m.Learners {
-		if st.Progress[l.ID].Match+promoteLag >= st.Last && st.Progress[l.ID].Match >= st.SnapshotIndex {
+		pr := st.Progress[l.ID]
+		if pr.Active && pr.Match+promoteLag >= st.Last && pr.Match >= st.SnapshotIndex {
 			return promote(m, l), fmt.Sprintf("learner %s caught up: promoting it", l.ID)
 		}
 	}
