apply: says at once when all that are heard from have the text

Cause: an agent that dies just before the leader gets a whole lease anew from the next leader, which does not know when it was last heard from; apply waits for that lease. The grant also counted as a sign of life, so the report of members gave the dead agent a fresh "last seen".

Ruled out: a shorter grant (a member that works but whose renewal is late would be removed). Not tried: taking the time of the last renewal from the followers that forwarded it.

Change: the report gives a granted lease as "not heard from yet" until the member renews. apply prints once when all that lag are silent or not heard from (and some member has the text), names them, and waits on, for they may run with the older text until their leases end; the last line is as before. `status` prints "not yet" in place of -1ns.

--- a/ctl/commands/config.go
+++ b/ctl/commands/config.go
@@ -137,11 +137,13 @@
 const pollInterval = 50 * time.Millisecond
 
 // waitInForce waits until every member reports the version, and names those
-// that lag when time runs out.
+// that lag when time runs out. It says so once when all that are heard from
+// have it, and waits on for the others: until their leases end, they may run.
 func waitInForce(ctx context.Context, cl *adminclient.Client, version uint64) subcommands.ExitStatus {
 	started := time.Now()
 	var members, behind []wire.MemberStatus
 	all := map[wire.MemberID]bool{}
+	told := false
 	for {
 		rows, err := cl.Members(ctx)
 		if err == nil {
@@ -154,13 +156,17 @@
 				printGone(all, members)
 				return subcommands.ExitSuccess
 			}
+			if !told && onlySilent(rows, behind) {
+				told = true
+				fmt.Printf("in force on %d of %d after %s, all that are heard from; waiting for the others or the end of their leases\n",
+					len(members)-len(behind), len(all), time.Since(started).Round(time.Millisecond))
+				printBehind(behind)
+			}
 		}
 		select {
 		case <-ctx.Done():
 			fmt.Printf("in force on %d of %d\n", len(members)-len(behind), len(all))
-			for _, m := range behind {
-				fmt.Printf("  %s on %s: version %d; %s\n", m.ID, m.VM, m.ConfigVersion, why(m))
-			}
+			printBehind(behind)
 			printGone(all, members)
 			return subcommands.ExitFailure
 		case <-time.After(pollInterval):
@@ -168,6 +174,23 @@
 	}
 }
 
+func printBehind(behind []wire.MemberStatus) {
+	for _, m := range behind {
+		fmt.Printf("  %s on %s: version %d; %s\n", m.ID, m.VM, m.ConfigVersion, why(m))
+	}
+}
+
+// onlySilent reports whether some members are heard from and all that lag are
+// not. Just after a change of the leader, one that works may be among these.
+func onlySilent(rows, behind []wire.MemberStatus) bool {
+	for _, m := range behind {
+		if m.LastSeen >= 0 && m.LastSeen <= silentAfter {
+			return false
+		}
+	}
+	return len(behind) < len(rows)
+}
+
 // silentAfter is the age of a renewal that a working process does not reach.
 const silentAfter = 1500 * time.Millisecond
 
--- a/ctl/commands/status.go
+++ b/ctl/commands/status.go
@@ -153,7 +153,14 @@
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "MEMBER\tROLE\tVM\tDATA CENTRE\tSERVICE\tVERSION\tLAST SEEN\tLEAVING")
 	for _, m := range rows {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%v\n", m.ID, m.Role, m.VM, m.DataCenter, m.Service, m.ConfigVersion, m.LastSeen.Round(time.Millisecond), m.Leaving)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%v\n", m.ID, m.Role, m.VM, m.DataCenter, m.Service, m.ConfigVersion, lastSeen(m.LastSeen), m.Leaving)
 	}
 	w.Flush()
 }
+
+func lastSeen(age time.Duration) string {
+	if age < 0 {
+		return "not yet"
+	}
+	return age.Round(time.Millisecond).String()
+}
--- a/node/control/leases.go
+++ b/node/control/leases.go
@@ -42,6 +42,7 @@
 	incarnation uint64
 	version     uint64
 	fault       string
+	granted     bool // at is that of a grant: nothing was heard since
 }
 
 func newLeases(c cluster, clock clockwork.Clock, ttl time.Duration, ring *timeline.Ring) *leases {
@@ -63,7 +64,7 @@
 		if held && max(old.incarnation, known.Incarnation) > r.Member.Incarnation {
 			continue // a late message of an earlier start, or the VM's clock went back
 		}
-		l.seen[r.Member.ID] = seen{now, r.Member.Incarnation, r.ConfigVersion, r.Fault}
+		l.seen[r.Member.ID] = seen{at: now, incarnation: r.Member.Incarnation, version: r.ConfigVersion, fault: r.Fault}
 		if waiting, queued := l.pending[r.Member.ID]; queued && !r.Member.Follows(waiting) {
 			continue
 		}
@@ -134,7 +135,7 @@
 	defer l.mu.Unlock()
 	for id, m := range l.cluster.View().Members {
 		s := l.seen[id]
-		s.at, s.incarnation = now, max(m.Incarnation, s.incarnation)
+		s.at, s.granted, s.incarnation = now, true, max(m.Incarnation, s.incarnation)
 		l.seen[id] = s
 	}
 }
@@ -177,7 +178,7 @@
 	for id, m := range members {
 		s, ok := l.seen[id]
 		if !ok {
-			l.seen[id] = seen{at: now, incarnation: m.Incarnation}
+			l.seen[id] = seen{at: now, incarnation: m.Incarnation, granted: true}
 			continue
 		}
 		if now.Sub(s.at) > l.ttl {
@@ -192,7 +193,8 @@
 	return out
 }
 
-// report lists the members with what the leader last heard from them.
+// report lists the members with what the leader last heard from them. A lease
+// that was granted is no sign of life.
 func (l *leases) report() []wire.MemberStatus {
 	now := l.clock.Now()
 	view := l.cluster.View()
@@ -202,7 +204,10 @@
 	for id, m := range view.Members {
 		row := wire.MemberStatus{Member: m, LastSeen: -1}
 		if s, ok := l.seen[id]; ok {
-			row.LastSeen, row.ConfigVersion, row.Fault = now.Sub(s.at), s.version, s.fault
+			row.ConfigVersion, row.Fault = s.version, s.fault
+			if !s.granted {
+				row.LastSeen = now.Sub(s.at)
+			}
 		}
 		out = append(out, row)
 	}
--- a/node/control/leases_test.go
+++ b/node/control/leases_test.go
@@ -77,3 +77,24 @@
 		t.Fatalf("the members hold %+v", m)
 	}
 }
+
+// TestGrantIsNoSignOfLife lets a new leader grant leases: until a member renews,
+// it is reported as not heard from.
+func TestGrantIsNoSignOfLife(t *testing.T) {
+	w := newWorld(nil)
+	lead := w.nodes[0].svc.leases
+	both := []Renewal{{Member: wire.Member{ID: "m0", Incarnation: 1}}, {Member: wire.Member{ID: "m1", Incarnation: 1}}}
+	lead.renew(both)
+	lead.step(context.Background())
+	w.clock.Advance(expiryInterval)
+	w.term++
+	lead.step(context.Background())
+	lead.renew(both[:1])
+	w.clock.Advance(expiryInterval)
+	want := map[wire.MemberID]time.Duration{"m0": expiryInterval, "m1": -1}
+	for _, row := range lead.report() {
+		if row.LastSeen != want[row.ID] {
+			t.Errorf("%s: last seen %s ago, want %s", row.ID, row.LastSeen, want[row.ID])
+		}
+	}
+}
