--- a/node/consensus/cluster_test.go
+++ b/node/consensus/cluster_test.go
@@ -37,6 +37,9 @@
 	hash    uint64
 	waiting map[uint64]uint64 // proposals: index to term
 	reads   map[uint64]uint64 // read id to the index that it must not miss
+
+	capture *consensus.Snapshot // in work; its data is set, the node goes on
+	written bool                // capture is durable
 }
 
 // cluster runs hosts over a network that loses, delays, doubles and reorders,
@@ -110,7 +113,7 @@
 }
 
 // stop ends a process. Its unsynced bytes stay in the file system.
-func (c *cluster) stop(h *host) { h.node, h.log = nil, nil }
+func (c *cluster) stop(h *host) { h.node, h.log, h.capture, h.written = nil, nil, nil, false }
 
 // crash is a loss of power.
 func (c *cluster) crash(h *host) {
@@ -254,16 +257,36 @@
 	}
 }
 
+// compact takes one step of what replica.maybeCompact does: capture, write or
+// install. Anything may come between two steps.
 func (c *cluster) compact(h *host, trailing uint64) {
-	st := h.node.Status()
-	if h.node.HasReady() || st.Applied <= st.SnapshotIndex {
-		return
+	switch {
+	case h.capture == nil:
+		if h.capture = h.node.Capture(); h.capture != nil {
+			h.capture.Data = snapshotData(h.hash)
+		}
+	case !h.written:
+		if h.log.WriteSnapshot(h.capture) != nil {
+			c.crash(h)
+			return
+		}
+		h.written = true
+	case !h.node.HasReady():
+		c.install(h, trailing)
 	}
-	s := h.node.Compact(st.Applied, snapshotData(h.hash))
-	if s == nil {
+}
+
+func (c *cluster) install(h *host, trailing uint64) {
+	s := h.capture
+	h.capture, h.written = nil, false
+	if !h.node.Compact(s) {
+		c.did.Overtaken++
 		return
 	}
-	if err := h.log.SaveSnapshot(s, h.node.HardState(), h.node.EntriesAfter(s.Index)); err != nil {
+	if h.node.Status().Applied > s.Index {
+		c.did.Delayed++
+	}
+	if err := h.log.StartAfter(s, h.node.HardState(), h.node.EntriesAfter(s.Index)); err != nil {
 		c.crash(h)
 		return
 	}
--- a/node/consensus/machine_test.go
+++ b/node/consensus/machine_test.go
@@ -13,6 +13,7 @@
 // counts says how much a run really tried.
 type counts struct {
 	Runs, Inputs, Committed, Leaders, Crashes, Wipes, Snapshots, Reads, Memberships int
+	Delayed, Overtaken                                                              int // snapshots installed behind the log, and made void
 }
 
 var total counts
@@ -26,6 +27,8 @@
 	n.Wipes += c.did.Wipes
 	n.Snapshots += c.did.Snapshots
 	n.Reads += c.did.Reads
+	n.Delayed += c.did.Delayed
+	n.Overtaken += c.did.Overtaken
 	n.Memberships += len(c.forces)
 }
 
@@ -118,11 +121,17 @@
 	func(t *rapid.T, c *cluster) { tick(t, c, drawUp(t, c)) },
 	func(t *rapid.T, c *cluster) { propose(t, c, drawUp(t, c)) },
 	func(t *rapid.T, c *cluster) { readAt(t, c, drawUp(t, c)) },
-	func(t *rapid.T, c *cluster) { c.compact(drawUp(t, c), rapid.Uint64Range(0, 3).Draw(t, "trailing")) },
+	compact,
+	compact,
+	compact,
 	reform,
 	transfer,
 }
 
+func compact(t *rapid.T, c *cluster) {
+	c.compact(drawUp(t, c), rapid.Uint64Range(0, 3).Draw(t, "trailing"))
+}
+
 func readAt(t *rapid.T, c *cluster, h *host) {
 	c.read(h)
 	maybeWork(t, c, h)
--- a/node/consensus/node_test.go
+++ b/node/consensus/node_test.go
@@ -169,7 +169,7 @@
 		n.Propose([]byte("x"))
 		ack(n, "b")
 	}
-	n.Compact(n.Status().Applied, []byte("state"))
+	n.Compact(n.Capture())
 	n.TrimLog(n.Status().Applied)
 	heartbeat := func() int {
 		n.Tick()
--- a/node/consensus/ready.go
+++ b/node/consensus/ready.go
@@ -114,16 +114,34 @@
 	}
 }
 
-// Compact replaces the log up to index by a snapshot with the given state.
-// index must be the last applied one, since the snapshot takes the current
-// membership.
-func (n *Node) Compact(index uint64, data []byte) *Snapshot {
+// Capture returns a snapshot of what is applied, without its data. It is nil
+// when the last snapshot covers that already. The caller adds the data, stores
+// it and hands it to Compact, while the node goes on.
+func (n *Node) Capture() *Snapshot {
+	index := n.log.applied
 	t, ok := n.log.term(index)
-	if !ok || index != n.log.applied {
+	if !ok || index <= n.snapshotIndex() {
 		return nil
 	}
-	n.snap = &Snapshot{Index: index, Term: t, Membership: n.members, Data: data}
-	return n.snap
+	return &Snapshot{Index: index, Term: t, Membership: n.members}
+}
+
+// Compact takes a captured snapshot, which must be durable, as this node's own.
+// It reports false when one that was received meanwhile covers more.
+func (n *Node) Compact(s *Snapshot) bool {
+	t, ok := n.log.term(s.Index)
+	if !ok || t != s.Term || s.Index <= n.snapshotIndex() {
+		return false
+	}
+	n.snap = s
+	return true
+}
+
+func (n *Node) snapshotIndex() uint64 {
+	if n.snap == nil {
+		return 0
+	}
+	return n.snap.Index
 }
 
 // TrimLog drops entries up to index from memory; a snapshot must cover them.
@@ -150,11 +168,8 @@
 // Status returns the node's current status.
 func (n *Node) Status() Status {
 	s := Status{ID: n.id, Role: n.role, Term: n.term, Leader: n.leader, First: n.log.first, Last: n.log.last(),
-		Committed: n.log.committed, Applied: n.log.applied, Membership: n.members,
+		Committed: n.log.committed, Applied: n.log.applied, Membership: n.members, SnapshotIndex: n.snapshotIndex(),
 		MembershipPending: n.role == Leader && n.pendingMembership > n.log.applied}
-	if n.snap != nil {
-		s.SnapshotIndex = n.snap.Index
-	}
 	if n.role == Leader {
 		s.Progress = make(map[NodeID]Progress, len(n.progress))
 		for id, pr := range n.progress {
--- a/node/replica/loop.go
+++ b/node/replica/loop.go
@@ -12,6 +12,7 @@
 // error it returns at once: a replica that cannot sync must not take part.
 func (r *Replica) Run(ctx context.Context) error {
 	defer r.log.Close()
+	defer r.dropCapture()
 	defer close(r.done)
 	ticker := r.opts.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -140,6 +141,9 @@
 
 func (r *Replica) save(rd consensus.Ready) error {
 	if rd.Snapshot != nil {
+		if err := r.dropCapture(); err != nil {
+			return err
+		}
 		hs := r.currentHardState(rd)
 		return r.log.SaveSnapshot(rd.Snapshot, hs, rd.Entries)
 	}
@@ -230,47 +234,3 @@
 	next := make(chan struct{})
 	close(*r.changed.Swap(&next))
 }
-
-// maybeCompact replaces a long log by a snapshot.
-func (r *Replica) maybeCompact() error {
-	if r.log.Size() < max(compactBytes, r.snapshotBytes) {
-		return nil
-	}
-	s := r.node.Status()
-	if s.Applied <= s.SnapshotIndex {
-		return nil
-	}
-	data, err := r.machine.Snapshot()
-	if err != nil {
-		return errors.Trace(err)
-	}
-	snap := r.node.Compact(s.Applied, data)
-	if snap == nil {
-		return nil
-	}
-	if err := r.log.SaveSnapshot(snap, r.node.HardState(), r.node.EntriesAfter(snap.Index)); err != nil {
-		return errors.Trace(err)
-	}
-	r.snapshotBytes = int64(len(data))
-	r.trim(snap.Index)
-	return nil
-}
-
-// trim keeps the newest entries before the snapshot for followers that lag a
-// little, bounded in number and bytes.
-func (r *Replica) trim(index uint64) {
-	first := r.node.Status().First
-	if index > trailing {
-		first = max(first, index-trailing)
-	}
-	entries := r.node.EntriesAfter(first)
-	entries = entries[:index-first]
-	size := 0
-	for k := len(entries); k > 0; k-- {
-		if size += len(entries[k-1].Data); size > trailingBytes {
-			first = entries[k-1].Index
-			break
-		}
-	}
-	r.node.TrimLog(first)
-}
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -68,6 +68,9 @@
 	waiting map[uint64]*proposal
 	readers map[uint64]*reader
 
+	captured      chan captured // the snapshot in work, once it is durable
+	capturing     bool
+	compactBytes  int64 // log file size that calls for a snapshot
 	snapshotBytes int64 // size of the last snapshot
 	fatal         error // the disk failed outside process
 	nextID        uint64
@@ -127,8 +130,9 @@
 		calls:   make(chan func()),
 		propose: make(chan *proposal, maxProposals),
 		steps:   make(chan []consensus.Message, 64),
-		done:    make(chan struct{}),
-		waiting: map[uint64]*proposal{}, readers: map[uint64]*reader{},
+		done:    make(chan struct{}), captured: make(chan captured, 1),
+		compactBytes: compactBytes,
+		waiting:      map[uint64]*proposal{}, readers: map[uint64]*reader{},
 		start: opts.Clock.Now(),
 	}
 	if stored.Snapshot != nil {
--- a/node/state/snapshot.go
+++ b/node/state/snapshot.go
@@ -75,7 +75,7 @@
 }
 
 // The ledger is most of a snapshot. It is coded in parts of ledgerPart entries
-// by up to codecWorkers goroutines, because a replica waits for it.
+// by up to codecWorkers goroutines, because a restart waits for it.
 const (
 	ledgerPart   = 4096
 	codecWorkers = 4
--- a/node/wal/wal.go
+++ b/node/wal/wal.go
@@ -28,7 +28,7 @@
 	snapPrefix   = "snap-"
 )
 
-// Log is an open log. It is not safe for concurrent use.
+// Log is an open log. It is not safe for concurrent use, but for WriteSnapshot.
 type Log struct {
 	fs      disk.FS
 	file    disk.File
@@ -78,12 +78,28 @@
 	if l.failed != nil {
 		return l.failed
 	}
+	if err := l.WriteSnapshot(s); err != nil {
+		return l.fail(err)
+	}
+	return l.StartAfter(s, hs, after)
+}
+
+// WriteSnapshot stores s durably in a file of its own and leaves the log as it
+// is. It may run beside Save, but not beside another snapshot. s must be made
+// of entries that are in the log: Open then keeps those that follow them.
+func (l *Log) WriteSnapshot(s *consensus.Snapshot) error {
 	data, err := encodeRecord(s)
 	if err != nil {
-		return l.fail(err)
+		return err
 	}
-	if err := disk.WriteFile(l.fs, fmt.Sprintf("%s%020d", snapPrefix, s.Index), data); err != nil {
-		return l.fail(err)
+	return disk.WriteFile(l.fs, fmt.Sprintf("%s%020d", snapPrefix, s.Index), data)
+}
+
+// StartAfter starts a new log file behind the stored snapshot s. The file
+// begins with hs and all entries after s; the files it replaces are removed.
+func (l *Log) StartAfter(s *consensus.Snapshot, hs consensus.HardState, after []consensus.Entry) error {
+	if l.failed != nil {
+		return l.failed
 	}
 	if err := l.restart(base{Index: s.Index, Term: s.Term}, hs, after); err != nil {
 		return err
