--- a/fake/pathbench/path_test.go
+++ b/fake/pathbench/path_test.go
@@ -24,6 +24,7 @@
 	length = flag.Duration("length", 5*time.Second, "time of one measurement")
 	pids   = flag.String("pids", "", "NAME=PID,... of processes whose processor time is told")
 	caFile = flag.String("ca", "", "PEM file of the authority, when the entry encrypts")
+	fixed  = flag.Float64("rate", 0, "calls a second of the latency measurement; 0 means half of the full load")
 	agents = flag.Int("workers", 64, "callers at full load")
 )
 
@@ -190,9 +191,13 @@
 	t.Logf("%s, full load: path %.0f calls/s %.0f tokens/s %d failed %s; direct %.0f calls/s %.0f tokens/s; ratio %.2f", name, rate,
 		float64(path.tokens.Load())/seconds, path.failed.Load(), path.failure, float64(direct.calls.Load())/seconds, float64(direct.tokens.Load())/seconds,
 		float64(path.calls.Load())/float64(max(direct.calls.Load(), 1)))
-	half := openLoop(rate/2, pathURL, body)
-	base := openLoop(rate/2, directURL, body)
-	t.Logf("%s, half load: %.0f calls/s, %d failed %s", name, rate/2, half.failed.Load(), half.failure)
+	partial := rate / 2
+	if *fixed > 0 {
+		partial = *fixed
+	}
+	half := openLoop(partial, pathURL, body)
+	base := openLoop(partial, directURL, body)
+	t.Logf("%s, partial load: %.0f calls/s, %d failed %s", name, partial, half.failed.Load(), half.failure)
 	report(t, name+" whole", half.whole, base.whole)
 	report(t, name+" first byte", half.first, base.first)
 	report(t, name+" between tokens", half.between, base.between)
--- a/scripts/bench_path.sh
+++ b/scripts/bench_path.sh
@@ -6,6 +6,8 @@
 #   BIN            folder of the programs, to compare two builds
 #   TLS=1          encrypts between all processes, callers' connections too
 #   TIMELINE=N     events that a process keeps
+#   RATE=N         calls a second of the latency measurement; half of the full
+#                  load by default
 #   ONLY=REGEXP    subtests, for example small_call or stream
 #   PROFILE=FILE, PROFILE_AGENT=FILE, PROFILE_ENGINE=FILE
 #                  processor profiles of the entry, the agent of desk-1 and the
@@ -64,5 +66,5 @@
 if [ -n "${PROFILE_ENGINE:-}" ]; then profile "$net.21:7102" "$PROFILE_ENGINE" & fi
 echo "load average: $(cut -d' ' -f1-3 /proc/loadavg)"
 cd "$root" && go test ./fake/pathbench -count 1 -v -run "TestPath/${ONLY:-.}" -args -entry "$net.11:8080" -plain "$net.26:9000" -engine "$net.21:9000" \
-	-length "${LENGTH:-4s}" -pids "entry=${pids[entry-1]},agent-desk=${pids[agent-desk-1]},agent-engine=${pids[agent-engine-1]}" \
+	-length "${LENGTH:-4s}" -rate "${RATE:-0}" -pids "entry=${pids[entry-1]},agent-desk=${pids[agent-desk-1]},agent-engine=${pids[agent-engine-1]}" \
 	-ca "${CAPERDRUM_TLS_CA:-}"
