Tests: one set-up of rapid for all packages; two unused functions removed

Cause: twelve packages had their own TestMain that fixes rapid's seed and length, written in six ways, and three the same wrapper for synctest bubbles. kernel.Lookup and disk.Dir.Unlock were called by nobody. Ruled out: one seed for all (each package keeps the seed, checks and steps it had, so every run is the one it was). No assertion changed. Conclusion: a new package with rapid tests needs one line.

--- a/node/admission/admission_test.go
+++ b/node/admission/admission_test.go
@@ -1,27 +1,19 @@
 package admission
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"caperdrum.org/node/internal/rapidtest"
+
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/verdict"
 )
 
-// bubbled hides the deadline of a test, which must not be asked for inside of
-// a synctest bubble.
-type bubbled struct{ rapid.TB }
-
-func TestMain(m *testing.M) {
-	flag.Set("rapid.seed", "1") // the same run every time; -rapid.seed still goes before it
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "seed=1") }
 
 // TestRateHoldsInAnyWindow: over all entries never more than rate*window and
 // the bursts are admitted, whatever the pattern, the number of entries and the
@@ -29,7 +21,7 @@
 // told is admitted.
 func TestRateHoldsInAnyWindow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		rapid.Check(bubbled{t}, func(t *rapid.T) {
+		rapid.Check(rapidtest.Bubbled{TB: t}, func(t *rapid.T) {
 			n := rapid.IntRange(1, 4).Draw(t, "entries")
 			c := &optext.Customer{Name: "c", Share: 1, Rate: rapid.Float64Range(0.5, 50).Draw(t, "rate")}
 			entries := make([]*Service, n)
--- a/node/disk/disk.go
+++ b/node/disk/disk.go
@@ -45,7 +45,7 @@
 // Dir is an FS in a folder of the operating system.
 type Dir struct {
 	path string
-	lock *os.File
+	lock *os.File // open for as long as the folder is locked
 }
 
 // OpenDir returns the FS of the folder, which it makes if it does not exist.
@@ -76,9 +76,6 @@
 	return nil
 }
 
-// Unlock lets other processes in.
-func (d *Dir) Unlock() error { return d.lock.Close() }
-
 // Create implements FS.
 func (d *Dir) Create(name string) (File, error) {
 	return os.OpenFile(d.join(name), os.O_CREATE|os.O_EXCL|os.O_WRONLY, fileMode)
--- a/node/kernel/kernel.go
+++ b/node/kernel/kernel.go
@@ -112,12 +112,6 @@
 	return service, err
 }
 
-// Lookup returns the service of the given name.
-func Lookup[T any](k *Kernel, name string) (T, bool) {
-	service, ok := k.services[name].(T)
-	return service, ok
-}
-
 // Start starts all modules. When one fails, those already started are stopped.
 func (k *Kernel) Start(ctx context.Context) error {
 	for _, m := range k.modules {
--- a/node/ledger/seed_test.go
+++ b/node/ledger/seed_test.go
@@ -1,15 +1,9 @@
 package ledger
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"caperdrum.org/node/internal/rapidtest"
 )
 
-// TestMain fixes the seed and length of rapid runs; the flags override it.
-func TestMain(m *testing.M) {
-	flag.Set("rapid.seed", "1")
-	flag.Set("rapid.steps", "100")
-	flag.Set("rapid.checks", "3000")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "seed=1", "steps=100", "checks=3000") }
--- a/node/pipeline/fake_test.go
+++ b/node/pipeline/fake_test.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
-	"os"
 	"sync"
 	"testing"
 	"time"
 
-	"pgregory.net/rapid"
+	"caperdrum.org/node/internal/rapidtest"
 
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/timeline"
@@ -21,15 +19,7 @@
 	"caperdrum.org/node/routing"
 )
 
-// bubbled hides the deadline of a test, which must not be asked for inside of
-// a synctest bubble.
-type bubbled struct{ rapid.TB }
-
-func TestMain(m *testing.M) {
-	flag.Set("rapid.seed", "1") // the same run every time; -rapid.seed still goes before it
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "seed=1") }
 
 // fakeGate answers attempts by a function and notes them.
 type fakeGate struct {
--- a/node/pipeline/resume_test.go
+++ b/node/pipeline/resume_test.go
@@ -18,6 +18,7 @@
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/dispatch"
+	"caperdrum.org/node/internal/rapidtest"
 	"caperdrum.org/node/routing"
 )
 
@@ -212,7 +213,7 @@
 // stream, under one id, with one role, one finish reason and one final event.
 func TestStreamIsWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		rapid.Check(bubbled{t}, streamIsWhole)
+		rapid.Check(rapidtest.Bubbled{TB: t}, streamIsWhole)
 	})
 }
 
--- a/node/planner/main_test.go
+++ b/node/planner/main_test.go
@@ -1,15 +1,9 @@
 package planner_test
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"caperdrum.org/node/internal/rapidtest"
 )
 
-// TestMain fixes the seed and length of the property tests; flags override both.
-func TestMain(m *testing.M) {
-	flag.Set("rapid.seed", "1")
-	flag.Set("rapid.nofailfile", "true")
-	flag.Set("rapid.steps", "60")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "seed=1", "nofailfile=true", "steps=60") }
--- a/node/retry/retry_test.go
+++ b/node/retry/retry_test.go
@@ -1,31 +1,23 @@
 package retry
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
-)
 
-// bubbled hides the deadline of a test, which must not be asked for inside of
-// a synctest bubble.
-type bubbled struct{ rapid.TB }
+	"caperdrum.org/node/internal/rapidtest"
+)
 
-func TestMain(m *testing.M) {
-	flag.Set("rapid.seed", "1") // the same run every time; -rapid.seed still goes before it
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "seed=1") }
 
 // TestBudget compares a budget with a list of all that happened: what was
 // taken never exceeds the reserve, its refills and the share of the first
 // attempts, and a refusal comes only when that is so.
 func TestBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		rapid.Check(bubbled{t}, func(t *rapid.T) {
+		rapid.Check(rapidtest.Bubbled{TB: t}, func(t *rapid.T) {
 			percent := rapid.IntRange(0, 100).Draw(t, "percent")
 			b, reserve := NewBudget(percent), 10
 			if rapid.Bool().Draw(t, "of hedges") {
--- a/node/state/seed_test.go
+++ b/node/state/seed_test.go
@@ -1,14 +1,9 @@
 package state
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"caperdrum.org/node/internal/rapidtest"
 )
 
-// TestMain fixes the seed of rapid; -rapid.seed overrides it.
-func TestMain(m *testing.M) {
-	flag.Set("rapid.seed", "1")
-	flag.Set("rapid.steps", "60")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, "seed=1", "steps=60") }
