--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo development)
-MODULES = ./api/... ./node/... ./fake/... ./ctl/... ./e2e/...
+MODULES = ./api/... ./node/... ./fake/... ./ctl/... ./e2e/... ./platform/...
 # Tests over separate processes run no product code inside the test process: the
 # race detector would see nothing there. e2e-long builds the processes with it
 # instead. Their results are never taken from go's cache, which does not know
@@ -38,7 +38,7 @@
 	./scripts/mutate.sh
 
 lint:
-	@files=$$(gofmt -l api node fake ctl e2e tools); if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
+	@files=$$(gofmt -l api node fake ctl e2e tools platform); if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
 	go vet $(MODULES)
 	go run honnef.co/go/tools/cmd/staticcheck $(MODULES)
 
--- a/api/optext/optext.go
+++ b/api/optext/optext.go
@@ -65,6 +65,8 @@
 	WakeLead    time.Duration `ini:"wake_lead" json:"wake_lead,omitempty"`       // how far ahead of a forecast rise loading starts
 	LoadTimeout time.Duration `ini:"load_timeout" json:"load_timeout,omitempty"` // a load that takes longer has failed
 	WeightBytes int64         `ini:"weight_bytes" json:"weight_bytes,omitempty"` // bytes of one load from the weight store
+
+	Direct
 }
 
 // Pipeline is a graph of stages that share one deadline.
@@ -92,8 +94,15 @@
 	Name  string  `ini:"-" json:"name"`
 	Share float64 `ini:"share" json:"share"` // weight in fair queues
 	Rate  float64 `ini:"rate" json:"rate"`   // requests per second over all entries; 0 means no limit
+
+	Keys      []string `ini:"keys" json:"-"`      // bearer keys of calls on routes
+	Priority  int      `ini:"priority" json:"-"`  // goes before a route's; NoPriority leaves that
+	Extension string   `ini:"extension" json:"-"` // see Direct.Extension
 }
 
+// NoPriority is the priority of a customer that has none of its own.
+const NoPriority = 1 << 30
+
 // Config is a whole, valid text.
 type Config struct {
 	DataCenters map[string]*DataCenter
@@ -101,7 +110,14 @@
 	Pipelines   map[string]*Pipeline
 	Customers   map[string]*Customer
 	WeightStore *WeightStore // nil when the text names none
-	models      map[string]*Pipeline
+	Routes      []*Route     // in the order of the text
+	Limits      Limits       // of callers on routes
+
+	// Extension carries what another front end's document says and caperdrum
+	// has no use for.
+	Extension string
+
+	models map[string]*Pipeline
 }
 
 // ByModel returns the pipeline that serves the chat endpoint's model name.
@@ -141,9 +157,11 @@
 }
 
 type parser struct {
-	f      *strictini.File
-	c      *Config
-	stages []stageRef
+	f           *strictini.File
+	c           *Config
+	stages      []stageRef
+	routeStages []routeStageRef
+	customers   []string // in the order of the text
 }
 
 type stageRef struct {
@@ -171,14 +189,32 @@
 	case "stage":
 		p.stage(section, name)
 	case "customer":
-		cu := &Customer{Name: name, Share: 1}
+		cu := &Customer{Name: name, Share: 1, Priority: NoPriority}
 		p.f.Decode(section, cu)
 		p.c.Customers[name] = cu
+		p.customers = append(p.customers, name)
+	case "route":
+		p.route(section, name)
+	case "route_stage":
+		p.routeStage(section, name)
+	case "limits":
+		p.f.Decode(section, &p.c.Limits)
+	case "document":
+		p.document(section)
 	case "weight_store":
 		p.weightStore(section, name)
 	default:
-		p.f.Fail(section, "", "unknown section kind "+kind, "use service, pipeline, stage, customer, data_center or weight_store")
+		p.f.Fail(section, "", "unknown section kind "+kind, "use service, pipeline, stage, route, route_stage, customer, limits, document, data_center or weight_store")
+	}
+}
+
+// document reads what belongs to no part of the text.
+func (p *parser) document(section string) {
+	var d struct {
+		Extension string `ini:"extension"`
 	}
+	p.f.Decode(section, &d)
+	p.c.Extension = d.Extension
 }
 
 func (p *parser) service(section, name string) {
@@ -187,7 +223,8 @@
 	s.setScaleDefaults()
 	p.f.Decode(section, s)
 	p.c.Services[name] = s
-	p.oneOf(section, "kind", s.Kind, string(Engine), string(Encoder), string(Retriever), string(Reranker), string(Plain))
+	p.oneOf(section, "kind", s.Kind, string(Engine), string(Encoder), string(Retriever), string(Reranker), string(Plain), string(Batch))
+	p.oneOf(section, "upstreams", s.Upstreams, "", Announced)
 	p.oneOf(section, "routing", s.RoutingPolicy, RoutingPolicies...)
 	p.oneOf(section, "queue", s.QueueDiscipline, "fair", "fifo")
 	p.oneOf(section, "limiter", s.Limiter, "fixed", "climb")
@@ -230,6 +267,7 @@
 		pl.Stages = append(pl.Stages, r.stage)
 	}
 	p.checkWeights()
+	p.checkRoutes()
 	for _, name := range sortedKeys(p.c.Pipelines) {
 		p.pipeline(p.c.Pipelines[name])
 	}
--- a/api/optext/sections.go
+++ b/api/optext/sections.go
@@ -25,6 +25,19 @@
 	return sortedKeys(changed)
 }
 
+// Names returns the names of the sections of one kind, such as service, in the
+// order of the text.
+func Names(text, kind string) []string {
+	var out []string
+	for line := range strings.Lines(text) {
+		section, isSection := strings.CutPrefix(strings.TrimSpace(line), "["+kind+":")
+		if name, closed := strings.CutSuffix(section, "]"); isSection && closed {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // sectionBodies returns each section's keys in a normal form. A section that
 // stands with nothing in it still differs from one that is missing.
 func sectionBodies(text string) map[string]string {
--- a/api/strictini/strictini.go
+++ b/api/strictini/strictini.go
@@ -140,8 +140,23 @@
 		f.Fail(section, "", "section ["+section+"] is missing", "add it")
 		return
 	}
+	f.decodeFields(sec, v, known)
+	for _, key := range sec.KeyStrings() {
+		if !known[key] {
+			f.Fail(section, key, fmt.Sprintf("unknown key %q in [%s]", key, section), "remove it or use one of: "+joinSorted(known))
+		}
+	}
+}
+
+// decodeFields fills the fields of v, those of embedded structs included, and
+// notes their keys.
+func (f *File) decodeFields(sec *ini.Section, v reflect.Value, known map[string]bool) {
 	for i := range v.NumField() {
 		field := v.Type().Field(i)
+		if field.Anonymous {
+			f.decodeFields(sec, v.Field(i), known)
+			continue
+		}
 		key := field.Tag.Get("ini")
 		if key == "" || key == "-" {
 			continue
@@ -149,11 +164,6 @@
 		known[key] = true
 		f.decodeField(sec, key, field, v.Field(i))
 	}
-	for _, key := range sec.KeyStrings() {
-		if !known[key] {
-			f.Fail(section, key, fmt.Sprintf("unknown key %q in [%s]", key, section), "remove it or use one of: "+joinSorted(known))
-		}
-	}
 }
 
 func (f *File) decodeField(sec *ini.Section, key string, field reflect.StructField, v reflect.Value) {
--- /dev/null
+++ b/api/wire/announce.go
@@ -0,0 +1,33 @@
+package wire
+
+// AnnouncedRole is the role of upstreams that announce themselves.
+const AnnouncedRole = "upstream"
+
+// AnnouncedUpstream returns the record of an upstream that announced itself.
+// One start of an upstream has one id, so its only revision is that it leaves;
+// a late sign of life cannot undo that.
+func AnnouncedUpstream(id MemberID, service, address, dataCenter string, leaving bool) Member {
+	m := Member{ID: id, Role: AnnouncedRole, Service: service, Direct: address, DataCenter: dataCenter, Incarnation: 1, Leaving: leaving}
+	if leaving {
+		m.Revision = 1
+	}
+	return m
+}
+
+// AnnounceRequest passes signs of life of announced upstreams to the leader.
+// It is answered when the replicated members hold them.
+type AnnounceRequest struct {
+	Upstreams []Member `json:"upstreams"`
+}
+
+// PutRequest replaces the operators' text if Version is above the one in force.
+type PutRequest struct {
+	Version uint64 `json:"version" cbor:"1,keyasint"`
+	Text    string `json:"text" cbor:"2,keyasint"`
+}
+
+// PutResult answers a PutRequest.
+type PutResult struct {
+	Applied bool   `json:"applied"` // false: a version at least as high was in force
+	Version uint64 `json:"version"` // in force after the call
+}
--- a/api/wire/messages.go
+++ b/api/wire/messages.go
@@ -27,6 +27,8 @@
 	Incarnation uint64   `json:"incarnation"`       // differs for every start of the process
 	Leaving     bool     `json:"leaving,omitempty"`
 	Holds       string   `json:"holds,omitempty"`    // agents only: artifacts of the upstream, see JoinArtifacts
+	Peer        string   `json:"peer,omitempty"`     // proxies only: peer address
+	Direct      string   `json:"direct,omitempty"`   // announced upstreams only: address of the upstream itself
 	Revision    uint64   `json:"revision,omitempty"` // grows with each change of the record within an incarnation
 }
 
@@ -49,13 +51,14 @@
 	Config     *ConfigText   `json:"config,omitempty"`
 	Delta      *ConfigDelta  `json:"delta,omitempty"` // instead of Config, when the caller's text is known
 	Members    *MembersDelta `json:"members,omitempty"`
-	Version    uint64        `json:"version"`     // highest accepted version known to the answering control process
-	MembersSeq uint64        `json:"members_seq"` // highest member sequence number known there
-	StampAge   time.Duration `json:"stamp_age"`   // time since a quorum confirmed Version and MembersSeq
-	Recorded   bool          `json:"recorded"`    // the members hold the caller's record as sent, or a later one
-	Renewed    bool          `json:"renewed"`     // false when the lease could not be renewed here
-	Leader     MemberID      `json:"leader"`      // control member that leads, if known
-	LeaderPeer string        `json:"leader_peer"` // its peer address
+	Version    uint64        `json:"version"`           // highest accepted version known to the answering control process
+	MembersSeq uint64        `json:"members_seq"`       // highest member sequence number known there
+	StampAge   time.Duration `json:"stamp_age"`         // time since a quorum confirmed Version and MembersSeq
+	Recorded   bool          `json:"recorded"`          // the members hold the caller's record as sent, or a later one
+	Renewed    bool          `json:"renewed"`           // false when the lease could not be renewed here
+	Leader     MemberID      `json:"leader"`            // control member that leads, if known
+	LeaderPeer string        `json:"leader_peer"`       // its peer address
+	Control    []string      `json:"control,omitempty"` // peer addresses of the voters
 
 	// Hints, which need not be current: they only say when to ask the leader.
 	Fence uint64 `json:"fence,omitempty"` // highest token known there for the caller
--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -34,6 +34,9 @@
 	Log      logr.Logger
 	Ring     *timeline.Ring
 	Dial     peer.Dialer
+	// Directory is where control processes are looked for; without one it is
+	// what the settings say.
+	Directory *peer.Directory `optional:"true"`
 }
 
 // Service holds the current view.
@@ -43,10 +46,14 @@
 	ring    *timeline.Ring
 	clock   clockwork.Clock
 	control *peer.Control // for calls to the leader
-	sources []source      // for synchronization, which any control process answers
-	current int
+	dial    peer.Dialer
 
-	unanswered []time.Time // by source: when it last did not answer; zero when it did since
+	directory  *peer.Directory
+	generation uint64   // of the directory, as sources were made
+	sources    []source // for synchronization, which any control process answers
+	current    int
+
+	unanswered map[string]time.Time // by address of a source that did not answer last time: when
 
 	listen []func(*View)
 	onHint []func()
@@ -71,16 +78,49 @@
 func New(p Params) *Service {
 	m := p.Settings.Member()
 	m.Incarnation = uint64(time.Now().UnixNano())
-	s := &Service{held: NewHolder(m), log: p.Log, ring: p.Ring, clock: clockwork.NewRealClock(), poke: make(chan struct{}, 1), done: make(chan struct{}),
-		control: peer.NewControl(p.Settings.Peers.Control, p.Dial)}
-	for _, address := range p.Settings.Peers.Control {
-		s.sources = append(s.sources, peer.NewClient(address, p.Dial))
+	if p.Directory == nil {
+		p.Directory = peer.NewDirectory(p.Settings.Peers.Control)
 	}
-	s.unanswered = make([]time.Time, len(s.sources))
+	s := &Service{held: NewHolder(m), log: p.Log, ring: p.Ring, clock: clockwork.NewRealClock(), poke: make(chan struct{}, 1), done: make(chan struct{}),
+		control: peer.NewDirectoryControl(p.Directory, p.Dial), dial: p.Dial, directory: p.Directory, unanswered: map[string]time.Time{}}
+	s.follow()
 	s.current = spread(m.ID, len(s.sources))
 	return s
 }
 
+// follow takes over the directory's addresses and keeps open what is in use.
+func (s *Service) follow() {
+	addresses, generation := s.directory.Addresses()
+	if generation == s.generation {
+		return
+	}
+	s.generation = generation
+	old := map[string]source{}
+	for _, src := range s.sources {
+		old[src.Address()] = src
+	}
+	var current string
+	if s.current < len(s.sources) {
+		current = s.sources[s.current].Address()
+	}
+	s.sources, s.current = nil, 0
+	for i, address := range addresses {
+		src := old[address]
+		if src == nil {
+			src = peer.NewClient(address, s.dial)
+		}
+		delete(old, address)
+		s.sources = append(s.sources, src)
+		if address == current {
+			s.current = i
+		}
+	}
+	for address, src := range old {
+		src.Close()
+		delete(s.unanswered, address)
+	}
+}
+
 // spread picks the control process to begin with, so that not all members
 // begin with the same.
 func spread(id wire.MemberID, n int) int {
--- a/node/configsync/holder.go
+++ b/node/configsync/holder.go
@@ -31,7 +31,7 @@
 	hint   Hint
 
 	view  atomic.Pointer[View]
-	stamp atomic.Int64 // Unix nanoseconds of the last quorum confirmation
+	stamp atomic.Pointer[time.Time] // of the last quorum confirmation, with its monotonic reading
 }
 
 // NewHolder returns a Holder for the process with the given record.
@@ -92,10 +92,10 @@
 // StampAge returns how long before now a quorum confirmed what is held.
 func (h *Holder) StampAge(now time.Time) time.Duration {
 	at := h.stamp.Load()
-	if at == 0 {
+	if at == nil {
 		return neverStamp
 	}
-	return now.Sub(time.Unix(0, at))
+	return now.Sub(*at)
 }
 
 // Take takes over what an answer to a call made at asked brings, and returns
@@ -151,9 +151,9 @@
 }
 
 func (h *Holder) confirm(at time.Time) {
-	for n := at.UnixNano(); ; {
+	for {
 		old := h.stamp.Load()
-		if old >= n || h.stamp.CompareAndSwap(old, n) {
+		if old != nil && !at.After(*old) || h.stamp.CompareAndSwap(old, &at) {
 			return
 		}
 	}
--- a/node/configsync/loop.go
+++ b/node/configsync/loop.go
@@ -63,6 +63,7 @@
 func (s *Service) run(ctx context.Context) {
 	defer close(s.done)
 	for p := startPace(); ctx.Err() == nil; {
+		s.follow()
 		src := s.sources[s.current]
 		err := s.syncOnce(ctx, src, p)
 		if err != nil && ctx.Err() == nil {
@@ -81,14 +82,15 @@
 // is left alone, so that a member does not hang on it again during an election.
 func (s *Service) moveOn(err error) {
 	n := len(s.sources)
+	address := s.sources[s.current].Address()
 	if answered(err) {
-		s.unanswered[s.current] = time.Time{}
+		delete(s.unanswered, address)
 	} else {
-		s.unanswered[s.current] = s.clock.Now()
+		s.unanswered[address] = s.clock.Now()
 	}
 	for i := 1; i <= n; i++ {
 		k := (s.current + i) % n
-		if at := s.unanswered[k]; at.IsZero() || s.clock.Since(at) > shunTime {
+		if at, silent := s.unanswered[s.sources[k].Address()]; !silent || s.clock.Since(at) > shunTime {
 			s.current = k
 			return
 		}
@@ -157,6 +159,9 @@
 		old = v.Version
 	}
 	s.takeHint(reply)
+	if reply.StampAge >= 0 && reply.StampAge <= staleStamp {
+		s.directory.Learn(reply.Control)
+	}
 	changed, err := s.held.Take(reply, asked)
 	if changed != nil {
 		s.publish(changed, old)
--- a/node/configsync/loop_test.go
+++ b/node/configsync/loop_test.go
@@ -70,6 +70,7 @@
 // answers is a control process that gives the answers in turn, then the last
 // one again.
 type answers struct {
+	address string
 	replies []wire.SyncReply
 	calls   int
 }
@@ -79,7 +80,7 @@
 	a.calls++
 	return nil
 }
-func (a *answers) Address() string { return "" }
+func (a *answers) Address() string { return a.address }
 func (a *answers) Close()          {}
 
 // TestFarewellWaitsUntilItIsRecorded answers twice without the record.
@@ -97,7 +98,7 @@
 // has passed, and all are asked when none answers.
 func TestSilentControlIsShunnedWhileOthersAnswer(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	s := &Service{clock: clock, sources: make([]source, 3), unanswered: make([]time.Time, 3)}
+	s := &Service{clock: clock, sources: []source{&answers{address: "a"}, &answers{address: "b"}, &answers{address: "c"}}, unanswered: map[string]time.Time{}}
 	var asked []int
 	for _, err := range []error{errors.New("no answer"), errNotRenewed, errNotRenewed, errNotRenewed} {
 		s.moveOn(err)
--- a/node/configsync/view.go
+++ b/node/configsync/view.go
@@ -19,6 +19,7 @@
 	Seq       uint64
 	Members   map[wire.MemberID]wire.Member
 	ByService map[string][]wire.Member // agents that are not leaving, by service, sorted by id
+	Announced map[string][]wire.Member // announced upstreams that are not leaving, likewise
 
 	ends []int // where the sections of Text end
 }
@@ -55,13 +56,22 @@
 }
 
 func (v *View) index() {
-	v.ByService = map[string][]wire.Member{}
+	v.ByService, v.Announced = map[string][]wire.Member{}, map[string][]wire.Member{}
 	for _, m := range v.Members {
-		if m.Service != "" && !m.Leaving {
+		switch {
+		case m.Service == "" || m.Leaving:
+		case m.Direct != "":
+			v.Announced[m.Service] = append(v.Announced[m.Service], m)
+		default:
 			v.ByService[m.Service] = append(v.ByService[m.Service], m)
 		}
 	}
-	for _, list := range v.ByService {
+	sortByID(v.ByService)
+	sortByID(v.Announced)
+}
+
+func sortByID(lists map[string][]wire.Member) {
+	for _, list := range lists {
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	}
 }
--- a/node/control/leases.go
+++ b/node/control/leases.go
@@ -165,6 +165,26 @@
 	return out
 }
 
+const (
+	// announcedLease is the lease of an announced upstream: five signs of life
+	// of one every 1.2 s, since they may arrive seconds late.
+	announcedLease = 6 * time.Second
+	// leavingLease is how long the record of one that leaves is kept, so that a
+	// sign of life that is seconds late does not bring it back.
+	leavingLease = 30 * time.Second
+)
+
+// ttlOf returns how long the member may be silent.
+func (l *leases) ttlOf(m wire.Member) time.Duration {
+	switch {
+	case m.Direct == "":
+		return l.ttl
+	case m.Leaving:
+		return leavingLease
+	}
+	return announcedLease
+}
+
 // expired lists the members whose lease has ended. What was seen of them is
 // kept until the removal is in the view, so that a lost command is made again;
 // then it is forgotten, so that the process may come back under any
@@ -181,7 +201,7 @@
 			l.seen[id] = seen{at: now, incarnation: m.Incarnation, granted: true}
 			continue
 		}
-		if now.Sub(s.at) > l.ttl {
+		if now.Sub(s.at) > l.ttlOf(m) {
 			out = append(out, state.Removal{ID: id, Incarnation: m.Incarnation})
 		}
 	}
--- /dev/null
+++ b/node/control/operate.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"context"
+
+	"caperdrum.org/api/optext"
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/state"
+)
+
+// Methods for front ends of administration that run in other processes.
+const (
+	MethodPut      = "control.put"
+	MethodConfig   = "control.config"
+	MethodAnnounce = "control.announce"
+	MethodOffer    = "control.offer"
+)
+
+// put replaces the text. It is acknowledged only while as many voters hold it
+// as the settings want for the losses to be borne.
+func (s *Service) put(ctx context.Context, req *wire.PutRequest) (*wire.PutResult, error) {
+	if !s.cluster.IsLeader() {
+		return nil, s.notLeader()
+	}
+	if _, err := optext.Parse("text", []byte(req.Text)); err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeInvalid, "%s", err)
+	}
+	if voters, want := len(s.cluster.Status().Membership.Voters), s.minVoters(); voters < want {
+		s.log.Info("change refused", "reason", "too few voters", "voters", voters, "want", want, "version", req.Version)
+		return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "too few control processes have joined yet")
+	}
+	res, err := s.cluster.Propose(ctx, state.Command{Put: req})
+	if err != nil {
+		return nil, s.leaderError(err)
+	}
+	s.log.Info("change accepted", "version", req.Version, "applied", res.Put.Applied, "in_force", res.Put.Version)
+	return res.Put, nil
+}
+
+func (s *Service) minVoters() int {
+	if !s.set.Control.SelfForming {
+		return 1
+	}
+	return s.set.Control.MinVoters()
+}
+
+// config reads the text in force with a quorum's confirmation.
+func (s *Service) config(ctx context.Context, _ *Empty) (*wire.ConfigText, error) {
+	if err := s.replica.ReadBarrier(ctx); err != nil {
+		return nil, s.leaderError(err)
+	}
+	text := s.cluster.View().Config
+	return &text, nil
+}
+
+// announce renews the leases of announced upstreams and answers when the
+// members hold their records, so that an upstream that is told so may count on
+// every process to hear that it leaves.
+func (s *Service) announce(ctx context.Context, req *wire.AnnounceRequest) (*Empty, error) {
+	if _, ok := stampOf(s.cluster); !ok || !s.cluster.IsLeader() {
+		return nil, s.notLeader()
+	}
+	renewals := make([]Renewal, len(req.Upstreams))
+	for i, m := range req.Upstreams {
+		renewals[i] = Renewal{Member: m}
+	}
+	s.leases.renew(renewals)
+	for {
+		changed := s.news.changed()
+		if !s.cluster.IsLeader() {
+			return nil, s.notLeader()
+		}
+		if holdsAll(s.cluster.View(), req.Upstreams) {
+			return &Empty{}, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func holdsAll(v *state.View, members []wire.Member) bool {
+	for _, m := range members {
+		known, ok := v.Members[m.ID]
+		if !ok || m.Follows(known) {
+			return false
+		}
+	}
+	return true
+}
+
+// offer notes a control process that would vote.
+func (s *Service) offer(_ context.Context, id *Identity) (*Empty, error) {
+	if !s.cluster.IsLeader() {
+		return nil, s.notLeader()
+	}
+	s.links.learn(id.Peer)
+	s.repair.offers.note(id.Peer, s.clock.Now())
+	return &Empty{}, nil
+}
--- a/node/control/repair.go
+++ b/node/control/repair.go
@@ -21,14 +21,18 @@
 	s      *Service
 	silent map[consensus.NodeID]time.Time
 	report atomic.Pointer[string]
+	offers offers
 
 	term, committed uint64 // at the last step
 }
 
 const (
 	repairInterval = 500 * time.Millisecond
-	silentLimit    = 5 * time.Second // a voter silent for this long is replaced
-	promoteLag     = 64              // entries by which a learner may lag when it is promoted
+	// elasticInterval is shorter: three steps must fit into the time between
+	// two losses, the first of which took a disk.
+	elasticInterval = 200 * time.Millisecond
+	silentLimit     = 5 * time.Second // a voter silent for this long is replaced
+	promoteLag      = 64              // entries by which a learner may lag when it is promoted
 )
 
 func newRepair(s *Service) *repair {
@@ -43,7 +47,11 @@
 func (r *repair) Report() string { return *r.report.Load() }
 
 func (r *repair) run(ctx context.Context) {
-	ticker := time.NewTicker(repairInterval)
+	interval := repairInterval
+	if r.s.set.Control.SelfForming {
+		interval = elasticInterval
+	}
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -70,8 +78,7 @@
 		r.say("a change of the voters is under way")
 		return nil
 	}
-	spares := r.findSpares(ctx, status)
-	next, why := plan(status, spares, r.silentVoters(), r.s.set.Control.Voters, need)
+	next, why := r.next(ctx, status, need)
 	r.say(why)
 	if next == nil {
 		return nil
@@ -86,6 +93,14 @@
 	return errors.Trace(err)
 }
 
+func (r *repair) next(ctx context.Context, status consensus.Status, need uint64) (*consensus.Membership, string) {
+	c := r.s.set.Control
+	if c.SelfForming {
+		return planElastic(status, r.offers.fresh(r.s.clock.Now()), r.silentFor(elasticSilence), c.MinVoters(), c.Voters)
+	}
+	return plan(status, r.findSpares(ctx, status), r.silentVoters(), c.Voters, need)
+}
+
 // need returns the entry that a whole voter holds: the last one committed a
 // step ago, as entries of the last moments may be under way.
 func (r *repair) need(status consensus.Status) uint64 {
@@ -113,10 +128,12 @@
 	}
 }
 
-func (r *repair) silentVoters() map[consensus.NodeID]bool {
+func (r *repair) silentVoters() map[consensus.NodeID]bool { return r.silentFor(silentLimit) }
+
+func (r *repair) silentFor(limit time.Duration) map[consensus.NodeID]bool {
 	out := map[consensus.NodeID]bool{}
 	for id, since := range r.silent {
-		out[id] = time.Since(since) > silentLimit
+		out[id] = time.Since(since) > limit
 	}
 	return out
 }
--- a/node/control/service.go
+++ b/node/control/service.go
@@ -15,6 +15,7 @@
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/consensus"
 	"caperdrum.org/node/disk"
+	"caperdrum.org/node/formation"
 	"caperdrum.org/node/kernel"
 	"caperdrum.org/node/peer"
 	"caperdrum.org/node/replica"
@@ -41,26 +42,30 @@
 	Log      logr.Logger
 	Ring     *timeline.Ring
 	Dial     peer.Dialer
-	Security *security.Store `optional:"true"`
+	// Directory is where other control processes are looked for.
+	Directory *peer.Directory `optional:"true"`
+	Security  *security.Store `optional:"true"`
 }
 
 // Service is the control role of one process.
 type Service struct {
-	set      *settings.Settings
-	kernel   *kernel.Kernel
-	log      logr.Logger
-	secure   *security.Store
-	ring     *timeline.Ring
-	links    *links
-	server   *peer.Server
-	leases   *leases
-	follow   *follower
-	news     *news
-	repair   *repair
-	replica  *replica.Replica
-	handouts handouts
-	cluster  cluster // the replica, as synchronization and leases see it
-	clock    clockwork.Clock
+	set       *settings.Settings
+	kernel    *kernel.Kernel
+	log       logr.Logger
+	secure    *security.Store
+	ring      *timeline.Ring
+	links     *links
+	server    *peer.Server
+	leases    *leases
+	follow    *follower
+	news      *news
+	repair    *repair
+	replica   *replica.Replica
+	handouts  handouts
+	cluster   cluster // the replica, as synchronization and leases see it
+	directory *peer.Directory
+	seeds     []string // among which the founder is chosen; nil when this process may not found
+	clock     clockwork.Clock
 
 	cancel  context.CancelFunc
 	stopped chan struct{}
@@ -84,6 +89,16 @@
 		return nil, errors.Trace(err)
 	}
 	s.cluster, s.clock = s.replica, clockwork.NewRealClock()
+	s.directory = p.Directory
+	if s.directory == nil {
+		s.directory = peer.NewDirectory(p.Settings.Peers.Control)
+	}
+	if p.Settings.Control.SelfForming {
+		s.seeds, err = startFormation(fs, p.Settings.Peers.FirstStart, s.directory.Configured())
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
 	s.links.self = s.replica.Self()
 	s.leases = newLeases(s.cluster, s.clock, p.Settings.Control.Lease, p.Ring)
 	s.follow = newFollower(s)
@@ -97,6 +112,12 @@
 	peer.Handle(s.server, MethodIdentity, s.identity)
 	peer.Handle(s.server, MethodRaft, s.raft)
 	peer.Handle(s.server, peer.MethodLead, s.lead)
+	peer.Handle(s.server, MethodPut, s.put)
+	peer.Handle(s.server, MethodConfig, s.config)
+	peer.Handle(s.server, MethodAnnounce, s.announce)
+	peer.Handle(s.server, MethodOffer, s.offer)
+	peer.Handle(s.server, formation.MethodHello, s.answerHello)
+	peer.Handle(s.server, peer.MethodWhere, s.where)
 	return s, nil
 }
 
@@ -121,9 +142,27 @@
 	go s.leases.run(ctx)
 	go s.follow.run(ctx)
 	go s.repair.run(ctx)
+	if s.set.Control.SelfForming {
+		go s.form(ctx)
+		go s.offerRun(ctx)
+	}
 	return nil
 }
 
+// voterAddresses are the peer addresses of the voters that this process knows.
+func (s *Service) voterAddresses() []string {
+	var out []string
+	for _, p := range s.cluster.Status().Membership.Voters {
+		out = append(out, p.Address)
+	}
+	return out
+}
+
+// where tells a process that lost its way where control processes listen.
+func (s *Service) where(context.Context, *Empty) (*peer.Where, error) {
+	return &peer.Where{Control: s.voterAddresses()}, nil
+}
+
 func (s *Service) run(ctx context.Context) {
 	defer close(s.stopped)
 	if err := s.replica.Run(ctx); err != nil {
--- a/node/control/sync.go
+++ b/node/control/sync.go
@@ -51,6 +51,7 @@
 	age := s.cluster.StampAge()
 	view := s.cluster.View()
 	r := answer(view, req, age, s.cluster.Leader())
+	r.Control = s.voterAddresses()
 	r.Fence, r.Term = view.Fences[req.Member.ID], s.cluster.Status().Term
 	return r
 }
--- /dev/null
+++ b/node/controlclient/controlclient.go
@@ -0,0 +1,100 @@
+// Package controlclient makes the calls of operators and of upstreams that
+// announce themselves to the leader, from whatever process they reached.
+package controlclient
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/dig"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/configsync"
+	"caperdrum.org/node/control"
+	"caperdrum.org/node/peer"
+)
+
+const (
+	// gather is how long signs of life are collected for one call. An upstream
+	// waits a second for its answer; at 34 signs of life a second over 8
+	// processes it halves the calls.
+	gather = 100 * time.Millisecond
+	// announceTimeout bounds a call with signs of life: an upstream that had no
+	// answer within a second tries another process.
+	announceTimeout = 800 * time.Millisecond
+)
+
+// Params are what the service needs.
+type Params struct {
+	dig.In
+	ConfigSync *configsync.Service `name:"configsync"`
+}
+
+// Service calls the leader.
+type Service struct {
+	control *peer.Control
+
+	mu   sync.Mutex
+	next *batch // collects signs of life; nil while there are none
+}
+
+// batch is a call with signs of life, made or still collecting.
+type batch struct {
+	upstreams []wire.Member
+	done      chan struct{}
+	err       error // valid once done is closed
+}
+
+// New returns the service.
+func New(p Params) *Service { return &Service{control: p.ConfigSync.Control()} }
+
+// Announce passes an upstream's sign of life to the leader, together with
+// others. It returns once the members hold the record.
+func (s *Service) Announce(ctx context.Context, m wire.Member) error {
+	b := s.join(m)
+	select {
+	case <-b.done:
+		return b.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *Service) join(m wire.Member) *batch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next == nil {
+		b := &batch{done: make(chan struct{})}
+		s.next = b
+		time.AfterFunc(gather, func() { s.send(b) })
+	}
+	s.next.upstreams = append(s.next.upstreams, m)
+	return s.next
+}
+
+func (s *Service) send(b *batch) {
+	s.mu.Lock()
+	if s.next == b {
+		s.next = nil
+	}
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	b.err = s.control.CallLeader(ctx, control.MethodAnnounce, wire.AnnounceRequest{Upstreams: b.upstreams}, nil)
+	close(b.done)
+}
+
+// Put replaces the operators' text if the version is above the one in force.
+func (s *Service) Put(ctx context.Context, version uint64, text string) (wire.PutResult, error) {
+	var result wire.PutResult
+	err := s.control.CallLeader(ctx, control.MethodPut, wire.PutRequest{Version: version, Text: text}, &result)
+	return result, err
+}
+
+// Config returns the text in force, confirmed by a quorum.
+func (s *Service) Config(ctx context.Context) (wire.ConfigText, error) {
+	var text wire.ConfigText
+	err := s.control.CallLeader(ctx, control.MethodConfig, control.Empty{}, &text)
+	return text, err
+}
--- /dev/null
+++ b/node/daemon/daemon.go
@@ -0,0 +1,144 @@
+// Package daemon builds and runs one process from a list of modules. The
+// product's daemon and an adapter's differ in their modules only.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	runtimedebug "runtime/debug"
+	"syscall"
+
+	"github.com/go-logr/logr"
+
+	"caperdrum.org/api/timeline"
+	"caperdrum.org/node/admin"
+	"caperdrum.org/node/admission"
+	"caperdrum.org/node/announce"
+	"caperdrum.org/node/configsync"
+	"caperdrum.org/node/control"
+	"caperdrum.org/node/controlclient"
+	"caperdrum.org/node/debug"
+	"caperdrum.org/node/discovery"
+	"caperdrum.org/node/dispatch"
+	"caperdrum.org/node/gate"
+	"caperdrum.org/node/gateway"
+	"caperdrum.org/node/kernel"
+	"caperdrum.org/node/ledger"
+	"caperdrum.org/node/logging"
+	"caperdrum.org/node/order"
+	"caperdrum.org/node/peer"
+	"caperdrum.org/node/pipeline"
+	"caperdrum.org/node/planner"
+	"caperdrum.org/node/proxy"
+	"caperdrum.org/node/routing"
+	"caperdrum.org/node/security"
+	"caperdrum.org/node/settings"
+	"caperdrum.org/node/stagework"
+)
+
+// Exit statuses of a process.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1
+	ExitSettings = 2
+)
+
+// Options say how a process is built.
+type Options struct {
+	Settings *settings.Settings
+	Logs     io.Writer
+	// Supply are constructors of values that modules ask for, beside those that
+	// every process has.
+	Supply []any
+	// Extra are modules beside those of the roles. They start last, and stop
+	// first.
+	Extra []kernel.Module
+}
+
+// entryGCPercent lets an entry's heap grow to four times what is live before
+// it is collected. An entry's live heap is small and its garbage, a request's
+// buffers and headers, is not: at 100 the collector took a quarter of the
+// processor time of a call.
+const entryGCPercent = 300
+
+// tuneCollector leaves a value from the environment (GOGC) in force.
+func tuneCollector(set *settings.Settings) {
+	if os.Getenv("GOGC") == "" && (set.Has(settings.Entry) || set.Has(settings.Proxy)) {
+		runtimedebug.SetGCPercent(entryGCPercent)
+	}
+}
+
+// Run runs the process until it is told to stop, and returns its exit status.
+func Run(o Options) int {
+	set := o.Settings
+	tuneCollector(set)
+	log := logging.New(o.Logs, set.Node.Name, set.Node.LogLevel)
+	store, err := security.New(security.Files(set.TLS))
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v; name readable PEM files in [tls]\n", set.File, err)
+		return ExitSettings
+	}
+	k := kernel.New(log)
+	k.Supply(func() *settings.Settings { return set })
+	k.Supply(func() logr.Logger { return log })
+	k.Supply(func() *timeline.Ring { return timeline.NewRing(set.Node.Name, set.Node.VM, set.Node.Timeline) })
+	k.Supply(func() *security.Store { return store })
+	k.Supply(func() peer.Dialer { return store.Dial })
+	k.Supply(func() *peer.Directory { return peer.NewDirectory(set.Peers.Control) })
+	for _, constructor := range o.Supply {
+		k.Supply(constructor)
+	}
+	if err := k.Add(append(modulesOf(set), o.Extra...)...); err != nil {
+		log.Error(err, "modules")
+		return ExitFailure
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	err = k.Run(ctx, func() (context.Context, context.CancelFunc) {
+		return context.WithTimeout(context.Background(), set.Node.DrainTimeout)
+	})
+	if err != nil {
+		log.Error(err, "failed")
+		return ExitFailure
+	}
+	return ExitOK
+}
+
+// modulesOf lists the modules of the process's roles in starting order; they
+// stop in the reverse order, so what callers reach stops first.
+func modulesOf(set *settings.Settings) []kernel.Module {
+	modules := []kernel.Module{{Name: "debug", New: debug.New}}
+	if set.Has(settings.Control) {
+		modules = append(modules, kernel.Module{Name: "control", New: control.New}, kernel.Module{Name: "planner", New: planner.New})
+		if set.Control.Admin != "" {
+			modules = append(modules, kernel.Module{Name: "admin", New: admin.New})
+		}
+	}
+	if set.Has(settings.Entry) || set.Has(settings.Agent) || set.Has(settings.Proxy) {
+		modules = append(modules, kernel.Module{Name: "configsync", New: configsync.New})
+	}
+	if set.Has(settings.Agent) {
+		modules = append(modules, kernel.Module{Name: "gate", New: gate.New}, kernel.Module{Name: "announce", New: announce.New}, kernel.Module{Name: "order", New: order.New})
+	}
+	if set.Has(settings.Entry) {
+		modules = append(modules,
+			kernel.Module{Name: "routing", New: routing.New},
+			kernel.Module{Name: "demand", New: order.NewDemand},
+			kernel.Module{Name: "dispatch", New: dispatch.New},
+			kernel.Module{Name: "admission", New: admission.New},
+			kernel.Module{Name: "pipeline", New: pipeline.New},
+			kernel.Module{Name: "ledger", New: ledger.New},
+			kernel.Module{Name: "gateway", New: gateway.New})
+	}
+	if set.Has(settings.Proxy) {
+		modules = append(modules,
+			kernel.Module{Name: "discovery", New: discovery.New},
+			kernel.Module{Name: "controlclient", New: controlclient.New},
+			kernel.Module{Name: "stagework", New: stagework.New},
+			kernel.Module{Name: "proxy", New: proxy.New})
+	}
+	return modules
+}
--- a/node/peer/control.go
+++ b/node/peer/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,26 +15,67 @@
 // Control calls the control processes. It remembers which one leads and finds
 // the new leader after a change.
 type Control struct {
-	clock clockwork.Clock
-	ctx   context.Context // ends with Close
-	close context.CancelFunc
-
-	mu      sync.Mutex
-	clients []*Client
-	current int
-	search  *search // nil while the leader answers
+	clock     clockwork.Clock
+	ctx       context.Context // ends with Close
+	close     context.CancelFunc
+	directory *Directory
+	dial      Dialer
+
+	mu         sync.Mutex
+	clients    []*Client // never empty
+	generation uint64    // of the directory, as clients were made
+	current    int
+	search     *search // nil while the leader answers
 }
 
 // NewControl returns a Control over the given addresses.
 func NewControl(addresses []string, dial Dialer) *Control {
-	c := &Control{clock: clockwork.NewRealClock()}
+	return NewDirectoryControl(NewDirectory(addresses), dial)
+}
+
+// NewDirectoryControl returns a Control that follows the directory, which must
+// not be empty.
+func NewDirectoryControl(directory *Directory, dial Dialer) *Control {
+	c := &Control{clock: clockwork.NewRealClock(), directory: directory, dial: dial}
 	c.ctx, c.close = context.WithCancel(context.Background())
-	for _, a := range addresses {
-		c.clients = append(c.clients, NewClient(a, dial))
-	}
+	c.follow()
 	return c
 }
 
+// follow takes over the directory's addresses. The caller holds c.mu or owns c.
+func (c *Control) follow() {
+	addresses, generation := c.directory.Addresses()
+	if generation == c.generation {
+		return
+	}
+	var current string
+	if len(c.clients) > 0 {
+		current = c.clients[c.current].address
+	}
+	old := c.clients
+	c.clients, c.current, c.generation = nil, 0, generation
+	for i, a := range addresses {
+		c.clients = append(c.clients, c.reuse(&old, a))
+		if a == current {
+			c.current = i
+		}
+	}
+	for _, cl := range old {
+		cl.Close()
+	}
+}
+
+// reuse takes the client of the address out of old, or makes one.
+func (c *Control) reuse(old *[]*Client, address string) *Client {
+	for i, cl := range *old {
+		if cl.address == address {
+			*old = slices.Delete(*old, i, i+1)
+			return cl
+		}
+	}
+	return NewClient(address, c.dial)
+}
+
 const (
 	retryPause = 50 * time.Millisecond
 	callLimit  = 2 * time.Second // a control process that does not answer by then is passed over
@@ -127,6 +169,7 @@
 func (c *Control) pick() *Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.follow()
 	return c.clients[c.current]
 }
 
@@ -150,6 +193,11 @@
 				return
 			}
 		}
+		if nl.Address != from.address { // it became a voter lately
+			c.clients = append(c.clients, NewClient(nl.Address, c.dial))
+			c.current = len(c.clients) - 1
+			return
+		}
 	}
 	c.current = (c.current + 1) % len(c.clients)
 }
@@ -158,6 +206,8 @@
 func (c *Control) Close() {
 	c.close()
 	c.found()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, cl := range c.clients {
 		cl.Close()
 	}
--- /dev/null
+++ b/node/proxy/endpoints.go
@@ -0,0 +1,208 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/upstream"
+)
+
+const (
+	// pauseMin is how long an upstream is passed over after a call that failed,
+	// doubled with each failure in a row up to pauseMax.
+	pauseMin = 250 * time.Millisecond
+	pauseMax = 4 * time.Second
+	// fullPause is how long one that was full is passed over.
+	fullPause = 50 * time.Millisecond
+	// silence is how long an upstream of short calls may leave all of them
+	// unanswered until others are preferred. Over ten times a usual call.
+	silence = 400 * time.Millisecond
+	// affinitySlack is how many more calls an upstream that holds a prompt's
+	// prefix may have than the next one by the same hash.
+	affinitySlack = 6
+)
+
+// endpoints is what this process knows of upstreams by its own calls.
+type endpoints struct {
+	mu sync.Mutex
+	by map[wire.MemberID]*endpoint
+}
+
+type endpoint struct {
+	inFlight int
+	failures int
+	until    time.Time // passed over until then
+	moved    bool      // another upstream has its address
+	waiting  time.Time // since when calls are unanswered; zero when none is
+}
+
+func newEndpoints() *endpoints { return &endpoints{by: map[wire.MemberID]*endpoint{}} }
+
+// keep forgets upstreams that are no members.
+func (e *endpoints) keep(announced map[string][]wire.Member) {
+	present := map[wire.MemberID]bool{}
+	for _, list := range announced {
+		for _, m := range list {
+			present[m.ID] = true
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, ep := range e.by {
+		if !present[id] && ep.inFlight == 0 {
+			delete(e.by, id)
+		}
+	}
+}
+
+// choice is what decides between upstreams.
+type choice struct {
+	tried      []wire.MemberID
+	dataCenter string // preferred
+	affinity   uint64 // hash of a prompt's shared parts; zero for none
+	short      bool   // calls are short, so that silence means something
+}
+
+// take picks an upstream, and counts the call as its own until release.
+func (e *endpoints) take(list []wire.Member, c choice, now time.Time) (wire.Member, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	best, found := -1, false
+	var bestRank rank
+	for i, m := range list {
+		ep := e.get(m.ID)
+		if ep.moved || contains(c.tried, m.ID) {
+			continue
+		}
+		r := e.rank(ep, m, c, now)
+		if !found || r.less(bestRank) {
+			best, bestRank, found = i, r, true
+		}
+	}
+	if !found {
+		return wire.Member{}, false
+	}
+	ep := e.get(list[best].ID)
+	ep.inFlight++
+	if ep.waiting.IsZero() {
+		ep.waiting = now
+	}
+	return list[best], true
+}
+
+// rank orders upstreams; the least is the best.
+type rank struct {
+	paused bool
+	load   float64
+	tie    uint64
+}
+
+func (r rank) less(o rank) bool {
+	if r.paused != o.paused {
+		return !r.paused
+	}
+	if r.load != o.load {
+		return r.load < o.load
+	}
+	return r.tie < o.tie
+}
+
+func (e *endpoints) rank(ep *endpoint, m wire.Member, c choice, now time.Time) rank {
+	r := rank{paused: now.Before(ep.until), load: float64(ep.inFlight)}
+	if c.short && !ep.waiting.IsZero() && now.Sub(ep.waiting) > silence {
+		r.paused = true
+	}
+	if c.affinity != 0 {
+		r.load, r.tie = float64(ep.inFlight/affinitySlack), mix(c.affinity, m.ID)
+		return r
+	}
+	if m.DataCenter != c.dataCenter {
+		r.load += 0.5 // of a call: another data centre costs less than waiting
+	}
+	r.tie = mix(uint64(now.UnixNano()), m.ID)
+	return r
+}
+
+func mix(seed uint64, id wire.MemberID) uint64 {
+	h := xxhash.NewWithSeed(seed)
+	h.WriteString(string(id))
+	return h.Sum64()
+}
+
+func (e *endpoints) get(id wire.MemberID) *endpoint {
+	ep := e.by[id]
+	if ep == nil {
+		ep = &endpoint{}
+		e.by[id] = ep
+	}
+	return ep
+}
+
+// heard notes that the upstream answered something.
+func (e *endpoints) heard(id wire.MemberID, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ep := e.get(id)
+	ep.waiting = time.Time{}
+	if ep.inFlight > 1 {
+		ep.waiting = now
+	}
+}
+
+// verdictOf is how a call ended for the upstream's standing.
+type standing int
+
+const (
+	stood    standing = iota // it answered
+	failed                   // it did not answer, or broke off
+	wasFull                  // it refused the call
+	wasMoved                 // another upstream answered at its address
+	unknown                  // the caller left, or its time was over
+)
+
+// release ends a call.
+func (e *endpoints) release(id wire.MemberID, s standing, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ep := e.get(id)
+	if ep.inFlight--; ep.inFlight == 0 {
+		ep.waiting = time.Time{}
+	}
+	switch s {
+	case stood:
+		ep.failures = 0
+	case failed:
+		ep.failures++
+		ep.until = now.Add(min(pauseMin<<min(ep.failures-1, 8), pauseMax))
+	case wasFull:
+		ep.until = now.Add(fullPause)
+	case wasMoved:
+		ep.moved = true
+	}
+}
+
+func contains(list []wire.MemberID, id wire.MemberID) bool {
+	for _, x := range list {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+// affinityOf hashes the parts of a prompt that other calls may share: all but
+// the last.
+func affinityOf(parts []upstream.PromptPart) uint64 {
+	if len(parts) < 2 {
+		return 0
+	}
+	h := xxhash.New()
+	for _, p := range parts[:len(parts)-1] {
+		h.WriteString(p.ID)
+		h.Write([]byte{0})
+	}
+	return max(h.Sum64(), 1)
+}
--- /dev/null
+++ b/node/proxy/plain.go
@@ -0,0 +1,82 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+)
+
+// maxPlainAnswer bounds an answer that is held until it is known to be whole.
+const maxPlainAnswer = 8 << 20
+
+// plain serves a call whose answer is one body. The answer is passed on only
+// once it is whole, so that one that was cut can still be replaced.
+func (x *exchange) plain(ctx context.Context) error {
+	x.s.budget(x.service.Name).First()
+	var tried []wire.MemberID
+	c := choice{dataCenter: x.s.set.Node.DataCenter, short: true}
+	for {
+		a := x.send(ctx, &tried, c, "")
+		body, err := x.whole(ctx, a)
+		if err == nil && (a.response.Status < http.StatusInternalServerError || !x.route.Repeatable() || !x.mayRepeat()) {
+			x.pass(a, body)
+			return nil
+		}
+		if err == nil {
+			continue // a failure of the upstream's own, of a call that may be repeated
+		}
+		if err.Verdict != verdict.NotRun && !x.route.Repeatable() || ctx.Err() != nil || !x.mayRepeat() {
+			return err
+		}
+	}
+}
+
+// whole reads the body of the attempt's answer.
+func (x *exchange) whole(ctx context.Context, a *attempt) ([]byte, *verdict.Error) {
+	if a.response == nil {
+		return nil, a.err
+	}
+	if a.err != nil {
+		x.drop(a, wasFull)
+		return nil, a.err
+	}
+	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxPlainAnswer+1))
+	if err == nil && len(body) > maxPlainAnswer {
+		err = errors.Errorf("the answer is above %d bytes", maxPlainAnswer)
+	}
+	if err != nil {
+		how := failed
+		if ctx.Err() != nil {
+			how = unknown
+		}
+		x.drop(a, how)
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeCut, "the answer of %s was cut: %v", a.member.ID, err)
+	}
+	x.drop(a, stood)
+	return body, nil
+}
+
+// pass passes a whole answer on.
+func (x *exchange) pass(a *attempt, body []byte) {
+	x.copyHeader(a)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(a.response.Status)
+	if x.r.Method != http.MethodHead {
+		x.w.Write(body) // a caller that left needs no answer
+	}
+	x.s.log.V(1).Info("answered", "request", x.call.ID, "upstream", a.member.ID, "status", a.response.Status, "took", time.Since(x.began))
+}
+
+func (x *exchange) copyHeader(a *attempt) {
+	header := a.response.Header.Clone()
+	dropHopByHop(header)
+	maps.Copy(x.w.Header(), header)
+}
--- /dev/null
+++ b/node/proxy/proxy.go
@@ -0,0 +1,294 @@
+// Package proxy serves callers on routes: it takes a call, has its stages done,
+// sends it to an announced upstream and passes the answer on as it came.
+package proxy
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+	"go.uber.org/dig"
+
+	"caperdrum.org/api/optext"
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/node/configsync"
+	"caperdrum.org/node/retry"
+	"caperdrum.org/node/security"
+	"caperdrum.org/node/settings"
+	"caperdrum.org/node/stagework"
+	"caperdrum.org/node/upstream"
+)
+
+const (
+	// headerTimeout and idleTimeout bound slow callers. They are no less than
+	// what the text's limits grant, which change while the listener stands.
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 60 * time.Second
+	maxHeader      = 64 << 10
+	defaultMaxBody = 4 << 20
+	// comeBack is when a caller is told to come back whose call was not run for
+	// lack of an upstream or of room.
+	comeBack = 200 * time.Millisecond
+	// staleAfter is the age of a quorum's confirmation from which on this
+	// process no longer refuses for good: a route or key may be new.
+	staleAfter   = 3 * time.Second
+	trimInterval = time.Second
+)
+
+// Params are what the service needs.
+type Params struct {
+	dig.In
+	Settings   *settings.Settings
+	Log        logr.Logger
+	Protocol   upstream.Protocol
+	ConfigSync *configsync.Service `name:"configsync"`
+	Stages     *stagework.Service  `name:"stagework"`
+	Security   *security.Store     `optional:"true"`
+}
+
+// Service is the callers' listener on routes.
+type Service struct {
+	set       *settings.Settings
+	log       logr.Logger
+	protocol  upstream.Protocol
+	sync      *configsync.Service
+	stages    *stagework.Service
+	secure    *security.Store
+	pool      *upstream.Pool
+	endpoints *endpoints
+	table     atomic.Pointer[table]
+	stopping  atomic.Bool
+	server    *http.Server
+	ready     *http.Server
+	stopTrim  context.CancelFunc
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Window // by service
+}
+
+// New returns the service; Start opens its listeners.
+func New(p Params) *Service {
+	s := &Service{set: p.Settings, log: p.Log, protocol: p.Protocol, sync: p.ConfigSync, stages: p.Stages, secure: p.Security,
+		pool: upstream.NewPool(p.Protocol), endpoints: newEndpoints(), budgets: map[string]*retry.Window{}}
+	p.ConfigSync.OnChange(func(v *configsync.View) {
+		s.table.Store(newTable(v))
+		s.endpoints.keep(v.Announced)
+	})
+	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: nil}
+	s.ready = &http.Server{Handler: http.HandlerFunc(s.answerReady), ReadHeaderTimeout: headerTimeout}
+	return s
+}
+
+// Start implements kernel.Starter.
+func (s *Service) Start(context.Context) error {
+	front, err := s.secure.Listen(s.set.Proxy.Listen, security.Callers)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ready, err := net.Listen("tcp", s.set.Proxy.Ready)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stopTrim = cancel
+	go s.server.Serve(front)
+	go s.ready.Serve(ready)
+	go s.trim(ctx)
+	return nil
+}
+
+func (s *Service) trim(ctx context.Context) {
+	ticker := time.NewTicker(trimInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.pool.Trim()
+		}
+	}
+}
+
+// Stop implements kernel.Stopper. The process says at once that it is not
+// ready, still serves until the balancer has noticed, and then finishes what
+// it has begun.
+func (s *Service) Stop(ctx context.Context) error {
+	s.stopping.Store(true)
+	s.log.Info("readiness changed", "ready", false, "reason", "stopping")
+	select {
+	case <-time.After(s.set.Proxy.Rotation):
+	case <-ctx.Done():
+	}
+	err := s.server.Shutdown(ctx)
+	s.ready.Close()
+	s.stopTrim()
+	s.pool.Close()
+	return err
+}
+
+// answerReady tells a balancer whether this process takes new connections.
+func (s *Service) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if s.stopping.Load() || s.table.Load() == nil || s.table.Load().version == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// exchange is one call on a route.
+type exchange struct {
+	s        *Service
+	w        http.ResponseWriter
+	r        *http.Request
+	call     upstream.Call
+	table    *table
+	route    *optext.Route
+	service  *optext.Service
+	customer *optext.Customer
+	body     []byte
+	began    time.Time
+	deadline time.Time
+	sends    int // calls of upstreams so far
+
+	staged         bool     // the results of the stages are there
+	inputs         []string // their handles
+	releaseResults func()
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{s: s, w: w, r: r, began: time.Now(), table: s.table.Load()}
+	if err := x.admit(); err != nil {
+		x.refuse(err)
+		return
+	}
+	if err := x.read(); err != nil {
+		x.refuse(err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	var err error
+	if x.route.Streaming {
+		err = x.stream(ctx)
+	} else {
+		err = x.plain(ctx)
+	}
+	if err != nil {
+		x.refuse(err)
+	}
+}
+
+// stale reports whether a route or key that is unknown here may be known
+// elsewhere.
+func (s *Service) stale() bool { return s.sync.StampAge() > staleAfter }
+
+// admit finds the route and the customer, and how long the call may take.
+func (x *exchange) admit() error {
+	s := x.s
+	if x.table == nil || x.table.version == 0 {
+		return verdict.New(verdict.NotRun, verdict.CodeStale, "no configuration yet").After(comeBack)
+	}
+	var err error
+	if x.call, err = s.protocol.Call(x.r.Header); err != nil {
+		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "%s", err)
+	}
+	if x.route = x.table.route(x.r.Host, x.r.URL.EscapedPath()); x.route == nil {
+		if s.stale() {
+			return verdict.New(verdict.NotRun, verdict.CodeStale, "no such route as far as is known here").After(comeBack)
+		}
+		return verdict.New(verdict.NotRun, verdict.CodeUnknown, "no such route")
+	}
+	if err := x.identify(); err != nil {
+		return err
+	}
+	x.service = x.table.config.Services[service(x.route, rand.Float64())]
+	x.deadline = x.began.Add(x.route.Timeout)
+	if wait := x.call.Wait; wait > 0 && wait < x.route.Timeout {
+		x.deadline = x.began.Add(wait)
+	}
+	return nil
+}
+
+// identify finds out whose call it is. A key counts only while this process
+// knows that it was not withdrawn.
+func (x *exchange) identify() error {
+	if x.route.Public || len(x.table.customers) == 0 {
+		return nil
+	}
+	if x.s.sync.StampAge() > x.s.set.Proxy.KeyAge {
+		return verdict.New(verdict.NotRun, verdict.CodeStale, "keys cannot be checked here now").After(comeBack)
+	}
+	if x.customer = x.table.customer(x.call.Key); x.customer != nil {
+		return nil
+	}
+	if x.s.stale() {
+		return verdict.New(verdict.NotRun, verdict.CodeStale, "no such key as far as is known here").After(comeBack)
+	}
+	e := verdict.New(verdict.NotRun, verdict.CodeInvalid, "unknown key")
+	e.Status = http.StatusUnauthorized
+	return e
+}
+
+// read takes in the body.
+func (x *exchange) read() error {
+	limit := x.table.config.Limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	var err error
+	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the body is above %d bytes", limit)
+	case err != nil:
+		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "the body ended early")
+	}
+	return nil
+}
+
+// hopByHop are headers that concern one connection (RFC 9110, section 7.6.1).
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
+
+func dropHopByHop(h http.Header) {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// budgetWindow, budgetRatio and budgetFixed bound repeats: over all processes,
+// a fifth of the calls of ten seconds and some besides. Each process keeps to
+// its part, and to three quarters of the ratio, since the share of calls of a
+// process differs from one in n.
+const (
+	budgetWindow = 10 * time.Second
+	budgetRatio  = 0.15
+	budgetFixed  = 40
+)
+
+func (s *Service) budget(service string) *retry.Window {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.budgets[service]
+	if b == nil {
+		b = retry.NewWindow(budgetWindow, budgetRatio, clockwork.NewRealClock())
+		s.budgets[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/node/proxy/send.go
@@ -0,0 +1,153 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/upstream"
+)
+
+// attempt is one call of an upstream.
+type attempt struct {
+	member   wire.Member
+	response *upstream.Response // nil when there was none
+	err      *verdict.Error     // why there was none, or why it counts as none
+}
+
+// notRun reports whether the upstream has not run the call and never will.
+func (a *attempt) notRun() bool { return a.err != nil && a.err.Verdict == verdict.NotRun }
+
+// maxUnsent bounds how many upstreams that cannot be reached, or that left
+// their address, a call tries beside those it is sent to.
+const maxUnsent = 3
+
+// send sends the call to an upstream. One that could not be reached at all is
+// replaced by another.
+func (x *exchange) send(ctx context.Context, tried *[]wire.MemberID, c choice, lastEvent string) *attempt {
+	for unsent := 0; ; unsent++ {
+		c.tried = *tried
+		m, ok := x.s.endpoints.take(x.table.announced[x.service.Name], c, time.Now())
+		if !ok {
+			return &attempt{err: verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "service %s has no upstream to try", x.service.Name).After(comeBack)}
+		}
+		*tried = append(*tried, m.ID)
+		a := x.sendTo(ctx, m, lastEvent)
+		moved := a.response != nil && a.response.Status == http.StatusMisdirectedRequest
+		if unsent < maxUnsent && ctx.Err() == nil && (a.notRun() && a.response == nil || moved) {
+			if moved {
+				x.drop(a, wasMoved)
+			}
+			continue
+		}
+		x.sends++
+		return a
+	}
+}
+
+func (x *exchange) sendTo(ctx context.Context, m wire.Member, lastEvent string) *attempt {
+	header := x.r.Header.Clone()
+	dropHopByHop(header)
+	told := upstream.Told{Left: time.Until(x.deadline), Instance: m.ID, LastEvent: lastEvent, Inputs: x.inputs}
+	if x.customer != nil {
+		told.Customer = x.customer.Name
+	}
+	x.s.protocol.Tell(header, told)
+	resp, err := x.s.pool.Do(ctx, &upstream.Request{Address: m.Direct, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
+		Header: header, Body: x.body, ID: x.call.ID, Limit: x.connections()})
+	now := time.Now()
+	if err != nil {
+		a := &attempt{member: m, err: verdict.From(err)}
+		how := failed
+		if ctx.Err() != nil || a.err.Code == verdict.CodeOverloaded {
+			how = unknown
+		}
+		x.s.endpoints.release(m.ID, how, now)
+		x.s.log.Info("attempt failed", "request", x.call.ID, "upstream", m.ID, "address", m.Direct, "sent", !a.notRun(),
+			"left", time.Until(x.deadline), "verdict", a.err.Verdict, "error", a.err.Message)
+		return a
+	}
+	x.s.endpoints.heard(m.ID, now)
+	a := &attempt{member: m, response: resp}
+	if resp.Answer.NotRun {
+		a.err = verdict.New(verdict.NotRun, verdict.CodeOverloaded, "upstream %s refused the call", m.ID).After(comeBack)
+	}
+	return a
+}
+
+// connections is this process's part of the connections to one upstream.
+func (x *exchange) connections() int {
+	if x.service.MaxConnections <= 0 {
+		return 0
+	}
+	return max(2, x.service.MaxConnections/(x.table.proxies+1))
+}
+
+// drop ends an attempt whose answer is not used.
+func (x *exchange) drop(a *attempt, how standing) {
+	a.response.Close()
+	x.s.endpoints.release(a.member.ID, how, time.Now())
+}
+
+// mayRepeat reports whether another upstream may be tried, and counts it.
+func (x *exchange) mayRepeat() bool {
+	if x.sends >= x.route.Attempts || time.Until(x.deadline) < minLeft {
+		return false
+	}
+	return x.s.budget(x.service.Name).Take(budgetFixed / x.table.proxies)
+}
+
+// minLeft is the time under which another try is pointless.
+const minLeft = 30 * time.Millisecond
+
+// refusal is the body of a call that got no upstream's answer.
+type refusal struct {
+	Message string          `json:"message"`
+	Code    verdict.Code    `json:"code"`
+	Verdict verdict.Verdict `json:"verdict"`
+}
+
+// refuse answers a call that got no upstream's answer.
+func (x *exchange) refuse(err error) {
+	e := verdict.From(err)
+	if x.r.Context().Err() != nil {
+		x.s.log.Info("caller left", "request", x.call.ID, "after", time.Since(x.began))
+		panic(http.ErrAbortHandler)
+	}
+	if e.Verdict == verdict.NotRun && e.Status >= http.StatusInternalServerError {
+		e.Status = http.StatusServiceUnavailable
+	} else if e.Status == http.StatusServiceUnavailable {
+		e.Status = http.StatusBadGateway // 503 would promise that it has not run
+	}
+	x.s.log.Info("call refused", "request", x.call.ID, "route", x.routeName(), "status", e.Status, "code", e.Code, "verdict", e.Verdict,
+		"reason", e.Message, "sends", x.sends, "after", time.Since(x.began), "left", time.Until(x.deadline), "config_version", x.version(), "stamp_age", x.s.sync.StampAge())
+	h := x.w.Header()
+	h.Set("Content-Type", "application/json")
+	if e.Status == http.StatusServiceUnavailable || e.Status == http.StatusTooManyRequests {
+		wait := e.RetryAfter
+		if wait <= 0 {
+			wait = comeBack
+		}
+		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
+	}
+	x.w.WriteHeader(e.Status)
+	json.NewEncoder(x.w).Encode(refusal{e.Message, e.Code, e.Verdict})
+}
+
+func (x *exchange) routeName() string {
+	if x.route == nil {
+		return ""
+	}
+	return x.route.Name
+}
+
+func (x *exchange) version() uint64 {
+	if x.table == nil {
+		return 0
+	}
+	return x.table.version
+}
--- /dev/null
+++ b/node/proxy/stream.go
@@ -0,0 +1,191 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/stagework"
+)
+
+const readChunk = 16 << 10
+
+// stream serves a call whose answer is a stream of events.
+func (x *exchange) stream(ctx context.Context) error {
+	x.s.budget(x.service.Name).First()
+	defer func() { x.release() }()
+	var tried []wire.MemberID
+	c := choice{dataCenter: x.s.set.Node.DataCenter, affinity: affinityOf(x.call.Prefix)}
+	out := &streamWriter{x: x}
+	out.events.last = x.call.LastEvent
+	remade := false
+	for {
+		if err := x.runStages(ctx); err != nil {
+			return out.abandon(verdict.From(err))
+		}
+		a := x.send(ctx, &tried, c, out.events.last)
+		if a.inputsGone() && !remade {
+			x.drop(a, stood)
+			x.release()
+			remade, tried = true, nil
+			x.sends--
+			continue
+		}
+		done, err := x.relay(ctx, a, out)
+		if done {
+			return nil
+		}
+		if err.Verdict != verdict.NotRun && !x.route.Repeatable() || ctx.Err() != nil || !x.mayRepeat() {
+			return out.abandon(err)
+		}
+		x.s.log.Info("stream goes on elsewhere", "request", x.call.ID, "from", a.member.ID, "last_event", out.events.last, "reason", err.Message)
+	}
+}
+
+// inputsGone reports whether results of the stages were lost before the
+// upstream had fetched them.
+func (a *attempt) inputsGone() bool {
+	return a.response != nil && a.response.Status == http.StatusConflict && a.response.Answer.NotRun
+}
+
+// relay passes an upstream's stream on. It reports whether the caller has got
+// its answer.
+func (x *exchange) relay(ctx context.Context, a *attempt, out *streamWriter) (done bool, verr *verdict.Error) {
+	if a.response == nil {
+		return false, a.err
+	}
+	if a.err != nil {
+		x.drop(a, wasFull)
+		return false, a.err
+	}
+	if a.response.Status != http.StatusOK {
+		if out.begun {
+			x.drop(a, failed)
+			return false, verdict.New(verdict.MayHaveRun, verdict.CodeCut, "%s answered %d to a stream that goes on", a.member.ID, a.response.Status)
+		}
+		body, err := x.whole(ctx, a)
+		if err != nil {
+			return false, err
+		}
+		if a.response.Status >= http.StatusInternalServerError && x.route.Repeatable() && x.sends < x.route.Attempts {
+			return false, verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "%s answered %d", a.member.ID, a.response.Status)
+		}
+		x.pass(a, body)
+		return true, nil
+	}
+	out.begin(a)
+	x.release()
+	err := out.copy(a)
+	switch {
+	case err == io.EOF:
+		x.drop(a, stood)
+		out.finish()
+		return true, nil
+	case ctx.Err() != nil:
+		x.drop(a, unknown)
+	default:
+		x.drop(a, failed)
+	}
+	return false, verdict.New(verdict.MayHaveRun, verdict.CodeCut, "the stream of %s broke off: %v", a.member.ID, err)
+}
+
+// streamWriter writes the caller's stream.
+type streamWriter struct {
+	x      *exchange
+	begun  bool
+	events eventSplitter
+}
+
+// begin sends the first upstream's headers; those of the ones after it are not
+// passed on.
+func (o *streamWriter) begin(a *attempt) {
+	if o.begun {
+		o.events.pending = nil
+		return
+	}
+	o.begun = true
+	o.x.copyHeader(a)
+	o.x.w.WriteHeader(http.StatusOK)
+	http.NewResponseController(o.x.w).Flush()
+}
+
+// copy passes whole events on as they come. It returns io.EOF after a whole
+// stream.
+func (o *streamWriter) copy(a *attempt) error {
+	buf := make([]byte, readChunk)
+	flush := http.NewResponseController(o.x.w)
+	for {
+		n, err := a.response.Body.Read(buf)
+		if whole := o.events.feed(buf[:n]); len(whole) > 0 {
+			if _, werr := o.x.w.Write(whole); werr != nil {
+				return werr
+			}
+			if ferr := flush.Flush(); ferr != nil {
+				return ferr
+			}
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// finish passes on what followed the last event of a whole stream.
+func (o *streamWriter) finish() {
+	if len(o.events.pending) > 0 {
+		o.x.w.Write(o.events.pending)
+	}
+}
+
+// abandon ends a stream that cannot go on: as a refusal before it began, and
+// else so that it does not look whole.
+func (o *streamWriter) abandon(err *verdict.Error) error {
+	if !o.begun {
+		return err
+	}
+	o.x.s.log.Info("stream broken off", "request", o.x.call.ID, "route", o.x.route.Name, "last_event", o.events.last, "reason", err.Message,
+		"sends", o.x.sends, "after", time.Since(o.x.began), "caller_left", o.x.r.Context().Err() != nil)
+	panic(http.ErrAbortHandler)
+}
+
+// runStages has the stages of the call done, unless their results are there.
+func (x *exchange) runStages(ctx context.Context) error {
+	if x.staged {
+		return nil
+	}
+	job, pieces := x.job()
+	if pieces == 0 {
+		return nil
+	}
+	result, release, err := x.s.stages.Run(ctx, job)
+	if err != nil {
+		return err
+	}
+	x.inputs, x.staged, x.releaseResults = result.Handles, true, release
+	return nil
+}
+
+func (x *exchange) job() (job stagework.Job, pieces int) {
+	job = stagework.Job{ID: x.call.ID, Key: x.call.PieceKey, Left: time.Until(x.deadline), Goal: time.Until(x.began.Add(x.route.Goal)), DataCenter: x.s.set.Node.DataCenter}
+	for i, st := range x.route.Stages {
+		n := 0
+		if i < len(x.call.Pieces) {
+			n = x.call.Pieces[i]
+		}
+		pieces += n
+		job.Stages = append(job.Stages, stagework.Stage{Service: st.Service, After: st.Inputs, Pieces: n, Bytes: st.ResultBytes})
+	}
+	return job, pieces
+}
+
+// release gives the results of the stages up: an upstream has fetched them, or
+// the call is over. Another upstream needs them made again.
+func (x *exchange) release() {
+	if x.staged {
+		x.staged = false
+		x.releaseResults()
+	}
+}
--- /dev/null
+++ b/node/proxy/table.go
@@ -0,0 +1,82 @@
+package proxy
+
+import (
+	"crypto/sha256"
+	"net"
+	"sort"
+	"strings"
+
+	"caperdrum.org/api/optext"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/configsync"
+)
+
+// table is an immutable picture of what decides about calls.
+type table struct {
+	version   uint64
+	config    *optext.Config
+	byHost    map[string][]*optext.Route // longest prefix first
+	customers map[[sha256.Size]byte]*optext.Customer
+	announced map[string][]wire.Member
+	proxies   int // processes that share what is bounded over all of them; at least one
+}
+
+func newTable(v *configsync.View) *table {
+	t := &table{version: v.Version, config: v.Config, byHost: map[string][]*optext.Route{}, customers: map[[sha256.Size]byte]*optext.Customer{}, announced: v.Announced}
+	for _, r := range v.Config.Routes {
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, list := range t.byHost {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	for _, c := range v.Config.Customers {
+		for _, key := range c.Keys {
+			t.customers[sha256.Sum256([]byte(key))] = c
+		}
+	}
+	for _, m := range v.Members {
+		if m.Peer != "" {
+			t.proxies++
+		}
+	}
+	t.proxies = max(t.proxies, 1)
+	return t
+}
+
+// route returns the route of the host with the longest prefix of path.
+func (t *table) route(host, path string) *optext.Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// customer returns whose key it is, or nil.
+func (t *table) customer(key string) *optext.Customer {
+	if key == "" {
+		return nil
+	}
+	return t.customers[sha256.Sum256([]byte(key))]
+}
+
+// service picks one of the route's services by its weights; at is between 0
+// and 1.
+func service(r *optext.Route, at float64) string {
+	sum := 0.0
+	for _, w := range r.Weights {
+		sum += w.Weight
+	}
+	at *= sum
+	for _, w := range r.Weights {
+		if at < w.Weight {
+			return w.Service
+		}
+		at -= w.Weight
+	}
+	return r.Weights[len(r.Weights)-1].Service
+}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -24,6 +24,7 @@
 	Entry   Role = "entry"
 	Control Role = "control"
 	Agent   Role = "agent"
+	Proxy   Role = "proxy"
 )
 
 // Node is the section [node].
@@ -36,11 +37,21 @@
 	DrainTimeout time.Duration `ini:"drain_timeout"`
 	LogLevel     string        `ini:"log_level"`
 	Timeline     int           `ini:"timeline_events"`
+	// PlainText accepts listeners without TLS that other VMs reach, for a
+	// network that nobody else is on.
+	PlainText bool `ini:"plain_text"`
 }
 
 // Peers is the section [peers].
 type Peers struct {
-	Control []string `ini:"control" required:"true"` // peer addresses of the control processes
+	Control []string `ini:"control" required:"true"` // peer addresses of the control processes, or of processes that know them
+	// Port replaces the ports in Control, where another service's addresses of
+	// the same VMs are known.
+	Port   string `ini:"port"`
+	Listen string `ini:"listen"` // peer address of a process without the control role
+	// FirstStart says that the whole system starts for the first time. Only then
+	// may a self-forming cluster be founded.
+	FirstStart bool `ini:"first_start"`
 }
 
 // ControlRole is the section [control].
@@ -48,13 +59,36 @@
 	Listen string `ini:"listen" required:"true"` // peer address
 	// Advertise is the address by which others reach Listen; default Listen.
 	Advertise string        `ini:"advertise"`
-	Admin     string        `ini:"admin" required:"true"` // administration API
-	Lease     time.Duration `ini:"lease"`                 // a member silent for this long is removed
-	Voters    int           `ini:"voters"`                // replicas that repair keeps in the quorum
-	OpenAdmin bool          `ini:"open_admin"`            // administration without keys; loopback only
+	Admin     string        `ini:"admin"`      // administration API; only a self-forming cluster does without
+	Lease     time.Duration `ini:"lease"`      // a member silent for this long is removed
+	Voters    int           `ini:"voters"`     // replicas that repair keeps in the quorum
+	OpenAdmin bool          `ini:"open_admin"` // administration without keys; loopback only
 	// LedgerMax is the memory of the idempotency ledger, in bytes, from which on
 	// new keys are refused; zero is no limit.
 	LedgerMax int64 `ini:"ledger_max_bytes"`
+
+	// SelfForming clusters need no operator's init: one of the processes in
+	// [peers] founds the cluster at the first start, and every control process
+	// that it hears of votes, up to Voters.
+	SelfForming bool `ini:"self_forming"`
+	Losses      int  `ini:"losses"` // disks that may be lost at once; changes wait for 2*Losses+1 voters
+}
+
+// MinVoters is how many voters a self-forming cluster has before it accepts a
+// change of the configuration.
+func (c ControlRole) MinVoters() int { return 2*c.Losses + 1 }
+
+// ProxyRole is the section [proxy].
+type ProxyRole struct {
+	Listen string `ini:"listen" required:"true"` // callers
+	Ready  string `ini:"ready" required:"true"`  // readiness, asked by a balancer
+	// KeyAge is the age of the quorum's confirmation up to which a customer's
+	// key is accepted: a key that was withdrawn stops working within it, also at
+	// a process that is cut off.
+	KeyAge time.Duration `ini:"key_age"`
+	// Rotation is how long a stopping process still accepts connections, until
+	// the balancer has noticed that it is not ready.
+	Rotation time.Duration `ini:"rotation"`
 }
 
 // EntryRole is the section [entry].
@@ -80,6 +114,12 @@
 	LeaveGrace  time.Duration `ini:"leave_grace"` // how long a stopping gate still refuses new work instead of being gone
 }
 
+// Frontend is the section [frontend]: the listener of an adapter for operators
+// and for upstreams that announce themselves. The product itself has none.
+type Frontend struct {
+	Listen string `ini:"listen" required:"true"`
+}
+
 // Debug is the section [debug].
 type Debug struct {
 	Listen string `ini:"listen" required:"true"` // metrics and time line
@@ -97,14 +137,16 @@
 
 // Settings is a whole, checked file.
 type Settings struct {
-	File    string
-	Node    Node
-	Peers   Peers
-	Control ControlRole
-	Entry   EntryRole
-	Agent   AgentRole
-	Debug   Debug
-	TLS     TLS
+	File     string
+	Node     Node
+	Peers    Peers
+	Control  ControlRole
+	Entry    EntryRole
+	Agent    AgentRole
+	Proxy    ProxyRole
+	Frontend Frontend
+	Debug    Debug
+	TLS      TLS
 }
 
 // Has reports whether the process plays the role.
@@ -117,13 +159,25 @@
 	if s.Has(Agent) {
 		m.Service, m.Gate = s.Agent.Service, s.Agent.Advertise
 	}
+	if s.Has(Proxy) {
+		m.Peer = s.PeerAddress()
+	}
 	return m
 }
 
+// PeerAddress is where other processes call this one.
+func (s *Settings) PeerAddress() string {
+	if s.Has(Control) {
+		return s.Control.Advertise
+	}
+	return s.Peers.Listen
+}
+
 func defaults() *Settings {
 	return &Settings{
 		Node:    Node{DrainTimeout: 30 * time.Second, LogLevel: "info", Timeline: 4096},
-		Control: ControlRole{Lease: 3 * time.Second, Voters: 3, LedgerMax: 128 << 20},
+		Control: ControlRole{Lease: 3 * time.Second, Voters: 3, LedgerMax: 128 << 20, Losses: 1},
+		Proxy:   ProxyRole{KeyAge: 4 * time.Second, Rotation: 2500 * time.Millisecond},
 		Entry:   EntryRole{MaxBody: 4 << 20, StaleAfter: 5 * time.Second, MaxInFlight: 4096, MaxAnswer: 16 << 20},
 		Agent:   AgentRole{KeepAnswers: 2 * time.Minute, KeepBytes: 8 << 20, MaxAnswer: 16 << 20, HealthPath: "/health", LeaveGrace: time.Second},
 	}
@@ -149,14 +203,17 @@
 	f.Decode("node", &s.Node)
 	f.Decode("peers", &s.Peers)
 	f.Decode("debug", &s.Debug)
-	known := []string{"node", "peers", "debug", "tls"}
+	known := []string{"node", "peers", "debug", "tls", "frontend"}
+	if f.Has("frontend") {
+		f.Decode("frontend", &s.Frontend)
+	}
 	if f.Has("tls") {
 		f.Decode("tls", &s.TLS)
 	}
 	for _, role := range []struct {
 		role Role
 		out  any
-	}{{Control, &s.Control}, {Entry, &s.Entry}, {Agent, &s.Agent}} {
+	}{{Control, &s.Control}, {Entry, &s.Entry}, {Agent, &s.Agent}, {Proxy, &s.Proxy}} {
 		known = append(known, string(role.role))
 		switch {
 		case s.Has(role.role):
@@ -171,6 +228,7 @@
 		}
 	}
 	s.fillAdvertised()
+	s.fillPeerPorts(f)
 	s.check(f)
 	if err := f.Err(); err != nil {
 		return nil, err
@@ -189,10 +247,25 @@
 	}
 }
 
+// fillPeerPorts replaces the ports of the control processes' addresses.
+func (s *Settings) fillPeerPorts(f *strictini.File) {
+	if s.Peers.Port == "" {
+		return
+	}
+	for i, address := range s.Peers.Control {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			f.Fail("peers", "control", fmt.Sprintf("%q is not an address", address), "write IP:PORT, such as 127.0.0.1:7100")
+			return
+		}
+		s.Peers.Control[i] = net.JoinHostPort(host, s.Peers.Port)
+	}
+}
+
 func (s *Settings) check(f *strictini.File) {
 	for _, r := range s.Node.Roles {
-		if !slices.Contains([]Role{Entry, Control, Agent}, Role(r)) {
-			f.Fail("node", "roles", fmt.Sprintf("unknown role %q", r), "use entry, control, agent")
+		if !slices.Contains([]Role{Entry, Control, Agent, Proxy}, Role(r)) {
+			f.Fail("node", "roles", fmt.Sprintf("unknown role %q", r), "use entry, control, agent, proxy")
 		}
 	}
 	if s.Node.LogLevel != "info" && s.Node.LogLevel != "debug" {
@@ -209,6 +282,11 @@
 	if s.Has(Entry) {
 		checkAddress(f, "entry", "listen", s.Entry.Listen)
 	}
+	if s.Has(Proxy) {
+		checkAddress(f, "proxy", "listen", s.Proxy.Listen)
+		checkAddress(f, "proxy", "ready", s.Proxy.Ready)
+		checkAddress(f, "peers", "listen", s.Peers.Listen)
+	}
 	if s.Has(Agent) {
 		checkAddress(f, "agent", "listen", s.Agent.Listen)
 		checkAddress(f, "agent", "advertise", s.Agent.Advertise)
@@ -220,20 +298,23 @@
 	checkAddress(f, "control", "listen", s.Control.Listen)
 	checkAddress(f, "control", "advertise", s.Control.Advertise)
 	checkAddress(f, "control", "admin", s.Control.Admin)
-	if s.Control.Voters%2 == 0 {
+	if s.Control.Admin == "" && !s.Control.SelfForming {
+		f.Fail("control", "admin", `key "admin" is missing in [control]`, "add admin = ...")
+	}
+	if s.Control.Voters%2 == 0 && !s.Control.SelfForming {
 		f.Fail("control", "voters", "an even number of voters", "use 1, 3 or 5")
 	}
 	if s.Control.OpenAdmin && !isLoopback(s.Control.Admin) {
 		f.Fail("control", "open_admin", "administration without keys on an address that others reach", "use keys, or a loopback address such as 127.0.0.1:7101")
 	}
-	if !slices.Contains(s.Peers.Control, s.Control.Advertise) {
+	if !slices.Contains(s.Peers.Control, s.Control.Advertise) && !s.Control.SelfForming {
 		f.Fail("peers", "control", "this process's own peer address is not listed", "add "+s.Control.Advertise)
 	}
 	if s.Node.DataDir == "" {
 		f.Fail("node", "data_dir", "a control process needs a data folder", "add data_dir = PATH")
 		return
 	}
-	if info, err := os.Stat(s.Node.DataDir); err != nil || !info.IsDir() {
+	if info, err := os.Stat(s.Node.DataDir); (err != nil || !info.IsDir()) && !s.Control.SelfForming {
 		f.Fail("node", "data_dir", "data folder "+s.Node.DataDir+" does not exist", "create it on a disk that lasts: mkdir -p "+s.Node.DataDir)
 	}
 }
@@ -252,12 +333,12 @@
 
 // checkPlainText refuses listeners that others reach without encryption.
 func (s *Settings) checkPlainText(f *strictini.File) {
-	if s.TLS.CA != "" || f.Has("tls") {
+	if s.TLS.CA != "" || f.Has("tls") || s.Node.PlainText {
 		return
 	}
 	for _, l := range []struct{ section, key, address string }{
 		{"control", "listen", s.Control.Listen}, {"control", "admin", s.Control.Admin}, {"entry", "listen", s.Entry.Listen},
-		{"agent", "listen", s.Agent.Listen}, {"debug", "listen", s.Debug.Listen}} {
+		{"agent", "listen", s.Agent.Listen}, {"proxy", "listen", s.Proxy.Listen}, {"peers", "listen", s.Peers.Listen}, {"debug", "listen", s.Debug.Listen}} {
 		if l.address != "" && !isLoopback(l.address) {
 			f.Fail(l.section, l.key, l.address+" is reached by others and there is no [tls] section", "add [tls] with ca, certificate and key, or use a loopback address")
 		}
--- /dev/null
+++ b/node/stagework/job.go
@@ -0,0 +1,83 @@
+// Package stagework runs the stages of calls on routes. One process owns the
+// queues of all upstreams that make pieces; the others hand their jobs to it.
+// A single owner fills each call of an upstream with what all processes wait
+// for, and starts the next one at the moment the last one ends.
+package stagework
+
+import (
+	"time"
+
+	"caperdrum.org/api/verdict"
+)
+
+// Job is the stages of one call. Times are spans, since VMs' clocks differ.
+type Job struct {
+	ID         string        `json:"id"` // of the call
+	Key        string        `json:"key"`
+	Stages     []Stage       `json:"stages"`
+	Left       time.Duration `json:"left"` // until the call is worthless
+	Goal       time.Duration `json:"goal"` // until it is worth less; negative when that has passed
+	DataCenter string        `json:"data_center"`
+}
+
+// Stage is one stage of a job.
+type Stage struct {
+	Service string `json:"service"`
+	After   []int  `json:"after,omitempty"`
+	Pieces  int    `json:"pieces"` // zero: the stage is left out
+	Bytes   int64  `json:"bytes"`  // of one result, about
+}
+
+// Result holds the handles of all pieces of the stages that no other follows.
+type Result struct {
+	Handles []string `json:"handles"`
+}
+
+// Done tells the owner that a job's results are no longer needed.
+type Done struct {
+	ID string `json:"id"`
+}
+
+// Methods of an owner.
+const (
+	methodRun  = "stage.run"
+	methodDone = "stage.done"
+	methodPing = "stage.ping"
+)
+
+// final returns which stages no other stage follows.
+func (j *Job) final() []bool {
+	out := make([]bool, len(j.Stages))
+	for i := range out {
+		out[i] = j.Stages[i].Pieces > 0
+	}
+	for _, s := range j.Stages {
+		if s.Pieces == 0 {
+			continue
+		}
+		for _, k := range s.After {
+			out[k] = false
+		}
+	}
+	return out
+}
+
+// valid refuses a job whose stages do not follow each other in order.
+func (j *Job) valid() error {
+	for i, s := range j.Stages {
+		for _, k := range s.After {
+			if k < 0 || k >= i {
+				return verdict.New(verdict.NotRun, verdict.CodeInvalid, "stage %d follows stage %d", i, k)
+			}
+		}
+	}
+	return nil
+}
+
+func errNoTime() error {
+	return verdict.New(verdict.NotRun, verdict.CodeDeadline, "the stages were not done in time")
+}
+
+func errStages(reason string) error {
+	return verdict.New(verdict.NotRun, verdict.CodeUpstream, "a stage failed: %s", reason)
+}
--- /dev/null
+++ b/node/stagework/scheduler.go
@@ -0,0 +1,574 @@
+package stagework
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"caperdrum.org/api/optext"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/upstream"
+)
+
+const (
+	// maxTries bounds how often a piece is asked for: a third failure is hardly
+	// the upstream's.
+	maxTries = 3
+	// maxRestarts bounds how often a job whose results were lost begins again.
+	maxRestarts = 1
+	// failurePause is how long an upstream is left alone after a failed call,
+	// doubled with each further one up to failurePauseMax.
+	failurePause    = 500 * time.Millisecond
+	failurePauseMax = 4 * time.Second
+	// fullPause is how long one is left alone that was full or had no room.
+	fullPause = 60 * time.Millisecond
+	// slowRatio is the ratio of a call's duration to what the text says from
+	// which on an upstream only gets what the others cannot take.
+	slowRatio = 1.8
+	// probeAfter is how long a slow upstream goes without work until one piece
+	// finds out whether it has recovered.
+	probeAfter = 2 * time.Second
+	// speedWeight is the weight of the last call in an upstream's ratio.
+	speedWeight = 0.4
+)
+
+// scheduler decides which pieces go to which upstream. It reads no clock and
+// does no I/O; one goroutine owns it.
+type scheduler struct {
+	services map[string]*serviceQueue
+	jobs     map[string]*job
+	serial   uint64
+}
+
+type serviceQueue struct {
+	spec    *optext.Service
+	waiting []*piece
+	workers map[wire.MemberID]*worker
+}
+
+// worker is an upstream that makes pieces.
+type worker struct {
+	member   wire.Member
+	running  int
+	room     int64 // bytes of results that it holds, as far as known here
+	until    time.Time
+	failures int
+	ratio    float64 // of the duration of its calls to what the text says
+	used     time.Time
+	gone     bool // it left the members, or another upstream has its address
+}
+
+type job struct {
+	Job
+	serial   uint64
+	deadline time.Time
+	goal     time.Time
+	tail     []time.Duration // by stage: what follows it takes at least
+	handles  [][]string      // by stage and piece
+	missing  []int           // by stage: pieces not made yet
+	started  []bool
+	made     []made
+	restarts int
+	answer   func(Result, error) // nil once called
+	expires  time.Time           // when its results are gone by themselves
+}
+
+// made is a result that an upstream holds.
+type made struct {
+	worker *worker
+	handle string
+	bytes  int64
+	stage  int
+}
+
+type piece struct {
+	job    *job
+	stage  int
+	number int
+	tries  int
+	epoch  int // restarts of the job when it was queued
+}
+
+// call is a call of an upstream that is to be made, or under way.
+type call struct {
+	service string
+	worker  *worker
+	pieces  []*piece
+	request []upstream.Piece
+	began   time.Time
+	expect  time.Duration
+	limit   time.Duration
+	bytes   int64
+}
+
+func newScheduler() *scheduler {
+	return &scheduler{services: map[string]*serviceQueue{}, jobs: map[string]*job{}}
+}
+
+// setServices takes over the services that make pieces and their upstreams.
+func (s *scheduler) setServices(services map[string]*optext.Service, announced map[string][]wire.Member) {
+	for name, spec := range services {
+		if spec.Batch <= 0 {
+			continue
+		}
+		q := s.services[name]
+		if q == nil {
+			q = &serviceQueue{workers: map[wire.MemberID]*worker{}}
+			s.services[name] = q
+		}
+		q.spec = spec
+		q.setWorkers(announced[name])
+	}
+}
+
+func (q *serviceQueue) setWorkers(members []wire.Member) {
+	present := map[wire.MemberID]bool{}
+	for _, m := range members {
+		present[m.ID] = true
+		if q.workers[m.ID] == nil {
+			q.workers[m.ID] = &worker{member: m, ratio: 1}
+		}
+	}
+	for id, w := range q.workers {
+		if !present[id] {
+			w.gone = true
+			delete(q.workers, id)
+		}
+	}
+}
+
+// add queues the first stages of a job. answer is called once.
+func (s *scheduler) add(now time.Time, j Job, answer func(Result, error)) {
+	if err := j.valid(); err != nil {
+		answer(Result{}, err)
+		return
+	}
+	if old := s.jobs[j.ID]; old != nil {
+		s.end(old, Result{}, errStages("the call was handed in again"))
+		s.forget(old)
+	}
+	s.serial++
+	n := &job{Job: j, serial: s.serial, deadline: now.Add(j.Left), goal: now.Add(j.Goal), answer: answer}
+	for _, st := range j.Stages {
+		if st.Pieces > 0 && s.services[st.Service] == nil {
+			answer(Result{}, errStages("service "+st.Service+" makes no pieces"))
+			return
+		}
+	}
+	s.jobs[j.ID] = n
+	s.reset(n)
+	s.advance(n)
+}
+
+// reset begins a job anew.
+func (s *scheduler) reset(j *job) {
+	n := len(j.Stages)
+	j.tail, j.handles, j.missing, j.started = make([]time.Duration, n), make([][]string, n), make([]int, n), make([]bool, n)
+	for i := n - 1; i >= 0; i-- {
+		st := j.Stages[i]
+		j.handles[i], j.missing[i] = make([]string, st.Pieces), st.Pieces
+		if st.Pieces == 0 {
+			continue
+		}
+		spec := s.services[st.Service].spec
+		whole := j.tail[i] + spec.CallTime + time.Duration(st.Pieces)*spec.PieceTime
+		for _, k := range st.After {
+			j.tail[k] = max(j.tail[k], whole)
+		}
+	}
+}
+
+// advance queues the stages whose inputs are there, and answers the job when
+// all are done.
+func (s *scheduler) advance(j *job) {
+	all := true
+	for i, st := range j.Stages {
+		if j.missing[i] > 0 {
+			all = false
+		}
+		if j.started[i] || st.Pieces == 0 || !j.ready(i) {
+			continue
+		}
+		j.started[i] = true
+		q := s.services[st.Service]
+		for k := range st.Pieces {
+			q.waiting = append(q.waiting, &piece{job: j, stage: i, number: k, epoch: j.restarts})
+		}
+	}
+	if all {
+		s.end(j, Result{Handles: j.finalHandles()}, nil)
+	}
+}
+
+func (j *job) ready(stage int) bool {
+	for _, k := range j.Stages[stage].After {
+		if j.missing[k] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (j *job) finalHandles() []string {
+	var out []string
+	for i, final := range j.final() {
+		if final {
+			out = append(out, j.handles[i]...)
+		}
+	}
+	return out
+}
+
+func (j *job) inputs(stage int) []string {
+	var out []string
+	for _, k := range j.Stages[stage].After {
+		out = append(out, j.handles[k]...)
+	}
+	return out
+}
+
+// end answers a job and drops what waits of it. Its results stay known until
+// the caller is done with them.
+func (s *scheduler) end(j *job, r Result, err error) {
+	if j.answer == nil {
+		return
+	}
+	j.answer(r, err)
+	j.answer = nil
+	for _, st := range j.Stages {
+		if q := s.services[st.Service]; q != nil {
+			q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool { return p.job == j })
+		}
+	}
+}
+
+// done gives a job up and returns the results that are to be freed.
+func (s *scheduler) done(id string) []made {
+	j := s.jobs[id]
+	if j == nil {
+		return nil
+	}
+	s.end(j, Result{}, errStages("the call was given up"))
+	return s.forget(j)
+}
+
+func (s *scheduler) forget(j *job) []made {
+	if s.jobs[j.ID] == j {
+		delete(s.jobs, j.ID)
+	}
+	out := j.made
+	j.made = nil
+	for _, m := range out {
+		m.worker.room -= m.bytes
+	}
+	return out
+}
+
+// freeInner returns the results of an answered job that only its own stages
+// needed.
+func (s *scheduler) freeInner(j *job) []made {
+	final := j.final()
+	var out, kept []made
+	for _, m := range j.made {
+		if final[m.stage] {
+			kept = append(kept, m)
+			continue
+		}
+		m.worker.room -= m.bytes
+		out = append(out, m)
+	}
+	j.made = kept
+	return out
+}
+
+// expire ends jobs whose time is over and forgets results that are gone by
+// themselves. It returns what is to be freed.
+func (s *scheduler) expire(now time.Time) []made {
+	var out []made
+	for _, j := range s.jobs {
+		switch {
+		case j.answer != nil && !now.Before(j.deadline):
+			s.end(j, Result{}, errNoTime())
+			out = append(out, s.forget(j)...)
+		case j.answer == nil && !j.expires.IsZero() && now.After(j.expires):
+			s.forget(j)
+		}
+	}
+	return out
+}
+
+// start returns the calls that are to be made now.
+func (s *scheduler) start(now time.Time) []*call {
+	var out []*call
+	for name, q := range s.services {
+		for len(q.waiting) > 0 {
+			c := q.next(now)
+			if c == nil {
+				break
+			}
+			c.service = name
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// next takes the next call out of the queue, or returns nil when no upstream
+// can take one.
+func (q *serviceQueue) next(now time.Time) *call {
+	free := q.free(now)
+	if len(free) == 0 {
+		return nil
+	}
+	slices.SortFunc(q.waiting, func(a, b *piece) int { return a.compare(b, now, q.spec) })
+	w, limit := q.choose(free, now)
+	if w == nil {
+		return nil
+	}
+	// What waits is spread over the upstreams that are idle, since a call takes
+	// longer with each piece.
+	c := q.fill(w, min(limit, (len(q.waiting)+len(free)-1)/len(free)), now)
+	if len(c.pieces) == 0 {
+		return nil
+	}
+	return c
+}
+
+func (q *serviceQueue) free(now time.Time) []*worker {
+	var out []*worker
+	for _, w := range q.workers {
+		if w.running < max(1, q.spec.Calls) && !now.Before(w.until) && q.room(w) > 0 {
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(a.ratio, b.ratio), cmp.Compare(a.member.ID, b.member.ID))
+	})
+	return out
+}
+
+func (q *serviceQueue) room(w *worker) int64 {
+	if q.spec.ResultRoom <= 0 {
+		return 1 << 60
+	}
+	return q.spec.ResultRoom - w.room
+}
+
+// choose picks the upstream for the next call and how many pieces it may get.
+// One near the first piece's caller is preferred among those that are not slow.
+func (q *serviceQueue) choose(free []*worker, now time.Time) (*worker, int) {
+	first := q.waiting[0].job.DataCenter
+	var slow *worker
+	var best *worker
+	for _, w := range free {
+		if w.ratio > slowRatio {
+			slow = w
+			continue
+		}
+		if best == nil || w.member.DataCenter == first && best.member.DataCenter != first {
+			best = w
+		}
+	}
+	if best != nil {
+		if slow != nil && now.Sub(slow.used) > probeAfter {
+			return slow, 1
+		}
+		return best, q.spec.Batch
+	}
+	if q.healthy() == 0 || len(q.waiting) > q.healthy()*q.spec.Batch || now.Sub(slow.used) > probeAfter {
+		return slow, q.spec.Batch
+	}
+	return nil, 0
+}
+
+// healthy counts the upstreams that are neither slow nor failing.
+func (q *serviceQueue) healthy() int {
+	n := 0
+	for _, w := range q.workers {
+		if w.ratio <= slowRatio && w.failures == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// compare orders pieces: first those whose call can still reach its goal, by
+// when they must start for that; then the others by their deadline.
+func (p *piece) compare(o *piece, now time.Time, spec *optext.Service) int {
+	a, alate := p.startBy(now, spec)
+	b, blate := o.startBy(now, spec)
+	if alate != blate {
+		if alate {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(a.Compare(b), cmp.Compare(p.job.serial, o.job.serial), cmp.Compare(p.number, o.number))
+}
+
+func (p *piece) startBy(now time.Time, spec *optext.Service) (at time.Time, late bool) {
+	rest := spec.CallTime + spec.PieceTime + p.job.tail[p.stage]
+	if at = p.job.goal.Add(-rest); !at.Before(now) {
+		return at, false
+	}
+	return p.job.deadline, true
+}
+
+// fill takes up to limit pieces for the upstream, in order, as far as it has
+// room for their results.
+func (q *serviceQueue) fill(w *worker, limit int, now time.Time) *call {
+	c := &call{worker: w, began: now, expect: q.spec.CallTime}
+	room := q.room(w)
+	var rest []*piece
+	for _, p := range q.waiting {
+		bytes := p.job.Stages[p.stage].Bytes
+		if len(c.pieces) >= min(limit, q.spec.Batch) || bytes > room && len(c.pieces) > 0 {
+			rest = append(rest, p)
+			continue
+		}
+		room -= bytes
+		c.bytes += bytes
+		c.expect += q.spec.PieceTime
+		c.pieces = append(c.pieces, p)
+		c.request = append(c.request, p.request(now))
+	}
+	q.waiting = rest
+	w.running++
+	w.room += c.bytes
+	w.used = now
+	c.limit = callLimit(c.expect, w.ratio)
+	return c
+}
+
+// callLimit is the time after which a call is given up: three times what it
+// should take at the upstream's pace, and half a second for the links.
+func callLimit(expect time.Duration, ratio float64) time.Duration {
+	return time.Duration(3*float64(expect)*max(1, ratio)) + 500*time.Millisecond
+}
+
+func (p *piece) request(now time.Time) upstream.Piece {
+	r := upstream.Piece{ID: p.job.ID, Stage: p.stage, Number: p.number, Left: p.job.deadline.Sub(now)}
+	if len(p.job.Stages[p.stage].After) == 0 {
+		r.Key = p.job.Key
+	} else {
+		r.Inputs = p.job.inputs(p.stage)
+	}
+	return r
+}
+
+// outcome is how a call ended.
+type outcome struct {
+	results []upstream.PieceResult // one for each piece; nil when the call failed
+	full    bool                   // it was not run: the upstream is full
+	moved   bool                   // another upstream answered at the address
+	err     string
+}
+
+// finish takes over the outcome of a call and returns the results that are to
+// be freed, since nobody waits for them.
+func (s *scheduler) finish(now time.Time, c *call, o outcome) []made {
+	w := c.worker
+	w.running--
+	w.room -= c.bytes
+	s.judge(now, c, o)
+	var free []made
+	for i, p := range c.pieces {
+		r := upstream.PieceResult{Failure: upstream.Failed}
+		if o.results != nil {
+			r = o.results[i]
+		}
+		if r.Handle == "" {
+			free = append(free, s.failed(now, c, p, r.Failure, o.full || o.moved)...)
+			continue
+		}
+		m := made{worker: w, handle: r.Handle, bytes: p.job.Stages[p.stage].Bytes, stage: p.stage}
+		if p.job.answer == nil || p.epoch != p.job.restarts {
+			free = append(free, m)
+			continue
+		}
+		w.room += m.bytes
+		free = append(free, s.deliver(now, p, m)...)
+	}
+	return free
+}
+
+// judge notes what a call tells of the upstream.
+func (s *scheduler) judge(now time.Time, c *call, o outcome) {
+	w := c.worker
+	switch {
+	case o.results != nil:
+		w.failures = 0
+		ratio := float64(now.Sub(c.began)) / float64(c.expect)
+		w.ratio += speedWeight * (ratio - w.ratio)
+	case o.full:
+		w.until = now.Add(fullPause)
+	case o.moved:
+		w.gone = true
+		if q := s.services[c.service]; q != nil {
+			w.until = now.Add(time.Hour) // until the members say so too
+		}
+	default:
+		w.failures++
+		w.until = now.Add(min(failurePause<<min(w.failures-1, 8), failurePauseMax))
+	}
+}
+
+func (s *scheduler) deliver(now time.Time, p *piece, m made) []made {
+	j := p.job
+	j.made = append(j.made, m)
+	j.handles[p.stage][p.number] = m.handle
+	j.missing[p.stage]--
+	if j.missing[p.stage] > 0 {
+		return nil
+	}
+	s.advance(j)
+	if j.answer != nil {
+		return nil
+	}
+	j.expires = now.Add(s.services[j.Stages[p.stage].Service].spec.ResultTTL)
+	return s.freeInner(j)
+}
+
+// failed queues a piece again, or ends its job.
+func (s *scheduler) failed(now time.Time, c *call, p *piece, why upstream.Failure, innocent bool) []made {
+	j := p.job
+	if j.answer == nil || p.epoch != j.restarts {
+		return nil
+	}
+	switch {
+	case why == upstream.NoRoom:
+		c.worker.until = now.Add(fullPause)
+	case why == upstream.InputGone && j.restarts < maxRestarts:
+		return s.restart(j)
+	case why == upstream.InputGone, why == upstream.Late:
+		s.end(j, Result{}, errStages(string(why)))
+		return s.forget(j)
+	case !innocent:
+		p.tries++
+	}
+	if p.tries >= maxTries {
+		s.end(j, Result{}, errStages(string(why)))
+		return s.forget(j)
+	}
+	q := s.services[j.Stages[p.stage].Service]
+	q.waiting = append(q.waiting, p)
+	return nil
+}
+
+// restart makes all results of a job again.
+func (s *scheduler) restart(j *job) []made {
+	j.restarts++
+	for _, st := range j.Stages {
+		if q := s.services[st.Service]; q != nil {
+			q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool { return p.job == j })
+		}
+	}
+	out := j.made
+	j.made = nil
+	for _, m := range out {
+		m.worker.room -= m.bytes
+	}
+	s.reset(j)
+	s.advance(j)
+	return out
+}
--- a/node/state/state.go
+++ b/node/state/state.go
@@ -27,9 +27,10 @@
 	// LedgerLimit is the size in bytes from which on Claims take no new key;
 	// zero is no limit. It comes with the command because settings may differ
 	// between replicas.
-	LedgerLimit int64         `cbor:"8,keyasint,omitempty"`
-	Team        *TeamCommand  `cbor:"20,keyasint,omitempty"`
-	Orders      *OrderCommand `cbor:"40,keyasint,omitempty"`
+	LedgerLimit int64            `cbor:"8,keyasint,omitempty"`
+	Put         *wire.PutRequest `cbor:"9,keyasint,omitempty"`
+	Team        *TeamCommand     `cbor:"20,keyasint,omitempty"`
+	Orders      *OrderCommand    `cbor:"40,keyasint,omitempty"`
 }
 
 // Removal ends a membership, unless the process has since come back under
@@ -45,6 +46,7 @@
 	Claims  []wire.ClaimReply
 	Settles []wire.SettleReply
 	Fences  []uint64
+	Put     *wire.PutResult
 	Team    *TeamResult
 	Orders  []IssueResult
 }
@@ -163,6 +165,10 @@
 		res := m.change(c.Change)
 		r.Change = &res
 	}
+	if c.Put != nil {
+		res := m.put(c.Put)
+		r.Put = &res
+	}
 	for _, member := range c.Join {
 		m.join(member)
 	}
@@ -216,6 +222,17 @@
 	return res
 }
 
+// put takes over a text with a higher version. Any other is without effect,
+// also one with other content under the version in force.
+func (m *Machine) put(p *wire.PutRequest) wire.PutResult {
+	if p.Version <= m.s.Version {
+		return wire.PutResult{Version: m.s.Version}
+	}
+	m.s.Version, m.s.Text, m.s.Winner = p.Version, p.Text, ""
+	m.parts.history = m.parts.history.Next(p.Version, p.Text)
+	return wire.PutResult{Applied: true, Version: p.Version}
+}
+
 func changeHash(c *wire.ChangeRequest) uint64 {
 	d := xxhash.New()
 	data, _ := cbor.Marshal([2]any{c.Number, c.Text}) // cannot fail for these types
--- a/node/textdelta/history.go
+++ b/node/textdelta/history.go
@@ -1,6 +1,8 @@
 package textdelta
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,8 +42,8 @@
 	return h
 }
 
-// Next returns the record after version was accepted. The version must be the
-// one after h's.
+// Next returns the record after version was accepted. The version must be
+// higher than h's; numbers may be left out.
 func (h *History) Next(version uint64, text string) *History {
 	n := NewHistory(version, text)
 	s := step{version: h.version, hash: h.hash, runs: diff(n.hashes, h.hashes)}
@@ -68,11 +70,8 @@
 // hash, to the current one. It is nil when that text is not known, or when the
 // delta would be no shorter than the text.
 func (h *History) Delta(base, hash uint64) *wire.ConfigDelta {
-	if len(h.back) == 0 || base < h.back[0].version || base >= h.version {
-		return nil
-	}
-	at := int(base - h.back[0].version)
-	if h.back[at].hash != hash {
+	at, known := slices.BinarySearchFunc(h.back, base, func(s step, v uint64) int { return cmp.Compare(s.version, v) })
+	if !known || h.back[at].hash != hash {
 		return nil
 	}
 	h.mu.Lock()
--- /dev/null
+++ b/node/upstream/pool.go
@@ -0,0 +1,237 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/verdict"
+)
+
+const (
+	// dialTimeout bounds the wait for an upstream that is dark. Above the retry
+	// of a lost packet on a link within a region, far below any deadline.
+	dialTimeout = 400 * time.Millisecond
+	// userTimeout ends a connection whose bytes are not acknowledged: a peer
+	// behind a cut says nothing at all.
+	userTimeout = 3 * time.Second
+	// idleMargin is left of the time for which an upstream says that it keeps
+	// an idle connection, since the close travels too.
+	idleMargin = 500 * time.Millisecond
+	// idleDefault is how long a connection is kept where it does not say.
+	idleDefault = 4 * time.Second
+	// maxStrayAnswers are answers to earlier calls that are skipped before the
+	// connection is given up.
+	maxStrayAnswers = 2
+	readBuffer      = 4 << 10
+)
+
+// Pool keeps connections to upstreams, by address.
+type Pool struct {
+	protocol Protocol
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+	open map[string]int // connections by address, idle ones included
+}
+
+// NewPool returns an empty pool.
+func NewPool(p Protocol) *Pool {
+	return &Pool{protocol: p, idle: map[string][]*conn{}, open: map[string]int{}}
+}
+
+type conn struct {
+	net.Conn
+	pool    *Pool
+	address string
+	br      *bufio.Reader
+	expires time.Time // when it must not be used again
+	once    sync.Once
+}
+
+// Close closes the connection and gives its place back.
+func (c *conn) Close() error {
+	var err error
+	c.once.Do(func() {
+		err = c.Conn.Close()
+		c.pool.mu.Lock()
+		defer c.pool.mu.Unlock()
+		if c.pool.open[c.address]--; c.pool.open[c.address] <= 0 {
+			delete(c.pool.open, c.address)
+		}
+	})
+	return err
+}
+
+// errNoConnection says that the share of connections to an upstream is used.
+func errNoConnection(address string) error {
+	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "all connections to %s are in use", address)
+}
+
+// get returns a connection. With fresh it is a new one.
+func (p *Pool) get(ctx context.Context, address string, limit int, fresh bool) (*conn, error) {
+	if !fresh {
+		for {
+			c := p.takeIdle(address)
+			if c == nil {
+				break
+			}
+			if time.Now().Before(c.expires) && c.quiet() {
+				return c, nil
+			}
+			c.Close()
+		}
+	}
+	if !p.reserve(address, limit) {
+		return nil, errNoConnection(address)
+	}
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	raw, err := d.DialContext(ctx, "tcp", address)
+	c := &conn{Conn: raw, pool: p, address: address}
+	if err != nil {
+		c.Conn = noConn{}
+		c.Close()
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUpstream, "connect to %s: %v", address, err)
+	}
+	c.br = bufio.NewReaderSize(raw, readBuffer)
+	return c, nil
+}
+
+// noConn stands for a connection that was never made.
+type noConn struct{ net.Conn }
+
+// Close implements net.Conn.
+func (noConn) Close() error { return nil }
+
+func (p *Pool) takeIdle(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	if len(list) == 1 {
+		delete(p.idle, address)
+	}
+	return c
+}
+
+func (p *Pool) reserve(address string, limit int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if limit > 0 && p.open[address] >= limit {
+		return false
+	}
+	p.open[address]++
+	return true
+}
+
+// put keeps a connection that is between two calls.
+func (p *Pool) put(c *conn, keep time.Duration) {
+	c.expires = time.Now().Add(keep)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// Trim closes idle connections that must not be used again.
+func (p *Pool) Trim() {
+	now := time.Now()
+	var old []*conn
+	p.mu.Lock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.expires) {
+				kept = append(kept, c)
+			} else {
+				old = append(old, c)
+			}
+		}
+		if p.idle[address] = kept; len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		c.Close()
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	lists := p.idle
+	p.idle = map[string][]*conn{}
+	p.mu.Unlock()
+	for _, list := range lists {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+}
+
+// quiet reports whether nothing came since the last answer: neither bytes that
+// belong to no call nor the end of the connection.
+func (c *conn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var b [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(rerr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var serr error
+	err := raw.Control(func(fd uintptr) {
+		serr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return serr
+}
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of tcp(7), which package syscall lacks.
+const tcpUserTimeout = 18
+
+// keepFor returns for how long the connection may stay idle after the answer,
+// zero when it may not.
+func keepFor(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		if err != nil {
+			return 0
+		}
+		return max(0, time.Duration(seconds)*time.Second-idleMargin)
+	}
+	return idleDefault
+}
