--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -110,7 +110,7 @@
 // modulesOf lists the modules of the process's roles in starting order; they
 // stop in the reverse order, so what callers reach stops first.
 func modulesOf(set *settings.Settings) []kernel.Module {
-	modules := []kernel.Module{{Name: "debug", New: debug.New}}
+	modules := []kernel.Module{{Name: "reload", New: newReloader}, {Name: "debug", New: debug.New}}
 	if set.Has(settings.Control) {
 		modules = append(modules, kernel.Module{Name: "control", New: control.New}, kernel.Module{Name: "planner", New: planner.New})
 		if set.Control.Admin != "" {
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -258,24 +258,32 @@
 	}
 	out := j.made
 	j.made = nil
-	for _, m := range out {
+	return out
+}
+
+// freed notes that results take no room any more.
+func (s *scheduler) freed(results []made) {
+	for _, m := range results {
 		m.worker.room -= m.bytes
 	}
-	return out
 }
 
-// freeInner returns the results of an answered job that only its own stages
-// needed.
-func (s *scheduler) freeInner(j *job) []made {
-	final := j.final()
+// freeInputs returns the results of a job that no stage of it needs any more:
+// every stage that follows has all its pieces.
+func (s *scheduler) freeInputs(j *job) []made {
+	needed := j.final()
+	for i, st := range j.Stages {
+		for _, k := range st.After {
+			needed[k] = needed[k] || j.missing[i] > 0
+		}
+	}
 	var out, kept []made
 	for _, m := range j.made {
-		if final[m.stage] {
+		if needed[m.stage] {
 			kept = append(kept, m)
-			continue
+		} else {
+			out = append(out, m)
 		}
-		m.worker.room -= m.bytes
-		out = append(out, m)
 	}
 	j.made = kept
 	return out
@@ -291,7 +299,7 @@
 			s.end(j, Result{}, errNoTime())
 			out = append(out, s.forget(j)...)
 		case j.answer == nil && !j.expires.IsZero() && now.After(j.expires):
-			s.forget(j)
+			s.freed(s.forget(j))
 		}
 	}
 	return out
@@ -482,11 +490,11 @@
 			continue
 		}
 		m := made{worker: w, handle: r.Handle, bytes: p.job.Stages[p.stage].Bytes, stage: p.stage}
+		w.room += m.bytes
 		if p.job.answer == nil || p.epoch != p.job.restarts {
 			free = append(free, m)
 			continue
 		}
-		w.room += m.bytes
 		free = append(free, s.deliver(now, p, m)...)
 	}
 	return free
@@ -522,11 +530,10 @@
 		return nil
 	}
 	s.advance(j)
-	if j.answer != nil {
-		return nil
+	if j.answer == nil {
+		j.expires = now.Add(s.services[j.Stages[p.stage].Service].spec.ResultTTL)
 	}
-	j.expires = now.Add(s.services[j.Stages[p.stage].Service].spec.ResultTTL)
-	return s.freeInner(j)
+	return s.freeInputs(j)
 }
 
 // failed queues a piece again, or ends its job.
@@ -565,9 +572,6 @@
 	}
 	out := j.made
 	j.made = nil
-	for _, m := range out {
-		m.worker.room -= m.bytes
-	}
 	s.reset(j)
 	s.advance(j)
 	return out
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -53,15 +53,15 @@
 	cancel   context.CancelFunc
 	callers  *callers
 
-	scheduler *scheduler           // of the owner's goroutine
-	toFree    map[*worker][]string // of the owner's goroutine
-	freeing   bool                 // of the owner's goroutine
+	scheduler *scheduler         // of the owner's goroutine
+	toFree    map[*worker][]made // of the owner's goroutine
+	freeing   bool               // of the owner's goroutine
 }
 
 // New returns the service and adds its methods to the process's peer server.
 func New(p Params) *Service {
 	s := &Service{log: p.Log, protocol: p.Protocol, pool: upstream.NewPool(p.Protocol), sync: p.ConfigSync,
-		events: make(chan func(time.Time), 256), scheduler: newScheduler(), toFree: map[*worker][]string{}}
+		events: make(chan func(time.Time), 256), scheduler: newScheduler(), toFree: map[*worker][]made{}}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.callers = newCallers(p.Dial, p.ConfigSync)
 	server := p.Discovery.Server()
@@ -202,7 +202,7 @@
 func (s *Service) free(results []made) {
 	for _, m := range results {
 		if !m.worker.gone {
-			s.toFree[m.worker] = append(s.toFree[m.worker], m.handle)
+			s.toFree[m.worker] = append(s.toFree[m.worker], m)
 		}
 	}
 	if s.freeing || len(s.toFree) == 0 {
@@ -214,14 +214,19 @@
 
 func (s *Service) sendFree() {
 	s.freeing = false
-	for w, handles := range s.toFree {
-		go s.freeAt(w.member, handles)
+	for w, results := range s.toFree {
+		go s.freeAt(w.member, results)
 	}
 	clear(s.toFree)
 }
 
 // freeAt is not repeated: results that stay are gone by themselves soon.
-func (s *Service) freeAt(m wire.Member, handles []string) {
+func (s *Service) freeAt(m wire.Member, results []made) {
+	defer s.post(func(time.Time) { s.scheduler.freed(results) })
+	handles := make([]string, len(results))
+	for i, r := range results {
+		handles[i] = r.handle
+	}
 	ctx, cancel := context.WithTimeout(s.ctx, freeTimeout)
 	defer cancel()
 	path, body := s.protocol.FreeResults(handles)
