Stages: jobs that would miss their goal are refused at once; pieces of one stage stay in one call

Cause: in a burst of lot-blurb two stage services are full; every job then waits for its turn, is late, and takes room for results that lie until the last stage is done. A log of every call showed calls of 1 to 16 pieces for lack of room with 340 pieces waiting. Ruled out: upstreams full (0 refusals), slow upstreams (ratio 0.8 to 1.07). Change: the owner estimates when a job would be done behind the work under way, bounded by time and by room for results, and refuses it as not run with when to come back; a caller that came back is taken in. Groups of pieces are not split.

--- /dev/null
+++ b/node/stagework/admission.go
@@ -0,0 +1,123 @@
+package stagework
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"caperdrum.org/api/optext"
+)
+
+const (
+	// efficiency is the part of its nominal rate that a service reaches: calls
+	// are not all full.
+	efficiency = 0.85
+	// handOver is how long a result that no stage follows lies at its maker, for
+	// the way to the engine and its fetch.
+	handOver = 200 * time.Millisecond
+	// comeBackMin and comeBackPart bound when a caller is told to come back: the
+	// burst must have time to pass, and a caller honours up to a third of the
+	// time that it has left.
+	comeBackMin  = 300 * time.Millisecond
+	comeBackPart = 3
+	// trustAbove is the number of jobs under way from which on estimates decide:
+	// a few jobs never overload a service.
+	trustAbove = 8
+)
+
+// refuse reports whether a job would miss its goal behind those that are under
+// way, and when its caller should come back. Work on a call that will be late
+// makes others late too. A caller that has been sent away once is taken in as
+// long as its deadline can be met.
+func (s *scheduler) refuse(now time.Time, j *job) (comeBack time.Duration, refused bool) {
+	if len(s.jobs) < trustAbove {
+		return 0, false
+	}
+	limit := j.goal
+	if j.Returned || !j.goal.After(now) {
+		limit = j.deadline
+	}
+	if !now.Add(s.estimate(now, j)).After(limit) {
+		return 0, false
+	}
+	longest := j.Left / comeBackPart
+	shortest := min(comeBackMin, longest)
+	return shortest + time.Duration(rand.Float64()*float64(longest-shortest)), true
+}
+
+// estimate is how long the stages of a new job take behind the jobs whose time
+// comes before: at each service that it needs, the work that is on its way
+// there, and what follows.
+func (s *scheduler) estimate(now time.Time, j *job) time.Duration {
+	ahead := s.ahead(now, j.goal)
+	var longest, service time.Duration
+	for i, st := range j.Stages {
+		if st.Pieces == 0 {
+			continue
+		}
+		q := s.services[st.Service]
+		rate := q.rate(st.Bytes, s.following(j, i))
+		if rate <= 0 {
+			return j.Left + 1
+		}
+		own := q.spec.CallTime + time.Duration(st.Pieces)*q.spec.PieceTime
+		wait := time.Duration(float64(ahead[st.Service]) / rate * float64(time.Second))
+		longest = max(longest, wait+own+j.tail[i])
+		service = max(service, own+j.tail[i])
+	}
+	// Half a call passes on average until an upstream is free.
+	return max(longest, service+s.halfCalls(j))
+}
+
+func (s *scheduler) halfCalls(j *job) time.Duration {
+	var sum time.Duration
+	for _, st := range j.Stages {
+		if st.Pieces > 0 {
+			sum += s.services[st.Service].spec.CallTime / 4
+		}
+	}
+	return sum
+}
+
+// ahead counts the pieces that are not made yet, by service, of jobs that still
+// reach their goal and whose goal comes first.
+func (s *scheduler) ahead(now, goal time.Time) map[string]int {
+	out := map[string]int{}
+	for _, other := range s.jobs {
+		if other.answer == nil || other.goal.Before(now) || other.goal.After(goal) {
+			continue
+		}
+		for i, st := range other.Stages {
+			out[st.Service] += other.missing[i]
+		}
+	}
+	return out
+}
+
+// following is how long results of a stage are held for the stage after it.
+func (s *scheduler) following(j *job, stage int) time.Duration {
+	hold := handOver
+	for _, st := range j.Stages {
+		for _, k := range st.After {
+			if k == stage && st.Pieces > 0 {
+				hold = max(hold, fullCall(s.services[st.Service].spec))
+			}
+		}
+	}
+	return hold
+}
+
+func fullCall(spec *optext.Service) time.Duration {
+	return spec.CallTime + time.Duration(spec.Batch)*spec.PieceTime
+}
+
+// rate is how many pieces a second the service makes, bounded by its upstreams'
+// time and by the room for results that are held for hold after they are made.
+func (q *serviceQueue) rate(bytes int64, hold time.Duration) float64 {
+	n := float64(q.healthy())
+	call := fullCall(q.spec)
+	rate := n * float64(q.spec.Batch) / call.Seconds() * efficiency
+	if q.spec.ResultRoom > 0 && bytes > 0 {
+		rate = min(rate, n*float64(q.spec.ResultRoom)/float64(bytes)/(call+hold).Seconds())
+	}
+	return rate
+}
--- a/node/stagework/job.go
+++ b/node/stagework/job.go
@@ -18,6 +18,9 @@
 	Left       time.Duration `json:"left"` // until the call is worthless
 	Goal       time.Duration `json:"goal"` // until it is worth less; negative when that has passed
 	DataCenter string        `json:"data_center"`
+	// Returned says that the caller was told to come back before: it is not sent
+	// away again.
+	Returned bool `json:"returned,omitempty"`
 }
 
 // Stage is one stage of a job.
@@ -78,6 +81,11 @@
 	return verdict.New(verdict.NotRun, verdict.CodeDeadline, "the stages were not done in time")
 }
 
+// errBusy refuses a job that would not reach its goal.
+func errBusy(comeBack time.Duration) error {
+	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the stages are busy").After(comeBack)
+}
+
 func errStages(reason string) error {
 	return verdict.New(verdict.NotRun, verdict.CodeUpstream, "a stage failed: %s", reason)
 }
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -155,8 +155,12 @@
 			return
 		}
 	}
-	s.jobs[j.ID] = n
 	s.reset(n)
+	if wait, refused := s.refuse(now, n); refused {
+		answer(Result{}, errBusy(wait))
+		return
+	}
+	s.jobs[j.ID] = n
 	s.advance(n)
 }
 
@@ -411,7 +415,7 @@
 		}
 		return -1
 	}
-	return cmp.Or(a.Compare(b), cmp.Compare(p.job.serial, o.job.serial), cmp.Compare(p.number, o.number))
+	return cmp.Or(a.Compare(b), cmp.Compare(p.job.serial, o.job.serial), cmp.Compare(p.stage, o.stage), cmp.Compare(p.number, o.number))
 }
 
 func (p *piece) startBy(now time.Time, spec *optext.Service) (at time.Time, late bool) {
@@ -428,17 +432,29 @@
 	c := &call{worker: w, began: now, expect: q.spec.CallTime}
 	room := q.room(w)
 	var rest []*piece
-	for _, p := range q.waiting {
-		bytes := p.job.Stages[p.stage].Bytes
-		if len(c.pieces) >= min(limit, q.spec.Batch) || bytes > room && len(c.pieces) > 0 {
-			rest = append(rest, p)
+	for len(q.waiting) > 0 {
+		// Pieces that belong together stay together: a result that waits for its
+		// siblings only takes room.
+		group := q.group()
+		bytes := int64(len(group)) * group[0].job.Stages[group[0].stage].Bytes
+		fits := len(c.pieces)+len(group) <= min(limit, q.spec.Batch) && bytes <= room
+		if len(c.pieces) > 0 && !fits {
+			rest = append(rest, group...)
+			q.waiting = q.waiting[len(group):]
 			continue
 		}
+		if !fits { // larger than any call
+			group = group[:min(len(group), q.spec.Batch, max(1, int(room/max(1, group[0].bytes()))))]
+			bytes = int64(len(group)) * group[0].bytes()
+		}
+		q.waiting = q.waiting[len(group):]
 		room -= bytes
 		c.bytes += bytes
-		c.expect += q.spec.PieceTime
-		c.pieces = append(c.pieces, p)
-		c.request = append(c.request, p.request(now))
+		c.expect += time.Duration(len(group)) * q.spec.PieceTime
+		for _, p := range group {
+			c.pieces = append(c.pieces, p)
+			c.request = append(c.request, p.request(now))
+		}
 	}
 	q.waiting = rest
 	w.running++
@@ -448,6 +464,18 @@
 	return c
 }
 
+// group returns the first waiting pieces that are of one stage of one job.
+func (q *serviceQueue) group() []*piece {
+	first := q.waiting[0]
+	n := 1
+	for n < len(q.waiting) && q.waiting[n].job == first.job && q.waiting[n].stage == first.stage {
+		n++
+	}
+	return q.waiting[:n]
+}
+
+func (p *piece) bytes() int64 { return p.job.Stages[p.stage].Bytes }
+
 // callLimit is the time after which a call is given up: three times what it
 // should take at the upstream's pace, and half a second for the links.
 func callLimit(expect time.Duration, ratio float64) time.Duration {
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -160,7 +160,9 @@
 		s.log.Info("stage call failed", "service", c.service, "upstream", c.worker.member.ID, "address", c.worker.member.Direct,
 			"pieces", len(c.pieces), "full", o.full, "moved", o.moved, "limit", c.limit, "took", time.Since(c.began), "error", o.err)
 	}
-	s.post(func(now time.Time) { s.free(s.scheduler.finish(now, c, o)) })
+	s.post(func(now time.Time) {
+		s.free(s.scheduler.finish(now, c, o))
+	})
 }
 
 func (s *Service) exchange(c *call) outcome {
