Stages: one owner of the queues, named by the leader in the replicated state

Cause: each process chose the owner by a hash and passed over one that was silent for it; after a cut of single machines four owners started calls side by side, found the upstreams full 6,459 times and threw 250 s of their work away. Ruled out: the admission estimate (it holds at one owner), upstreams that are slow. Change: the leader names one owner with an epoch, pings it and names another one when it is gone, leaving or silent; a process that is no longer named ends its jobs as not run and moved. Calls at a stopping process get a final answer before it is killed; the process says at once that it leaves. Conclusion: calls for pieces need one owner; views of members are too loose for that.

--- a/api/wire/announce.go
+++ b/api/wire/announce.go
@@ -31,3 +31,12 @@
 	Applied bool   `json:"applied"` // false: a version at least as high was in force
 	Version uint64 `json:"version"` // in force after the call
 }
+
+// StageOwner names the process that owns the queues of stage upstreams. A
+// higher epoch replaces a lower one.
+type StageOwner struct {
+	ID          MemberID `json:"id" cbor:"1,keyasint"`
+	Incarnation uint64   `json:"incarnation" cbor:"2,keyasint"`
+	Peer        string   `json:"peer" cbor:"3,keyasint"`
+	Epoch       uint64   `json:"epoch" cbor:"4,keyasint"`
+}
--- a/api/wire/messages.go
+++ b/api/wire/messages.go
@@ -43,6 +43,7 @@
 	Wait          time.Duration `json:"wait"`
 	Fence         uint64        `json:"fence,omitempty"` // highest token heard of for the caller
 	Term          uint64        `json:"term,omitempty"`  // highest term heard of
+	OwnerEpoch    uint64        `json:"owner_epoch,omitempty"`
 }
 
 // SyncReply carries what the caller lacks. Config is nil when the caller is
@@ -59,6 +60,7 @@
 	Leader     MemberID      `json:"leader"`            // control member that leads, if known
 	LeaderPeer string        `json:"leader_peer"`       // its peer address
 	Control    []string      `json:"control,omitempty"` // peer addresses of the voters
+	Owner      StageOwner    `json:"owner"`             // as far as known there
 
 	// Hints, which need not be current: they only say when to ask the leader.
 	Fence uint64 `json:"fence,omitempty"` // highest token known there for the caller
--- a/node/configsync/holder.go
+++ b/node/configsync/holder.go
@@ -78,7 +78,7 @@
 	defer h.mu.Unlock()
 	req := wire.SyncRequest{Member: h.member, Wait: wait, Fence: h.hint.Fence, Term: h.hint.Term}
 	if v := h.View(); v != nil {
-		req.ConfigVersion, req.MembersSeq = v.Version, v.Seq
+		req.ConfigVersion, req.MembersSeq, req.OwnerEpoch = v.Version, v.Seq, v.Owner.Epoch
 		if h.fault == nil {
 			req.ConfigHash = v.Hash
 		}
@@ -127,8 +127,11 @@
 	if reply.Version > next.Version || reply.MembersSeq > next.Seq {
 		return nil, errors.Annotate(errGap, "the answer does not bring all that it knows of")
 	}
+	if reply.Owner.Epoch > next.Owner.Epoch {
+		next.Owner = reply.Owner
+	}
 	var changed *View
-	if old == nil || next.Version != old.Version || next.Seq != old.Seq {
+	if old == nil || next.Version != old.Version || next.Seq != old.Seq || next.Owner != old.Owner {
 		h.view.Store(&next)
 		changed = &next
 	}
--- a/node/configsync/view.go
+++ b/node/configsync/view.go
@@ -19,6 +19,7 @@
 	Seq       uint64
 	Members   map[wire.MemberID]wire.Member
 	ByService map[string][]wire.Member // agents that are not leaving, by service, sorted by id
+	Owner     wire.StageOwner
 	Announced map[string][]wire.Member // announced upstreams that are not leaving, likewise
 
 	ends []int // where the sections of Text end
--- a/node/control/news.go
+++ b/node/control/news.go
@@ -13,6 +13,7 @@
 	seq     uint64
 	fence   uint64
 	term    uint64
+	owner   uint64
 	next    atomic.Pointer[chan struct{}]
 }
 
@@ -40,10 +41,10 @@
 
 func (n *news) check() {
 	v, term := n.cluster.View(), n.cluster.Status().Term
-	if v.Config.Version == n.version && v.MembersSeq == n.seq && v.Fence == n.fence && term == n.term {
+	if v.Config.Version == n.version && v.MembersSeq == n.seq && v.Fence == n.fence && term == n.term && v.Owner.Epoch == n.owner {
 		return
 	}
-	n.version, n.seq, n.fence, n.term = v.Config.Version, v.MembersSeq, v.Fence, term
+	n.version, n.seq, n.fence, n.term, n.owner = v.Config.Version, v.MembersSeq, v.Fence, term, v.Owner.Epoch
 	next := make(chan struct{})
 	close(*n.next.Swap(&next))
 }
--- /dev/null
+++ b/node/control/owner.go
@@ -0,0 +1,138 @@
+package control
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/peer"
+	"caperdrum.org/node/settings"
+	"caperdrum.org/node/state"
+)
+
+const (
+	// ownerInterval is how often the leader pings the owner of the stage queues.
+	ownerInterval = 150 * time.Millisecond
+	// ownerPing bounds a ping. Above a pause of a collector and a lost packet's
+	// first repeat, 200 ms.
+	ownerPing = 250 * time.Millisecond
+	// ownerMisses pings in a row that are not answered move the ownership.
+	ownerMisses = 2
+)
+
+// ownership lets the leader name one process that owns the queues of all stage
+// upstreams, and name another one when that process is gone or silent. Two that
+// both start calls would fill each other's upstreams.
+type ownership struct {
+	s      *Service
+	client *peer.Client
+	misses int
+	failed map[wire.MemberID]time.Time // that did not answer, and when
+}
+
+func newOwnership(s *Service) *ownership {
+	return &ownership{s: s, failed: map[wire.MemberID]time.Time{}}
+}
+
+func (o *ownership) run(ctx context.Context) {
+	ticker := o.s.clock.NewTicker(ownerInterval)
+	defer ticker.Stop()
+	for {
+		changed := o.s.news.changed()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		case <-changed:
+		}
+		if o.s.cluster.IsLeader() {
+			o.step(ctx)
+		}
+	}
+}
+
+// step keeps the owner or names another one.
+func (o *ownership) step(ctx context.Context) {
+	view := o.s.cluster.View()
+	m, member := view.Members[view.Owner.ID]
+	if member && !m.Leaving && m.Incarnation == view.Owner.Incarnation && o.answers(ctx, m) {
+		return
+	}
+	if member {
+		o.failed[m.ID] = o.s.clock.Now()
+	}
+	next, ok := nextOwner(view.Members, wire.MemberID(o.s.set.Node.Name), o.avoided)
+	if !ok || next.ID == view.Owner.ID && next.Incarnation == view.Owner.Incarnation {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, standstill/2)
+	defer cancel()
+	owner := wire.StageOwner{ID: next.ID, Incarnation: next.Incarnation, Peer: next.Peer, Epoch: view.Owner.Epoch + 1}
+	if _, err := o.s.cluster.Propose(call, state.Command{Owner: &owner}); err != nil {
+		o.s.log.Info("stage owner not named", "owner", next.ID, "error", err.Error())
+		return
+	}
+	o.misses = 0
+	o.s.log.Info("stage owner named", "owner", next.ID, "epoch", owner.Epoch, "before", view.Owner.ID, "before_leaving", m.Leaving, "before_member", member)
+}
+
+// answers pings the owner and reports false after ownerMisses misses in a row.
+func (o *ownership) answers(ctx context.Context, m wire.Member) bool {
+	if m.ID == wire.MemberID(o.s.set.Node.Name) {
+		return true
+	}
+	if o.client == nil || o.client.Address() != m.Peer {
+		if o.client != nil {
+			o.client.Close()
+		}
+		o.client, o.misses = peer.NewClient(m.Peer, o.s.links.dial), 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerPing)
+	defer cancel()
+	if err := o.client.Call(ctx, peer.MethodPing, Empty{}, nil); err != nil {
+		o.misses++
+		o.s.log.V(1).Info("stage owner silent", "owner", m.ID, "misses", o.misses, "error", err.Error())
+		return o.misses < ownerMisses
+	}
+	o.misses = 0
+	return true
+}
+
+// ownerAvoided is how long a process that did not answer is named last.
+const ownerAvoided = 10 * time.Second
+
+func (o *ownership) avoided(id wire.MemberID) bool {
+	at, known := o.failed[id]
+	return known && o.s.clock.Since(at) < ownerAvoided
+}
+
+// nextOwner picks the owner among the proxies that are not leaving: one that
+// lately answered before one that did not, one that plays control, which has
+// the larger VM, before another, and not the leader if there is a choice, so
+// that one loss does not take both.
+func nextOwner(members map[wire.MemberID]wire.Member, leader wire.MemberID, avoided func(wire.MemberID) bool) (wire.Member, bool) {
+	var best wire.Member
+	bestRank, found := uint64(0), false
+	for id, m := range members {
+		if m.Peer == "" || m.Leaving {
+			continue
+		}
+		rank := xxhash.Sum64String(string(id)) >> 3
+		if !avoided(id) {
+			rank |= 1 << 63
+		}
+		if strings.Contains(m.Role, string(settings.Control)) {
+			rank |= 1 << 62
+		}
+		if id != leader {
+			rank |= 1 << 61
+		}
+		if !found || rank > bestRank {
+			best, bestRank, found = m, rank, true
+		}
+	}
+	return best, found
+}
--- a/node/control/service.go
+++ b/node/control/service.go
@@ -118,6 +118,7 @@
 	peer.Handle(s.server, MethodOffer, s.offer)
 	peer.Handle(s.server, formation.MethodHello, s.answerHello)
 	peer.Handle(s.server, peer.MethodWhere, s.where)
+	peer.Handle(s.server, peer.MethodPing, peer.Ping)
 	return s, nil
 }
 
@@ -142,6 +143,7 @@
 	go s.leases.run(ctx)
 	go s.follow.run(ctx)
 	go s.repair.run(ctx)
+	go newOwnership(s).run(ctx)
 	if s.set.Control.SelfForming {
 		go s.form(ctx)
 		go s.offerRun(ctx)
--- a/node/control/sync.go
+++ b/node/control/sync.go
@@ -22,7 +22,7 @@
 		changed := s.news.changed()
 		reply := s.reply(req)
 		reply.Renewed = renewed
-		hinted := reply.Fence > req.Fence || reply.Term > req.Term
+		hinted := reply.Fence > req.Fence || reply.Term > req.Term || reply.Owner.Epoch > req.OwnerEpoch
 		if late || hinted || reply.Config != nil || reply.Delta != nil || reply.Members != nil {
 			return reply, nil
 		}
@@ -60,7 +60,7 @@
 // ahead of v.
 func answer(v *state.View, req *wire.SyncRequest, age time.Duration, leader consensus.Peer) *wire.SyncReply {
 	r := &wire.SyncReply{Version: v.Config.Version, MembersSeq: v.MembersSeq, Members: v.Delta(req.MembersSeq),
-		StampAge: age, Leader: wire.MemberID(leader.ID), LeaderPeer: leader.Address}
+		Owner: v.Owner, StampAge: age, Leader: wire.MemberID(leader.ID), LeaderPeer: leader.Address}
 	if v.Config.Version > req.ConfigVersion {
 		r.Delta = v.Texts.Delta(req.ConfigVersion, req.ConfigHash)
 		if r.Delta == nil {
--- a/node/discovery/discovery.go
+++ b/node/discovery/discovery.go
@@ -55,6 +55,7 @@
 	if !p.Settings.Has(settings.Control) {
 		s.server = peer.NewServer()
 		peer.Handle(s.server, peer.MethodWhere, s.where)
+		peer.Handle(s.server, peer.MethodPing, peer.Ping)
 		peer.Handle(s.server, formation.MethodHello, s.hello)
 	}
 	return s
--- a/node/peer/directory.go
+++ b/node/peer/directory.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"slices"
 	"sync"
 )
@@ -84,3 +85,12 @@
 type Where struct {
 	Control []string `json:"control"`
 }
+
+// MethodPing asks any process whether it answers.
+const MethodPing = "peer.ping"
+
+// Empty is a call or an answer without content.
+type Empty struct{}
+
+// Ping answers MethodPing.
+func Ping(context.Context, *Empty) (*Empty, error) { return &Empty{}, nil }
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -40,7 +40,10 @@
 	comeBack = 200 * time.Millisecond
 	// staleAfter is the age of a quorum's confirmation from which on this
 	// process no longer refuses for good: a route or key may be new.
-	staleAfter   = 3 * time.Second
+	staleAfter = 3 * time.Second
+	// lastAnswers is left of the time to stop for the final answers of calls
+	// that are still under way.
+	lastAnswers  = 500 * time.Millisecond
 	trimInterval = time.Second
 )
 
@@ -67,6 +70,8 @@
 	endpoints *endpoints
 	table     atomic.Pointer[table]
 	stopping  atomic.Bool
+	ending    context.Context // ends when calls must get their final answer
+	end       context.CancelFunc
 	server    *http.Server
 	ready     *http.Server
 	stopTrim  context.CancelFunc
@@ -79,6 +84,7 @@
 func New(p Params) *Service {
 	s := &Service{set: p.Settings, log: p.Log, protocol: p.Protocol, sync: p.ConfigSync, stages: p.Stages, secure: p.Security,
 		pool: upstream.NewPool(p.Protocol), endpoints: newEndpoints(), budgets: map[string]*retry.Window{}}
+	s.ending, s.end = context.WithCancel(context.Background())
 	p.ConfigSync.OnChange(func(v *configsync.View) {
 		s.table.Store(newTable(v))
 		s.endpoints.keep(v.Announced)
@@ -124,7 +130,11 @@
 // it has begun.
 func (s *Service) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
+	s.sync.SetLeaving(true)
 	s.log.Info("readiness changed", "ready", false, "reason", "stopping")
+	if deadline, ok := ctx.Deadline(); ok {
+		defer time.AfterFunc(time.Until(deadline)-lastAnswers, s.end).Stop()
+	}
 	select {
 	case <-time.After(s.set.Proxy.Rotation):
 	case <-ctx.Done():
@@ -178,6 +188,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(s.ending, cancel)()
 	var err error
 	if x.route.Streaming {
 		err = x.stream(ctx)
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -40,8 +40,15 @@
 	// PlainText accepts listeners without TLS that other VMs reach, for a
 	// network that nobody else is on.
 	PlainText bool `ini:"plain_text"`
+	// KillAfter is how long after SIGTERM the platform kills the process. It
+	// replaces DrainTimeout, with a margin.
+	KillAfter time.Duration `ini:"kill_after"`
 }
 
+// killMargin is left of KillAfter for the last answers to leave and the process
+// to end.
+const killMargin = 400 * time.Millisecond
+
 // Peers is the section [peers].
 type Peers struct {
 	Control []string `ini:"control" required:"true"` // peer addresses of the control processes, or of processes that know them
@@ -227,6 +234,9 @@
 			f.Fail(name, "", "unknown section ["+name+"]", "use one of: "+strings.Join(known, ", "))
 		}
 	}
+	if s.Node.KillAfter > 0 {
+		s.Node.DrainTimeout = max(0, s.Node.KillAfter-killMargin)
+	}
 	s.fillAdvertised()
 	s.fillPeerPorts(f)
 	s.check(f)
--- a/node/stagework/job.go
+++ b/node/stagework/job.go
@@ -45,7 +45,6 @@
 const (
 	methodRun  = "stage.run"
 	methodDone = "stage.done"
-	methodPing = "stage.ping"
 )
 
 // final returns which stages no other stage follows.
@@ -86,6 +85,11 @@
 	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the stages are busy").After(comeBack)
 }
 
+// errMoved says that another process owns the queues.
+func errMoved() error {
+	return verdict.New(verdict.NotRun, verdict.CodeLeaving, "another process owns the stages")
+}
+
 func errStages(reason string) error {
 	return verdict.New(verdict.NotRun, verdict.CodeUpstream, "a stage failed: %s", reason)
 }
--- /dev/null
+++ b/node/stagework/link.go
@@ -0,0 +1,222 @@
+package stagework
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/configsync"
+	"caperdrum.org/node/peer"
+)
+
+const (
+	// pingInterval and pingTimeout bound how long jobs hang on an owner that is
+	// frozen or cut off from this process.
+	pingInterval = 200 * time.Millisecond
+	pingTimeout  = 300 * time.Millisecond
+	// moveWait is how long a job waits for another owner once its own is gone:
+	// what the leader takes to notice and to name the next one.
+	moveWait = 1200 * time.Millisecond
+	// ownerPause is how long a job whose owner was lost waits until it looks
+	// for one again.
+	ownerPause = 150 * time.Millisecond
+)
+
+// link is the way to the owner of the queues.
+type link struct {
+	dial peer.Dialer
+	sync *configsync.Service
+	log  logr.Logger
+
+	mu      sync.Mutex
+	owner   wire.StageOwner
+	client  *peer.Client
+	jobs    int           // under way at the owner
+	lost    chan struct{} // closed when the owner does not answer, or is replaced
+	silent  time.Time     // since when it does not answer; zero while it does
+	changed chan struct{} // closed when another owner is named
+}
+
+func newLink(dial peer.Dialer, sync *configsync.Service, log logr.Logger) *link {
+	return &link{dial: dial, sync: sync, log: log, lost: make(chan struct{}), changed: make(chan struct{})}
+}
+
+// follow takes over the owner that the leader named.
+func (l *link) follow(o wire.StageOwner) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o.Epoch <= l.owner.Epoch {
+		return
+	}
+	l.log.Info("stage owner changed", "owner", o.ID, "epoch", o.Epoch, "before", l.owner.ID, "jobs", l.jobs)
+	l.giveUp()
+	if l.client != nil {
+		defer l.client.Close()
+	}
+	l.owner, l.client, l.silent = o, peer.NewClient(o.Peer, l.dial), time.Time{}
+	l.lost = make(chan struct{})
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// giveUp tells the jobs at the owner that it is lost. The caller holds l.mu.
+func (l *link) giveUp() {
+	select {
+	case <-l.lost:
+	default:
+		close(l.lost)
+	}
+}
+
+// use returns the owner's client, for one job.
+func (l *link) use() (client *peer.Client, lost, changed <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.jobs++
+	return l.client, l.lost, l.changed
+}
+
+func (l *link) unuse() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.jobs--
+}
+
+// Reachable reports whether the owner answers this process, as far as known.
+func (s *Service) Reachable() bool {
+	s.link.mu.Lock()
+	defer s.link.mu.Unlock()
+	return s.link.owner.Epoch > 0 && s.link.silent.IsZero()
+}
+
+// watch pings the owner while jobs are under way there, or while it is silent.
+func (l *link) watch(ctx context.Context) {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		l.mu.Lock()
+		client, due := l.client, l.jobs > 0 || !l.silent.IsZero()
+		l.mu.Unlock()
+		if client == nil || !due {
+			continue
+		}
+		ping, cancel := context.WithTimeout(ctx, pingTimeout)
+		err := client.Call(ping, peer.MethodPing, peer.Empty{}, nil)
+		cancel()
+		l.heard(client, err)
+	}
+}
+
+func (l *link) heard(client *peer.Client, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if client != l.client {
+		return
+	}
+	switch {
+	case err == nil && !l.silent.IsZero():
+		l.log.Info("stage owner answers again", "owner", l.owner.ID, "silent", time.Since(l.silent))
+		l.silent = time.Time{}
+		l.lost = make(chan struct{})
+	case err != nil && l.silent.IsZero():
+		l.log.Info("stage owner does not answer", "owner", l.owner.ID, "error", err.Error(), "jobs", l.jobs)
+		l.silent = time.Now()
+		l.giveUp()
+	}
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client != nil {
+		l.client.Close()
+	}
+}
+
+func errNoOwner() error {
+	return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "no process that owns the stages can be reached")
+}
+
+// Run has the stages of a call done, and returns the handles that its own run
+// takes. release must be called once the results are not needed any more. When
+// the owner is lost, the job begins anew at the next one.
+func (s *Service) Run(ctx context.Context, j Job) (Result, func(), error) {
+	deadline, goal := time.Now().Add(j.Left), time.Now().Add(j.Goal)
+	var since time.Time // of the loss; zero while there is an owner
+	for {
+		client, lost, changed := s.link.use()
+		j.Left, j.Goal = time.Until(deadline), time.Until(goal)
+		r, moved, err := s.runAt(ctx, client, lost, j)
+		s.link.unuse()
+		if !moved {
+			if err != nil {
+				s.release(client, j.ID)
+			}
+			return r, func() { s.release(client, j.ID) }, err
+		}
+		now := time.Now()
+		if since.IsZero() {
+			since = now
+		}
+		if now.Sub(since) > moveWait {
+			return Result{}, nil, errNoOwner()
+		}
+		select {
+		case <-changed:
+			since = time.Time{}
+		case <-time.After(ownerPause):
+		case <-ctx.Done():
+			return Result{}, nil, errNoTime()
+		}
+	}
+}
+
+// runAt reports moved when the owner cannot be reached, or is none any more.
+func (s *Service) runAt(ctx context.Context, client *peer.Client, lost <-chan struct{}, j Job) (r Result, moved bool, err error) {
+	if client == nil {
+		return r, true, errNoOwner()
+	}
+	select {
+	case <-lost:
+		return r, true, errNoOwner()
+	default:
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	result := &Result{}
+	go func() { done <- client.Call(ctx, methodRun, j, result) }()
+	select {
+	case err = <-done:
+	case <-lost:
+		return r, true, errNoOwner()
+	}
+	var v *verdict.Error
+	switch {
+	case err == nil:
+		return *result, false, nil
+	case errors.As(err, &v):
+		return r, v.Code == verdict.CodeLeaving, err
+	case ctx.Err() != nil:
+		return r, false, errNoTime()
+	}
+	return r, true, err
+}
+
+func (s *Service) release(client *peer.Client, id string) {
+	ctx, cancel := context.WithTimeout(s.ctx, pingTimeout)
+	defer cancel()
+	if err := client.Notify(ctx, methodDone, Done{ID: id}); err != nil {
+		s.log.V(1).Info("results not released", "request", id, "error", err.Error())
+	}
+}
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -38,6 +38,7 @@
 	services map[string]*serviceQueue
 	jobs     map[string]*job
 	serial   uint64
+	owner    bool // this process starts calls
 }
 
 type serviceQueue struct {
@@ -139,6 +140,10 @@
 
 // add queues the first stages of a job. answer is called once.
 func (s *scheduler) add(now time.Time, j Job, answer func(Result, error)) {
+	if !s.owner {
+		answer(Result{}, errMoved())
+		return
+	}
 	if err := j.valid(); err != nil {
 		answer(Result{}, err)
 		return
@@ -164,6 +169,24 @@
 	s.advance(n)
 }
 
+// own takes the ownership or gives it up. Jobs that are given up begin anew at
+// the next owner; what was made for them is freed.
+func (s *scheduler) own(owner bool) []made {
+	s.owner = owner
+	if owner {
+		return nil
+	}
+	var out []made
+	for _, j := range s.jobs {
+		if j.answer == nil {
+			continue // its caller still fetches the results
+		}
+		s.end(j, Result{}, errMoved())
+		out = append(out, s.forget(j)...)
+	}
+	return out
+}
+
 // reset begins a job anew.
 func (s *scheduler) reset(j *job) {
 	n := len(j.Stages)
@@ -312,6 +335,9 @@
 // start returns the calls that are to be made now.
 func (s *scheduler) start(now time.Time) []*call {
 	var out []*call
+	if !s.owner {
+		return nil
+	}
 	for name, q := range s.services {
 		for len(q.waiting) > 0 {
 			c := q.next(now)
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -4,14 +4,12 @@
 	"context"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 	"go.uber.org/dig"
 
-	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/configsync"
 	"caperdrum.org/node/control"
@@ -51,7 +49,7 @@
 	events   chan func(now time.Time)
 	ctx      context.Context
 	cancel   context.CancelFunc
-	callers  *callers
+	link     *link
 
 	scheduler *scheduler         // of the owner's goroutine
 	toFree    map[*worker][]made // of the owner's goroutine
@@ -63,16 +61,20 @@
 	s := &Service{log: p.Log, protocol: p.Protocol, pool: upstream.NewPool(p.Protocol), sync: p.ConfigSync,
 		events: make(chan func(time.Time), 256), scheduler: newScheduler(), toFree: map[*worker][]made{}}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.callers = newCallers(p.Dial, p.ConfigSync)
+	s.link = newLink(p.Dial, p.ConfigSync, p.Log)
 	server := p.Discovery.Server()
 	if server == nil {
 		server = p.Control.Server()
 	}
 	peer.Handle(server, methodRun, s.run)
 	peer.Handle(server, methodDone, s.done)
-	peer.Handle(server, methodPing, s.ping)
 	p.ConfigSync.OnChange(func(v *configsync.View) {
-		s.post(func(time.Time) { s.scheduler.setServices(v.Config.Services, v.Announced) })
+		self := p.ConfigSync.Self()
+		s.post(func(now time.Time) {
+			s.scheduler.setServices(v.Config.Services, v.Announced)
+			s.free(s.scheduler.own(v.Owner.ID == self.ID && v.Owner.Incarnation == self.Incarnation))
+		})
+		s.link.follow(v.Owner)
 	})
 	return s
 }
@@ -80,13 +82,14 @@
 // Start implements kernel.Starter.
 func (s *Service) Start(context.Context) error {
 	go s.loop()
+	go s.link.watch(s.ctx)
 	return nil
 }
 
 // Stop implements kernel.Stopper.
 func (s *Service) Stop(context.Context) error {
 	s.cancel()
-	s.callers.close()
+	s.link.close()
 	s.pool.Close()
 	return nil
 }
@@ -149,10 +152,6 @@
 	return &control.Empty{}, nil
 }
 
-func (s *Service) ping(context.Context, *control.Empty) (*control.Empty, error) {
-	return &control.Empty{}, nil
-}
-
 // call makes a call of an upstream.
 func (s *Service) call(c *call) {
 	o := s.exchange(c)
@@ -244,140 +243,3 @@
 		s.log.V(1).Info("results perhaps not freed", "upstream", m.ID, "error", err.Error())
 	}
 }
-
-// callers are the links to the owners in use.
-type callers struct {
-	dial peer.Dialer
-	sync *configsync.Service
-
-	mu      sync.Mutex
-	clients map[string]*peer.Client
-	suspect map[wire.MemberID]time.Time // owners that did not answer, and when
-}
-
-func newCallers(dial peer.Dialer, sync *configsync.Service) *callers {
-	return &callers{dial: dial, sync: sync, clients: map[string]*peer.Client{}, suspect: map[wire.MemberID]time.Time{}}
-}
-
-const (
-	// suspectTime is how long an owner that did not answer is passed over. Above
-	// the lease of a member that died.
-	suspectTime = 5 * time.Second
-	// pingInterval and pingTimeout bound how long a job hangs on an owner that is
-	// frozen or cut off.
-	pingInterval = 250 * time.Millisecond
-	pingTimeout  = 350 * time.Millisecond
-	// maxOwners is how many owners a job is handed to at most.
-	maxOwners = 3
-)
-
-// owner returns the owner's record and the link to it.
-func (c *callers) owner() (wire.Member, *peer.Client, bool) {
-	view := c.sync.View()
-	if view == nil {
-		return wire.Member{}, nil, false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	m, ok := ownerOf(view.Members, func(id wire.MemberID) bool { return time.Since(c.suspect[id]) < suspectTime })
-	if !ok {
-		return m, nil, false
-	}
-	client := c.clients[m.Peer]
-	if client == nil {
-		client = peer.NewClient(m.Peer, c.dial)
-		c.clients[m.Peer] = client
-	}
-	return m, client, true
-}
-
-func (c *callers) avoid(id wire.MemberID) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.suspect[id] = time.Now()
-}
-
-func (c *callers) close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, cl := range c.clients {
-		cl.Close()
-	}
-}
-
-// Run has the stages of a call done, and returns the handles that its own run
-// takes. release must be called once the results are not needed any more. An
-// owner that does not answer is replaced by the next one.
-func (s *Service) Run(ctx context.Context, j Job) (r Result, release func(), err error) {
-	deadline := time.Now().Add(j.Left)
-	goal := time.Now().Add(j.Goal)
-	for range maxOwners {
-		m, client, ok := s.callers.owner()
-		if !ok {
-			break
-		}
-		j.Left, j.Goal = time.Until(deadline), time.Until(goal)
-		release = func() { s.release(client, j.ID) }
-		lost := false
-		if r, lost, err = s.runAt(ctx, client, j); !lost {
-			if err != nil {
-				release()
-			}
-			return r, release, err
-		}
-		s.log.Info("stage owner lost", "owner", m.ID, "request", j.ID, "error", err.Error())
-		s.callers.avoid(m.ID)
-	}
-	if err == nil || ctx.Err() == nil {
-		err = verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "no process owns the stages")
-	}
-	return Result{}, func() {}, err
-}
-
-// runAt reports lost when the owner cannot be reached.
-func (s *Service) runAt(ctx context.Context, client *peer.Client, j Job) (r Result, lost bool, err error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	go s.watch(ctx, client, cancel)
-	err = client.Call(ctx, methodRun, j, &r)
-	var v *verdict.Error
-	switch {
-	case err == nil || errors.As(err, &v):
-		return r, false, err
-	case context.Cause(ctx) == errOwnerSilent:
-		return r, true, errOwnerSilent
-	case ctx.Err() != nil:
-		return r, false, errNoTime()
-	}
-	return r, true, err
-}
-
-var errOwnerSilent = errors.New("stagework: the owner does not answer")
-
-// watch gives up an owner that does not answer a ping.
-func (s *Service) watch(ctx context.Context, client *peer.Client, giveUp context.CancelCauseFunc) {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		ping, cancel := context.WithTimeout(ctx, pingTimeout)
-		err := client.Call(ping, methodPing, control.Empty{}, nil)
-		cancel()
-		if err != nil && ctx.Err() == nil {
-			giveUp(errOwnerSilent)
-			return
-		}
-	}
-}
-
-func (s *Service) release(client *peer.Client, id string) {
-	ctx, cancel := context.WithTimeout(s.ctx, pingTimeout)
-	defer cancel()
-	if err := client.Notify(ctx, methodDone, Done{ID: id}); err != nil {
-		s.log.V(1).Info("results not released", "request", id, "error", err.Error())
-	}
-}
--- a/node/state/state.go
+++ b/node/state/state.go
@@ -29,6 +29,7 @@
 	// between replicas.
 	LedgerLimit int64            `cbor:"8,keyasint,omitempty"`
 	Put         *wire.PutRequest `cbor:"9,keyasint,omitempty"`
+	Owner       *wire.StageOwner `cbor:"10,keyasint,omitempty"`
 	Team        *TeamCommand     `cbor:"20,keyasint,omitempty"`
 	Orders      *OrderCommand    `cbor:"40,keyasint,omitempty"`
 }
@@ -87,6 +88,7 @@
 	MembersSeq uint64                        `cbor:"8,keyasint"`
 	Fence      uint64                        `cbor:"9,keyasint"`
 	Fences     map[wire.MemberID]uint64      `cbor:"10,keyasint"`
+	Owner      wire.StageOwner               `cbor:"11,keyasint"`
 	Teams      map[string]Team               `cbor:"20,keyasint,omitempty"`
 	Keys       []Key                         `cbor:"21,keyasint,omitempty"`
 	Orders     map[wire.MemberID]OrderRecord `cbor:"40,keyasint,omitempty"`
@@ -122,6 +124,7 @@
 	Forecast   map[string][]uint32           // by service, see ForecastSlot
 	Fences     map[wire.MemberID]uint64      // highest token of each upstream
 	Fence      uint64                        // highest token of all
+	Owner      wire.StageOwner
 	log        []memberChange
 }
 
@@ -169,6 +172,9 @@
 		res := m.put(c.Put)
 		r.Put = &res
 	}
+	if c.Owner != nil && c.Owner.Epoch > m.s.Owner.Epoch {
+		m.s.Owner = *c.Owner
+	}
 	for _, member := range c.Join {
 		m.join(member)
 	}
@@ -332,6 +338,7 @@
 		Forecast:   m.s.Forecast,
 		Fences:     m.s.Fences,
 		Fence:      m.s.Fence,
+		Owner:      m.s.Owner,
 		log:        m.memberLog[:len(m.memberLog):len(m.memberLog)],
 	}
 	return m.view
