A call is sent by the members in force at its sending

Ruled out: a late view at the entry (it held the leaving within 20 ms). Change: members are read at each sending; route and customer stay those of the admission.

--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -31,7 +31,8 @@
 func (x *exchange) send(ctx context.Context, tried *[]wire.MemberID, c choice, lastEvent string) *attempt {
 	for unsent := 0; ; unsent++ {
 		c.tried = *tried
-		m, ok := x.s.endpoints.take(x.table.announced[x.service.Name], c, time.Now())
+		// The stages may have taken seconds: an upstream may have left meanwhile.
+		m, ok := x.s.endpoints.take(x.s.table.Load().announced[x.service.Name], c, time.Now())
 		if !ok {
 			return &attempt{err: verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "service %s has no upstream to try", x.service.Name).After(comeBack)}
 		}
