The leader tells seeds without a disk where the voters listen

Ruled out: consensus (a leader stood at 43.2 s; debug log), the wiped folder (its replica has another identity). Change: voters note each other from their membership, and the leader tells the seeds every 500 ms. Conclusion: what is known of the voters must come back from disks.

--- a/node/control/service.go
+++ b/node/control/service.go
@@ -118,6 +118,7 @@
 	peer.Handle(s.server, MethodOffer, s.offer)
 	peer.Handle(s.server, formation.MethodHello, s.answerHello)
 	peer.Handle(s.server, peer.MethodWhere, s.where)
+	peer.Handle(s.server, peer.MethodTell, peer.Told)
 	peer.Handle(s.server, peer.MethodPing, peer.Ping)
 	return s, nil
 }
@@ -147,6 +148,7 @@
 	if s.set.Control.SelfForming {
 		go s.form(ctx)
 		go s.offerRun(ctx)
+		go s.tellRun(ctx)
 	}
 	return nil
 }
--- /dev/null
+++ b/node/control/tell.go
@@ -0,0 +1,69 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"caperdrum.org/node/peer"
+)
+
+const (
+	// tellInterval bounds how long a process without a disk does not know the
+	// voters after all processes have lost their memory.
+	tellInterval = 500 * time.Millisecond
+	tellTimeout  = 400 * time.Millisecond
+)
+
+// tellRun lets the leader tell the seeds where the voters listen. Seeds may be
+// processes that have no disk, and after a loss of power nobody else could tell
+// the others.
+func (s *Service) tellRun(ctx context.Context) {
+	clients := map[string]*peer.Client{}
+	defer func() {
+		for _, c := range clients {
+			c.Close()
+		}
+	}()
+	ticker := s.clock.NewTicker(tellInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		voters := s.voterAddresses()
+		s.directory.Learn(voters)
+		if s.cluster.IsLeader() {
+			s.tell(ctx, clients, voters)
+		}
+	}
+}
+
+func (s *Service) tell(ctx context.Context, clients map[string]*peer.Client, voters []string) {
+	seeds := s.directory.Configured()
+	for address, c := range clients {
+		if !slices.Contains(seeds, address) {
+			c.Close()
+			delete(clients, address)
+		}
+	}
+	for _, seed := range seeds {
+		if slices.Contains(voters, seed) {
+			continue
+		}
+		if clients[seed] == nil {
+			clients[seed] = peer.NewClient(seed, s.links.dial)
+		}
+		go s.tellOne(ctx, clients[seed], voters)
+	}
+}
+
+func (s *Service) tellOne(ctx context.Context, c *peer.Client, voters []string) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	if err := c.Call(ctx, peer.MethodTell, peer.Where{Control: voters}, nil); err != nil {
+		s.log.V(1).Info("seed not told of the voters", "address", c.Address(), "error", err.Error())
+	}
+}
--- a/node/discovery/discovery.go
+++ b/node/discovery/discovery.go
@@ -55,6 +55,7 @@
 	if !p.Settings.Has(settings.Control) {
 		s.server = peer.NewServer()
 		peer.Handle(s.server, peer.MethodWhere, s.where)
+		peer.Handle(s.server, peer.MethodTell, s.told)
 		peer.Handle(s.server, peer.MethodPing, peer.Ping)
 		peer.Handle(s.server, formation.MethodHello, s.hello)
 	}
@@ -70,6 +71,11 @@
 	return &peer.Where{Control: s.p.Directory.Learned()}, nil
 }
 
+func (s *Service) told(_ context.Context, w *peer.Where) (*peer.Empty, error) {
+	s.p.Directory.Learn(w.Control)
+	return &peer.Empty{}, nil
+}
+
 func (s *Service) hello(_ context.Context, h *formation.Hello) (*formation.Answer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/peer/directory.go
+++ b/node/peer/directory.go
@@ -86,6 +86,9 @@
 	Control []string `json:"control"`
 }
 
+// MethodTell tells a process that others know where control processes listen.
+const MethodTell = "peer.tell"
+
 // MethodPing asks any process whether it answers.
 const MethodPing = "peer.ping"
 
@@ -94,3 +97,7 @@
 
 // Ping answers MethodPing.
 func Ping(context.Context, *Empty) (*Empty, error) { return &Empty{}, nil }
+
+// Told answers MethodTell where nothing can be learned: a control process knows
+// the voters itself.
+func Told(context.Context, *Where) (*Empty, error) { return &Empty{}, nil }
