Stages: pieces with large inputs or results wait for an upstream in their data centre while they can

Ruled out: the way to the engine (6 kB a piece for most kinds). Change: a piece has a home, where its inputs lie or, for a large result that the engine fetches, where the engine is that the call would go to; another upstream takes it only when it must start to reach its goal. The queue of a service moved to a file of its own.

--- a/node/proxy/endpoints.go
+++ b/node/proxy/endpoints.go
@@ -70,6 +70,26 @@
 func (e *endpoints) take(list []wire.Member, c choice, now time.Time) (wire.Member, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	m, found := e.best(list, c, now)
+	if !found {
+		return m, false
+	}
+	ep := e.get(m.ID)
+	ep.inFlight++
+	if ep.waiting.IsZero() {
+		ep.waiting = now
+	}
+	return m, true
+}
+
+// peek returns what take would pick.
+func (e *endpoints) peek(list []wire.Member, c choice, now time.Time) (wire.Member, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.best(list, c, now)
+}
+
+func (e *endpoints) best(list []wire.Member, c choice, now time.Time) (wire.Member, bool) {
 	best, found := -1, false
 	var bestRank rank
 	for i, m := range list {
@@ -85,11 +105,6 @@
 	if !found {
 		return wire.Member{}, false
 	}
-	ep := e.get(list[best].ID)
-	ep.inFlight++
-	if ep.waiting.IsZero() {
-		ep.waiting = now
-	}
 	return list[best], true
 }
 
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -18,7 +18,7 @@
 	x.s.budget(x.service.Name).First()
 	defer func() { x.release() }()
 	var tried []wire.MemberID
-	c := choice{dataCenter: x.s.set.Node.DataCenter, affinity: affinityOf(x.call.Prefix)}
+	c := x.choice(nil)
 	out := &streamWriter{x: x}
 	out.events.last = x.call.LastEvent
 	remade := false
@@ -170,7 +170,7 @@
 
 func (x *exchange) job() (job stagework.Job, pieces int) {
 	job = stagework.Job{ID: x.call.ID, Key: x.call.PieceKey, Left: time.Until(x.deadline),
-		Goal: time.Until(x.began.Add(x.route.Goal - engineStart)), DataCenter: x.s.set.Node.DataCenter, Returned: x.returned()}
+		Goal: time.Until(x.began.Add(x.route.Goal - engineStart)), DataCenter: x.engineAt(), Returned: x.returned()}
 	for i, st := range x.route.Stages {
 		n := 0
 		if i < len(x.call.Pieces) {
@@ -182,6 +182,21 @@
 	return job, pieces
 }
 
+// engineAt is the data centre of the engine that the call would go to now: large
+// results are best made there.
+func (x *exchange) engineAt() string {
+	m, ok := x.s.endpoints.peek(x.s.table.Load().announced[x.service.Name], x.choice(nil), time.Now())
+	if !ok {
+		return x.s.set.Node.DataCenter
+	}
+	return m.DataCenter
+}
+
+// choice is how the call's engine is chosen.
+func (x *exchange) choice(tried []wire.MemberID) choice {
+	return choice{tried: tried, dataCenter: x.s.set.Node.DataCenter, affinity: affinityOf(x.call.Prefix)}
+}
+
 // engineStart is left of a goal for the engine to read the prompt and begin:
 // 112 tokens a millisecond and 50 ms besides, for 12,000 tokens.
 const engineStart = 150 * time.Millisecond
--- /dev/null
+++ b/node/stagework/queue.go
@@ -0,0 +1,269 @@
+package stagework
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"caperdrum.org/api/optext"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/upstream"
+)
+
+const (
+	// slowRatio is the ratio of a call's duration to what the text says from
+	// which on an upstream only gets what the others cannot take.
+	slowRatio = 1.8
+	// probeAfter is how long a slow upstream goes without work until one piece
+	// finds out whether it has recovered.
+	probeAfter = 2 * time.Second
+	// largeBytes is the size from which on what a stage of one call moves between
+	// data centres is worth waiting for an upstream nearby.
+	largeBytes = 100_000
+	// homeMargin is left of the time by which a piece must start when it stops
+	// waiting for an upstream nearby.
+	homeMargin = 60 * time.Millisecond
+)
+
+type serviceQueue struct {
+	spec    *optext.Service
+	waiting []*piece
+	workers map[wire.MemberID]*worker
+}
+
+// worker is an upstream that makes pieces.
+type worker struct {
+	member   wire.Member
+	running  int
+	room     int64 // bytes of results that it holds, as far as known here
+	until    time.Time
+	failures int
+	ratio    float64 // of the duration of its calls to what the text says
+	used     time.Time
+	gone     bool // it left the members, or another upstream has its address
+}
+
+type piece struct {
+	job    *job
+	stage  int
+	number int
+	tries  int
+	epoch  int    // restarts of the job when it was queued
+	home   string // data centre where its inputs lie or its result is fetched; empty when they are small
+}
+
+// call is a call of an upstream that is to be made, or under way.
+type call struct {
+	service string
+	worker  *worker
+	pieces  []*piece
+	request []upstream.Piece
+	began   time.Time
+	expect  time.Duration
+	limit   time.Duration
+	bytes   int64
+}
+
+func (q *serviceQueue) setWorkers(members []wire.Member) {
+	present := map[wire.MemberID]bool{}
+	for _, m := range members {
+		present[m.ID] = true
+		if q.workers[m.ID] == nil {
+			q.workers[m.ID] = &worker{member: m, ratio: 1}
+		}
+	}
+	for id, w := range q.workers {
+		if !present[id] {
+			w.gone = true
+			delete(q.workers, id)
+		}
+	}
+}
+
+// next takes the next call out of the queue, or returns nil when no upstream
+// can take one.
+func (q *serviceQueue) next(now time.Time) *call {
+	free := q.free(now)
+	if len(free) == 0 {
+		return nil
+	}
+	slices.SortFunc(q.waiting, func(a, b *piece) int { return a.compare(b, now, q.spec) })
+	near := q.dataCenters(now)
+	for _, w := range free {
+		fit := q.fitting(w, near, now)
+		limit := q.limit(w, len(fit), now)
+		if limit == 0 {
+			continue
+		}
+		// What waits is spread over the upstreams that are idle, since a call takes
+		// longer with each piece.
+		c := q.fill(w, fit, min(limit, (len(fit)+len(free)-1)/len(free)), now)
+		if len(c.pieces) > 0 {
+			return c
+		}
+	}
+	return nil
+}
+
+// limit is how many pieces of those that fit an upstream may get. A slow one
+// gets none while the others can take all, and one from time to time to find
+// out whether it has recovered.
+func (q *serviceQueue) limit(w *worker, fit int, now time.Time) int {
+	switch healthy := q.healthy(); {
+	case fit == 0:
+		return 0
+	case w.ratio <= slowRatio, healthy == 0, fit > healthy*q.spec.Batch:
+		return q.spec.Batch
+	case now.Sub(w.used) > probeAfter:
+		return 1
+	}
+	return 0
+}
+
+// dataCenters are those with an upstream that is neither slow nor failing.
+func (q *serviceQueue) dataCenters(now time.Time) map[string]bool {
+	out := map[string]bool{}
+	for _, w := range q.workers {
+		if w.ratio <= slowRatio && w.failures == 0 {
+			out[w.member.DataCenter] = true
+		}
+	}
+	return out
+}
+
+// fitting returns the waiting pieces that the upstream may take: one whose
+// inputs or result are large waits for an upstream in their data centre, as
+// long as it can wait without missing its goal and there is one.
+func (q *serviceQueue) fitting(w *worker, near map[string]bool, now time.Time) []*piece {
+	out := make([]*piece, 0, len(q.waiting))
+	for _, p := range q.waiting {
+		if p.home == "" || p.home == w.member.DataCenter || !near[p.home] || p.pressed(now, q.spec) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// pressed reports whether the piece must start now to reach its goal.
+func (p *piece) pressed(now time.Time, spec *optext.Service) bool {
+	at, late := p.startBy(now, spec)
+	return !late && at.Sub(now) < homeMargin
+}
+
+func (q *serviceQueue) free(now time.Time) []*worker {
+	var out []*worker
+	for _, w := range q.workers {
+		if w.running < max(1, q.spec.Calls) && !now.Before(w.until) && q.room(w) > 0 {
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(a.ratio, b.ratio), cmp.Compare(a.member.ID, b.member.ID))
+	})
+	return out
+}
+
+func (q *serviceQueue) room(w *worker) int64 {
+	if q.spec.ResultRoom <= 0 {
+		return 1 << 60
+	}
+	return q.spec.ResultRoom - w.room
+}
+
+// healthy counts the upstreams that are neither slow nor failing.
+func (q *serviceQueue) healthy() int {
+	n := 0
+	for _, w := range q.workers {
+		if w.ratio <= slowRatio && w.failures == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// compare orders pieces: first those whose call can still reach its goal, by
+// when they must start for that; then the others by their deadline.
+func (p *piece) compare(o *piece, now time.Time, spec *optext.Service) int {
+	a, alate := p.startBy(now, spec)
+	b, blate := o.startBy(now, spec)
+	if alate != blate {
+		if alate {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(a.Compare(b), cmp.Compare(p.job.serial, o.job.serial), cmp.Compare(p.stage, o.stage), cmp.Compare(p.number, o.number))
+}
+
+func (p *piece) startBy(now time.Time, spec *optext.Service) (at time.Time, late bool) {
+	rest := spec.CallTime + spec.PieceTime + p.job.tail[p.stage]
+	if at = p.job.goal.Add(-rest); !at.Before(now) {
+		return at, false
+	}
+	return p.job.deadline, true
+}
+
+// fill takes up to limit pieces for the upstream, in order, as far as it has
+// room for their results.
+func (q *serviceQueue) fill(w *worker, fit []*piece, limit int, now time.Time) *call {
+	c := &call{worker: w, began: now, expect: q.spec.CallTime}
+	room := q.room(w)
+	taken := map[*piece]bool{}
+	for len(fit) > 0 {
+		// Pieces that belong together stay together: a result that waits for its
+		// siblings only takes room.
+		group := groupOf(fit)
+		bytes := int64(len(group)) * group[0].job.Stages[group[0].stage].Bytes
+		fits := len(c.pieces)+len(group) <= min(limit, q.spec.Batch) && bytes <= room
+		fit = fit[len(group):]
+		if len(c.pieces) > 0 && !fits {
+			continue
+		}
+		if !fits { // larger than any call
+			group = group[:min(len(group), q.spec.Batch, max(1, int(room/max(1, group[0].bytes()))))]
+			bytes = int64(len(group)) * group[0].bytes()
+		}
+		room -= bytes
+		c.bytes += bytes
+		c.expect += time.Duration(len(group)) * q.spec.PieceTime
+		for _, p := range group {
+			taken[p] = true
+			c.pieces = append(c.pieces, p)
+			c.request = append(c.request, p.request(now))
+		}
+	}
+	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool { return taken[p] })
+	w.running++
+	w.room += c.bytes
+	w.used = now
+	c.limit = callLimit(c.expect, w.ratio)
+	return c
+}
+
+// groupOf returns the first pieces that are of one stage of one job.
+func groupOf(pieces []*piece) []*piece {
+	first := pieces[0]
+	n := 1
+	for n < len(pieces) && pieces[n].job == first.job && pieces[n].stage == first.stage {
+		n++
+	}
+	return pieces[:n]
+}
+
+func (p *piece) bytes() int64 { return p.job.Stages[p.stage].Bytes }
+
+// callLimit is the time after which a call is given up: three times what it
+// should take at the upstream's pace, and half a second for the links.
+func callLimit(expect time.Duration, ratio float64) time.Duration {
+	return time.Duration(3*float64(expect)*max(1, ratio)) + 500*time.Millisecond
+}
+
+func (p *piece) request(now time.Time) upstream.Piece {
+	r := upstream.Piece{ID: p.job.ID, Stage: p.stage, Number: p.number, Left: p.job.deadline.Sub(now)}
+	if len(p.job.Stages[p.stage].After) == 0 {
+		r.Key = p.job.Key
+	} else {
+		r.Inputs = p.job.inputs(p.stage)
+	}
+	return r
+}
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -1,7 +1,6 @@
 package stagework
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -22,12 +21,6 @@
 	failurePauseMax = 4 * time.Second
 	// fullPause is how long one is left alone that was full or had no room.
 	fullPause = 60 * time.Millisecond
-	// slowRatio is the ratio of a call's duration to what the text says from
-	// which on an upstream only gets what the others cannot take.
-	slowRatio = 1.8
-	// probeAfter is how long a slow upstream goes without work until one piece
-	// finds out whether it has recovered.
-	probeAfter = 2 * time.Second
 	// speedWeight is the weight of the last call in an upstream's ratio.
 	speedWeight = 0.4
 )
@@ -41,24 +34,6 @@
 	owner    bool // this process starts calls
 }
 
-type serviceQueue struct {
-	spec    *optext.Service
-	waiting []*piece
-	workers map[wire.MemberID]*worker
-}
-
-// worker is an upstream that makes pieces.
-type worker struct {
-	member   wire.Member
-	running  int
-	room     int64 // bytes of results that it holds, as far as known here
-	until    time.Time
-	failures int
-	ratio    float64 // of the duration of its calls to what the text says
-	used     time.Time
-	gone     bool // it left the members, or another upstream has its address
-}
-
 type job struct {
 	Job
 	serial   uint64
@@ -82,26 +57,6 @@
 	stage  int
 }
 
-type piece struct {
-	job    *job
-	stage  int
-	number int
-	tries  int
-	epoch  int // restarts of the job when it was queued
-}
-
-// call is a call of an upstream that is to be made, or under way.
-type call struct {
-	service string
-	worker  *worker
-	pieces  []*piece
-	request []upstream.Piece
-	began   time.Time
-	expect  time.Duration
-	limit   time.Duration
-	bytes   int64
-}
-
 func newScheduler() *scheduler {
 	return &scheduler{services: map[string]*serviceQueue{}, jobs: map[string]*job{}}
 }
@@ -122,22 +77,6 @@
 	}
 }
 
-func (q *serviceQueue) setWorkers(members []wire.Member) {
-	present := map[wire.MemberID]bool{}
-	for _, m := range members {
-		present[m.ID] = true
-		if q.workers[m.ID] == nil {
-			q.workers[m.ID] = &worker{member: m, ratio: 1}
-		}
-	}
-	for id, w := range q.workers {
-		if !present[id] {
-			w.gone = true
-			delete(q.workers, id)
-		}
-	}
-}
-
 // add queues the first stages of a job. answer is called once.
 func (s *scheduler) add(now time.Time, j Job, answer func(Result, error)) {
 	if !s.owner {
@@ -218,8 +157,9 @@
 		}
 		j.started[i] = true
 		q := s.services[st.Service]
+		home := j.home(i)
 		for k := range st.Pieces {
-			q.waiting = append(q.waiting, &piece{job: j, stage: i, number: k, epoch: j.restarts})
+			q.waiting = append(q.waiting, &piece{job: j, stage: i, number: k, epoch: j.restarts, home: home})
 		}
 	}
 	if all {
@@ -227,6 +167,36 @@
 	}
 }
 
+// home returns the data centre in which a stage should run: where most bytes of
+// its inputs lie, or, for a first stage whose results the engine fetches, where
+// that is. It is empty when little is moved.
+func (j *job) home(stage int) string {
+	st := j.Stages[stage]
+	if len(st.After) == 0 {
+		if j.final()[stage] && int64(st.Pieces)*st.Bytes >= largeBytes {
+			return j.DataCenter
+		}
+		return ""
+	}
+	at := map[string]int64{}
+	best, all := "", int64(0)
+	for _, m := range j.made {
+		if !slices.Contains(st.After, m.stage) {
+			continue
+		}
+		dc := m.worker.member.DataCenter
+		at[dc] += m.bytes
+		all += m.bytes
+		if at[dc] > at[best] {
+			best = dc
+		}
+	}
+	if all*int64(st.Pieces) < largeBytes { // each piece fetches all inputs
+		return ""
+	}
+	return best
+}
+
 func (j *job) ready(stage int) bool {
 	for _, k := range j.Stages[stage].After {
 		if j.missing[k] > 0 {
@@ -351,173 +321,6 @@
 	return out
 }
 
-// next takes the next call out of the queue, or returns nil when no upstream
-// can take one.
-func (q *serviceQueue) next(now time.Time) *call {
-	free := q.free(now)
-	if len(free) == 0 {
-		return nil
-	}
-	slices.SortFunc(q.waiting, func(a, b *piece) int { return a.compare(b, now, q.spec) })
-	w, limit := q.choose(free, now)
-	if w == nil {
-		return nil
-	}
-	// What waits is spread over the upstreams that are idle, since a call takes
-	// longer with each piece.
-	c := q.fill(w, min(limit, (len(q.waiting)+len(free)-1)/len(free)), now)
-	if len(c.pieces) == 0 {
-		return nil
-	}
-	return c
-}
-
-func (q *serviceQueue) free(now time.Time) []*worker {
-	var out []*worker
-	for _, w := range q.workers {
-		if w.running < max(1, q.spec.Calls) && !now.Before(w.until) && q.room(w) > 0 {
-			out = append(out, w)
-		}
-	}
-	slices.SortFunc(out, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(a.ratio, b.ratio), cmp.Compare(a.member.ID, b.member.ID))
-	})
-	return out
-}
-
-func (q *serviceQueue) room(w *worker) int64 {
-	if q.spec.ResultRoom <= 0 {
-		return 1 << 60
-	}
-	return q.spec.ResultRoom - w.room
-}
-
-// choose picks the upstream for the next call and how many pieces it may get.
-// One near the first piece's caller is preferred among those that are not slow.
-func (q *serviceQueue) choose(free []*worker, now time.Time) (*worker, int) {
-	first := q.waiting[0].job.DataCenter
-	var slow *worker
-	var best *worker
-	for _, w := range free {
-		if w.ratio > slowRatio {
-			slow = w
-			continue
-		}
-		if best == nil || w.member.DataCenter == first && best.member.DataCenter != first {
-			best = w
-		}
-	}
-	if best != nil {
-		if slow != nil && now.Sub(slow.used) > probeAfter {
-			return slow, 1
-		}
-		return best, q.spec.Batch
-	}
-	if q.healthy() == 0 || len(q.waiting) > q.healthy()*q.spec.Batch || now.Sub(slow.used) > probeAfter {
-		return slow, q.spec.Batch
-	}
-	return nil, 0
-}
-
-// healthy counts the upstreams that are neither slow nor failing.
-func (q *serviceQueue) healthy() int {
-	n := 0
-	for _, w := range q.workers {
-		if w.ratio <= slowRatio && w.failures == 0 {
-			n++
-		}
-	}
-	return n
-}
-
-// compare orders pieces: first those whose call can still reach its goal, by
-// when they must start for that; then the others by their deadline.
-func (p *piece) compare(o *piece, now time.Time, spec *optext.Service) int {
-	a, alate := p.startBy(now, spec)
-	b, blate := o.startBy(now, spec)
-	if alate != blate {
-		if alate {
-			return 1
-		}
-		return -1
-	}
-	return cmp.Or(a.Compare(b), cmp.Compare(p.job.serial, o.job.serial), cmp.Compare(p.stage, o.stage), cmp.Compare(p.number, o.number))
-}
-
-func (p *piece) startBy(now time.Time, spec *optext.Service) (at time.Time, late bool) {
-	rest := spec.CallTime + spec.PieceTime + p.job.tail[p.stage]
-	if at = p.job.goal.Add(-rest); !at.Before(now) {
-		return at, false
-	}
-	return p.job.deadline, true
-}
-
-// fill takes up to limit pieces for the upstream, in order, as far as it has
-// room for their results.
-func (q *serviceQueue) fill(w *worker, limit int, now time.Time) *call {
-	c := &call{worker: w, began: now, expect: q.spec.CallTime}
-	room := q.room(w)
-	var rest []*piece
-	for len(q.waiting) > 0 {
-		// Pieces that belong together stay together: a result that waits for its
-		// siblings only takes room.
-		group := q.group()
-		bytes := int64(len(group)) * group[0].job.Stages[group[0].stage].Bytes
-		fits := len(c.pieces)+len(group) <= min(limit, q.spec.Batch) && bytes <= room
-		if len(c.pieces) > 0 && !fits {
-			rest = append(rest, group...)
-			q.waiting = q.waiting[len(group):]
-			continue
-		}
-		if !fits { // larger than any call
-			group = group[:min(len(group), q.spec.Batch, max(1, int(room/max(1, group[0].bytes()))))]
-			bytes = int64(len(group)) * group[0].bytes()
-		}
-		q.waiting = q.waiting[len(group):]
-		room -= bytes
-		c.bytes += bytes
-		c.expect += time.Duration(len(group)) * q.spec.PieceTime
-		for _, p := range group {
-			c.pieces = append(c.pieces, p)
-			c.request = append(c.request, p.request(now))
-		}
-	}
-	q.waiting = rest
-	w.running++
-	w.room += c.bytes
-	w.used = now
-	c.limit = callLimit(c.expect, w.ratio)
-	return c
-}
-
-// group returns the first waiting pieces that are of one stage of one job.
-func (q *serviceQueue) group() []*piece {
-	first := q.waiting[0]
-	n := 1
-	for n < len(q.waiting) && q.waiting[n].job == first.job && q.waiting[n].stage == first.stage {
-		n++
-	}
-	return q.waiting[:n]
-}
-
-func (p *piece) bytes() int64 { return p.job.Stages[p.stage].Bytes }
-
-// callLimit is the time after which a call is given up: three times what it
-// should take at the upstream's pace, and half a second for the links.
-func callLimit(expect time.Duration, ratio float64) time.Duration {
-	return time.Duration(3*float64(expect)*max(1, ratio)) + 500*time.Millisecond
-}
-
-func (p *piece) request(now time.Time) upstream.Piece {
-	r := upstream.Piece{ID: p.job.ID, Stage: p.stage, Number: p.number, Left: p.job.deadline.Sub(now)}
-	if len(p.job.Stages[p.stage].After) == 0 {
-		r.Key = p.job.Key
-	} else {
-		r.Inputs = p.job.inputs(p.stage)
-	}
-	return r
-}
-
 // outcome is how a call ended.
 type outcome struct {
 	results []upstream.PieceResult // one for each piece; nil when the call failed
