Stages: a job's deadline no longer drops the link to the owner

Cause: a call whose context passes its deadline drops its connection, since the peer may be cut silently. Ruled out: an owner that is silent (pings answered), two owners (one epoch from 6 s to 31 s). Change: a job's call is bound by the request, not by its deadline; the request gives up by itself and tells the owner. Conclusion: the rule 'a deadline means a silent cut' fits short calls only.

--- a/node/stagework/link.go
+++ b/node/stagework/link.go
@@ -191,15 +191,19 @@
 		return r, true, errNoOwner()
 	default:
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	// The job's own deadline must not end the call: a client takes that for a
+	// silent cut and drops the connection with all other jobs.
+	call, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	done := make(chan error, 1)
 	result := &Result{}
-	go func() { done <- client.Call(ctx, methodRun, j, result) }()
+	go func() { done <- client.Call(call, methodRun, j, result) }()
 	select {
 	case err = <-done:
 	case <-lost:
 		return r, true, errNoOwner()
+	case <-ctx.Done():
+		return r, false, errNoTime()
 	}
 	var v *verdict.Error
 	switch {
@@ -207,8 +211,6 @@
 		return *result, false, nil
 	case errors.As(err, &v):
 		return r, v.Code == verdict.CodeLeaving, err
-	case ctx.Err() != nil:
-		return r, false, errNoTime()
 	}
 	return r, true, err
 }
