Stages: a bounded number of late calls; the estimate counts on three quarters of the nominal rate

Cause: callers that came back were all taken in, and in an overload they were the whole load: half of the answers were late and held room for results meanwhile. Change: a caller that came back and would be late is taken in only while fewer than 25 late calls are under way, and refused at once otherwise; jobs that are late count for the estimate once they hold results; efficiency 0.75.

--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -10,7 +10,7 @@
 const (
 	// efficiency is the part of its nominal rate that a service reaches: calls
 	// are not all full.
-	efficiency = 0.85
+	efficiency = 0.75
 	// handOver is how long a result that no stage follows lies at its maker, for
 	// the way to the engine and its fetch.
 	handOver = 200 * time.Millisecond
@@ -22,21 +22,25 @@
 	// trustAbove is the number of jobs under way from which on estimates decide:
 	// a few jobs never overload a service.
 	trustAbove = 8
+	// maxLate is how many late calls may be under way: they use what the others
+	// leave, and hold room meanwhile.
+	maxLate = 25
 )
 
 // refuse reports whether a job would miss its goal behind those that are under
 // way, and when its caller should come back. Work on a call that will be late
-// makes others late too. A caller that has been sent away once is taken in as
-// long as its deadline can be met.
+// makes others late too. Some callers that have been sent away once are taken in
+// although they will be late.
 func (s *scheduler) refuse(now time.Time, j *job) (comeBack time.Duration, refused bool) {
 	if len(s.jobs) < trustAbove {
 		return 0, false
 	}
-	limit := j.goal
-	if j.Returned || !j.goal.After(now) {
-		limit = j.deadline
+	estimate := s.estimate(now, j)
+	if !now.Add(estimate).After(j.goal) {
+		return 0, false
 	}
-	if !now.Add(s.estimate(now, j)).After(limit) {
+	if j.Returned && s.lateJobs(now) < maxLate && now.Add(estimate).Before(j.deadline) {
+		j.late = true
 		return 0, false
 	}
 	longest := j.Left / comeBackPart
@@ -78,12 +82,24 @@
 	return sum
 }
 
-// ahead counts the pieces that are not made yet, by service, of jobs that still
-// reach their goal and whose goal comes first.
+// lateJobs counts the jobs under way that miss their goal.
+func (s *scheduler) lateJobs(now time.Time) int {
+	n := 0
+	for _, j := range s.jobs {
+		if j.answer != nil && (j.late || j.goal.Before(now)) {
+			n++
+		}
+	}
+	return n
+}
+
+// ahead counts the pieces that are not made yet, by service, of jobs whose goal
+// comes first. Those that are late count once they hold results.
 func (s *scheduler) ahead(now, goal time.Time) map[string]int {
 	out := map[string]int{}
 	for _, other := range s.jobs {
-		if other.answer == nil || other.goal.Before(now) || other.goal.After(goal) {
+		late := other.late || other.goal.Before(now)
+		if other.answer == nil || late && len(other.made) == 0 || other.goal.After(goal) {
 			continue
 		}
 		for i, st := range other.Stages {
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -197,7 +197,7 @@
 
 func (p *piece) startBy(now time.Time, spec *optext.Service) (at time.Time, late bool) {
 	rest := spec.CallTime + spec.PieceTime + p.job.tail[p.stage]
-	if at = p.job.goal.Add(-rest); !at.Before(now) {
+	if at = p.job.goal.Add(-rest); !p.job.late && !at.Before(now) {
 		return at, false
 	}
 	return p.job.deadline, true
