Stages: a rapid machine of the scheduler, tests of the link to the owner; two faults it found

Cause: a piece larger than the room that was left was still sent (4,100 of 4,000 bytes), and a call of no pieces counted as running, which left the upstream idle for good. Change: both mended; the machine checks calls, room, inputs of the same job, one answer a job, and what is left at the end. Conclusion: the pure scheduler is cheap to search; new rules of it belong there first.

--- /dev/null
+++ b/node/stagework/link_test.go
@@ -0,0 +1,136 @@
+package stagework
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/peer"
+)
+
+// owner is a process that answers jobs as a test says.
+type owner struct {
+	server  *peer.Server
+	address string
+	arrived chan string
+	answer  map[string]chan error // by job
+}
+
+func newOwner(t *testing.T, jobs ...string) *owner {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := &owner{server: peer.NewServer(), address: l.Addr().String(), arrived: make(chan string, 16), answer: map[string]chan error{}}
+	for _, id := range jobs {
+		o.answer[id] = make(chan error, 1)
+	}
+	peer.Handle(o.server, methodRun, func(ctx context.Context, j *Job) (*Result, error) {
+		o.arrived <- j.ID
+		select {
+		case err := <-o.answer[j.ID]:
+			return &Result{Handles: []string{j.ID}}, err
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	})
+	peer.Handle(o.server, methodDone, func(context.Context, *Done) (*peer.Empty, error) { return &peer.Empty{}, nil })
+	peer.Handle(o.server, peer.MethodPing, peer.Ping)
+	go o.server.Serve(l)
+	t.Cleanup(func() {
+		l.Close()
+		o.server.Close()
+	})
+	return o
+}
+
+func newClientService(t *testing.T) *Service {
+	s := &Service{log: logr.Discard(), link: newLink(peer.DialTCP, nil, logr.Discard())}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		s.cancel()
+		s.link.close()
+	})
+	return s
+}
+
+type runAnswer struct {
+	result Result
+	err    error
+}
+
+func (s *Service) runAsync(ctx context.Context, id string) chan runAnswer {
+	out := make(chan runAnswer, 1)
+	go func() {
+		r, _, err := s.Run(ctx, Job{ID: id, Left: time.Minute, Goal: time.Minute})
+		out <- runAnswer{r, err}
+	}()
+	return out
+}
+
+// TestDeadlineOfOneJobLeavesTheOthers lets the deadline of one of two jobs pass:
+// the other one stays at the owner and gets its answer, without a second run.
+func TestDeadlineOfOneJobLeavesTheOthers(t *testing.T) {
+	o := newOwner(t, "short", "long")
+	s := newClientService(t)
+	s.link.follow(wire.StageOwner{ID: "o", Peer: o.address, Epoch: 1})
+	long := s.runAsync(context.Background(), "long")
+	<-o.arrived
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(50*time.Millisecond))
+	defer cancel()
+	short := s.runAsync(ctx, "short")
+	<-o.arrived
+	if a := <-short; verdict.Of(a.err) != verdict.NotRun {
+		t.Fatalf("the job whose time is over: %v", a.err)
+	}
+	o.answer["long"] <- nil
+	if a := <-long; a.err != nil || len(a.result.Handles) != 1 {
+		t.Fatalf("the other job: %+v", a)
+	}
+	select {
+	case id := <-o.arrived:
+		t.Fatalf("%s was handed in again", id)
+	default:
+	}
+}
+
+// TestJobMovesToTheNextOwner names another owner while a job is under way.
+func TestJobMovesToTheNextOwner(t *testing.T) {
+	first, second := newOwner(t, "job"), newOwner(t, "job")
+	s := newClientService(t)
+	s.link.follow(wire.StageOwner{ID: "a", Peer: first.address, Epoch: 1})
+	got := s.runAsync(context.Background(), "job")
+	<-first.arrived
+	s.link.follow(wire.StageOwner{ID: "b", Peer: second.address, Epoch: 2})
+	<-second.arrived
+	second.answer["job"] <- nil
+	if a := <-got; a.err != nil {
+		t.Fatal(a.err)
+	}
+	s.link.follow(wire.StageOwner{ID: "a", Peer: first.address, Epoch: 1})
+	if s.link.owner.ID != "b" {
+		t.Fatal("an older epoch was taken over")
+	}
+}
+
+// TestRefusalOfTheOwnerStands passes the owner's verdict on, and takes only
+// "moved" for a reason to look for another owner.
+func TestRefusalOfTheOwnerStands(t *testing.T) {
+	o := newOwner(t, "job")
+	s := newClientService(t)
+	s.link.follow(wire.StageOwner{ID: "o", Peer: o.address, Epoch: 1})
+	got := s.runAsync(context.Background(), "job")
+	<-o.arrived
+	o.answer["job"] <- errBusy(time.Second)
+	a := <-got
+	var v *verdict.Error
+	if !errors.As(a.err, &v) || v.Verdict != verdict.NotRun || v.RetryAfter != time.Second {
+		t.Fatalf("got %v", a.err)
+	}
+}
--- /dev/null
+++ b/node/stagework/machine_test.go
@@ -0,0 +1,294 @@
+package stagework
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"caperdrum.org/api/optext"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/upstream"
+)
+
+// world drives a scheduler with jobs, calls that end in every way, upstreams
+// that come and go, and moves of the ownership. It checks what must always hold
+// from what the scheduler hands out.
+type world struct {
+	t       *rapid.T
+	s       *scheduler
+	now     time.Time
+	running []*call
+	jobs    map[string]*tracked
+	serial  int
+	made    map[string]string // handle to what it holds
+	lying   map[string]bool   // handles that were made and not freed
+	members map[string][]wire.Member
+}
+
+type tracked struct {
+	job      Job
+	answered int
+	result   Result
+	err      error
+}
+
+var services = map[string]*optext.Service{
+	"a": {Name: "a", Direct: optext.Direct{Batch: 4, Calls: 1, CallTime: 200 * time.Millisecond, PieceTime: 10 * time.Millisecond, ResultRoom: 4000, ResultTTL: 4 * time.Second}},
+	"b": {Name: "b", Direct: optext.Direct{Batch: 6, Calls: 1, CallTime: 200 * time.Millisecond, PieceTime: 5 * time.Millisecond, ResultRoom: 100_000_000, ResultTTL: 4 * time.Second}},
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, s: newScheduler(), now: time.Unix(1000, 0), jobs: map[string]*tracked{}, made: map[string]string{}, lying: map[string]bool{}, members: map[string][]wire.Member{}}
+	for _, service := range []string{"a", "b"} {
+		for i := range 3 {
+			w.members[service] = append(w.members[service], wire.Member{ID: wire.MemberID(fmt.Sprint(service, i)), Service: service, Direct: fmt.Sprint(service, i), DataCenter: fmt.Sprint("dc", i%2)})
+		}
+	}
+	w.s.setServices(services, w.members)
+	w.s.own(true)
+	return w
+}
+
+func (w *world) addJob() {
+	w.serial++
+	j := Job{ID: fmt.Sprint("job", w.serial), Key: "k", DataCenter: "dc0", Left: time.Duration(rapid.IntRange(200, 4000).Draw(w.t, "left")) * time.Millisecond, Returned: rapid.Bool().Draw(w.t, "returned")}
+	j.Goal = j.Left / 2
+	j.Stages = []Stage{
+		{Service: "a", Pieces: rapid.IntRange(0, 3).Draw(w.t, "p0"), Bytes: 500},
+		{Service: "a", Pieces: rapid.IntRange(0, 6).Draw(w.t, "p1"), Bytes: 100},
+		{Service: "b", After: []int{1}, Pieces: rapid.IntRange(0, 8).Draw(w.t, "p2"), Bytes: 60_000},
+		{Service: "b", After: []int{0, 2}, Pieces: rapid.IntRange(0, 3).Draw(w.t, "p3"), Bytes: 10},
+	}
+	tr := &tracked{job: j}
+	w.jobs[j.ID] = tr
+	w.s.add(w.now, j, func(r Result, err error) {
+		tr.answered++
+		tr.result, tr.err = r, err
+	})
+}
+
+// start takes the calls that the scheduler hands out and checks them.
+func (w *world) start() {
+	for _, c := range w.s.start(w.now) {
+		spec := services[c.service]
+		if len(c.pieces) > spec.Batch || len(c.pieces) == 0 {
+			w.t.Fatalf("a call of %d pieces", len(c.pieces))
+		}
+		if c.worker.running > spec.Calls {
+			w.t.Fatalf("%d calls at %s", c.worker.running, c.worker.member.ID)
+		}
+		if c.worker.room > spec.ResultRoom {
+			w.t.Fatalf("%s holds %d of %d bytes", c.worker.member.ID, c.worker.room, spec.ResultRoom)
+		}
+		if !w.s.owner {
+			w.t.Fatal("a call by a process that does not own the queues")
+		}
+		for i, p := range c.pieces {
+			w.checkRequest(p, c.request[i])
+		}
+		w.running = append(w.running, c)
+	}
+}
+
+// checkRequest checks that a piece gets all results of the stages before it,
+// each once, and of its own job.
+func (w *world) checkRequest(p *piece, r upstream.Piece) {
+	j := w.jobs[r.ID].job
+	var want []string
+	for _, k := range j.Stages[r.Stage].After {
+		for n := range j.Stages[k].Pieces {
+			want = append(want, fmt.Sprintf("%s/%d/%d", r.ID, k, n))
+		}
+	}
+	var got []string
+	for _, h := range r.Inputs {
+		got = append(got, w.made[h])
+	}
+	slices.Sort(want)
+	slices.Sort(got)
+	if !slices.Equal(want, got) {
+		w.t.Fatalf("piece %d of stage %d of %s gets %v, want %v", r.Number, r.Stage, r.ID, got, want)
+	}
+	if first := len(j.Stages[r.Stage].After) == 0; first != (r.Key != "") {
+		w.t.Fatalf("key %q at stage %d", r.Key, r.Stage)
+	}
+}
+
+// finish ends one running call.
+func (w *world) finish() {
+	if len(w.running) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.running)-1).Draw(w.t, "call")
+	c := w.running[i]
+	w.running = slices.Delete(w.running, i, i+1)
+	o := outcome{}
+	switch rapid.SampledFrom([]string{"made", "made", "made", "made", "some", "full", "moved", "lost"}).Draw(w.t, "end") {
+	case "made":
+		o.results = w.results(c, false)
+	case "some":
+		o.results = w.results(c, true)
+	case "full":
+		o.full = true
+	case "moved":
+		o.moved = true
+	}
+	w.free(w.s.finish(w.now, c, o))
+}
+
+func (w *world) results(c *call, failing bool) []upstream.PieceResult {
+	out := make([]upstream.PieceResult, len(c.pieces))
+	for i, r := range c.request {
+		if failing && rapid.Bool().Draw(w.t, "fails") {
+			out[i].Failure = rapid.SampledFrom([]upstream.Failure{upstream.Late, upstream.InputGone, upstream.NoRoom, upstream.Failed}).Draw(w.t, "why")
+			continue
+		}
+		h := fmt.Sprintf("%s/%d", c.worker.member.Direct, len(w.made))
+		w.made[h] = fmt.Sprintf("%s/%d/%d", r.ID, r.Stage, r.Number)
+		w.lying[h] = true
+		out[i].Handle = h
+	}
+	return out
+}
+
+func (w *world) free(results []made) {
+	for _, m := range results {
+		if !w.lying[m.handle] {
+			w.t.Fatalf("%s is freed twice, or was never made", m.handle)
+		}
+		delete(w.lying, m.handle)
+	}
+	w.s.freed(results)
+}
+
+func (w *world) release() {
+	for _, tr := range w.jobs {
+		if tr.answered > 0 {
+			w.free(w.s.done(tr.job.ID))
+			return
+		}
+	}
+}
+
+func (w *world) changeMembers() {
+	service := rapid.SampledFrom([]string{"a", "b"}).Draw(w.t, "service")
+	if list := w.members[service]; len(list) > 1 && rapid.Bool().Draw(w.t, "leaves") {
+		w.members[service] = slices.Clone(list[1:])
+	} else {
+		w.serial++
+		id := fmt.Sprint(service, "new", w.serial)
+		w.members[service] = append(slices.Clone(list), wire.Member{ID: wire.MemberID(id), Service: service, Direct: id, DataCenter: "dc1"})
+	}
+	w.s.setServices(services, w.members)
+}
+
+// check runs after every step.
+func (w *world) check() {
+	for id, tr := range w.jobs {
+		if tr.answered > 1 {
+			w.t.Fatalf("%s is answered %d times", id, tr.answered)
+		}
+		if tr.answered == 1 && tr.err == nil {
+			w.checkResult(tr)
+		}
+		late := w.now.Sub(time.Unix(1000, 0)) > time.Hour
+		if tr.answered == 0 && w.s.jobs[id] == nil && !late {
+			w.t.Fatalf("%s is forgotten without an answer", id)
+		}
+	}
+}
+
+// checkResult checks that the answer holds each result of the final stages of
+// its own job once.
+func (w *world) checkResult(tr *tracked) {
+	var want, got []string
+	for i, final := range tr.job.final() {
+		for n := range tr.job.Stages[i].Pieces {
+			if final {
+				want = append(want, fmt.Sprintf("%s/%d/%d", tr.job.ID, i, n))
+			}
+		}
+	}
+	for _, h := range tr.result.Handles {
+		got = append(got, w.made[h])
+	}
+	slices.Sort(want)
+	slices.Sort(got)
+	if !slices.Equal(want, got) {
+		w.t.Fatalf("%s gets %v, want %v", tr.job.ID, got, want)
+	}
+}
+
+// TestSchedulerKeepsResultsApart lets everything happen that the links and
+// upstreams do, and then lets all jobs end.
+func TestSchedulerKeepsResultsApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"job":     func(*rapid.T) { w.addJob() },
+			"finish":  func(*rapid.T) { w.finish() },
+			"release": func(*rapid.T) { w.release() },
+			"members": func(*rapid.T) { w.changeMembers() },
+			"time": func(t *rapid.T) {
+				w.now = w.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+				w.free(w.s.expire(w.now))
+			},
+			"owner": func(t *rapid.T) { w.free(w.s.own(rapid.IntRange(0, 3).Draw(t, "owner") > 0)) },
+			"": func(*rapid.T) {
+				w.start()
+				w.check()
+			},
+		})
+		w.now = w.now.Add(10 * time.Second)
+		w.free(w.s.expire(w.now))
+		for len(w.running) > 0 {
+			w.finish()
+		}
+		for id, tr := range w.jobs {
+			if tr.answered != 1 {
+				t.Fatalf("%s is answered %d times", id, tr.answered)
+			}
+			w.free(w.s.done(id))
+		}
+		if len(w.s.jobs) > 0 {
+			t.Fatalf("%d jobs are kept", len(w.s.jobs))
+		}
+		for name, q := range w.s.services {
+			if len(q.waiting) > 0 {
+				t.Fatalf("%d pieces wait at %s for nobody", len(q.waiting), name)
+			}
+			for id, worker := range q.workers {
+				if worker.room < 0 || worker.running != 0 {
+					t.Fatalf("%s: room %d, %d calls", id, worker.room, worker.running)
+				}
+			}
+		}
+	})
+}
+
+// TestGroupsStayTogether gives two upstreams five groups of two: no group is
+// split over two calls.
+func TestGroupsStayTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for range 5 {
+			w.serial++
+			w.s.add(w.now, Job{ID: fmt.Sprint(w.serial), Key: "k", Left: 10 * time.Second, Goal: 5 * time.Second, Stages: []Stage{{Service: "a", Pieces: 2, Bytes: 10}}}, func(Result, error) {})
+		}
+		for _, c := range w.s.start(w.now) {
+			var ids []string
+			for _, p := range c.pieces {
+				ids = append(ids, p.job.ID)
+			}
+			for i := 0; i < len(ids); i += 2 {
+				if i+1 == len(ids) || ids[i] != ids[i+1] {
+					t.Fatalf("a call holds %s", strings.Join(ids, " "))
+				}
+			}
+		}
+	})
+}
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -97,8 +97,7 @@
 		}
 		// What waits is spread over the upstreams that are idle, since a call takes
 		// longer with each piece.
-		c := q.fill(w, fit, min(limit, (len(fit)+len(free)-1)/len(free)), now)
-		if len(c.pieces) > 0 {
+		if c := q.fill(w, fit, min(limit, (len(fit)+len(free)-1)/len(free)), now); c != nil {
 			return c
 		}
 	}
@@ -204,7 +203,7 @@
 }
 
 // fill takes up to limit pieces for the upstream, in order, as far as it has
-// room for their results.
+// room for their results. It returns nil when there is room for none.
 func (q *serviceQueue) fill(w *worker, fit []*piece, limit int, now time.Time) *call {
 	c := &call{worker: w, began: now, expect: q.spec.CallTime}
 	room := q.room(w)
@@ -219,8 +218,12 @@
 		if len(c.pieces) > 0 && !fits {
 			continue
 		}
-		if !fits { // larger than any call
-			group = group[:min(len(group), q.spec.Batch, max(1, int(room/max(1, group[0].bytes()))))]
+		if !fits { // larger than any call, or than the room that is left
+			n := min(len(group), q.spec.Batch, int(room/max(1, group[0].bytes())))
+			if n == 0 && w.room > 0 {
+				continue
+			}
+			group = group[:max(1, n)]
 			bytes = int64(len(group)) * group[0].bytes()
 		}
 		room -= bytes
@@ -232,6 +235,9 @@
 			c.request = append(c.request, p.request(now))
 		}
 	}
+	if len(c.pieces) == 0 {
+		return nil
+	}
 	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool { return taken[p] })
 	w.running++
 	w.room += c.bytes
