--- /dev/null
+++ b/node/configsync/clock_test.go
@@ -0,0 +1,45 @@
+package configsync
+
+import (
+	"testing"
+	"time"
+
+	"caperdrum.org/api/wire"
+)
+
+// TestStampIsKeptOnTheSteadyClock takes a confirmation with a reading of the
+// steady clock, as the system's clock gives it. Its age follows that clock: a
+// time of day that was set back would make a key look confirmed for longer.
+func TestStampIsKeptOnTheSteadyClock(t *testing.T) {
+	h := NewHolder(wire.Member{ID: "m"})
+	asked := time.Now()
+	if _, err := h.Take(&wire.SyncReply{StampAge: time.Second}, asked); err != nil {
+		t.Fatal(err)
+	}
+	if age := h.StampAge(asked.Add(2 * time.Second)); age != 3*time.Second {
+		t.Fatalf("confirmed %v ago", age)
+	}
+	if at := h.stamp.Load(); at.Round(0) == *at {
+		t.Fatal("the confirmation has lost its reading of the steady clock")
+	}
+}
+
+// TestOwnersEpochBringsAView takes a newer owner, and then an older one from a
+// control process that lags.
+func TestOwnersEpochBringsAView(t *testing.T) {
+	h := NewHolder(wire.Member{ID: "m"})
+	now := time.Now()
+	for _, epoch := range []uint64{1, 3, 2} {
+		reply := &wire.SyncReply{Owner: wire.StageOwner{ID: "o", Epoch: epoch}}
+		changed, err := h.Take(reply, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if (changed != nil) != (epoch != 2) {
+			t.Fatalf("epoch %d: a new view %v", epoch, changed != nil)
+		}
+	}
+	if got := h.View().Owner.Epoch; got != 3 {
+		t.Fatalf("epoch %d", got)
+	}
+}
--- /dev/null
+++ b/node/control/elastic_test.go
@@ -0,0 +1,121 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/consensus"
+)
+
+func peerNamed(name string) consensus.Peer {
+	return consensus.Peer{ID: consensus.NodeID(name), Address: name}
+}
+
+// TestElasticPlanKeepsAQuorum draws voters, learners, offers and silence, and
+// follows the plan to its end: every step changes one voter at most, the voters
+// never fall below the least number or exceed the most and those that are gone,
+// the leader stays, and at the end nobody that is gone is left as long as the
+// least number allows.
+func TestElasticPlanKeepsAQuorum(t *testing.T) {
+	const least, most = 3, 7
+	rapid.Check(t, func(t *rapid.T) {
+		st := consensus.Status{ID: "v0", Last: 100, Progress: map[consensus.NodeID]consensus.Progress{}}
+		silent := map[consensus.NodeID]bool{}
+		var offers []consensus.Peer
+		for i := range rapid.IntRange(1, 7).Draw(t, "voters") {
+			p := peerNamed(fmt.Sprint("v", i))
+			st.Membership.Voters = append(st.Membership.Voters, p)
+			switch rapid.IntRange(0, 3).Draw(t, "fate") * min(i, 1) {
+			case 1:
+				silent[p.ID] = true
+			case 2: // its folder was lost
+				offers = append(offers, consensus.Peer{ID: p.ID + "-new", Address: p.Address})
+			}
+		}
+		for i := range rapid.IntRange(0, 3).Draw(t, "spares") {
+			offers = append(offers, peerNamed(fmt.Sprint("s", i)))
+		}
+		start := len(st.Membership.Voters)
+		for range 40 {
+			for _, p := range st.Membership.All() {
+				st.Progress[p.ID] = consensus.Progress{Active: !silent[p.ID], Match: 100}
+			}
+			next, why := planElastic(st, offers, silent, least, most)
+			if next == nil {
+				checkEnd(t, st, offers, silent, least, most)
+				return
+			}
+			if d := len(next.Voters) - len(st.Membership.Voters); d > 1 || d < -1 {
+				t.Fatalf("%s: from %d to %d voters", why, len(st.Membership.Voters), len(next.Voters))
+			}
+			if len(next.Voters) < min(least, start) || !next.Has("v0") {
+				t.Fatalf("%s: voters %v", why, next.Voters)
+			}
+			st.Membership = *next
+		}
+		t.Fatal("the plan does not end")
+	})
+}
+
+func checkEnd(t *rapid.T, st consensus.Status, offers []consensus.Peer, silent map[consensus.NodeID]bool, least, most int) {
+	gone := lost(st, offers, silent)
+	if len(gone) > 0 && len(st.Membership.Voters) > least {
+		t.Fatalf("%v are gone and stay among %v", gone, st.Membership.Voters)
+	}
+	for _, o := range offers {
+		if !st.Membership.Has(o.ID) && len(st.Membership.Voters) < most {
+			t.Fatalf("%s offers itself and does not vote", o.ID)
+		}
+	}
+}
+
+// TestOffersAreForgotten lets an offer grow old, and a second replica take the
+// address of the first.
+func TestOffersAreForgotten(t *testing.T) {
+	var o offers
+	start := time.Unix(1000, 0)
+	o.note(consensus.Peer{ID: "a/1", Address: "a"}, start)
+	o.note(consensus.Peer{ID: "a/2", Address: "a"}, start)
+	if got := o.fresh(start); len(got) != 1 || got[0].ID != "a/2" {
+		t.Fatalf("got %v", got)
+	}
+	if got := o.fresh(start.Add(offerLimit + 1)); len(got) != 0 {
+		t.Fatalf("got %v", got)
+	}
+}
+
+// TestNextOwner lists who is named for each set of processes.
+func TestNextOwner(t *testing.T) {
+	proxy := func(id, role string, leaving bool) wire.Member {
+		return wire.Member{ID: wire.MemberID(id), Role: role, Peer: id, Leaving: leaving}
+	}
+	cases := map[string]struct {
+		members []wire.Member
+		avoid   wire.MemberID
+		want    wire.MemberID
+	}{
+		"nobody":                              {nil, "", ""},
+		"an agent owns nothing":               {[]wire.Member{{ID: "agent", Role: "agent"}}, "", ""},
+		"control before others":               {[]wire.Member{proxy("a", "proxy", false), proxy("b", "proxy+control", false)}, "", "b"},
+		"not the leader, if there is another": {[]wire.Member{proxy("leader", "proxy+control", false), proxy("b", "proxy+control", false)}, "", "b"},
+		"the leader before a smaller VM":      {[]wire.Member{proxy("leader", "proxy+control", false), proxy("b", "proxy", false)}, "", "leader"},
+		"not one that leaves":                 {[]wire.Member{proxy("a", "proxy+control", true), proxy("b", "proxy", false)}, "", "b"},
+		"one that was silent comes last":      {[]wire.Member{proxy("a", "proxy+control", false), proxy("b", "proxy", false)}, "a", "b"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			members := map[wire.MemberID]wire.Member{}
+			for _, m := range c.members {
+				members[m.ID] = m
+			}
+			got, _ := nextOwner(members, "leader", func(id wire.MemberID) bool { return id == c.avoid })
+			if got.ID != c.want {
+				t.Fatalf("named %q, want %q", got.ID, c.want)
+			}
+		})
+	}
+}
--- a/node/control/formation.go
+++ b/node/control/formation.go
@@ -74,7 +74,7 @@
 			if clients[step.Ask] == nil {
 				clients[step.Ask] = peer.NewClient(step.Ask, s.links.dial)
 			}
-			rule.Heard(step.Ask, s.hello(ctx, clients[step.Ask]))
+			rule.Heard(step.Ask, step.Hello, s.hello(ctx, clients[step.Ask], step.Hello))
 		}
 		select {
 		case <-ctx.Done():
@@ -89,11 +89,11 @@
 }
 
 // hello asks a seed whether it can found. No answer says nothing.
-func (s *Service) hello(ctx context.Context, client *peer.Client) formation.Answer {
+func (s *Service) hello(ctx context.Context, client *peer.Client, question formation.Hello) formation.Answer {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	var answer formation.Answer
-	if err := client.Call(ctx, formation.MethodHello, formation.Hello{Address: s.set.Control.Advertise}, &answer); err != nil {
+	if err := client.Call(ctx, formation.MethodHello, question, &answer); err != nil {
 		s.log.V(1).Info("seed not heard", "address", client.Address(), "error", err.Error())
 		return formation.Answer{}
 	}
--- a/node/formation/formation.go
+++ b/node/formation/formation.go
@@ -10,9 +10,10 @@
 // MethodHello is the method by which seeds are asked.
 const MethodHello = "formation.hello"
 
-// Hello asks a seed. Address is the caller's, which has a disk.
+// Hello asks a seed. Address is the caller's, which has a disk, if it asks to be
+// named the founder.
 type Hello struct {
-	Address string `json:"address"`
+	Address string `json:"address,omitempty"`
 }
 
 // Answer is what a seed says of itself. The zero value says nothing.
@@ -22,12 +23,13 @@
 	Founder string `json:"founder,omitempty"` // whom a seed without a disk names; it never names another one
 }
 
-// Rule follows what one process hears at its first start.
+// Rule follows what one process that has a disk hears at its first start.
 type Rule struct {
 	Self  string
 	Seeds []string
 
 	heard map[string]Answer
+	named map[string]Answer // answers to the question to be named
 }
 
 // Step is what the process does next. The zero value is to wait: another
@@ -35,24 +37,26 @@
 type Step struct {
 	Found bool
 	Ask   string // address of a seed
+	Hello Hello  // the question
 }
 
-// Heard notes a seed's answer.
-func (r *Rule) Heard(seed string, a Answer) {
+// Heard notes a seed's answer to the question.
+func (r *Rule) Heard(seed string, h Hello, a Answer) {
 	if !a.Known {
 		return
 	}
 	if r.heard == nil {
-		r.heard = map[string]Answer{}
+		r.heard, r.named = map[string]Answer{}, map[string]Answer{}
+	}
+	if h.Address != "" {
+		r.named[seed] = a
+		return
 	}
 	r.heard[seed] = a
 }
 
 // Next returns the next step.
 func (r *Rule) Next() Step {
-	if len(r.Seeds) == 0 {
-		return Step{}
-	}
 	for _, seed := range r.Seeds {
 		if seed == r.Self {
 			return Step{Found: true} // every seed before it has no disk
@@ -61,28 +65,33 @@
 		if !known {
 			return Step{Ask: seed}
 		}
-		// Seeds are asked in order, and one that names another process ends the
-		// round, so that no three processes hold one seed each.
-		if a.HasDisk || a.Founder != "" && a.Founder != r.Self {
+		if a.HasDisk {
 			return Step{}
 		}
 	}
-	return Step{Found: r.named()}
+	return r.claim()
 }
 
-// named reports whether a majority of the seeds names this process. A seed that
-// was not there at the first start names nobody.
-func (r *Rule) named() bool {
+// claim asks the seeds, none of which has a disk, to name this process. They are
+// asked in order, and one that names another process ends the round, so that no
+// three processes hold one seed each.
+func (r *Rule) claim() Step {
 	mine := 0
 	for _, seed := range r.Seeds {
-		if r.heard[seed].Founder == r.Self {
+		a, known := r.named[seed]
+		switch {
+		case !known:
+			return Step{Ask: seed, Hello: Hello{Address: r.Self}}
+		case a.Founder == r.Self:
 			mine++
+		case a.Founder != "": // a seed that was not there at the first start names nobody
+			return Step{}
 		}
 	}
-	return 2*mine > len(r.Seeds)
+	return Step{Found: 2*mine > len(r.Seeds)}
 }
 
-// Namer is a seed without a disk. It names the first process that asks, if it
+// Namer is a seed without a disk. It names the first process that asks for it, if it
 // was there at the first start.
 type Namer struct {
 	FirstStart bool
@@ -91,7 +100,7 @@
 
 // Hello answers a process that has a disk.
 func (n *Namer) Hello(h Hello) Answer {
-	if n.FirstStart && n.founder == "" {
+	if n.FirstStart && n.founder == "" && h.Address != "" {
 		n.founder = h.Address
 	}
 	return Answer{Known: true, Founder: n.founder}
--- /dev/null
+++ b/node/formation/formation_test.go
@@ -0,0 +1,93 @@
+package formation
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// process is one process of a first start.
+type process struct {
+	address string
+	disk    bool
+	rule    Rule
+	namer   Namer
+	founded bool
+}
+
+// TestNeverTwoFounders starts processes with the same seeds, lets them ask and
+// restart in any order and loses any answer. A restarted process without a disk
+// has forgotten whom it named and names nobody; one with a disk goes on by its
+// list of seeds. At most one process founds; and if all answers come, one does.
+func TestNeverTwoFounders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(t, "processes")
+		procs := map[string]*process{}
+		var all []*process
+		for i := range n {
+			p := &process{address: fmt.Sprint("p", i), disk: rapid.Bool().Draw(t, "disk"), namer: Namer{FirstStart: true}}
+			procs[p.address] = p
+			all = append(all, p)
+		}
+		var seeds []string
+		for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, n-1), 1, min(3, n), rapid.ID).Draw(t, "seeds") {
+			seeds = append(seeds, all[i].address)
+		}
+		for _, p := range all {
+			p.rule = Rule{Self: p.address, Seeds: seeds}
+		}
+		lossy := true
+		step := func(p *process) {
+			if !p.disk || p.founded {
+				return
+			}
+			s := p.rule.Next()
+			p.founded = s.Found
+			if s.Ask == "" {
+				return
+			}
+			seed := procs[s.Ask]
+			answer := Answer{Known: true, HasDisk: true}
+			if !seed.disk {
+				answer = seed.namer.Hello(s.Hello)
+			}
+			if lossy && rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+				answer = Answer{}
+			}
+			p.rule.Heard(s.Ask, s.Hello, answer)
+		}
+		restarts := 0
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			p := all[rapid.IntRange(0, n-1).Draw(t, "who")]
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				restarts++
+				p.rule = Rule{Self: p.address, Seeds: seeds}
+				p.namer = Namer{}
+				continue
+			}
+			step(p)
+		}
+		lossy = false
+		for range 20 {
+			for _, p := range all {
+				step(p)
+			}
+		}
+		founders, disks := 0, 0
+		for _, p := range all {
+			if p.founded {
+				founders++
+			}
+			if p.disk {
+				disks++
+			}
+		}
+		if founders > 1 {
+			t.Fatalf("%d founders", founders)
+		}
+		if restarts == 0 && disks > 0 && founders == 0 {
+			t.Fatal("no process founds although all answer")
+		}
+	})
+}
