--- /dev/null
+++ b/node/upstream/upstream_test.go
@@ -0,0 +1,283 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"caperdrum.org/api/verdict"
+)
+
+// plainProtocol answers by the header Id alone.
+type plainProtocol struct{ Protocol }
+
+func (plainProtocol) Answer(status int, h http.Header) Answer {
+	return Answer{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != ""}
+}
+
+// script is an upstream that answers the n-th request of each connection by the
+// n-th text, and then closes. It counts connections and requests.
+type script struct {
+	listener net.Listener
+	conns    chan int // number of requests read, as each connection ends
+}
+
+const closeNow = "close"
+
+func newScript(t *testing.T, answers ...string) *script {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{listener: l, conns: make(chan int, 16)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c, answers)
+		}
+	}()
+	return s
+}
+
+func (s *script) serve(c net.Conn, answers []string) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	n := 0
+	defer func() { s.conns <- n }()
+	for _, a := range answers {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, req.Body)
+		n++
+		if a == closeNow {
+			return
+		}
+		io.WriteString(c, a)
+	}
+	io.Copy(io.Discard, br) // keeps the connection until the caller closes it
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func (s *script) request(id string) *Request {
+	return &Request{Address: s.listener.Addr().String(), Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte("body"), ID: id}
+}
+
+func call(t *testing.T, p *Pool, r *Request) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	resp, err := p.Do(ctx, r)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// TestAnswerToAnotherCallIsSkipped puts a late second answer to the first call
+// before the answer to the second one, on one connection.
+func TestAnswerToAnotherCallIsSkipped(t *testing.T) {
+	s := newScript(t, answer("1", "one"), answer("1", "one again")+answer("2", "two"))
+	p := NewPool(plainProtocol{})
+	defer p.Close()
+	for id, want := range map[string]string{"1": "one"} {
+		if got, err := call(t, p, s.request(id)); err != nil || got != want {
+			t.Fatalf("%q, %v", got, err)
+		}
+	}
+	if got, err := call(t, p, s.request("2")); err != nil || got != "two" {
+		t.Fatalf("%q, %v", got, err)
+	}
+}
+
+// TestOnlyStrayAnswersMayHaveRun gives answers to other calls only.
+func TestOnlyStrayAnswersMayHaveRun(t *testing.T) {
+	s := newScript(t, strings.Repeat(answer("9", "x"), maxStrayAnswers+1))
+	p := NewPool(plainProtocol{})
+	defer p.Close()
+	if _, err := call(t, p, s.request("1")); verdict.Of(err) != verdict.MayHaveRun || err == nil {
+		t.Fatalf("%v", err)
+	}
+}
+
+// TestBytesAfterAnAnswerEndTheConnection lets bytes follow a whole answer: the
+// next call uses a new connection.
+func TestBytesAfterAnAnswerEndTheConnection(t *testing.T) {
+	s := newScript(t, answer("1", "one")+"more")
+	p := NewPool(plainProtocol{})
+	defer p.Close()
+	for range 2 {
+		if got, err := call(t, p, s.request("1")); err != nil || got != "one" {
+			t.Fatalf("%q, %v", got, err)
+		}
+	}
+	if n := <-s.conns; n != 1 {
+		t.Fatalf("%d requests on a connection with stray bytes", n)
+	}
+}
+
+// TestNoRequestIsSentTwice closes each connection after it has read a request:
+// the call fails as may-have-run and the upstream has read one request.
+func TestNoRequestIsSentTwice(t *testing.T) {
+	s := newScript(t, answer("1", "one"), closeNow)
+	p := NewPool(plainProtocol{})
+	defer p.Close()
+	if _, err := call(t, p, s.request("1")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := call(t, p, s.request("2")); err == nil || verdict.Of(err) != verdict.MayHaveRun {
+		t.Fatalf("%v", err)
+	}
+	if n := <-s.conns; n != 2 {
+		t.Fatalf("%d requests on the first connection", n)
+	}
+	select {
+	case n := <-s.conns:
+		t.Fatalf("another connection read %d requests", n)
+	default:
+	}
+}
+
+// TestRefusedConnectionHasNotRun calls an address where nobody listens.
+func TestRefusedConnectionHasNotRun(t *testing.T) {
+	s := newScript(t)
+	s.listener.Close()
+	p := NewPool(plainProtocol{})
+	if _, err := call(t, p, s.request("1")); verdict.Of(err) != verdict.NotRun {
+		t.Fatalf("%v", err)
+	}
+	if len(p.open) != 0 {
+		t.Fatalf("%v are counted as open", p.open)
+	}
+}
+
+// TestConnectionsAreLimited holds one connection and asks for a second one.
+func TestConnectionsAreLimited(t *testing.T) {
+	s := newScript(t, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\n")
+	p := NewPool(plainProtocol{})
+	defer p.Close()
+	r := s.request("1")
+	r.Limit = 1
+	first, err := p.Do(context.Background(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	if _, err := p.Do(context.Background(), r); verdict.Of(err) != verdict.NotRun {
+		t.Fatalf("a second connection: %v", err)
+	}
+}
+
+// TestEndsOfBodies lists answers and whether their body is whole.
+func TestEndsOfBodies(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nId: 1\r\n"
+	cases := map[string]struct {
+		answer string
+		whole  bool
+	}{
+		"a length":              {answer("1", "abc"), true},
+		"chunks":                {head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", true},
+		"the end of connection": {head + "\r\nabc", true},
+		"less than the length":  {head + "Content-Length: 5\r\n\r\nabc", false},
+		"chunks without an end": {head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false},
+		"informational first":   {"HTTP/1.1 100 Continue\r\n\r\n" + answer("1", "abc"), true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					io.WriteString(conn, c.answer)
+				}
+			}()
+			p := NewPool(plainProtocol{})
+			got, err := call(t, p, &Request{Address: l.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, ID: "1"})
+			if got != "abc" || (err == nil) != c.whole {
+				t.Fatalf("%q, %v", got, err)
+			}
+		})
+	}
+}
+
+// TestEarlyAnswerEndsTheConnection answers before a long body is read: the rest
+// of it is never followed by another request.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	conns := make(chan net.Conn, 4)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns <- c
+			br := bufio.NewReader(c)
+			if _, err := http.ReadRequest(br); err == nil {
+				io.WriteString(c, answer("1", "early"))
+			}
+		}
+	}()
+	p := NewPool(plainProtocol{})
+	defer p.Close()
+	r := &Request{Address: l.Addr().String(), Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, ID: "1", Body: make([]byte, 16<<20)}
+	for range 2 {
+		if got, err := call(t, p, r); err != nil || got != "early" {
+			t.Fatalf("%q, %v", got, err)
+		}
+	}
+	if len(conns) != 2 {
+		t.Fatalf("%d connections for two calls", len(conns))
+	}
+	for range 2 {
+		(<-conns).Close()
+	}
+}
+
+// TestKeepFor lists what upstreams say of idle connections.
+func TestKeepFor(t *testing.T) {
+	cases := map[string]time.Duration{
+		"":                  idleDefault,
+		"timeout=5":         5*time.Second - idleMargin,
+		"max=3, timeout=20": 20*time.Second - idleMargin,
+		"timeout=0":         0,
+		"timeout=x":         0,
+	}
+	for value, want := range cases {
+		h := http.Header{}
+		if value != "" {
+			h.Set("Keep-Alive", value)
+		}
+		if got := keepFor(h); got != want {
+			t.Errorf("%q: %v, want %v", value, got, want)
+		}
+	}
+}
