--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -37,6 +37,7 @@
 	"caperdrum.org/node/security"
 	"caperdrum.org/node/settings"
 	"caperdrum.org/node/stagework"
+	"caperdrum.org/node/upstream"
 )
 
 // Exit statuses of a process.
@@ -50,9 +51,8 @@
 type Options struct {
 	Settings *settings.Settings
 	Logs     io.Writer
-	// Supply are constructors of values that modules ask for, beside those that
-	// every process has.
-	Supply []any
+	// Protocol is spoken on routes; nil is upstream.Native.
+	Protocol upstream.Protocol
 	// Extra are modules beside those of the roles. They start last, and stop
 	// first.
 	Extra []kernel.Module
@@ -88,9 +88,10 @@
 	k.Supply(func() *security.Store { return store })
 	k.Supply(func() peer.Dialer { return store.Dial })
 	k.Supply(func() *peer.Directory { return peer.NewDirectory(set.Peers.Control) })
-	for _, constructor := range o.Supply {
-		k.Supply(constructor)
+	if o.Protocol == nil {
+		o.Protocol = upstream.Native{}
 	}
+	k.Supply(func() upstream.Protocol { return o.Protocol })
 	if err := k.Add(append(modulesOf(set), o.Extra...)...); err != nil {
 		log.Error(err, "modules")
 		return ExitFailure
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -58,13 +58,24 @@
 	Security   *security.Store     `optional:"true"`
 }
 
+// views is what the proxy asks of synchronization.
+type views interface {
+	StampAge() time.Duration
+	SetLeaving(leaving bool)
+}
+
+// stages has the stages of a call done.
+type stages interface {
+	Run(ctx context.Context, j stagework.Job) (r stagework.Result, release func(), err error)
+}
+
 // Service is the callers' listener on routes.
 type Service struct {
 	set       *settings.Settings
 	log       logr.Logger
 	protocol  upstream.Protocol
-	sync      *configsync.Service
-	stages    *stagework.Service
+	sync      views
+	stages    stages
 	secure    *security.Store
 	pool      *upstream.Pool
 	endpoints *endpoints
@@ -82,18 +93,27 @@
 
 // New returns the service; Start opens its listeners.
 func New(p Params) *Service {
-	s := &Service{set: p.Settings, log: p.Log, protocol: p.Protocol, sync: p.ConfigSync, stages: p.Stages, secure: p.Security,
-		pool: upstream.NewPool(p.Protocol), endpoints: newEndpoints(), budgets: map[string]*retry.Window{}}
+	s := newService(p.Settings, p.Log, p.Protocol, p.ConfigSync, p.Stages)
+	s.secure = p.Security
+	p.ConfigSync.OnChange(s.follow)
+	return s
+}
+
+func newService(set *settings.Settings, log logr.Logger, protocol upstream.Protocol, views views, stages stages) *Service {
+	s := &Service{set: set, log: log, protocol: protocol, sync: views, stages: stages,
+		pool: upstream.NewPool(protocol), endpoints: newEndpoints(), budgets: map[string]*retry.Window{}}
 	s.ending, s.end = context.WithCancel(context.Background())
-	p.ConfigSync.OnChange(func(v *configsync.View) {
-		s.table.Store(newTable(v))
-		s.endpoints.keep(v.Announced)
-	})
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: nil}
 	s.ready = &http.Server{Handler: http.HandlerFunc(s.answerReady), ReadHeaderTimeout: headerTimeout}
 	return s
 }
 
+// follow takes over a view of the configuration and the members.
+func (s *Service) follow(v *configsync.View) {
+	s.table.Store(newTable(v))
+	s.endpoints.keep(v.Announced)
+}
+
 // Start implements kernel.Starter.
 func (s *Service) Start(context.Context) error {
 	front, err := s.secure.Listen(s.set.Proxy.Listen, security.Callers)
--- /dev/null
+++ b/node/upstream/native.go
@@ -0,0 +1,132 @@
+package upstream
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+)
+
+// Headers of Native beside those of package wire.
+const (
+	headerPrefix   = "Caperdrum-Prompt-Parts" // ID:TOKENS, comma-separated
+	headerPieces   = "Caperdrum-Pieces"       // of each stage, comma-separated
+	headerPieceKey = "Caperdrum-Piece-Key"
+	headerInstance = "Caperdrum-Instance" // for which start of the upstream a call is; in answers: which one answered
+	headerCustomer = "Caperdrum-Customer"
+	headerInputs   = "Caperdrum-Inputs" // handles, comma-separated
+	headerEvent    = "Last-Event-Id"    // of the WHATWG's server-sent events
+	headerKey      = "Authorization"
+
+	pathPieces = "/v1/pieces"
+	pathFree   = "/v1/pieces/free"
+	bearer     = "Bearer "
+)
+
+// Native is caperdrum's own protocol on routes.
+type Native struct{}
+
+var _ Protocol = Native{}
+
+// Call implements Protocol.
+func (Native) Call(h http.Header) (Call, error) {
+	c := Call{ID: h.Get(wire.HeaderRequestID), PieceKey: h.Get(headerPieceKey), LastEvent: h.Get(headerEvent)}
+	c.Key, _ = strings.CutPrefix(h.Get(headerKey), bearer)
+	if raw := h.Get(wire.HeaderTimeout); raw != "" {
+		wait, err := time.ParseDuration(raw)
+		if err != nil || wait <= 0 {
+			return c, fmt.Errorf("%s: %q is no duration; write one such as 2s", wire.HeaderTimeout, raw)
+		}
+		c.Wait = wait
+	}
+	for _, part := range splitList(h.Get(headerPieces)) {
+		n, err := strconv.Atoi(part)
+		if err != nil || n < 0 {
+			return c, fmt.Errorf("%s: %q is no number; write one a stage", headerPieces, part)
+		}
+		c.Pieces = append(c.Pieces, n)
+	}
+	for _, part := range splitList(h.Get(headerPrefix)) {
+		id, number, _ := strings.Cut(part, ":")
+		tokens, err := strconv.ParseInt(number, 10, 64)
+		if err != nil {
+			return c, fmt.Errorf("%s: %q is no part; write ID:TOKENS", headerPrefix, part)
+		}
+		c.Prefix = append(c.Prefix, PromptPart{ID: id, Tokens: tokens})
+	}
+	return c, nil
+}
+
+func splitList(raw string) []string {
+	if raw == "" {
+		return nil
+	}
+	parts := strings.Split(raw, ",")
+	for i, p := range parts {
+		parts[i] = strings.TrimSpace(p)
+	}
+	return parts
+}
+
+// Tell implements Protocol.
+func (Native) Tell(h http.Header, t Told) {
+	for _, name := range []string{headerKey, headerInstance, headerCustomer, headerInputs, wire.HeaderTimeout} {
+		h.Del(name)
+	}
+	if t.Left > 0 {
+		h.Set(wire.HeaderTimeout, t.Left.String())
+	}
+	for name, value := range map[string]string{headerInstance: string(t.Instance), headerCustomer: t.Customer, headerEvent: t.LastEvent, headerInputs: strings.Join(t.Inputs, ",")} {
+		if value != "" {
+			h.Set(name, value)
+		}
+	}
+}
+
+// Answer implements Protocol.
+func (Native) Answer(status int, h http.Header) Answer {
+	notRun := verdict.Parse(h.Get(wire.HeaderVerdict)) == verdict.NotRun || status == http.StatusMisdirectedRequest
+	return Answer{ID: h.Get(wire.HeaderRequestID), NotRun: notRun, Instance: wire.MemberID(h.Get(headerInstance))}
+}
+
+// nativePiece is a piece in the body of a call.
+type nativePiece struct {
+	ID     string   `json:"id"`
+	Stage  int      `json:"stage"`
+	Number int      `json:"number"`
+	LeftMs int64    `json:"left_ms"`
+	Key    string   `json:"key,omitempty"`
+	Inputs []string `json:"inputs,omitempty"`
+}
+
+// RunPieces implements Protocol.
+func (Native) RunPieces(pieces []Piece) (string, []byte) {
+	out := make([]nativePiece, len(pieces))
+	for i, p := range pieces {
+		out[i] = nativePiece{p.ID, p.Stage, p.Number, p.Left.Milliseconds(), p.Key, p.Inputs}
+	}
+	return pathPieces, encode(out)
+}
+
+// PieceResults implements Protocol.
+func (Native) PieceResults(body []byte) ([]PieceResult, error) {
+	var out []PieceResult
+	err := json.Unmarshal(body, &out)
+	return out, err
+}
+
+// FreeResults implements Protocol.
+func (Native) FreeResults(handles []string) (string, []byte) { return pathFree, encode(handles) }
+
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic("upstream: " + err.Error()) // these types always encode
+	}
+	return data
+}
