--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # race detector would see nothing there. e2e-long builds the processes with it
 # instead. Their results are never taken from go's cache, which does not know
 # the binaries that they build and start.
-PROCESSES = caperdrum.org/e2e caperdrum.org/ctl/orderstest
+PROCESSES = caperdrum.org/e2e caperdrum.org/ctl/orderstest caperdrum.org/platform
 IN_PROCESS = $(filter-out $(PROCESSES),$(shell go list $(MODULES)))
 # Set by .ci/run from KNOWN-RED.txt: a pattern of tests that are passed over.
 SKIP ?=
@@ -41,6 +41,7 @@
 	@files=$$(gofmt -l api node fake ctl e2e tools platform); if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
 	go vet $(MODULES)
 	go run honnef.co/go/tools/cmd/staticcheck $(MODULES)
+	./scripts/platform_names.sh
 
 # A short run at the size of one deployment, under 3 minutes.
 bench: build
@@ -58,4 +59,4 @@
 	go run ./ctl/cmd/capacity
 
 clean:
-	rm -rf bin
+	rm -rf bin target
