--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -110,7 +110,6 @@
 	views   *fixedViews
 	stages  *fakeStages
 	view    configsync.View
-	seq     uint64
 }
 
 func newBed(t *testing.T) *bed {
