Stages: a piece leaves its data centre when waiting there would miss its goal

Cause: a piece waited for an upstream nearby until 60 ms before its last start, when every other upstream was busy too. Change: the wait at home is what its upstreams' running calls and its queue take; a piece whose slack is below it may go.

--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -40,7 +40,8 @@
 	failures int
 	ratio    float64 // of the duration of its calls to what the text says
 	used     time.Time
-	gone     bool // it left the members, or another upstream has its address
+	freeAt   time.Time // when its last call should end
+	gone     bool      // it left the members, or another upstream has its address
 }
 
 type piece struct {
@@ -88,7 +89,7 @@
 		return nil
 	}
 	slices.SortFunc(q.waiting, func(a, b *piece) int { return a.compare(b, now, q.spec) })
-	near := q.dataCenters(now)
+	near := q.waits(now)
 	for _, w := range free {
 		fit := q.fitting(w, near, now)
 		limit := q.limit(w, len(fit), now)
@@ -119,13 +120,29 @@
 	return 0
 }
 
-// dataCenters are those with an upstream that is neither slow nor failing.
-func (q *serviceQueue) dataCenters(now time.Time) map[string]bool {
-	out := map[string]bool{}
+// waits returns, for each data centre with an upstream that is neither slow nor
+// failing, how long a piece at the end of what waits for it would wait there.
+func (q *serviceQueue) waits(now time.Time) map[string]time.Duration {
+	free := map[string]time.Duration{}
+	upstreams, queued := map[string]int{}, map[string]int{}
 	for _, w := range q.workers {
-		if w.ratio <= slowRatio && w.failures == 0 {
-			out[w.member.DataCenter] = true
+		if w.ratio > slowRatio || w.failures > 0 {
+			continue
+		}
+		dc := w.member.DataCenter
+		left := max(0, w.freeAt.Sub(now))
+		if upstreams[dc] == 0 || left < free[dc] {
+			free[dc] = left
 		}
+		upstreams[dc]++
+	}
+	for _, p := range q.waiting {
+		queued[p.home]++
+	}
+	out := map[string]time.Duration{}
+	for dc, n := range upstreams {
+		calls := float64(queued[dc]) / float64(n*q.spec.Batch)
+		out[dc] = free[dc] + time.Duration(max(0, calls-1)*float64(fullCall(q.spec)))
 	}
 	return out
 }
@@ -133,20 +150,21 @@
 // fitting returns the waiting pieces that the upstream may take: one whose
 // inputs or result are large waits for an upstream in their data centre, as
 // long as it can wait without missing its goal and there is one.
-func (q *serviceQueue) fitting(w *worker, near map[string]bool, now time.Time) []*piece {
+func (q *serviceQueue) fitting(w *worker, near map[string]time.Duration, now time.Time) []*piece {
 	out := make([]*piece, 0, len(q.waiting))
 	for _, p := range q.waiting {
-		if p.home == "" || p.home == w.member.DataCenter || !near[p.home] || p.pressed(now, q.spec) {
+		wait, has := near[p.home]
+		if p.home == "" || p.home == w.member.DataCenter || !has || p.pressed(now, wait, q.spec) {
 			out = append(out, p)
 		}
 	}
 	return out
 }
 
-// pressed reports whether the piece must start now to reach its goal.
-func (p *piece) pressed(now time.Time, spec *optext.Service) bool {
+// pressed reports whether the piece would miss its goal by waiting.
+func (p *piece) pressed(now time.Time, wait time.Duration, spec *optext.Service) bool {
 	at, late := p.startBy(now, spec)
-	return !late && at.Sub(now) < homeMargin
+	return !late && at.Sub(now) < wait+homeMargin
 }
 
 func (q *serviceQueue) free(now time.Time) []*worker {
@@ -242,6 +260,7 @@
 	w.running++
 	w.room += c.bytes
 	w.used = now
+	w.freeAt = now.Add(time.Duration(float64(c.expect) * max(1, w.ratio)))
 	c.limit = callLimit(c.expect, w.ratio)
 	return c
 }
