A process that cannot reach a quorum or the owner of the stages leaves the balancer's rotation

Ruled out: the leader's choice of an owner (it answered the leader throughout; the cut was the entries'). Change: readiness asks for a configuration, a confirmation younger than key_age and an owner silent for less than 1.2 s; a refusal by a process that is not ready ends the caller's connection. Each change is logged with its inputs.

--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -67,6 +67,8 @@
 // stages has the stages of a call done.
 type stages interface {
 	Run(ctx context.Context, j stagework.Job) (r stagework.Result, release func(), err error)
+	// Silent is how long the owner of the stage queues has not answered.
+	Silent() time.Duration
 }
 
 // Service is the callers' listener on routes.
@@ -81,7 +83,8 @@
 	endpoints *endpoints
 	table     atomic.Pointer[table]
 	stopping  atomic.Bool
-	ending    context.Context // ends when calls must get their final answer
+	unready   atomic.Pointer[string] // why this process is not ready; nil while it is
+	ending    context.Context        // ends when calls must get their final answer
 	end       context.CancelFunc
 	server    *http.Server
 	ready     *http.Server
@@ -166,15 +169,6 @@
 	return err
 }
 
-// answerReady tells a balancer whether this process takes new connections.
-func (s *Service) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if s.stopping.Load() || s.table.Load() == nil || s.table.Load().version == 0 {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
 // exchange is one call on a route.
 type exchange struct {
 	s        *Service
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -88,6 +88,7 @@
 	mu       sync.Mutex
 	jobs     []stagework.Job
 	released int
+	silent   time.Duration
 	before   func() // runs before a job is answered
 	err      error
 }
@@ -102,6 +103,8 @@
 	return stagework.Result{Handles: []string{fmt.Sprint("handle-", len(f.jobs))}}, func() { f.released++ }, f.err
 }
 
+func (f *fakeStages) Silent() time.Duration { return f.silent }
+
 // bed is a proxy before upstreams that a test scripts.
 type bed struct {
 	t       *testing.T
@@ -495,18 +498,41 @@
 
 // TestReadiness lists when a balancer may send callers here.
 func TestReadiness(t *testing.T) {
-	b := newBed(t)
-	ask := func() int {
-		w := httptest.NewRecorder()
-		b.service.answerReady(w, httptest.NewRequest(http.MethodGet, "/ready", nil))
-		return w.Code
+	cases := map[string]struct {
+		change func(*bed)
+		ready  bool
+	}{
+		"all is well":                    {func(*bed) {}, true},
+		"stopping":                       {func(b *bed) { b.service.stopping.Store(true) }, false},
+		"no configuration yet":           {func(b *bed) { b.service.table.Store(nil) }, false},
+		"no quorum for a while":          {func(b *bed) { b.views.age = 3 * time.Second }, true},
+		"no quorum, keys do not count":   {func(b *bed) { b.views.age = 5 * time.Second }, false},
+		"another owner is about to come": {func(b *bed) { b.stages.silent = time.Second }, true},
+		"the owner is out of reach":      {func(b *bed) { b.stages.silent = 2 * time.Second }, false},
 	}
-	if ask() != http.StatusOK {
-		t.Fatal("not ready with a configuration")
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			c.change(b)
+			w := httptest.NewRecorder()
+			b.service.answerReady(w, httptest.NewRequest(http.MethodGet, "/", nil))
+			if ready := w.Code == http.StatusOK; ready != c.ready {
+				t.Fatalf("status %d", w.Code)
+			}
+		})
 	}
-	b.service.stopping.Store(true)
-	if ask() != http.StatusServiceUnavailable {
-		t.Fatal("ready while stopping")
+}
+
+// TestRefusalSendsTheCallerElsewhere refuses a call at a process that is not
+// ready: its connection ends, since a kept one stays here.
+func TestRefusalSendsTheCallerElsewhere(t *testing.T) {
+	b := newBed(t)
+	for _, silent := range []time.Duration{0, time.Minute} {
+		b.stages.silent = silent
+		resp, _, err := b.send(http.MethodPost, "/nowhere/", nil)
+		if err != nil || resp.Close != (silent > 0) {
+			t.Fatalf("%v, closes %v after a silence of %v", err, resp.Close, silent)
+		}
 	}
 }
 
--- /dev/null
+++ b/node/proxy/ready.go
@@ -0,0 +1,42 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+)
+
+// ownerSilence is how long the owner of the stage queues may be silent until this
+// process takes no new connections. Above the time in which another owner is
+// named, 700 ms, so that all processes do not leave the rotation at once.
+const ownerSilence = 1200 * time.Millisecond
+
+// notReady says why this process should get no new connections; empty when it
+// should.
+func (s *Service) notReady() string {
+	t := s.table.Load()
+	switch {
+	case s.stopping.Load():
+		return "stopping"
+	case t == nil || t.version == 0:
+		return "no configuration yet"
+	case s.sync.StampAge() > s.set.Proxy.KeyAge:
+		return "no confirmation by a quorum"
+	case s.stages.Silent() > ownerSilence:
+		return "the owner of the stages does not answer"
+	}
+	return ""
+}
+
+// answerReady tells a balancer whether this process takes new connections.
+func (s *Service) answerReady(w http.ResponseWriter, _ *http.Request) {
+	why := s.notReady()
+	old := s.unready.Swap(&why)
+	if old == nil || *old != why {
+		s.log.Info("readiness changed", "ready", why == "", "reason", why, "stamp_age", s.sync.StampAge(), "owner_silent", s.stages.Silent())
+	}
+	if why != "" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -128,6 +128,9 @@
 		"reason", e.Message, "sends", x.sends, "after", time.Since(x.began), "left", time.Until(x.deadline), "config_version", x.version(), "stamp_age", x.s.sync.StampAge())
 	h := x.w.Header()
 	h.Set("Content-Type", "application/json")
+	if x.s.notReady() != "" {
+		h.Set("Connection", "close") // the caller comes back through the balancer
+	}
 	if e.Status == http.StatusServiceUnavailable || e.Status == http.StatusTooManyRequests {
 		wait := e.RetryAfter
 		if wait <= 0 {
--- a/node/stagework/link.go
+++ b/node/stagework/link.go
@@ -87,11 +87,15 @@
 	l.jobs--
 }
 
-// Reachable reports whether the owner answers this process, as far as known.
-func (s *Service) Reachable() bool {
+// Silent returns how long the owner has not answered this process; zero while it
+// does.
+func (s *Service) Silent() time.Duration {
 	s.link.mu.Lock()
 	defer s.link.mu.Unlock()
-	return s.link.owner.Epoch > 0 && s.link.silent.IsZero()
+	if s.link.silent.IsZero() {
+		return 0
+	}
+	return time.Since(s.link.silent)
 }
 
 // watch pings the owner while jobs are under way there, or while it is silent.
