Decision logs that never block, counters and histograms

Cause: an engineer on call had only failures in the log, written in step with the requests. Ruled out: a collector process; sampling by request (every call at today's sizes has its lines, and a rate bounds each kind).

--- a/node/admin/admin_test.go
+++ b/node/admin/admin_test.go
@@ -40,6 +40,7 @@
 type api struct {
 	handler http.Handler
 	logs    *gbytes.Buffer
+	flush   func() // writes what waits; nothing is written after it
 	ring    *timeline.Ring
 }
 
@@ -47,7 +48,9 @@
 	a := &api{logs: gbytes.NewBuffer(), ring: timeline.NewRing("c", "v", 100)}
 	set := &settings.Settings{Node: settings.Node{Name: "c", VM: "v", DataCenter: "d", DataDir: GinkgoT().TempDir()},
 		Control: settings.ControlRole{Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Lease: time.Second, Voters: 1}}
-	log := logging.New(a.logs, "c", "debug")
+	log, flush := logging.New(a.logs, "c", "debug")
+	a.flush = flush
+	DeferCleanup(flush)
 	svc, err := control.New(control.Params{Settings: set, Kernel: kernel.New(log), Log: log, Ring: a.ring, Dial: peer.DialTCP})
 	Expect(err).NotTo(HaveOccurred())
 	Expect(svc.Start(context.Background())).To(Succeed())
@@ -148,6 +151,7 @@
 
 		var teams json.RawMessage
 		Expect(a.call(root, "GET", "/v1/teams", nil, &teams)).To(Equal(http.StatusOK))
+		a.flush()
 		seen := string(teams) + string(a.logs.Contents()) + fmt.Sprint(a.ring.Events(timeline.Filter{}))
 		for _, key := range []string{root, first.Key, second.Key} {
 			Expect(seen).NotTo(ContainSubstring(key[strings.LastIndex(key, "_")+1:]))
--- a/node/configsync/loop.go
+++ b/node/configsync/loop.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"caperdrum.org/node/logging"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -67,7 +68,7 @@
 		src := s.sources[s.current]
 		err := s.syncOnce(ctx, src, p)
 		if err != nil && ctx.Err() == nil {
-			s.log.V(1).Info("control process not used", "address", src.Address(), "error", err.Error())
+			s.log.V(logging.Detail).Info("control process not used", "address", src.Address(), "error", err.Error())
 		}
 		var moveOn bool
 		p, moveOn = p.after(err, len(s.sources))
--- a/node/control/elastic.go
+++ b/node/control/elastic.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"caperdrum.org/node/logging"
 	"context"
 	"fmt"
 	"slices"
@@ -93,7 +94,7 @@
 		err := control.CallLeader(call, MethodOffer, Identity{Name: s.set.Node.Name, Peer: s.replica.Self()}, nil)
 		cancel()
 		if err != nil {
-			s.log.V(1).Info("offer not taken", "error", err.Error())
+			s.log.V(logging.Detail).Info("offer not taken", "error", err.Error())
 		}
 	}
 }
--- a/node/control/follower.go
+++ b/node/control/follower.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"caperdrum.org/node/logging"
 	"context"
 	"sync"
 	"time"
@@ -77,7 +78,7 @@
 func newFollower(s *Service) *follower {
 	var client *peer.Client
 	return &follower{cluster: s.cluster, clock: s.clock, leases: s.leases, wake: make(chan struct{}, 1), pending: map[wire.MemberID]queued{}, told: map[wire.MemberID]uint64{},
-		failed: func(err error) { s.log.V(1).Info("leader not reached", "error", err.Error()) },
+		failed: func(err error) { s.log.V(logging.Detail).Info("leader not reached", "error", err.Error()) },
 		call: func(ctx context.Context, address string, req RenewRequest) (*RenewReply, error) {
 			if client == nil || client.Address() != address {
 				if client != nil {
--- a/node/control/formation.go
+++ b/node/control/formation.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"caperdrum.org/node/logging"
 	"context"
 	"encoding/json"
 	"os"
@@ -94,7 +95,7 @@
 	defer cancel()
 	var answer formation.Answer
 	if err := client.Call(ctx, formation.MethodHello, question, &answer); err != nil {
-		s.log.V(1).Info("seed not heard", "address", client.Address(), "error", err.Error())
+		s.log.V(logging.Detail).Info("seed not heard", "address", client.Address(), "error", err.Error())
 		return formation.Answer{}
 	}
 	return answer
--- a/node/control/owner.go
+++ b/node/control/owner.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"caperdrum.org/node/logging"
 	"context"
 	"strings"
 	"time"
@@ -94,7 +95,7 @@
 	defer cancel()
 	if err := o.client.Call(ctx, peer.MethodPing, Empty{}, nil); err != nil {
 		o.misses++
-		o.s.log.V(1).Info("stage owner silent", "owner", m.ID, "misses", o.misses, "error", err.Error())
+		o.s.log.V(logging.Detail).Info("stage owner silent", "owner", m.ID, "misses", o.misses, "error", err.Error())
 		return o.misses < ownerMisses
 	}
 	o.misses = 0
--- a/node/control/repair.go
+++ b/node/control/repair.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"caperdrum.org/node/logging"
 	"context"
 	"fmt"
 	"sync"
@@ -65,7 +66,7 @@
 			continue
 		}
 		if err := r.step(ctx); err != nil {
-			r.s.log.V(1).Info("repair waits", "error", err.Error())
+			r.s.log.V(logging.Detail).Info("repair waits", "error", err.Error())
 		}
 	}
 }
--- a/node/control/tell.go
+++ b/node/control/tell.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"caperdrum.org/node/logging"
 	"context"
 	"slices"
 	"time"
@@ -64,6 +65,6 @@
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	if err := c.Call(ctx, peer.MethodTell, peer.Where{Control: voters}, nil); err != nil {
-		s.log.V(1).Info("seed not told of the voters", "address", c.Address(), "error", err.Error())
+		s.log.V(logging.Detail).Info("seed not told of the voters", "address", c.Address(), "error", err.Error())
 	}
 }
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -75,7 +75,8 @@
 func Run(o Options) int {
 	set := o.Settings
 	tuneCollector(set)
-	log := logging.New(o.Logs, set.Node.Name, set.Node.LogLevel)
+	log, flush := logging.New(o.Logs, set.Node.Name, set.Node.LogLevel)
+	defer flush()
 	store, err := security.New(security.Files(set.TLS))
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v; name readable PEM files in [tls]\n", set.File, err)
--- a/node/discovery/discovery.go
+++ b/node/discovery/discovery.go
@@ -3,6 +3,7 @@
 package discovery
 
 import (
+	"caperdrum.org/node/logging"
 	"context"
 	"net"
 	"sync"
@@ -134,7 +135,7 @@
 	defer client.Close()
 	var where peer.Where
 	if err := client.Call(ctx, peer.MethodWhere, empty{}, &where); err != nil {
-		s.p.Log.V(1).Info("seed not heard", "address", seed, "error", err.Error())
+		s.p.Log.V(logging.Detail).Info("seed not heard", "address", seed, "error", err.Error())
 		return
 	}
 	s.p.Directory.Learn(where.Control)
--- a/node/kernel/kernel.go
+++ b/node/kernel/kernel.go
@@ -5,6 +5,7 @@
 package kernel
 
 import (
+	"caperdrum.org/node/logging"
 	"context"
 	"reflect"
 
@@ -121,7 +122,7 @@
 			}
 		}
 		k.started = append(k.started, m)
-		k.log.V(1).Info("module started", "module", m.Name)
+		k.log.V(logging.Detail).Info("module started", "module", m.Name)
 	}
 	return nil
 }
--- a/node/order/service.go
+++ b/node/order/service.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"caperdrum.org/node/logging"
 	"context"
 	"expvar"
 	"reflect"
@@ -142,7 +143,7 @@
 	}
 	if err := s.ask(ctx, p); err != nil {
 		s.reported = nil
-		s.log.V(1).Info("no orders read", "error", err.Error())
+		s.log.V(logging.Detail).Info("no orders read", "error", err.Error())
 	}
 }
 
--- a/node/planner/step.go
+++ b/node/planner/step.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"caperdrum.org/node/logging"
 	"context"
 	"sort"
 	"strings"
@@ -102,7 +103,7 @@
 	defer cancel()
 	res, err := s.replica.Propose(ctx, state.Command{Orders: cmd})
 	if err != nil {
-		s.log.V(1).Info("orders not replicated", "error", err.Error())
+		s.log.V(logging.Detail).Info("orders not replicated", "error", err.Error())
 		return // the next plan starts from what was committed
 	}
 	for i, r := range res.Orders {
--- a/node/proxy/endpoints.go
+++ b/node/proxy/endpoints.go
@@ -221,3 +221,10 @@
 	}
 	return max(h.Sum64(), 1)
 }
+
+// load returns how many calls this process has at the upstream.
+func (e *endpoints) load(id wire.MemberID) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.get(id).inFlight
+}
--- /dev/null
+++ b/node/proxy/metrics.go
@@ -0,0 +1,79 @@
+package proxy
+
+import (
+	"encoding/json"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"caperdrum.org/api/optext"
+)
+
+// Counters since the start of the process. Labels are routes, services and codes
+// of the text and of package verdict, so their number is bounded.
+var (
+	callsVar       = expvar.NewMap("proxy_calls")        // admitted, by route
+	sendsVar       = expvar.NewMap("proxy_sends")        // calls of upstreams, by service
+	failedSendsVar = expvar.NewMap("proxy_failed_sends") // without an answer, by service
+	refusedVar     = expvar.NewMap("proxy_refused")      // by code/verdict
+	leftVar        = expvar.NewInt("proxy_callers_left")
+	brokenVar      = expvar.NewInt("proxy_streams_broken")
+)
+
+// Bounds of the latency histograms: a microsecond to ten minutes, to two digits.
+const (
+	latencyMax    = int64(10 * time.Minute / time.Microsecond)
+	latencyDigits = 2
+)
+
+// latencies are histograms of whole answers, by route, in microseconds.
+type latencies struct {
+	mu sync.Mutex
+	by map[string]*hdrhistogram.Histogram
+}
+
+var answers = newLatencies()
+
+func newLatencies() *latencies {
+	l := &latencies{by: map[string]*hdrhistogram.Histogram{}}
+	expvar.Publish("proxy_answer_us", l)
+	return l
+}
+
+func observe(r *optext.Route, took time.Duration) {
+	answers.mu.Lock()
+	defer answers.mu.Unlock()
+	h := answers.by[r.Name]
+	if h == nil {
+		h = hdrhistogram.New(1, latencyMax, latencyDigits)
+		answers.by[r.Name] = h
+	}
+	// Values above the bound are cut: no call lasts that long.
+	h.RecordValue(min(took.Microseconds(), latencyMax))
+}
+
+// quantiles of a histogram, as its metrics show them.
+type quantiles struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P90   int64 `json:"p90"`
+	P99   int64 `json:"p99"`
+	Max   int64 `json:"max"`
+}
+
+// String implements expvar.Var.
+func (l *latencies) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[string]quantiles{}
+	for name, h := range l.by {
+		out[name] = quantiles{h.TotalCount(), h.ValueAtQuantile(50), h.ValueAtQuantile(90), h.ValueAtQuantile(99), h.Max()}
+	}
+	data, err := json.Marshal(out)
+	if err != nil {
+		return "{}" // numbers always encode
+	}
+	return string(data)
+}
--- a/node/proxy/plain.go
+++ b/node/proxy/plain.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"caperdrum.org/node/logging"
 	"context"
 	"io"
 	"maps"
@@ -66,13 +67,14 @@
 
 // pass passes a whole answer on.
 func (x *exchange) pass(a *attempt, body []byte) {
+	x.firstByte = time.Since(x.began)
 	x.copyHeader(a)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(a.response.Status)
 	if x.r.Method != http.MethodHead {
 		x.w.Write(body) // a caller that left needs no answer
 	}
-	x.s.log.V(1).Info("answered", "request", x.call.ID, "upstream", a.member.ID, "status", a.response.Status, "took", time.Since(x.began))
+	x.answered(a, "")
 }
 
 func (x *exchange) copyHeader(a *attempt) {
@@ -80,3 +82,11 @@
 	dropHopByHop(header)
 	maps.Copy(x.w.Header(), header)
 }
+
+// answered notes that the caller has got an upstream's answer.
+func (x *exchange) answered(a *attempt, lastEvent string) {
+	took := time.Since(x.began)
+	observe(x.route, took)
+	x.s.log.V(logging.Routine).Info("call answered", "request", x.call.ID, "route", x.route.Name, "upstream", a.member.ID, "status", a.response.Status,
+		"sends", x.sends, "first_byte", x.firstByte, "took", took, "goal", x.route.Goal, "late", x.firstByte > x.route.Goal, "last_event", lastEvent)
+}
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -3,6 +3,7 @@
 package proxy
 
 import (
+	"caperdrum.org/node/logging"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -184,8 +185,9 @@
 	deadline time.Time
 	sends    int // calls of upstreams so far
 
-	staged         bool     // the results of the stages are there
-	inputs         []string // their handles
+	firstByte      time.Duration // until the answer began
+	staged         bool          // the results of the stages are there
+	inputs         []string      // their handles
 	releaseResults func()
 }
 
@@ -200,6 +202,9 @@
 		x.refuse(err)
 		return
 	}
+	s.log.V(logging.Routine).Info("call admitted", "request", x.call.ID, "route", x.route.Name, "service", x.service.Name, "customer", x.customerName(),
+		"returned", x.returned(), "bytes", len(x.body), "left", time.Until(x.deadline), "config_version", x.table.version, "stamp_age", s.sync.StampAge())
+	callsVar.Add(x.route.Name, 1)
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	defer context.AfterFunc(s.ending, cancel)()
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"caperdrum.org/node/logging"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -32,12 +33,13 @@
 	for unsent := 0; ; unsent++ {
 		c.tried = *tried
 		// The stages may have taken seconds: an upstream may have left meanwhile.
-		m, ok := x.s.endpoints.take(x.s.table.Load().announced[x.service.Name], c, time.Now())
+		list := x.s.table.Load().announced[x.service.Name]
+		m, ok := x.s.endpoints.take(list, c, time.Now())
 		if !ok {
 			return &attempt{err: verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "service %s has no upstream to try", x.service.Name).After(comeBack)}
 		}
 		*tried = append(*tried, m.ID)
-		a := x.sendTo(ctx, m, lastEvent)
+		a := x.sendTo(ctx, m, len(list), lastEvent)
 		moved := a.response != nil && a.response.Status == http.StatusMisdirectedRequest
 		if unsent < maxUnsent && ctx.Err() == nil && (a.notRun() && a.response == nil || moved) {
 			if moved {
@@ -50,7 +52,7 @@
 	}
 }
 
-func (x *exchange) sendTo(ctx context.Context, m wire.Member, lastEvent string) *attempt {
+func (x *exchange) sendTo(ctx context.Context, m wire.Member, candidates int, lastEvent string) *attempt {
 	header := x.r.Header.Clone()
 	dropHopByHop(header)
 	told := upstream.Told{Left: time.Until(x.deadline), Instance: m.ID, LastEvent: lastEvent, Inputs: x.inputs}
@@ -58,11 +60,15 @@
 		told.Customer = x.customer.Name
 	}
 	x.s.protocol.Tell(header, told)
+	x.s.log.V(logging.Routine).Info("attempt sent", "request", x.call.ID, "upstream", m.ID, "address", m.Direct, "data_center", m.DataCenter, "candidates", candidates,
+		"in_flight", x.s.endpoints.load(m.ID), "tried", x.sends, "last_event", lastEvent, "inputs", len(x.inputs), "left", told.Left, "members_seq", x.s.table.Load().seq)
 	resp, err := x.s.pool.Do(ctx, &upstream.Request{Address: m.Direct, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: header, Body: x.body, ID: x.call.ID, Limit: x.connections()})
 	now := time.Now()
+	sendsVar.Add(x.service.Name, 1)
 	if err != nil {
 		a := &attempt{member: m, err: verdict.From(err)}
+		failedSendsVar.Add(x.service.Name, 1)
 		how := failed
 		if ctx.Err() != nil || a.err.Code == verdict.CodeOverloaded {
 			how = unknown
@@ -116,7 +122,8 @@
 func (x *exchange) refuse(err error) {
 	e := verdict.From(err)
 	if x.r.Context().Err() != nil {
-		x.s.log.Info("caller left", "request", x.call.ID, "after", time.Since(x.began))
+		leftVar.Add(1)
+		x.s.log.Info("caller left", "request", x.call.ID, "route", x.routeName(), "sends", x.sends, "after", time.Since(x.began), "left", time.Until(x.deadline), "reason", e.Message)
 		panic(http.ErrAbortHandler)
 	}
 	if e.Verdict == verdict.NotRun && e.Status >= http.StatusInternalServerError {
@@ -124,6 +131,7 @@
 	} else if e.Status == http.StatusServiceUnavailable {
 		e.Status = http.StatusBadGateway // 503 would promise that it has not run
 	}
+	refusedVar.Add(string(e.Code)+"/"+e.Verdict.String(), 1)
 	x.s.log.Info("call refused", "request", x.call.ID, "route", x.routeName(), "status", e.Status, "code", e.Code, "verdict", e.Verdict,
 		"reason", e.Message, "sends", x.sends, "after", time.Since(x.began), "left", time.Until(x.deadline), "config_version", x.version(), "stamp_age", x.s.sync.StampAge())
 	h := x.w.Header()
@@ -142,6 +150,13 @@
 	json.NewEncoder(x.w).Encode(refusal{e.Message, e.Code, e.Verdict})
 }
 
+func (x *exchange) customerName() string {
+	if x.customer == nil {
+		return ""
+	}
+	return x.customer.Name
+}
+
 func (x *exchange) routeName() string {
 	if x.route == nil {
 		return ""
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"caperdrum.org/node/logging"
 	"context"
 	"io"
 	"net/http"
@@ -83,6 +84,7 @@
 	case err == io.EOF:
 		x.drop(a, stood)
 		out.finish()
+		x.answered(a, out.events.last)
 		return true, nil
 	case ctx.Err() != nil:
 		x.drop(a, unknown)
@@ -107,6 +109,7 @@
 		return
 	}
 	o.begun = true
+	o.x.firstByte = time.Since(o.x.began)
 	o.x.copyHeader(a)
 	o.x.w.WriteHeader(http.StatusOK)
 	http.NewResponseController(o.x.w).Flush()
@@ -146,6 +149,7 @@
 	if !o.begun {
 		return err
 	}
+	brokenVar.Add(1)
 	o.x.s.log.Info("stream broken off", "request", o.x.call.ID, "route", o.x.route.Name, "last_event", o.events.last, "reason", err.Message,
 		"sends", o.x.sends, "after", time.Since(o.x.began), "caller_left", o.x.r.Context().Err() != nil)
 	panic(http.ErrAbortHandler)
@@ -160,11 +164,13 @@
 	if pieces == 0 {
 		return nil
 	}
+	began := time.Now()
 	result, release, err := x.s.stages.Run(ctx, job)
 	if err != nil {
 		return err
 	}
 	x.inputs, x.staged, x.releaseResults = result.Handles, true, release
+	x.s.log.V(logging.Routine).Info("stages done", "request", x.call.ID, "pieces", pieces, "results", len(result.Handles), "took", time.Since(began), "left", time.Until(x.deadline))
 	return nil
 }
 
--- a/node/proxy/table.go
+++ b/node/proxy/table.go
@@ -14,6 +14,7 @@
 // table is an immutable picture of what decides about calls.
 type table struct {
 	version   uint64
+	seq       uint64 // of the members
 	config    *optext.Config
 	byHost    map[string][]*optext.Route // longest prefix first
 	customers map[[sha256.Size]byte]*optext.Customer
@@ -22,7 +23,7 @@
 }
 
 func newTable(v *configsync.View) *table {
-	t := &table{version: v.Version, config: v.Config, byHost: map[string][]*optext.Route{}, customers: map[[sha256.Size]byte]*optext.Customer{}, announced: v.Announced}
+	t := &table{version: v.Version, seq: v.Seq, config: v.Config, byHost: map[string][]*optext.Route{}, customers: map[[sha256.Size]byte]*optext.Customer{}, announced: v.Announced}
 	for _, r := range v.Config.Routes {
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	}
--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -36,6 +36,7 @@
 		return 0, false
 	}
 	estimate := s.estimate(now, j)
+	s.lastEstimate = estimate
 	if !now.Add(estimate).After(j.goal) {
 		return 0, false
 	}
--- a/node/stagework/link.go
+++ b/node/stagework/link.go
@@ -1,6 +1,7 @@
 package stagework
 
 import (
+	"caperdrum.org/node/logging"
 	"context"
 	"sync"
 	"time"
@@ -172,7 +173,7 @@
 		if since.IsZero() {
 			since = now
 		}
-		if now.Sub(since) > moveWait {
+		if now.Sub(since) > moveWait || s.Silent() > moveWait {
 			return Result{}, nil, errNoOwner()
 		}
 		select {
@@ -223,6 +224,6 @@
 	ctx, cancel := context.WithTimeout(s.ctx, pingTimeout)
 	defer cancel()
 	if err := client.Notify(ctx, methodDone, Done{ID: id}); err != nil {
-		s.log.V(1).Info("results not released", "request", id, "error", err.Error())
+		s.log.V(logging.Detail).Info("results not released", "request", id, "error", err.Error())
 	}
 }
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -49,7 +49,8 @@
 	stage  int
 	number int
 	tries  int
-	epoch  int    // restarts of the job when it was queued
+	epoch  int // restarts of the job when it was queued
+	queued time.Time
 	home   string // data centre where its inputs lie or its result is fetched; empty when they are small
 }
 
@@ -63,6 +64,8 @@
 	expect  time.Duration
 	limit   time.Duration
 	bytes   int64
+	waited  time.Duration // of the piece that waited longest
+	behind  int           // pieces that wait on
 }
 
 func (q *serviceQueue) setWorkers(members []wire.Member) {
@@ -249,6 +252,7 @@
 		c.expect += time.Duration(len(group)) * q.spec.PieceTime
 		for _, p := range group {
 			taken[p] = true
+			c.waited = max(c.waited, now.Sub(p.queued))
 			c.pieces = append(c.pieces, p)
 			c.request = append(c.request, p.request(now))
 		}
@@ -257,6 +261,7 @@
 		return nil
 	}
 	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool { return taken[p] })
+	c.behind = len(q.waiting)
 	w.running++
 	w.room += c.bytes
 	w.used = now
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -32,6 +32,8 @@
 	jobs     map[string]*job
 	serial   uint64
 	owner    bool // this process starts calls
+
+	lastEstimate time.Duration // of the last job that was handed in
 }
 
 type job struct {
@@ -106,7 +108,7 @@
 		return
 	}
 	s.jobs[j.ID] = n
-	s.advance(n)
+	s.advance(now, n)
 }
 
 // own takes the ownership or gives it up. Jobs that are given up begin anew at
@@ -147,7 +149,7 @@
 
 // advance queues the stages whose inputs are there, and answers the job when
 // all are done.
-func (s *scheduler) advance(j *job) {
+func (s *scheduler) advance(now time.Time, j *job) {
 	all := true
 	for i, st := range j.Stages {
 		if j.missing[i] > 0 {
@@ -160,7 +162,7 @@
 		q := s.services[st.Service]
 		home := j.home(i)
 		for k := range st.Pieces {
-			q.waiting = append(q.waiting, &piece{job: j, stage: i, number: k, epoch: j.restarts, home: home})
+			q.waiting = append(q.waiting, &piece{job: j, stage: i, number: k, epoch: j.restarts, home: home, queued: now})
 		}
 	}
 	if all {
@@ -387,7 +389,7 @@
 	if j.missing[p.stage] > 0 {
 		return nil
 	}
-	s.advance(j)
+	s.advance(now, j)
 	if j.answer == nil {
 		j.expires = now.Add(s.services[j.Stages[p.stage].Service].spec.ResultTTL)
 	}
@@ -404,7 +406,7 @@
 	case why == upstream.NoRoom:
 		c.worker.until = now.Add(fullPause)
 	case why == upstream.InputGone && j.restarts < maxRestarts:
-		return s.restart(j)
+		return s.restart(now, j)
 	case why == upstream.InputGone, why == upstream.Late:
 		s.end(j, Result{}, errStages(string(why)))
 		return s.forget(j)
@@ -421,7 +423,7 @@
 }
 
 // restart makes all results of a job again.
-func (s *scheduler) restart(j *job) []made {
+func (s *scheduler) restart(now time.Time, j *job) []made {
 	j.restarts++
 	for _, st := range j.Stages {
 		if q := s.services[st.Service]; q != nil {
@@ -431,6 +433,6 @@
 	out := j.made
 	j.made = nil
 	s.reset(j)
-	s.advance(j)
+	s.advance(now, j)
 	return out
 }
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -1,6 +1,7 @@
 package stagework
 
 import (
+	"caperdrum.org/node/logging"
 	"context"
 	"io"
 	"net/http"
@@ -136,6 +137,9 @@
 	answered := make(chan answer, 1)
 	s.post(func(now time.Time) {
 		s.scheduler.add(now, *j, func(r Result, err error) { answered <- answer{r, err} })
+		if _, taken := s.scheduler.jobs[j.ID]; !taken {
+			s.log.Info("job refused", "request", j.ID, "jobs", len(s.scheduler.jobs), "estimate", s.scheduler.lastEstimate, "goal", j.Goal, "returned", j.Returned, "owner", s.scheduler.owner)
+		}
 	})
 	select {
 	case a := <-answered:
@@ -155,7 +159,10 @@
 // call makes a call of an upstream.
 func (s *Service) call(c *call) {
 	o := s.exchange(c)
-	if o.results == nil {
+	if o.results != nil {
+		s.log.V(logging.Routine).Info("stage call made", "service", c.service, "upstream", c.worker.member.ID, "pieces", len(c.pieces), "longest_wait", c.waited,
+			"left_waiting", c.behind, "expected", c.expect, "took", time.Since(c.began))
+	} else {
 		s.log.Info("stage call failed", "service", c.service, "upstream", c.worker.member.ID, "address", c.worker.member.Direct,
 			"pieces", len(c.pieces), "full", o.full, "moved", o.moved, "limit", c.limit, "took", time.Since(c.began), "error", o.err)
 	}
@@ -235,11 +242,11 @@
 	s.protocol.Tell(header, upstream.Told{Instance: m.ID})
 	resp, err := s.pool.Do(ctx, &upstream.Request{Address: m.Direct, Method: http.MethodPost, Target: path, Host: m.Direct, Header: header, Body: body})
 	if err != nil {
-		s.log.V(1).Info("results not freed", "upstream", m.ID, "error", err.Error())
+		s.log.V(logging.Detail).Info("results not freed", "upstream", m.ID, "error", err.Error())
 		return
 	}
 	defer resp.Close()
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		s.log.V(1).Info("results perhaps not freed", "upstream", m.ID, "error", err.Error())
+		s.log.V(logging.Detail).Info("results perhaps not freed", "upstream", m.ID, "error", err.Error())
 	}
 }
