Stages: each handing in of a call has a name of its own

Cause: a call that is handed in again (a stream that goes on elsewhere, inputs that are gone) and the end of its first job travel on one link, but are taken up in any order; the end could give up the new job, and the first one's room was never given back. Ruled out: one link's order (calls are answered on goroutines of their own). Change: a job is known by the handing in, its pieces by the call; a job that moved is given up at the owner before.

--- a/node/stagework/job.go
+++ b/node/stagework/job.go
@@ -12,7 +12,8 @@
 
 // Job is the stages of one call. Times are spans, since VMs' clocks differ.
 type Job struct {
-	ID         string        `json:"id"` // of the call
+	ID         string        `json:"id"`     // of the call
+	Handed     string        `json:"handed"` // names this handing in; a call that is handed in again gets another one
 	Key        string        `json:"key"`
 	Stages     []Stage       `json:"stages"`
 	Left       time.Duration `json:"left"` // until the call is worthless
@@ -38,7 +39,7 @@
 
 // Done tells the owner that a job's results are no longer needed.
 type Done struct {
-	ID string `json:"id"`
+	Handed string `json:"handed"`
 }
 
 // Methods of an owner.
--- a/node/stagework/link.go
+++ b/node/stagework/link.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/google/uuid"
 	"github.com/juju/errors"
 
 	"caperdrum.org/api/verdict"
@@ -160,14 +161,17 @@
 	var since time.Time // of the loss; zero while there is an owner
 	for {
 		client, lost, changed := s.link.use()
-		j.Left, j.Goal = time.Until(deadline), time.Until(goal)
+		j.Left, j.Goal, j.Handed = time.Until(deadline), time.Until(goal), uuid.NewString()
 		r, moved, err := s.runAt(ctx, client, lost, j)
 		s.link.unuse()
+		if moved && client != nil {
+			s.release(client, j) // it may go on there, for nobody
+		}
 		if !moved {
 			if err != nil {
-				s.release(client, j.ID)
+				s.release(client, j)
 			}
-			return r, func() { s.release(client, j.ID) }, err
+			return r, func() { s.release(client, j) }, err
 		}
 		now := time.Now()
 		if since.IsZero() {
@@ -220,10 +224,10 @@
 	return r, true, err
 }
 
-func (s *Service) release(client *peer.Client, id string) {
+func (s *Service) release(client *peer.Client, j Job) {
 	ctx, cancel := context.WithTimeout(s.ctx, pingTimeout)
 	defer cancel()
-	if err := client.Notify(ctx, methodDone, Done{ID: id}); err != nil {
-		s.log.V(logging.Detail).Info("results not released", "request", id, "error", err.Error())
+	if err := client.Notify(ctx, methodDone, Done{Handed: j.Handed}); err != nil {
+		s.log.V(logging.Detail).Info("results not released", "request", j.ID, "error", err.Error())
 	}
 }
--- a/node/stagework/machine_test.go
+++ b/node/stagework/machine_test.go
@@ -55,7 +55,7 @@
 
 func (w *world) addJob() {
 	w.serial++
-	j := Job{ID: fmt.Sprint("job", w.serial), Key: "k", DataCenter: "dc0", Left: time.Duration(rapid.IntRange(200, 4000).Draw(w.t, "left")) * time.Millisecond, Returned: rapid.Bool().Draw(w.t, "returned")}
+	j := Job{ID: fmt.Sprint("job", w.serial), Handed: fmt.Sprint("job", w.serial), Key: "k", DataCenter: "dc0", Left: time.Duration(rapid.IntRange(200, 4000).Draw(w.t, "left")) * time.Millisecond, Returned: rapid.Bool().Draw(w.t, "returned")}
 	j.Goal = j.Left / 2
 	j.Stages = []Stage{
 		{Service: "a", Pieces: rapid.IntRange(0, 3).Draw(w.t, "p0"), Bytes: 500},
@@ -277,7 +277,7 @@
 		w := newWorld(t)
 		for range 5 {
 			w.serial++
-			w.s.add(w.now, Job{ID: fmt.Sprint(w.serial), Key: "k", Left: 10 * time.Second, Goal: 5 * time.Second, Stages: []Stage{{Service: "a", Pieces: 2, Bytes: 10}}}, func(Result, error) {})
+			w.s.add(w.now, Job{ID: fmt.Sprint(w.serial), Handed: fmt.Sprint(w.serial), Key: "k", Left: 10 * time.Second, Goal: 5 * time.Second, Stages: []Stage{{Service: "a", Pieces: 2, Bytes: 10}}}, func(Result, error) {})
 		}
 		for _, c := range w.s.start(w.now) {
 			var ids []string
@@ -292,3 +292,23 @@
 		}
 	})
 }
+
+// TestCallThatIsHandedInAgain hands a call in twice and lets the first handing in
+// be given up only then, as links may deliver it: the second one stays.
+func TestCallThatIsHandedInAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		answered := map[string]error{}
+		for _, handed := range []string{"first", "second"} {
+			w.s.add(w.now, Job{ID: "call", Handed: handed, Key: "k", Left: time.Minute, Goal: time.Minute, Stages: []Stage{{Service: "a", Pieces: 1, Bytes: 10}}},
+				func(_ Result, err error) { answered[handed] = err })
+		}
+		w.free(w.s.done("first"))
+		if err, ended := answered["first"]; !ended || err == nil {
+			t.Fatal("the job that was given up goes on")
+		}
+		if _, ended := answered["second"]; ended || w.s.jobs["second"] == nil {
+			t.Fatal("the job that was handed in again was given up")
+		}
+	})
+}
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -90,10 +90,6 @@
 		answer(Result{}, err)
 		return
 	}
-	if old := s.jobs[j.ID]; old != nil {
-		s.end(old, Result{}, errStages("the call was handed in again"))
-		s.forget(old)
-	}
 	s.serial++
 	n := &job{Job: j, serial: s.serial, deadline: now.Add(j.Left), goal: now.Add(j.Goal), answer: answer}
 	for _, st := range j.Stages {
@@ -107,7 +103,7 @@
 		answer(Result{}, errBusy(wait))
 		return
 	}
-	s.jobs[j.ID] = n
+	s.jobs[j.Handed] = n
 	s.advance(now, n)
 }
 
@@ -243,8 +239,8 @@
 }
 
 // done gives a job up and returns the results that are to be freed.
-func (s *scheduler) done(id string) []made {
-	j := s.jobs[id]
+func (s *scheduler) done(handed string) []made {
+	j := s.jobs[handed]
 	if j == nil {
 		return nil
 	}
@@ -253,9 +249,7 @@
 }
 
 func (s *scheduler) forget(j *job) []made {
-	if s.jobs[j.ID] == j {
-		delete(s.jobs, j.ID)
-	}
+	delete(s.jobs, j.Handed)
 	out := j.made
 	j.made = nil
 	return out
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -137,7 +137,7 @@
 	answered := make(chan answer, 1)
 	s.post(func(now time.Time) {
 		s.scheduler.add(now, *j, func(r Result, err error) { answered <- answer{r, err} })
-		if _, taken := s.scheduler.jobs[j.ID]; !taken {
+		if _, taken := s.scheduler.jobs[j.Handed]; !taken {
 			s.log.Info("job refused", "request", j.ID, "jobs", len(s.scheduler.jobs), "estimate", s.scheduler.lastEstimate, "goal", j.Goal, "returned", j.Returned, "owner", s.scheduler.owner)
 		}
 	})
@@ -152,7 +152,7 @@
 }
 
 func (s *Service) done(_ context.Context, d *Done) (*control.Empty, error) {
-	s.post(func(time.Time) { s.free(s.scheduler.done(d.ID)) })
+	s.post(func(time.Time) { s.free(s.scheduler.done(d.Handed)) })
 	return &control.Empty{}, nil
 }
 
