Callers are told to come back after an election; a replica that starts waits half as long for a leader

Cause: after a loss of all processes callers were refused for a second and told to come back after 0.2 s; most have one more try, which met the same refusal. Ruled out: the members (they are replicated), the owner of the stages (named 20 ms after the leader). Change: a refusal for lack of control says 0.9 to 1.5 s, spread; one for lack of an owner 1 s; half of the first election timeout is spent at the start.

--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -39,6 +39,12 @@
 	// comeBack is when a caller is told to come back whose call was not run for
 	// lack of an upstream or of room.
 	comeBack = 200 * time.Millisecond
+	// outageMin and outageMax bound when a caller is told to come back that was
+	// refused since this process has lost control, or has just started: an
+	// election and the first synchronization take about a second, and many callers
+	// have one more try only.
+	outageMin = 900 * time.Millisecond
+	outageMax = 1500 * time.Millisecond
 	// staleAfter is the age of a quorum's confirmation from which on this
 	// process no longer refuses for good: a route or key may be new.
 	staleAfter = 3 * time.Second
@@ -219,6 +225,10 @@
 	}
 }
 
+// afterOutage is when a caller should come back after control was lost, spread so
+// that not all come at once.
+func afterOutage() time.Duration { return outageMin + rand.N(outageMax-outageMin) }
+
 // stale reports whether a route or key that is unknown here may be known
 // elsewhere.
 func (s *Service) stale() bool { return s.sync.StampAge() > staleAfter }
@@ -227,7 +237,7 @@
 func (x *exchange) admit() error {
 	s := x.s
 	if x.table == nil || x.table.version == 0 {
-		return verdict.New(verdict.NotRun, verdict.CodeStale, "no configuration yet").After(comeBack)
+		return verdict.New(verdict.NotRun, verdict.CodeStale, "no configuration yet").After(afterOutage())
 	}
 	var err error
 	if x.call, err = s.protocol.Call(x.r.Header); err != nil {
@@ -235,7 +245,7 @@
 	}
 	if x.route = x.table.route(x.r.Host, x.r.URL.EscapedPath()); x.route == nil {
 		if s.stale() {
-			return verdict.New(verdict.NotRun, verdict.CodeStale, "no such route as far as is known here").After(comeBack)
+			return verdict.New(verdict.NotRun, verdict.CodeStale, "no such route as far as is known here").After(afterOutage())
 		}
 		return verdict.New(verdict.NotRun, verdict.CodeUnknown, "no such route")
 	}
@@ -257,13 +267,13 @@
 		return nil
 	}
 	if x.s.sync.StampAge() > x.s.set.Proxy.KeyAge {
-		return verdict.New(verdict.NotRun, verdict.CodeStale, "keys cannot be checked here now").After(comeBack)
+		return verdict.New(verdict.NotRun, verdict.CodeStale, "keys cannot be checked here now").After(afterOutage())
 	}
 	if x.customer = x.table.customer(x.call.Key); x.customer != nil {
 		return nil
 	}
 	if x.s.stale() {
-		return verdict.New(verdict.NotRun, verdict.CodeStale, "no such key as far as is known here").After(comeBack)
+		return verdict.New(verdict.NotRun, verdict.CodeStale, "no such key as far as is known here").After(afterOutage())
 	}
 	e := verdict.New(verdict.NotRun, verdict.CodeInvalid, "unknown key")
 	e.Status = http.StatusUnauthorized
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -141,6 +141,7 @@
 		}
 	}
 	r.node = r.newNode(stored.HardState, stored.Snapshot, stored.Entries)
+	r.hurry()
 	ch := make(chan struct{})
 	r.changed.Store(&ch)
 	r.stamp.Store(-1)
@@ -148,6 +149,15 @@
 	return r, nil
 }
 
+// hurry spends half of the first election timeout at once: after a loss of all
+// processes nobody leads, and callers wait. While there is a leader its voters
+// refuse the pre-vote, so a single restart disturbs nothing.
+func (r *Replica) hurry() {
+	for range electionTicks / 2 {
+		r.node.Tick()
+	}
+}
+
 func (r *Replica) newNode(hs consensus.HardState, snap *consensus.Snapshot, entries []consensus.Entry) *consensus.Node {
 	return consensus.New(consensus.Config{
 		ID: r.self.ID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
--- a/node/stagework/link.go
+++ b/node/stagework/link.go
@@ -24,6 +24,9 @@
 	// moveWait is how long a job waits for another owner once its own is gone:
 	// what the leader takes to notice and to name the next one.
 	moveWait = 1200 * time.Millisecond
+	// ownerComeBack is when a caller should come back that found no owner: by then
+	// the leader has named another one.
+	ownerComeBack = time.Second
 	// ownerPause is how long a job whose owner was lost waits until it looks
 	// for one again.
 	ownerPause = 150 * time.Millisecond
@@ -150,7 +153,7 @@
 }
 
 func errNoOwner() error {
-	return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "no process that owns the stages can be reached")
+	return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "no process that owns the stages can be reached").After(ownerComeBack)
 }
 
 // Run has the stages of a call done, and returns the handles that its own run
