A stopping process ends callers' connections with its answers

Cause: a kept connection stays with its process until the listener closes it, 2.5 s after SIGTERM. Change: every answer of a stopping process says that the connection ends. Conclusion: kept; it moves callers before the close.

--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -200,6 +200,9 @@
 // ServeHTTP implements http.Handler.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{s: s, w: w, r: r, began: time.Now(), table: s.table.Load()}
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close") // the caller's next call goes elsewhere
+	}
 	if err := x.admit(); err != nil {
 		x.refuse(err)
 		return
