Stages: a late job that gets nothing for two seconds is told so at once

Cause: a caller that had come back and was taken in although late waited without a single piece until its deadline. Change: such a job is refused as not run after 2 s or half of its time, with when to come back. Kept since what is given up must be told.

--- a/node/stagework/machine_test.go
+++ b/node/stagework/machine_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"caperdrum.org/api/optext"
+	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/upstream"
 )
@@ -312,3 +313,28 @@
 		}
 	})
 }
+
+// TestStarvedJobIsToldSo hands in a job that misses its goal, at a service whose
+// upstreams are all busy: it is refused as not run long before its deadline, and
+// one that has a call under way is not.
+func TestStarvedJobIsToldSo(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		ended := map[string]error{}
+		add := func(id string) {
+			w.s.add(w.now, Job{ID: id, Handed: id, Key: "k", Left: 20 * time.Second, Goal: -time.Second, Stages: []Stage{{Service: "a", Pieces: 4, Bytes: 10}}},
+				func(_ Result, err error) { ended[id] = err })
+		}
+		for i := range 3 {
+			add(fmt.Sprint("running", i))
+		}
+		w.s.start(w.now)
+		add("waits")
+		w.s.start(w.now)
+		w.now = w.now.Add(starvedAfter + time.Millisecond)
+		w.free(w.s.expire(w.now))
+		if len(ended) != 1 || verdict.Of(ended["waits"]) != verdict.NotRun {
+			t.Fatalf("ended: %v", ended)
+		}
+	})
+}
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -252,6 +252,7 @@
 		c.expect += time.Duration(len(group)) * q.spec.PieceTime
 		for _, p := range group {
 			taken[p] = true
+			p.job.calls++
 			c.waited = max(c.waited, now.Sub(p.queued))
 			c.pieces = append(c.pieces, p)
 			c.request = append(c.request, p.request(now))
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -15,6 +15,11 @@
 	maxTries = 3
 	// maxRestarts bounds how often a job whose results were lost begins again.
 	maxRestarts = 1
+	// starvedAfter is how long a job that is late may wait for its first piece:
+	// what a burst takes to pass its peak.
+	starvedAfter = 2 * time.Second
+	// starvedComeBack is when its caller should come back, if it still can.
+	starvedComeBack = time.Second
 	// failurePause is how long an upstream is left alone after a failed call,
 	// doubled with each further one up to failurePauseMax.
 	failurePause    = 500 * time.Millisecond
@@ -39,6 +44,8 @@
 type job struct {
 	Job
 	serial   uint64
+	arrived  time.Time
+	calls    int // under way with pieces of it
 	deadline time.Time
 	goal     time.Time
 	tail     []time.Duration // by stage: what follows it takes at least
@@ -91,7 +98,7 @@
 		return
 	}
 	s.serial++
-	n := &job{Job: j, serial: s.serial, deadline: now.Add(j.Left), goal: now.Add(j.Goal), answer: answer}
+	n := &job{Job: j, serial: s.serial, arrived: now, deadline: now.Add(j.Left), goal: now.Add(j.Goal), answer: answer}
 	for _, st := range j.Stages {
 		if st.Pieces > 0 && s.services[st.Service] == nil {
 			answer(Result{}, errStages("service "+st.Service+" makes no pieces"))
@@ -292,6 +299,9 @@
 		case j.answer != nil && !now.Before(j.deadline):
 			s.end(j, Result{}, errNoTime())
 			out = append(out, s.forget(j)...)
+		case j.answer != nil && s.starved(now, j):
+			s.end(j, Result{}, errBusy(starvedComeBack))
+			out = append(out, s.forget(j)...)
 		case j.answer == nil && !j.expires.IsZero() && now.After(j.expires):
 			s.freed(s.forget(j))
 		}
@@ -299,6 +309,15 @@
 	return out
 }
 
+// starved reports whether a job that misses its goal has got nothing for so long
+// that its caller is better told now than at the deadline.
+func (s *scheduler) starved(now time.Time, j *job) bool {
+	if !j.late && j.goal.After(now) || len(j.made) > 0 || j.calls > 0 {
+		return false
+	}
+	return now.Sub(j.arrived) > min(j.Left/2, starvedAfter)
+}
+
 // start returns the calls that are to be made now.
 func (s *scheduler) start(now time.Time) []*call {
 	var out []*call
@@ -335,6 +354,7 @@
 	s.judge(now, c, o)
 	var free []made
 	for i, p := range c.pieces {
+		p.job.calls--
 		r := upstream.PieceResult{Failure: upstream.Failed}
 		if o.results != nil {
 			r = o.results[i]
