Keys' age and the budget of repeats come from what the platform grants

Cause: 4 s and 40 repeats were fitted to these sites; a site with a shorter revocation or a smaller budget would have been broken. Ruled out: reading bounds in the adapter (the template renders them into the product's settings). Change: [proxy] revoke_within, repeat_ratio, repeat_fixed, repeat_window; a key counts for four fifths of the first, processes use three quarters of the others together. Conclusion: no constant of one site is left in this path.

--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -315,22 +315,17 @@
 	}
 }
 
-// budgetWindow, budgetRatio and budgetFixed bound repeats: over all processes,
-// a fifth of the calls of ten seconds and some besides. Each process keeps to
-// its part, and to three quarters of the ratio, since the share of calls of a
-// process differs from one in n.
-const (
-	budgetWindow = 10 * time.Second
-	budgetRatio  = 0.15
-	budgetFixed  = 40
-)
+// budgetPart is how much of the repeats that the settings allow over all
+// processes these use together: calls that upstreams count at another moment than
+// this process does, and processes that just join, need the rest.
+const budgetPart = 0.75
 
 func (s *Service) budget(service string) *retry.Window {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.budgets[service]
 	if b == nil {
-		b = retry.NewWindow(budgetWindow, budgetRatio, clockwork.NewRealClock())
+		b = retry.NewWindow(s.set.Proxy.RepeatWindow, budgetPart*s.set.Proxy.RepeatRatio, clockwork.NewRealClock())
 		s.budgets[service] = b
 	}
 	return b
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -122,7 +122,7 @@
 	}
 	b := &bed{t: t, views: &fixedViews{}, stages: &fakeStages{}}
 	b.view = configsync.View{Config: config, Version: 7, Announced: map[string][]wire.Member{}}
-	b.service = newService(&settings.Settings{Proxy: settings.ProxyRole{KeyAge: 4 * time.Second}}, logr.Discard(), upstream.Native{}, b.views, b.stages)
+	b.service = newService(&settings.Settings{Proxy: settings.ProxyRole{KeyAge: 4 * time.Second, RepeatRatio: 0.2, RepeatFixed: 50, RepeatWindow: 10 * time.Second}}, logr.Discard(), upstream.Native{}, b.views, b.stages)
 	b.front = httptest.NewServer(b.service)
 	t.Cleanup(func() {
 		b.front.Close()
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -105,7 +105,8 @@
 	if x.sends >= x.route.Attempts || time.Until(x.deadline) < minLeft {
 		return false
 	}
-	return x.s.budget(x.service.Name).Take(budgetFixed / x.table.proxies)
+	fixed := budgetPart * x.s.set.Proxy.RepeatFixed / float64(x.table.proxies)
+	return x.s.budget(x.service.Name).Take(int(fixed))
 }
 
 // minLeft is the time under which another try is pointless.
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -45,6 +45,11 @@
 	KillAfter time.Duration `ini:"kill_after"`
 }
 
+// revokeMargin is the part of RevokeWithin, one in five, that is left for the way
+// of a call from the check of its key to an upstream and for clocks that run at
+// slightly different speeds.
+const revokeMargin = 5
+
 // killMargin is left of KillAfter for the last answers to leave and the process
 // to end.
 const killMargin = 400 * time.Millisecond
@@ -93,6 +98,14 @@
 	// key is accepted: a key that was withdrawn stops working within it, also at
 	// a process that is cut off.
 	KeyAge time.Duration `ini:"key_age"`
+	// RevokeWithin is the time after which a withdrawn key must have no effect;
+	// it replaces KeyAge, with a margin.
+	RevokeWithin time.Duration `ini:"revoke_within"`
+	// Repeats, over all processes, in every RepeatWindow: RepeatRatio of the calls
+	// and RepeatFixed besides.
+	RepeatRatio  float64       `ini:"repeat_ratio"`
+	RepeatFixed  float64       `ini:"repeat_fixed"`
+	RepeatWindow time.Duration `ini:"repeat_window"`
 	// Rotation is how long a stopping process still accepts connections, until
 	// the balancer has noticed that it is not ready.
 	Rotation time.Duration `ini:"rotation"`
@@ -184,7 +197,7 @@
 	return &Settings{
 		Node:    Node{DrainTimeout: 30 * time.Second, LogLevel: "info", Timeline: 4096},
 		Control: ControlRole{Lease: 3 * time.Second, Voters: 3, LedgerMax: 128 << 20, Losses: 1},
-		Proxy:   ProxyRole{KeyAge: 4 * time.Second, Rotation: 2500 * time.Millisecond},
+		Proxy:   ProxyRole{KeyAge: 4 * time.Second, Rotation: 2500 * time.Millisecond, RepeatRatio: 0.2, RepeatFixed: 50, RepeatWindow: 10 * time.Second},
 		Entry:   EntryRole{MaxBody: 4 << 20, StaleAfter: 5 * time.Second, MaxInFlight: 4096, MaxAnswer: 16 << 20},
 		Agent:   AgentRole{KeepAnswers: 2 * time.Minute, KeepBytes: 8 << 20, MaxAnswer: 16 << 20, HealthPath: "/health", LeaveGrace: time.Second},
 	}
@@ -237,6 +250,9 @@
 	if s.Node.KillAfter > 0 {
 		s.Node.DrainTimeout = max(0, s.Node.KillAfter-killMargin)
 	}
+	if within := s.Proxy.RevokeWithin; within > 0 {
+		s.Proxy.KeyAge = within - within/revokeMargin
+	}
 	s.fillAdvertised()
 	s.fillPeerPorts(f)
 	s.check(f)
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -67,3 +68,41 @@
 	Expect(err).NotTo(HaveOccurred())
 	return abs
 }
+
+// TestProxyBounds derives what a proxy keeps to from what its platform grants.
+func TestProxyBounds(t *testing.T) {
+	text := `
+[node]
+name = p
+vm = v
+data_center = d
+roles = proxy
+kill_after = 8s
+[peers]
+control = 127.0.0.1:80, 127.0.0.2:80
+port = 7100
+listen = 127.0.0.3:7100
+[debug]
+listen = 127.0.0.3:7200
+[proxy]
+listen = 127.0.0.3:8080
+ready = 127.0.0.3:8081
+revoke_within = 3s
+repeat_ratio = 0.1
+repeat_fixed = 58
+repeat_window = 5s
+`
+	s, err := settings.Parse("proxy.ini", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Proxy.KeyAge >= s.Proxy.RevokeWithin || s.Node.DrainTimeout >= s.Node.KillAfter {
+		t.Fatalf("keys count for %v, the process drains for %v", s.Proxy.KeyAge, s.Node.DrainTimeout)
+	}
+	if s.Proxy.RepeatRatio != 0.1 || s.Proxy.RepeatFixed != 58 || s.Proxy.RepeatWindow != 5*time.Second {
+		t.Fatalf("%+v", s.Proxy)
+	}
+	if s.Peers.Control[1] != "127.0.0.2:7100" || s.PeerAddress() != "127.0.0.3:7100" {
+		t.Fatalf("%+v", s.Peers)
+	}
+}
