--- a/node/control/elastic.go
+++ b/node/control/elastic.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"caperdrum.org/node/internal/periodic"
 	"caperdrum.org/node/logging"
 	"context"
 	"fmt"
@@ -79,16 +80,9 @@
 func (s *Service) offerRun(ctx context.Context) {
 	control := peer.NewDirectoryControl(s.directory, s.links.dial)
 	defer control.Close()
-	ticker := s.clock.NewTicker(offerInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
+	periodic.Run(ctx, s.clock, offerInterval, func() {
 		if !s.wantsVote() {
-			continue
+			return
 		}
 		call, cancel := context.WithTimeout(ctx, 2*offerInterval)
 		err := control.CallLeader(call, MethodOffer, Identity{Name: s.set.Node.Name, Peer: s.replica.Self()}, nil)
@@ -96,7 +90,7 @@
 		if err != nil {
 			s.log.V(logging.Detail).Info("offer not taken", "error", err.Error())
 		}
-	}
+	})
 }
 
 func (s *Service) wantsVote() bool {
--- a/node/control/tell.go
+++ b/node/control/tell.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"caperdrum.org/node/internal/periodic"
 	"caperdrum.org/node/logging"
 	"context"
 	"slices"
@@ -26,20 +27,13 @@
 			c.Close()
 		}
 	}()
-	ticker := s.clock.NewTicker(tellInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
+	periodic.Run(ctx, s.clock, tellInterval, func() {
 		voters := s.voterAddresses()
 		s.directory.Learn(voters)
 		if s.cluster.IsLeader() {
 			s.tell(ctx, clients, voters)
 		}
-	}
+	})
 }
 
 func (s *Service) tell(ctx context.Context, clients map[string]*peer.Client, voters []string) {
--- a/node/discovery/discovery.go
+++ b/node/discovery/discovery.go
@@ -3,8 +3,10 @@
 package discovery
 
 import (
+	"caperdrum.org/node/internal/periodic"
 	"caperdrum.org/node/logging"
 	"context"
+	"github.com/jonboulle/clockwork"
 	"net"
 	"sync"
 	"time"
@@ -113,19 +115,14 @@
 
 // seek asks the seeds while this process hears of no quorum.
 func (s *Service) seek(ctx context.Context) {
-	ticker := time.NewTicker(askInterval)
-	defer ticker.Stop()
-	for i := 0; ; i++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	turn := 0
+	periodic.Run(ctx, clockwork.NewRealClock(), askInterval, func() {
+		turn++
 		seeds := s.p.Directory.Configured()
 		if s.p.ConfigSync.StampAge() > lostAfter && len(seeds) > 0 {
-			s.ask(ctx, seeds[i%len(seeds)])
+			s.ask(ctx, seeds[turn%len(seeds)])
 		}
-	}
+	})
 }
 
 func (s *Service) ask(ctx context.Context, seed string) {
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -3,6 +3,7 @@
 package proxy
 
 import (
+	"caperdrum.org/node/internal/periodic"
 	"caperdrum.org/node/logging"
 	"context"
 	"io"
@@ -138,23 +139,10 @@
 	s.stopTrim = cancel
 	go s.server.Serve(front)
 	go s.ready.Serve(ready)
-	go s.trim(ctx)
+	go periodic.Run(ctx, clockwork.NewRealClock(), trimInterval, s.pool.Trim)
 	return nil
 }
 
-func (s *Service) trim(ctx context.Context) {
-	ticker := time.NewTicker(trimInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.pool.Trim()
-		}
-	}
-}
-
 // Stop implements kernel.Stopper. The process says at once that it is not
 // ready, still serves until the balancer has noticed, and then finishes what
 // it has begun.
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -45,11 +45,6 @@
 	KillAfter time.Duration `ini:"kill_after"`
 }
 
-// revokeMargin is the part of RevokeWithin, one in five, that is left for the way
-// of a call from the check of its key to an upstream and for clocks that run at
-// slightly different speeds.
-const revokeMargin = 5
-
 // killMargin is left of KillAfter for the last answers to leave and the process
 // to end.
 const killMargin = 400 * time.Millisecond
@@ -90,56 +85,6 @@
 // change of the configuration.
 func (c ControlRole) MinVoters() int { return 2*c.Losses + 1 }
 
-// ProxyRole is the section [proxy].
-type ProxyRole struct {
-	Listen string `ini:"listen" required:"true"` // callers
-	Ready  string `ini:"ready" required:"true"`  // readiness, asked by a balancer
-	// KeyAge is the age of the quorum's confirmation up to which a customer's
-	// key is accepted: a key that was withdrawn stops working within it, also at
-	// a process that is cut off.
-	KeyAge time.Duration `ini:"key_age"`
-	// RevokeWithin is the time after which a withdrawn key must have no effect;
-	// it replaces KeyAge, with a margin.
-	RevokeWithin time.Duration `ini:"revoke_within"`
-	// Repeats, over all processes, in every RepeatWindow: RepeatRatio of the calls
-	// and RepeatFixed besides.
-	RepeatRatio  float64       `ini:"repeat_ratio"`
-	RepeatFixed  float64       `ini:"repeat_fixed"`
-	RepeatWindow time.Duration `ini:"repeat_window"`
-	// Rotation is how long a stopping process still accepts connections, until
-	// the balancer has noticed that it is not ready.
-	Rotation time.Duration `ini:"rotation"`
-}
-
-// EntryRole is the section [entry].
-type EntryRole struct {
-	Listen      string        `ini:"listen" required:"true"`
-	MaxBody     int64         `ini:"max_body_bytes"`
-	StaleAfter  time.Duration `ini:"stale_after"`   // age of the configuration's stamp that ends readiness
-	RefuseStale bool          `ini:"refuse_stale"`  // refuse requests as not run while stale
-	MaxInFlight int           `ini:"max_in_flight"` // requests served at a time
-	MaxAnswer   int64         `ini:"max_answer_bytes"`
-}
-
-// AgentRole is the section [agent].
-type AgentRole struct {
-	Listen      string        `ini:"listen" required:"true"`
-	Advertise   string        `ini:"advertise"` // address by which entries reach Listen; default Listen
-	Service     string        `ini:"service" required:"true"`
-	Upstream    string        `ini:"upstream" required:"true"` // host:port of the upstream
-	KeepAnswers time.Duration `ini:"keep_answers"`
-	KeepBytes   int64         `ini:"keep_answer_bytes"` // of ended answers, over all attempts
-	MaxAnswer   int64         `ini:"max_answer_bytes"`
-	HealthPath  string        `ini:"health_path"`
-	LeaveGrace  time.Duration `ini:"leave_grace"` // how long a stopping gate still refuses new work instead of being gone
-}
-
-// Frontend is the section [frontend]: the listener of an adapter for operators
-// and for upstreams that announce themselves. The product itself has none.
-type Frontend struct {
-	Listen string `ini:"listen" required:"true"`
-}
-
 // Debug is the section [debug].
 type Debug struct {
 	Listen string `ini:"listen" required:"true"` // metrics and time line
@@ -185,19 +130,11 @@
 	return m
 }
 
-// PeerAddress is where other processes call this one.
-func (s *Settings) PeerAddress() string {
-	if s.Has(Control) {
-		return s.Control.Advertise
-	}
-	return s.Peers.Listen
-}
-
 func defaults() *Settings {
 	return &Settings{
 		Node:    Node{DrainTimeout: 30 * time.Second, LogLevel: "info", Timeline: 4096},
 		Control: ControlRole{Lease: 3 * time.Second, Voters: 3, LedgerMax: 128 << 20, Losses: 1},
-		Proxy:   ProxyRole{KeyAge: 4 * time.Second, Rotation: 2500 * time.Millisecond, RepeatRatio: 0.2, RepeatFixed: 50, RepeatWindow: 10 * time.Second},
+		Proxy:   proxyDefaults(),
 		Entry:   EntryRole{MaxBody: 4 << 20, StaleAfter: 5 * time.Second, MaxInFlight: 4096, MaxAnswer: 16 << 20},
 		Agent:   AgentRole{KeepAnswers: 2 * time.Minute, KeepBytes: 8 << 20, MaxAnswer: 16 << 20, HealthPath: "/health", LeaveGrace: time.Second},
 	}
@@ -250,9 +187,7 @@
 	if s.Node.KillAfter > 0 {
 		s.Node.DrainTimeout = max(0, s.Node.KillAfter-killMargin)
 	}
-	if within := s.Proxy.RevokeWithin; within > 0 {
-		s.Proxy.KeyAge = within - within/revokeMargin
-	}
+	s.Proxy.fill()
 	s.fillAdvertised()
 	s.fillPeerPorts(f)
 	s.check(f)
@@ -273,21 +208,6 @@
 	}
 }
 
-// fillPeerPorts replaces the ports of the control processes' addresses.
-func (s *Settings) fillPeerPorts(f *strictini.File) {
-	if s.Peers.Port == "" {
-		return
-	}
-	for i, address := range s.Peers.Control {
-		host, _, err := net.SplitHostPort(address)
-		if err != nil {
-			f.Fail("peers", "control", fmt.Sprintf("%q is not an address", address), "write IP:PORT, such as 127.0.0.1:7100")
-			return
-		}
-		s.Peers.Control[i] = net.JoinHostPort(host, s.Peers.Port)
-	}
-}
-
 func (s *Settings) check(f *strictini.File) {
 	for _, r := range s.Node.Roles {
 		if !slices.Contains([]Role{Entry, Control, Agent, Proxy}, Role(r)) {
@@ -309,9 +229,7 @@
 		checkAddress(f, "entry", "listen", s.Entry.Listen)
 	}
 	if s.Has(Proxy) {
-		checkAddress(f, "proxy", "listen", s.Proxy.Listen)
-		checkAddress(f, "proxy", "ready", s.Proxy.Ready)
-		checkAddress(f, "peers", "listen", s.Peers.Listen)
+		s.checkProxy(f)
 	}
 	if s.Has(Agent) {
 		checkAddress(f, "agent", "listen", s.Agent.Listen)
--- a/node/stagework/link.go
+++ b/node/stagework/link.go
@@ -1,8 +1,10 @@
 package stagework
 
 import (
+	"caperdrum.org/node/internal/periodic"
 	"caperdrum.org/node/logging"
 	"context"
+	"github.com/jonboulle/clockwork"
 	"sync"
 	"time"
 
@@ -105,25 +107,18 @@
 
 // watch pings the owner while jobs are under way there, or while it is silent.
 func (l *link) watch(ctx context.Context) {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	periodic.Run(ctx, clockwork.NewRealClock(), pingInterval, func() {
 		l.mu.Lock()
 		client, due := l.client, l.jobs > 0 || !l.silent.IsZero()
 		l.mu.Unlock()
 		if client == nil || !due {
-			continue
+			return
 		}
 		ping, cancel := context.WithTimeout(ctx, pingTimeout)
 		err := client.Call(ping, peer.MethodPing, peer.Empty{}, nil)
 		cancel()
 		l.heard(client, err)
-	}
+	})
 }
 
 func (l *link) heard(client *peer.Client, err error) {
--- /dev/null
+++ b/node/stagework/progress.go
@@ -0,0 +1,90 @@
+package stagework
+
+import (
+	"slices"
+	"time"
+)
+
+// job is how far a Job has come.
+type job struct {
+	Job
+	serial   uint64
+	arrived  time.Time
+	calls    int // under way with pieces of it
+	deadline time.Time
+	goal     time.Time
+	tail     []time.Duration // by stage: what follows it takes at least
+	handles  [][]string      // by stage and piece
+	missing  []int           // by stage: pieces not made yet
+	started  []bool
+	made     []made
+	restarts int
+	late     bool                // it was taken in although it misses its goal
+	answer   func(Result, error) // nil once called
+	expires  time.Time           // when its results are gone by themselves
+}
+
+// made is a result that an upstream holds.
+type made struct {
+	worker *worker
+	handle string
+	bytes  int64
+	stage  int
+}
+
+// home returns the data centre in which a stage should run: where most bytes of
+// its inputs lie, or, for a first stage whose results the engine fetches, where
+// that is. It is empty when little is moved.
+func (j *job) home(stage int) string {
+	st := j.Stages[stage]
+	if len(st.After) == 0 {
+		if j.final()[stage] && int64(st.Pieces)*st.Bytes >= largeBytes {
+			return j.DataCenter
+		}
+		return ""
+	}
+	at := map[string]int64{}
+	best, all := "", int64(0)
+	for _, m := range j.made {
+		if !slices.Contains(st.After, m.stage) {
+			continue
+		}
+		dc := m.worker.member.DataCenter
+		at[dc] += m.bytes
+		all += m.bytes
+		if at[dc] > at[best] {
+			best = dc
+		}
+	}
+	if all*int64(st.Pieces) < largeBytes { // each piece fetches all inputs
+		return ""
+	}
+	return best
+}
+
+func (j *job) ready(stage int) bool {
+	for _, k := range j.Stages[stage].After {
+		if j.missing[k] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (j *job) finalHandles() []string {
+	var out []string
+	for i, final := range j.final() {
+		if final {
+			out = append(out, j.handles[i]...)
+		}
+	}
+	return out
+}
+
+func (j *job) inputs(stage int) []string {
+	var out []string
+	for _, k := range j.Stages[stage].After {
+		out = append(out, j.handles[k]...)
+	}
+	return out
+}
