--- a/node/control/leases_test.go
+++ b/node/control/leases_test.go
@@ -98,3 +98,51 @@
 		}
 	}
 }
+
+// TestLateSignOfLifeDoesNotBringALeavingUpstreamBack lets an announced upstream
+// leave, and a sign of life arrive that it sent before. The record is kept as
+// leaving for longer than a sign of life may be late, and then removed.
+func TestLateSignOfLifeDoesNotBringALeavingUpstreamBack(t *testing.T) {
+	w := newWorld(nil)
+	lead := w.nodes[0].svc.leases
+	ready := wire.AnnouncedUpstream("i-1", "s", "10.0.0.1:80", "d", false)
+	leaving := wire.AnnouncedUpstream("i-1", "s", "10.0.0.1:80", "d", true)
+	for _, m := range []wire.Member{ready, leaving, ready} {
+		lead.renew([]Renewal{{Member: m}})
+		lead.step(context.Background())
+	}
+	pass := func(d time.Duration) {
+		for range d / expiryInterval {
+			w.clock.Advance(expiryInterval)
+			lead.step(context.Background())
+		}
+	}
+	pass(leavingLease - time.Second)
+	if m, held := w.oracle.View().Members["i-1"]; !held || !m.Leaving {
+		t.Fatalf("the members hold %+v, %v", m, held)
+	}
+	pass(2 * time.Second)
+	if _, held := w.oracle.View().Members["i-1"]; held {
+		t.Fatal("an upstream that left is kept for ever")
+	}
+}
+
+// TestSilentUpstreamIsRemoved gives an announced upstream a longer lease than a
+// process of our own, since its signs of life may be late.
+func TestSilentUpstreamIsRemoved(t *testing.T) {
+	w := newWorld(nil)
+	lead := w.nodes[0].svc.leases
+	lead.renew([]Renewal{{Member: wire.AnnouncedUpstream("i-1", "s", "10.0.0.1:80", "d", false)}})
+	for elapsed := time.Duration(0); elapsed < announcedLease+time.Second; elapsed += expiryInterval {
+		lead.step(context.Background())
+		_, held := w.oracle.View().Members["i-1"]
+		if elapsed < announcedLease && !held {
+			t.Fatalf("removed after %v", elapsed)
+		}
+		w.clock.Advance(expiryInterval)
+	}
+	lead.step(context.Background())
+	if _, held := w.oracle.View().Members["i-1"]; held {
+		t.Fatal("kept although it is silent")
+	}
+}
--- /dev/null
+++ b/node/controlclient/controlclient_test.go
@@ -0,0 +1,83 @@
+package controlclient
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/control"
+	"caperdrum.org/node/peer"
+)
+
+// newService calls a leader that answers signs of life as a test says.
+func newService(t *testing.T, answer func(*wire.AnnounceRequest) error) *Service {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := peer.NewServer()
+	peer.Handle(server, control.MethodAnnounce, func(_ context.Context, r *wire.AnnounceRequest) (*control.Empty, error) {
+		return &control.Empty{}, answer(r)
+	})
+	go server.Serve(l)
+	c := peer.NewControl([]string{l.Addr().String()}, peer.DialTCP)
+	t.Cleanup(func() {
+		c.Close()
+		l.Close()
+		server.Close()
+	})
+	return &Service{control: c}
+}
+
+// TestSignsOfLifeShareACall announces many upstreams at once: each is answered,
+// and together they need few calls.
+func TestSignsOfLifeShareACall(t *testing.T) {
+	var mu sync.Mutex
+	calls, seen := 0, map[wire.MemberID]bool{}
+	s := newService(t, func(r *wire.AnnounceRequest) error {
+		mu.Lock()
+		defer mu.Unlock()
+		calls++
+		for _, m := range r.Upstreams {
+			seen[m.ID] = true
+		}
+		return nil
+	})
+	const n = 50
+	joined := make(chan *batch, n)
+	for i := range n {
+		joined <- s.join(wire.AnnouncedUpstream(wire.MemberID(string(rune('a'+i))), "s", "x", "d", false))
+	}
+	for range n {
+		b := <-joined
+		<-b.done
+		if b.err != nil {
+			t.Fatal(b.err)
+		}
+	}
+	if calls >= n || len(seen) != n {
+		t.Fatalf("%d calls for %d of %d upstreams", calls, len(seen), n)
+	}
+}
+
+// TestFailureReachesEveryUpstream refuses a call: nobody is told that its sign of
+// life was taken.
+func TestFailureReachesEveryUpstream(t *testing.T) {
+	s := newService(t, func(*wire.AnnounceRequest) error { return verdict.New(verdict.NotRun, verdict.CodeInvalid, "refused") })
+	var wg sync.WaitGroup
+	for range 3 {
+		wg.Go(func() {
+			err := s.Announce(context.Background(), wire.Member{ID: "i"})
+			var v *verdict.Error
+			if !errors.As(err, &v) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+	wg.Wait()
+}
