--- a/node/control/leases_test.go
+++ b/node/control/leases_test.go
@@ -105,8 +105,8 @@
 func TestLateSignOfLifeDoesNotBringALeavingUpstreamBack(t *testing.T) {
 	w := newWorld(nil)
 	lead := w.nodes[0].svc.leases
-	ready := wire.AnnouncedUpstream("i-1", "s", "10.0.0.1:80", "d", false)
-	leaving := wire.AnnouncedUpstream("i-1", "s", "10.0.0.1:80", "d", true)
+	ready := wire.AnnouncedUpstream("m0", "s", "10.0.0.1:80", "d", false)
+	leaving := wire.AnnouncedUpstream("m0", "s", "10.0.0.1:80", "d", true)
 	for _, m := range []wire.Member{ready, leaving, ready} {
 		lead.renew([]Renewal{{Member: m}})
 		lead.step(context.Background())
@@ -118,11 +118,11 @@
 		}
 	}
 	pass(leavingLease - time.Second)
-	if m, held := w.oracle.View().Members["i-1"]; !held || !m.Leaving {
+	if m, held := w.oracle.View().Members["m0"]; !held || !m.Leaving {
 		t.Fatalf("the members hold %+v, %v", m, held)
 	}
 	pass(2 * time.Second)
-	if _, held := w.oracle.View().Members["i-1"]; held {
+	if _, held := w.oracle.View().Members["m0"]; held {
 		t.Fatal("an upstream that left is kept for ever")
 	}
 }
@@ -132,17 +132,17 @@
 func TestSilentUpstreamIsRemoved(t *testing.T) {
 	w := newWorld(nil)
 	lead := w.nodes[0].svc.leases
-	lead.renew([]Renewal{{Member: wire.AnnouncedUpstream("i-1", "s", "10.0.0.1:80", "d", false)}})
+	lead.renew([]Renewal{{Member: wire.AnnouncedUpstream("m0", "s", "10.0.0.1:80", "d", false)}})
 	for elapsed := time.Duration(0); elapsed < announcedLease+time.Second; elapsed += expiryInterval {
 		lead.step(context.Background())
-		_, held := w.oracle.View().Members["i-1"]
+		_, held := w.oracle.View().Members["m0"]
 		if elapsed < announcedLease && !held {
 			t.Fatalf("removed after %v", elapsed)
 		}
 		w.clock.Advance(expiryInterval)
 	}
 	lead.step(context.Background())
-	if _, held := w.oracle.View().Members["i-1"]; held {
+	if _, held := w.oracle.View().Members["m0"]; held {
 		t.Fatal("kept although it is silent")
 	}
 }
