Control: an entry follows each change of the voters, so that followers know on disk that it is committed

Cause: a rapid machine of the whole forming (founding, growth, restarts, cuts, lost folders) ended without a leader: the leader's folder was lost and the others restarted right after the third voter had joined. How far the log is committed is stored with the next entries only, and a membership is used once it is known to be committed; both followers so still needed the lost voter's vote. Ruled out: founding (one), the plan (three voters, all entries held), the test's random timeouts. Change: the leader proposes an empty command once after each change of term or membership (repair.confirm).

--- a/node/control/repair.go
+++ b/node/control/repair.go
@@ -13,6 +13,7 @@
 	"caperdrum.org/node/consensus"
 	"caperdrum.org/node/logging"
 	"caperdrum.org/node/peer"
+	"caperdrum.org/node/state"
 )
 
 // repair lets the leader keep the wanted number of voters: it adds control
@@ -25,10 +26,12 @@
 	offers offers
 
 	term, committed uint64 // at the last step
+	confirmed       string // term and membership that an entry follows
 }
 
 const (
 	repairInterval = 500 * time.Millisecond
+	confirmTimeout = time.Second
 	// elasticInterval is shorter: three steps must fit into the time between
 	// two losses, the first of which took a disk.
 	elasticInterval = 200 * time.Millisecond
@@ -79,6 +82,9 @@
 		r.say("a change of the voters is under way")
 		return nil
 	}
+	if err := r.confirm(ctx, status); err != nil {
+		return errors.Trace(err)
+	}
 	next, why := r.next(ctx, status, need)
 	r.say(why)
 	if next == nil {
@@ -94,6 +100,25 @@
 	return errors.Trace(err)
 }
 
+// confirm lets an entry follow each change of the membership. Replicas store how
+// far the log is committed with their next entries only, and use a membership once
+// they know that it is committed. Without an entry behind it, voters that all
+// restart right after the change would still need the votes of the voters before,
+// one of which may have lost its folder.
+func (r *repair) confirm(ctx context.Context, status consensus.Status) error {
+	voters := fmt.Sprint(status.Term, status.Membership)
+	if r.confirmed == voters {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if _, err := r.s.replica.Propose(ctx, state.Command{}); err != nil {
+		return err
+	}
+	r.confirmed = voters
+	return nil
+}
+
 func (r *repair) next(ctx context.Context, status consensus.Status, need uint64) (*consensus.Membership, string) {
 	c := r.s.set.Control
 	if c.SelfForming {
