Proxy: a refusal after an attempt that may have run is not called not run

Cause: read in the diff: an idempotent call whose first attempt broke off, or failed by itself, and whose second one was refused as not run, was answered 503 'not run'. Ruled out: calls that may not be repeated (they have one attempt). Change: the request remembers whether an attempt may have run; such a refusal is 502, may-have-run, without a time to come back. Conclusion: verdicts of attempts must be joined, not replaced by the last.

--- a/node/proxy/plain.go
+++ b/node/proxy/plain.go
@@ -32,8 +32,10 @@
 			return nil
 		}
 		if err == nil {
+			x.mayRan = true
 			continue // a failure of the upstream's own, of a call that may be repeated
 		}
+		x.note(err)
 		if err.Verdict != verdict.NotRun && !x.route.Repeatable() || ctx.Err() != nil || !x.mayRepeat() {
 			return err
 		}
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -177,7 +177,8 @@
 	body     []byte
 	began    time.Time
 	deadline time.Time
-	sends    int // calls of upstreams so far
+	sends    int  // calls of upstreams so far
+	mayRan   bool // one of them has run or may have run
 
 	firstByte      time.Duration // until the answer began
 	staged         bool          // the results of the stages are there
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -290,6 +290,31 @@
 	}
 }
 
+// TestRefusalAfterARunIsNotCalledNotRun lets an idempotent call break off or fail
+// at the upstream that is tried first, and be refused as not run by the other one:
+// the caller must not be told that it has not run.
+func TestRefusalAfterARunIsNotCalledNotRun(t *testing.T) {
+	for name, first := range map[string]http.HandlerFunc{
+		"it broke off":        breakOff,
+		"it failed by itself": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			var n counter
+			either := n.count(func(w http.ResponseWriter, r *http.Request) {
+				if n.n.Load() == 1 {
+					first(w, r)
+					return
+				}
+				refuseNotRun(w, r)
+			})
+			b.upstream("desk", "d1", either)
+			b.upstream("desk", "d2", either)
+			b.want(http.StatusBadGateway, http.MethodPost, "/reserve/", nil)
+		})
+	}
+}
+
 // TestUnreachableUpstreamIsReplaced announces an address where nobody listens
 // beside one that answers: it counts as no attempt.
 func TestUnreachableUpstreamIsReplaced(t *testing.T) {
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -119,9 +119,18 @@
 	Verdict verdict.Verdict `json:"verdict"`
 }
 
+// note remembers whether an attempt may have run: a later one that was refused does
+// not make the call one that has not run.
+func (x *exchange) note(err *verdict.Error) {
+	x.mayRan = x.mayRan || err.Verdict != verdict.NotRun
+}
+
 // refuse answers a call that got no upstream's answer.
 func (x *exchange) refuse(err error) {
-	e := verdict.From(err)
+	e := *verdict.From(err)
+	if x.mayRan && e.Verdict == verdict.NotRun {
+		e.Verdict, e.Status, e.RetryAfter = verdict.MayHaveRun, http.StatusBadGateway, 0
+	}
 	if x.r.Context().Err() != nil {
 		leftVar.Add(1)
 		x.s.log.Info("caller left", "request", x.call.ID, "route", x.routeName(), "sends", x.sends, "after", time.Since(x.began), "left", time.Until(x.deadline), "reason", e.Message)
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -39,6 +39,7 @@
 		if done {
 			return nil
 		}
+		x.note(err)
 		if err.Verdict != verdict.NotRun && !x.route.Repeatable() || ctx.Err() != nil || !x.mayRepeat() {
 			return out.abandon(err)
 		}
