An upstream's own failure is the caller's answer when no other try does better

Cause: on a route that may be repeated, a whole 5xx answer of an upstream was dropped before it was known whether another try would bring anything. If that try was refused, or the repeats were used up, the caller got a 502 of ours: a ready answer was held back. Streams lost it the same way. Ruled out: deciding beforehand by the attempts left (streams did so): the repeat budget and a refusing upstream come later. Change: the exchange keeps the answer; whatever ends the call passes it on, unless the caller left or its stream has begun. `contains` is slices.Contains, and a parameter that was always nil is gone. Conclusion: an answer that is there is never replaced by a guess.

--- a/node/proxy/endpoints.go
+++ b/node/proxy/endpoints.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -94,7 +95,7 @@
 	var bestRank rank
 	for i, m := range list {
 		ep := e.get(m.ID)
-		if ep.moved || contains(c.tried, m.ID) {
+		if ep.moved || slices.Contains(c.tried, m.ID) {
 			continue
 		}
 		r := e.rank(ep, m, c, now)
@@ -199,15 +200,6 @@
 	}
 }
 
-func contains(list []wire.MemberID, id wire.MemberID) bool {
-	for _, x := range list {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
-
 // affinityOf hashes the parts of a prompt that other calls may share: all but
 // the last.
 func affinityOf(parts []upstream.PromptPart) uint64 {
--- a/node/proxy/plain.go
+++ b/node/proxy/plain.go
@@ -27,13 +27,12 @@
 	for {
 		a := x.send(ctx, &tried, c, "")
 		body, err := x.whole(ctx, a)
-		if err == nil && (a.response.Status < http.StatusInternalServerError || !x.route.Repeatable() || !x.mayRepeat()) {
+		if err == nil && !x.failedItself(a) {
 			x.pass(a, body)
 			return nil
 		}
 		if err == nil {
-			x.mayRan = true
-			continue // a failure of the upstream's own, of a call that may be repeated
+			err = x.keep(a, body)
 		}
 		x.note(err)
 		if err.Verdict != verdict.NotRun && !x.route.Repeatable() || ctx.Err() != nil || !x.mayRepeat() {
@@ -67,6 +66,35 @@
 	return body, nil
 }
 
+// keptAnswer is an upstream's whole answer that says that it failed.
+type keptAnswer struct {
+	from *attempt
+	body []byte
+}
+
+// failedItself reports whether the upstream's answer is a failure of its own to
+// a call that another upstream may be tried for.
+func (x *exchange) failedItself(a *attempt) bool {
+	return a.response.Status >= http.StatusInternalServerError && x.route.Repeatable()
+}
+
+// keep keeps such an answer: the caller gets it unless another try brings a
+// better one.
+func (x *exchange) keep(a *attempt, body []byte) *verdict.Error {
+	x.kept = &keptAnswer{from: a, body: body}
+	return verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "%s answered %d", a.member.ID, a.response.Status)
+}
+
+// passKept passes the kept answer on. It reports false when there is none, or no
+// caller to get it.
+func (x *exchange) passKept() bool {
+	if x.kept == nil || x.r.Context().Err() != nil {
+		return false
+	}
+	x.pass(x.kept.from, x.kept.body)
+	return true
+}
+
 // pass passes a whole answer on.
 func (x *exchange) pass(a *attempt, body []byte) {
 	x.firstByte = time.Since(x.began)
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -114,7 +114,7 @@
 	s := &Service{set: set, log: log, protocol: protocol, sync: views, stages: stages,
 		pool: upstream.NewPool(protocol), endpoints: newEndpoints(), budgets: map[string]*retry.Window{}}
 	s.ending, s.end = context.WithCancel(context.Background())
-	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: nil}
+	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 	s.ready = &http.Server{Handler: http.HandlerFunc(s.answerReady), ReadHeaderTimeout: headerTimeout}
 	return s
 }
@@ -180,6 +180,7 @@
 	sends    int  // calls of upstreams so far
 	mayRan   bool // one of them has run or may have run
 
+	kept           *keptAnswer   // nil when no upstream has answered with a failure
 	firstByte      time.Duration // until the answer began
 	staged         bool          // the results of the stages are there
 	inputs         []string      // their handles
@@ -212,7 +213,7 @@
 	} else {
 		err = x.plain(ctx)
 	}
-	if err != nil {
+	if err != nil && !x.passKept() {
 		x.refuse(err)
 	}
 }
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -19,7 +19,7 @@
 	x.s.budget(x.service.Name).First()
 	defer func() { x.release() }()
 	var tried []wire.MemberID
-	c := x.choice(nil)
+	c := x.choice()
 	out := &streamWriter{x: x}
 	out.events.last = x.call.LastEvent
 	remade := false
@@ -72,8 +72,8 @@
 		if err != nil {
 			return false, err
 		}
-		if a.response.Status >= http.StatusInternalServerError && x.route.Repeatable() && x.sends < x.route.Attempts {
-			return false, verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "%s answered %d", a.member.ID, a.response.Status)
+		if x.failedItself(a) {
+			return false, x.keep(a, body)
 		}
 		x.pass(a, body)
 		return true, nil
@@ -192,7 +192,7 @@
 // engineAt is the data centre of the engine that the call would go to now: large
 // results are best made there.
 func (x *exchange) engineAt() string {
-	m, ok := x.s.endpoints.peek(x.s.table.Load().announced[x.service.Name], x.choice(nil), time.Now())
+	m, ok := x.s.endpoints.peek(x.s.table.Load().announced[x.service.Name], x.choice(), time.Now())
 	if !ok {
 		return x.s.set.Node.DataCenter
 	}
@@ -200,8 +200,8 @@
 }
 
 // choice is how the call's engine is chosen.
-func (x *exchange) choice(tried []wire.MemberID) choice {
-	return choice{tried: tried, dataCenter: x.s.set.Node.DataCenter, affinity: affinityOf(x.call.Prefix)}
+func (x *exchange) choice() choice {
+	return choice{dataCenter: x.s.set.Node.DataCenter, affinity: affinityOf(x.call.Prefix)}
 }
 
 // engineStart is left of a goal for the engine to read the prompt and begin:
