The leader decides what a leaving upstream's record is

Cause: the platform's front end looked a leaving upstream up in this process's own view, and acknowledged without a mark when the view did not hold it. A view may lag behind a sign of life by half a second, so that an upstream was told that it may stop while others still sent it calls; and a folder that only translates made a decision. Ruled out: waiting for this process's view to catch up. It holds the call for nothing, and cannot while control is cut off from it. Change: control.leave: after a quorum's confirmation the leader looks in the signs of life that wait and in the members. The front end only passes the id on; a leader that does not know the method refuses, and the upstream asks again. Before: no such test could be written against the product. Conclusion: decision back in the product.

--- a/api/wire/announce.go
+++ b/api/wire/announce.go
@@ -20,6 +20,12 @@
 	Upstreams []Member `json:"upstreams"`
 }
 
+// LeaveRequest tells the leader that an announced upstream leaves. It is answered
+// when the replicated members hold the mark, or do not hold the upstream.
+type LeaveRequest struct {
+	ID MemberID `json:"id"`
+}
+
 // PutRequest replaces the operators' text if Version is above the one in force.
 type PutRequest struct {
 	Version uint64 `json:"version" cbor:"1,keyasint"`
--- a/node/control/leases.go
+++ b/node/control/leases.go
@@ -80,6 +80,21 @@
 	}
 }
 
+// leaving returns the record by which an announced upstream leaves. None needs
+// one that neither the members hold nor a sign of life has named.
+func (l *leases) leaving(id wire.MemberID) []wire.Member {
+	l.mu.Lock()
+	m, known := l.pending[id]
+	l.mu.Unlock()
+	if !known {
+		m, known = l.cluster.View().Members[id]
+	}
+	if !known || m.Role != wire.AnnouncedRole {
+		return nil
+	}
+	return []wire.Member{wire.AnnouncedUpstream(id, m.Service, m.Direct, m.DataCenter, true)}
+}
+
 const (
 	expiryInterval = 250 * time.Millisecond
 	// joinGap is the time between two commands of members, so that many that
--- a/node/control/leases_test.go
+++ b/node/control/leases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"testing"
 	"time"
 
@@ -127,6 +128,30 @@
 	}
 }
 
+// TestUpstreamThatLeavesIsFoundWhereverItIs has upstreams leave whose signs of life
+// the members hold, or are about to. Nothing is made up for an unknown one, or
+// for a process of our own.
+func TestUpstreamThatLeavesIsFoundWhereverItIs(t *testing.T) {
+	w := newWorld(nil)
+	lead := w.nodes[0].svc.leases
+	held := wire.AnnouncedUpstream("m0", "s", "10.0.0.1:80", "d", false)
+	waits := wire.AnnouncedUpstream("m1", "s", "10.0.0.2:80", "e", false)
+	lead.renew([]Renewal{{Member: held}, {Member: wire.Member{ID: "m2", Incarnation: 1}}})
+	lead.step(context.Background())
+	lead.renew([]Renewal{{Member: waits}})
+	for _, m := range []wire.Member{held, waits} {
+		want := wire.AnnouncedUpstream(m.ID, m.Service, m.Direct, m.DataCenter, true)
+		if got := lead.leaving(m.ID); len(got) != 1 || !reflect.DeepEqual(got[0], want) {
+			t.Errorf("%s leaves as %+v", m.ID, got)
+		}
+	}
+	for _, id := range []wire.MemberID{"m2", "m3"} {
+		if got := lead.leaving(id); len(got) != 0 {
+			t.Errorf("%s leaves as %+v", id, got)
+		}
+	}
+}
+
 // TestSilentUpstreamIsRemoved gives an announced upstream a longer lease than a
 // process of our own, since its signs of life may be late.
 func TestSilentUpstreamIsRemoved(t *testing.T) {
--- a/node/control/operate.go
+++ b/node/control/operate.go
@@ -14,6 +14,7 @@
 	MethodPut      = "control.put"
 	MethodConfig   = "control.config"
 	MethodAnnounce = "control.announce"
+	MethodLeave    = "control.leave"
 	MethodOffer    = "control.offer"
 )
 
@@ -61,8 +62,22 @@
 	if _, ok := stampOf(s.cluster); !ok || !s.cluster.IsLeader() {
 		return nil, s.notLeader()
 	}
-	renewals := make([]Renewal, len(req.Upstreams))
-	for i, m := range req.Upstreams {
+	return s.hold(ctx, req.Upstreams)
+}
+
+// leave marks an upstream as leaving and answers when the members hold the mark.
+// That an upstream is unknown, and needs none, counts only as a quorum's word.
+func (s *Service) leave(ctx context.Context, req *wire.LeaveRequest) (*Empty, error) {
+	if err := s.replica.ReadBarrier(ctx); err != nil {
+		return nil, s.leaderError(err)
+	}
+	return s.hold(ctx, s.leases.leaving(req.ID))
+}
+
+// hold renews leases and returns once the members hold the records.
+func (s *Service) hold(ctx context.Context, upstreams []wire.Member) (*Empty, error) {
+	renewals := make([]Renewal, len(upstreams))
+	for i, m := range upstreams {
 		renewals[i] = Renewal{Member: m}
 	}
 	s.leases.renew(renewals)
@@ -71,7 +86,7 @@
 		if !s.cluster.IsLeader() {
 			return nil, s.notLeader()
 		}
-		if holdsAll(s.cluster.View(), req.Upstreams) {
+		if holdsAll(s.cluster.View(), upstreams) {
 			return &Empty{}, nil
 		}
 		select {
--- a/node/control/service.go
+++ b/node/control/service.go
@@ -115,6 +115,7 @@
 	peer.Handle(s.server, MethodPut, s.put)
 	peer.Handle(s.server, MethodConfig, s.config)
 	peer.Handle(s.server, MethodAnnounce, s.announce)
+	peer.Handle(s.server, MethodLeave, s.leave)
 	peer.Handle(s.server, MethodOffer, s.offer)
 	peer.Handle(s.server, formation.MethodHello, s.answerHello)
 	peer.Handle(s.server, peer.MethodWhere, s.where)
@@ -205,8 +206,8 @@
 	Messages []consensus.Message `json:"messages"`
 }
 
-// Empty is an answer without content.
-type Empty struct{}
+// Empty is a call or an answer without content.
+type Empty = peer.Empty
 
 func (s *Service) raft(_ context.Context, b *RaftBatch) (*Empty, error) {
 	s.links.learn(b.From)
--- a/node/controlclient/controlclient.go
+++ b/node/controlclient/controlclient.go
@@ -20,7 +20,7 @@
 	// waits a second for its answer; at 34 signs of life a second over 8
 	// processes it halves the calls.
 	gather = 100 * time.Millisecond
-	// announceTimeout bounds a call with signs of life: an upstream that had no
+	// announceTimeout bounds a call of upstreams: an upstream that had no
 	// answer within a second tries another process.
 	announceTimeout = 800 * time.Millisecond
 )
@@ -85,6 +85,14 @@
 	close(b.done)
 }
 
+// Leave tells the leader that an upstream leaves. It returns once the members
+// hold the mark, or are known not to hold the upstream.
+func (s *Service) Leave(ctx context.Context, id wire.MemberID) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	return s.control.CallLeader(ctx, control.MethodLeave, wire.LeaveRequest{ID: id}, nil)
+}
+
 // Put replaces the operators' text if the version is above the one in force.
 func (s *Service) Put(ctx context.Context, version uint64, text string) (wire.PutResult, error) {
 	var result wire.PutResult
