Stage work and discovery: unused fields and second copies go

Ruled out: none of it is reached by reflection or the container. Change: removed, or one copy called; no behaviour changes. Before and after: the same tests pass, also with the race detector.

--- a/node/discovery/discovery.go
+++ b/node/discovery/discovery.go
@@ -68,9 +68,7 @@
 // Server is this process's peer server; nil where the control role has one.
 func (s *Service) Server() *peer.Server { return s.server }
 
-type empty struct{}
-
-func (s *Service) where(context.Context, *empty) (*peer.Where, error) {
+func (s *Service) where(context.Context, *peer.Empty) (*peer.Where, error) {
 	return &peer.Where{Control: s.p.Directory.Learned()}, nil
 }
 
@@ -131,7 +129,7 @@
 	client := peer.NewClient(seed, s.p.Dial)
 	defer client.Close()
 	var where peer.Where
-	if err := client.Call(ctx, peer.MethodWhere, empty{}, &where); err != nil {
+	if err := client.Call(ctx, peer.MethodWhere, peer.Empty{}, &where); err != nil {
 		s.p.Log.V(logging.Detail).Info("seed not heard", "address", seed, "error", err.Error())
 		return
 	}
--- a/node/stagework/link.go
+++ b/node/stagework/link.go
@@ -12,7 +12,6 @@
 
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
-	"caperdrum.org/node/configsync"
 	"caperdrum.org/node/internal/periodic"
 	"caperdrum.org/node/logging"
 	"caperdrum.org/node/peer"
@@ -37,7 +36,6 @@
 // link is the way to the owner of the queues.
 type link struct {
 	dial peer.Dialer
-	sync *configsync.Service
 	log  logr.Logger
 
 	mu      sync.Mutex
@@ -49,8 +47,8 @@
 	changed chan struct{} // closed when another owner is named
 }
 
-func newLink(dial peer.Dialer, sync *configsync.Service, log logr.Logger) *link {
-	return &link{dial: dial, sync: sync, log: log, lost: make(chan struct{}), changed: make(chan struct{})}
+func newLink(dial peer.Dialer, log logr.Logger) *link {
+	return &link{dial: dial, log: log, lost: make(chan struct{}), changed: make(chan struct{})}
 }
 
 // follow takes over the owner that the leader named.
--- a/node/stagework/link_test.go
+++ b/node/stagework/link_test.go
@@ -51,7 +51,7 @@
 }
 
 func newClientService(t *testing.T) *Service {
-	s := &Service{log: logr.Discard(), link: newLink(peer.DialTCP, nil, logr.Discard())}
+	s := &Service{log: logr.Discard(), link: newLink(peer.DialTCP, logr.Discard())}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	t.Cleanup(func() {
 		s.cancel()
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -155,6 +155,11 @@
 	}
 	j.answer(r, err)
 	j.answer = nil
+	s.unqueue(j)
+}
+
+// unqueue takes the job's pieces that wait out of the queues.
+func (s *scheduler) unqueue(j *job) {
 	for _, st := range j.Stages {
 		if q := s.services[st.Service]; q != nil {
 			q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool { return p.job == j })
@@ -353,11 +358,7 @@
 // restart makes all results of a job again.
 func (s *scheduler) restart(now time.Time, j *job) []made {
 	j.restarts++
-	for _, st := range j.Stages {
-		if q := s.services[st.Service]; q != nil {
-			q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool { return p.job == j })
-		}
-	}
+	s.unqueue(j)
 	out := j.made
 	j.made = nil
 	s.reset(j)
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -46,7 +46,6 @@
 	log      logr.Logger
 	protocol upstream.Protocol
 	pool     *upstream.Pool
-	sync     *configsync.Service
 	events   chan func(now time.Time)
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -59,10 +58,10 @@
 
 // New returns the service and adds its methods to the process's peer server.
 func New(p Params) *Service {
-	s := &Service{log: p.Log, protocol: p.Protocol, pool: upstream.NewPool(p.Protocol), sync: p.ConfigSync,
+	s := &Service{log: p.Log, protocol: p.Protocol, pool: upstream.NewPool(p.Protocol),
 		events: make(chan func(time.Time), 256), scheduler: newScheduler(), toFree: map[*worker][]made{}}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.link = newLink(p.Dial, p.ConfigSync, p.Log)
+	s.link = newLink(p.Dial, p.Log)
 	server := p.Discovery.Server()
 	if server == nil {
 		server = p.Control.Server()
