Upstream client: a connection for one call only is closed with it

Cause: calls for pieces ask for a connection of their own (Fresh). Where the upstream's answer does not say "Connection: close", Response.Close put the connection among the idle ones, and a fresh call never takes one from there. The pool of the stage queues was not trimmed either. Ruled out: the estimate (the number of jobs under way fell to 8 while every job was refused), the upstreams (no call of theirs failed), the owner's processor time (0.014 of a core at most). Change: such a connection is closed; the pool's own Run trims it, for both users.

--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -21,7 +21,6 @@
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/node/configsync"
-	"caperdrum.org/node/internal/periodic"
 	"caperdrum.org/node/logging"
 	"caperdrum.org/node/retry"
 	"caperdrum.org/node/security"
@@ -51,8 +50,7 @@
 	staleAfter = 3 * time.Second
 	// lastAnswers is left of the time to stop for the final answers of calls
 	// that are still under way.
-	lastAnswers  = 500 * time.Millisecond
-	trimInterval = time.Second
+	lastAnswers = 500 * time.Millisecond
 )
 
 // Params are what the service needs.
@@ -139,7 +137,7 @@
 	s.stopTrim = cancel
 	go s.server.Serve(front)
 	go s.ready.Serve(ready)
-	go periodic.Run(ctx, clockwork.NewRealClock(), trimInterval, s.pool.Trim)
+	go s.pool.Run(ctx)
 	return nil
 }
 
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -83,6 +83,7 @@
 func (s *Service) Start(context.Context) error {
 	go s.loop()
 	go s.link.watch(s.ctx)
+	go s.pool.Run(s.ctx)
 	return nil
 }
 
--- a/node/upstream/call.go
+++ b/node/upstream/call.go
@@ -37,6 +37,7 @@
 	resp   *http.Response
 	sent   <-chan error // result of sending the request
 	ended  bool
+	fresh  bool // the connection was opened for this call only
 	detach func() bool
 }
 
@@ -56,7 +57,7 @@
 	} else {
 		go func() { sent <- writeAll(c, head, req.Body) }()
 	}
-	r := &Response{conn: c, sent: sent, detach: detach}
+	r := &Response{conn: c, sent: sent, fresh: req.Fresh, detach: detach}
 	if err := r.readHead(p.protocol, req); err != nil {
 		detach()
 		c.Close()
@@ -166,7 +167,7 @@
 
 func (r *Response) reusable() bool {
 	framed := r.resp.ContentLength >= 0 || len(r.resp.TransferEncoding) > 0
-	if !r.ended || r.resp.Close || !framed || r.conn.br.Buffered() > 0 {
+	if !r.ended || r.fresh || r.resp.Close || !framed || r.conn.br.Buffered() > 0 {
 		return false
 	}
 	select {
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -11,9 +11,11 @@
 	"syscall"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 
 	"caperdrum.org/api/verdict"
+	"caperdrum.org/node/internal/periodic"
 )
 
 const (
@@ -32,6 +34,7 @@
 	// connection is given up.
 	maxStrayAnswers = 2
 	readBuffer      = 4 << 10
+	trimInterval    = time.Second
 )
 
 // Pool keeps connections to upstreams, by address.
@@ -144,8 +147,12 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// Trim closes idle connections that must not be used again.
-func (p *Pool) Trim() {
+// Run closes idle connections that must not be used again, until ctx ends.
+func (p *Pool) Run(ctx context.Context) {
+	periodic.Run(ctx, clockwork.NewRealClock(), trimInterval, p.trim)
+}
+
+func (p *Pool) trim() {
 	now := time.Now()
 	var old []*conn
 	p.mu.Lock()
--- a/node/upstream/upstream_test.go
+++ b/node/upstream/upstream_test.go
@@ -281,3 +281,20 @@
 		}
 	}
 }
+
+// TestFreshConnectionIsNotKept makes calls that ask for connections of their own
+// to an upstream that would keep them: none stays open.
+func TestFreshConnectionIsNotKept(t *testing.T) {
+	s := newScript(t, answer("1", "one"))
+	p := NewPool(plainProtocol{})
+	r := s.request("1")
+	r.Fresh = true
+	for range 3 {
+		if got, err := call(t, p, r); err != nil || got != "one" {
+			t.Fatalf("%q, %v", got, err)
+		}
+	}
+	if len(p.open) != 0 {
+		t.Fatalf("%v are still open", p.open)
+	}
+}
