The owner of the stage queues is named only once there is a text

Cause: the founder of a cluster is its only member for some 100 ms, so it named itself owner at its first look, although a process that does not lead goes before the leader. Ruled out: nextOwner (its test holds), the pings (owner named 0.75 s after the first miss, an election in between). Change: no owner while there is no text, and so no stage. A text is accepted only with 2·losses+1 voters, so others are members by then. Test: TestFirstOwnerIsNotTheLeader, red before.

--- a/node/control/owner.go
+++ b/node/control/owner.go
@@ -55,9 +55,14 @@
 	}
 }
 
-// step keeps the owner or names another one.
+// step keeps the owner or names another one. Without a text there are no stages:
+// the founder of a cluster is alone for some 100 ms, and would else name itself
+// and take the queues with it when it is lost.
 func (o *ownership) step(ctx context.Context) {
 	view := o.s.cluster.View()
+	if view.Config.Version == 0 {
+		return
+	}
 	m, member := view.Members[view.Owner.ID]
 	if member && !m.Leaving && m.Incarnation == view.Owner.Incarnation && o.answers(ctx, m) {
 		return
