The collector knows how much memory the process may use

Cause: entries let their heap grow to four times what is live, whatever the platform grants: 40 MB live become 160 MB, and the process is killed at 184 MB. Change: [node] memory, in MB, rendered from the platform's limit; the collector keeps the heap below six tenths of it.

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -64,13 +64,25 @@
 // processor time of a call.
 const entryGCPercent = 300
 
-// tuneCollector leaves a value from the environment (GOGC) in force.
+// heapPart is the part of the process's memory above which the collector runs
+// more often, whatever entryGCPercent says. The rest is for the program, the C
+// library and bytes that the kernel holds for the process.
+const heapPart = 0.6
+
+// tuneCollector leaves values from the environment (GOGC, GOMEMLIMIT) in force.
 func tuneCollector(set *settings.Settings) {
 	if os.Getenv("GOGC") == "" && (set.Has(settings.Entry) || set.Has(settings.Proxy)) {
 		runtimedebug.SetGCPercent(entryGCPercent)
 	}
+	if os.Getenv("GOMEMLIMIT") == "" && set.Node.Memory > 0 {
+		runtimedebug.SetMemoryLimit(heapLimit(set.Node.Memory))
+	}
 }
 
+// heapLimit returns the limit for the collector in bytes, of a process that may
+// use that many MB.
+func heapLimit(memory int) int64 { return int64(heapPart * float64(memory) * (1 << 20)) }
+
 // Run runs the process until it is told to stop, and returns its exit status.
 func Run(o Options) int {
 	set := o.Settings
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -43,6 +43,9 @@
 	// KillAfter is how long after SIGTERM the platform kills the process. It
 	// replaces DrainTimeout, with a margin.
 	KillAfter time.Duration `ini:"kill_after"`
+	// Memory is what the process may use before the platform kills it, in MB of
+	// 2^20 bytes; 0 is no limit.
+	Memory int `ini:"memory"`
 }
 
 // killMargin is left of KillAfter for the last answers to leave and the process
@@ -217,6 +220,9 @@
 	if s.Node.LogLevel != "info" && s.Node.LogLevel != "debug" {
 		f.Fail("node", "log_level", "unknown log level", "use info or debug")
 	}
+	if s.Node.Memory < 0 {
+		f.Fail("node", "memory", "less than nothing", "use MB, or 0 for no limit")
+	}
 	s.checkPlainText(f)
 	for _, a := range s.Peers.Control {
 		checkAddress(f, "peers", "control", a)
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -57,6 +58,7 @@
 		},
 		Entry("unknown key", entryFile+"colour = red\n", `s.ini:12: unknown key "colour" in [debug]; remove it`),
 		Entry("bad address", entryFile[:len(entryFile)-len("127.0.0.1:7102\n")]+"localhost\n", `s.ini:11: "localhost" is not an address; write IP:PORT`),
+		Entry("negative memory", strings.Replace(entryFile, "roles", "memory = -1\nroles", 1), `use MB, or 0 for no limit`),
 		Entry("unknown section", entryFile+"[poem]\n", "s.ini:12: unknown section [poem]"),
 		Entry("control without a data folder", "[node]\nname = c\nvm = v\ndata_center = d\nroles = control\n[peers]\ncontrol = 127.0.0.1:1\n[control]\nlisten = 127.0.0.1:1\nadmin = 127.0.0.1:2\n[debug]\nlisten = 127.0.0.1:3\n", "a control process needs a data folder"),
 		Entry("missing section", "[node]\nname = c\nvm = v\ndata_center = d\nroles = entry\n", "section [peers] is missing"),
