Stages: a caller that comes back is known by the key of its input

Cause: a call counted as coming back when its caller granted less than 97 % of the route's timeout. Ruled out: attempt ids (a new one each try), the process (a retry reaches another). Job.Returned is gone.

--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -433,7 +433,7 @@
 		if got := b.want(http.StatusOK, http.MethodPost, "/quote/", pieces); got != "data: handle-1\n\n" {
 			t.Fatalf("got %q", got)
 		}
-		if j := b.stages.jobs[0]; j.ID != "try-1" || j.Key != "k" || j.Stages[0].Pieces != 3 || j.Returned {
+		if j := b.stages.jobs[0]; j.ID != "try-1" || j.Key != "k" || j.Stages[0].Pieces != 3 {
 			t.Fatalf("job %+v", j)
 		}
 	})
@@ -455,14 +455,6 @@
 			t.Fatal("the engine was called")
 		}
 	})
-	t.Run("a caller that was sent away comes back", func(t *testing.T) {
-		b := newBed(t)
-		b.upstream("llm", "e1", events(1, 0))
-		b.want(http.StatusOK, http.MethodPost, "/quote/", map[string]string{"Caperdrum-Pieces": "1", wire.HeaderTimeout: "3s"})
-		if !b.stages.jobs[0].Returned {
-			t.Fatal("it is taken for a first try")
-		}
-	})
 	t.Run("their results are gone", func(t *testing.T) {
 		b := newBed(t)
 		b.upstream("llm", "e1", func(w http.ResponseWriter, r *http.Request) {
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -177,7 +177,7 @@
 
 func (x *exchange) job() (job stagework.Job, pieces int) {
 	job = stagework.Job{ID: x.call.ID, Key: x.call.PieceKey, Left: time.Until(x.deadline),
-		Goal: time.Until(x.began.Add(x.route.Goal - engineStart)), DataCenter: x.engineAt(), Returned: x.returned()}
+		Goal: time.Until(x.began.Add(x.route.Goal - engineStart)), DataCenter: x.engineAt()}
 	for i, st := range x.route.Stages {
 		n := 0
 		if i < len(x.call.Pieces) {
@@ -208,16 +208,6 @@
 // 112 tokens a millisecond and 50 ms besides, for 12,000 tokens.
 const engineStart = 150 * time.Millisecond
 
-// returned reports whether the caller has used some of its time elsewhere: it
-// waits less than the route grants, as one does that was sent away before.
-func (x *exchange) returned() bool {
-	return x.call.Wait > 0 && float64(x.call.Wait) < firstTryWait*float64(x.route.Timeout)
-}
-
-// firstTryWait is the part of a route's timeout below which a caller's wait
-// shows that this is not its first try. A first one loses some milliseconds.
-const firstTryWait = 0.97
-
 // release gives the results of the stages up: an upstream has fetched them, or
 // the call is over. Another upstream needs them made again.
 func (x *exchange) release() {
--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -36,15 +36,17 @@
 	if len(s.jobs) < trustAbove {
 		return 0, false
 	}
+	j.returned = s.sentAway.has(j.Key, now)
 	estimate := s.estimate(now, j)
-	s.lastEstimate = estimate
+	s.lastEstimate, s.lastReturned = estimate, j.returned
 	if !now.Add(estimate).After(j.goal) {
 		return 0, false
 	}
-	if j.Returned && s.lateJobs(now) < maxLate && now.Add(estimate).Before(j.deadline) {
+	if j.returned && s.lateJobs(now) < maxLate && now.Add(estimate).Before(j.deadline) {
 		j.late = true
 		return 0, false
 	}
+	s.sentAway.add(j.Key, now, j.deadline)
 	longest := j.Left / comeBackPart
 	shortest := min(comeBackMin, longest)
 	return shortest + time.Duration(rand.Float64()*float64(longest-shortest)), true
--- a/node/stagework/job.go
+++ b/node/stagework/job.go
@@ -19,9 +19,6 @@
 	Left       time.Duration `json:"left"` // until the call is worthless
 	Goal       time.Duration `json:"goal"` // until it is worth less; negative when that has passed
 	DataCenter string        `json:"data_center"`
-	// Returned says that the caller was told to come back before. It is sent away
-	// again only when its deadline cannot be met or too many such jobs are late.
-	Returned bool `json:"returned,omitempty"`
 }
 
 // Stage is one stage of a job.
--- a/node/stagework/machine_test.go
+++ b/node/stagework/machine_test.go
@@ -56,7 +56,7 @@
 
 func (w *world) addJob() {
 	w.serial++
-	j := Job{ID: fmt.Sprint("job", w.serial), Handed: fmt.Sprint("job", w.serial), Key: "k", DataCenter: "dc0", Left: time.Duration(rapid.IntRange(200, 4000).Draw(w.t, "left")) * time.Millisecond, Returned: rapid.Bool().Draw(w.t, "returned")}
+	j := Job{ID: fmt.Sprint("job", w.serial), Handed: fmt.Sprint("job", w.serial), Key: fmt.Sprint("k", rapid.IntRange(0, 9).Draw(w.t, "key")), DataCenter: "dc0", Left: time.Duration(rapid.IntRange(200, 4000).Draw(w.t, "left")) * time.Millisecond}
 	j.Goal = j.Left / 2
 	j.Stages = []Stage{
 		{Service: "a", Pieces: rapid.IntRange(0, 3).Draw(w.t, "p0"), Bytes: 500},
--- a/node/stagework/progress.go
+++ b/node/stagework/progress.go
@@ -19,6 +19,7 @@
 	started  []bool
 	made     []made
 	restarts int
+	returned bool                // its caller was sent away before
 	late     bool                // it was taken in although it misses its goal
 	answer   func(Result, error) // nil once called
 	expires  time.Time           // when its results are gone by themselves
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -37,12 +37,14 @@
 	jobs     map[string]*job
 	serial   uint64
 	owner    bool // this process starts calls
+	sentAway sentAway
 
 	lastEstimate time.Duration // of the last job that was handed in
+	lastReturned bool          // its caller was sent away before
 }
 
 func newScheduler() *scheduler {
-	return &scheduler{services: map[string]*serviceQueue{}, jobs: map[string]*job{}}
+	return &scheduler{services: map[string]*serviceQueue{}, jobs: map[string]*job{}, sentAway: sentAway{}}
 }
 
 // setServices takes over the services that make pieces and their upstreams.
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -138,7 +138,7 @@
 	s.post(func(now time.Time) {
 		s.scheduler.add(now, *j, func(r Result, err error) { answered <- answer{r, err} })
 		if _, taken := s.scheduler.jobs[j.Handed]; !taken {
-			s.log.Info("job refused", "request", j.ID, "jobs", len(s.scheduler.jobs), "estimate", s.scheduler.lastEstimate, "goal", j.Goal, "returned", j.Returned, "owner", s.scheduler.owner)
+			s.log.Info("job refused", "request", j.ID, "jobs", len(s.scheduler.jobs), "estimate", s.scheduler.lastEstimate, "goal", j.Goal, "sent_away_before", s.scheduler.lastReturned, "owner", s.scheduler.owner)
 		}
 	})
 	select {
