A fault soak: the adapter's program as separate processes under random faults

platform/soak starts six processes (four voters) from the rendered settings, with links to voters through the loopback relays of e2e/harness, eight stand-in upstreams that announce themselves, callers, two operators and readers. A seed draws faults that overlap: kill, stop, freeze, all at once, a lost folder, a disk that takes no more bytes, reload, isolation, one-way cuts, halves, delay, resets, sick, crashing and leaving upstreams. An oracle holds what callers, upstreams and operators see against the promises: at most one run, refusals that are true and say when to come back, own and whole answers and streams, own pieces and results, customers, withdrawn keys, no older version read, own content of a version, nobody denied, everything served again afterwards, and no calls after an acknowledged leaving. What builds the program and renders its settings is shared with platform_test (platform/testbed). Not covered: clocks that jump (no seam from outside of a process).

--- a/Makefile
+++ b/Makefile
@@ -4,14 +4,17 @@
 # race detector would see nothing there. e2e-long builds the processes with it
 # instead. Their results are never taken from go's cache, which does not know
 # the binaries that they build and start.
-PROCESSES = caperdrum.org/e2e caperdrum.org/ctl/orderstest caperdrum.org/platform
+PROCESSES = caperdrum.org/e2e caperdrum.org/ctl/orderstest caperdrum.org/platform caperdrum.org/platform/soak
 IN_PROCESS = $(filter-out $(PROCESSES),$(shell go list $(MODULES)))
+# Seeds of a long soak: fresh ones unless FIRST says otherwise.
+SEEDS ?= 50
+FIRST ?= $(shell date +%s)
 # Set by .ci/run from KNOWN-RED.txt: a pattern of tests that are passed over.
 SKIP ?=
 PASS_OVER = $(if $(SKIP),-skip '$(SKIP)')
 LDFLAGS = -ldflags "-X main.version=$(VERSION)"
 
-.PHONY: build demo test race e2e-long lint fuzz mutate bench bench-path capacity clean
+.PHONY: build demo test race e2e-long soak lint fuzz mutate bench bench-path capacity clean
 
 build:
 	go build $(LDFLAGS) -o bin/ ./node/cmd/caperdrumd ./ctl/cmd/caperdrum
@@ -29,6 +32,10 @@
 e2e-long:
 	go test -count=1 -parallel 4 -timeout 60m -v ./e2e -args -long
 
+# Processes under random faults, some 20 s a seed; SEEDS and FIRST say which.
+soak:
+	go test -count=1 -timeout 4h -v ./platform/soak -args -seeds $(SEEDS) -first $(FIRST) -steps 24
+
 # Long runs of the rapid machines and fuzz targets with a fresh seed.
 fuzz:
 	./scripts/fuzz.sh
--- a/e2e/harness/process.go
+++ b/e2e/harness/process.go
@@ -33,6 +33,7 @@
 // Process is one operating-system process under test.
 type Process struct {
 	Name string
+	Env  []string // beside the test's own environment
 	t    testing.TB
 	argv []string
 	log  string
@@ -43,8 +44,8 @@
 	status int
 }
 
-// newProcess returns a process that ends with the test.
-func newProcess(t testing.TB, name, dir string, argv ...string) *Process {
+// NewProcess returns a process that ends with the test.
+func NewProcess(t testing.TB, name, dir string, argv ...string) *Process {
 	p := &Process{Name: name, t: t, argv: argv, log: filepath.Join(dir, name+".log")}
 	t.Cleanup(p.cleanup)
 	return p
@@ -87,6 +88,7 @@
 	defer out.Close()
 	cmd := exec.Command(p.argv[0], p.argv[1:]...)
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Env = append(os.Environ(), p.Env...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	forking.Lock()
 	err = cmd.Start()
@@ -122,7 +124,8 @@
 	}
 }
 
-func (p *Process) signal(s syscall.Signal) {
+// Signal sends a signal to the process, if it runs.
+func (p *Process) Signal(s syscall.Signal) {
 	if pid := p.PID(); pid > 0 {
 		syscall.Kill(pid, s)
 	}
@@ -130,21 +133,21 @@
 
 // Kill sends SIGKILL and waits for the end.
 func (p *Process) Kill() {
-	p.signal(syscall.SIGKILL)
+	p.Signal(syscall.SIGKILL)
 	p.Wait()
 }
 
 // Stop sends SIGTERM and returns the exit status.
 func (p *Process) Stop() int {
-	p.signal(syscall.SIGTERM)
+	p.Signal(syscall.SIGTERM)
 	return p.Wait()
 }
 
 // Freeze sends SIGSTOP.
-func (p *Process) Freeze() { p.signal(syscall.SIGSTOP) }
+func (p *Process) Freeze() { p.Signal(syscall.SIGSTOP) }
 
 // Thaw sends SIGCONT.
-func (p *Process) Thaw() { p.signal(syscall.SIGCONT) }
+func (p *Process) Thaw() { p.Signal(syscall.SIGCONT) }
 
 // Wait returns the exit status; -1 when a signal ended the process.
 func (p *Process) Wait() int {
@@ -158,7 +161,7 @@
 	case <-exited:
 	case <-time.After(hungAfter):
 		p.t.Errorf("%s does not end", p.Name)
-		p.signal(syscall.SIGKILL)
+		p.Signal(syscall.SIGKILL)
 		<-exited
 	}
 	p.mu.Lock()
--- a/e2e/harness/relay.go
+++ b/e2e/harness/relay.go
@@ -30,6 +30,7 @@
 	mu sync.Mutex
 
 	processes map[string]*Process
+	targets   map[string]string // of the relays, by the process behind them
 	faults    map[direction]Fault
 	delay     time.Duration
 	changed   chan struct{}
@@ -44,12 +45,20 @@
 	lossy    bool // bytes are missing
 }
 
-func newNetwork(t testing.TB) *Network {
-	n := &Network{t: t, processes: map[string]*Process{}, faults: map[direction]Fault{}, changed: make(chan struct{}), links: map[*link]struct{}{}}
+// NewNetwork returns a network without relays, which ends with the test.
+func NewNetwork(t testing.TB) *Network {
+	n := &Network{t: t, processes: map[string]*Process{}, targets: map[string]string{}, faults: map[direction]Fault{}, changed: make(chan struct{}), links: map[*link]struct{}{}}
 	t.Cleanup(n.wg.Wait)
 	return n
 }
 
+// Add lets the network tell the connections that the process opens.
+func (n *Network) Add(p *Process) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.processes[p.Name] = p
+}
+
 // Set puts a fault on the bytes that go from one process to another.
 func (n *Network) Set(from, to string, f Fault) {
 	n.mu.Lock()
@@ -111,9 +120,16 @@
 	return Pass, n.delay, n.changed
 }
 
-// relay listens on address and passes connections on to target, which belongs
+// Target returns where the relay of a process passes connections on to.
+func (n *Network) Target(name string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.targets[name]
+}
+
+// Relay listens on address and passes connections on to target, which belongs
 // to the named process.
-func (n *Network) relay(name, address, target string) {
+func (n *Network) Relay(name, address, target string) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		n.t.Fatal(err)
@@ -122,6 +138,9 @@
 		l.Close()
 		n.CutConnections(Any, name)
 	})
+	n.mu.Lock()
+	n.targets[name] = target
+	n.mu.Unlock()
 	n.wg.Go(func() {
 		for {
 			c, err := l.Accept()
--- a/e2e/harness/system.go
+++ b/e2e/harness/system.go
@@ -92,7 +92,7 @@
 func Prepare(t testing.TB, o Options) *System {
 	o = withDefaults(o)
 	n := int(systems.Add(1))
-	s := &System{T: t, Dir: t.TempDir(), Network: newNetwork(t), Runs: &Runs{bodies: map[string]int{}}, opts: o, used: map[string]bool{},
+	s := &System{T: t, Dir: t.TempDir(), Network: NewNetwork(t), Runs: &Runs{bodies: map[string]int{}}, opts: o, used: map[string]bool{},
 		ip: fmt.Sprintf("127.%d.%d.", firstNet+os.Getpid()%nets, 1+(os.Getpid()/nets+n*16)%subnets)}
 	for i := range o.Controls {
 		s.peers = append(s.peers, s.address(i+1))
@@ -172,16 +172,14 @@
 	if err := os.WriteFile(path, []byte(ini), 0o600); err != nil {
 		s.T.Fatal(err)
 	}
-	p := newProcess(s.T, name, s.Dir, Daemon(), "-settings", path)
-	s.Network.mu.Lock()
-	s.Network.processes[name] = p
-	s.Network.mu.Unlock()
+	p := NewProcess(s.T, name, s.Dir, Daemon(), "-settings", path)
+	s.Network.Add(p)
 	return p
 }
 
 // Twin returns a second process with the settings of p.
 func (s *System) Twin(p *Process) *Process {
-	return newProcess(s.T, p.Name+"-twin", s.T.TempDir(), p.argv...)
+	return NewProcess(s.T, p.Name+"-twin", s.T.TempDir(), p.argv...)
 }
 
 func (s *System) header(name, dataCenter, role string, host int) string {
@@ -203,7 +201,7 @@
 		s.T.Fatal(err)
 	}
 	listen := s.address(i + 1)
-	s.Network.relay(name, s.peers[i], listen)
+	s.Network.Relay(name, s.peers[i], listen)
 	c.Process = s.daemon(name, s.header(name, "north", "control", i+1)+
 		fmt.Sprintf("[control]\nlisten = %s\nadvertise = %s\nadmin = %s\nvoters = %d\nopen_admin = true\n", listen, s.peers[i], c.Admin, s.opts.Voters))
 	s.Controls = append(s.Controls, c)
@@ -222,7 +220,7 @@
 	ini := s.header(name, "south", "agent", host) + fmt.Sprintf("[agent]\nlisten = %s\nservice = %s\nupstream = %s\n", a.Gate, service, a.Upstream.Address)
 	if s.opts.GateRelays {
 		advertised := s.address(host)
-		s.Network.relay(name, advertised, a.Gate)
+		s.Network.Relay(name, advertised, a.Gate)
 		ini += "advertise = " + advertised + "\n"
 	}
 	a.Process = s.daemon(name, ini)
