--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Breaks one safeguard at a time in a scratch copy and shows whether the tests
 # notice, after how many runs of the rapid machine and how many seconds. Fails
-# if a break goes unnoticed. Usage: mutate.sh [PATTERN of names]
+# if a break goes unnoticed. Usage: mutate.sh [PATTERN of names]; LIST names another
+# list, such as that of the soak, whose tests are named from the root.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 
@@ -11,6 +12,7 @@
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
 missed=0
+list=${LIST:-scripts/mutations.txt}
 
 echo "seed=$seed"
 while IFS='|' read -r name file expression test; do
@@ -28,7 +30,9 @@
 	flags=
 	[[ $test == *TestCluster* ]] && flags="-rapid.seed=$seed -rapid.checks=$checks -rapid.steps=200 -rapid.nofailfile -rapid.shrinktime=1s"
 	start=$(date +%s.%N)
-	out=$(cd "$scratch/tree/node" && go test -timeout 600s $test $flags 2>&1)
+	module=node
+	[[ $test == *./platform/* ]] && module=.
+	out=$(cd "$scratch/tree/$module" && go test -timeout 600s $test $flags 2>&1)
 	code=$?
 	took=$(echo "$(date +%s.%N) $start" | awk '{printf "%.1f", $1 - $2}')
 	if ((code == 0)) || grep -q 'build failed\|setup failed' <<<"$out"; then
@@ -41,5 +45,5 @@
 	what=$(grep -o '\(failed\|panic\) after [0-9]* tests: .*' <<<"$out" | head -1 | cut -d: -f2- | cut -c1-110)
 	[ -z "$what" ] && what=$(grep -o '[a-z_]*\.go:[0-9]*: .*' <<<"$out" | grep -m1 -v ' keys: ' | cut -c1-110)
 	echo "mutation=\"$name\" result=caught runs=\"${runs:--}\" seconds=$took said=\"${what# }\""
-done <scripts/mutations.txt
+done <"$list"
 exit $missed
