Stages: callers that come back are served behind first tries, and come back later

Cause: a caller that was sent away and came back competed with first tries as an equal. Its wait counts from the first try, so it is worth less than half of one that is served at once, and it took the place of one. Four of ten calls in an overload had been sent away before; they came back uniformly from 0.3 s on, mostly into the same burst, and were refused again. Change: three tiers in the queue (first tries in time, returned callers in time, late ones); only first tries count in the estimate of a first try; at most 25 jobs of the last two tiers are under way; callers are sent away for the last two fifths of the third of their time that they honour. Tests: TestOrderOfTheQueue, TestCallersThatComeBackAreBounded.

--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -14,18 +14,21 @@
 	// handOver is how long a result that no stage follows lies at its maker, for
 	// the way to the engine and its fetch.
 	handOver = 200 * time.Millisecond
-	// comeBackMin and comeBackPart bound when a caller is told to come back: the
-	// burst must have time to pass, and a caller honours up to a third of the
-	// time that it has left.
-	comeBackMin  = 300 * time.Millisecond
+	// comeBackPart bounds when a caller is told to come back: a caller honours up
+	// to a third of the time that it has left.
 	comeBackPart = 3
+	// comeBackFrom is the part of that third before which nobody is told to come
+	// back: bursts last for 3 s to 8 s, and a caller that is sent away twice is
+	// worth less than one that never came.
+	comeBackFrom = 0.6
 	// trustAbove is the number of jobs under way from which on estimates decide:
 	// a few jobs never overload a service.
 	trustAbove = 8
-	// maxLate is how many late calls may be under way: they use what the others
-	// leave, and hold room meanwhile. Without a bound half of all answers were late
-	// in an overload; 12, 25 and 45 differ by less than 0.01 of worth a day.
-	maxLate = 25
+	// maxBehind is how many calls may be under way that are late or whose callers
+	// come back: they use what first tries leave, and hold room meanwhile. Without a
+	// bound half of all answers were late in an overload; 12, 25 and 45 differ by
+	// less than 0.01 of worth a day.
+	maxBehind = 25
 )
 
 // refuse reports whether a job would miss its goal behind those that are under
@@ -39,16 +42,17 @@
 	j.returned = s.sentAway.has(j.Key, now)
 	estimate := s.estimate(now, j)
 	s.lastEstimate, s.lastReturned = estimate, j.returned
-	if !now.Add(estimate).After(j.goal) {
+	late := now.Add(estimate).After(j.goal)
+	if !late && !j.returned {
 		return 0, false
 	}
-	if j.returned && s.lateJobs(now) < maxLate && now.Add(estimate).Before(j.deadline) {
-		j.late = true
+	if j.returned && s.behind(now) < maxBehind && now.Add(estimate).Before(j.deadline) {
+		j.late = late
 		return 0, false
 	}
 	s.sentAway.add(j.Key, now, j.deadline)
 	longest := j.Left / comeBackPart
-	shortest := min(comeBackMin, longest)
+	shortest := time.Duration(comeBackFrom * float64(longest))
 	return shortest + time.Duration(rand.Float64()*float64(longest-shortest)), true
 }
 
@@ -86,11 +90,11 @@
 	return sum
 }
 
-// lateJobs counts the jobs under way that miss their goal.
-func (s *scheduler) lateJobs(now time.Time) int {
+// behind counts the jobs under way that miss their goal or whose callers came back.
+func (s *scheduler) behind(now time.Time) int {
 	n := 0
 	for _, j := range s.jobs {
-		if j.answer != nil && (j.late || j.goal.Before(now)) {
+		if j.answer != nil && (j.returned || j.late || j.goal.Before(now)) {
 			n++
 		}
 	}
@@ -98,12 +102,12 @@
 }
 
 // ahead counts the pieces that are not made yet, by service, of jobs whose goal
-// comes first. Those that are late count once they hold results.
+// comes first. Those that are behind first tries count once they hold results.
 func (s *scheduler) ahead(now, goal time.Time) map[string]int {
 	out := map[string]int{}
 	for _, other := range s.jobs {
-		late := other.late || other.goal.Before(now)
-		if other.answer == nil || late && len(other.made) == 0 || other.goal.After(goal) {
+		behind := other.returned || other.late || other.goal.Before(now)
+		if other.answer == nil || behind && len(other.made) == 0 || other.goal.After(goal) {
 			continue
 		}
 		for i, st := range other.Stages {
--- a/node/stagework/admission_test.go
+++ b/node/stagework/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -67,3 +68,48 @@
 		t.Fatalf("%d are remembered after the deadline of all", len(a))
 	}
 }
+
+// TestOrderOfTheQueue queues pieces of each tier in every order: first tries go
+// before callers that came back, those before late ones, and within a tier those
+// that must start first.
+func TestOrderOfTheQueue(t *testing.T) {
+	now := time.Unix(1000, 0)
+	spec := services["a"]
+	made := func(goal time.Duration, returned, late bool) *piece {
+		j := &job{goal: now.Add(goal), deadline: now.Add(time.Minute + goal), returned: returned, late: late, tail: []time.Duration{0}}
+		return &piece{job: j}
+	}
+	want := []*piece{
+		made(time.Second, false, false), made(2*time.Second, false, false),
+		made(time.Second, true, false), made(2*time.Second, true, false),
+		made(-2*time.Second, false, false), made(-time.Second, true, false), made(time.Second, true, true),
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		got := rapid.Permutation(want).Draw(t, "queue")
+		slices.SortFunc(got, func(a, b *piece) int { return a.compare(b, now, spec) })
+		if !slices.Equal(got, want) {
+			t.Fatal("in another order")
+		}
+	})
+}
+
+// TestCallersThatComeBackAreBounded lets many callers come back during an overload:
+// no more than maxBehind are taken in.
+func TestCallersThatComeBackAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := newOverloaded(t)
+		taken := 0
+		for i := range 2 * maxBehind {
+			key := fmt.Sprint("k", i)
+			if o.offer("first "+key, key, 4) {
+				t.Fatal("a job that misses its goal was taken in")
+			}
+			if o.offer("again "+key, key, 4) {
+				taken++
+			}
+		}
+		if taken > maxBehind || taken == 0 {
+			t.Fatalf("%d are taken in, at most %d should", taken, maxBehind)
+		}
+	})
+}
