Stages: a less urgent route is not served before a more urgent one that needs the same service

Change: for each service the owner counts, over the last two seconds, how many first tries of each priority asked and were refused because of it. A job is refused when a more urgent priority is refused more often by 0.05 at a service that both need. The route's priority counts, not the customer's: what is compared are kinds of call.

--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -177,7 +177,7 @@
 
 func (x *exchange) job() (job stagework.Job, pieces int) {
 	job = stagework.Job{ID: x.call.ID, Key: x.call.PieceKey, Left: time.Until(x.deadline),
-		Goal: time.Until(x.began.Add(x.route.Goal - engineStart)), DataCenter: x.engineAt()}
+		Goal: time.Until(x.began.Add(x.route.Goal - engineStart)), DataCenter: x.engineAt(), Priority: x.route.Priority}
 	for i, st := range x.route.Stages {
 		n := 0
 		if i < len(x.call.Pieces) {
--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -32,34 +32,46 @@
 )
 
 // refuse reports whether a job would miss its goal behind those that are under
-// way, and when its caller should come back. Work on a call that will be late
-// makes others late too. Some callers that have been sent away once are taken in
-// although they will be late.
+// way, or be taken in before more urgent ones, and when its caller should come back.
+// Work on a call that will be late makes others late too. Some callers that come
+// back are taken in behind all first tries, late or not.
 func (s *scheduler) refuse(now time.Time, j *job) (comeBack time.Duration, refused bool) {
 	if len(s.jobs) < trustAbove {
 		return 0, false
 	}
 	j.returned = s.sentAway.has(j.Key, now)
-	estimate := s.estimate(now, j)
+	estimate, binding := s.estimate(now, j)
 	s.lastEstimate, s.lastReturned = estimate, j.returned
 	late := now.Add(estimate).After(j.goal)
-	if !late && !j.returned {
-		return 0, false
+	if j.returned {
+		if s.behind(now) < maxBehind && now.Add(estimate).Before(j.deadline) {
+			j.late = late
+			return 0, false
+		}
+		return s.sendAway(now, j), true
+	}
+	if !late {
+		binding = s.privileged(now, j)
 	}
-	if j.returned && s.behind(now) < maxBehind && now.Add(estimate).Before(j.deadline) {
-		j.late = late
+	s.count(now, j, binding)
+	if binding == "" {
 		return 0, false
 	}
+	return s.sendAway(now, j), true
+}
+
+// sendAway remembers the caller and returns when it should come back.
+func (s *scheduler) sendAway(now time.Time, j *job) time.Duration {
 	s.sentAway.add(j.Key, now, j.deadline)
 	longest := j.Left / comeBackPart
 	shortest := time.Duration(comeBackFrom * float64(longest))
-	return shortest + time.Duration(rand.Float64()*float64(longest-shortest)), true
+	return shortest + time.Duration(rand.Float64()*float64(longest-shortest))
 }
 
 // estimate is how long the stages of a new job take behind the jobs whose time
 // comes before: at each service that it needs, the work that is on its way
-// there, and what follows.
-func (s *scheduler) estimate(now time.Time, j *job) time.Duration {
+// there, and what follows. binding is the service that it waits for longest.
+func (s *scheduler) estimate(now time.Time, j *job) (estimate time.Duration, binding string) {
 	ahead := s.ahead(now, j.goal)
 	var longest, service time.Duration
 	for i, st := range j.Stages {
@@ -69,15 +81,17 @@
 		q := s.services[st.Service]
 		rate := q.rate(st.Bytes, s.following(j, i))
 		if rate <= 0 {
-			return j.Left + 1
+			return j.Left + 1, st.Service
 		}
 		own := q.spec.CallTime + time.Duration(st.Pieces)*q.spec.PieceTime
 		wait := time.Duration(float64(ahead[st.Service]) / rate * float64(time.Second))
-		longest = max(longest, wait+own+j.tail[i])
+		if whole := wait + own + j.tail[i]; whole > longest {
+			longest, binding = whole, st.Service
+		}
 		service = max(service, own+j.tail[i])
 	}
 	// Half a call passes on average until an upstream is free.
-	return max(longest, service+s.halfCalls(j))
+	return max(longest, service+s.halfCalls(j)), binding
 }
 
 func (s *scheduler) halfCalls(j *job) time.Duration {
--- a/node/stagework/job.go
+++ b/node/stagework/job.go
@@ -19,6 +19,7 @@
 	Left       time.Duration `json:"left"` // until the call is worthless
 	Goal       time.Duration `json:"goal"` // until it is worth less; negative when that has passed
 	DataCenter string        `json:"data_center"`
+	Priority   int           `json:"priority,omitempty"` // 0 is the most urgent
 }
 
 // Stage is one stage of a job.
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -29,6 +29,7 @@
 	spec    *optext.Service
 	waiting []*piece
 	workers map[wire.MemberID]*worker
+	asked   classes // jobs that need this service
 }
 
 // worker is an upstream that makes pieces.
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -55,7 +55,7 @@
 		}
 		q := s.services[name]
 		if q == nil {
-			q = &serviceQueue{workers: map[wire.MemberID]*worker{}}
+			q = &serviceQueue{workers: map[wire.MemberID]*worker{}, asked: classes{}}
 			s.services[name] = q
 		}
 		q.spec = spec
