--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -221,7 +221,7 @@
 		f.Fail("node", "log_level", "unknown log level", "use info or debug")
 	}
 	if s.Node.Memory < 0 {
-		f.Fail("node", "memory", "less than nothing", "use MB, or 0 for no limit")
+		f.Fail("node", "memory", "memory is negative", "use MB, or 0 for no limit")
 	}
 	s.checkPlainText(f)
 	for _, a := range s.Peers.Control {
