--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 
 # Processes under random faults, some 20 s a seed; SEEDS and FIRST say which.
 soak:
-	go test -count=1 -timeout 4h -v ./platform/soak -args -seeds $(SEEDS) -first $(FIRST) -steps 24
+	go test -count=1 -timeout 4h -v ./platform/soak -args -seeds $(SEEDS) -first $(FIRST) -steps 24 -slack 1
 
 # Long runs of the rapid machines and fuzz targets with a fresh seed.
 fuzz:
