Stages: a line for each job that ended says where its time went

Ruled out: stage call lines, which do not name the calls' jobs. Change: 'job ended' at the owner, one line a job at the routine level (its kind is bounded as all others): each stage's wait and work, the estimate it was taken in by, what was left to its goal.

--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -41,6 +41,7 @@
 	}
 	j.returned = s.sentAway.has(j.Key, now)
 	estimate, binding := s.estimate(now, j)
+	j.estimate = estimate
 	s.lastEstimate, s.lastReturned = estimate, j.returned
 	late := now.Add(estimate).After(j.goal)
 	if j.returned {
--- a/node/stagework/progress.go
+++ b/node/stagework/progress.go
@@ -1,7 +1,9 @@
 package stagework
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -17,14 +19,52 @@
 	handles  [][]string      // by stage and piece
 	missing  []int           // by stage: pieces not made yet
 	started  []bool
+	times    []stageTimes // by stage
 	made     []made
 	restarts int
 	returned bool                // its caller was sent away before
 	late     bool                // it was taken in although it misses its goal
+	estimate time.Duration       // of its stages, when it was taken in; zero where nothing was estimated
 	answer   func(Result, error) // nil once called
 	expires  time.Time           // when its results are gone by themselves
 }
 
+// stageTimes are the moments of one stage of a job; zero while they have not come.
+type stageTimes struct {
+	ready, begun, made time.Time
+}
+
+// begin notes that the first pieces of a stage are in a call.
+func (j *job) begin(stage int, now time.Time) {
+	if t := &j.times[stage]; t.begun.IsZero() {
+		t.begun = now
+	}
+}
+
+// trace says for each stage how long its pieces waited for a call, and how long
+// they were being made: what a log line needs to show where a job's time went.
+func (j *job) trace() string {
+	var b strings.Builder
+	for i, t := range j.times {
+		if t.ready.IsZero() {
+			continue
+		}
+		if b.Len() > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%d:", i)
+		if t.begun.IsZero() {
+			b.WriteString("waits")
+			continue
+		}
+		fmt.Fprintf(&b, "%d", t.begun.Sub(t.ready).Milliseconds())
+		if !t.made.IsZero() {
+			fmt.Fprintf(&b, "+%d", t.made.Sub(t.begun).Milliseconds())
+		}
+	}
+	return b.String()
+}
+
 // made is a result that an upstream holds.
 type made struct {
 	worker *worker
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -269,6 +269,7 @@
 		for _, p := range group {
 			taken[p] = true
 			p.job.calls++
+			p.job.begin(p.stage, now)
 			c.waited = max(c.waited, now.Sub(p.queued))
 			c.pieces = append(c.pieces, p)
 			c.request = append(c.request, p.request(now))
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -112,6 +112,7 @@
 func (s *scheduler) reset(j *job) {
 	n := len(j.Stages)
 	j.tail, j.handles, j.missing, j.started = make([]time.Duration, n), make([][]string, n), make([]int, n), make([]bool, n)
+	j.times = make([]stageTimes, n)
 	for i := n - 1; i >= 0; i-- {
 		st := j.Stages[i]
 		j.handles[i], j.missing[i] = make([]string, st.Pieces), st.Pieces
@@ -138,6 +139,7 @@
 			continue
 		}
 		j.started[i] = true
+		j.times[i].ready = now
 		q := s.services[st.Service]
 		home := j.home(i)
 		for k := range st.Pieces {
@@ -324,6 +326,7 @@
 	if j.missing[p.stage] > 0 {
 		return nil
 	}
+	j.times[p.stage].made = now
 	s.advance(now, j)
 	if j.answer == nil {
 		j.expires = now.Add(s.services[j.Stages[p.stage].Service].spec.ResultTTL)
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -136,7 +136,10 @@
 	}
 	answered := make(chan answer, 1)
 	s.post(func(now time.Time) {
-		s.scheduler.add(now, *j, func(r Result, err error) { answered <- answer{r, err} })
+		s.scheduler.add(now, *j, func(r Result, err error) {
+			s.ended(j, err)
+			answered <- answer{r, err}
+		})
 		if _, taken := s.scheduler.jobs[j.Handed]; !taken {
 			s.log.Info("job refused", "request", j.ID, "jobs", len(s.scheduler.jobs), "estimate", s.scheduler.lastEstimate, "goal", j.Goal, "sent_away_before", s.scheduler.lastReturned, "owner", s.scheduler.owner)
 		}
@@ -151,6 +154,17 @@
 	}
 }
 
+// ended logs where the time of a job went that was taken in.
+func (s *Service) ended(j *Job, err error) {
+	n, taken := s.scheduler.jobs[j.Handed]
+	if !taken {
+		return // refused: its own line says why
+	}
+	now := time.Now()
+	s.log.V(logging.Routine).Info("job ended", "request", j.ID, "priority", j.Priority, "after", now.Sub(n.arrived), "to_goal", n.goal.Sub(now),
+		"waited_and_made_ms", n.trace(), "estimate", n.estimate, "late", n.late, "sent_away_before", n.returned, "restarts", n.restarts, "error", err)
+}
+
 func (s *Service) done(_ context.Context, d *Done) (*control.Empty, error) {
 	s.post(func(time.Time) { s.free(s.scheduler.done(d.Handed)) })
 	return &control.Empty{}, nil
