Proxy: a call that comes before the first configuration waits for it

Cause: after a loss of all processes callers reach processes 0.35 s to 0.9 s before these know a configuration (an election, then synchronization). Ruled out: a shorter time to come back (callers have one more try, and a second refusal ends the call); waiting whenever the configuration is missing (a process that is cut off from control would hold each call for nothing). Change: for 1.2 s after its start a process lets calls wait, 512 at most.

--- /dev/null
+++ b/node/proxy/firstview_test.go
@@ -0,0 +1,85 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// starting is a bed whose process has no configuration yet, on a clock of the
+// test's.
+func starting(t *testing.T) (*bed, *clockwork.FakeClock) {
+	b, clock := newBed(t), clockwork.NewFakeClock()
+	b.upstream("desk", "d", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	b.service.table.Store(nil) // the bed's upstreams come with a view
+	b.service.first = newFirstView(clock)
+	return b, clock
+}
+
+// ask sends a call and returns where its status will come.
+func (b *bed) ask() <-chan int {
+	status := make(chan int, 1)
+	go func() {
+		r, err := http.NewRequest(http.MethodGet, b.front.URL+"/reserve/deep/x", nil)
+		if err != nil {
+			b.t.Error(err)
+		}
+		r.Host = "desk.example"
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			status <- 0
+			return
+		}
+		resp.Body.Close()
+		status <- resp.StatusCode
+	}()
+	return status
+}
+
+// TestCallWaitsForTheFirstConfiguration sends a call to a process that has just
+// started: it is served as soon as there is a configuration.
+func TestCallWaitsForTheFirstConfiguration(t *testing.T) {
+	b, clock := starting(t)
+	status := b.ask()
+	if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	b.service.follow(&b.view)
+	if got := <-status; got != http.StatusOK {
+		t.Fatalf("status %d", got)
+	}
+}
+
+// TestNobodyWaitsPastTheStart lets a call wait until the time for it is over, and
+// sends another one after that: both are refused as not run.
+func TestNobodyWaitsPastTheStart(t *testing.T) {
+	b, clock := starting(t)
+	status := b.ask()
+	if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	clock.Advance(startGap)
+	for _, s := range []<-chan int{status, b.ask()} {
+		if got := <-s; got != http.StatusServiceUnavailable {
+			t.Fatalf("status %d", got)
+		}
+	}
+}
+
+// TestWaitingCallsAreBounded fills the places for calls that wait: the next one
+// does not wait.
+func TestWaitingCallsAreBounded(t *testing.T) {
+	f := newFirstView(clockwork.NewFakeClock())
+	f.waiting.Store(maxWaiting)
+	f.wait(context.Background())
+	if got := f.waiting.Load(); got != maxWaiting {
+		t.Fatalf("%d wait", got)
+	}
+	f.waiting.Store(0)
+	left, leave := context.WithTimeout(context.Background(), time.Nanosecond)
+	defer leave()
+	f.wait(left) // a caller that has left does not wait either
+}
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -88,6 +88,7 @@
 	pool      *upstream.Pool
 	endpoints *endpoints
 	table     atomic.Pointer[table]
+	first     *firstView
 	stopping  atomic.Bool
 	unready   atomic.Pointer[string] // why this process is not ready; nil while it is
 	ending    context.Context        // ends when calls must get their final answer
@@ -110,7 +111,7 @@
 
 func newService(set *settings.Settings, log logr.Logger, protocol upstream.Protocol, views views, stages stages) *Service {
 	s := &Service{set: set, log: log, protocol: protocol, sync: views, stages: stages,
-		pool: upstream.NewPool(protocol), endpoints: newEndpoints(), budgets: map[string]*retry.Window{}}
+		pool: upstream.NewPool(protocol), endpoints: newEndpoints(), first: newFirstView(clockwork.NewRealClock()), budgets: map[string]*retry.Window{}}
 	s.ending, s.end = context.WithCancel(context.Background())
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 	s.ready = &http.Server{Handler: http.HandlerFunc(s.answerReady), ReadHeaderTimeout: headerTimeout}
@@ -120,6 +121,9 @@
 // follow takes over a view of the configuration and the members.
 func (s *Service) follow(v *configsync.View) {
 	s.table.Store(newTable(v))
+	if v.Version > 0 {
+		s.first.set()
+	}
 	s.endpoints.keep(v.Announced)
 }
 
@@ -227,7 +231,11 @@
 // admit finds the route and the customer, and how long the call may take.
 func (x *exchange) admit() error {
 	s := x.s
-	if x.table == nil || x.table.version == 0 {
+	if !x.table.configured() {
+		s.first.wait(x.r.Context())
+		x.table = s.table.Load()
+	}
+	if !x.table.configured() {
 		return verdict.New(verdict.NotRun, verdict.CodeStale, "no configuration yet").After(afterOutage())
 	}
 	var err error
--- a/node/proxy/ready.go
+++ b/node/proxy/ready.go
@@ -17,7 +17,7 @@
 	switch {
 	case s.stopping.Load():
 		return "stopping"
-	case t == nil || t.version == 0:
+	case !t.configured():
 		return "no configuration yet"
 	case s.sync.StampAge() > s.set.Proxy.KeyAge:
 		return "no confirmation by a quorum"
--- a/node/proxy/table.go
+++ b/node/proxy/table.go
@@ -44,6 +44,9 @@
 	return t
 }
 
+// configured reports whether this process knows a configuration.
+func (t *table) configured() bool { return t != nil && t.version > 0 }
+
 // route returns the route of the host with the longest prefix of path.
 func (t *table) route(host, path string) *optext.Route {
 	if name, _, err := net.SplitHostPort(host); err == nil {
