Stages: the owner finds out what upstreams hold that it has not made

Cause: an owner counts room by its own results only. Ruled out: believing the report alone. Change: upstreams are asked for their room when the queues are taken over, and after a piece without room; a refused piece tells exactly what others hold; that is given up in sixths, and after the results' lifetime altogether. Admission counts with the room that is left.

--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -152,11 +152,10 @@
 // rate is how many pieces a second the service makes, bounded by its upstreams'
 // time and by the room for results that are held for hold after they are made.
 func (q *serviceQueue) rate(bytes int64, hold time.Duration) float64 {
-	n := float64(q.healthy())
 	call := fullCall(q.spec)
-	rate := n * float64(q.spec.Batch) / call.Seconds() * efficiency
+	rate := float64(q.healthy()) * float64(q.spec.Batch) / call.Seconds() * efficiency
 	if q.spec.ResultRoom > 0 && bytes > 0 {
-		rate = min(rate, n*float64(q.spec.ResultRoom)/float64(bytes)/(call+hold).Seconds())
+		rate = min(rate, float64(q.ownRoom())/float64(bytes)/(call+hold).Seconds())
 	}
 	return rate
 }
--- a/node/stagework/classes_test.go
+++ b/node/stagework/classes_test.go
@@ -24,7 +24,7 @@
 func newBusyService(t *testing.T) *busyService {
 	b := &busyService{t: t, s: newScheduler(), now: time.Unix(1000, 0)}
 	b.s.setServices(services, map[string][]wire.Member{"a": {{ID: "a1"}, {ID: "a2"}}})
-	b.s.own(true)
+	b.s.own(b.now, true, false)
 	return b
 }
 
--- a/node/stagework/machine_test.go
+++ b/node/stagework/machine_test.go
@@ -50,7 +50,7 @@
 		}
 	}
 	w.s.setServices(services, w.members)
-	w.s.own(true)
+	w.s.own(w.now, true, false)
 	return w
 }
 
@@ -82,8 +82,8 @@
 		if c.worker.running > spec.Calls {
 			w.t.Fatalf("%d calls at %s", c.worker.running, c.worker.member.ID)
 		}
-		if c.worker.room > spec.ResultRoom {
-			w.t.Fatalf("%s holds %d of %d bytes", c.worker.member.ID, c.worker.room, spec.ResultRoom)
+		if c.worker.own > spec.ResultRoom {
+			w.t.Fatalf("%s holds %d of %d bytes", c.worker.member.ID, c.worker.own, spec.ResultRoom)
 		}
 		if !w.s.owner {
 			w.t.Fatal("a call by a process that does not own the queues")
@@ -166,6 +166,22 @@
 	w.s.freed(results)
 }
 
+// report lets the upstreams that are asked for their room answer: with what an
+// owner before left there, or not at all.
+func (w *world) report() {
+	for _, asked := range w.s.reports(w.now) {
+		free := int64(rapid.IntRange(-1, 4000).Draw(w.t, "free"))
+		if free < 0 {
+			w.s.reported(w.now, asked, nil)
+		} else {
+			w.s.reported(w.now, asked, &upstream.Room{Free: free, FreeMost: free + int64(rapid.IntRange(0, 500).Draw(w.t, "more"))})
+		}
+		if asked.foreign < 0 || free >= 0 && asked.foreign > services[asked.member.Service].ResultRoom {
+			w.t.Fatalf("%s holds %d bytes of others", asked.member.ID, asked.foreign)
+		}
+	}
+}
+
 func (w *world) release() {
 	for _, tr := range w.jobs {
 		if tr.answered > 0 {
@@ -238,7 +254,8 @@
 				w.now = w.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
 				w.free(w.s.expire(w.now))
 			},
-			"owner": func(t *rapid.T) { w.free(w.s.own(rapid.IntRange(0, 3).Draw(t, "owner") > 0)) },
+			"owner":  func(t *rapid.T) { w.free(w.s.own(w.now, rapid.IntRange(0, 3).Draw(t, "owner") > 0, true)) },
+			"report": func(t *rapid.T) { w.report() },
 			"": func(*rapid.T) {
 				w.start()
 				w.check()
@@ -263,8 +280,8 @@
 				t.Fatalf("%d pieces wait at %s for nobody", len(q.waiting), name)
 			}
 			for id, worker := range q.workers {
-				if worker.room < 0 || worker.running != 0 {
-					t.Fatalf("%s: room %d, %d calls", id, worker.room, worker.running)
+				if worker.own < 0 || worker.running != 0 {
+					t.Fatalf("%s: room %d, %d calls", id, worker.own, worker.running)
 				}
 			}
 		}
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -34,9 +34,9 @@
 
 // worker is an upstream that makes pieces.
 type worker struct {
-	member   wire.Member
-	running  int
-	room     int64 // bytes of results that it holds, as far as known here
+	member  wire.Member
+	running int
+	held
 	until    time.Time
 	failures int
 	ratio    float64 // of the duration of its calls to what the text says
@@ -130,7 +130,7 @@
 	free := map[string]time.Duration{}
 	upstreams, queued := map[string]int{}, map[string]int{}
 	for _, w := range q.workers {
-		if w.ratio > slowRatio || w.failures > 0 {
+		if !w.healthy() {
 			continue
 		}
 		dc := w.member.DataCenter
@@ -188,20 +188,33 @@
 	if q.spec.ResultRoom <= 0 {
 		return 1 << 60
 	}
-	return q.spec.ResultRoom - w.room
+	return q.spec.ResultRoom - w.own - w.foreign
 }
 
 // healthy counts the upstreams that are neither slow nor failing.
 func (q *serviceQueue) healthy() int {
 	n := 0
 	for _, w := range q.workers {
-		if w.ratio <= slowRatio && w.failures == 0 {
+		if w.healthy() {
 			n++
 		}
 	}
 	return n
 }
 
+// ownRoom is how many bytes of this owner's results all healthy upstreams can hold.
+func (q *serviceQueue) ownRoom() int64 {
+	var sum int64
+	for _, w := range q.workers {
+		if w.healthy() {
+			sum += max(0, q.spec.ResultRoom-w.foreign)
+		}
+	}
+	return sum
+}
+
+func (w *worker) healthy() bool { return w.ratio <= slowRatio && w.failures == 0 }
+
 // compare orders pieces: first those whose call can still reach its goal, by
 // when they must start for that, first tries before callers that came back, who
 // have waited already; then the others by their deadline.
@@ -257,7 +270,7 @@
 		}
 		if !fits { // larger than any call, or than the room that is left
 			n := min(len(group), q.spec.Batch, int(room/max(1, group[0].bytes())))
-			if n == 0 && w.room > 0 {
+			if n == 0 && w.own+w.foreign > 0 {
 				continue
 			}
 			group = group[:max(1, n)]
@@ -281,7 +294,7 @@
 	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool { return taken[p] })
 	c.behind = len(q.waiting)
 	w.running++
-	w.room += c.bytes
+	w.hold(c.bytes)
 	w.used = now
 	w.freeAt = now.Add(time.Duration(float64(c.expect) * max(1, w.ratio)))
 	c.limit = callLimit(c.expect, w.ratio)
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -91,8 +91,12 @@
 }
 
 // own takes the ownership or gives it up. Jobs that are given up begin anew at
-// the next owner; what was made for them is freed.
-func (s *scheduler) own(owner bool) []made {
+// the next owner; what was made for them is freed. With after there was an owner
+// before this one.
+func (s *scheduler) own(now time.Time, owner, after bool) []made {
+	if owner && after && !s.owner {
+		s.askAll(now)
+	}
 	s.owner = owner
 	if owner {
 		return nil
@@ -191,7 +195,7 @@
 // freed notes that results take no room any more.
 func (s *scheduler) freed(results []made) {
 	for _, m := range results {
-		m.worker.room -= m.bytes
+		m.worker.hold(-m.bytes)
 	}
 }
 
@@ -276,7 +280,7 @@
 func (s *scheduler) finish(now time.Time, c *call, o outcome) []made {
 	w := c.worker
 	w.running--
-	w.room -= c.bytes
+	w.hold(-c.bytes)
 	s.judge(now, c, o)
 	var free []made
 	for i, p := range c.pieces {
@@ -290,7 +294,7 @@
 			continue
 		}
 		m := made{worker: w, handle: r.Handle, bytes: p.job.Stages[p.stage].Bytes, stage: p.stage}
-		w.room += m.bytes
+		w.hold(m.bytes)
 		if p.job.answer == nil || p.epoch != p.job.restarts {
 			free = append(free, m)
 			continue
@@ -343,6 +347,8 @@
 	switch {
 	case why == upstream.NoRoom:
 		c.worker.until = now.Add(fullPause)
+		spec := s.services[c.service].spec
+		c.worker.noRoom(now, spec.ResultRoom, p.bytes(), spec.ResultTTL)
 	case why == upstream.InputGone && j.restarts < maxRestarts:
 		return s.restart(now, j)
 	case why == upstream.InputGone, why == upstream.Late:
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -26,7 +26,10 @@
 	// freeInterval is how long results are collected before they are freed.
 	freeInterval = 40 * time.Millisecond
 	freeTimeout  = time.Second
-	maxAnswer    = 1 << 20 // bytes of an answer to a call for pieces
+	// reportTimeout bounds the wait for an upstream's report: two tries of a lost
+	// packet on a link within a region.
+	reportTimeout = 500 * time.Millisecond
+	maxAnswer     = 1 << 20 // bytes of an answer to a call for pieces
 )
 
 // Params are what the service needs.
@@ -72,7 +75,7 @@
 		self := p.ConfigSync.Self()
 		s.post(func(now time.Time) {
 			s.scheduler.setServices(v.Config.Services, v.Announced)
-			s.free(s.scheduler.own(v.Owner.ID == self.ID && v.Owner.Incarnation == self.Incarnation))
+			s.free(s.scheduler.own(now, v.Owner.ID == self.ID && v.Owner.Incarnation == self.Incarnation, v.Owner.Epoch > 1))
 		})
 		s.link.follow(v.Owner)
 	})
@@ -118,6 +121,9 @@
 			armed = false
 			s.free(s.scheduler.expire(time.Now()))
 		}
+		for _, w := range s.scheduler.reports(time.Now()) {
+			go s.askRoom(w)
+		}
 		for _, c := range s.scheduler.start(time.Now()) {
 			go s.call(c)
 		}
@@ -219,6 +225,36 @@
 	return outcome{results: results}
 }
 
+// askRoom asks an upstream how much room it has for results.
+func (s *Service) askRoom(w *worker) {
+	room, err := s.roomOf(w.member)
+	s.post(func(now time.Time) {
+		s.scheduler.reported(now, w, room)
+		s.log.V(logging.Detail).Info("upstream asked for its room", "service", w.member.Service, "upstream", w.member.ID, "report", room, "own", w.own, "of_others", w.foreign, "error", err)
+	})
+}
+
+// roomOf returns an upstream's report of its room.
+func (s *Service) roomOf(m wire.Member) (*upstream.Room, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
+	defer cancel()
+	header := http.Header{}
+	s.protocol.Tell(header, upstream.Told{Instance: m.ID})
+	resp, err := s.pool.Do(ctx, &upstream.Request{Address: m.Direct, Method: http.MethodGet, Target: s.protocol.RoomPath(), Host: m.Direct, Header: header})
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Close()
+	if resp.Status != http.StatusOK {
+		return nil, errors.Errorf("status %d", resp.Status)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, err
+	}
+	return s.protocol.Room(data)
+}
+
 // free collects results that are given up and frees them a little later, many
 // in a call.
 func (s *Service) free(results []made) {
--- a/node/upstream/native.go
+++ b/node/upstream/native.go
@@ -25,6 +25,7 @@
 
 	pathPieces = "/v1/pieces"
 	pathFree   = "/v1/pieces/free"
+	pathRoom   = "/v1/pieces/room"
 	bearer     = "Bearer "
 )
 
@@ -123,6 +124,23 @@
 // FreeResults implements Protocol.
 func (Native) FreeResults(handles []string) (string, []byte) { return pathFree, encode(handles) }
 
+// RoomPath implements Protocol.
+func (Native) RoomPath() string { return pathRoom }
+
+// Room implements Protocol.
+func (Native) Room(body []byte) (*Room, error) {
+	var report struct {
+		Free *int64 `json:"free"` // bytes
+	}
+	if err := json.Unmarshal(body, &report); err != nil {
+		return nil, err
+	}
+	if report.Free == nil {
+		return nil, fmt.Errorf("a report without free; send the bytes that are free")
+	}
+	return &Room{*report.Free, *report.Free}, nil
+}
+
 func encode(v any) []byte {
 	data, err := json.Marshal(v)
 	if err != nil {
--- a/node/upstream/protocol.go
+++ b/node/upstream/protocol.go
@@ -75,6 +75,10 @@
 	Failure Failure
 }
 
+// Room is what an upstream that makes pieces says of its room for results, in bytes:
+// between Free and FreeMost of it are free, since some report it in whole units.
+type Room struct{ Free, FreeMost int64 }
+
 // Protocol translates between caperdrum's terms and the headers and bodies
 // that callers and upstreams speak.
 type Protocol interface {
@@ -91,4 +95,8 @@
 	PieceResults(body []byte) ([]PieceResult, error)
 	// FreeResults returns the path and body of a call that gives results up.
 	FreeResults(handles []string) (path string, body []byte)
+	// RoomPath is the path at which an upstream that makes pieces reports its room.
+	RoomPath() string
+	// Room reads an upstream's report of its room.
+	Room(body []byte) (*Room, error)
 }
