Stages: jobs go on at the next owner with the results that were made

Cause: a job began anew when the owner of the queues was lost or moved. Ruled out: a log of results on disk (5 ms a sync for each stage, on VMs of which the owner may be none); an owner that frees everything as it leaves (the jobs still begin anew). Change: the owner tells the process of a call when a stage of its job is whole, and where its results lie; the process hands the job in with that. The next owner takes such a job in without an estimate, and frees what it no longer needs. An owner that was replaced frees only results of which nobody was told.

--- /dev/null
+++ b/node/stagework/handover.go
@@ -0,0 +1,155 @@
+package stagework
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"caperdrum.org/api/wire"
+)
+
+// When the owner of the queues is lost, the processes whose calls the jobs belong
+// to hand them in at the next owner. Each is told of its jobs' results as stages
+// are made, so that the next owner goes on where the last one was: what a job has
+// waited for is not made twice, and its results do not lie at the upstreams for
+// nobody until they are gone by themselves. What is lost with an owner are results
+// of stages that were not whole.
+
+// StageMade says where the results of a whole stage lie.
+type StageMade struct {
+	Stage  int         `json:"stage"`
+	Pieces []PieceMade `json:"pieces"` // in the order of their numbers
+}
+
+// PieceMade is one result.
+type PieceMade struct {
+	Upstream wire.MemberID `json:"upstream"` // the start of it that holds the result
+	Handle   string        `json:"handle"`
+}
+
+// News tells the process of a job's call what the owner has made of the job.
+type News struct {
+	Handed string     `json:"handed"`
+	Made   *StageMade `json:"made,omitempty"` // nil: what was told before is gone, since the job begins anew
+}
+
+// news is News for a process.
+type news struct {
+	to string // its peer address
+	News
+}
+
+// tell queues news for the process of the job's call.
+func (s *scheduler) tell(j *job, m *StageMade) {
+	if j.Caller != "" {
+		s.news = append(s.news, news{j.Caller, News{j.Handed, m}})
+	}
+}
+
+// takeNews returns what processes are to be told.
+func (s *scheduler) takeNews() []news {
+	out := s.news
+	s.news = nil
+	return out
+}
+
+// stageMade returns where the results of a whole stage of the job lie.
+func (j *job) stageMade(stage int) *StageMade {
+	m := &StageMade{Stage: stage, Pieces: make([]PieceMade, j.Stages[stage].Pieces)}
+	for _, r := range j.made {
+		if r.stage == stage {
+			m.Pieces[r.number] = PieceMade{r.worker.member.ID, r.handle}
+		}
+	}
+	return m
+}
+
+// resume takes over the stages that an owner before has made of a job. It leaves out
+// those whose upstreams are gone, and reports whether there is any.
+func (s *scheduler) resume(now time.Time, j *job) bool {
+	any := false
+	for _, m := range j.Made {
+		results, ok := s.resultsOf(j, m)
+		if !ok {
+			continue
+		}
+		for _, r := range results {
+			r.worker.hold(r.bytes)
+			j.handles[r.stage][r.number] = r.handle
+		}
+		j.made = append(j.made, results...)
+		j.missing[m.Stage], j.started[m.Stage] = 0, true
+		j.times[m.Stage] = stageTimes{now, now, now}
+		any = true
+	}
+	return any
+}
+
+// resultsOf returns the results of a stage that was made under an owner before.
+func (s *scheduler) resultsOf(j *job, m StageMade) (results []made, ok bool) {
+	if m.Stage < 0 || m.Stage >= len(j.Stages) || len(m.Pieces) == 0 || len(m.Pieces) != j.Stages[m.Stage].Pieces || j.missing[m.Stage] == 0 {
+		return nil, false
+	}
+	st := j.Stages[m.Stage]
+	for n, p := range m.Pieces {
+		w := s.services[st.Service].workers[p.Upstream]
+		if w == nil {
+			return nil, false
+		}
+		results = append(results, made{worker: w, handle: p.Handle, bytes: st.Bytes, stage: m.Stage, number: n})
+	}
+	return results, true
+}
+
+// leave gives a job up that goes on at another owner, or at this one by another
+// handing in. It returns the results that nobody knows of; the others are no longer
+// counted here.
+func (s *scheduler) leave(j *job) []made {
+	var unknown, known []made
+	for _, r := range s.forget(j) {
+		if j.missing[r.stage] > 0 || j.Caller == "" {
+			unknown = append(unknown, r)
+		} else {
+			known = append(known, r)
+		}
+	}
+	s.freed(known)
+	return unknown
+}
+
+// handedIn is what this process knows of the jobs that it has handed in.
+type handedIn struct {
+	mu sync.Mutex
+	by map[string][]StageMade // by handing in
+}
+
+func newHandedIn() *handedIn { return &handedIn{by: map[string][]StageMade{}} }
+
+// begin expects news of a handing in that goes on with what was made before.
+func (h *handedIn) begin(handed string, before []StageMade) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.by[handed] = before
+}
+
+// learn takes news in. News of jobs that have ended are left out.
+func (h *handedIn) learn(n News) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	known, expected := h.by[n.Handed]
+	switch {
+	case !expected:
+	case n.Made == nil:
+		h.by[n.Handed] = nil
+	default:
+		h.by[n.Handed] = append(slices.Clone(known), *n.Made)
+	}
+}
+
+// end returns what was made of a handing in, and expects no more of it.
+func (h *handedIn) end(handed string) []StageMade {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	defer delete(h.by, handed)
+	return h.by[handed]
+}
--- a/node/stagework/job.go
+++ b/node/stagework/job.go
@@ -20,6 +20,8 @@
 	Goal       time.Duration `json:"goal"` // until it is worth less; negative when that has passed
 	DataCenter string        `json:"data_center"`
 	Priority   int           `json:"priority,omitempty"` // 0 is the most urgent
+	Caller     string        `json:"caller,omitempty"`   // peer address of the process whose call it is; empty: it wants no news
+	Made       []StageMade   `json:"made,omitempty"`     // stages that an owner before has made
 }
 
 // Stage is one stage of a job.
@@ -35,9 +37,12 @@
 	Handles []string `json:"handles"`
 }
 
-// Done tells the owner that a job's results are no longer needed.
+// Done tells the owner that a handing in is over.
 type Done struct {
 	Handed string `json:"handed"`
+	// Moved says that the job goes on elsewhere with the results that its caller was
+	// told of; else no result of it is needed any more.
+	Moved bool `json:"moved,omitempty"`
 }
 
 // Methods of an owner.
@@ -46,6 +51,9 @@
 	methodDone = "stage.done"
 )
 
+// methodNews is a method of the processes whose calls the jobs belong to.
+const methodNews = "stage.news"
+
 // final returns which stages no other stage follows.
 func (j *Job) final() []bool {
 	out := make([]bool, len(j.Stages))
--- a/node/stagework/link.go
+++ b/node/stagework/link.go
@@ -151,23 +151,26 @@
 
 // Run has the stages of a call done, and returns the handles that its own run
 // takes. release must be called once the results are not needed any more. When
-// the owner is lost, the job begins anew at the next one.
+// the owner is lost, the job goes on at the next one with what was made of it.
 func (s *Service) Run(ctx context.Context, j Job) (Result, func(), error) {
 	deadline, goal := time.Now().Add(j.Left), time.Now().Add(j.Goal)
 	var since time.Time // of the loss; zero while there is an owner
 	for {
 		client, lost, changed := s.link.use()
-		j.Left, j.Goal, j.Handed = time.Until(deadline), time.Until(goal), uuid.NewString()
+		j.Left, j.Goal, j.Handed, j.Caller = time.Until(deadline), time.Until(goal), uuid.NewString(), s.address()
+		s.handed.begin(j.Handed, j.Made)
 		r, moved, err := s.runAt(ctx, client, lost, j)
+		j.Made = s.handed.end(j.Handed)
 		s.link.unuse()
 		if moved && client != nil {
-			s.release(client, j) // it may go on there, for nobody
+			s.release(client, Done{Handed: j.Handed, Moved: true}) // it may go on there, for nobody
 		}
 		if !moved {
+			over := Done{Handed: j.Handed}
 			if err != nil {
-				s.release(client, j)
+				s.release(client, over)
 			}
-			return r, func() { s.release(client, j) }, err
+			return r, func() { s.release(client, over) }, err
 		}
 		now := time.Now()
 		if since.IsZero() {
@@ -220,10 +223,10 @@
 	return r, true, err
 }
 
-func (s *Service) release(client *peer.Client, j Job) {
+func (s *Service) release(client *peer.Client, d Done) {
 	ctx, cancel := context.WithTimeout(s.ctx, pingTimeout)
 	defer cancel()
-	if err := client.Notify(ctx, methodDone, Done{Handed: j.Handed}); err != nil {
-		s.log.V(logging.Detail).Info("results not released", "request", j.ID, "error", err.Error())
+	if err := client.Notify(ctx, methodDone, d); err != nil {
+		s.log.V(logging.Detail).Info("results not released", "handed", d.Handed, "moved", d.Moved, "error", err.Error())
 	}
 }
--- a/node/stagework/link_test.go
+++ b/node/stagework/link_test.go
@@ -19,6 +19,7 @@
 	server  *peer.Server
 	address string
 	arrived chan string
+	news    chan News
 	answer  map[string]chan error // by job
 }
 
@@ -27,7 +28,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	o := &owner{server: peer.NewServer(), address: l.Addr().String(), arrived: make(chan string, 16), answer: map[string]chan error{}}
+	o := &owner{server: peer.NewServer(), address: l.Addr().String(), arrived: make(chan string, 16), news: make(chan News, 16), answer: map[string]chan error{}}
 	for _, id := range jobs {
 		o.answer[id] = make(chan error, 1)
 	}
@@ -41,6 +42,12 @@
 		}
 	})
 	peer.Handle(o.server, methodDone, func(context.Context, *Done) (*peer.Empty, error) { return &peer.Empty{}, nil })
+	peer.Handle(o.server, methodNews, func(_ context.Context, list *[]News) (*peer.Empty, error) {
+		for _, n := range *list {
+			o.news <- n
+		}
+		return &peer.Empty{}, nil
+	})
 	peer.Handle(o.server, peer.MethodPing, peer.Ping)
 	go o.server.Serve(l)
 	t.Cleanup(func() {
@@ -51,7 +58,7 @@
 }
 
 func newClientService(t *testing.T) *Service {
-	s := &Service{log: logr.Discard(), link: newLink(peer.DialTCP, logr.Discard())}
+	s := &Service{log: logr.Discard(), link: newLink(peer.DialTCP, logr.Discard()), handed: newHandedIn(), address: func() string { return "" }}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	t.Cleanup(func() {
 		s.cancel()
--- a/node/stagework/progress.go
+++ b/node/stagework/progress.go
@@ -71,6 +71,7 @@
 	handle string
 	bytes  int64
 	stage  int
+	number int
 }
 
 // home returns the data centre in which a stage should run: where most bytes of
--- a/node/stagework/room.go
+++ b/node/stagework/room.go
@@ -38,19 +38,18 @@
 	h.most, h.least = max(h.most, h.own), min(h.least, h.own)
 }
 
-// ask has the upstream asked for its room at the next opportunity.
-func (h *held) ask(now time.Time) {
-	if h.askAt.IsZero() {
-		h.askAt = now
-		h.most, h.least = h.own, h.own
-	}
+// ask has the upstream asked for its room at the given time.
+func (h *held) ask(at time.Time) {
+	h.askAt = at
+	h.most, h.least = h.own, h.own
 }
 
-// noRoom notes that an upstream with that room had none for a result of bytes.
+// noRoom notes that an upstream with that room had none for a result of bytes. It is
+// asked only after a while: a report that is older than the refusal knows less.
 func (h *held) noRoom(now time.Time, room, bytes int64, ttl time.Duration) {
 	h.foreign = max(h.foreign, room-h.own-bytes+1)
 	h.until = now.Add(ttl)
-	h.ask(now)
+	h.ask(now.Add(reportInterval))
 }
 
 // reported takes over a report: of room, between free and freeMost bytes were free
--- a/node/stagework/room_test.go
+++ b/node/stagework/room_test.go
@@ -77,6 +77,10 @@
 		w.s.add(w.now, Job{ID: "job", Handed: "job", Key: "k", Left: time.Minute, Goal: time.Minute, Stages: []Stage{{Service: "a", Pieces: 1, Bytes: 1000}}}, func(Result, error) {})
 		calls := w.s.start(w.now)
 		w.free(w.s.finish(w.now, calls[0], outcome{results: []upstream.PieceResult{{Failure: upstream.NoRoom}}}))
+		if len(w.s.reports(w.now)) > 0 {
+			t.Fatal("asked at once")
+		}
+		w.now = w.now.Add(reportInterval)
 		for _, free := range []int64{0, 0, 1000} {
 			asked := w.s.reports(w.now)
 			if len(asked) != 1 {
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -37,6 +37,7 @@
 	jobs     map[string]*job
 	serial   uint64
 	owner    bool // this process starts calls
+	news     []news
 	sentAway sentAway
 
 	lastEstimate time.Duration // of the last job that was handed in
@@ -63,36 +64,40 @@
 	}
 }
 
-// add queues the first stages of a job. answer is called once.
-func (s *scheduler) add(now time.Time, j Job, answer func(Result, error)) {
+// add queues the first stages of a job, or those after the ones that an owner before
+// has made. answer is called once. It returns results that are to be freed.
+func (s *scheduler) add(now time.Time, j Job, answer func(Result, error)) []made {
 	if !s.owner {
 		answer(Result{}, errMoved())
-		return
+		return nil
 	}
 	if err := j.valid(); err != nil {
 		answer(Result{}, err)
-		return
+		return nil
 	}
 	s.serial++
 	n := &job{Job: j, serial: s.serial, arrived: now, deadline: now.Add(j.Left), goal: now.Add(j.Goal), answer: answer}
 	for _, st := range j.Stages {
 		if st.Pieces > 0 && s.services[st.Service] == nil {
 			answer(Result{}, errStages("service "+st.Service+" makes no pieces"))
-			return
+			return nil
 		}
 	}
 	s.reset(n)
-	if wait, refused := s.refuse(now, n); refused {
-		answer(Result{}, errBusy(wait))
-		return
+	if !s.resume(now, n) {
+		if wait, refused := s.refuse(now, n); refused {
+			answer(Result{}, errBusy(wait))
+			return nil
+		}
 	}
 	s.jobs[j.Handed] = n
 	s.advance(now, n)
+	return s.freeInputs(n)
 }
 
-// own takes the ownership or gives it up. Jobs that are given up begin anew at
-// the next owner; what was made for them is freed. With after there was an owner
-// before this one.
+// own takes the ownership or gives it up. Jobs that are given up go on at the next
+// owner; of what was made for them, that is freed of which nobody was told. With
+// after there was an owner before this one.
 func (s *scheduler) own(now time.Time, owner, after bool) []made {
 	if owner && after && !s.owner {
 		s.askAll(now)
@@ -107,7 +112,7 @@
 			continue // its caller still fetches the results
 		}
 		s.end(j, Result{}, errMoved())
-		out = append(out, s.forget(j)...)
+		out = append(out, s.leave(j)...)
 	}
 	return out
 }
@@ -151,10 +156,22 @@
 		}
 	}
 	if all {
+		j.expires = now.Add(s.longestTTL(j))
 		s.end(j, Result{Handles: j.finalHandles()}, nil)
 	}
 }
 
+// longestTTL is how long the job's results may last.
+func (s *scheduler) longestTTL(j *job) time.Duration {
+	var ttl time.Duration
+	for _, st := range j.Stages {
+		if st.Pieces > 0 {
+			ttl = max(ttl, s.services[st.Service].spec.ResultTTL)
+		}
+	}
+	return ttl
+}
+
 // end answers a job and drops what waits of it. Its results stay known until
 // the caller is done with them.
 func (s *scheduler) end(j *job, r Result, err error) {
@@ -175,13 +192,17 @@
 	}
 }
 
-// done gives a job up and returns the results that are to be freed.
-func (s *scheduler) done(handed string) []made {
+// done gives a job up and returns the results that are to be freed. A job that has
+// moved goes on elsewhere with the results that its caller was told of.
+func (s *scheduler) done(handed string, moved bool) []made {
 	j := s.jobs[handed]
 	if j == nil {
 		return nil
 	}
 	s.end(j, Result{}, errStages("the call was given up"))
+	if moved {
+		return s.leave(j)
+	}
 	return s.forget(j)
 }
 
@@ -293,7 +314,7 @@
 			free = append(free, s.failed(now, c, p, r.Failure, o.full || o.moved)...)
 			continue
 		}
-		m := made{worker: w, handle: r.Handle, bytes: p.job.Stages[p.stage].Bytes, stage: p.stage}
+		m := made{worker: w, handle: r.Handle, bytes: p.bytes(), stage: p.stage, number: p.number}
 		w.hold(m.bytes)
 		if p.job.answer == nil || p.epoch != p.job.restarts {
 			free = append(free, m)
@@ -332,8 +353,8 @@
 	}
 	j.times[p.stage].made = now
 	s.advance(now, j)
-	if j.answer == nil {
-		j.expires = now.Add(s.services[j.Stages[p.stage].Service].spec.ResultTTL)
+	if j.answer != nil {
+		s.tell(j, j.stageMade(p.stage))
 	}
 	return s.freeInputs(j)
 }
@@ -369,6 +390,7 @@
 // restart makes all results of a job again.
 func (s *scheduler) restart(now time.Time, j *job) []made {
 	j.restarts++
+	s.tell(j, nil)
 	s.unqueue(j)
 	out := j.made
 	j.made = nil
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -54,15 +54,21 @@
 	cancel   context.CancelFunc
 	link     *link
 
-	scheduler *scheduler         // of the owner's goroutine
-	toFree    map[*worker][]made // of the owner's goroutine
-	freeing   bool               // of the owner's goroutine
+	address func() string // this process's peer address
+	dial    peer.Dialer
+	handed  *handedIn
+
+	scheduler *scheduler              // of the owner's goroutine
+	callers   map[string]*peer.Client // by peer address, to be told of their jobs; of the owner's goroutine
+	toFree    map[*worker][]made      // of the owner's goroutine
+	freeing   bool                    // of the owner's goroutine
 }
 
 // New returns the service and adds its methods to the process's peer server.
 func New(p Params) *Service {
 	s := &Service{log: p.Log, protocol: p.Protocol, pool: upstream.NewPool(p.Protocol),
-		events: make(chan func(time.Time), 256), scheduler: newScheduler(), toFree: map[*worker][]made{}}
+		events: make(chan func(time.Time), 256), dial: p.Dial, handed: newHandedIn(),
+		address: func() string { return p.ConfigSync.Self().Peer }, callers: map[string]*peer.Client{}, scheduler: newScheduler(), toFree: map[*worker][]made{}}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.link = newLink(p.Dial, p.Log)
 	server := p.Discovery.Server()
@@ -71,10 +77,12 @@
 	}
 	peer.Handle(server, methodRun, s.run)
 	peer.Handle(server, methodDone, s.done)
+	peer.Handle(server, methodNews, s.learn)
 	p.ConfigSync.OnChange(func(v *configsync.View) {
 		self := p.ConfigSync.Self()
 		s.post(func(now time.Time) {
 			s.scheduler.setServices(v.Config.Services, v.Announced)
+			s.keepCallers(v.Members)
 			s.free(s.scheduler.own(now, v.Owner.ID == self.ID && v.Owner.Incarnation == self.Incarnation, v.Owner.Epoch > 1))
 		})
 		s.link.follow(v.Owner)
@@ -121,6 +129,7 @@
 			armed = false
 			s.free(s.scheduler.expire(time.Now()))
 		}
+		s.sendNews(s.scheduler.takeNews())
 		for _, w := range s.scheduler.reports(time.Now()) {
 			go s.askRoom(w)
 		}
@@ -142,10 +151,10 @@
 	}
 	answered := make(chan answer, 1)
 	s.post(func(now time.Time) {
-		s.scheduler.add(now, *j, func(r Result, err error) {
+		s.free(s.scheduler.add(now, *j, func(r Result, err error) {
 			s.ended(j, err)
 			answered <- answer{r, err}
-		})
+		}))
 		if _, taken := s.scheduler.jobs[j.Handed]; !taken {
 			s.log.Info("job refused", "request", j.ID, "jobs", len(s.scheduler.jobs), "estimate", s.scheduler.lastEstimate, "goal", j.Goal, "sent_away_before", s.scheduler.lastReturned, "owner", s.scheduler.owner)
 		}
@@ -172,10 +181,62 @@
 }
 
 func (s *Service) done(_ context.Context, d *Done) (*control.Empty, error) {
-	s.post(func(time.Time) { s.free(s.scheduler.done(d.Handed)) })
+	s.post(func(time.Time) { s.free(s.scheduler.done(d.Handed, d.Moved)) })
+	return &control.Empty{}, nil
+}
+
+// learn takes in what the owner has made of this process's jobs.
+func (s *Service) learn(_ context.Context, list *[]News) (*control.Empty, error) {
+	for _, n := range *list {
+		s.handed.learn(n)
+	}
 	return &control.Empty{}, nil
 }
 
+// sendNews tells processes what was made of their jobs. News that are lost cost no
+// more than making it again at the next owner.
+func (s *Service) sendNews(list []news) {
+	by := map[string][]News{}
+	for _, n := range list {
+		by[n.to] = append(by[n.to], n.News)
+	}
+	self := s.address()
+	for to, l := range by {
+		if to == self {
+			s.learn(s.ctx, &l)
+			continue
+		}
+		client := s.callers[to]
+		if client == nil {
+			client = peer.NewClient(to, s.dial)
+			s.callers[to] = client
+		}
+		go s.tell(client, l)
+	}
+}
+
+func (s *Service) tell(client *peer.Client, list []News) {
+	ctx, cancel := context.WithTimeout(s.ctx, pingTimeout)
+	defer cancel()
+	if err := client.Notify(ctx, methodNews, list); err != nil {
+		s.log.V(logging.Detail).Info("process not told of its jobs", "process", client.Address(), "news", len(list), "error", err.Error())
+	}
+}
+
+// keepCallers closes the connections to processes that are no members any more.
+func (s *Service) keepCallers(members map[wire.MemberID]wire.Member) {
+	present := map[string]bool{}
+	for _, m := range members {
+		present[m.Peer] = true
+	}
+	for address, client := range s.callers {
+		if !present[address] {
+			client.Close()
+			delete(s.callers, address)
+		}
+	}
+}
+
 // call makes a call of an upstream.
 func (s *Service) call(c *call) {
 	o := s.exchange(c)
