Replica: a disk that takes no bytes suspends it, and its process goes on

Entries whose synchronization was held back there heard nothing for 3 s. Ruled out: stopping the control role only (its voter stays lost although the space comes back after 4 s); going on in memory (it would vote and acknowledge what it cannot keep). Its view stays until the state has caught up. Held-back calls end at once and go elsewhere. A log file that begins anew makes older ones void, also when they are damaged. Only corruption ends the process.

--- a/node/consensus/node_test.go
+++ b/node/consensus/node_test.go
@@ -275,3 +275,24 @@
 		}
 	}
 }
+
+// TestResign lets a leader that can store nothing name its successor: the voter with
+// the longest log, which then campaigns at once; a follower names nobody.
+func TestResign(t *testing.T) {
+	n := newNode("a", 1, peers("a", "b", "c"), 1)
+	if got := n.Resign(); len(got) != 0 {
+		t.Fatalf("a follower sends %+v", got)
+	}
+	elect(t, n, "b")
+	drain(n)
+	ack(n, "c")
+	got := n.Resign()
+	if len(got) != 1 || got[0].To != "c" || got[0].Kind != consensus.MsgTimeoutNow {
+		t.Fatalf("%+v", got)
+	}
+	c := newNode("c", got[0].Term, peers("a", "b", "c"), 1)
+	c.Step(got[0])
+	if c.Status().Role != consensus.Candidate {
+		t.Fatalf("the successor is a %s", c.Status().Role)
+	}
+}
--- a/node/consensus/transfer.go
+++ b/node/consensus/transfer.go
@@ -27,3 +27,25 @@
 		n.transferee = ""
 	}
 }
+
+// Resign returns a message by which a leader that can store nothing any more lets
+// another voter take over, the one whose log is longest. It changes nothing here:
+// what the leader has not synced was never acknowledged.
+func (n *Node) Resign() []Message {
+	if n.role != Leader {
+		return nil
+	}
+	best := NodeID("")
+	for id, pr := range n.progress {
+		if id == n.id || !n.members.Has(id) || !pr.Active {
+			continue
+		}
+		if best == "" || pr.Match > n.progress[best].Match || pr.Match == n.progress[best].Match && id < best {
+			best = id
+		}
+	}
+	if best == "" {
+		return nil
+	}
+	return []Message{{Kind: MsgTimeoutNow, From: n.id, To: best, Term: n.term}}
+}
--- a/node/control/cluster.go
+++ b/node/control/cluster.go
@@ -13,6 +13,8 @@
 	View() *state.View
 	Status() consensus.Status
 	StampAge() time.Duration
+	// Outage returns why the replica takes no part now, or nil.
+	Outage() error
 	SetStamp(at time.Time)
 	IsLeader() bool
 	Leader() consensus.Peer
--- a/node/control/elastic.go
+++ b/node/control/elastic.go
@@ -94,6 +94,9 @@
 }
 
 func (s *Service) wantsVote() bool {
+	if s.cluster.Outage() != nil {
+		return false
+	}
 	status := s.cluster.Status()
 	if !status.Membership.Has(status.ID) {
 		return true
--- a/node/control/hint_test.go
+++ b/node/control/hint_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/configsync"
 	"caperdrum.org/node/consensus"
@@ -20,13 +22,20 @@
 	machine *state.Machine
 	view    atomic.Pointer[state.View]
 	term    atomic.Uint64
+	outage  atomic.Bool
 }
 
 func (h *hinting) View() *state.View        { return h.view.Load() }
 func (h *hinting) Status() consensus.Status { return consensus.Status{Term: h.term.Load()} }
 func (h *hinting) StampAge() time.Duration  { return 0 }
 func (h *hinting) IsLeader() bool           { return false }
-func (h *hinting) Leader() consensus.Peer   { return consensus.Peer{} }
+func (h *hinting) Outage() error {
+	if h.outage.Load() {
+		return syscall.ENOSPC
+	}
+	return nil
+}
+func (h *hinting) Leader() consensus.Peer { return consensus.Peer{} }
 
 func (h *hinting) draw(t *testing.T, id wire.MemberID) {
 	data, err := state.Command{Fences: []wire.MemberID{id}}.Encode()
@@ -92,3 +101,32 @@
 	clock.Advance(time.Second)
 	<-answers
 }
+
+// TestOutageEndsHold lets the disk of a control process fail while a
+// synchronization is held back there: the caller is sent elsewhere at once,
+// without a step of the clock, and so is the next one.
+func TestOutageEndsHold(t *testing.T) {
+	h := &hinting{machine: state.New()}
+	h.view.Store(h.machine.View())
+	clock := clockwork.NewFakeClock()
+	s := &Service{cluster: h, clock: clock, news: newNews(h)}
+	s.follow = &follower{cluster: h, clock: clock, wake: make(chan struct{}, 1), pending: map[wire.MemberID]queued{}, told: map[wire.MemberID]uint64{}}
+	held := configsync.NewHolder(wire.Member{ID: "a"})
+	req := held.Request(time.Second)
+	answers := make(chan error, 1)
+	go func() {
+		_, err := s.sync(context.Background(), &req)
+		answers <- err
+	}()
+	if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	h.outage.Store(true)
+	s.news.check()
+	if err := <-answers; verdict.Of(err) != verdict.NotRun {
+		t.Fatalf("%v", err)
+	}
+	if _, err := s.sync(context.Background(), &req); verdict.Of(err) != verdict.NotRun {
+		t.Fatalf("%v", err)
+	}
+}
--- a/node/control/news.go
+++ b/node/control/news.go
@@ -6,7 +6,8 @@
 )
 
 // news wakes the held-back sync calls when the configuration, the members, the
-// fences or the term changed. Most commands change none of them.
+// fences or the term changed, or the replica takes no part any more. Most commands
+// change none of them.
 type news struct {
 	cluster cluster
 	version uint64
@@ -14,6 +15,7 @@
 	fence   uint64
 	term    uint64
 	owner   uint64
+	outage  bool
 	next    atomic.Pointer[chan struct{}]
 }
 
@@ -40,11 +42,12 @@
 }
 
 func (n *news) check() {
-	v, term := n.cluster.View(), n.cluster.Status().Term
-	if v.Config.Version == n.version && v.MembersSeq == n.seq && v.Fence == n.fence && term == n.term && v.Owner.Epoch == n.owner {
+	v, term, outage := n.cluster.View(), n.cluster.Status().Term, n.cluster.Outage() != nil
+	if outage == n.outage && v.Config.Version == n.version && v.MembersSeq == n.seq && v.Fence == n.fence && term == n.term && v.Owner.Epoch == n.owner {
 		return
 	}
 	n.version, n.seq, n.fence, n.term, n.owner = v.Config.Version, v.MembersSeq, v.Fence, term, v.Owner.Epoch
+	n.outage = outage
 	next := make(chan struct{})
 	close(*n.next.Swap(&next))
 }
--- a/node/control/sync.go
+++ b/node/control/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/consensus"
 	"caperdrum.org/node/state"
@@ -12,6 +13,12 @@
 // maxWait bounds how long a sync call is held back.
 const maxWait = 5 * time.Second
 
+// errSuspended sends the caller to another control process: this one hears of no
+// changes while its replica takes no part, and its callers would wait for nothing.
+func errSuspended(cause error) error {
+	return verdict.New(verdict.NotRun, verdict.CodeNoQuorum, "this control process takes no part: %v", cause)
+}
+
 // sync renews the caller's lease and answers as soon as there is news.
 func (s *Service) sync(ctx context.Context, req *wire.SyncRequest) (*wire.SyncReply, error) {
 	renewed := s.renewMember(req)
@@ -20,6 +27,9 @@
 	late := false
 	for {
 		changed := s.news.changed()
+		if err := s.cluster.Outage(); err != nil {
+			return nil, errSuspended(err)
+		}
 		reply := s.reply(req)
 		reply.Renewed = renewed
 		hinted := reply.Fence > req.Fence || reply.Term > req.Term || reply.Owner.Epoch > req.OwnerEpoch
--- a/node/disk/disktest/disktest.go
+++ b/node/disk/disktest/disktest.go
@@ -11,6 +11,7 @@
 	"os"
 	"slices"
 	"sort"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/juju/errors"
@@ -31,31 +32,33 @@
 	node *inode // nil for a removed name
 }
 
-// FS implements disk.FS. It is not safe for concurrent use.
+// FS implements disk.FS. It is not safe for concurrent use, but for FillAfter.
 type FS struct {
 	live    map[string]*inode
 	durable map[string]*inode
 	pending []rename // changes of names since the last SyncDir, in order
 	epoch   int      // files opened before a crash are dead
 
-	left     int // operations until the planned crash, negative for none
-	free     int // bytes until the disk is full, negative for no limit
+	left     int          // operations until the planned crash, negative for none
+	free     atomic.Int64 // bytes until the disk is full, negative for no limit
 	rand     *rand.Rand
 	syncFail bool
 }
 
 // New returns an empty file system. The seed decides what a crash keeps.
 func New(seed uint64) *FS {
-	return &FS{live: map[string]*inode{}, durable: map[string]*inode{}, left: -1, free: -1,
-		rand: rand.New(rand.NewPCG(seed, 1))}
+	fs := &FS{live: map[string]*inode{}, durable: map[string]*inode{}, left: -1, rand: rand.New(rand.NewPCG(seed, 1))}
+	fs.free.Store(-1)
+	return fs
 }
 
 // CrashAfter lets ops more operations succeed. The next one may take effect in
 // part and fails, as does everything after it until Crash.
 func (fs *FS) CrashAfter(ops int) { fs.left = ops }
 
-// FillAfter makes writes fail with ENOSPC after n more bytes.
-func (fs *FS) FillAfter(n int) { fs.free = n }
+// FillAfter makes writes fail with ENOSPC after n more bytes; a negative number
+// gives the disk room without end. It may be called beside other operations.
+func (fs *FS) FillAfter(n int) { fs.free.Store(int64(n)) }
 
 // FailSyncs makes every Sync of a file fail.
 func (fs *FS) FailSyncs() { fs.syncFail = true }
@@ -63,7 +66,8 @@
 // Crash forgets what was not synced and makes the file system usable again.
 func (fs *FS) Crash() {
 	fs.epoch++
-	fs.left, fs.free, fs.syncFail = -1, -1, false
+	fs.left, fs.syncFail = -1, false
+	fs.free.Store(-1)
 	for _, r := range fs.pending[:fs.rand.IntN(len(fs.pending)+1)] {
 		setName(fs.durable, r)
 	}
@@ -229,14 +233,12 @@
 		}
 		return 0, err
 	}
-	if f.fs.free >= 0 && len(p) > f.fs.free {
-		n := f.fs.free
-		f.node.data = append(f.node.data, p[:n]...)
-		f.fs.free = 0
-		return n, syscall.ENOSPC
-	}
-	if f.fs.free >= 0 {
-		f.fs.free -= len(p)
+	if free := int(f.fs.free.Load()); free >= 0 && len(p) > free {
+		f.node.data = append(f.node.data, p[:free]...)
+		f.fs.free.CompareAndSwap(int64(free), 0)
+		return free, syscall.ENOSPC
+	} else if free >= 0 {
+		f.fs.free.CompareAndSwap(int64(free), int64(free-len(p)))
 	}
 	f.node.data = append(f.node.data, p...)
 	return len(p), nil
--- a/node/replica/loop.go
+++ b/node/replica/loop.go
@@ -8,12 +8,29 @@
 	"caperdrum.org/node/consensus"
 )
 
-// Run owns the consensus node until ctx ends or the disk fails. After a disk
-// error it returns at once: a replica that cannot sync must not take part.
+// Run owns the consensus node until ctx ends or the folder is corrupt. After a
+// disk error the replica takes no part until the disk takes bytes again.
 func (r *Replica) Run(ctx context.Context) error {
-	defer r.log.Close()
+	defer func() { r.log.Close() }()
 	defer r.dropCapture()
 	defer close(r.done)
+	for {
+		err := r.serve(ctx)
+		if err == nil {
+			return nil
+		}
+		if err := r.suspend(ctx, err); err != nil {
+			r.opts.Log.Error(err, "replica stopped")
+			return err
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+}
+
+// serve takes part in the cluster until ctx ends or the disk fails.
+func (r *Replica) serve(ctx context.Context) error {
 	ticker := r.opts.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	stamps := r.opts.Clock.NewTicker(stampInterval)
@@ -35,7 +52,6 @@
 		}
 		r.drain()
 		if err := r.process(); err != nil {
-			r.opts.Log.Error(err, "replica stopped")
 			return err
 		}
 	}
@@ -227,10 +243,20 @@
 	r.waiters = kept
 }
 
+// publish shows the state. After an outage the state begins at what is on the disk:
+// the view from before stays until it has caught up, since no process may go back.
 func (r *Replica) publish() {
-	r.view.Store(r.machine.View())
 	s := r.node.Status()
 	r.status.Store(&s)
+	if s.Applied < r.floor {
+		return
+	}
+	r.view.Store(r.machine.View())
+	r.announce()
+}
+
+// announce wakes all who wait for a change.
+func (r *Replica) announce() {
 	next := make(chan struct{})
 	close(*r.changed.Swap(&next))
 }
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -75,7 +75,9 @@
 	fatal         error // the disk failed outside process
 	nextID        uint64
 	waiters       []*applyWaiter
+	floor         uint64 // applied before an outage; the view never goes below
 
+	outage  atomic.Pointer[outage] // nil while the replica takes part
 	view    atomic.Pointer[state.View]
 	status  atomic.Pointer[consensus.Status]
 	changed atomic.Pointer[chan struct{}]
@@ -340,6 +342,9 @@
 }
 
 func (r *Replica) init() error {
+	if err := r.Outage(); err != nil {
+		return err
+	}
 	s := r.node.Status()
 	if s.Last > 0 || s.Term > 0 {
 		return ErrInitialized
--- a/node/wal/open.go
+++ b/node/wal/open.go
@@ -102,11 +102,23 @@
 			logs = append(logs, name)
 		}
 	}
+	files := make([][]byte, len(logs))
+	from := 0
 	for i, name := range logs {
 		data, err := l.fs.ReadFile(name)
 		if err != nil {
 			return errors.Trace(err)
 		}
+		files[i] = data
+		if beginsAnew(data) {
+			from = i // what older files hold no longer counts, nor whether it is whole
+		}
+	}
+	for i, name := range logs {
+		if i < from {
+			continue
+		}
+		data := files[i]
 		good, err := replay(data, st)
 		newest := i == len(logs)-1
 		if err != nil || good < len(data) && !newest {
--- /dev/null
+++ b/node/wal/reopen_test.go
@@ -0,0 +1,91 @@
+package wal_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"caperdrum.org/node/consensus"
+	"caperdrum.org/node/disk/disktest"
+	"caperdrum.org/node/wal"
+)
+
+// TestReopenKeepsWhatWasSaved fills the disk at any moment, opens the folder again
+// once there is room, and lets all end by a crash: what was acknowledged is there
+// each time, in order, and what an open folder held stays.
+func TestReopenKeepsWhatWasSaved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fs := disktest.New(rapid.Uint64().Draw(t, "seed"))
+		l, st, err := wal.Open(fs)
+		if err != nil {
+			t.Fatal(err)
+		}
+		acked, term := uint64(0), uint64(1) // the last entry that was acknowledged
+		check := func(st *wal.Stored, when string) {
+			n := uint64(len(st.Entries))
+			if n < acked || n > acked+1 {
+				t.Fatalf("%s: %d entries, %d acknowledged", when, n, acked)
+			}
+			for i, e := range st.Entries {
+				if e.Index != uint64(i)+1 {
+					t.Fatalf("%s: entry %d at %d", when, e.Index, i)
+				}
+			}
+			acked = n // what an open folder holds is acknowledged from now on
+		}
+		check(st, "new")
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"save", "save", "save", "fill", "crash"}).Draw(t, "step") {
+			case "save":
+				if l.Save(&consensus.HardState{Term: term}, []consensus.Entry{entry(acked+1, term)}) == nil {
+					acked++
+				}
+			case "fill":
+				fs.FillAfter(rapid.IntRange(0, 60).Draw(t, "bytes"))
+				if l.Save(&consensus.HardState{Term: term}, []consensus.Entry{entry(acked+1, term)}) == nil {
+					acked++
+				}
+				fs.FillAfter(rapid.IntRange(0, 20).Draw(t, "bytes left"))
+				if _, _, err := wal.Reopen(fs); err == nil {
+					t.Fatal("opened on a full disk")
+				}
+				fs.FillAfter(-1)
+				l.Close()
+				if l, st, err = wal.Reopen(fs); err != nil {
+					t.Fatal(err)
+				}
+				check(st, "reopened")
+			case "crash":
+				fs.Crash()
+				if l, st, err = wal.Open(fs); err != nil {
+					t.Fatal(err)
+				}
+				check(st, "after a crash")
+			}
+		}
+	})
+}
+
+// TestDamageBehindANewBeginningIsIgnored damages the file in which a sync failed,
+// after the folder was opened again: a crash may bring the removed file back.
+func TestDamageBehindANewBeginningIsIgnored(t *testing.T) {
+	fs, l, _ := filled(t)
+	fs.FillAfter(5)
+	if l.Save(hard(1), []consensus.Entry{entry(4, 1)}) == nil {
+		t.Fatal("saved on a full disk")
+	}
+	fs.FillAfter(-1)
+	if _, _, err := wal.Reopen(fs); err != nil {
+		t.Fatal(err)
+	}
+	old, err := fs.Create(firstLog) // as if its removal was undone
+	if err != nil {
+		t.Fatal(err)
+	}
+	old.Write([]byte("what the disk made of it"))
+	old.Sync()
+	fs.SyncDir()
+	if _, st := reopen(t, fs); len(st.Entries) != 3 {
+		t.Fatalf("%d entries", len(st.Entries))
+	}
+}
--- a/node/wal/wal.go
+++ b/node/wal/wal.go
@@ -119,7 +119,7 @@
 
 // roll starts a new log file. Its number is above that of every older file.
 func (l *Log) roll(first uint64) error {
-	name := fmt.Sprintf("%s%020d", logPrefix, first)
+	name := logName(first)
 	if l.name >= name {
 		return nil // a snapshot at the same index: go on in the same file
 	}
