Stages: pieces wait for their data centre by their place in the queue

The wait for the data centre was reckoned for the end of the queue and used for its first pieces too, which moved although they were next. Change: each piece's wait is foreseen by its place among those bound to the same data centre; one that would wait for longer than a call, or past its goal, may be made elsewhere. Pieces are spread over idle upstreams by whole groups: two upstreams and three groups of 8 now make calls of 16 and 8, not 8 and 8.

--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -53,6 +53,9 @@
 	epoch  int // restarts of the job when it was queued
 	queued time.Time
 	home   string // data centre where its inputs lie or its result is fetched; empty when they are small
+
+	wait    time.Duration // until an upstream there begins it, as last foreseen
+	nowhere bool          // there is none that is neither slow nor failing
 }
 
 // call is a call of an upstream that is to be made, or under way.
@@ -93,16 +96,16 @@
 		return nil
 	}
 	slices.SortFunc(q.waiting, func(a, b *piece) int { return a.compare(b, now, q.spec) })
-	near := q.waits(now)
+	q.foresee(now)
 	for _, w := range free {
-		fit := q.fitting(w, near, now)
+		fit := q.fitting(w, now)
 		limit := q.limit(w, len(fit), now)
 		if limit == 0 {
 			continue
 		}
 		// What waits is spread over the upstreams that are idle, since a call takes
 		// longer with each piece.
-		if c := q.fill(w, fit, min(limit, (len(fit)+len(free)-1)/len(free)), now); c != nil {
+		if c := q.fill(w, fit, limit, (len(fit)+len(free)-1)/len(free), now); c != nil {
 			return c
 		}
 	}
@@ -124,41 +127,38 @@
 	return 0
 }
 
-// waits returns, for each data centre with an upstream that is neither slow nor
-// failing, how long a piece at the end of what waits for it would wait there.
-func (q *serviceQueue) waits(now time.Time) map[string]time.Duration {
-	free := map[string]time.Duration{}
-	upstreams, queued := map[string]int{}, map[string]int{}
+// foresee notes for each piece that waits for an upstream nearby how long that will
+// be, behind those that go before it. The queue is in order.
+func (q *serviceQueue) foresee(now time.Time) {
+	free := map[string][]time.Duration{} // by data centre: when its upstreams are free
 	for _, w := range q.workers {
-		if !w.healthy() {
-			continue
-		}
-		dc := w.member.DataCenter
-		left := max(0, w.freeAt.Sub(now))
-		if upstreams[dc] == 0 || left < free[dc] {
-			free[dc] = left
+		if w.healthy() {
+			dc := w.member.DataCenter
+			free[dc] = append(free[dc], max(0, w.freeAt.Sub(now)))
 		}
-		upstreams[dc]++
 	}
-	for _, p := range q.waiting {
-		queued[p.home]++
+	for _, list := range free {
+		slices.Sort(list)
 	}
-	out := map[string]time.Duration{}
-	for dc, n := range upstreams {
-		calls := float64(queued[dc]) / float64(n*q.spec.Batch)
-		out[dc] = free[dc] + time.Duration(max(0, calls-1)*float64(fullCall(q.spec)))
+	before := map[string]int{}
+	for _, p := range q.waiting {
+		list := free[p.home]
+		if p.nowhere = len(list) == 0; p.nowhere {
+			continue
+		}
+		calls := before[p.home] / q.spec.Batch
+		p.wait = list[calls%len(list)] + time.Duration(calls/len(list))*fullCall(q.spec)
+		before[p.home]++
 	}
-	return out
 }
 
 // fitting returns the waiting pieces that the upstream may take: one whose
 // inputs or result are large waits for an upstream in their data centre, as
 // long as it can wait without missing its goal and there is one.
-func (q *serviceQueue) fitting(w *worker, near map[string]time.Duration, now time.Time) []*piece {
+func (q *serviceQueue) fitting(w *worker, now time.Time) []*piece {
 	out := make([]*piece, 0, len(q.waiting))
 	for _, p := range q.waiting {
-		wait, has := near[p.home]
-		if p.home == "" || p.home == w.member.DataCenter || !has || p.pressed(now, wait, q.spec) {
+		if p.home == "" || p.home == w.member.DataCenter || p.nowhere || p.wait > fullCall(q.spec) || p.pressed(now, q.spec) {
 			out = append(out, p)
 		}
 	}
@@ -166,9 +166,9 @@
 }
 
 // pressed reports whether the piece would miss its goal by waiting.
-func (p *piece) pressed(now time.Time, wait time.Duration, spec *optext.Service) bool {
+func (p *piece) pressed(now time.Time, spec *optext.Service) bool {
 	at, late := p.startBy(now, spec)
-	return !late && at.Sub(now) < wait+homeMargin
+	return !late && at.Sub(now) < p.wait+homeMargin
 }
 
 func (q *serviceQueue) free(now time.Time) []*worker {
@@ -252,13 +252,14 @@
 	return p.job.deadline, true
 }
 
-// fill takes up to limit pieces for the upstream, in order, as far as it has
-// room for their results. It returns nil when there is room for none.
-func (q *serviceQueue) fill(w *worker, fit []*piece, limit int, now time.Time) *call {
+// fill takes pieces for the upstream, in order, as far as it has room for their
+// results: enough pieces, or what their group has besides, and limit at most. It
+// returns nil when there is room for none.
+func (q *serviceQueue) fill(w *worker, fit []*piece, limit, enough int, now time.Time) *call {
 	c := &call{worker: w, began: now, expect: q.spec.CallTime}
 	room := q.room(w)
 	taken := map[*piece]bool{}
-	for len(fit) > 0 {
+	for len(fit) > 0 && len(c.pieces) < enough {
 		// Pieces that belong together stay together: a result that waits for its
 		// siblings only takes room.
 		group := groupOf(fit)
