Stages: the estimate counts calls under way by what is left of them, and the fill that calls reach

The estimate counted pieces of calls under way whole until the call's end, 0.15 s of a service's work, and a service's rate as three quarters of the nominal one, 0.83 were reached. Change: of a call under way only the part counts that is still to be done; a service's efficiency is what its last calls reached while a batch waited behind them.

--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	// efficiency is the part of its nominal rate that a service reaches: calls
-	// are not all full.
-	efficiency = 0.75
+	// firstEfficiency is the part of its nominal rate that a service is expected to
+	// reach before it was seen under load: a call of three quarters of a batch.
+	firstEfficiency = 0.75
+	// efficiencyWeight is the weight of a call in what a service reaches: the last
+	// dozen calls, a second of five upstreams, make most of it.
+	efficiencyWeight = 0.1
 	// handOver is how long a result that no stage follows lies at its maker, for
 	// the way to the engine and its fetch.
 	handOver = 200 * time.Millisecond
@@ -85,7 +88,7 @@
 			return j.Left + 1, st.Service
 		}
 		own := q.spec.CallTime + time.Duration(st.Pieces)*q.spec.PieceTime
-		wait := time.Duration(float64(ahead[st.Service]) / rate * float64(time.Second))
+		wait := time.Duration(ahead[st.Service] / rate * float64(time.Second))
 		if whole := wait + own + j.tail[i]; whole > longest {
 			longest, binding = whole, st.Service
 		}
@@ -117,21 +120,46 @@
 }
 
 // ahead counts the pieces that are not made yet, by service, of jobs whose goal
-// comes first. Those that are behind first tries count once they hold results.
-func (s *scheduler) ahead(now, goal time.Time) map[string]int {
-	out := map[string]int{}
+// comes first. Those that are behind first tries count once they hold results. Of
+// calls under way only the part counts that is still to be done: half of them on
+// average, 0.15 s of a service's work.
+func (s *scheduler) ahead(now, goal time.Time) map[string]float64 {
+	out := map[string]float64{}
 	for _, other := range s.jobs {
 		behind := other.returned || other.late || other.goal.Before(now)
 		if other.answer == nil || behind && len(other.made) == 0 || other.goal.After(goal) {
 			continue
 		}
 		for i, st := range other.Stages {
-			out[st.Service] += other.missing[i]
+			out[st.Service] += float64(other.missing[i])
 		}
 	}
+	for name, q := range s.services {
+		out[name] = max(0, out[name]-q.done(now))
+	}
 	return out
 }
 
+// done is how many pieces the calls under way should have made by now.
+func (q *serviceQueue) done(now time.Time) float64 {
+	sum := 0.0
+	for _, w := range q.workers {
+		if c := w.current; c != nil && w.running > 0 {
+			sum += float64(len(c.pieces)) * min(1, now.Sub(c.began).Seconds()/w.freeAt.Sub(c.began).Seconds())
+		}
+	}
+	return sum
+}
+
+// reached notes how full a call was that was made while a whole batch waited.
+func (q *serviceQueue) reached(c *call) {
+	if c.behind < q.spec.Batch {
+		return
+	}
+	nominal := float64(q.spec.Batch) / fullCall(q.spec).Seconds()
+	q.efficiency += efficiencyWeight * (float64(len(c.pieces))/c.expect.Seconds()/nominal - q.efficiency)
+}
+
 // following is how long results of a stage are held for the stage after it.
 func (s *scheduler) following(j *job, stage int) time.Duration {
 	hold := handOver
@@ -153,7 +181,7 @@
 // time and by the room for results that are held for hold after they are made.
 func (q *serviceQueue) rate(bytes int64, hold time.Duration) float64 {
 	call := fullCall(q.spec)
-	rate := float64(q.healthy()) * float64(q.spec.Batch) / call.Seconds() * efficiency
+	rate := float64(q.healthy()) * float64(q.spec.Batch) / call.Seconds() * q.efficiency
 	if q.spec.ResultRoom > 0 && bytes > 0 {
 		rate = min(rate, float64(q.ownRoom())/float64(bytes)/(call+hold).Seconds())
 	}
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -30,12 +30,15 @@
 	waiting []*piece
 	workers map[wire.MemberID]*worker
 	asked   classes // jobs that need this service
+
+	efficiency float64 // the part of its nominal rate that it reaches while pieces wait
 }
 
 // worker is an upstream that makes pieces.
 type worker struct {
 	member  wire.Member
 	running int
+	current *call // the last one
 	held
 	until    time.Time
 	failures int
@@ -295,6 +298,8 @@
 	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool { return taken[p] })
 	c.behind = len(q.waiting)
 	w.running++
+	w.current = c
+	q.reached(c)
 	w.hold(c.bytes)
 	w.used = now
 	w.freeAt = now.Add(time.Duration(float64(c.expect) * max(1, w.ratio)))
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -56,7 +56,7 @@
 		}
 		q := s.services[name]
 		if q == nil {
-			q = &serviceQueue{workers: map[wire.MemberID]*worker{}, asked: classes{}}
+			q = &serviceQueue{workers: map[wire.MemberID]*worker{}, asked: classes{}, efficiency: firstEfficiency}
 			s.services[name] = q
 		}
 		q.spec = spec
