Engines: one that has read the prompt keeps the call as long as it should be in time there

Cause: the choice weighed waiting tokens against tokens to be read at a fixed rate of exchange. Change: the owner observes how long first events take by tokens, as a line through the last fifty calls; an engine counts as in time if twice that fits into what is left of the call's goal; among those in time the cheapest is taken. Where none is, waiting tokens count, and what is to be read three times.

--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -203,6 +203,7 @@
 	job = stagework.Job{ID: x.call.ID, Key: x.call.PieceKey, Left: time.Until(x.deadline),
 		Goal: time.Until(x.began.Add(x.route.Goal - engineStart(x.call.Prefix))), DataCenter: x.engineAt(), Priority: x.route.Priority}
 	if len(x.call.Prefix) > 0 {
+		job.FirstEvent = time.Until(x.began.Add(x.route.Goal))
 		job.Prompt = &stagework.Prompt{Service: x.service.Name, Parts: x.call.Prefix}
 	}
 	for i, st := range x.route.Stages {
--- a/node/stagework/engines.go
+++ b/node/stagework/engines.go
@@ -18,14 +18,15 @@
 	enginePauseMax = 4 * time.Second
 	// pickTTL is how long a pick counts for an engine at most: no prompt takes longer.
 	pickTTL = 5 * time.Second
-	// readWeight is how much more a token counts that an engine has to read than one
-	// that waits there: it also delays the calls that come after, and takes memory from
-	// parts that others share. With 1 the parts that are read again cost three times as
-	// much, 8 leaves calls waiting at busy engines.
+	// goalPart is how often a call's expected time at its engine must fit into what is left
+	// of its goal for the engine to be taken as in time: prompts in the same queue are of
+	// very different lengths, and one call in ten takes twice the average.
+	goalPart = 2
+	// readWeight is how much more a token counts that an engine has to read than one that
+	// waits there, once no engine is in time: it also delays the calls that come after.
 	readWeight = 3
-	// movedTokens is how many waiting tokens a megabyte of results counts that has to
-	// come from another data centre: by the users' sheet, a megabyte moved costs them what
-	// reading 200 tokens costs.
+	// movedTokens is how many tokens to be read a megabyte of results counts that has to
+	// come from another data centre: by the users' sheet it costs them as much.
 	movedTokens = 200
 )
 
@@ -45,6 +46,8 @@
 type engines struct {
 	members map[string][]wire.Member // by service
 	by      map[wire.MemberID]*engineLoad
+
+	pace pace // of all engines: they are alike
 }
 
 // engineLoad is what is known of one engine.
@@ -59,9 +62,13 @@
 type pick struct {
 	engine wire.MemberID
 	tokens int64
+	behind int64 // tokens until its first event, its own included
+	at     time.Time
 }
 
-func newEngines() *engines { return &engines{by: map[wire.MemberID]*engineLoad{}} }
+func newEngines() *engines {
+	return &engines{by: map[wire.MemberID]*engineLoad{}, pace: newPace()}
+}
 
 // follow takes over the engines that are there.
 func (e *engines) follow(announced map[string][]wire.Member) {
@@ -79,9 +86,11 @@
 	}
 }
 
-// choose returns the engine for a prompt, empty when there is none. bytes are where
-// the results that it fetches lie, by data centre.
-func (e *engines) choose(now time.Time, p *Prompt, bytes map[string]int64) (best wire.Member, tokens int64) {
+// choose returns the engine for a prompt whose first event is due by the goal, empty when
+// there is none. Among engines that should be in time it is the one that costs least to
+// read and to move, else the one that should begin soon at no great cost. bytes are where the results that
+// it fetches lie, by data centre.
+func (e *engines) choose(now, goal time.Time, p *Prompt, bytes map[string]int64) (best wire.Member, tokens int64) {
 	first := e.first(p)
 	all := int64(0)
 	for _, n := range bytes {
@@ -94,9 +103,12 @@
 		if m.ID == first {
 			unread = p.Parts[len(p.Parts)-1].Tokens
 		}
-		r := rank{paused: now.Before(l.until), id: m.ID}
-		r.cost = l.waiting + readWeight*unread + movedTokens*(all-bytes[m.DataCenter])/1_000_000
-		if best.ID == "" || r.less(least) {
+		r := rank{paused: now.Before(l.until), begins: l.waiting + unread, id: m.ID}
+		r.cost = unread + movedTokens*(all-bytes[m.DataCenter])/1_000_000
+		if r.late = now.Add(goalPart * e.pace.timeFor(r.begins)).After(goal); r.late {
+			r.cost = readWeight*r.cost + l.waiting
+		}
+		if best.ID == "" || r.compare(least) < 0 {
 			best, least, tokens = m, r, unread
 		}
 	}
@@ -106,15 +118,25 @@
 // rank orders engines; the least is the best.
 type rank struct {
 	paused bool
-	cost   int64 // in tokens
+	late   bool
+	cost   int64 // in tokens read
+	begins int64 // tokens until the call's first event
 	id     wire.MemberID
 }
 
-func (r rank) less(o rank) bool {
-	if r.paused != o.paused {
-		return !r.paused
+func (r rank) compare(o rank) int {
+	return cmp.Or(compareBool(r.paused, o.paused), compareBool(r.late, o.late), cmp.Compare(r.cost, o.cost), cmp.Compare(r.begins, o.begins), cmp.Compare(r.id, o.id))
+}
+
+// compareBool puts false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
 	}
-	return cmp.Or(cmp.Compare(r.cost, o.cost), cmp.Compare(r.id, o.id)) < 0
+	return 1
 }
 
 // first returns the engine that counts as one that has read the shared parts while none
@@ -146,7 +168,7 @@
 	if len(l.parts) > maxParts {
 		l.forgetOldest()
 	}
-	return &pick{m.ID, tokens}
+	return &pick{engine: m.ID, tokens: tokens, behind: l.waiting, at: now}
 }
 
 // begun notes that the engine has begun to answer, or that the call is over. With
@@ -159,6 +181,7 @@
 	l.waiting -= p.tokens
 	if !failed {
 		l.failures = 0
+		e.pace.observe(p.behind, now.Sub(p.at))
 		return
 	}
 	l.failures++
--- a/node/stagework/job.go
+++ b/node/stagework/job.go
@@ -17,8 +17,9 @@
 	Handed     string        `json:"handed"` // names this handing in; a call that is handed in again gets another one
 	Key        string        `json:"key"`
 	Stages     []Stage       `json:"stages"`
-	Left       time.Duration `json:"left"` // until the call is worthless
-	Goal       time.Duration `json:"goal"` // until it is worth less; negative when that has passed
+	Left       time.Duration `json:"left"`                  // until the call is worthless
+	Goal       time.Duration `json:"goal"`                  // until it is worth less; negative when that has passed
+	FirstEvent time.Duration `json:"first_event,omitempty"` // until the first event of the call's answer is due
 	DataCenter string        `json:"data_center"`
 	Priority   int           `json:"priority,omitempty"` // 0 is the most urgent
 	Caller     string        `json:"caller,omitempty"`   // peer address of the process whose call it is; empty: it wants no news
--- a/node/stagework/link.go
+++ b/node/stagework/link.go
@@ -176,11 +176,12 @@
 // takes. release must be called once the results are not needed any more. When
 // the owner is lost, the job goes on at the next one with what was made of it.
 func (s *Service) Run(ctx context.Context, j Job) (Result, Release, error) {
-	deadline, goal := time.Now().Add(j.Left), time.Now().Add(j.Goal)
+	deadline, goal, firstEvent := time.Now().Add(j.Left), time.Now().Add(j.Goal), time.Now().Add(j.FirstEvent)
 	var since time.Time // of the loss; zero while there is an owner
 	for {
 		client, lost, changed := s.link.use()
-		j.Left, j.Goal, j.Handed, j.Caller = time.Until(deadline), time.Until(goal), uuid.NewString(), s.address()
+		j.Left, j.Goal, j.FirstEvent = time.Until(deadline), time.Until(goal), time.Until(firstEvent)
+		j.Handed, j.Caller = uuid.NewString(), s.address()
 		s.handed.begin(j.Handed, j.Made)
 		r, moved, err := s.runAt(ctx, client, lost, j)
 		j.Made = s.handed.end(j.Handed)
--- a/node/stagework/progress.go
+++ b/node/stagework/progress.go
@@ -12,24 +12,25 @@
 // job is how far a Job has come.
 type job struct {
 	Job
-	serial   uint64
-	arrived  time.Time
-	calls    int // under way with pieces of it
-	deadline time.Time
-	goal     time.Time
-	tail     []time.Duration // by stage: what follows it takes at least
-	handles  [][]string      // by stage and piece
-	missing  []int           // by stage: pieces not made yet
-	started  []bool
-	times    []stageTimes // by stage
-	made     []made
-	restarts int
-	returned bool                // its caller was sent away before
-	late     bool                // it was taken in although it misses its goal
-	pick     *pick               // nil until its engine is chosen
-	estimate time.Duration       // of its stages, when it was taken in; zero where nothing was estimated
-	answer   func(Result, error) // nil once called
-	expires  time.Time           // when its results are gone by themselves
+	serial     uint64
+	arrived    time.Time
+	calls      int // under way with pieces of it
+	deadline   time.Time
+	goal       time.Time
+	firstEvent time.Time       // by when the call's first event is due
+	tail       []time.Duration // by stage: what follows it takes at least
+	handles    [][]string      // by stage and piece
+	missing    []int           // by stage: pieces not made yet
+	started    []bool
+	times      []stageTimes // by stage
+	made       []made
+	restarts   int
+	returned   bool                // its caller was sent away before
+	late       bool                // it was taken in although it misses its goal
+	pick       *pick               // nil until its engine is chosen
+	estimate   time.Duration       // of its stages, when it was taken in; zero where nothing was estimated
+	answer     func(Result, error) // nil once called
+	expires    time.Time           // when its results are gone by themselves
 }
 
 // stageTimes are the moments of one stage of a job; zero while they have not come.
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -78,7 +78,7 @@
 		return nil
 	}
 	s.serial++
-	n := &job{Job: j, serial: s.serial, arrived: now, deadline: now.Add(j.Left), goal: now.Add(j.Goal), answer: answer}
+	n := &job{Job: j, firstEvent: now.Add(j.FirstEvent), serial: s.serial, arrived: now, deadline: now.Add(j.Left), goal: now.Add(j.Goal), answer: answer}
 	for _, st := range j.Stages {
 		if st.Pieces > 0 && s.services[st.Service] == nil {
 			answer(Result{}, errStages("service "+st.Service+" makes no pieces"))
@@ -104,7 +104,7 @@
 	if j.Prompt == nil {
 		return
 	}
-	if m, _ := s.engines.choose(now, j.Prompt, nil); m.ID != "" {
+	if m, _ := s.engines.choose(now, j.firstEvent, j.Prompt, nil); m.ID != "" {
 		j.DataCenter = m.DataCenter
 	}
 }
@@ -181,7 +181,7 @@
 	if j.Prompt == nil {
 		return ""
 	}
-	m, tokens := s.engines.choose(now, j.Prompt, j.finalBytes())
+	m, tokens := s.engines.choose(now, j.firstEvent, j.Prompt, j.finalBytes())
 	if m.ID != "" {
 		j.pick = s.engines.send(now, j.Prompt, m, tokens)
 	}
