--- /dev/null
+++ b/node/stagework/load_test.go
@@ -0,0 +1,121 @@
+package stagework
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// seedsOfLoad are the days that each pattern is played on: policies that differ by less
+// than a few parts in a hundred are not told apart by one.
+var seedsOfLoad = []uint64{1, 2, 3, 4, 5, 6}
+
+// meanInTime plays a pattern on each seed.
+func meanInTime(play func(seed uint64) float64) float64 {
+	sum := 0.0
+	for _, seed := range seedsOfLoad {
+		sum += play(seed)
+	}
+	return sum / float64(len(seedsOfLoad))
+}
+
+// burstOfNotes is the pattern of a burst of the longest prompts: two and a half times the
+// usual rate of those with stages, for six seconds.
+func burstOfNotes(seed uint64, byHash bool) *loadModel {
+	m := newLoadModel(seed)
+	m.byHash = byHash
+	m.traffic(notes, 0, 14*time.Second, 8.4)
+	m.traffic(returns, 0, 14*time.Second, 15)
+	m.traffic(notes, 3*time.Second, 9*time.Second, 14)
+	m.run(25 * time.Second)
+	return m
+}
+
+// TestBurstOfLongPrompts compares the owner's choice of engines with the hash that each
+// process used before: more is in time during the burst, and the slowest tenth of first
+// events comes sooner.
+func TestBurstOfLongPrompts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	slowest := func(m *loadModel) time.Duration {
+		var all []time.Duration
+		for _, e := range m.ended {
+			if e.kind == notes.name && !e.refused {
+				all = append(all, e.first)
+			}
+		}
+		slices.Sort(all)
+		return all[len(all)*9/10]
+	}
+	var hash, owner time.Duration
+	before := meanInTime(func(seed uint64) float64 {
+		m := burstOfNotes(seed, true)
+		hash += slowest(m)
+		return m.inTime(3*time.Second, 9*time.Second)
+	})
+	now := meanInTime(func(seed uint64) float64 {
+		m := burstOfNotes(seed, false)
+		owner += slowest(m)
+		return m.inTime(3*time.Second, 9*time.Second)
+	})
+	t.Logf("in time %.3f -> %.3f, slowest tenth of first events %s -> %s", before, now, hash/6, owner/6)
+	g.Expect(now).To(gomega.BeNumerically(">", before))
+	g.Expect(owner).To(gomega.BeNumerically("<", hash))
+}
+
+// lostOwner is the pattern of a lost owner: a load of nine tenths, and 0.6 s until the
+// leader has noticed and named the next one.
+func lostOwner(seed uint64, deaf bool) *loadModel {
+	m := newLoadModel(seed)
+	m.deaf = deaf
+	m.traffic(notes, 0, 14*time.Second, 8.4)
+	m.traffic(returns, 0, 14*time.Second, 26)
+	m.run(6 * time.Second)
+	m.loseOwner(600 * time.Millisecond)
+	m.run(20 * time.Second)
+	return m
+}
+
+// TestLostOwnerCostsLittle loses the owner under load: fewer pieces meet upstreams without
+// room than the two hundred that one refusal each 60 ms at five upstreams would give in
+// 4 s, and callers that were told of results are served better, and less is thrown away,
+// than if all began anew.
+func TestLostOwnerCostsLittle(t *testing.T) {
+	g := gomega.NewWithT(t)
+	noRoom, thrownDeaf, thrown := 0, 0, 0
+	before := meanInTime(func(seed uint64) float64 {
+		m := lostOwner(seed, true)
+		thrownDeaf += m.thrown
+		return m.inTime(4*time.Second, 9*time.Second)
+	})
+	now := meanInTime(func(seed uint64) float64 {
+		m := lostOwner(seed, false)
+		noRoom += m.noRoom
+		thrown += m.thrown
+		return m.inTime(4*time.Second, 9*time.Second)
+	})
+	t.Logf("in time %.3f -> %.3f, thrown away %d -> %d, pieces without room %d a day", before, now, thrownDeaf/6, thrown/6, noRoom/6)
+	g.Expect(now).To(gomega.BeNumerically(">", before))
+	g.Expect(thrown).To(gomega.BeNumerically("<", thrownDeaf))
+	g.Expect(noRoom / len(seedsOfLoad)).To(gomega.BeNumerically("<", 200))
+}
+
+// TestOverloadEndsWithItsCause compares the second after a burst of returns with the
+// usual load: what came with the burst does not stay.
+func TestOverloadEndsWithItsCause(t *testing.T) {
+	g := gomega.NewWithT(t)
+	play := func(from, until time.Duration) float64 {
+		return meanInTime(func(seed uint64) float64 {
+			m := newLoadModel(seed)
+			m.traffic(notes, 0, 16*time.Second, 8.4)
+			m.traffic(returns, 0, 16*time.Second, 18)
+			m.traffic(returns, 3*time.Second, 9*time.Second, 20)
+			m.run(25 * time.Second)
+			return m.inTime(from, until)
+		})
+	}
+	usual, after := play(0, 3*time.Second), play(11*time.Second, 15*time.Second)
+	t.Logf("in time %.3f before a burst, %.3f from two seconds after it", usual, after)
+	g.Expect(after).To(gomega.BeNumerically(">", usual-0.05))
+}
