Engines: only a first event tells how long engines take

Change: a handing in that ends says how its engine took the call: began, failed or unknown. The owner's connections to callers' processes are closed with it.

--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -191,7 +191,7 @@
 	inputs         []string      // their handles
 	releaseResults stagework.Release
 	engine         wire.MemberID // that the owner of the stages chose; empty when it did not
-	engineFailed   bool          // it did not answer
+	engineOutcome  stagework.EngineOutcome
 }
 
 // ServeHTTP implements http.Handler.
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -92,18 +93,18 @@
 	before   func() // runs before a job is answered
 	err      error
 
-	engine       wire.MemberID // that is chosen
-	engineFailed []bool        // what was said of it
+	engine   wire.MemberID             // that is chosen
+	outcomes []stagework.EngineOutcome // what was said of it
 }
 
 func (f *fakeStages) Choose(context.Context, stagework.Job) (stagework.Result, stagework.Release, bool) {
-	return stagework.Result{Engine: f.engine}, func(failed bool) { f.noteEngine(failed) }, f.engine != ""
+	return stagework.Result{Engine: f.engine}, f.noteEngine, f.engine != ""
 }
 
-func (f *fakeStages) noteEngine(failed bool) {
+func (f *fakeStages) noteEngine(how stagework.EngineOutcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.engineFailed = append(f.engineFailed, failed)
+	f.outcomes = append(f.outcomes, how)
 }
 
 func (f *fakeStages) Run(_ context.Context, j stagework.Job) (stagework.Result, stagework.Release, error) {
@@ -113,7 +114,7 @@
 	if f.before != nil {
 		f.before()
 	}
-	return stagework.Result{Handles: []string{fmt.Sprint("handle-", len(f.jobs))}}, func(bool) { f.released++ }, f.err
+	return stagework.Result{Handles: []string{fmt.Sprint("handle-", len(f.jobs))}}, func(stagework.EngineOutcome) { f.released++ }, f.err
 }
 
 func (f *fakeStages) Silent() time.Duration { return f.silent }
@@ -628,6 +629,11 @@
 		if wanted != "" && calls[string(wanted)].n.Load() != 1 {
 			t.Errorf("%s was chosen and got %d calls", wanted, calls[string(wanted)].n.Load())
 		}
+		b.stages.mu.Lock()
+		if want := []stagework.EngineOutcome{stagework.EngineBegan}; wanted != "" && !slices.Equal(b.stages.outcomes, want) {
+			t.Errorf("the owner is told %v", b.stages.outcomes)
+		}
+		b.stages.mu.Unlock()
 		if sum := calls["e1"].n.Load() + calls["e2"].n.Load(); sum != 1 {
 			t.Errorf("%d calls", sum)
 		}
@@ -638,7 +644,7 @@
 	b.want(http.StatusBadGateway, http.MethodPost, "/chat/", map[string]string{"Caperdrum-Prompt-Parts": "a:10,b:10"})
 	b.stages.mu.Lock()
 	defer b.stages.mu.Unlock()
-	if len(b.stages.engineFailed) != 1 || !b.stages.engineFailed[0] {
-		t.Errorf("the owner is told %v", b.stages.engineFailed)
+	if !slices.Equal(b.stages.outcomes, []stagework.EngineOutcome{stagework.EngineFailed}) {
+		t.Errorf("the owner is told %v", b.stages.outcomes)
 	}
 }
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -30,7 +30,9 @@
 		}
 		c.wanted = x.engine
 		a := x.send(ctx, &tried, c, out.events.last)
-		x.engineFailed = x.engineFailed || a.member.ID == x.engine && a.unanswered() && ctx.Err() == nil
+		if a.member.ID == x.engine && a.unanswered() && ctx.Err() == nil {
+			x.engineOutcome = stagework.EngineFailed
+		}
 		if a.inputsGone() && !remade {
 			x.drop(a, stood)
 			x.release()
@@ -88,6 +90,9 @@
 		return true, nil
 	}
 	out.begin(a)
+	if a.member.ID == x.engine {
+		x.engineOutcome = stagework.EngineBegan
+	}
 	x.release()
 	err := out.copy(a)
 	switch {
@@ -181,7 +186,7 @@
 		return err
 	}
 	x.inputs, x.staged, x.releaseResults = result.Handles, true, release
-	x.engine, x.engineFailed = result.Engine, false
+	x.engine, x.engineOutcome = result.Engine, stagework.EngineUnknown
 	x.s.log.V(logging.Routine).Info("stages done", "request", x.call.ID, "pieces", pieces, "results", len(result.Handles), "took", time.Since(began), "left", time.Until(x.deadline))
 	return nil
 }
@@ -259,6 +264,6 @@
 func (x *exchange) release() {
 	if x.staged {
 		x.staged = false
-		x.releaseResults(x.engineFailed)
+		x.releaseResults(x.engineOutcome)
 	}
 }
--- a/node/stagework/engines.go
+++ b/node/stagework/engines.go
@@ -171,21 +171,21 @@
 	return &pick{engine: m.ID, tokens: tokens, behind: l.waiting, at: now}
 }
 
-// begun notes that the engine has begun to answer, or that the call is over. With
-// failed the engine did not answer it.
-func (e *engines) begun(now time.Time, p *pick, failed bool) {
+// ended notes that a call waits at the engine no longer.
+func (e *engines) ended(now time.Time, p *pick, how EngineOutcome) {
 	l := e.by[p.engine]
 	if l == nil {
 		return
 	}
 	l.waiting -= p.tokens
-	if !failed {
+	switch how {
+	case EngineBegan:
 		l.failures = 0
 		e.pace.observe(p.behind, now.Sub(p.at))
-		return
+	case EngineFailed:
+		l.failures++
+		l.until = now.Add(min(enginePause<<min(l.failures-1, 8), enginePauseMax))
 	}
-	l.failures++
-	l.until = now.Add(min(enginePause<<min(l.failures-1, 8), enginePauseMax))
 }
 
 func (e *engines) get(id wire.MemberID) *engineLoad {
--- a/node/stagework/engines_test.go
+++ b/node/stagework/engines_test.go
@@ -69,7 +69,7 @@
 		picks = append(picks, k)
 	}
 	for _, k := range picks {
-		p.begun(p.now, k, false)
+		p.ended(p.now, k, EngineBegan)
 	}
 	for id, l := range p.by {
 		g.Expect(l.waiting).To(gomega.BeZero(), string(id))
@@ -82,10 +82,10 @@
 	g := gomega.NewWithT(t)
 	p := newPark()
 	id, k := p.call(prompt("shared", 10))
-	p.begun(p.now, k, true)
+	p.ended(p.now, k, EngineFailed)
 	other, _ := p.call(prompt("shared", 10))
 	g.Expect(other).NotTo(gomega.Equal(id))
-	p.begun(p.now, &pick{engine: id}, true)
+	p.ended(p.now, &pick{engine: id}, EngineFailed)
 	p.now = p.now.Add(enginePause)
 	g.Expect(p.by[id].until).To(gomega.BeTemporally("~", p.now.Add(enginePause), time.Millisecond))
 	p.members["llm"] = p.members["llm"][:0:0]
@@ -140,7 +140,20 @@
 		func(r Result, err error) { got = r; g.Expect(err).NotTo(gomega.HaveOccurred()) })
 	g.Expect(got.Engine).NotTo(gomega.BeEmpty())
 	g.Expect(s.engines.by[got.Engine].waiting).To(gomega.BeEquivalentTo(10))
-	s.done(now, Done{Handed: "a1", EngineFailed: true})
+	s.done(now, Done{Handed: "a1", Engine: EngineFailed})
 	g.Expect(s.engines.by[got.Engine].waiting).To(gomega.BeZero())
 	g.Expect(s.engines.by[got.Engine].until).To(gomega.BeTemporally(">", now))
 }
+
+// TestCallThatEndedTellsNothing ends calls before their first event: neither the pace nor
+// the engine's standing changes.
+func TestCallThatEndedTellsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPark()
+	before := p.pace
+	id, k := p.call(prompt("shared", 10))
+	p.ended(p.now.Add(time.Hour), k, EngineUnknown)
+	g.Expect(p.pace).To(gomega.Equal(before))
+	g.Expect(p.by[id].until).To(gomega.BeZero())
+	g.Expect(p.by[id].waiting).To(gomega.BeZero())
+}
--- a/node/stagework/job.go
+++ b/node/stagework/job.go
@@ -47,10 +47,20 @@
 	// Moved says that the job goes on elsewhere with the results that its caller was
 	// told of; else no result of it is needed any more.
 	Moved bool `json:"moved,omitempty"`
-	// EngineFailed says that the engine that was chosen did not answer the call.
-	EngineFailed bool `json:"engine_failed,omitempty"`
+	// Engine says how the engine that was chosen took the call.
+	Engine EngineOutcome `json:"engine,omitempty"`
 }
 
+// EngineOutcome is how a chosen engine took a call.
+type EngineOutcome string
+
+// Outcomes at engines.
+const (
+	EngineUnknown EngineOutcome = ""       // the call was not sent there, or ended before it answered
+	EngineBegan   EngineOutcome = "began"  // it has begun to answer
+	EngineFailed  EngineOutcome = "failed" // it did not answer, or refused the call
+)
+
 // Methods of an owner.
 const (
 	methodRun  = "stage.run"
--- a/node/stagework/link.go
+++ b/node/stagework/link.go
@@ -150,8 +150,8 @@
 }
 
 // Release gives up what the owner keeps for a call: its engine has begun to answer, or
-// the call is over. With engineFailed the engine that was chosen did not answer.
-type Release func(engineFailed bool)
+// the call is over.
+type Release func(engine EngineOutcome)
 
 // chooseTime bounds how long a call without stages waits for the owner's choice of an
 // engine: ten times a round trip, far below what a poor choice costs.
@@ -169,7 +169,7 @@
 	if moved || err != nil {
 		return Result{}, nil, false
 	}
-	return r, func(engineFailed bool) { s.release(client, Done{Handed: j.Handed, EngineFailed: engineFailed}) }, true
+	return r, func(engine EngineOutcome) { s.release(client, Done{Handed: j.Handed, Engine: engine}) }, true
 }
 
 // Run has the stages of a call done, and returns the handles that its own run
@@ -190,9 +190,9 @@
 			s.release(client, Done{Handed: j.Handed, Moved: true}) // it may go on there, for nobody
 		}
 		if !moved {
-			over := func(engineFailed bool) { s.release(client, Done{Handed: j.Handed, EngineFailed: engineFailed}) }
+			over := func(engine EngineOutcome) { s.release(client, Done{Handed: j.Handed, Engine: engine}) }
 			if err != nil {
-				over(false)
+				over(EngineUnknown)
 			}
 			return r, over, err
 		}
--- a/node/stagework/loadmodel_test.go
+++ b/node/stagework/loadmodel_test.go
@@ -222,7 +222,7 @@
 	}
 	first := m.readBy(engine, c.prompt)
 	m.after(first, func() {
-		m.free(owner, owner.done(m.now, Done{Handed: handed}))
+		m.free(owner, owner.done(m.now, Done{Handed: handed, Engine: EngineBegan}))
 		m.ended = append(m.ended, modelEnd{kind: c.kind.name, arrived: c.arrived, inTime: m.now.Sub(c.arrived) <= c.kind.goal, first: first})
 	})
 }
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -227,7 +227,7 @@
 		return nil
 	}
 	s.end(j, Result{}, errStages("the call was given up"))
-	s.leaveEngine(now, j, d.EngineFailed)
+	s.leaveEngine(now, j, d.Engine)
 	if d.Moved {
 		return s.leave(j)
 	}
@@ -235,9 +235,9 @@
 }
 
 // leaveEngine no longer counts the job's call at its engine.
-func (s *scheduler) leaveEngine(now time.Time, j *job, failed bool) {
+func (s *scheduler) leaveEngine(now time.Time, j *job, how EngineOutcome) {
 	if j.pick != nil {
-		s.engines.begun(now, j.pick, failed)
+		s.engines.ended(now, j.pick, how)
 		j.pick = nil
 	}
 }
@@ -290,7 +290,7 @@
 			s.end(j, Result{}, errBusy(starvedComeBack))
 			out = append(out, s.forget(j)...)
 		case j.answer == nil && !j.expires.IsZero() && now.After(j.expires):
-			s.leaveEngine(now, j, false)
+			s.leaveEngine(now, j, EngineUnknown)
 			s.freed(s.forget(j))
 		}
 	}
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -122,6 +122,7 @@
 	for {
 		select {
 		case <-s.ctx.Done():
+			s.keepCallers(nil)
 			return
 		case f := <-s.events:
 			f(time.Now())
