Stages: inputs are given up only once the process of the call knows what was made of them

Change: the owner tells the process of a call by a call that is answered; inputs are freed after that, some ms later. Jobs in time have their line at the detail level only.

--- a/node/stagework/handover.go
+++ b/node/stagework/handover.go
@@ -39,11 +39,39 @@
 	News
 }
 
-// tell queues news for the process of the job's call.
-func (s *scheduler) tell(j *job, m *StageMade) {
-	if j.Caller != "" {
-		s.news = append(s.news, news{j.Caller, News{j.Handed, m}})
+// tell queues news for the process of the job's call, and reports whether there is one.
+func (s *scheduler) tell(j *job, m *StageMade) bool {
+	if j.Caller == "" {
+		return false
 	}
+	s.news = append(s.news, news{j.Caller, News{j.Handed, m}})
+	return true
+}
+
+// acked returns the inputs that are to be freed now that the processes know of what was
+// made of them. Before that the next owner would need them: an owner that is cut off from
+// all others goes on for a while.
+func (s *scheduler) acked(list []News) []made {
+	var out []made
+	for _, n := range list {
+		if j := s.jobs[n.Handed]; j != nil {
+			out = append(out, s.freeInputs(j)...)
+		}
+	}
+	return out
+}
+
+// loseCaller ends the jobs of a process that cannot be reached, which hands them in
+// elsewhere if it lives. It returns the results that nobody knows of.
+func (s *scheduler) loseCaller(address string) []made {
+	var out []made
+	for _, j := range s.jobs {
+		if j.answer != nil && j.Caller == address {
+			s.end(j, Result{}, errMoved())
+			out = append(out, s.leave(j)...)
+		}
+	}
+	return out
 }
 
 // takeNews returns what processes are to be told.
--- a/node/stagework/handover_test.go
+++ b/node/stagework/handover_test.go
@@ -81,6 +81,7 @@
 		r.free(r.owner.finish(r.now, c, o))
 		for _, n := range r.owner.takeNews() {
 			r.heard.learn(n.News)
+			r.free(r.owner.acked([]News{n.News}))
 		}
 	}
 }
@@ -231,3 +232,30 @@
 		t.Fatal("a connection to a process that is gone is kept")
 	}
 }
+
+// TestInputsStayUntilTheirProcessKnows makes the stages of a job while its process cannot
+// be told: what it was told of lies at the upstreams, so that another owner can go on,
+// and the job ends here once the process counts as lost.
+func TestInputsStayUntilTheirProcessKnows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRelay(t)
+		r.handIn("a", "a1", nil)
+		for len(r.heard.by["a1"]) == 0 {
+			r.work(1)
+		}
+		known := r.heard.by["a1"]
+		for _, c := range r.owner.start(r.now) {
+			r.now = r.now.Add(c.expect)
+			r.free(r.owner.finish(r.now, c, outcome{results: make([]upstream.PieceResult, len(c.pieces))}))
+		}
+		r.free(r.owner.loseCaller("process"))
+		if verdict.Of(r.errs["a"]) != verdict.NotRun || len(r.owner.jobs) > 0 {
+			t.Fatalf("%v, %d jobs", r.errs["a"], len(r.owner.jobs))
+		}
+		for _, p := range known[0].Pieces {
+			if r.holds[p.Handle] == "" {
+				t.Fatalf("%s is freed", p.Handle)
+			}
+		}
+	})
+}
--- a/node/stagework/loadmodel_test.go
+++ b/node/stagework/loadmodel_test.go
@@ -263,6 +263,7 @@
 	m.free(s, s.expire(m.now))
 	for _, n := range s.takeNews() {
 		m.heard.learn(n.News)
+		m.free(s, s.acked([]News{n.News}))
 	}
 	for _, w := range s.reports(m.now) {
 		m.after(2*time.Millisecond, func() {
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -390,8 +390,8 @@
 	}
 	j.times[p.stage].made = now
 	s.advance(now, j)
-	if j.answer != nil {
-		s.tell(j, j.stageMade(p.stage))
+	if j.answer != nil && s.tell(j, j.stageMade(p.stage)) {
+		return nil
 	}
 	return s.freeInputs(j)
 }
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -170,14 +170,18 @@
 	}
 }
 
-// ended logs where the time of a job went that was taken in.
+// ended logs where the time of a job went that was taken in. Jobs that are in time have
+// a line at the detail level only: there are up to 170 a second.
 func (s *Service) ended(j *Job, err error) {
 	n, taken := s.scheduler.jobs[j.Handed]
 	if !taken {
 		return // refused: its own line says why
 	}
-	now := time.Now()
-	s.log.V(logging.Routine).Info("job ended", "request", j.ID, "priority", j.Priority, "after", now.Sub(n.arrived), "to_goal", n.goal.Sub(now),
+	now, level := time.Now(), logging.Routine
+	if err == nil && now.Before(n.goal) {
+		level = logging.Detail
+	}
+	s.log.V(level).Info("job ended", "request", j.ID, "priority", j.Priority, "after", now.Sub(n.arrived), "to_goal", n.goal.Sub(now),
 		"waited_and_made_ms", n.trace(), "estimate", n.estimate, "late", n.late, "sent_away_before", n.returned, "restarts", n.restarts, "engine", n.engine(), "error", err)
 }
 
@@ -194,8 +198,7 @@
 	return &control.Empty{}, nil
 }
 
-// sendNews tells processes what was made of their jobs. News that are lost cost no
-// more than making it again at the next owner.
+// sendNews tells processes what was made of their jobs.
 func (s *Service) sendNews(list []news) {
 	by := map[string][]News{}
 	for _, n := range list {
@@ -205,6 +208,7 @@
 	for to, l := range by {
 		if to == self {
 			s.learn(s.ctx, &l)
+			s.free(s.scheduler.acked(l))
 			continue
 		}
 		client := s.callers[to]
@@ -216,12 +220,20 @@
 	}
 }
 
+// tell tells a process of its jobs. One that does not answer has found another owner,
+// or is gone: its jobs end here.
 func (s *Service) tell(client *peer.Client, list []News) {
 	ctx, cancel := context.WithTimeout(s.ctx, pingTimeout)
 	defer cancel()
-	if err := client.Notify(ctx, methodNews, list); err != nil {
-		s.log.V(logging.Detail).Info("process not told of its jobs", "process", client.Address(), "news", len(list), "error", err.Error())
-	}
+	err := client.Call(ctx, methodNews, list, nil)
+	s.post(func(time.Time) {
+		if err == nil {
+			s.free(s.scheduler.acked(list))
+			return
+		}
+		s.log.Info("jobs given up", "reason", "their process does not answer", "process", client.Address(), "error", err.Error())
+		s.free(s.scheduler.loseCaller(client.Address()))
+	})
 }
 
 // keepCallers closes the connections to processes that are no members any more.
