--- a/node/replica/outage.go
+++ b/node/replica/outage.go
@@ -36,7 +36,7 @@
 // diskFault names what is wrong with a disk, for logs and metrics.
 func diskFault(err error) string {
 	switch cause := errors.Cause(err); {
-	case errors.Is(cause, syscall.ENOSPC), errors.Is(cause, syscall.EDQUOT):
+	case errors.Is(cause, syscall.ENOSPC), errors.Is(cause, syscall.EDQUOT), errors.Is(cause, syscall.EFBIG):
 		return "full"
 	case errors.Is(cause, syscall.EIO):
 		return "failing"
