Control: tests bind their ports once

Change: the service's listener can be handed over; the tests keep the one that they took the port by.

--- a/node/control/service.go
+++ b/node/control/service.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -66,6 +67,7 @@
 	directory *peer.Directory
 	seeds     []string // among which the founder is chosen; nil when this process may not found
 	clock     clockwork.Clock
+	listen    func(address string) (net.Listener, error)
 
 	cancel  context.CancelFunc
 	stopped chan struct{}
@@ -89,6 +91,7 @@
 		return nil, errors.Trace(err)
 	}
 	s.cluster, s.clock = s.replica, clockwork.NewRealClock()
+	s.listen = func(address string) (net.Listener, error) { return s.secure.Listen(address, security.Peers) }
 	s.directory = p.Directory
 	if s.directory == nil {
 		s.directory = peer.NewDirectory(p.Settings.Peers.Control)
@@ -129,7 +132,7 @@
 
 // Start implements kernel.Starter.
 func (s *Service) Start(context.Context) error {
-	l, err := s.secure.Listen(s.set.Control.Listen, security.Peers)
+	l, err := s.listen(s.set.Control.Listen)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/node/control/system_test.go
+++ b/node/control/system_test.go
@@ -102,19 +102,24 @@
 	}
 }
 
-func freeAddress(tb testing.TB) string {
+// listenAnywhere binds a port once: one that is closed and bound again may be taken by
+// another test in between.
+func listenAnywhere(tb testing.TB) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		tb.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	tb.Cleanup(func() { l.Close() })
+	return l
 }
 
 func startSystem(tb testing.TB, controls, members int) *system {
 	s := &system{tb: tb, network: network{cut: map[string]bool{}}}
+	var listeners []net.Listener
 	for range controls {
-		s.addresses = append(s.addresses, freeAddress(tb))
+		l := listenAnywhere(tb)
+		listeners = append(listeners, l)
+		s.addresses = append(s.addresses, l.Addr().String())
 	}
 	for i, address := range s.addresses {
 		set := &settings.Settings{Node: settings.Node{Name: fmt.Sprint("control-", i), DataDir: tb.TempDir()},
@@ -124,6 +129,7 @@
 		if err != nil {
 			tb.Fatal(err)
 		}
+		svc.listen = func(string) (net.Listener, error) { return listeners[i], nil }
 		if err := svc.Start(context.Background()); err != nil {
 			tb.Fatal(err)
 		}
