Logs: what a control process believes, how long changes and reads take

Cause: from outside nobody can tell who leads and since when, why a lead ended, how large an entry of the log is and how long it took to commit, what a read waited for, and how a configuration came into force.

--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -58,6 +58,7 @@
 	listen []func(*View)
 	onHint []func()
 	taken  atomic.Bool // every listener has seen a view
+	late   bool        // it was logged that no quorum has confirmed the view lately; of run's goroutine
 	poke   chan struct{}
 	saw    atomic.Uint64 // highest version heard of from others
 
@@ -208,10 +209,10 @@
 	return nil
 }
 
-func (s *Service) publish(v *View, old uint64) {
+func (s *Service) publish(v *View, old uint64, how arrival) {
 	if v.Version != old {
 		versionVar.Set(int64(v.Version))
-		s.log.Info("configuration in force", "version", v.Version)
+		s.log.Info("configuration in force", "version", v.Version, "before", old, "bytes", len(v.Text), "whole", how.whole, "arrived", how.arrived, "parsed", how.parsed, "stamp_age", s.StampAge())
 		s.ring.Record(timeline.Event{Kind: "config-in-force", Detail: "version " + strconv.FormatUint(v.Version, 10)})
 	}
 	for _, f := range s.listen {
--- a/node/configsync/loop.go
+++ b/node/configsync/loop.go
@@ -70,6 +70,7 @@
 		if err != nil && ctx.Err() == nil {
 			s.log.V(logging.Detail).Info("control process not used", "address", src.Address(), "error", err.Error())
 		}
+		s.logLate(src, p, err)
 		var moveOn bool
 		p, moveOn = p.after(err, len(s.sources))
 		if moveOn {
@@ -79,6 +80,24 @@
 	}
 }
 
+// lateAfter is the age of the last confirmation by a quorum from which on it is
+// logged: twice what synchronization takes when all is well, below the ages at which
+// readiness and keys end.
+const lateAfter = 2 * syncWait
+
+// logLate says once that no quorum has confirmed the view lately, and once that it
+// has again.
+func (s *Service) logLate(src source, p pace, err error) {
+	age := s.StampAge()
+	switch late := age > lateAfter; {
+	case late && !s.late && age < neverStamp:
+		s.log.Info("configuration not confirmed lately", "stamp_age", age, "asked", src.Address(), "fails", p.fails, "error", err)
+	case !late && s.late:
+		s.log.Info("configuration confirmed again", "stamp_age", age, "asked", src.Address(), "fails", p.fails)
+	}
+	s.late = age > lateAfter && age < neverStamp
+}
+
 // moveOn picks the next control process. While others answer, one that did not
 // is left alone, so that a member does not hang on it again during an election.
 func (s *Service) moveOn(err error) {
@@ -154,6 +173,13 @@
 	}
 }
 
+// arrival is how a new view came, for its log line.
+type arrival struct {
+	whole   bool          // the text, not a difference to the one before
+	arrived time.Duration // from the call to its answer
+	parsed  time.Duration // and from there until the view stood
+}
+
 func (s *Service) accept(reply *wire.SyncReply, asked time.Time) error {
 	old := uint64(0)
 	if v := s.View(); v != nil {
@@ -163,9 +189,11 @@
 	if reply.StampAge >= 0 && reply.StampAge <= staleStamp {
 		s.directory.Learn(reply.Control)
 	}
+	how := arrival{whole: reply.Config != nil, arrived: s.clock.Since(asked)}
 	changed, err := s.held.Take(reply, asked)
+	how.parsed = s.clock.Since(asked) - how.arrived
 	if changed != nil {
-		s.publish(changed, old)
+		s.publish(changed, old, how)
 	}
 	if err == nil && !reply.Renewed {
 		return errNotRenewed
--- a/node/configsync/taken_test.go
+++ b/node/configsync/taken_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
 
 	"caperdrum.org/api/timeline"
 	"caperdrum.org/api/wire"
@@ -14,7 +15,7 @@
 // TestTakenOver shows that a view which a listener has not finished with does
 // not count as taken over, though View returns it already.
 func TestTakenOver(t *testing.T) {
-	s := &Service{held: NewHolder(wire.Member{ID: "a"}), log: logr.Discard(), ring: timeline.NewRing("a", "v", 16)}
+	s := &Service{clock: clockwork.NewFakeClock(), held: NewHolder(wire.Member{ID: "a"}), log: logr.Discard(), ring: timeline.NewRing("a", "v", 16)}
 	calls := 0
 	s.OnChange(func(*View) {
 		calls++
--- a/node/control/formation.go
+++ b/node/control/formation.go
@@ -75,7 +75,11 @@
 			if clients[step.Ask] == nil {
 				clients[step.Ask] = peer.NewClient(step.Ask, s.links.dial)
 			}
-			rule.Heard(step.Ask, step.Hello, s.hello(ctx, clients[step.Ask], step.Hello))
+			answer := s.hello(ctx, clients[step.Ask], step.Hello)
+			if answer.Known {
+				s.log.Info("seed heard", "address", step.Ask, "has_disk", answer.HasDisk, "founder", answer.Founder, "asked_to_be_named", step.Hello.Address != "")
+			}
+			rule.Heard(step.Ask, step.Hello, answer)
 		}
 		select {
 		case <-ctx.Done():
--- a/node/control/links.go
+++ b/node/control/links.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"caperdrum.org/node/consensus"
 	"caperdrum.org/node/peer"
 )
@@ -14,6 +16,7 @@
 // its own, so one that does not read holds up nobody.
 type links struct {
 	dial peer.Dialer
+	log  logr.Logger
 	self consensus.Peer
 	ctx  context.Context
 	stop context.CancelFunc
@@ -38,9 +41,9 @@
 	idleLimit       = time.Minute // after which a replica's queue is given up
 )
 
-func newLinks(dial peer.Dialer) *links {
+func newLinks(dial peer.Dialer, log logr.Logger) *links {
 	ctx, stop := context.WithCancel(context.Background())
-	return &links{dial: dial, ctx: ctx, stop: stop, queues: map[consensus.NodeID]*queue{}, addr: map[consensus.NodeID]string{}}
+	return &links{dial: dial, log: log, ctx: ctx, stop: stop, queues: map[consensus.NodeID]*queue{}, addr: map[consensus.NodeID]string{}}
 }
 
 // learn remembers where a replica that only sent us messages listens.
@@ -128,7 +131,8 @@
 func (l *links) pump(id consensus.NodeID, address string, q *queue) {
 	client := peer.NewClient(address, l.dial)
 	defer client.Close()
-	var confirmed time.Time // when the other end last answered
+	confirmed := time.Now() // when the other end last answered
+	silent := false         // it was logged that it does not
 	idle := time.NewTimer(idleLimit)
 	defer idle.Stop()
 	for {
@@ -142,7 +146,16 @@
 			}
 		case m := <-q.messages:
 			batch := RaftBatch{From: l.self, Messages: q.takeAfter(m)}
-			if l.deliver(client, batch, time.Since(confirmed) >= confirmInterval) {
+			began := time.Now()
+			answered, err := l.deliver(client, batch, time.Since(confirmed) >= confirmInterval)
+			switch {
+			case answered && silent:
+				l.log.Info("replica reached again", "replica", id, "silent", time.Since(confirmed))
+			case err != nil && !silent:
+				l.log.Info("replica not reached", "replica", id, "address", address, "messages", len(batch.Messages), "bytes", size(batch.Messages), "took", time.Since(began), "error", err.Error())
+			}
+			silent = err != nil || silent && !answered
+			if answered {
 				confirmed = time.Now()
 			}
 		}
@@ -152,14 +165,14 @@
 // deliver sends a batch and reports whether the other end answered. Lost ones
 // are sent again by consensus. Heartbeats alone go without an answer, except
 // one in confirmInterval, which finds out a link that was cut silently.
-func (l *links) deliver(client *peer.Client, batch RaftBatch, confirm bool) bool {
+func (l *links) deliver(client *peer.Client, batch RaftBatch, confirm bool) (answered bool, err error) {
 	ctx, cancel := context.WithTimeout(l.ctx, sendTimeout)
 	defer cancel()
 	if !confirm && heartbeatsOnly(batch.Messages) {
-		client.Notify(ctx, MethodRaft, batch)
-		return false
+		return false, client.Notify(ctx, MethodRaft, batch)
 	}
-	return client.Call(ctx, MethodRaft, batch, nil) == nil
+	err = client.Call(ctx, MethodRaft, batch, nil)
+	return err == nil, err
 }
 
 func heartbeatsOnly(messages []consensus.Message) bool {
--- a/node/control/links_test.go
+++ b/node/control/links_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"testing"
 
+	"github.com/go-logr/logr"
+
 	"caperdrum.org/node/consensus"
 )
 
@@ -20,7 +22,7 @@
 		}
 		<-ended
 		return nil, net.ErrClosed
-	})
+	}, logr.Discard())
 	defer l.close()
 	defer close(ended)
 	to := consensus.Peer{ID: "a", Address: "127.0.0.1:1"}
--- a/node/control/operate.go
+++ b/node/control/operate.go
@@ -31,11 +31,13 @@
 		s.log.Info("change refused", "reason", "too few voters", "voters", voters, "want", want, "version", req.Version)
 		return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "too few control processes have joined yet")
 	}
+	began := s.clock.Now()
 	res, err := s.cluster.Propose(ctx, state.Command{Put: req})
 	if err != nil {
+		s.log.Info("change not confirmed", "version", req.Version, "bytes", len(req.Text), "took", s.clock.Since(began), "error", err.Error())
 		return nil, s.leaderError(err)
 	}
-	s.log.Info("change accepted", "version", req.Version, "applied", res.Put.Applied, "in_force", res.Put.Version)
+	s.log.Info("change accepted", "version", req.Version, "bytes", len(req.Text), "took", s.clock.Since(began), "applied", res.Put.Applied, "in_force", res.Put.Version)
 	return res.Put, nil
 }
 
--- a/node/control/service.go
+++ b/node/control/service.go
@@ -75,7 +75,7 @@
 
 // New opens the data folder and prepares the service.
 func New(p Params) (*Service, error) {
-	s := &Service{set: p.Settings, kernel: p.Kernel, log: p.Log, secure: p.Security, ring: p.Ring, handouts: handouts{at: map[wire.AttemptID]time.Time{}}, links: newLinks(p.Dial), server: peer.NewServer(), stopped: make(chan struct{})}
+	s := &Service{set: p.Settings, kernel: p.Kernel, log: p.Log, secure: p.Security, ring: p.Ring, handouts: handouts{at: map[wire.AttemptID]time.Time{}}, links: newLinks(p.Dial, p.Log), server: peer.NewServer(), stopped: make(chan struct{})}
 	fs, err := disk.OpenDir(p.Settings.Node.DataDir)
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/node/replica/compact.go
+++ b/node/replica/compact.go
@@ -65,6 +65,7 @@
 		return errors.Trace(err)
 	}
 	r.snapshotBytes = int64(len(c.snap.Data))
+	r.opts.Log.Info("snapshot stored", "index", index, "bytes", len(c.snap.Data))
 	r.trim(index)
 	return nil
 }
--- a/node/replica/loop.go
+++ b/node/replica/loop.go
@@ -128,6 +128,7 @@
 			if err := r.machine.Restore(rd.Snapshot.Data); err != nil {
 				return errors.Trace(err)
 			}
+			r.opts.Log.Info("snapshot taken over", "index", rd.Snapshot.Index, "term", rd.Snapshot.Term, "bytes", len(rd.Snapshot.Data), "version", r.machine.View().Config.Version)
 		}
 		answers, err := r.apply(rd.Committed)
 		if err != nil {
@@ -148,6 +149,7 @@
 	}
 	s := r.node.Status()
 	r.status.Store(&s)
+	r.logBeliefs(s)
 	r.releaseWaiters()
 	if s.Role != consensus.Leader {
 		r.failWaiting()
@@ -175,6 +177,7 @@
 
 func (r *Replica) send(messages []consensus.Message) {
 	if len(messages) > 0 {
+		r.logSent(messages)
 		r.opts.Transport.Send(r.node.Membership().All(), messages)
 	}
 }
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -76,6 +76,7 @@
 	nextID        uint64
 	waiters       []*applyWaiter
 	floor         uint64 // applied before an outage; the view never goes below
+	beliefs       beliefs
 
 	outage  atomic.Pointer[outage] // nil while the replica takes part
 	view    atomic.Pointer[state.View]
@@ -143,6 +144,10 @@
 		}
 	}
 	r.node = r.newNode(stored.HardState, stored.Snapshot, stored.Entries)
+	r.beliefs.since = r.start
+	opened := r.node.Status()
+	opts.Log.Info("log read", "replica", r.self.ID, "term", opened.Term, "vote", stored.HardState.Vote, "first", opened.First, "last", opened.Last, "committed", opened.Committed,
+		"snapshot", opened.SnapshotIndex, "version", r.machine.View().Config.Version, "voters", names(opened.Membership.Voters))
 	r.hurry()
 	ch := make(chan struct{})
 	r.changed.Store(&ch)
@@ -233,6 +238,19 @@
 	case <-r.done:
 		return state.Result{}, ErrNotLeader
 	}
+	began := r.opts.Clock.Now()
+	res, err := r.outcome(ctx, p)
+	if !errNotTaken(err) {
+		r.logCommand(len(data), began, err)
+	}
+	return res, err
+}
+
+// errNotTaken reports whether err says that this replica does not lead, which callers
+// find out all the time.
+func errNotTaken(err error) bool { return errors.Is(err, ErrNotLeader) }
+
+func (r *Replica) outcome(ctx context.Context, p *proposal) (state.Result, error) {
 	select {
 	case a := <-p.answer:
 		return a.result, a.err
@@ -252,6 +270,13 @@
 
 // ReadIndex is ReadBarrier and returns the log index that was waited for.
 func (r *Replica) ReadIndex(ctx context.Context) (uint64, error) {
+	began := r.opts.Clock.Now()
+	index, err := r.readIndex(ctx)
+	r.logRead(began, err)
+	return index, err
+}
+
+func (r *Replica) readIndex(ctx context.Context) (uint64, error) {
 	rd := &reader{answer: make(chan error, 1)}
 	err := r.do(ctx, func() {
 		r.nextID++
