--- /dev/null
+++ b/node/configsync/slow_test.go
@@ -0,0 +1,95 @@
+package configsync
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+
+	"caperdrum.org/api/timeline"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/peer"
+)
+
+// TestAnswerThatComesSlowly lets a control process answer with a large text over a
+// slow link, in parts that each come well within the grace of an answer. An answer
+// that is on its way is not given up: begun anew at the next control process it would
+// take as long again, and meanwhile this process hears neither of members that leave
+// nor of a confirmation.
+func TestAnswerThatComesSlowly(t *testing.T) {
+	const parts, between = 8, grace * 3 / 4
+	clock := clockwork.NewFakeClock()
+	near, far := net.Pipe()
+	src := peer.NewClient("c1", func(context.Context, string) (net.Conn, error) { return near, nil })
+	defer src.Close()
+	s := &Service{held: NewHolder(wire.Member{ID: "m"}), clock: clock, log: logr.Discard(), ring: timeline.NewRing("m", "v", 16),
+		directory: peer.NewDirectory([]string{"c1"}), sources: []source{src}, poke: make(chan struct{}, 1)}
+	done := make(chan error, 1)
+	go func() { done <- s.syncOnce(context.Background(), src, pace{grace: grace}) }()
+	var call struct {
+		ID json.RawMessage `json:"id"`
+	}
+	if err := json.NewDecoder(far).Decode(&call); err != nil {
+		t.Fatal(err)
+	}
+	if err := clock.BlockUntilContext(context.Background(), 1); err != nil {
+		t.Fatal(err)
+	}
+	text := "[service:s]\nkind = plain\n" + strings.Repeat("# a line of a long text\n", 1000)
+	reply, err := json.Marshal(wire.SyncReply{Version: 1, Renewed: true, Config: &wire.ConfigText{Version: 1, Text: text, Hash: xxhash.Sum64String(text)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer := fmt.Appendf(nil, `{"jsonrpc":"2.0","id":%s,"result":%s}`, call.ID, reply)
+	for i := range parts {
+		if _, err := far.Write(answer[len(answer)*i/parts : len(answer)*(i+1)/parts]); err != nil {
+			t.Fatalf("part %d of %d: the call was given up: %v, %v", i+1, parts, err, <-done)
+		}
+		if i < parts-1 {
+			clock.Advance(between)
+		}
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if v := s.View(); v == nil || v.Version != 1 {
+		t.Fatalf("held: %+v", v)
+	}
+}
+
+// TestAnswerThatStopsIsGivenUp lets the first part of an answer come and no more.
+func TestAnswerThatStopsIsGivenUp(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	near, far := net.Pipe()
+	src := peer.NewClient("c1", func(context.Context, string) (net.Conn, error) { return near, nil })
+	defer src.Close()
+	s := &Service{held: NewHolder(wire.Member{ID: "m"}), clock: clock, log: logr.Discard(), poke: make(chan struct{}, 1)}
+	done := make(chan error, 1)
+	go func() { done <- s.syncOnce(context.Background(), src, pace{grace: grace}) }()
+	var call struct{}
+	if err := json.NewDecoder(far).Decode(&call); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := far.Write([]byte(`{"jsonrpc":"2.0",`)); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		select {
+		case err := <-done:
+			if err == nil {
+				t.Fatal("half an answer was taken")
+			}
+			return
+		default:
+			clock.Advance(grace / 2)
+			time.Sleep(time.Millisecond) // lets the other goroutine run; decides nothing
+		}
+	}
+}
