The log carries what a change changes; resends wait for the first; reads move no text

Cause: the log carried the whole text with each change and once more with each resend, and each read moved it again and made the document anew. Ruled out: a longer election timeout, which would only move the size at which a lead is lost, and cost 0.5 s at each loss of a leader. Change: a change goes into the log as the difference to the text in force, made anew if another change came first; a change that is under way is joined by its resends and goes on when its sender leaves; what is in force is acknowledged without an entry; long commands, texts and differences are packed; a read moves the text only where the reader does not hold it, and keeps the document that it made.

--- a/api/wire/announce.go
+++ b/api/wire/announce.go
@@ -32,6 +32,21 @@
 	Text    string `json:"text" cbor:"2,keyasint"`
 }
 
+// ConfigRequest reads the text in force. Version and Hash name the text that the
+// reader holds.
+type ConfigRequest struct {
+	Version uint64 `json:"version"`
+	Hash    uint64 `json:"hash"`
+}
+
+// ConfigReply answers a ConfigRequest: which text was in force when it was asked. Text
+// is nil where the reader holds it.
+type ConfigReply struct {
+	Version uint64      `json:"version"`
+	Hash    uint64      `json:"hash"`
+	Text    *ConfigText `json:"text,omitempty"`
+}
+
 // PutResult answers a PutRequest.
 type PutResult struct {
 	Applied bool   `json:"applied"` // false: a version at least as high was in force
--- /dev/null
+++ b/api/wire/packed_test.go
@@ -0,0 +1,83 @@
+package wire_test
+
+import (
+	"encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/wire"
+)
+
+// TestLongTextsArePacked sends texts below and above the size from which on they are
+// packed: they come back as they were, and the long ones are short on the way.
+func TestLongTextsArePacked(t *testing.T) {
+	for name, text := range map[string]string{"empty": "", "short": "[service:a]\nkind = plain\n", "long": strings.Repeat("[route:a]\nhost = b\n", 10_000)} {
+		t.Run(name, func(t *testing.T) {
+			roundTrip(t, wire.ConfigText{Version: 3, Text: text, Hash: 7})
+			roundTrip(t, wire.PutRequest{Version: 3, Text: text})
+			roundTrip(t, wire.ConfigDelta{Base: 2, Version: 3, Hash: 7, Pieces: []wire.TextPiece{{From: 1, Count: 2}, {Text: text}}})
+		})
+	}
+}
+
+func roundTrip[T any](t *testing.T, sent T) {
+	t.Helper()
+	data, err := json.Marshal(sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(data) > 2*wire.PackFrom {
+		t.Errorf("%T has %d bytes on the way", sent, len(data))
+	}
+	var got T
+	if err := json.Unmarshal(data, &got); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, sent) {
+		t.Errorf("%T came back changed", sent)
+	}
+}
+
+// TestDamagedTextsAreRefused reads packed texts that are cut short, or would grow
+// beyond what a process can hold.
+func TestDamagedTextsAreRefused(t *testing.T) {
+	whole := wire.Pack([]byte(strings.Repeat("a line of a text\n", 1000)))
+	bomb := wire.Pack(make([]byte, 65<<20))
+	for name, packed := range map[string][]byte{"cut short": whole[:len(whole)/2], "not packed": []byte("\xffplain"), "too long": bomb} {
+		if _, err := wire.Unpack(packed); !errors.Is(err, wire.ErrUnpack) {
+			t.Errorf("%s: %v", name, err)
+		}
+		data, err := json.Marshal(map[string]any{"version": 1, "packed": packed})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := json.Unmarshal(data, new(wire.ConfigText)); err == nil {
+			t.Errorf("%s: taken as a text", name)
+		}
+		if err := json.Unmarshal(data, new(wire.PutRequest)); err == nil {
+			t.Errorf("%s: taken as a change", name)
+		}
+		if err := json.Unmarshal(data, new(wire.ConfigDelta)); err == nil {
+			t.Errorf("%s: taken as a difference", name)
+		}
+	}
+}
+
+// FuzzUnpack feeds bytes to the decoder of packed texts.
+func FuzzUnpack(f *testing.F) {
+	f.Add(wire.Pack([]byte("[service:a]\n")))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		data, err := wire.Unpack(packed)
+		if err != nil {
+			return
+		}
+		again, err := wire.Unpack(wire.Pack(data))
+		if err != nil || string(again) != string(data) {
+			t.Fatalf("%d bytes came back as %d, %v", len(data), len(again), err)
+		}
+	})
+}
--- a/node/control/operate.go
+++ b/node/control/operate.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"caperdrum.org/api/optext"
-	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/state"
 )
@@ -18,43 +16,18 @@
 	MethodOffer    = "control.offer"
 )
 
-// put replaces the text. It is acknowledged only while as many voters hold it
-// as the settings want for the losses to be borne.
-func (s *Service) put(ctx context.Context, req *wire.PutRequest) (*wire.PutResult, error) {
-	if !s.cluster.IsLeader() {
-		return nil, s.notLeader()
-	}
-	if _, err := optext.Parse("text", []byte(req.Text)); err != nil {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeInvalid, "%s", err)
-	}
-	if voters, want := len(s.cluster.Status().Membership.Voters), s.minVoters(); voters < want {
-		s.log.Info("change refused", "reason", "too few voters", "voters", voters, "want", want, "version", req.Version)
-		return nil, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "too few control processes have joined yet")
-	}
-	began := s.clock.Now()
-	res, err := s.cluster.Propose(ctx, state.Command{Put: req})
-	if err != nil {
-		s.log.Info("change not confirmed", "version", req.Version, "bytes", len(req.Text), "took", s.clock.Since(began), "error", err.Error())
-		return nil, s.leaderError(err)
-	}
-	s.log.Info("change accepted", "version", req.Version, "bytes", len(req.Text), "took", s.clock.Since(began), "applied", res.Put.Applied, "in_force", res.Put.Version)
-	return res.Put, nil
-}
-
-func (s *Service) minVoters() int {
-	if !s.set.Control.SelfForming {
-		return 1
-	}
-	return s.set.Control.MinVoters()
-}
-
-// config reads the text in force with a quorum's confirmation.
-func (s *Service) config(ctx context.Context, _ *Empty) (*wire.ConfigText, error) {
+// config reads the text in force with a quorum's confirmation. The text itself is left
+// out where the reader holds it: each process does, but for the moments after a change.
+func (s *Service) config(ctx context.Context, req *wire.ConfigRequest) (*wire.ConfigReply, error) {
 	if err := s.replica.ReadBarrier(ctx); err != nil {
 		return nil, s.leaderError(err)
 	}
 	text := s.cluster.View().Config
-	return &text, nil
+	reply := &wire.ConfigReply{Version: text.Version, Hash: text.Hash}
+	if text.Version != req.Version || text.Hash != req.Hash {
+		reply.Text = &text
+	}
+	return reply, nil
 }
 
 // announce renews the leases of announced upstreams and answers when the
--- a/node/control/service.go
+++ b/node/control/service.go
@@ -61,6 +61,7 @@
 	follow    *follower
 	news      *news
 	repair    *repair
+	puts      puts
 	replica   *replica.Replica
 	handouts  handouts
 	cluster   cluster // the replica, as synchronization and leases see it
--- a/node/controlclient/controlclient.go
+++ b/node/controlclient/controlclient.go
@@ -7,8 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/dig"
 
+	"caperdrum.org/api/optext"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/configsync"
 	"caperdrum.org/node/control"
@@ -34,6 +36,7 @@
 // Service calls the leader.
 type Service struct {
 	control *peer.Control
+	view    func() *configsync.View
 
 	mu   sync.Mutex
 	next *batch // collects signs of life; nil while there are none
@@ -47,7 +50,9 @@
 }
 
 // New returns the service.
-func New(p Params) *Service { return &Service{control: p.ConfigSync.Control()} }
+func New(p Params) *Service {
+	return &Service{control: p.ConfigSync.Control(), view: p.ConfigSync.View}
+}
 
 // Announce passes an upstream's sign of life to the leader, together with
 // others. It returns once the members hold the record.
@@ -100,9 +105,33 @@
 	return result, err
 }
 
-// Config returns the text in force, confirmed by a quorum.
-func (s *Service) Config(ctx context.Context) (wire.ConfigText, error) {
-	var text wire.ConfigText
-	err := s.control.CallLeader(ctx, control.MethodConfig, control.Empty{}, &text)
-	return text, err
+// Text is the operators' text in force, as a quorum has confirmed it.
+type Text struct {
+	wire.ConfigText
+	// Parsed is what Text says, where this process had parsed it already; else nil.
+	Parsed *optext.Config
+}
+
+// Config returns the text in force, confirmed by a quorum. It moves between processes
+// only if this one does not hold it.
+func (s *Service) Config(ctx context.Context) (Text, error) {
+	var req wire.ConfigRequest
+	held := s.view()
+	if held != nil {
+		req = wire.ConfigRequest{Version: held.Version, Hash: held.Hash}
+	}
+	var reply wire.ConfigReply
+	if err := s.control.CallLeader(ctx, control.MethodConfig, req, &reply); err != nil {
+		return Text{}, err
+	}
+	if reply.Text != nil {
+		return Text{ConfigText: *reply.Text}, nil
+	}
+	if held == nil {
+		return Text{}, errNoText
+	}
+	return Text{ConfigText: wire.ConfigText{Version: held.Version, Text: held.Text, Hash: held.Hash}, Parsed: held.Config}, nil
 }
+
+// errNoText says that there is no text yet.
+var errNoText = errors.New("controlclient: no configuration yet")
--- a/node/state/snapshot.go
+++ b/node/state/snapshot.go
@@ -67,6 +67,7 @@
 	}
 	s := i.s
 	s.Ledger = len(parts)
+	s.packText()
 	head, err := encoding.Marshal(s)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -74,6 +75,21 @@
 	return bytes.Join(append([][]byte{head}, parts...), nil), nil
 }
 
+func (s *stored) packText() {
+	if len(s.Text) >= wire.PackFrom {
+		s.PackedText, s.Text = wire.Pack([]byte(s.Text)), ""
+	}
+}
+
+func (s *stored) unpackText() error {
+	if s.PackedText == nil {
+		return nil
+	}
+	text, err := wire.Unpack(s.PackedText)
+	s.Text, s.PackedText = string(text), nil
+	return err
+}
+
 // The ledger is most of a snapshot. It is coded in parts of ledgerPart entries
 // by up to codecWorkers goroutines, because a restart waits for it.
 const (
--- a/node/state/state.go
+++ b/node/state/state.go
@@ -30,8 +30,10 @@
 	LedgerLimit int64            `cbor:"8,keyasint,omitempty"`
 	Put         *wire.PutRequest `cbor:"9,keyasint,omitempty"`
 	Owner       *wire.StageOwner `cbor:"10,keyasint,omitempty"`
-	Team        *TeamCommand     `cbor:"20,keyasint,omitempty"`
-	Orders      *OrderCommand    `cbor:"40,keyasint,omitempty"`
+	// PutDelta is a Put as the difference to the text in force.
+	PutDelta *wire.ConfigDelta `cbor:"11,keyasint,omitempty"`
+	Team     *TeamCommand      `cbor:"20,keyasint,omitempty"`
+	Orders   *OrderCommand     `cbor:"40,keyasint,omitempty"`
 }
 
 // Removal ends a membership, unless the process has since come back under
@@ -48,8 +50,11 @@
 	Settles []wire.SettleReply
 	Fences  []uint64
 	Put     *wire.PutResult
-	Team    *TeamResult
-	Orders  []IssueResult
+	// Rebase says that a PutDelta was made for another text than the one in force, and
+	// had no effect.
+	Rebase bool
+	Team   *TeamResult
+	Orders []IssueResult
 }
 
 const (
@@ -89,6 +94,7 @@
 	Fence      uint64                        `cbor:"9,keyasint"`
 	Fences     map[wire.MemberID]uint64      `cbor:"10,keyasint"`
 	Owner      wire.StageOwner               `cbor:"11,keyasint"`
+	PackedText []byte                        `cbor:"12,keyasint,omitempty"` // in snapshots only: Text, where it is long
 	Teams      map[string]Team               `cbor:"20,keyasint,omitempty"`
 	Keys       []Key                         `cbor:"21,keyasint,omitempty"`
 	Orders     map[wire.MemberID]OrderRecord `cbor:"40,keyasint,omitempty"`
@@ -157,9 +163,9 @@
 
 // Apply executes one encoded Command.
 func (m *Machine) Apply(data []byte) (Result, error) {
-	var c Command
-	if err := decoding.Unmarshal(data, &c); err != nil {
-		return Result{}, errors.Annotate(err, "state: command")
+	c, err := decodeCommand(data)
+	if err != nil {
+		return Result{}, err
 	}
 	m.s.Now = max(m.s.Now, c.Now)
 	m.ledger.expire(m.s.Now)
@@ -172,6 +178,9 @@
 		res := m.put(c.Put)
 		r.Put = &res
 	}
+	if c.PutDelta != nil {
+		r.Put, r.Rebase = m.putDelta(c.PutDelta)
+	}
 	if c.Owner != nil && c.Owner.Epoch > m.s.Owner.Epoch {
 		m.s.Owner = *c.Owner
 	}
@@ -234,11 +243,30 @@
 	if p.Version <= m.s.Version {
 		return wire.PutResult{Version: m.s.Version}
 	}
-	m.s.Version, m.s.Text, m.s.Winner = p.Version, p.Text, ""
-	m.parts.history = m.parts.history.Next(p.Version, p.Text)
+	m.takeText(m.parts.history.Next(p.Version, p.Text))
 	return wire.PutResult{Applied: true, Version: p.Version}
 }
 
+// putDelta is put for a difference. One that was made for another text has no effect
+// and must be made anew.
+func (m *Machine) putDelta(d *wire.ConfigDelta) (result *wire.PutResult, rebase bool) {
+	if d.Version <= m.s.Version {
+		return &wire.PutResult{Version: m.s.Version}, false
+	}
+	next, err := m.parts.history.Apply(d)
+	if err != nil {
+		return &wire.PutResult{Version: m.s.Version}, true
+	}
+	m.takeText(next)
+	return &wire.PutResult{Applied: true, Version: d.Version}, false
+}
+
+func (m *Machine) takeText(h *textdelta.History) {
+	text := h.Text()
+	m.s.Version, m.s.Text, m.s.Winner = text.Version, text.Text, ""
+	m.parts.history = h
+}
+
 func changeHash(c *wire.ChangeRequest) uint64 {
 	d := xxhash.New()
 	data, _ := cbor.Marshal([2]any{c.Number, c.Text}) // cannot fail for these types
@@ -305,6 +333,9 @@
 		}
 		data = rest
 	}
+	if err := s.unpackText(); err != nil {
+		return errors.Annotate(err, "state: snapshot")
+	}
 	list, err := decodeLedger(data, s.Ledger)
 	if err != nil {
 		return errors.Annotate(err, "state: snapshot")
--- a/node/textdelta/history.go
+++ b/node/textdelta/history.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 
 	"caperdrum.org/api/wire"
 )
@@ -84,6 +85,25 @@
 	return d
 }
 
+// To returns what leads from the current version to text, which is to become the given
+// one. It is nil when that would be no shorter than the text.
+func (h *History) To(version uint64, text string) *wire.ConfigDelta {
+	n := NewHistory(version, text)
+	return n.between(h.version, h.hashes)
+}
+
+// Apply returns the record after the change that d makes of the current version.
+func (h *History) Apply(d *wire.ConfigDelta) (*History, error) {
+	if d.Base != h.version {
+		return nil, errors.Annotatef(ErrMismatch, "a delta from version %d on top of %d", d.Base, h.version)
+	}
+	text, _, err := Apply(h.text, h.ends, d)
+	if err != nil {
+		return nil, err
+	}
+	return h.Next(d.Version, text), nil
+}
+
 const pieceOverhead = 32 // bytes of a piece on the wire besides its text
 
 func (h *History) delta(base uint64, at int) *wire.ConfigDelta {
@@ -91,6 +111,12 @@
 	for i := len(h.back) - 1; i >= at; i-- {
 		hashes = h.back[i].undo(hashes)
 	}
+	return h.between(base, hashes)
+}
+
+// between returns what leads from the version base, whose sections have the given
+// hashes, to the current one, or nil when that would be no shorter than the text.
+func (h *History) between(base uint64, hashes []uint64) *wire.ConfigDelta {
 	d := &wire.ConfigDelta{Base: base, Version: h.version, Hash: h.hash}
 	for _, r := range diff(hashes, h.hashes) {
 		p := wire.TextPiece{From: r.from, Count: r.count}
