Synchronization: an answer that is on its way is not given up

Cause: a call for news was cut 0.4 s after it was due, whether bytes came or not, and begun anew at the next control process; a large text over a slow link never fitted, and meanwhile the process heard neither of members that leave nor of a confirmation. Ruled out: a longer grace, which would leave a process longer with a control process that is cut off. Change: the call goes on while bytes come, for 10 s at most.

--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -70,6 +70,8 @@
 type source interface {
 	Call(ctx context.Context, method string, params, result any) error
 	Address() string
+	// Received returns how many bytes have come from it so far.
+	Received() uint64
 	Close()
 }
 
--- a/node/configsync/loop.go
+++ b/node/configsync/loop.go
@@ -15,11 +15,13 @@
 	syncWait   = time.Second            // how long an answer is held back; also the interval of lease renewal
 	grace      = 400 * time.Millisecond // how long an answer may take besides
 	graceLimit = 4 * time.Second        // of grace, which grows while no control process answers
-	seekWait   = 250 * time.Millisecond // hold at control processes that cannot renew the lease
-	pauseMin   = 25 * time.Millisecond
-	pauseMax   = 400 * time.Millisecond
-	cutMin     = 50 * time.Millisecond // a call is not cut short sooner
-	shunTime   = 3 * time.Second       // a control process that did not answer is asked last for this long
+	// answerLimit bounds an answer whose bytes keep coming: 12 MB over a link of 10 Mbit/s.
+	answerLimit = 10 * time.Second
+	seekWait    = 250 * time.Millisecond // hold at control processes that cannot renew the lease
+	pauseMin    = 25 * time.Millisecond
+	pauseMax    = 400 * time.Millisecond
+	cutMin      = 50 * time.Millisecond // a call is not cut short sooner
+	shunTime    = 3 * time.Second       // a control process that did not answer is asked last for this long
 	// farewellTime bounds how long a stopping process waits until its leaving
 	// is recorded; after that its lease ends by itself.
 	farewellTime = 1500 * time.Millisecond
@@ -148,6 +150,7 @@
 	go func() { answer <- src.Call(ctx, MethodSync, req, &reply) }()
 	late := s.clock.NewTimer(p.wait + p.grace)
 	defer late.Stop()
+	received := src.Received()
 	var cut <-chan time.Time
 	poke := s.poke
 	for {
@@ -158,8 +161,13 @@
 			}
 			return s.accept(&reply, asked)
 		case <-late.Chan():
+			if now := src.Received(); now > received && s.clock.Since(asked) < answerLimit {
+				received = now // a long answer is on its way
+				late.Reset(p.grace)
+				continue
+			}
 			src.Close() // it may be cut silently
-			return errors.Errorf("configsync: no answer within %s", p.wait+p.grace)
+			return errors.Errorf("configsync: no answer within %s", s.clock.Since(asked))
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-poke:
--- a/node/configsync/loop_test.go
+++ b/node/configsync/loop_test.go
@@ -80,8 +80,9 @@
 	a.calls++
 	return nil
 }
-func (a *answers) Address() string { return a.address }
-func (a *answers) Close()          {}
+func (a *answers) Address() string  { return a.address }
+func (a *answers) Received() uint64 { return 0 }
+func (a *answers) Close()           {}
 
 // TestFarewellWaitsUntilItIsRecorded answers twice without the record.
 func TestFarewellWaitsUntilItIsRecorded(t *testing.T) {
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -15,8 +17,9 @@
 	dial    Dialer
 	dialing chan struct{} // holds a token while somebody dials
 
-	mu   sync.Mutex
-	conn *jsonrpc2.Conn
+	mu       sync.Mutex
+	conn     *jsonrpc2.Conn
+	received atomic.Uint64
 }
 
 // NewClient returns a client; it does not connect yet.
@@ -24,6 +27,23 @@
 	return &Client{address: address, dial: dial, dialing: make(chan struct{}, 1)}
 }
 
+// Received returns how many bytes have come from the address so far. While it grows an
+// answer is on its way.
+func (c *Client) Received() uint64 { return c.received.Load() }
+
+// countedConn counts the bytes that come.
+type countedConn struct {
+	net.Conn
+	received *atomic.Uint64
+}
+
+// Read implements io.Reader.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(uint64(n))
+	return n, err
+}
+
 // Address returns the address the client calls.
 func (c *Client) Address() string { return c.address }
 
@@ -47,7 +67,7 @@
 	refuse := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end only calls"}
 	})
-	conn := jsonrpc2.NewConn(context.Background(), stream(raw), refuse, jsonrpc2.SetLogger(silent{}))
+	conn := jsonrpc2.NewConn(context.Background(), stream(countedConn{raw, &c.received}), refuse, jsonrpc2.SetLogger(silent{}))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conn = conn
