--- a/node/controlclient/controlclient.go
+++ b/node/controlclient/controlclient.go
@@ -54,9 +54,20 @@
 	return &Service{control: p.ConfigSync.Control(), view: p.ConfigSync.View}
 }
 
+// ErrUnknownService says that the text names no such service with upstreams that announce
+// themselves.
+const ErrUnknownService = errors.ConstError("controlclient: no such service is configured")
+
 // Announce passes an upstream's sign of life to the leader, together with
-// others. It returns once the members hold the record.
+// others. It returns once the members hold the record. One of a service that the text does
+// not name is not passed on, so that nobody fills the members with names; before there is
+// a text all are, and one that leaves always is.
 func (s *Service) Announce(ctx context.Context, m wire.Member) error {
+	if c := s.Held(); c != nil && len(c.Services) > 0 && !m.Leaving {
+		if service := c.Services[m.Service]; service == nil || service.Upstreams != optext.Announced {
+			return errors.Annotatef(ErrUnknownService, "service %q", m.Service)
+		}
+	}
 	b := s.join(m)
 	select {
 	case <-b.done:
@@ -92,10 +103,11 @@
 
 // Leave tells the leader that an upstream leaves. It returns once the members
 // hold the mark, or are known not to hold the upstream.
-func (s *Service) Leave(ctx context.Context, id wire.MemberID) error {
+// started names the start that leaves; zero is the one that the members hold.
+func (s *Service) Leave(ctx context.Context, id wire.MemberID, started uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	return s.control.CallLeader(ctx, control.MethodLeave, wire.LeaveRequest{ID: id}, nil)
+	return s.control.CallLeader(ctx, control.MethodLeave, wire.LeaveRequest{ID: id, Incarnation: started}, nil)
 }
 
 // Put replaces the operators' text if the version is above the one in force.
@@ -114,6 +126,9 @@
 
 // Held returns the configuration that this process holds, or nil.
 func (s *Service) Held() *optext.Config {
+	if s.view == nil {
+		return nil
+	}
 	if v := s.view(); v != nil {
 		return v.Config
 	}
