--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -77,6 +77,23 @@
 
 var versionVar = expvar.NewInt("config_version")
 
+// shown is the service whose figures the metric "configuration" shows; see package control.
+var shown atomic.Pointer[Service]
+
+func init() {
+	expvar.Publish("configuration", expvar.Func(func() any {
+		s := shown.Load()
+		if s == nil {
+			return struct{}{}
+		}
+		out := map[string]any{"stamp_age_ms": s.StampAge().Milliseconds()}
+		if v := s.View(); v != nil {
+			out["version"], out["bytes"], out["members_seq"], out["members"], out["owner_epoch"] = v.Version, len(v.Text), v.Seq, len(v.Members), v.Owner.Epoch
+		}
+		return out
+	}))
+}
+
 // New returns the service; Start begins to synchronize.
 func New(p Params) *Service {
 	m := p.Settings.Member()
@@ -193,6 +210,7 @@
 func (s *Service) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
+	shown.Store(s)
 	go s.run(ctx)
 	return nil
 }
--- /dev/null
+++ b/node/control/metrics.go
@@ -0,0 +1,63 @@
+package control
+
+import (
+	"expvar"
+	"sync/atomic"
+
+	"caperdrum.org/node/consensus"
+)
+
+// shown is the service whose figures the metric "control" shows: the process's own. Tests
+// run several in one process; the last one started counts.
+var shown atomic.Pointer[Service]
+
+func init() {
+	expvar.Publish("control", expvar.Func(func() any {
+		if s := shown.Load(); s != nil {
+			return s.figures()
+		}
+		return struct{}{}
+	}))
+}
+
+// figures are what this process believes of its cluster, made when they are asked for.
+type figures struct {
+	Leads         bool           `json:"leads"`
+	Leader        string         `json:"leader"` // empty: none is known
+	Term          uint64         `json:"term"`
+	Last          uint64         `json:"last"`
+	Committed     uint64         `json:"committed"`
+	Applied       uint64         `json:"applied"`
+	Version       uint64         `json:"version"`      // of the text in force here
+	StampAgeMs    int64          `json:"stamp_age_ms"` // of the last confirmation by a quorum; below zero: never
+	Voters        int            `json:"voters"`
+	Learners      int            `json:"learners"`
+	Votes         bool           `json:"votes"`     // this process is a voter
+	Joined        bool           `json:"joined"`    // it belongs to a cluster
+	Suspended     bool           `json:"suspended"` // its disk takes no bytes
+	SnapshotIndex uint64         `json:"snapshot_index"`
+	Owner         string         `json:"owner"` // of the stage queues
+	OwnerEpoch    uint64         `json:"owner_epoch"`
+	Members       map[string]int `json:"members"` // by service, or role, and state
+	Waits         string         `json:"waits"`   // what repair of the voters waits for
+}
+
+func (s *Service) figures() figures {
+	st, v := s.cluster.Status(), s.cluster.View()
+	out := figures{Leads: st.Role == consensus.Leader, Leader: string(st.Leader), Term: st.Term, Last: st.Last, Committed: st.Committed, Applied: st.Applied,
+		Version: v.Config.Version, StampAgeMs: s.cluster.StampAge().Milliseconds(), Voters: len(st.Membership.Voters), Learners: len(st.Membership.Learners),
+		Votes: st.Membership.Has(st.ID), Joined: s.joined(), Suspended: s.cluster.Outage() != nil, SnapshotIndex: st.SnapshotIndex,
+		Owner: string(v.Owner.ID), OwnerEpoch: v.Owner.Epoch, Members: map[string]int{}, Waits: s.repair.Report()}
+	for _, m := range v.Members {
+		kind := m.Service
+		if kind == "" {
+			kind = m.Role
+		}
+		state := "ready"
+		if m.Leaving {
+			state = "leaving"
+		}
+		out.Members[kind+"/"+state]++
+	}
+	return out
+}
--- a/node/control/service.go
+++ b/node/control/service.go
@@ -139,6 +139,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
+	shown.Store(s)
 	go s.run(ctx)
 	go s.server.Serve(l)
 	go func() {
--- a/node/debug/debug.go
+++ b/node/debug/debug.go
@@ -42,6 +42,7 @@
 func New(p Params) *Server {
 	r := chi.NewRouter()
 	r.Handle("/debug/vars", expvar.Handler())
+	r.Get("/metrics", writeText)
 	r.HandleFunc("/debug/pprof/*", pprof.Index)
 	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	r.Get("/debug/timeline", func(w http.ResponseWriter, req *http.Request) { writeTimeline(w, req, p.Ring) })
