--- a/node/controlclient/controlclient.go
+++ b/node/controlclient/controlclient.go
@@ -60,13 +60,11 @@
 
 // Announce passes an upstream's sign of life to the leader, together with
 // others. It returns once the members hold the record. One of a service that the text does
-// not name is not passed on, so that nobody fills the members with names; before there is
-// a text all are, and one that leaves always is.
+// not name is not passed on, so that nobody fills the members with names, and none while
+// this process knows neither; before there is a text all are, and one that leaves always is.
 func (s *Service) Announce(ctx context.Context, m wire.Member) error {
-	if c := s.Held(); c != nil && len(c.Services) > 0 && !m.Leaving {
-		if service := c.Services[m.Service]; service == nil || service.Upstreams != optext.Announced {
-			return errors.Annotatef(ErrUnknownService, "service %q", m.Service)
-		}
+	if err := s.mayAnnounce(m); err != nil {
+		return err
 	}
 	b := s.join(m)
 	select {
@@ -77,6 +75,22 @@
 	}
 }
 
+func (s *Service) mayAnnounce(m wire.Member) error {
+	c := s.Held()
+	switch {
+	case m.Leaving:
+		return nil
+	case c == nil:
+		return errNoText
+	case len(c.Services) == 0:
+		return nil
+	}
+	if service := c.Services[m.Service]; service == nil || service.Upstreams != optext.Announced {
+		return errors.Annotatef(ErrUnknownService, "service %q", m.Service)
+	}
+	return nil
+}
+
 func (s *Service) join(m wire.Member) *batch {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -126,9 +140,6 @@
 
 // Held returns the configuration that this process holds, or nil.
 func (s *Service) Held() *optext.Config {
-	if s.view == nil {
-		return nil
-	}
 	if v := s.view(); v != nil {
 		return v.Config
 	}
@@ -156,5 +167,5 @@
 	return Text{ConfigText: wire.ConfigText{Version: held.Version, Text: held.Text, Hash: held.Hash}, Parsed: held.Config}, nil
 }
 
-// errNoText says that there is no text yet.
+// errNoText says that this process does not know yet whether there is a text.
 var errNoText = errors.New("controlclient: no configuration yet")
--- a/node/controlclient/controlclient_test.go
+++ b/node/controlclient/controlclient_test.go
@@ -8,8 +8,10 @@
 
 	"github.com/juju/errors"
 
+	"caperdrum.org/api/optext"
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/configsync"
 	"caperdrum.org/node/control"
 	"caperdrum.org/node/peer"
 )
@@ -81,3 +83,32 @@
 	}
 	wg.Wait()
 }
+
+// TestOnlyConfiguredServicesAreAnnounced lists what a process passes on.
+func TestOnlyConfiguredServicesAreAnnounced(t *testing.T) {
+	config, err := optext.Parse("t", []byte("[service:a]\nkind = plain\nupstreams = announced\n[service:b]\nkind = plain\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	none, first, known := (*configsync.View)(nil), &configsync.View{Config: &optext.Config{}}, &configsync.View{Config: config}
+	for _, c := range []struct {
+		name    string
+		view    *configsync.View
+		service string
+		leaving bool
+		want    error
+	}{
+		{"a service of the text", known, "a", false, nil},
+		{"one with agents", known, "b", false, ErrUnknownService},
+		{"one that the text does not name", known, "c", false, ErrUnknownService},
+		{"one that leaves", known, "c", true, nil},
+		{"before there is a text", first, "c", false, nil},
+		{"before the process knows", none, "a", false, errNoText},
+		{"one that leaves before the process knows", none, "a", true, nil},
+	} {
+		s := &Service{view: func() *configsync.View { return c.view }}
+		if err := s.mayAnnounce(wire.AnnouncedUpstream("m", c.service, "10.0.0.1:80", "d", c.leaving)); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, err, c.want)
+		}
+	}
+}
