--- a/node/controlclient/controlclient_test.go
+++ b/node/controlclient/controlclient_test.go
@@ -33,7 +33,7 @@
 		l.Close()
 		server.Close()
 	})
-	return &Service{control: c}
+	return &Service{control: c, view: func() *configsync.View { return &configsync.View{Config: &optext.Config{}} }}
 }
 
 // TestSignsOfLifeShareACall announces many upstreams at once: each is answered,
