Owner of the stages: no ping where it answers, no search for rooms that are known

Cause: at 26 processes pings were an eighth of the owner's messages, and each event looked through all upstreams for one to ask for its room. Ruled out: longer intervals of pings: a frozen owner would be noticed later. Change: a ping is left out where the owner has sent something since the last look; the search ends where no room is unsure.

--- a/node/stagework/link.go
+++ b/node/stagework/link.go
@@ -103,13 +103,16 @@
 	return time.Since(s.link.silent)
 }
 
-// watch pings the owner while jobs are under way there, or while it is silent.
+// watch pings the owner while jobs are under way there, or while it is silent. An owner
+// that has answered jobs since the last time needs no ping: at 26 processes their pings
+// were an eighth of the messages that it handles.
 func (l *link) watch(ctx context.Context) {
+	var answered watched
 	periodic.Run(ctx, clockwork.NewRealClock(), pingInterval, func() {
 		l.mu.Lock()
-		client, due := l.client, l.jobs > 0 || !l.silent.IsZero()
+		client, due, silent := l.client, l.jobs > 0 || !l.silent.IsZero(), !l.silent.IsZero()
 		l.mu.Unlock()
-		if client == nil || !due {
+		if client == nil || !due || answered.since(client) && !silent {
 			return
 		}
 		ping, cancel := context.WithTimeout(ctx, pingTimeout)
@@ -119,6 +122,19 @@
 	})
 }
 
+// watched is how much an owner had sent when it was looked at last.
+type watched struct {
+	client   *peer.Client
+	received uint64
+}
+
+// since reports whether the owner has sent anything since the last call.
+func (w *watched) since(client *peer.Client) bool {
+	before := *w
+	w.client, w.received = client, client.Received()
+	return before.client == client && w.received > before.received
+}
+
 func (l *link) heard(client *peer.Client, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/node/stagework/link_test.go
+++ b/node/stagework/link_test.go
@@ -141,3 +141,33 @@
 		t.Fatalf("got %v", a.err)
 	}
 }
+
+// TestOwnerThatAnswersNeedsNoPing looks at an owner again and again: only one that has
+// sent something since the last time counts as heard, and another owner begins anew.
+func TestOwnerThatAnswersNeedsNoPing(t *testing.T) {
+	o := newOwner(t, "j")
+	client := peer.NewClient(o.address, peer.DialTCP)
+	defer client.Close()
+	var w watched
+	ping := func() {
+		if err := client.Call(context.Background(), peer.MethodPing, peer.Empty{}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ping()
+	if w.since(client) {
+		t.Fatal("heard before the first look")
+	}
+	if w.since(client) {
+		t.Fatal("heard although nothing came")
+	}
+	ping()
+	if !w.since(client) || w.since(client) {
+		t.Fatal("heard once for one answer")
+	}
+	other := peer.NewClient(o.address, peer.DialTCP)
+	defer other.Close()
+	if w.since(other) {
+		t.Fatal("what another owner has sent counts")
+	}
+}
--- a/node/stagework/room.go
+++ b/node/stagework/room.go
@@ -68,6 +68,7 @@
 		if q.spec.ResultRoom <= 0 {
 			continue
 		}
+		s.roomsUnsure = true
 		for _, w := range q.workers {
 			w.ask(now)
 			w.held.until = now.Add(q.spec.ResultTTL)
@@ -79,10 +80,11 @@
 // reports returns the upstreams that are to be asked for their room now, and
 // forgets others' results that are gone by now.
 func (s *scheduler) reports(now time.Time) []*worker {
-	if !s.owner {
+	if !s.owner || !s.roomsUnsure {
 		return nil
 	}
 	var out []*worker
+	s.roomsUnsure = false
 	for _, q := range s.services {
 		for _, w := range q.workers {
 			if w.foreign > 0 && now.After(w.held.until) {
@@ -93,6 +95,7 @@
 				w.asking = true
 				out = append(out, w)
 			}
+			s.roomsUnsure = s.roomsUnsure || w.asking || w.foreign > 0 || !w.askAt.IsZero()
 		}
 	}
 	return out
@@ -101,7 +104,7 @@
 // reported takes over an upstream's report of its room; nil when it sent none. It is
 // asked again while it holds what this owner has not made.
 func (s *scheduler) reported(now time.Time, w *worker, r *upstream.Room) {
-	s.due = true
+	s.due, s.roomsUnsure = true, true
 	w.asking = false
 	w.askAt = now.Add(reportInterval)
 	q := s.services[w.member.Service]
