--- a/node/stagework/outcome.go
+++ b/node/stagework/outcome.go
@@ -112,7 +112,6 @@
 	case why == upstream.NoRoom:
 		c.worker.until = now.Add(fullPause)
 		spec := s.services[c.service].spec
-		s.roomsUnsure = true
 		c.worker.noRoom(now, spec.ResultRoom, p.bytes(), spec.ResultTTL)
 	case why == upstream.InputGone && j.restarts < maxRestarts:
 		return s.restart(now, j)
--- a/node/stagework/room.go
+++ b/node/stagework/room.go
@@ -68,7 +68,6 @@
 		if q.spec.ResultRoom <= 0 {
 			continue
 		}
-		s.roomsUnsure = true
 		for _, w := range q.workers {
 			w.ask(now)
 			w.held.until = now.Add(q.spec.ResultTTL)
@@ -80,11 +79,10 @@
 // reports returns the upstreams that are to be asked for their room now, and
 // forgets others' results that are gone by now.
 func (s *scheduler) reports(now time.Time) []*worker {
-	if !s.owner || !s.roomsUnsure {
+	if !s.owner {
 		return nil
 	}
 	var out []*worker
-	s.roomsUnsure = false
 	for _, q := range s.services {
 		for _, w := range q.workers {
 			if w.foreign > 0 && now.After(w.held.until) {
@@ -95,7 +93,6 @@
 				w.asking = true
 				out = append(out, w)
 			}
-			s.roomsUnsure = s.roomsUnsure || w.asking || w.foreign > 0 || !w.askAt.IsZero()
 		}
 	}
 	return out
@@ -104,7 +101,7 @@
 // reported takes over an upstream's report of its room; nil when it sent none. It is
 // asked again while it holds what this owner has not made.
 func (s *scheduler) reported(now time.Time, w *worker, r *upstream.Room) {
-	s.due, s.roomsUnsure = true, true
+	s.due = true
 	w.asking = false
 	w.askAt = now.Add(reportInterval)
 	q := s.services[w.member.Service]
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -30,8 +30,6 @@
 	engines  *engines
 	sentAway sentAway
 
-	roomsUnsure bool // some upstream holds, or may hold, what this owner has not made
-
 	lastEstimate time.Duration // of the last job that was handed in
 	lastReturned bool          // its caller was sent away before
 }
