--- a/node/stagework/again_test.go
+++ b/node/stagework/again_test.go
@@ -148,3 +148,44 @@
 		}
 	}
 }
+
+// TestReportOfALaterStart lets an upstream report that has started again, before the members
+// say so: what it held is made again at once, and the members' word changes nothing more. A late
+// report of the start before changes nothing.
+func TestReportOfALaterStart(t *testing.T) {
+	a := newAgain(10)
+	a.add(a.now, chain("j", "j1", nil), func(Result, error) {})
+	a.make(t, "old")
+	w := a.services["a"].workers["a0"]
+	a.reported(a.now, w, &upstream.Room{Free: 1, FreeMost: 1, Started: 9})
+	if a.services["a"].workers["a0"] != w {
+		t.Fatal("a late report ends a later start")
+	}
+	a.reported(a.now, w, &upstream.Room{Free: 1, FreeMost: 1, Started: 11})
+	a.remake(a.now, a.takeLost())
+	if next := a.make(t, "new"); len(next) != 1 || next[0] != "a" {
+		t.Fatalf("calls of %v", next)
+	}
+	after := a.services["a"].workers["a0"]
+	for _, members := range []uint64{10, 11} {
+		a.started(members)
+		if a.services["a"].workers["a0"] != after {
+			t.Fatalf("the members' start %d ends start 11", members)
+		}
+	}
+	a.reported(a.now, w, &upstream.Room{Started: 12})
+	if a.services["a"].workers["a0"] != after {
+		t.Fatal("a report of a worker that is gone counts")
+	}
+}
+
+// TestStartWithAClockThatWentBack lets the members name an earlier time of start than
+// before, as after an upstream's clock went back: it is another start all the same.
+func TestStartWithAClockThatWentBack(t *testing.T) {
+	a := newAgain(10)
+	before := a.services["a"].workers["a0"]
+	a.started(7)
+	if after := a.services["a"].workers["a0"]; after == before || !before.lost || after.member.Incarnation != 7 {
+		t.Fatalf("start %d goes on", after.member.Incarnation)
+	}
+}
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -47,6 +47,7 @@
 	freeAt   time.Time // when its last call should end
 	gone     bool      // it left the members, or another upstream has its address
 	lost     bool      // it has started again: what it held is gone
+	ahead    bool      // its start is known from a report, before the members say so
 }
 
 type piece struct {
@@ -82,14 +83,11 @@
 	present := map[wire.MemberID]bool{}
 	for _, m := range members {
 		present[m.ID] = true
-		w := q.workers[m.ID]
-		if w != nil && w.member.Incarnation == m.Incarnation {
-			continue
-		}
-		q.workers[m.ID] = &worker{member: m, ratio: 1}
-		if w != nil {
-			w.gone, w.lost = true, true
-			lost = append(lost, w)
+		switch w := q.workers[m.ID]; {
+		case w == nil:
+			q.workers[m.ID] = &worker{member: m, ratio: 1}
+		case w.member.Incarnation < m.Incarnation, w.member.Incarnation > m.Incarnation && !w.ahead:
+			lost = append(lost, q.replace(w, m))
 		}
 	}
 	for id, w := range q.workers {
@@ -101,6 +99,13 @@
 	return lost
 }
 
+// replace puts the next start of an upstream in the place of one, and returns that.
+func (q *serviceQueue) replace(w *worker, next wire.Member) *worker {
+	q.workers[next.ID] = &worker{member: next, ratio: 1}
+	w.gone, w.lost = true, true
+	return w
+}
+
 // next takes the next call out of the queue, or returns nil when no upstream
 // can take one.
 func (q *serviceQueue) next(now time.Time) *call {
--- a/node/stagework/room.go
+++ b/node/stagework/room.go
@@ -105,7 +105,7 @@
 	w.asking = false
 	w.askAt = now.Add(reportInterval)
 	q := s.services[w.member.Service]
-	if r == nil || q == nil {
+	if r == nil || q == nil || !s.sameStart(q, w, r.Started) {
 		return
 	}
 	if w.failures == 0 {
@@ -117,6 +117,22 @@
 	}
 }
 
+// sameStart reports whether a report is of the start that the members name. One of a
+// later start ends what is known of the earlier at once: the members say so a little later.
+func (s *scheduler) sameStart(q *serviceQueue, w *worker, started uint64) bool {
+	known := w.member.Incarnation
+	if started == 0 || started == known || known <= 1 { // at 1 the members do not know
+		return true
+	}
+	if started > known && !w.gone {
+		m := w.member
+		m.Incarnation = started
+		s.lost = append(s.lost, q.replace(w, m))
+		q.workers[m.ID].ahead = true
+	}
+	return false
+}
+
 // roomSteps is in how many reports all of an upstream's room is tried again: its
 // results last for some 12 times reportInterval.
 const roomSteps = 6
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -314,6 +314,7 @@
 	room, err := s.roomOf(w.member)
 	s.post(func(now time.Time) {
 		s.scheduler.reported(now, w, room)
+		s.startedAgain(now, s.scheduler.takeLost())
 		s.log.V(logging.Detail).Info("upstream asked for its room", "service", w.member.Service, "upstream", w.member.ID, "report", room, "own", w.own, "of_others", w.foreign, "error", err)
 	})
 }
--- a/node/upstream/native.go
+++ b/node/upstream/native.go
@@ -138,7 +138,7 @@
 	if report.Free == nil {
 		return nil, fmt.Errorf("a report without free; send the bytes that are free")
 	}
-	return &Room{*report.Free, *report.Free}, nil
+	return &Room{Free: *report.Free, FreeMost: *report.Free}, nil
 }
 
 func encode(v any) []byte {
--- a/node/upstream/protocol.go
+++ b/node/upstream/protocol.go
@@ -77,7 +77,10 @@
 
 // Room is what an upstream that makes pieces says of its room for results, in bytes:
 // between Free and FreeMost of it are free, since some report it in whole units.
-type Room struct{ Free, FreeMost int64 }
+type Room struct {
+	Free, FreeMost int64
+	Started        uint64 // incarnation of the start that reports; zero where it does not say
+}
 
 // Protocol translates between caperdrum's terms and the headers and bodies
 // that callers and upstreams speak.
