--- /dev/null
+++ b/api/optext/parser.go
@@ -0,0 +1,259 @@
+package optext
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"caperdrum.org/api/strictini"
+)
+
+// Parse reads a text. The error is of type strictini.Problems.
+func Parse(name string, data []byte) (*Config, error) {
+	p, err := newParser(name, data)
+	if err != nil {
+		return nil, err
+	}
+	bodies := bodiesOf(string(data))
+	for _, section := range p.f.Sections() {
+		p.keep(section, bodies, p.section(section))
+	}
+	return p.end()
+}
+
+func newParser(name string, data []byte) (*parser, error) {
+	f, err := strictini.Parse(name, data)
+	if err != nil {
+		return nil, err
+	}
+	return &parser{f: f, c: &Config{
+		DataCenters: map[string]*DataCenter{},
+		Services:    map[string]*Service{},
+		Pipelines:   map[string]*Pipeline{},
+		Customers:   map[string]*Customer{},
+		models:      map[string]*Pipeline{},
+		parts:       map[string]part{},
+	}}, nil
+}
+
+func (p *parser) end() (*Config, error) {
+	p.check()
+	if err := p.f.Err(); err != nil {
+		return nil, err
+	}
+	return p.c, nil
+}
+
+type parser struct {
+	f           *strictini.File
+	c           *Config
+	stages      []stageRef
+	routeStages []routeStageRef
+	customers   []string // in the order of the text
+}
+
+type stageRef struct {
+	section, pipeline string
+	stage             *Stage
+}
+
+// section decodes a section and adds it to the configuration. It returns what Next may
+// use again, or nil.
+func (p *parser) section(section string) any {
+	kind, name, found := strings.Cut(section, ":")
+	if !found || name == "" {
+		p.f.Fail(section, "", "section ["+section+"] has no name", "write [service:NAME], [pipeline:NAME], [stage:PIPELINE/NAME], [customer:NAME] or [data_center:NAME]")
+		return nil
+	}
+	value := p.decode(section, kind, name)
+	p.add(value)
+	return value
+}
+
+func (p *parser) decode(section, kind, name string) any {
+	switch kind {
+	case "data_center":
+		dc := &DataCenter{Name: name}
+		p.f.Decode(section, dc)
+		return dc
+	case "service":
+		return p.service(section, name)
+	case "pipeline":
+		pl := &Pipeline{Name: name, Class: string(Interactive), Refuse: true}
+		p.f.Decode(section, pl)
+		return pl
+	case "stage":
+		return p.stage(section, name)
+	case "customer":
+		cu := &Customer{Name: name, Share: 1, Priority: NoPriority}
+		p.f.Decode(section, cu)
+		return cu
+	case "route":
+		return p.route(section, name)
+	case "route_stage":
+		return p.routeStage(section, name)
+	case "limits":
+		p.f.Decode(section, &p.c.Limits)
+	case "document":
+		p.document(section)
+	case "weight_store":
+		p.weightStore(section, name)
+	default:
+		p.f.Fail(section, "", "unknown section kind "+kind, "use service, pipeline, stage, route, route_stage, customer, limits, document, data_center or weight_store")
+	}
+	return nil
+}
+
+// add puts what a section says into the configuration. What check completes is copied
+// there or before, since Next shares it between configurations.
+func (p *parser) add(value any) {
+	switch v := value.(type) {
+	case *DataCenter:
+		p.c.DataCenters[v.Name] = v
+	case *Service:
+		p.c.Services[v.Name] = v
+	case *Pipeline:
+		own := *v
+		p.c.Pipelines[v.Name] = &own
+	case stageRef:
+		p.stages = append(p.stages, v)
+	case *Customer:
+		p.c.Customers[v.Name] = v
+		p.customers = append(p.customers, v.Name)
+	case *Route:
+		p.c.Routes = append(p.c.Routes, v)
+	case routeStageRef:
+		p.routeStages = append(p.routeStages, v)
+	}
+}
+
+// document reads what belongs to no part of the text.
+func (p *parser) document(section string) {
+	var d struct {
+		Extension string `ini:"extension"`
+	}
+	p.f.Decode(section, &d)
+	p.c.Extension = d.Extension
+}
+
+func (p *parser) service(section, name string) *Service {
+	s := &Service{Name: name, Concurrency: defaultConcurrency, QueueLength: defaultQueueLength,
+		RoutingPolicy: RoutingPolicies[0], HedgePercent: defaultHedge, RetryPercent: defaultRetry, QueueDiscipline: "fair", Ejection: true, Shed: true, Limiter: "fixed"}
+	s.setScaleDefaults()
+	p.f.Decode(section, s)
+	p.oneOf(section, "kind", s.Kind, string(Engine), string(Encoder), string(Retriever), string(Reranker), string(Plain), string(Batch))
+	p.oneOf(section, "upstreams", s.Upstreams, "", Announced)
+	p.oneOf(section, "routing", s.RoutingPolicy, RoutingPolicies...)
+	p.oneOf(section, "queue", s.QueueDiscipline, "fair", "fifo")
+	p.oneOf(section, "limiter", s.Limiter, "fixed", "climb")
+	p.scale(section, s)
+	if s.Concurrency < 1 {
+		p.f.Fail(section, "concurrency", "concurrency is zero", "write 1 or more")
+	}
+	return s
+}
+
+func (p *parser) stage(section, name string) any {
+	pipeline, stage, found := strings.Cut(name, "/")
+	if !found || stage == "" {
+		p.f.Fail(section, "", "stage ["+section+"] names no pipeline", "write [stage:PIPELINE/NAME]")
+		return nil
+	}
+	st := &Stage{Name: stage}
+	p.f.Decode(section, st)
+	return stageRef{section, pipeline, st}
+}
+
+func (p *parser) oneOf(section, key, value string, allowed ...string) {
+	for _, a := range allowed {
+		if value == a {
+			return
+		}
+	}
+	p.f.Fail(section, key, fmt.Sprintf("%s = %q is not known", key, value), "use one of: "+strings.Join(allowed, ", "))
+}
+
+func (p *parser) check() {
+	for _, r := range p.stages {
+		pl := p.c.Pipelines[r.pipeline]
+		if pl == nil {
+			p.f.Fail(r.section, "", "pipeline "+r.pipeline+" does not exist", "add [pipeline:"+r.pipeline+"]")
+			continue
+		}
+		if p.c.Services[r.stage.Service] == nil {
+			p.f.Fail(r.section, "service", "service "+r.stage.Service+" does not exist", "add [service:"+r.stage.Service+"]")
+		}
+		pl.Stages = append(pl.Stages, r.stage)
+	}
+	p.checkWeights()
+	p.checkRoutes()
+	for _, name := range sortedKeys(p.c.Pipelines) {
+		p.pipeline(p.c.Pipelines[name])
+	}
+}
+
+func (p *parser) pipeline(pl *Pipeline) {
+	section := "pipeline:" + pl.Name
+	p.oneOf(section, "class", pl.Class, string(Confirmation), string(Interactive), string(Deferrable))
+	if pl.Deadline <= 0 {
+		p.f.Fail(section, "deadline", "deadline is zero", "write a duration such as 5s")
+	}
+	if len(pl.Stages) == 0 {
+		p.f.Fail(section, "", "pipeline "+pl.Name+" has no stage", "add [stage:"+pl.Name+"/NAME]")
+		return
+	}
+	if pl.Model != "" {
+		if other := p.c.models[pl.Model]; other != nil {
+			p.f.Fail(section, "model", "model "+pl.Model+" already selects pipeline "+other.Name, "name another model")
+		}
+		p.c.models[pl.Model] = pl
+	}
+	p.order(section, pl)
+}
+
+// order sorts the stages topologically (Kahn 1962), keeping the text's order
+// among stages that do not depend on each other.
+func (p *parser) order(section string, pl *Pipeline) {
+	done := map[string]bool{}
+	names := map[string]bool{}
+	for _, s := range pl.Stages {
+		names[s.Name] = true
+	}
+	var sorted []*Stage
+	for len(sorted) < len(pl.Stages) {
+		before := len(sorted)
+		for _, s := range pl.Stages {
+			if !done[s.Name] && p.ready(pl.Name, s, names, done) {
+				done[s.Name] = true
+				sorted = append(sorted, s)
+			}
+		}
+		if len(sorted) == before {
+			p.f.Fail(section, "", "stages of pipeline "+pl.Name+" wait for each other", "remove a cycle or an unknown name in after = ...")
+			return
+		}
+	}
+	pl.Stages = sorted
+}
+
+func (p *parser) ready(pipeline string, s *Stage, names, done map[string]bool) bool {
+	for _, a := range s.After {
+		if !names[a] {
+			p.f.Fail("stage:"+pipeline+"/"+s.Name, "after", "stage "+a+" does not exist", "name a stage of the same pipeline")
+			return true
+		}
+		if !done[a] {
+			return false
+		}
+	}
+	return true
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
