Control: the test of resends shares its machine's view as the replica does

Ruled out: the product: its replica publishes views by an atomic pointer. Change: the test's cluster does the same.

--- a/node/control/puts_test.go
+++ b/node/control/puts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/go-logr/logr"
@@ -20,12 +21,13 @@
 	cluster // nil: what is not overridden is not called
 	t       *testing.T
 	machine *state.Machine
+	view    atomic.Pointer[state.View] // of the machine, for other goroutines
 	sizes   []int
 	before  func()
 }
 
 func (p *proposed) IsLeader() bool    { return true }
-func (p *proposed) View() *state.View { return p.machine.View() }
+func (p *proposed) View() *state.View { return p.view.Load() }
 func (p *proposed) Status() consensus.Status {
 	return consensus.Status{Membership: consensus.Membership{Voters: []consensus.Peer{{ID: "c"}}}}
 }
@@ -39,11 +41,15 @@
 	if p.before != nil {
 		p.before()
 	}
+	defer p.publish()
 	return p.machine.Apply(data)
 }
 
+func (p *proposed) publish() { p.view.Store(p.machine.View()) }
+
 func newProposed(t *testing.T) (*Service, *proposed) {
 	p := &proposed{t: t, machine: state.New()}
+	p.publish()
 	return &Service{cluster: p, clock: clockwork.NewFakeClock(), log: logr.Discard(), set: &settings.Settings{}}, p
 }
 
@@ -89,6 +95,7 @@
 		if _, err := p.machine.Apply(data); err != nil {
 			t.Fatal(err)
 		}
+		p.publish()
 	}
 	next := strings.Replace(text, "goal = 1.2s", "goal = 1.3s", 1)
 	if res := mustPut(t, s, 3, next); !res.Applied || p.View().Config.Version != 3 || p.View().Config.Text != next {
