Sight: who sends once more, why, and what the quota was divided by

Cause: nothing said how many calls upstreams get beyond the first of a request, why, which of them asked for leave, what was denied and what the fixed part was divided by; so the hypotheses of the incident could not be told apart. Ruled out: a change of logic. The arithmetic moves from package proxy to retry.Quota as it is, so that a test can have many of them on one clock. Change: a line and a counter for each repeat (allowed, denied, unasked) with reason, what the window holds, the fixed part and the members; "again" in the line of a send; pieces that are asked for once more, by service and reason.

--- a/node/proxy/metrics.go
+++ b/node/proxy/metrics.go
@@ -14,10 +14,12 @@
 // Counters since the start of the process. Labels are routes, services and codes
 // of the text and of package verdict, so their number is bounded.
 var (
-	callsVar       = expvar.NewMap("proxy_calls")        // admitted, by route
-	sendsVar       = expvar.NewMap("proxy_sends")        // calls of upstreams, by service
-	failedSendsVar = expvar.NewMap("proxy_failed_sends") // without an answer, by service
-	refusedVar     = expvar.NewMap("proxy_refused")      // by code/verdict
+	callsVar       = expvar.NewMap("proxy_calls")          // admitted, by route
+	sendsVar       = expvar.NewMap("proxy_sends")          // calls of upstreams, by service
+	failedSendsVar = expvar.NewMap("proxy_failed_sends")   // without an answer, by service
+	repeatsVar     = expvar.NewMap("proxy_repeats")        // calls that upstreams get beyond the first of a request, by service/reason
+	deniedVar      = expvar.NewMap("proxy_repeats_denied") // by the quota, by service/reason
+	refusedVar     = expvar.NewMap("proxy_refused")        // by code/verdict
 	leftVar        = expvar.NewInt("proxy_callers_left")
 	brokenVar      = expvar.NewInt("proxy_streams_broken")
 )
--- a/node/proxy/plain.go
+++ b/node/proxy/plain.go
@@ -21,7 +21,7 @@
 // plain serves a call whose answer is one body. The answer is passed on only
 // once it is whole, so that one that was cut can still be replaced.
 func (x *exchange) plain(ctx context.Context) error {
-	x.s.budget(x.service.Name).First()
+	x.s.repeats.First(x.service.Name)
 	var tried []wire.Start
 	c := choice{dataCenter: x.s.set.Node.DataCenter, short: true}
 	for {
@@ -35,7 +35,7 @@
 			err = x.keep(a, body)
 		}
 		x.note(err)
-		if err.Verdict != verdict.NotRun && !x.route.Repeatable() || ctx.Err() != nil || !x.mayRepeat() {
+		if err.Verdict != verdict.NotRun && !x.route.Repeatable() || ctx.Err() != nil || !x.mayRepeat(reasonOf(err)) {
 			return err
 		}
 	}
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -99,9 +98,7 @@
 	server    *http.Server
 	ready     *http.Server
 	stopTrim  context.CancelFunc
-
-	mu      sync.Mutex
-	budgets map[string]*retry.Window // by service
+	repeats   *retry.Quota
 }
 
 // New returns the service; Start opens its listeners.
@@ -114,7 +111,8 @@
 
 func newService(set *settings.Settings, log logr.Logger, protocol upstream.Protocol, views views, stages stages) *Service {
 	s := &Service{set: set, log: log, protocol: protocol, sync: views, stages: stages,
-		pool: upstream.NewPool(protocol), endpoints: newEndpoints(), first: newFirstView(clockwork.NewRealClock()), budgets: map[string]*retry.Window{}}
+		pool: upstream.NewPool(protocol), endpoints: newEndpoints(), first: newFirstView(clockwork.NewRealClock()),
+		repeats: retry.NewQuota(retry.Limit{Ratio: set.Proxy.RepeatRatio, Fixed: set.Proxy.RepeatFixed, Window: set.Proxy.RepeatWindow}, clockwork.NewRealClock())}
 	s.ending, s.end = context.WithCancel(context.Background())
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 	s.ready = &http.Server{Handler: http.HandlerFunc(s.answerReady), ReadHeaderTimeout: headerTimeout}
@@ -123,7 +121,9 @@
 
 // follow takes over a view of the configuration and the members.
 func (s *Service) follow(v *configsync.View) {
-	s.table.Store(newTable(v))
+	t := newTable(v)
+	s.table.Store(t)
+	s.repeats.Follow(t.proxies)
 	if v.Version > 0 {
 		s.first.set()
 	}
@@ -184,8 +184,9 @@
 	body     []byte
 	began    time.Time
 	deadline time.Time
-	sends    int  // calls of upstreams so far
-	mayRan   bool // one of them has run or may have run
+	sends    int    // calls of upstreams so far
+	again    reason // why the next one repeats another; empty for the first
+	mayRan   bool   // one of them has run or may have run
 
 	kept           *keptAnswer   // nil when no upstream has answered with a failure
 	firstByte      time.Duration // until the answer began
@@ -318,19 +319,3 @@
 		h.Del(name)
 	}
 }
-
-// budgetPart is how much of the repeats that the settings allow over all
-// processes these use together: calls that upstreams count at another moment than
-// this process does, and processes that just join, need the rest.
-const budgetPart = 0.75
-
-func (s *Service) budget(service string) *retry.Window {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	b := s.budgets[service]
-	if b == nil {
-		b = retry.NewWindow(s.set.Proxy.RepeatWindow, budgetPart*s.set.Proxy.RepeatRatio, clockwork.NewRealClock())
-		s.budgets[service] = b
-	}
-	return b
-}
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -44,6 +44,7 @@
 		if unsent < maxUnsent && ctx.Err() == nil && (a.notRun() && a.response == nil || moved) {
 			if moved {
 				x.drop(a, wasMoved)
+				x.unasked(addressMoved)
 			}
 			continue
 		}
@@ -64,7 +65,7 @@
 	}
 	x.s.protocol.Tell(header, told)
 	x.s.log.V(logging.Routine).Info("attempt sent", "request", x.call.ID, "upstream", m.ID, "address", m.Direct, "data_center", m.DataCenter, "candidates", candidates,
-		"in_flight", x.s.endpoints.load(m.Start()), "tried", x.sends, "last_event", lastEvent, "inputs", len(x.inputs), "fetch_from", told.FetchFrom, "left", told.Left, "members_seq", x.s.table.Load().seq)
+		"in_flight", x.s.endpoints.load(m.Start()), "tried", x.sends, "again", x.again, "last_event", lastEvent, "inputs", len(x.inputs), "fetch_from", told.FetchFrom, "left", told.Left, "members_seq", x.s.table.Load().seq)
 	resp, err := x.s.pool.Do(ctx, &upstream.Request{Address: m.Direct, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: header, Body: x.body, ID: x.call.ID, Limit: x.connections()})
 	now := time.Now()
@@ -103,18 +104,6 @@
 	x.s.endpoints.release(a.member.Start(), how, time.Now())
 }
 
-// mayRepeat reports whether another upstream may be tried, and counts it.
-func (x *exchange) mayRepeat() bool {
-	if x.sends >= x.route.Attempts || time.Until(x.deadline) < minLeft {
-		return false
-	}
-	fixed := budgetPart * x.s.set.Proxy.RepeatFixed / float64(x.table.proxies)
-	return x.s.budget(x.service.Name).Take(int(fixed))
-}
-
-// minLeft is the time under which another try is pointless.
-const minLeft = 30 * time.Millisecond
-
 // refusal is the body of a call that got no upstream's answer.
 type refusal struct {
 	Message string          `json:"message"`
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -17,7 +17,7 @@
 
 // stream serves a call whose answer is a stream of events.
 func (x *exchange) stream(ctx context.Context) error {
-	x.s.budget(x.service.Name).First()
+	x.s.repeats.First(x.service.Name)
 	defer func() { x.release() }()
 	var tried []wire.Start
 	c := x.choice()
@@ -38,6 +38,7 @@
 			x.release()
 			remade, tried = true, nil
 			x.sends--
+			x.unasked(inputsLost)
 			continue
 		}
 		done, err := x.relay(ctx, a, out)
@@ -45,7 +46,7 @@
 			return nil
 		}
 		x.note(err)
-		if err.Verdict != verdict.NotRun && !x.route.Repeatable() || ctx.Err() != nil || !x.mayRepeat() {
+		if err.Verdict != verdict.NotRun && !x.route.Repeatable() || ctx.Err() != nil || !x.mayRepeat(reasonOf(err)) {
 			return out.abandon(err)
 		}
 		x.s.log.Info("stream goes on elsewhere", "request", x.call.ID, "from", a.member.ID, "last_event", out.events.last, "reason", err.Message)
--- a/node/retry/window.go
+++ b/node/retry/window.go
@@ -47,19 +47,30 @@
 func (w *Window) Take(fixed int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	first, extra := w.counts()
+	if float64(extra+1) > w.ratio*float64(first)+float64(fixed) {
+		return false
+	}
+	w.now().extra++
+	return true
+}
+
+// Counts returns the first and the extra attempts that the window holds now.
+func (w *Window) Counts() (first, extra int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.counts()
+}
+
+func (w *Window) counts() (first, extra int) {
 	s := w.now()
-	first, extra := 0, 0
 	for _, other := range w.slots {
 		if s.number-other.number < windowSlots {
 			first += other.first
 			extra += other.extra
 		}
 	}
-	if float64(extra+1) > w.ratio*float64(first)+float64(fixed) {
-		return false
-	}
-	s.extra++
-	return true
+	return first, extra
 }
 
 // now returns the slot of the current step of time.
--- a/node/stagework/handover.go
+++ b/node/stagework/handover.go
@@ -168,6 +168,16 @@
 	return m.Stage >= 0 && m.Stage < len(j.Stages) && len(m.Pieces) > 0 && len(m.Pieces) == j.Stages[m.Stage].Pieces && j.missing[m.Stage] > 0
 }
 
+// countHandedAgain counts the pieces of the stages that a job lacks which was handed in
+// before: some of them may have been asked for.
+func (j *job) countHandedAgain() {
+	for i, st := range j.Stages {
+		if j.missing[i] > 0 {
+			againVar.Add(st.Service+"/handed-again", int64(st.Pieces))
+		}
+	}
+}
+
 // goesOn reports whether a job was handed in at another owner before, or at this one too
 // early: its caller has waited, and is not sent away now as long as its deadline can be kept.
 // It goes behind others if it is late.
--- a/node/stagework/metrics.go
+++ b/node/stagework/metrics.go
@@ -13,6 +13,7 @@
 	jobsVar     = expvar.NewMap("stagework_jobs")           // that this process ended as an owner, by outcome
 	callsVar    = expvar.NewMap("stagework_calls")          // of upstreams, by service
 	piecesVar   = expvar.NewMap("stagework_pieces")         // in those calls, by service
+	againVar    = expvar.NewMap("stagework_pieces_again")   // asked for once more, by service/reason
 	placesVar   = expvar.NewMap("stagework_places")         // that calls had while a whole one waited, by service
 	takenVar    = expvar.NewMap("stagework_taken")          // of these, pieces in them
 	noRoomVar   = expvar.NewMap("stagework_no_room")        // pieces that met no room, by service
--- a/node/stagework/outcome.go
+++ b/node/stagework/outcome.go
@@ -140,11 +140,33 @@
 	}
 	q := s.services[j.Stages[p.stage].Service]
 	q.waiting = append(q.waiting, p)
+	againVar.Add(c.service+"/"+againBecause(why, innocent), 1)
 	return nil
 }
 
+// againBecause names why a piece is asked for once more, for metrics.
+func againBecause(why upstream.Failure, innocent bool) string {
+	switch {
+	case why == upstream.NoRoom:
+		return "no-room"
+	case innocent:
+		return "not-run"
+	}
+	return "failed"
+}
+
+// countAgain counts the pieces of the stages that had begun, which are made once more.
+func (j *job) countAgain(why string) {
+	for i, st := range j.Stages {
+		if j.started[i] {
+			againVar.Add(st.Service+"/"+why, int64(st.Pieces))
+		}
+	}
+}
+
 // restart makes all results of a job again.
 func (s *scheduler) restart(now time.Time, j *job) []made {
+	j.countAgain("begun-anew")
 	j.restarts++
 	s.tell(j, nil)
 	s.unqueue(j)
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -117,6 +117,9 @@
 		}
 	}
 	s.jobs[j.Handed] = n
+	if j.Again {
+		n.countHandedAgain()
+	}
 	s.advance(now, n)
 	return s.freeInputs(n)
 }
