--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -112,18 +112,22 @@
 func newService(set *settings.Settings, log logr.Logger, protocol upstream.Protocol, views views, stages stages) *Service {
 	s := &Service{set: set, log: log, protocol: protocol, sync: views, stages: stages,
 		pool: upstream.NewPool(protocol), endpoints: newEndpoints(), first: newFirstView(clockwork.NewRealClock()),
-		repeats: retry.NewQuota(retry.Limit{Ratio: set.Proxy.RepeatRatio, Fixed: set.Proxy.RepeatFixed, Window: set.Proxy.RepeatWindow}, clockwork.NewRealClock())}
+		repeats: retry.NewQuota(repeatLimit(set), clockwork.NewRealClock(), func() time.Duration { return 0 })}
 	s.ending, s.end = context.WithCancel(context.Background())
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 	s.ready = &http.Server{Handler: http.HandlerFunc(s.answerReady), ReadHeaderTimeout: headerTimeout}
 	return s
 }
 
+func repeatLimit(set *settings.Settings) retry.Limit {
+	return retry.Limit{Ratio: set.Proxy.RepeatRatio, Fixed: set.Proxy.RepeatFixed, Window: set.Proxy.RepeatWindow}
+}
+
 // follow takes over a view of the configuration and the members.
 func (s *Service) follow(v *configsync.View) {
 	t := newTable(v)
 	s.table.Store(t)
-	s.repeats.Follow(t.proxies)
+	s.repeats.Follow(retry.Standing{Members: t.proxies})
 	if v.Version > 0 {
 		s.first.set()
 	}
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -14,11 +14,13 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
 
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/configsync"
+	"caperdrum.org/node/retry"
 	"caperdrum.org/node/settings"
 	"caperdrum.org/node/stagework"
 	"caperdrum.org/node/upstream"
@@ -127,6 +129,7 @@
 	front   *httptest.Server
 	views   *fixedViews
 	stages  *fakeStages
+	clock   *clockwork.FakeClock // of the quota
 	view    configsync.View
 }
 
@@ -138,6 +141,8 @@
 	b := &bed{t: t, views: &fixedViews{}, stages: &fakeStages{}}
 	b.view = configsync.View{Config: config, Version: 7, Announced: map[string][]wire.Member{}}
 	b.service = newService(&settings.Settings{Proxy: settings.ProxyRole{KeyAge: 4 * time.Second, RepeatRatio: 0.2, RepeatFixed: 50, RepeatWindow: 10 * time.Second}}, logr.Discard(), upstream.Native{}, b.views, b.stages)
+	b.clock = clockwork.NewFakeClock()
+	b.service.repeats = retry.NewQuota(repeatLimit(b.service.set), b.clock, func() time.Duration { return time.Hour })
 	b.front = httptest.NewServer(b.service)
 	t.Cleanup(func() {
 		b.front.Close()
--- /dev/null
+++ b/node/proxy/repeat_test.go
@@ -0,0 +1,96 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	"caperdrum.org/api/wire"
+)
+
+// The incident: a service got more calls beyond the first of each request than are allowed
+// (see package retry). Two kinds of them asked for no leave: a call whose stage results were gone
+// at the engine went there again once they were made anew, and one that met another upstream at an
+// address went to the next one, up to three times. So one lost upstream of a stage, or addresses
+// that were used again, could double the calls of a service whatever the limit was.
+
+// arrivals counts what upstreams get by the id of the request, rejected or not.
+type arrivals struct {
+	mu sync.Mutex
+	by map[string]int
+}
+
+func (a *arrivals) count(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		a.mu.Lock()
+		a.by[r.Header.Get(wire.HeaderRequestID)]++
+		a.mu.Unlock()
+		h(w, r)
+	}
+}
+
+// beyondFirst is how many of them were not the first of their request.
+func (a *arrivals) beyondFirst() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, k := range a.by {
+		n += k - 1
+	}
+	return n
+}
+
+// TestNothingIsSentAgainBeyondTheLimit sends calls that no upstream runs, each for another
+// reason, within one window, and counts as the users do.
+func TestNothingIsSentAgainBeyondTheLimit(t *testing.T) {
+	const calls = 400
+	refuse := func(status int) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(wire.HeaderVerdict, "not-run")
+			w.WriteHeader(status)
+		}
+	}
+	cases := map[string]struct {
+		path string
+		h    http.HandlerFunc
+	}{
+		"results of the stages are gone":      {"/quote/", refuse(http.StatusConflict)},
+		"and of calls that have one attempt":  {"/chat/", refuse(http.StatusConflict)},
+		"upstreams are full":                  {"/reserve/", refuse(http.StatusServiceUnavailable)},
+		"upstreams break off":                 {"/reserve/", breakOff},
+		"addresses are used by others by now": {"/reserve/", refuse(http.StatusMisdirectedRequest)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			seen := &arrivals{by: map[string]int{}}
+			limit := b.service.set.Proxy
+			for _, service := range []string{"desk", "llm"} {
+				b.upstream(service, service, seen.count(c.h))
+			}
+			for i := range calls {
+				for _, service := range []string{"desk", "llm"} { // others are announced meanwhile
+					b.startAgain(service, fmt.Sprint(service, "-", i))
+				}
+				if _, _, err := b.send(http.MethodPost, c.path, map[string]string{wire.HeaderRequestID: fmt.Sprint("call-", i), "Caperdrum-Pieces": "1", "Caperdrum-Piece-Key": "k"}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if n, allowed := seen.beyondFirst(), int(limit.RepeatRatio*calls+limit.RepeatFixed); n > allowed {
+				t.Fatalf("%d calls beyond the first of each request, %d allowed for %d requests", n, allowed, calls)
+			}
+		})
+	}
+}
+
+// startAgain announces that four others have taken the place of a service's upstreams, at the
+// same address.
+func (b *bed) startAgain(service, id string) {
+	address := b.view.Announced[service][0].Direct
+	var list []wire.Member
+	for k := range 4 {
+		list = append(list, wire.Member{ID: wire.MemberID(fmt.Sprint(id, "-", k)), Service: service, Direct: address})
+	}
+	b.announce(service, list)
+}
--- /dev/null
+++ b/node/retry/processes_test.go
@@ -0,0 +1,295 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+)
+
+// The incident: at a service whose upstreams failed, all processes together repeated more
+// calls within ten seconds than a fifth of its requests and a fixed number, right after
+// processes had started. Each process kept to its part. But a start gave it a new part while
+// what its predecessor had used still counted, and a process that saw few members took a large
+// part while those that it did not see used theirs. A run of 23 separate processes that were
+// killed every 1.5 s, at a service with 60 requests a second that all failed, made 220 repeats where 205 were
+// allowed; cut off from the control processes, the four that remained took 16 each beside the
+// two of each of the others.
+
+// allProcesses plays processes that share a limit on one clock: their views, and what
+// callers and upstreams see.
+type allProcesses struct {
+	clock     *clockwork.FakeClock
+	random    *rand.Rand
+	limit     Limit
+	processes []*process
+	requests  []time.Time // that callers sent
+	repeats   []time.Time // as they arrive at upstreams
+}
+
+const (
+	tick      = 50 * time.Millisecond
+	lease     = 3 * time.Second        // after which a silent process is no member
+	syncEvery = 600 * time.Millisecond // at most between two confirmations of a view
+	latest    = 400 * time.Millisecond // that a repeat takes to its upstream
+)
+
+// process is one of them, over all its starts.
+type process struct {
+	all      *allProcesses
+	downTill time.Time
+	cutTill  time.Time // from the control processes: it serves on
+	share    float64   // of the requests, against the others'
+
+	quota   *Quota // of this start; nil while it is down
+	joined  bool   // this start is a member
+	heard   time.Time
+	synced  time.Time // when its view was confirmed; zero before
+	since   time.Time // when the confirmations without a gap began
+	members int       // in its view
+}
+
+func playProcesses(n int, limit Limit, seed uint64) *allProcesses {
+	a := &allProcesses{clock: clockwork.NewFakeClock(), random: rand.New(rand.NewPCG(seed, 33)), limit: limit}
+	for range n {
+		a.processes = append(a.processes, &process{all: a, share: 1})
+	}
+	return a
+}
+
+// play lets so many requests a second come for a while; the part failing of the attempts fails.
+func (a *allProcesses) play(d time.Duration, perSecond, failing float64) {
+	for range d / tick {
+		a.clock.Advance(tick)
+		for _, p := range a.processes {
+			p.live()
+		}
+		for due := perSecond * tick.Seconds(); a.random.Float64() < due; due-- {
+			a.request(failing)
+		}
+	}
+}
+
+func (a *allProcesses) request(failing float64) {
+	p := a.pick()
+	if p == nil {
+		return // nobody serves
+	}
+	now := a.clock.Now()
+	a.requests = append(a.requests, now)
+	p.quota.First("s")
+	if a.random.Float64() < failing && p.quota.Take("s").Allowed {
+		a.repeats = append(a.repeats, now.Add(time.Duration(a.random.Int64N(int64(latest)))))
+	}
+}
+
+// pick returns a process that serves, by its share.
+func (a *allProcesses) pick() *process {
+	sum := 0.0
+	for _, p := range a.processes {
+		if p.serves() {
+			sum += p.share
+		}
+	}
+	at := a.random.Float64() * sum
+	for _, p := range a.processes {
+		if !p.serves() {
+			continue
+		}
+		if at < p.share {
+			return p
+		}
+		at -= p.share
+	}
+	return nil
+}
+
+func (p *process) serves() bool { return p.quota != nil && !p.synced.IsZero() }
+
+// kill ends the process; it starts again after down.
+func (p *process) kill(down time.Duration) {
+	p.quota, p.joined = nil, false
+	p.downTill = p.all.clock.Now().Add(down)
+}
+
+// cut keeps the process from the control processes.
+func (p *process) cut(d time.Duration) { p.cutTill = p.all.clock.Now().Add(d) }
+
+// live starts the process where it is due, and synchronizes its view.
+func (p *process) live() {
+	now := p.all.clock.Now()
+	if p.quota == nil {
+		if now.Before(p.downTill) {
+			return
+		}
+		p.synced, p.since, p.joined = time.Time{}, time.Time{}, false
+		p.quota = NewQuota(p.all.limit, p.all.clock, p.steady)
+	}
+	if now.Before(p.cutTill) || now.Sub(p.synced) < p.all.jitter(syncEvery) {
+		return
+	}
+	if p.synced.IsZero() || now.Sub(p.synced) > longestGap {
+		p.since = now
+	}
+	p.synced, p.heard = now, now
+	p.members = p.all.members()
+	p.quota.Follow(Standing{Members: p.members, Self: p.joined && p.member()})
+	p.joined = true // in the views from now on
+}
+
+// longestGap is between two confirmations of a view that counts as confirmed all the while.
+const longestGap = 3 * time.Second
+
+func (p *process) steady() time.Duration {
+	if now := p.all.clock.Now(); !p.synced.IsZero() && now.Sub(p.synced) <= longestGap {
+		return now.Sub(p.since)
+	}
+	return 0
+}
+
+// member reports whether the control processes hold its lease.
+func (p *process) member() bool {
+	return !p.heard.IsZero() && p.all.clock.Now().Sub(p.heard) <= lease
+}
+
+func (a *allProcesses) members() int {
+	n := 0
+	for _, p := range a.processes {
+		if p.member() {
+			n++
+		}
+	}
+	return n
+}
+
+func (a *allProcesses) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(a.random.Int64N(int64(d/2)))
+}
+
+// check counts the repeats of every window that begins with one of them, as the users do: against
+// the requests of that window, the one before it or the one half a window before it.
+func (a *allProcesses) check(t interface{ Fatalf(string, ...any) }) {
+	sort.Slice(a.repeats, func(i, j int) bool { return a.repeats[i].Before(a.repeats[j]) })
+	w := a.limit.Window
+	for _, from := range a.repeats {
+		requests := 0
+		for _, shift := range []time.Duration{0, -w / 2, -w} {
+			requests = max(requests, within(a.requests, from.Add(shift), w))
+		}
+		allowed := a.limit.Ratio*float64(requests) + a.limit.Fixed
+		if n := within(a.repeats, from, w); float64(n) > allowed {
+			t.Fatalf("%d repeats in a window with %d requests, %.1f allowed", n, requests, allowed)
+		}
+	}
+}
+
+// within counts the times from then on for d, of a list in order.
+func within(list []time.Time, from time.Time, d time.Duration) int {
+	at := func(when time.Time) int {
+		return sort.Search(len(list), func(i int) bool { return !list[i].Before(when) })
+	}
+	return at(from.Add(d)) - at(from)
+}
+
+var sharedLimit = Limit{Ratio: 0.2, Fixed: 86, Window: 10 * time.Second}
+
+// TestProcessesKeepTheLimitTogether plays what happened, and what else could make the parts
+// add up to more than the whole.
+func TestProcessesKeepTheLimitTogether(t *testing.T) {
+	const settle = 30 * time.Second
+	cases := map[string]func(a *allProcesses){
+		"all are killed, again and again": func(a *allProcesses) {
+			a.play(settle, 60, 0)
+			for range 12 {
+				a.play(1200*time.Millisecond, 60, 1)
+				for _, p := range a.processes {
+					p.kill(300 * time.Millisecond)
+				}
+				a.play(300*time.Millisecond, 60, 1)
+			}
+		},
+		"most are cut off from control, and serve on": func(a *allProcesses) {
+			a.processes[0].share = float64(len(a.processes)) // callers are spread unevenly
+			a.play(settle, 25, 0)
+			for _, p := range a.processes[1:] {
+				p.cut(20 * time.Second)
+			}
+			a.play(20*time.Second, 25, 1)
+		},
+		"all start for the first time, one after the other": func(a *allProcesses) {
+			for i, p := range a.processes {
+				p.downTill = a.clock.Now().Add(time.Duration(i) * 400 * time.Millisecond)
+			}
+			a.play(20*time.Second, 150, 1)
+		},
+		"callers move to the other processes": func(a *allProcesses) {
+			half := a.processes[:len(a.processes)/2]
+			for _, p := range a.processes[len(half):] {
+				p.share = 0
+			}
+			a.play(settle, 300, 0)
+			a.play(3*time.Second, 300, 1)
+			for i, p := range a.processes {
+				p.share = 0
+				if i >= len(half) {
+					p.share = 1
+				}
+			}
+			a.play(15*time.Second, 300, 1)
+		},
+	}
+	for name, run := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := playProcesses(23, sharedLimit, 1)
+			run(a)
+			if len(a.repeats) == 0 {
+				t.Fatal("nothing was repeated")
+			}
+			a.check(t)
+		})
+	}
+}
+
+// TestProcessesKeepTheLimitWhateverHappens draws what happens to the processes and their callers.
+func TestProcessesKeepTheLimitWhateverHappens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := playProcesses(rapid.IntRange(1, 30).Draw(t, "processes"), sharedLimit, rapid.Uint64().Draw(t, "seed"))
+		perSecond := rapid.Float64Range(1, 150).Draw(t, "requests a second")
+		a.play(time.Duration(rapid.IntRange(0, 30).Draw(t, "seconds to settle"))*time.Second, perSecond, 0)
+		for range rapid.IntRange(1, 25).Draw(t, "events") {
+			some := a.some(rapid.Float64Range(0, 1).Draw(t, "part of the processes"))
+			d := time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond
+			switch rapid.SampledFrom([]string{"kill", "cut", "callers move", "nothing"}).Draw(t, "event") {
+			case "kill":
+				for _, p := range some {
+					p.kill(d)
+				}
+			case "cut":
+				for _, p := range some {
+					p.cut(4 * d)
+				}
+			case "callers move":
+				for _, p := range some {
+					p.share = 1 - p.share
+				}
+			}
+			wait := time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms until the next")) * time.Millisecond
+			a.play(wait, perSecond, rapid.SampledFrom([]float64{0, 0.1, 1}).Draw(t, "failing"))
+		}
+		a.check(t)
+	})
+}
+
+// some returns about that part of the processes.
+func (a *allProcesses) some(part float64) []*process {
+	var out []*process
+	for _, p := range a.processes {
+		if a.random.Float64() < part {
+			out = append(out, p)
+		}
+	}
+	return out
+}
--- a/node/retry/quota.go
+++ b/node/retry/quota.go
@@ -15,10 +15,17 @@
 	Window time.Duration
 }
 
+// Standing is a process's place among those that share a Limit, as its view has it.
+type Standing struct {
+	Members int  // the processes that the view holds
+	Self    bool // it holds this start of this process
+}
+
 // Quota is this process's part of a Limit, which holds for each service by itself.
 type Quota struct {
-	limit Limit
-	clock clockwork.Clock
+	limit  Limit
+	clock  clockwork.Clock
+	steady func() time.Duration
 
 	mu      sync.Mutex
 	members int
@@ -29,16 +36,17 @@
 // count at another moment than this process does, and processes that just join, need the rest.
 const quotaPart = 0.75
 
-// NewQuota returns the quota of a process that knows no other.
-func NewQuota(limit Limit, clock clockwork.Clock) *Quota {
-	return &Quota{limit: limit, clock: clock, members: 1, windows: map[string]*Window{}}
+// NewQuota returns the quota of a process that has just started. steady says for how long
+// a quorum has confirmed the process's view without a gap; zero while it does not.
+func NewQuota(limit Limit, clock clockwork.Clock, steady func() time.Duration) *Quota {
+	return &Quota{limit: limit, clock: clock, steady: steady, members: 1, windows: map[string]*Window{}}
 }
 
-// Follow takes over how many processes there are.
-func (q *Quota) Follow(members int) {
+// Follow takes over what a new view says.
+func (q *Quota) Follow(s Standing) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.members = max(members, 1)
+	q.members = max(s.Members, 1)
 }
 
 // First notes a first attempt at the service.
