Quota of repeats: the parts add up to no more than the whole

Cause: each process kept to a part of the limit that was worked out from its own view and its own memory: a start had a new part while its predecessor's repeats still counted, few members in a view made a large part, and the part that goes with the requests counted those of the window before at one process and those of this window at another. Ruled out: grants from the leader (a further message and more state for two repeats a process and window, and it would have to remember what it granted over its own loss); the divisor right after kills (the log keeps the members). Change: the fixed number counts only at a process that has been a member, in views that a quorum confirmed without a gap, for a window and two gaps, and is divided by the most members of that time; less than half of the ratio goes to own requests; repeats on their way count for a tenth of a window more. configsync says for how long its view was confirmed without a gap.

--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -161,6 +161,10 @@
 // StampAge returns how long ago a quorum confirmed what this process holds.
 func (s *Service) StampAge() time.Duration { return s.held.StampAge(s.clock.Now()) }
 
+// Steady returns for how long a quorum has confirmed what this process holds without a gap above
+// LongestGap; zero while there is one.
+func (s *Service) Steady() time.Duration { return s.held.Steady(s.clock.Now()) }
+
 // Self returns this process's member record.
 func (s *Service) Self() wire.Member { return s.held.Self() }
 
--- a/node/configsync/holder.go
+++ b/node/configsync/holder.go
@@ -11,6 +11,10 @@
 	"caperdrum.org/node/logging"
 )
 
+// LongestGap is between two confirmations of a view that counts as confirmed all the while:
+// three synchronizations, and longer than an election takes.
+const LongestGap = staleStamp
+
 const (
 	staleStamp = 3 * time.Second // a control process with an older stamp is passed over
 	neverStamp = logging.Never
@@ -32,7 +36,13 @@
 	hint   Hint
 
 	view  atomic.Pointer[View]
-	stamp atomic.Pointer[time.Time] // of the last quorum confirmation, with its monotonic reading
+	stamp atomic.Pointer[confirmation] // the last one by a quorum
+}
+
+// confirmation is one of what is held, by a quorum. Times have their monotonic reading.
+type confirmation struct {
+	at    time.Time
+	since time.Time // when the first one was after which there was no gap above LongestGap
 }
 
 // NewHolder returns a Holder for the process with the given record.
@@ -96,7 +106,17 @@
 	if at == nil {
 		return neverStamp
 	}
-	return now.Sub(*at)
+	return now.Sub(at.at)
+}
+
+// Steady returns for how long before now the view has been confirmed without a gap; zero when
+// the last confirmation is longer ago than LongestGap.
+func (h *Holder) Steady(now time.Time) time.Duration {
+	at := h.stamp.Load()
+	if at == nil || now.Sub(at.at) > LongestGap {
+		return 0
+	}
+	return now.Sub(at.since)
 }
 
 // Take takes over what an answer to a call made at asked brings, and returns
@@ -157,8 +177,16 @@
 func (h *Holder) confirm(at time.Time) {
 	for {
 		old := h.stamp.Load()
-		if old != nil && !at.After(*old) || h.stamp.CompareAndSwap(old, &at) {
+		if old != nil && !at.After(old.at) || h.stamp.CompareAndSwap(old, old.next(at)) {
 			return
 		}
 	}
 }
+
+// next returns a confirmation that follows c, which may be nil.
+func (c *confirmation) next(at time.Time) *confirmation {
+	if c == nil || at.Sub(c.at) > LongestGap {
+		return &confirmation{at: at, since: at}
+	}
+	return &confirmation{at: at, since: c.since}
+}
--- /dev/null
+++ b/node/configsync/steady_test.go
@@ -0,0 +1,43 @@
+package configsync
+
+import (
+	"testing"
+	"time"
+
+	"caperdrum.org/api/wire"
+)
+
+// TestSteady lists when a view was confirmed, and for how long it counts as confirmed without a
+// gap a moment after the last of them.
+func TestSteady(t *testing.T) {
+	const moment = 100 * time.Millisecond
+	cases := map[string]struct {
+		at   []time.Duration // after the start
+		wait time.Duration   // after the last of them
+		want time.Duration
+	}{
+		"never":                           {nil, moment, 0},
+		"once":                            {[]time.Duration{0}, moment, moment},
+		"again and again":                 {[]time.Duration{0, time.Second, 3 * time.Second}, moment, 3*time.Second + moment},
+		"not for the longest gap":         {[]time.Duration{0, time.Second}, LongestGap, time.Second + LongestGap},
+		"not for longer":                  {[]time.Duration{0, time.Second}, LongestGap + 1, 0},
+		"again after a gap":               {[]time.Duration{0, time.Second, 5 * time.Second, 6 * time.Second}, moment, time.Second + moment},
+		"a late answer ends no gap twice": {[]time.Duration{0, 5 * time.Second, time.Second, 6 * time.Second}, moment, time.Second + moment},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			start := time.Now()
+			h := NewHolder(wire.Member{ID: "m"})
+			now := start
+			for _, at := range c.at {
+				now = start.Add(at)
+				if _, err := h.Take(&wire.SyncReply{StampAge: 0}, now); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if got := h.Steady(now.Add(c.wait)); got != c.want {
+				t.Fatalf("confirmed without a gap for %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -67,6 +67,9 @@
 // views is what the proxy asks of synchronization.
 type views interface {
 	StampAge() time.Duration
+	// Steady is for how long the view was confirmed without a gap; see package configsync.
+	Steady() time.Duration
+	Self() wire.Member
 	SetLeaving(leaving bool)
 }
 
@@ -112,22 +115,25 @@
 func newService(set *settings.Settings, log logr.Logger, protocol upstream.Protocol, views views, stages stages) *Service {
 	s := &Service{set: set, log: log, protocol: protocol, sync: views, stages: stages,
 		pool: upstream.NewPool(protocol), endpoints: newEndpoints(), first: newFirstView(clockwork.NewRealClock()),
-		repeats: retry.NewQuota(repeatLimit(set), clockwork.NewRealClock(), func() time.Duration { return 0 })}
+		repeats: newQuota(set, clockwork.NewRealClock(), views)}
 	s.ending, s.end = context.WithCancel(context.Background())
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 	s.ready = &http.Server{Handler: http.HandlerFunc(s.answerReady), ReadHeaderTimeout: headerTimeout}
 	return s
 }
 
-func repeatLimit(set *settings.Settings) retry.Limit {
-	return retry.Limit{Ratio: set.Proxy.RepeatRatio, Fixed: set.Proxy.RepeatFixed, Window: set.Proxy.RepeatWindow}
+func newQuota(set *settings.Settings, clock clockwork.Clock, v views) *retry.Quota {
+	limit := retry.Limit{Ratio: set.Proxy.RepeatRatio, Fixed: set.Proxy.RepeatFixed, Window: set.Proxy.RepeatWindow}
+	return retry.NewQuota(limit, clock, retry.Confirmations{Steady: v.Steady, Gap: configsync.LongestGap})
 }
 
 // follow takes over a view of the configuration and the members.
 func (s *Service) follow(v *configsync.View) {
 	t := newTable(v)
 	s.table.Store(t)
-	s.repeats.Follow(retry.Standing{Members: t.proxies})
+	self := s.sync.Self()
+	here, known := v.Members[self.ID]
+	s.repeats.Follow(retry.Standing{Members: t.proxies, Self: known && here.Start() == self.Start()})
 	if v.Version > 0 {
 		s.first.set()
 	}
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -20,7 +20,6 @@
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/configsync"
-	"caperdrum.org/node/retry"
 	"caperdrum.org/node/settings"
 	"caperdrum.org/node/stagework"
 	"caperdrum.org/node/upstream"
@@ -84,7 +83,11 @@
 type fixedViews struct{ age time.Duration }
 
 func (v *fixedViews) StampAge() time.Duration { return v.age }
-func (v *fixedViews) SetLeaving(bool)         {}
+func (v *fixedViews) Steady() time.Duration   { return time.Hour }
+func (v *fixedViews) Self() wire.Member {
+	return wire.Member{ID: "proxy-1", Peer: "127.0.0.1:1", Incarnation: 1}
+}
+func (v *fixedViews) SetLeaving(bool) {}
 
 // fakeStages answers jobs at once.
 type fakeStages struct {
@@ -139,16 +142,18 @@
 		t.Fatal(err)
 	}
 	b := &bed{t: t, views: &fixedViews{}, stages: &fakeStages{}}
-	b.view = configsync.View{Config: config, Version: 7, Announced: map[string][]wire.Member{}}
+	self := b.views.Self()
+	b.view = configsync.View{Config: config, Version: 7, Announced: map[string][]wire.Member{}, Members: map[wire.MemberID]wire.Member{self.ID: self}}
 	b.service = newService(&settings.Settings{Proxy: settings.ProxyRole{KeyAge: 4 * time.Second, RepeatRatio: 0.2, RepeatFixed: 50, RepeatWindow: 10 * time.Second}}, logr.Discard(), upstream.Native{}, b.views, b.stages)
 	b.clock = clockwork.NewFakeClock()
-	b.service.repeats = retry.NewQuota(repeatLimit(b.service.set), b.clock, func() time.Duration { return time.Hour })
+	b.service.repeats = newQuota(b.service.set, b.clock, b.views)
 	b.front = httptest.NewServer(b.service)
 	t.Cleanup(func() {
 		b.front.Close()
 		b.service.pool.Close()
 	})
 	b.service.follow(&b.view)
+	b.clock.Advance(time.Minute) // the process is settled
 	return b
 }
 
--- a/node/retry/processes_test.go
+++ b/node/retry/processes_test.go
@@ -126,7 +126,7 @@
 			return
 		}
 		p.synced, p.since, p.joined = time.Time{}, time.Time{}, false
-		p.quota = NewQuota(p.all.limit, p.all.clock, p.steady)
+		p.quota = NewQuota(p.all.limit, p.all.clock, Confirmations{p.steady, longestGap})
 	}
 	if now.Before(p.cutTill) || now.Sub(p.synced) < p.all.jitter(syncEvery) {
 		return
@@ -219,6 +219,38 @@
 			}
 			a.play(20*time.Second, 25, 1)
 		},
+		"nothing happens to them, and a service with few requests fails": func(a *allProcesses) {
+			a.processes = a.processes[:11]
+			a.play(settle, 20, 0)
+			a.play(20*time.Second, 20, 1)
+		},
+		"most are cut off for longer than a window": func(a *allProcesses) {
+			a.processes[0].share = float64(len(a.processes))
+			a.play(settle, 25, 0)
+			for _, p := range a.processes[1:] {
+				p.cut(50 * time.Second)
+			}
+			a.play(50*time.Second, 25, 1)
+		},
+		"most have repeated, and stay away": func(a *allProcesses) {
+			a.play(settle, 30, 0)
+			a.play(4*time.Second, 30, 1)
+			for _, p := range a.processes[1:] {
+				p.kill(time.Hour)
+			}
+			a.play(10*time.Second, 30, 1)
+		},
+		"all are killed once the others know them": func(a *allProcesses) {
+			a.processes = a.processes[:11] // among whom the fixed number leaves nothing over
+			a.play(settle, 35, 0)
+			for range 4 {
+				for _, p := range a.processes {
+					p.kill(100 * time.Millisecond)
+				}
+				a.play(7*time.Second, 3, 1)
+				a.play(1500*time.Millisecond, 80, 1)
+			}
+		},
 		"all start for the first time, one after the other": func(a *allProcesses) {
 			for i, p := range a.processes {
 				p.downTill = a.clock.Now().Add(time.Duration(i) * 400 * time.Millisecond)
--- a/node/retry/window.go
+++ b/node/retry/window.go
@@ -17,7 +17,7 @@
 	start time.Time // steps are counted from it, on the steady clock
 
 	mu    sync.Mutex
-	slots [windowSlots]slot
+	slots [extraSteps]slot
 }
 
 type slot struct {
@@ -26,13 +26,21 @@
 	extra  int
 }
 
-// windowSlots is the resolution: a window counts between windowSlots-1 and
-// windowSlots steps of time.
-const windowSlots = 11
+// Steps of time, a tenth of the window each, of which the current one has just begun or
+// is nearly over.
+const (
+	stepsOfWindow = 10
+	// firstSteps are those whose first attempts count: no more than the window.
+	firstSteps = stepsOfWindow
+	// extraSteps are those whose extra attempts count: the window and one step in which they
+	// are on their way. Upstreams count them when they arrive: after the 0.4 s at most
+	// that a connection takes, and a lost packet's repeats.
+	extraSteps = stepsOfWindow + 2
+)
 
 // NewWindow returns a window of the given length.
 func NewWindow(length time.Duration, ratio float64, clock clockwork.Clock) *Window {
-	return &Window{clock: clock, ratio: ratio, step: length / (windowSlots - 1), start: clock.Now()}
+	return &Window{clock: clock, ratio: ratio, step: length / stepsOfWindow, start: clock.Now()}
 }
 
 // First notes a first attempt.
@@ -55,7 +63,7 @@
 	return true
 }
 
-// Counts returns the first and the extra attempts that the window holds now.
+// Counts returns the first and the extra attempts that count now.
 func (w *Window) Counts() (first, extra int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -65,8 +73,11 @@
 func (w *Window) counts() (first, extra int) {
 	s := w.now()
 	for _, other := range w.slots {
-		if s.number-other.number < windowSlots {
+		age := s.number - other.number
+		if age < firstSteps {
 			first += other.first
+		}
+		if age < extraSteps {
 			extra += other.extra
 		}
 	}
@@ -75,8 +86,8 @@
 
 // now returns the slot of the current step of time.
 func (w *Window) now() *slot {
-	number := windowSlots + int64(w.clock.Since(w.start)/w.step) // slots of number zero are unused
-	s := &w.slots[number%windowSlots]
+	number := extraSteps + int64(w.clock.Since(w.start)/w.step) // slots of number zero are unused
+	s := &w.slots[number%extraSteps]
 	if s.number != number {
 		*s = slot{number: number}
 	}
