Nothing is sent again without asking the quota

Cause: a call whose stage results were gone at the engine was sent once more, and one that met another upstream at an address up to three times, without asking; upstreams count both. Ruled out: sends that reach nobody (a connection that cannot be made) are no calls at an upstream; one send on a dead connection is not made again by the pool. Change: both ask; denied, the call is refused at once as not run, with when to come back. Results that are lost a second time end the call: it went on to a third engine with the handles that two had found gone.

--- a/node/proxy/repeat.go
+++ b/node/proxy/repeat.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"caperdrum.org/api/verdict"
+	"caperdrum.org/node/logging"
 )
 
 // reason is why an upstream gets a call of which one has got a call before. Its text is
@@ -26,7 +27,13 @@
 
 // mayRepeat reports whether another upstream may be tried, and counts it.
 func (x *exchange) mayRepeat(why reason) bool {
-	if x.sends >= x.route.Attempts || time.Until(x.deadline) < minLeft {
+	return x.sends < x.route.Attempts && x.maySend(why)
+}
+
+// maySend reports whether the call may reach an upstream once more. Nothing is sent beyond a
+// call's first time without asking: upstreams count each arrival, also those that they reject.
+func (x *exchange) maySend(why reason) bool {
+	if time.Until(x.deadline) < minLeft {
 		return false
 	}
 	d := x.s.repeats.Take(x.service.Name)
@@ -36,17 +43,10 @@
 	}
 	total.Add(x.service.Name+"/"+string(why), 1)
 	x.s.log.Info("repeat", "request", x.call.ID, "service", x.service.Name, "result", result, "reason", why,
-		"first", d.First, "repeats", d.Extra, "fixed", d.Fixed, "members", d.Members, "stamp_age", x.s.sync.StampAge())
+		"first", d.First, "repeats", d.Extra, "fixed", d.Fixed, "members", d.Members, "settled", d.Settled, "stamp_age", logging.Age(x.s.sync.StampAge()))
 	x.again = why
 	return d.Allowed
 }
 
-// unasked notes a repeat that was not asked for.
-func (x *exchange) unasked(why reason) {
-	x.again = why
-	repeatsVar.Add(x.service.Name+"/"+string(why), 1)
-	x.s.log.Info("repeat", "request", x.call.ID, "service", x.service.Name, "result", "unasked", "reason", why, "stamp_age", x.s.sync.StampAge())
-}
-
 // minLeft is the time under which another try is pointless.
 const minLeft = 30 * time.Millisecond
--- a/node/proxy/repeat_test.go
+++ b/node/proxy/repeat_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"caperdrum.org/api/wire"
 )
@@ -94,3 +95,41 @@
 	}
 	b.announce(service, list)
 }
+
+// TestStartThatIsNoMemberHasNoPart lets calls fail at a process whose view does not hold this
+// start of it: what its predecessor has repeated still counts.
+func TestStartThatIsNoMemberHasNoPart(t *testing.T) {
+	for name, members := range map[string]map[wire.MemberID]wire.Member{
+		"it has not joined":           {},
+		"its predecessor is a member": {"proxy-1": {ID: "proxy-1", Peer: "127.0.0.1:1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			b.view.Members = members
+			var n counter
+			b.upstream("desk", "d1", n.count(breakOff))
+			b.upstream("desk", "d2", n.count(breakOff))
+			b.clock.Advance(time.Minute)
+			b.want(http.StatusBadGateway, http.MethodPost, "/reserve/", nil)
+			if n.n.Load() != 1 {
+				t.Fatalf("%d calls of upstreams", n.n.Load())
+			}
+		})
+	}
+}
+
+// TestResultsThatAreLostTwice: the call is made once more, and then refused at once as not run.
+func TestResultsThatAreLostTwice(t *testing.T) {
+	b := newBed(t)
+	var n counter
+	for _, id := range []string{"e1", "e2", "e3"} {
+		b.upstream("llm", id, n.count(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(wire.HeaderVerdict, "not-run")
+			w.WriteHeader(http.StatusConflict)
+		}))
+	}
+	b.want(http.StatusServiceUnavailable, http.MethodPost, "/quote/", map[string]string{"Caperdrum-Pieces": "1", "Caperdrum-Piece-Key": "k"})
+	if n.n.Load() != 2 || len(b.stages.jobs) != 2 || b.stages.released != 2 {
+		t.Fatalf("%d calls of engines, %d jobs, %d released", n.n.Load(), len(b.stages.jobs), b.stages.released)
+	}
+}
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -23,12 +23,18 @@
 // notRun reports whether the upstream has not run the call and never will.
 func (a *attempt) notRun() bool { return a.err != nil && a.err.Verdict == verdict.NotRun }
 
+// moved reports whether another upstream answered at the address.
+func (a *attempt) moved() bool {
+	return a.response != nil && a.response.Status == http.StatusMisdirectedRequest
+}
+
 // maxUnsent bounds how many upstreams that cannot be reached, or that left
 // their address, a call tries beside those it is sent to.
 const maxUnsent = 3
 
 // send sends the call to an upstream. One that could not be reached at all is
-// replaced by another.
+// replaced by another; one that has left its address, which has got the call, as far as the
+// quota of repeats goes.
 func (x *exchange) send(ctx context.Context, tried *[]wire.Start, c choice, lastEvent string) *attempt {
 	for unsent := 0; ; unsent++ {
 		c.tried = *tried
@@ -40,12 +46,13 @@
 		}
 		*tried = append(*tried, m.Start())
 		a := x.sendTo(ctx, m, len(list), lastEvent)
-		moved := a.response != nil && a.response.Status == http.StatusMisdirectedRequest
-		if unsent < maxUnsent && ctx.Err() == nil && (a.notRun() && a.response == nil || moved) {
-			if moved {
-				x.drop(a, wasMoved)
-				x.unasked(addressMoved)
+		if a.moved() {
+			x.drop(a, wasMoved)
+			a = &attempt{member: m, err: verdict.New(verdict.NotRun, verdict.CodeUpstream, "another upstream has the address of %s", m.ID).After(comeBack)}
+			if unsent < maxUnsent && ctx.Err() == nil && x.maySend(addressMoved) {
+				continue
 			}
+		} else if unsent < maxUnsent && ctx.Err() == nil && a.notRun() && a.response == nil {
 			continue
 		}
 		x.sends++
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -33,12 +33,15 @@
 		if a.member.ID == x.engine && a.unanswered() && ctx.Err() == nil {
 			x.engineOutcome = stagework.EngineFailed
 		}
-		if a.inputsGone() && !remade {
+		if a.inputsGone() {
 			x.drop(a, stood)
 			x.release()
+			// Once they were lost a second time, a third engine will hardly find them.
+			if remade || !x.maySend(inputsLost) {
+				return out.abandon(errInputsLost(a.member.ID))
+			}
 			remade, tried = true, nil
 			x.sends--
-			x.unasked(inputsLost)
 			continue
 		}
 		done, err := x.relay(ctx, a, out)
@@ -65,6 +68,10 @@
 	return a.response != nil && a.response.Status == http.StatusConflict && a.response.Answer.NotRun
 }
 
+func errInputsLost(engine wire.MemberID) *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.CodeUpstream, "results of the stages were lost before %s had them", engine).After(comeBack)
+}
+
 // relay passes an upstream's stream on. It reports whether the caller has got
 // its answer.
 func (x *exchange) relay(ctx context.Context, a *attempt, out *streamWriter) (done bool, verr *verdict.Error) {
