Connections to upstreams: divided by the most processes lately

A process's part of an upstream's connections was divided by the members that it sees now; those that are cut off serve on with theirs for some seconds. Ruled out: waiting until a process is settled, as for repeats: without connections it could serve nobody. Change: who shares a bound is followed by retry.Peers, out of retry.Quota; both parts ask it. Figures: 20 of 40 connections right after eight of nine vanished from the view -> 4 (test, which failed first).

--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -101,6 +101,7 @@
 	server    *http.Server
 	ready     *http.Server
 	stopTrim  context.CancelFunc
+	peers     *retry.Peers
 	repeats   *retry.Quota
 }
 
@@ -114,17 +115,19 @@
 
 func newService(set *settings.Settings, log logr.Logger, protocol upstream.Protocol, views views, stages stages) *Service {
 	s := &Service{set: set, log: log, protocol: protocol, sync: views, stages: stages,
-		pool: upstream.NewPool(protocol), endpoints: newEndpoints(), first: newFirstView(clockwork.NewRealClock()),
-		repeats: newQuota(set, clockwork.NewRealClock(), views)}
+		pool: upstream.NewPool(protocol), endpoints: newEndpoints(), first: newFirstView(clockwork.NewRealClock())}
+	s.share(clockwork.NewRealClock())
 	s.ending, s.end = context.WithCancel(context.Background())
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 	s.ready = &http.Server{Handler: http.HandlerFunc(s.answerReady), ReadHeaderTimeout: headerTimeout}
 	return s
 }
 
-func newQuota(set *settings.Settings, clock clockwork.Clock, v views) *retry.Quota {
-	limit := retry.Limit{Ratio: set.Proxy.RepeatRatio, Fixed: set.Proxy.RepeatFixed, Window: set.Proxy.RepeatWindow}
-	return retry.NewQuota(limit, clock, retry.Confirmations{Steady: v.Steady, Gap: configsync.LongestGap})
+// share sets up what this process has of the bounds over all processes.
+func (s *Service) share(clock clockwork.Clock) {
+	p := s.set.Proxy
+	s.peers = retry.NewPeers(p.RepeatWindow, clock, retry.Confirmations{Steady: s.sync.Steady, Gap: configsync.LongestGap})
+	s.repeats = retry.NewQuota(retry.Limit{Ratio: p.RepeatRatio, Fixed: p.RepeatFixed, Window: p.RepeatWindow}, clock, s.peers)
 }
 
 // follow takes over a view of the configuration and the members.
@@ -133,7 +136,7 @@
 	s.table.Store(t)
 	self := s.sync.Self()
 	here, known := v.Members[self.ID]
-	s.repeats.Follow(retry.Standing{Members: t.proxies, Self: known && here.Start() == self.Start()})
+	s.peers.Follow(retry.Standing{Members: t.proxies, Self: known && here.Start() == self.Start()})
 	if v.Version > 0 {
 		s.first.set()
 	}
--- a/node/proxy/repeat_test.go
+++ b/node/proxy/repeat_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"caperdrum.org/api/optext"
 	"caperdrum.org/api/wire"
 )
 
@@ -133,3 +134,32 @@
 		t.Fatalf("%d calls of engines, %d jobs, %d released", n.n.Load(), len(b.stages.jobs), b.stages.released)
 	}
 }
+
+// TestConnectionsAreSharedWithThoseSeenLately lets most processes vanish from the view: they may
+// be cut off and keep their connections, so this one's part grows only when that can't be.
+func TestConnectionsAreSharedWithThoseSeenLately(t *testing.T) {
+	b := newBed(t)
+	self := b.views.Self()
+	see := func(n int) {
+		next := b.view
+		next.Members = map[wire.MemberID]wire.Member{self.ID: self}
+		for i := range n - 1 {
+			id := wire.MemberID(fmt.Sprint("other-", i))
+			next.Members[id] = wire.Member{ID: id, Peer: "127.0.0.1:2"}
+		}
+		b.service.follow(&next)
+	}
+	x := &exchange{s: b.service, service: &optext.Service{}}
+	x.service.MaxConnections = 40
+	see(9)
+	b.clock.Advance(time.Minute)
+	see(1)
+	x.table = b.service.table.Load()
+	if n := x.connections(); n != 4 {
+		t.Errorf("%d connections right after the others vanished", n)
+	}
+	b.clock.Advance(time.Minute)
+	if n := x.connections(); n != 20 {
+		t.Errorf("%d connections a minute later", n)
+	}
+}
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -97,12 +97,14 @@
 	return a
 }
 
-// connections is this process's part of the connections to one upstream.
+// connections is this process's part of the connections to one upstream. It is divided by the
+// most processes lately: one that is cut off serves on for some seconds with the connections
+// that it has, while the others no longer see it.
 func (x *exchange) connections() int {
 	if x.service.MaxConnections <= 0 {
 		return 0
 	}
-	return max(2, x.service.MaxConnections/(x.table.proxies+1))
+	return max(2, x.service.MaxConnections/(x.s.peers.Most()+1))
 }
 
 // drop ends an attempt whose answer is not used.
--- a/node/retry/processes_test.go
+++ b/node/retry/processes_test.go
@@ -45,7 +45,8 @@
 	share    float64   // of the requests, against the others'
 
 	quota   *Quota // of this start; nil while it is down
-	joined  bool   // this start is a member
+	peers   *Peers
+	joined  bool // this start is a member
 	heard   time.Time
 	synced  time.Time // when its view was confirmed; zero before
 	since   time.Time // when the confirmations without a gap began
@@ -126,7 +127,8 @@
 			return
 		}
 		p.synced, p.since, p.joined = time.Time{}, time.Time{}, false
-		p.quota = NewQuota(p.all.limit, p.all.clock, Confirmations{p.steady, longestGap})
+		p.peers = NewPeers(p.all.limit.Window, p.all.clock, Confirmations{p.steady, longestGap})
+		p.quota = NewQuota(p.all.limit, p.all.clock, p.peers)
 	}
 	if now.Before(p.cutTill) || now.Sub(p.synced) < p.all.jitter(syncEvery) {
 		return
@@ -136,7 +138,7 @@
 	}
 	p.synced, p.heard = now, now
 	p.members = p.all.members()
-	p.quota.Follow(Standing{Members: p.members, Self: p.joined && p.member()})
+	p.peers.Follow(Standing{Members: p.members, Self: p.joined && p.member()})
 	p.joined = true // in the views from now on
 }
 
--- a/node/retry/quota.go
+++ b/node/retry/quota.go
@@ -15,20 +15,6 @@
 	Window time.Duration
 }
 
-// Standing is a process's place among those that share a Limit, as its view has it.
-type Standing struct {
-	Members int  // the processes that the view holds
-	Self    bool // it holds this start of this process
-}
-
-// Confirmations are those of a process's view by a quorum.
-type Confirmations struct {
-	// Steady returns for how long the view has been confirmed, with no more than Gap between two
-	// confirmations or since the last one; zero where that is over.
-	Steady func() time.Duration
-	Gap    time.Duration
-}
-
 const (
 	// ratioPart is how much of a limit's ratio a process uses on its own first attempts. Those
 	// behind the repeats of one span lie in it or in the one before, and callers may have moved
@@ -40,60 +26,21 @@
 	fixedPart = 0.9
 )
 
-// Quota is this process's part of a Limit, which holds for each service by itself.
-//
-// Its part of the fixed number is safe only while no others use theirs unseen. So a process has
-// none until it is settled: a member in each view, which a quorum has confirmed without a gap, for a span
-// and two gaps. Until then another start of it, or processes that it does not see, may have repeated within
-// the span. The number is divided by the most members that any of these views had: of any processes that have
-// repeated within one span, all were members at one moment that each of them has seen.
+// Quota is this process's part of a Limit, which holds for each service by itself. Of the
+// fixed number it has a part while it is settled among its peers.
 type Quota struct {
-	limit     Limit
-	clock     clockwork.Clock
-	confirmed Confirmations
+	limit Limit
+	clock clockwork.Clock
+	peers *Peers
 
 	mu      sync.Mutex
-	member  time.Time // since when each view holds this start; zero where the last one does not
-	views   []size    // the oldest first
-	windows map[string]*Window
-}
-
-// size is how many members the views had from a moment on.
-type size struct {
-	at      time.Time
-	members int
+	windows map[string]*Window // by service
 }
 
-// NewQuota returns the quota of a process that has just started.
-func NewQuota(limit Limit, clock clockwork.Clock, c Confirmations) *Quota {
-	return &Quota{limit: limit, clock: clock, confirmed: c, windows: map[string]*Window{}}
-}
-
-// settle is how long a process is a member until it has a part of the fixed number.
-func (q *Quota) settle() time.Duration { return q.limit.Window + 2*q.confirmed.Gap }
-
-// Follow takes over what a new view says.
-func (q *Quota) Follow(s Standing) {
-	now := q.clock.Now()
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	switch {
-	case !s.Self:
-		q.member = time.Time{}
-	case q.member.IsZero():
-		q.member = now
-	}
-	if n := len(q.views); n == 0 || q.views[n-1].members != s.Members {
-		q.views = append(q.views, size{now, s.Members})
-	}
-	q.forget(now)
-}
-
-// forget drops the views that were replaced before all that counts.
-func (q *Quota) forget(now time.Time) {
-	for len(q.views) > 1 && now.Sub(q.views[1].at) > q.settle() {
-		q.views = q.views[1:]
-	}
+// NewQuota returns the quota of a process that has just started. Its peers are followed over
+// the limit's window.
+func NewQuota(limit Limit, clock clockwork.Clock, peers *Peers) *Quota {
+	return &Quota{limit: limit, clock: clock, peers: peers, windows: map[string]*Window{}}
 }
 
 // First notes a first attempt at the service.
@@ -120,15 +67,7 @@
 
 // part returns this process's part of the fixed number.
 func (q *Quota) part() Decision {
-	now, steady := q.clock.Now(), q.confirmed.Steady()
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.forget(now)
-	d := Decision{Members: 1}
-	for _, v := range q.views {
-		d.Members = max(d.Members, v.members)
-	}
-	d.Settled = !q.member.IsZero() && min(now.Sub(q.member), steady) >= q.settle()
+	d := Decision{Members: q.peers.Most(), Settled: q.peers.Settled()}
 	if d.Settled {
 		d.Fixed = int(fixedPart * q.limit.Fixed / float64(d.Members))
 	}
