Label of repeats: refused also stands for upstreams that none was reached

Cause: a call that reached no upstream and asks to go on is counted as refused; the comment named full upstreams only. Ruled out: a label of its own (the attempts before have their own lines). Change: a comment.

--- a/node/proxy/repeat.go
+++ b/node/proxy/repeat.go
@@ -13,7 +13,7 @@
 
 const (
 	afterFailure reason = "failed"        // no answer, one that was cut, or a failure of the upstream's own
-	afterRefusal reason = "refused"       // not run: the upstream was full
+	afterRefusal reason = "refused"       // not run: the upstream was full, or none was reached
 	inputsLost   reason = "inputs-lost"   // not run: results of the stages were gone
 	addressMoved reason = "address-moved" // not run: another upstream has the address
 )
