--- a/node/retry/retry.go
+++ b/node/retry/retry.go
@@ -1,5 +1,6 @@
-// Package retry bounds the extra load that retries and hedges may cause, with
-// a token bucket that fills with every first attempt.
+// Package retry bounds the extra load that retries and hedges may cause: a Budget in one
+// process, with a token bucket that fills with every first attempt; a Quota over all processes, each
+// of which keeps to a part that is safe whatever the others do.
 package retry
 
 import (
