Evacuation of a data centre: orders that a quorum holds, in force for every call

Ruled out: marking members as leaving (a late sign of life, or the end, would have to undo it). Change: replicated state with a revision for each data centre; an order names the revision that its receiver knew when it came, so that a delayed start never undoes an acknowledged end; views leave evacuated upstreams out of the lists that get calls, so stage calls, streams that go on, repeats, reports and freeing follow.

--- a/api/wire/messages.go
+++ b/api/wire/messages.go
@@ -54,23 +54,26 @@
 	Fence         uint64        `json:"fence,omitempty"` // highest token heard of for the caller
 	Term          uint64        `json:"term,omitempty"`  // highest term heard of
 	OwnerEpoch    uint64        `json:"owner_epoch,omitempty"`
+	Evacuations   uint64        `json:"evacuations,omitempty"` // revision held
 }
 
 // SyncReply carries what the caller lacks. Config is nil when the caller is
 // current, Members when its sequence number is.
 type SyncReply struct {
-	Config     *ConfigText   `json:"config,omitempty"`
-	Delta      *ConfigDelta  `json:"delta,omitempty"` // instead of Config, when the caller's text is known
-	Members    *MembersDelta `json:"members,omitempty"`
-	Version    uint64        `json:"version"`           // highest accepted version known to the answering control process
-	MembersSeq uint64        `json:"members_seq"`       // highest member sequence number known there
-	StampAge   time.Duration `json:"stamp_age"`         // time since a quorum confirmed Version and MembersSeq
-	Recorded   bool          `json:"recorded"`          // the members hold the caller's record as sent, or a later one
-	Renewed    bool          `json:"renewed"`           // false when the lease could not be renewed here
-	Leader     MemberID      `json:"leader"`            // control member that leads, if known
-	LeaderPeer string        `json:"leader_peer"`       // its peer address
-	Control    []string      `json:"control,omitempty"` // peer addresses of the voters
-	Owner      StageOwner    `json:"owner"`             // as far as known there
+	Config              *ConfigText   `json:"config,omitempty"`
+	Delta               *ConfigDelta  `json:"delta,omitempty"` // instead of Config, when the caller's text is known
+	Members             *MembersDelta `json:"members,omitempty"`
+	Version             uint64        `json:"version"`                        // highest accepted version known to the answering control process
+	MembersSeq          uint64        `json:"members_seq"`                    // highest member sequence number known there
+	StampAge            time.Duration `json:"stamp_age"`                      // time since a quorum confirmed Version and MembersSeq
+	Recorded            bool          `json:"recorded"`                       // the members hold the caller's record as sent, or a later one
+	Renewed             bool          `json:"renewed"`                        // false when the lease could not be renewed here
+	Leader              MemberID      `json:"leader"`                         // control member that leads, if known
+	LeaderPeer          string        `json:"leader_peer"`                    // its peer address
+	Control             []string      `json:"control,omitempty"`              // peer addresses of the voters
+	Owner               StageOwner    `json:"owner"`                          // as far as known there
+	Evacuations         *Evacuations  `json:"evacuations,omitempty"`          // when newer than the caller's
+	EvacuationsRevision uint64        `json:"evacuations_revision,omitempty"` // highest known there
 
 	// Hints, which need not be current: they only say when to ask the leader.
 	Fence uint64 `json:"fence,omitempty"` // highest token known there for the caller
--- a/ctl/adminclient/adminclient.go
+++ b/ctl/adminclient/adminclient.go
@@ -267,6 +267,24 @@
 	return out, err
 }
 
+// Evacuate starts or ends the evacuation of a data centre.
+func (c *Client) Evacuate(ctx context.Context, dataCenter string, out bool) (wire.EvacuationResult, error) {
+	method := http.MethodDelete
+	if out {
+		method = http.MethodPut
+	}
+	var result wire.EvacuationResult
+	err := c.leader(ctx, method, "/v1/evacuations/"+url.PathEscape(dataCenter), nil, &result)
+	return result, err
+}
+
+// Evacuations returns the data centres for which there ever was an order.
+func (c *Client) Evacuations(ctx context.Context) (wire.Evacuations, error) {
+	var out wire.Evacuations
+	err := c.leader(ctx, http.MethodGet, "/v1/evacuations", nil, &out)
+	return out, err
+}
+
 // PutTeam adds a team or replaces its rights.
 func (c *Client) PutTeam(ctx context.Context, t wire.TeamInfo) error {
 	var out struct{}
--- a/ctl/commands/status.go
+++ b/ctl/commands/status.go
@@ -112,6 +112,9 @@
 		return failure(err)
 	}
 	printMembers(members)
+	if err := printEvacuations(ctx, cl); err != nil {
+		return failure(err)
+	}
 	gatherCost(ctx, cl, members).print(os.Stdout)
 	if !ok {
 		return subcommands.ExitFailure
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -70,9 +70,15 @@
 	r.Get("/v1/config", s.config)
 	r.Get("/v1/config/history", s.history)
 	r.Get("/v1/teams", s.listTeams)
+	r.Get("/v1/evacuations", s.listEvacuations)
 	r.Post("/v1/config/validate", s.validate)
 	r.Post("/v1/config/diff", s.diff)
-	r.With(require(wire.RoleOperator, wire.RoleAdministrator)).Post("/v1/config", s.apply)
+	r.Group(func(r chi.Router) {
+		r.Use(require(wire.RoleOperator, wire.RoleAdministrator))
+		r.Post("/v1/config", s.apply)
+		r.Put("/v1/evacuations/{data_center}", s.startEvacuation)
+		r.Delete("/v1/evacuations/{data_center}", s.endEvacuation)
+	})
 	r.Group(func(r chi.Router) {
 		r.Use(require(wire.RoleAdministrator))
 		r.Put("/v1/teams/{team}", s.putTeam)
--- /dev/null
+++ b/node/admin/evacuations.go
@@ -0,0 +1,44 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+)
+
+func (s *Service) listEvacuations(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	if err := s.p.Control.Replica().ReadBarrier(ctx); err != nil {
+		s.fail(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, s.p.Control.Evacuations())
+}
+
+func (s *Service) startEvacuation(w http.ResponseWriter, r *http.Request) { s.evacuate(w, r, true) }
+
+func (s *Service) endEvacuation(w http.ResponseWriter, r *http.Request) { s.evacuate(w, r, false) }
+
+// evacuate carries out an order for the revision that this process knew when the call came.
+func (s *Service) evacuate(w http.ResponseWriter, r *http.Request, out bool) {
+	dataCenter := chi.URLParam(r, "data_center")
+	order := &wire.EvacuationOrder{DataCenter: dataCenter, Out: out, Base: s.p.Control.Evacuations().Of(dataCenter).Revision, Author: callerOf(r).Name}
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	result, err := s.p.Control.Evacuate(ctx, order)
+	var v *verdict.Error
+	switch {
+	case err == nil:
+		writeJSON(w, http.StatusOK, result)
+	case errors.As(err, &v) && v.Code == verdict.CodeUnknown:
+		writeJSON(w, http.StatusNotFound, Error{Message: v.Message, Remedy: "see the data centres in GET /v1/members"})
+	default:
+		s.fail(w, err)
+	}
+}
--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -12,6 +12,7 @@
 	"hash/fnv"
 	"net"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -92,6 +93,7 @@
 		out := map[string]any{"stamp_age_ms": s.StampAge().Milliseconds()}
 		if v := s.View(); v != nil {
 			out["version"], out["bytes"], out["members_seq"], out["members"], out["owner_epoch"] = v.Version, len(v.Text), v.Seq, len(v.Members), v.Owner.Epoch
+			out["evacuated"] = v.Evacuations.Out()
 		}
 		return out
 	}))
@@ -253,12 +255,20 @@
 	return nil
 }
 
-func (s *Service) publish(v *View, old uint64, how arrival) {
+func (s *Service) publish(v *View, before *View, how arrival) {
+	old, evacuations := uint64(0), uint64(0)
+	if before != nil {
+		old, evacuations = before.Version, before.Evacuations.Revision
+	}
 	if v.Version != old {
 		versionVar.Set(int64(v.Version))
 		s.log.Info("configuration in force", "version", v.Version, "before", old, "bytes", len(v.Text), "whole", how.whole, "arrived", how.arrived, "parsed", how.parsed, "stamp_age", logging.Age(s.StampAge()))
 		s.ring.Record(timeline.Event{Kind: "config-in-force", Detail: "version " + strconv.FormatUint(v.Version, 10)})
 	}
+	if v.Evacuations.Revision != evacuations {
+		s.log.Info("evacuations in force", "revision", v.Evacuations.Revision, "data_centers", v.Evacuations.Out(), "stamp_age", logging.Age(s.StampAge()))
+		s.ring.Record(timeline.Event{Kind: "evacuations-in-force", Detail: strings.Join(v.Evacuations.Out(), " ")})
+	}
 	for _, f := range s.listen {
 		f(v)
 	}
--- a/node/configsync/loop.go
+++ b/node/configsync/loop.go
@@ -195,10 +195,7 @@
 }
 
 func (s *Service) accept(reply *wire.SyncReply, asked time.Time) error {
-	old := uint64(0)
-	if v := s.View(); v != nil {
-		old = v.Version
-	}
+	before := s.View()
 	s.takeHint(reply)
 	if reply.StampAge >= 0 && reply.StampAge <= staleStamp {
 		s.directory.Learn(reply.Control)
@@ -207,7 +204,7 @@
 	changed, err := s.held.Take(reply, asked)
 	how.parsed = s.clock.Since(asked) - how.arrived
 	if changed != nil {
-		s.publish(changed, old, how)
+		s.publish(changed, before, how)
 	}
 	if err == nil && !reply.Renewed {
 		return errNotRenewed
--- a/node/configsync/view.go
+++ b/node/configsync/view.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/juju/errors"
@@ -21,6 +22,8 @@
 	ByService map[string][]wire.Member // agents that are not leaving, by service, sorted by id
 	Owner     wire.StageOwner
 	Announced map[string][]wire.Member // announced upstreams that are not leaving, likewise
+	// Evacuations name the data centres whose upstreams are in neither ByService nor Announced.
+	Evacuations wire.Evacuations
 
 	ends []int // where the sections of Text end
 }
@@ -56,11 +59,23 @@
 	return nil
 }
 
+// takeEvacuations takes over newer evacuations. What lies at upstreams of such a data centre
+// may still be fetched from there; they get no new calls, as if they were leaving.
+func (v *View) takeEvacuations(e *wire.Evacuations) {
+	if e == nil || e.Revision <= v.Evacuations.Revision {
+		return
+	}
+	v.Evacuations = *e
+	v.index()
+}
+
+// index makes the lists of those that get calls.
 func (v *View) index() {
 	v.ByService, v.Announced = map[string][]wire.Member{}, map[string][]wire.Member{}
+	evacuated := v.Evacuations.Out()
 	for _, m := range v.Members {
 		switch {
-		case m.Service == "" || m.Leaving:
+		case m.Service == "" || m.Leaving || slices.Contains(evacuated, m.DataCenter):
 		case m.Direct != "":
 			v.Announced[m.Service] = append(v.Announced[m.Service], m)
 		default:
--- /dev/null
+++ b/node/control/evacuate.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"context"
+	"slices"
+
+	"caperdrum.org/api/timeline"
+	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/state"
+)
+
+// MethodEvacuate starts or ends the evacuation of a data centre.
+const MethodEvacuate = "control.evacuate"
+
+// Evacuate carries out an order, and returns once a quorum holds it: what was acknowledged
+// outlives the losses that the settings name. An order that was overtaken since its base was
+// read is refused and changes nothing.
+func (s *Service) Evacuate(ctx context.Context, o *wire.EvacuationOrder) (*wire.EvacuationResult, error) {
+	if !s.cluster.IsLeader() {
+		return nil, s.notLeader()
+	}
+	if err := s.mayEvacuate(o.DataCenter); err != nil {
+		s.log.Info("evacuation refused", "data_center", o.DataCenter, "out", o.Out, "reason", err.Error())
+		return nil, err
+	}
+	res, err := s.cluster.Propose(ctx, state.Command{Evacuate: o})
+	if err != nil {
+		s.log.Info("evacuation not confirmed", "data_center", o.DataCenter, "out", o.Out, "error", err.Error())
+		return nil, s.leaderError(err)
+	}
+	r := res.Evacuation
+	s.log.Info("evacuation ordered", "data_center", o.DataCenter, "out", o.Out, "author", o.Author, "base", o.Base,
+		"revision", r.Evacuation.Revision, "changed", r.Changed, "overtaken", r.Overtaken)
+	if r.Overtaken {
+		return nil, errOvertaken(r.Evacuation)
+	}
+	s.ring.Record(timeline.Event{Kind: "evacuation-ordered", Detail: o.DataCenter + " by " + o.Author})
+	return r, nil
+}
+
+func errOvertaken(e wire.Evacuation) error {
+	return verdict.New(verdict.NotRun, verdict.CodeStale, "another order for data centre %s came first: it has revision %d now", e.DataCenter, e.Revision)
+}
+
+// mayEvacuate reports why an order for the data centre is refused. Where the settings do not
+// name the data centres, those count that a member is in or that had an order before.
+func (s *Service) mayEvacuate(dataCenter string) error {
+	v := s.cluster.View()
+	switch {
+	case v.Config.Version == 0:
+		return verdict.New(verdict.NotRun, verdict.CodeStale, "no configuration yet")
+	case !s.enoughVoters():
+		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "too few control processes have joined yet")
+	case !s.knowsDataCenter(v, dataCenter):
+		return verdict.New(verdict.NotRun, verdict.CodeUnknown, "no data centre %q is known", dataCenter)
+	}
+	return nil
+}
+
+func (s *Service) knowsDataCenter(v *state.View, name string) bool {
+	if slices.Contains(s.set.Node.DataCenters, name) || v.Evacuations.Of(name).Revision > 0 {
+		return true
+	}
+	for _, m := range v.Members {
+		if m.DataCenter == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Evacuations returns what this process knows of evacuations.
+func (s *Service) Evacuations() wire.Evacuations { return s.cluster.View().Evacuations }
--- a/node/control/news.go
+++ b/node/control/news.go
@@ -6,17 +6,18 @@
 )
 
 // news wakes the held-back sync calls when the configuration, the members, the
-// fences or the term changed, or the replica takes no part any more. Most commands
+// evacuations, the fences or the term changed, or the replica takes no part any more. Most commands
 // change none of them.
 type news struct {
-	cluster cluster
-	version uint64
-	seq     uint64
-	fence   uint64
-	term    uint64
-	owner   uint64
-	outage  bool
-	next    atomic.Pointer[chan struct{}]
+	cluster     cluster
+	version     uint64
+	seq         uint64
+	fence       uint64
+	term        uint64
+	owner       uint64
+	evacuations uint64
+	outage      bool
+	next        atomic.Pointer[chan struct{}]
 }
 
 func newNews(c cluster) *news {
@@ -43,11 +44,11 @@
 
 func (n *news) check() {
 	v, term, outage := n.cluster.View(), n.cluster.Status().Term, n.cluster.Outage() != nil
-	if outage == n.outage && v.Config.Version == n.version && v.MembersSeq == n.seq && v.Fence == n.fence && term == n.term && v.Owner.Epoch == n.owner {
+	if outage == n.outage && v.Config.Version == n.version && v.MembersSeq == n.seq && v.Fence == n.fence && term == n.term && v.Owner.Epoch == n.owner && v.Evacuations.Revision == n.evacuations {
 		return
 	}
 	n.version, n.seq, n.fence, n.term, n.owner = v.Config.Version, v.MembersSeq, v.Fence, term, v.Owner.Epoch
-	n.outage = outage
+	n.outage, n.evacuations = outage, v.Evacuations.Revision
 	next := make(chan struct{})
 	close(*n.next.Swap(&next))
 }
--- a/node/controlclient/controlclient.go
+++ b/node/controlclient/controlclient.go
@@ -131,6 +131,27 @@
 	return result, err
 }
 
+// Evacuate starts or ends the evacuation of a data centre, as an operator asks who still waits
+// for the answer when ctx is valid. The order holds for what this process knew when it came: one
+// that lay at a frozen process while others were acknowledged is overtaken, and has no effect.
+func (s *Service) Evacuate(ctx context.Context, dataCenter string, out bool) (wire.EvacuationResult, error) {
+	var result wire.EvacuationResult
+	held := s.view()
+	if held == nil || held.Version == 0 {
+		return result, errNoText
+	}
+	order := wire.EvacuationOrder{DataCenter: dataCenter, Out: out, Base: held.Evacuations.Of(dataCenter).Revision}
+	// A round trip to a quorum gives time to notice that the sender has left.
+	if _, err := s.Config(ctx); err != nil {
+		return result, err
+	}
+	if err := ctx.Err(); err != nil {
+		return result, err
+	}
+	err := s.control.CallLeader(ctx, control.MethodEvacuate, order, &result)
+	return result, err
+}
+
 // Text is the operators' text in force, as a quorum has confirmed it.
 type Text struct {
 	wire.ConfigText
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -29,9 +29,12 @@
 
 // Node is the section [node].
 type Node struct {
-	Name         string        `ini:"name" required:"true"`
-	VM           string        `ini:"vm" required:"true"`
-	DataCenter   string        `ini:"data_center" required:"true"`
+	Name       string `ini:"name" required:"true"`
+	VM         string `ini:"vm" required:"true"`
+	DataCenter string `ini:"data_center" required:"true"`
+	// DataCenters are all of the deployment, where the settings know them: control takes
+	// orders for them also while no member is there.
+	DataCenters  []string      `ini:"data_centers"`
 	Roles        []string      `ini:"roles" required:"true"`
 	DataDir      string        `ini:"data_dir"`
 	DrainTimeout time.Duration `ini:"drain_timeout"`
--- a/node/state/state.go
+++ b/node/state/state.go
@@ -32,8 +32,10 @@
 	Owner       *wire.StageOwner `cbor:"10,keyasint,omitempty"`
 	// PutDelta is a Put as the difference to the text in force.
 	PutDelta *wire.ConfigDelta `cbor:"11,keyasint,omitempty"`
-	Team     *TeamCommand      `cbor:"20,keyasint,omitempty"`
-	Orders   *OrderCommand     `cbor:"40,keyasint,omitempty"`
+	// Evacuate starts or ends the evacuation of a data centre.
+	Evacuate *wire.EvacuationOrder `cbor:"12,keyasint,omitempty"`
+	Team     *TeamCommand          `cbor:"20,keyasint,omitempty"`
+	Orders   *OrderCommand         `cbor:"40,keyasint,omitempty"`
 }
 
 // Removal ends a membership, unless the process has since come back under
@@ -52,9 +54,10 @@
 	Put     *wire.PutResult
 	// Rebase says that a PutDelta was made for another text than the one in force, and
 	// had no effect.
-	Rebase bool
-	Team   *TeamResult
-	Orders []IssueResult
+	Rebase     bool
+	Evacuation *wire.EvacuationResult
+	Team       *TeamResult
+	Orders     []IssueResult
 }
 
 const (
@@ -100,6 +103,8 @@
 	Orders     map[wire.MemberID]OrderRecord `cbor:"40,keyasint,omitempty"`
 	Bucket     bucket                        `cbor:"41,keyasint"`
 	Forecast   map[string][]uint32           `cbor:"42,keyasint,omitempty"`
+
+	Evacuations wire.Evacuations `cbor:"43,keyasint"`
 }
 
 // Machine is the state. One goroutine owns it; others read its View.
@@ -131,7 +136,9 @@
 	Fences     map[wire.MemberID]uint64      // highest token of each upstream
 	Fence      uint64                        // highest token of all
 	Owner      wire.StageOwner
-	log        []memberChange
+	// Evacuations are data centres whose upstreams get no new calls, and those that were.
+	Evacuations wire.Evacuations
+	log         []memberChange
 }
 
 // New returns an empty machine.
@@ -184,6 +191,10 @@
 	if c.Owner != nil && c.Owner.Epoch > m.s.Owner.Epoch {
 		m.s.Owner = *c.Owner
 	}
+	if c.Evacuate != nil {
+		res := m.evacuate(c.Evacuate)
+		r.Evacuation = &res
+	}
 	for _, member := range c.Join {
 		m.join(member)
 	}
@@ -356,21 +367,22 @@
 		return m.view
 	}
 	m.view = &View{
-		Config:     m.parts.history.Text(),
-		Texts:      m.parts.history,
-		Winner:     m.s.Winner,
-		MembersSeq: m.s.MembersSeq,
-		Members:    m.memberView(),
-		Ledger:     len(m.ledger.entries),
-		LedgerSize: m.ledger.bytes,
-		Teams:      m.teamsView,
-		History:    m.historyView,
-		Orders:     m.s.Orders,
-		Forecast:   m.s.Forecast,
-		Fences:     m.s.Fences,
-		Fence:      m.s.Fence,
-		Owner:      m.s.Owner,
-		log:        m.memberLog[:len(m.memberLog):len(m.memberLog)],
+		Config:      m.parts.history.Text(),
+		Texts:       m.parts.history,
+		Winner:      m.s.Winner,
+		MembersSeq:  m.s.MembersSeq,
+		Members:     m.memberView(),
+		Ledger:      len(m.ledger.entries),
+		LedgerSize:  m.ledger.bytes,
+		Teams:       m.teamsView,
+		History:     m.historyView,
+		Orders:      m.s.Orders,
+		Forecast:    m.s.Forecast,
+		Fences:      m.s.Fences,
+		Fence:       m.s.Fence,
+		Owner:       m.s.Owner,
+		Evacuations: m.s.Evacuations,
+		log:         m.memberLog[:len(m.memberLog):len(m.memberLog)],
 	}
 	return m.view
 }
