Cold upstreams: what they get in a second is bounded over all processes

Cause: nobody read coldLeftMs; an upstream that has just come back looks the best of all, and crashes well above coldPerS x coldExcess + coldSlack calls a second. Ruled out: a part for each of 34 processes (0.9 a second each, and no whole number adds up to it). Change: the member record says that an upstream is cold; signs of life are numbered and only what they change is replicated. The bound is cut into four parts (package coldstart): the owner's choices, those still on their way, those of the owner before, and processes of the upstream's data centre that choose by themselves. The pace of cold seconds is not learnt. An upstream that turns cold is known so with its next sign of life, 1.2 s later; until then spreading alone keeps it below the bound.

--- a/api/optext/route.go
+++ b/api/optext/route.go
@@ -21,6 +21,9 @@
 	MaxConnections int    `ini:"max_connections" json:"max_connections,omitempty"` // one upstream accepts, from all processes together
 	Protocol       string `ini:"protocol" json:"protocol,omitempty"`
 	TLS            bool   `ini:"tls" json:"tls,omitempty"`
+	// ColdRate is how many calls a second an upstream bears that has just started or come back;
+	// zero: any.
+	ColdRate float64 `ini:"cold_rate" json:"cold_rate,omitempty"`
 
 	EngineSlots  int   `ini:"engine_slots" json:"engine_slots,omitempty"`   // requests an engine runs at a time
 	EngineTokens int64 `ini:"engine_tokens" json:"engine_tokens,omitempty"` // its KV cache, in tokens
--- a/api/wire/announce.go
+++ b/api/wire/announce.go
@@ -4,12 +4,23 @@
 const AnnouncedRole = "upstream"
 
 // AnnouncedUpstream returns the record of an upstream that announced itself and does
-// not say when it was started. Its only revision is that it leaves; a late sign of life
-// cannot undo that, a later start of the upstream can.
+// not say when it was started. That it leaves is its last revision; a late sign of life cannot
+// undo that, a later start of the upstream can.
 func AnnouncedUpstream(id MemberID, service, address, dataCenter string, leaving bool) Member {
 	m := Member{ID: id, Role: AnnouncedRole, Service: service, Direct: address, DataCenter: dataCenter, Incarnation: 1, Leaving: leaving}
 	if leaving {
-		m.Revision = 1
+		m.Revision = leavingRevision
+	}
+	return m
+}
+
+// leavingRevision is above all that signs of life of one start can count to.
+const leavingRevision = 1 << 62
+
+// Said returns the record as the sign of life with the given number says it.
+func (m Member) Said(number uint64, cold bool) Member {
+	if !m.Leaving {
+		m.Revision, m.Cold = min(number, leavingRevision-1), cold
 	}
 	return m
 }
--- a/api/wire/delta.go
+++ b/api/wire/delta.go
@@ -24,3 +24,13 @@
 	}
 	return m.Revision > old.Revision
 }
+
+// Changes reports whether m is a later record than old and says something else: upstreams number
+// their signs of life, most of which say the same.
+func (m Member) Changes(old Member) bool {
+	if !m.Follows(old) {
+		return false
+	}
+	old.Revision = m.Revision
+	return m != old
+}
--- a/api/wire/messages.go
+++ b/api/wire/messages.go
@@ -30,6 +30,7 @@
 	Peer        string   `json:"peer,omitempty"`     // proxies only: peer address
 	Direct      string   `json:"direct,omitempty"`   // announced upstreams only: address of the upstream itself
 	Revision    uint64   `json:"revision,omitempty"` // grows with each change of the record within an incarnation
+	Cold        bool     `json:"cold,omitempty"`     // announced upstreams only: it has just started or come back, and bears few calls a second
 }
 
 // Start names one start of a member's process. What is known of a process ends with
--- /dev/null
+++ b/node/coldstart/coldstart_test.go
@@ -0,0 +1,89 @@
+package coldstart
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// mostInASecond returns the most calls that were sent and arrived within one second.
+func mostInASecond(arrivals []time.Time) int {
+	slices.SortFunc(arrivals, time.Time.Compare)
+	most, from := 0, 0
+	for to := range arrivals {
+		for arrivals[to].Sub(arrivals[from]) >= time.Second {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
+
+// TestNoSecondIsAboveTheBound has a chooser, the one that it replaced and does not know of that,
+// and the processes of a data centre all press on one cold upstream as fast as they may, with
+// calls that take up to a second on their way. Pattern: a bulkhead whose parts add up.
+func TestNoSecondIsAboveTheBound(t *testing.T) {
+	for _, c := range []struct {
+		rate      float64
+		limit     Limit
+		processes int // in one data centre
+	}{
+		{18, Limit{1.5, 5}, 9}, {18, Limit{1.5, 5}, 1}, {4, Limit{1, 0}, 3}, {60, Limit{2, 20}, 12}, {18, Limit{0, 0}, 4},
+	} {
+		for seed := range uint64(20) {
+			t.Run(fmt.Sprint(c, seed), func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				bound := int(c.rate*max(1, c.limit.Excess)) + c.limit.Slack
+				choosers := make([]Chooser, 2)
+				var directs []*Direct
+				var names []string
+				for i := range c.processes {
+					names = append(names, fmt.Sprint("p", i))
+				}
+				for _, name := range names {
+					if c.limit.Among(c.rate, "u", name, names) {
+						directs = append(directs, &Direct{})
+					}
+				}
+				var arrivals []time.Time
+				start := time.Unix(1000, 0)
+				for at := time.Duration(0); at < 8*time.Second; at += time.Millisecond {
+					now := start.Add(at)
+					for i := range choosers {
+						if choosers[i].Allows(now, c.limit, c.rate) && random.IntN(4) == 0 {
+							choosers[i].Count(now)
+							late := time.Duration(0)
+							if i == 0 { // the one before sends what it chose at once, or not at all
+								late = time.Duration(random.Int64N(int64(time.Second)))
+							}
+							arrivals = append(arrivals, now.Add(late))
+						}
+					}
+					for i := range directs {
+						if directs[i].Allows(now, "u") && random.IntN(4) == 0 {
+							directs[i].Count(now, "u")
+							arrivals = append(arrivals, now)
+						}
+					}
+				}
+				if most := mostInASecond(arrivals); most > bound {
+					t.Fatalf("%d calls in one second, the bound is %d", most, bound)
+				}
+			})
+		}
+	}
+}
+
+// TestUpstreamsWithoutARateAreNotBounded calls one a thousand times at one moment.
+func TestUpstreamsWithoutARateAreNotBounded(t *testing.T) {
+	var c Chooser
+	now := time.Unix(1000, 0)
+	for range 1000 {
+		if !c.Allows(now, Limit{}, 0) {
+			t.Fatal("refused")
+		}
+		c.Count(now)
+	}
+}
--- a/node/control/follower.go
+++ b/node/control/follower.go
@@ -99,7 +99,7 @@
 	known, ok := members[r.Member.ID]
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if urgent || !ok || r.Member.Follows(known) || f.told[r.Member.ID] != r.ConfigVersion {
+	if urgent || !ok || r.Member.Changes(known) || f.told[r.Member.ID] != r.ConfigVersion {
 		select {
 		case f.wake <- struct{}{}:
 		default:
--- a/node/control/leases.go
+++ b/node/control/leases.go
@@ -65,10 +65,11 @@
 			continue // a late message of an earlier start, or the VM's clock went back
 		}
 		l.seen[r.Member.ID] = seen{at: now, incarnation: r.Member.Incarnation, version: r.ConfigVersion, fault: r.Fault}
-		if waiting, queued := l.pending[r.Member.ID]; queued && !r.Member.Follows(waiting) {
+		waiting, queued := l.pending[r.Member.ID]
+		if queued && !r.Member.Follows(waiting) {
 			continue
 		}
-		if !ok || r.Member.Follows(known) {
+		if queued || !ok || r.Member.Changes(known) {
 			l.pending[r.Member.ID] = r.Member
 		}
 	}
--- a/node/control/leases_test.go
+++ b/node/control/leases_test.go
@@ -248,3 +248,37 @@
 		t.Fatalf("the members hold %+v", m)
 	}
 }
+
+// TestOnlyWhatSignsOfLifeChangeIsReplicated numbers signs of life of an upstream that is cold, is
+// cold no more, and leaves: each of these is replicated once, in spite of late ones.
+func TestOnlyWhatSignsOfLifeChangeIsReplicated(t *testing.T) {
+	w := newWorld(nil)
+	lead := w.nodes[0].svc.leases
+	beat := func(number uint64, cold, leaving bool) wire.Member {
+		return wire.AnnouncedUpstream("m0", "s", "10.0.0.1:80", "d", leaving).Said(number, cold)
+	}
+	for i, c := range []struct {
+		beat     wire.Member
+		commands int
+		cold     bool
+	}{
+		{beat(1, true, false), 1, true},
+		{beat(2, true, false), 1, true},
+		{beat(4, false, false), 2, false},
+		{beat(3, true, false), 2, false}, // late
+		{beat(5, false, false), 2, false},
+		{beat(6, true, false), 3, true}, // it came back
+		{beat(7, false, true), 4, false},
+		{beat(8, false, false), 4, false}, // sent before it left
+	} {
+		lead.renew([]Renewal{{Member: c.beat}})
+		lead.step(context.Background())
+		w.nodes[0].catchUp(len(w.log))
+		if m := w.oracle.View().Members["m0"]; len(w.log) != c.commands || m.Cold != c.cold {
+			t.Fatalf("%d: %d commands, %+v", i, len(w.log), m)
+		}
+	}
+	if m := w.oracle.View().Members["m0"]; !m.Leaving {
+		t.Fatalf("%+v does not leave", m)
+	}
+}
--- a/node/proxy/endpoints.go
+++ b/node/proxy/endpoints.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/coldstart"
 	"caperdrum.org/node/upstream"
 )
 
@@ -29,6 +30,7 @@
 	mu     sync.Mutex
 	latest map[wire.MemberID]uint64 // incarnations of the members
 	by     map[wire.Start]*endpoint
+	direct coldstart.Direct
 }
 
 type endpoint struct {
@@ -73,6 +75,15 @@
 	affinity   uint64        // hash of a prompt's shared parts; zero for none
 	short      bool          // calls are short, so that silence means something
 	wanted     wire.MemberID // taken where nothing speaks against it; empty for none
+	cold       coldShare
+}
+
+// coldShare is what this process may send to upstreams that are cold and that nobody chose for it.
+type coldShare struct {
+	limit  coldstart.Limit
+	rate   float64 // of the service's upstreams; zero: any
+	self   wire.MemberID
+	nearby []string // processes in this one's data centre
 }
 
 // take picks an upstream, and counts the call as its own until release.
@@ -83,6 +94,9 @@
 	if !found {
 		return m, false
 	}
+	if m.Cold && m.ID != c.wanted {
+		e.direct.Count(now, string(m.ID))
+	}
 	ep := e.get(m.Start())
 	ep.inFlight++
 	if ep.waiting.IsZero() {
@@ -103,7 +117,7 @@
 	var bestRank rank
 	for i, m := range list {
 		ep := e.get(m.Start())
-		if ep.moved || slices.Contains(c.tried, m.Start()) {
+		if ep.moved || slices.Contains(c.tried, m.Start()) || !e.mayWarm(m, c, now) {
 			continue
 		}
 		r := e.rank(ep, m, c, now)
@@ -120,6 +134,14 @@
 	return list[best], true
 }
 
+// mayWarm reports whether a call may go to the upstream as far as it is cold.
+func (e *endpoints) mayWarm(m wire.Member, c choice, now time.Time) bool {
+	if !m.Cold || c.cold.rate <= 0 || m.ID == c.wanted {
+		return true
+	}
+	return m.DataCenter == c.dataCenter && e.direct.Allows(now, string(m.ID)) && c.cold.limit.Among(c.cold.rate, string(m.ID), string(c.cold.self), c.cold.nearby)
+}
+
 // rank orders upstreams; the least is the best.
 type rank struct {
 	paused bool
--- a/node/proxy/plain.go
+++ b/node/proxy/plain.go
@@ -23,7 +23,8 @@
 func (x *exchange) plain(ctx context.Context) error {
 	x.s.repeats.First(x.service.Name)
 	var tried []wire.Start
-	c := choice{dataCenter: x.s.set.Node.DataCenter, short: true}
+	c := x.choice()
+	c.short, c.affinity = true, 0
 	for {
 		a := x.send(ctx, &tried, c, "")
 		body, err := x.whole(ctx, a)
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -242,7 +242,8 @@
 
 // choice is how the call's engine is chosen.
 func (x *exchange) choice() choice {
-	return choice{dataCenter: x.s.set.Node.DataCenter, affinity: upstream.PrefixHash(x.call.Prefix)}
+	return choice{dataCenter: x.s.set.Node.DataCenter, affinity: upstream.PrefixHash(x.call.Prefix),
+		cold: coldShare{limit: x.s.set.Proxy.ColdLimit(), rate: x.service.ColdRate, self: x.s.sync.Self().ID, nearby: x.s.table.Load().proxiesIn[x.s.set.Node.DataCenter]}}
 }
 
 const (
--- a/node/proxy/table.go
+++ b/node/proxy/table.go
@@ -19,11 +19,12 @@
 	byHost    map[string][]*optext.Route // longest prefix first
 	customers map[[sha256.Size]byte]*optext.Customer
 	announced map[string][]wire.Member
-	proxies   int // processes that share what is bounded over all of them; at least one
+	proxies   int                 // processes that share what is bounded over all of them; at least one
+	proxiesIn map[string][]string // them, by data centre
 }
 
 func newTable(v *configsync.View) *table {
-	t := &table{version: v.Version, seq: v.Seq, config: v.Config, byHost: map[string][]*optext.Route{}, customers: map[[sha256.Size]byte]*optext.Customer{}, announced: v.Announced}
+	t := &table{version: v.Version, seq: v.Seq, config: v.Config, byHost: map[string][]*optext.Route{}, customers: map[[sha256.Size]byte]*optext.Customer{}, announced: v.Announced, proxiesIn: map[string][]string{}}
 	for _, r := range v.Config.Routes {
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	}
@@ -38,6 +39,7 @@
 	for _, m := range v.Members {
 		if m.Peer != "" {
 			t.proxies++
+			t.proxiesIn[m.DataCenter] = append(t.proxiesIn[m.DataCenter], string(m.ID))
 		}
 	}
 	t.proxies = max(t.proxies, 1)
--- a/node/settings/proxy.go
+++ b/node/settings/proxy.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"caperdrum.org/api/strictini"
+	"caperdrum.org/node/coldstart"
 )
 
 // ProxyRole is the section [proxy].
@@ -24,6 +25,10 @@
 	RepeatRatio  float64       `ini:"repeat_ratio"`
 	RepeatFixed  float64       `ini:"repeat_fixed"`
 	RepeatWindow time.Duration `ini:"repeat_window"`
+	// ColdExcess and ColdSlack bound what all processes send in a second to an upstream that is
+	// cold: ColdExcess times its cold_rate, and ColdSlack besides.
+	ColdExcess float64 `ini:"cold_excess"`
+	ColdSlack  int     `ini:"cold_slack"`
 	// Rotation is how long a stopping process still accepts connections, until
 	// the balancer has noticed that it is not ready.
 	Rotation time.Duration `ini:"rotation"`
@@ -64,7 +69,7 @@
 const revokeMargin = 5
 
 func proxyDefaults() ProxyRole {
-	return ProxyRole{KeyAge: 4 * time.Second, Rotation: 2500 * time.Millisecond, RepeatRatio: 0.2, RepeatFixed: 50, RepeatWindow: 10 * time.Second}
+	return ProxyRole{KeyAge: 4 * time.Second, Rotation: 2500 * time.Millisecond, RepeatRatio: 0.2, RepeatFixed: 50, RepeatWindow: 10 * time.Second, ColdExcess: 1}
 }
 
 // fill derives KeyAge from the time that is granted.
@@ -78,11 +83,19 @@
 	checkAddress(f, "proxy", "listen", s.Proxy.Listen)
 	checkAddress(f, "proxy", "ready", s.Proxy.Ready)
 	checkAddress(f, "peers", "listen", s.Peers.Listen)
+	if s.Proxy.ColdExcess <= 0 || s.Proxy.ColdSlack < 0 {
+		f.Fail("proxy", "cold_excess", "cold_excess is not above zero, or cold_slack is below it", "write cold_excess = 1 and cold_slack = 0, or more")
+	}
 	if s.Proxy.RepeatWindow <= 0 {
 		f.Fail("proxy", "repeat_window", "repeat_window is zero", "write a duration such as 10s")
 	}
 }
 
+// ColdLimit bounds calls of upstreams that are cold.
+func (p ProxyRole) ColdLimit() coldstart.Limit {
+	return coldstart.Limit{Excess: p.ColdExcess, Slack: p.ColdSlack}
+}
+
 // PeerAddress is where other processes call this one.
 func (s *Settings) PeerAddress() string {
 	if s.Has(Control) {
--- /dev/null
+++ b/node/stagework/chain_test.go
@@ -0,0 +1,138 @@
+package stagework
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"caperdrum.org/api/optext"
+	"caperdrum.org/api/wire"
+)
+
+// The load of a site on which calls of three stages in a row are two thirds of all, and each of
+// the three services is nearly full in a burst of them. The first takes 0.45 s for a full call,
+// and so do the others; goals leave 0.7 s for waiting at all three.
+var (
+	chainServices = map[string]*optext.Service{
+		"front":   {Name: "front", Direct: optext.Direct{Batch: 16, Calls: 1, CallTime: 240 * time.Millisecond, PieceTime: 13 * time.Millisecond, ResultRoom: 19_000_000, ResultTTL: 4 * time.Second}},
+		"catalog": {Name: "catalog", Direct: optext.Direct{Batch: 46, Calls: 1, CallTime: 240 * time.Millisecond, PieceTime: 4500 * time.Microsecond, ResultRoom: 5_000_000, ResultTTL: 4 * time.Second}},
+		"courier": {Name: "courier", Direct: optext.Direct{Batch: 56, Calls: 1, CallTime: 240 * time.Millisecond, PieceTime: 3700 * time.Microsecond, ResultRoom: 620_000, ResultTTL: 4 * time.Second}},
+	}
+	chainCounts = map[string]int{"front": 17, "catalog": 15, "courier": 18, "llm": 58}
+)
+
+// Kinds of that load: the more urgent is worth more.
+var (
+	chainDrafts = modelKind{name: "drafts", goal: 1200 * time.Millisecond, left: 12 * time.Second, shared: 5382, own: 6610, things: 712, clump: 3,
+		worth: 5.5, late: 0.82, returns: true, priority: 0,
+		stages: func(r *rand.Rand) []Stage {
+			if r.Float64() > 0.7 {
+				return []Stage{{Service: "front"}}
+			}
+			return []Stage{{Service: "front", Pieces: 1 + r.IntN(4), Bytes: 800_000}}
+		}}
+	chainChats = modelKind{name: "chats", goal: 2300 * time.Millisecond, left: 12 * time.Second, shared: 198, own: 628, things: 731, clump: 3,
+		worth: 1.1, late: 0.17, returns: true, priority: 1,
+		stages: func(r *rand.Rand) []Stage {
+			return []Stage{{Service: "front", Pieces: 1, Bytes: lightBytes}, {Service: "catalog", After: []int{0}, Pieces: 4, Bytes: 60_000},
+				{Service: "courier", After: []int{1}, Pieces: 4 + r.IntN(5), Bytes: 6000}}
+		}}
+	chainChecks = modelKind{name: "checks", goal: 2700 * time.Millisecond, left: 6 * time.Second, shared: 568, own: 1800, things: 1186, clump: 3,
+		worth: 0.35, late: 0.052, returns: true, priority: 2,
+		stages: func(r *rand.Rand) []Stage {
+			extra := 0
+			if r.Float64() < 0.4 {
+				extra = 1 + r.IntN(2)
+			}
+			return []Stage{{Service: "front", Pieces: extra, Bytes: 800_000}, {Service: "front", Pieces: 1, Bytes: lightBytes},
+				{Service: "catalog", After: []int{1}, Pieces: 4, Bytes: 60_000}, {Service: "courier", After: []int{2}, Pieces: 4 + r.IntN(5), Bytes: 6000}}
+		}}
+	chainWorth = map[string]float64{"drafts": 5.5, "chats": 1.1, "checks": 0.35}
+)
+
+const (
+	burstFrom  = 4 * time.Second
+	burstUntil = 10 * time.Second
+)
+
+// newChain is the model of the site with its owner.
+func newChain(seed uint64) *loadModel {
+	m := newLoadModel(seed)
+	m.specs, m.rate, m.light = chainServices, 112_000, true
+	m.owner = newScheduler()
+	m.owner.setServices(m.specs, chainMembers())
+	m.owner.own(m.now, true, false)
+	return m
+}
+
+func chainMembers() map[string][]wire.Member {
+	members := map[string][]wire.Member{}
+	for service, n := range chainCounts {
+		for i := range n {
+			id := fmt.Sprintf("%s-%d", service, i)
+			members[service] = append(members[service], wire.Member{ID: wire.MemberID(id), Service: service, Direct: id, DataCenter: fmt.Sprint("dc", i%4)})
+		}
+	}
+	return members
+}
+
+// usual lets the site's load arrive, with so many times the usual chats in the burst.
+func (m *loadModel) usual(chats float64) {
+	m.traffic(chainDrafts, 0, 14*time.Second, 45)
+	m.traffic(chainChats, 0, 14*time.Second, 121)
+	m.traffic(chainChecks, 0, 14*time.Second, 75)
+	if chats > 1 {
+		m.traffic(chainChats, burstFrom, burstUntil, (chats-1)*121)
+	}
+}
+
+// lose takes upstreams of a service away for a while.
+func (m *loadModel) lose(service string, n int, from, until time.Duration) {
+	m.after(from, func() {
+		for i := range n {
+			m.dead[wire.MemberID(fmt.Sprintf("%s-%d", service, i))] = true
+		}
+	})
+	m.after(until, func() { clear(m.dead) })
+}
+
+// chainDays are the patterns that the site's heavy days have.
+var chainDays = map[string]func(m *loadModel){
+	"usual":                      func(m *loadModel) { m.usual(1) },
+	"burst of chats":             func(m *loadModel) { m.usual(2.4) },
+	"burst, a third lost before": func(m *loadModel) { m.usual(2.4); m.lose("front", 5, 2*time.Second, 6300*time.Millisecond) },
+	"a third five times slower": func(m *loadModel) {
+		m.usual(1.3)
+		m.after(burstFrom, func() {
+			for i := range 5 {
+				m.slow[wire.MemberID(fmt.Sprint("catalog-", i))] = 5
+			}
+		})
+		m.after(burstUntil, func() { clear(m.slow) })
+	},
+	"everything at once": func(m *loadModel) {
+		m.usual(1.6)
+		m.traffic(chainDrafts, burstFrom, burstUntil, 0.6*45)
+		m.traffic(chainChecks, burstFrom, burstUntil, 0.6*75)
+	},
+}
+
+// TestChainLoads prints what each pattern earns.
+func TestChainLoads(t *testing.T) {
+	gomega.RegisterTestingT(t)
+	for name, day := range chainDays {
+		sums := map[string]float64{}
+		for seed := range uint64(2) {
+			m := newChain(seed + 1)
+			day(m)
+			m.run(25 * time.Second)
+			for _, kind := range []string{"", "drafts", "chats", "checks"} {
+				sums[kind] += m.earned(kind, chainWorth, burstFrom, burstUntil) / 2
+			}
+		}
+		t.Logf("%-30s all %.3f drafts %.3f chats %.3f checks %.3f", name, sums[""], sums["drafts"], sums["chats"], sums["checks"])
+	}
+}
--- a/node/stagework/engines.go
+++ b/node/stagework/engines.go
@@ -7,6 +7,7 @@
 
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/coldstart"
 	"caperdrum.org/node/upstream"
 )
 
@@ -57,8 +58,9 @@
 	services map[string]*optext.Service
 	by       map[wire.MemberID]*engineLoad
 	holders  holders
-	turn     int  // of candidates
-	pace     pace // of all engines
+	cold     coldstart.Limit // of what a cold engine gets
+	turn     int             // of candidates
+	pace     pace            // of all engines
 }
 
 // engineLoad is what is known of one engine.
@@ -70,6 +72,7 @@
 	sending  time.Time // until when its link is busy with parts for others
 	failures int
 	until    time.Time // passed over until then
+	chosen   coldstart.Chooser
 }
 
 // plan is an engine for a call, and what it does before the call's first event.
@@ -129,6 +132,9 @@
 	var least rank
 	for _, l := range e.candidates(p, first) {
 		m := l.member
+		if m.Cold && spec != nil && !l.chosen.Allows(now, e.cold, spec.ColdRate) {
+			continue
+		}
 		missing, own := readingOf(p.Parts, func(id string) bool { return m.ID == first || l.has(id) })
 		x := plan{engine: m, read: own}
 		if f, ok := e.fetchTime(now, spec, l, source, missing); ok {
@@ -233,6 +239,7 @@
 func (e *engines) send(now time.Time, p *Prompt, x plan) *pick {
 	l := e.get(x.engine)
 	l.waiting = l.waiting.plus(x.read)
+	l.chosen.Count(now)
 	e.sendParts(now, l, shared(p.Parts))
 	if x.fetch.source != nil {
 		x.fetch.begin(now)
@@ -259,8 +266,12 @@
 	}
 }
 
-// observe takes in how long an engine took to a first event.
+// observe takes in how long an engine took to a first event. What it took while it was cold says
+// nothing of later.
 func (e *engines) observe(l *engineLoad, r reading, took time.Duration) {
+	if l.member.Cold {
+		return
+	}
 	expected := e.pace.timeFor(r).Seconds()
 	e.pace.observe(r, took.Seconds()/l.own.factor())
 	l.own.observe(took.Seconds(), expected)
--- a/node/stagework/engines_test.go
+++ b/node/stagework/engines_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"caperdrum.org/api/optext"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/coldstart"
 	"caperdrum.org/node/upstream"
 )
 
@@ -195,3 +198,52 @@
 	next := p.choose(p.now, p.now.Add(500*time.Millisecond), prompt("shared", 3000), nil)
 	g.Expect(next.engine.ID).NotTo(gomega.Equal(id))
 }
+
+// TestColdEnginesGetTheirPartAtMost brings a data centre of engines back cold in a burst of
+// prompts that only they have read: none gets more than its part of what it bears, the others
+// take the rest, and none is called while all are cold and have had theirs. Pattern: warm-up.
+func TestColdEnginesGetTheirPartAtMost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPark()
+	p.cold = coldstart.Limit{Excess: 1.5, Slack: 5} // of 18 a second: 8 for a chooser
+	specs := map[string]*optext.Service{"llm": {Name: "llm", Direct: optext.Direct{ColdRate: 18}}}
+	members := slices.Clone(p.members["llm"])
+	cold := func(dataCenters ...string) {
+		for i := range members {
+			members[i].Cold = slices.Contains(dataCenters, members[i].DataCenter)
+		}
+		p.follow(specs, map[string][]wire.Member{"llm": slices.Clone(members)})
+	}
+	cold("dc0", "dc1")
+	taken := map[wire.MemberID]int{}
+	for range 100 {
+		x := p.choose(p.now, p.now.Add(time.Second), prompt("shared", 10), nil)
+		if x.engine.ID == "" {
+			continue
+		}
+		taken[x.engine.ID]++
+		p.ended(p.now, p.send(p.now, prompt("shared", 10), x), EngineUnknown)
+	}
+	g.Expect(taken).To(gomega.Equal(map[wire.MemberID]int{"e0": 8, "e1": 8, "e2": 8, "e3": 8}))
+	cold("dc0")
+	for range 100 {
+		x := p.choose(p.now, p.now.Add(time.Second), prompt("shared", 10), nil)
+		g.Expect(x.engine.DataCenter).To(gomega.Equal("dc1"))
+		p.ended(p.now, p.send(p.now, prompt("shared", 10), x), EngineUnknown)
+	}
+}
+
+// TestPaceOfColdSecondsIsNotLearnt has an engine take ten times as long while it is cold: once
+// it is not, it counts as fast as the others.
+func TestPaceOfColdSecondsIsNotLearnt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPark()
+	members := slices.Clone(p.members["llm"])
+	members[0].Cold = true
+	p.follow(nil, map[string][]wire.Member{"llm": members})
+	l := p.get(members[0])
+	for range 20 {
+		p.observe(l, partAfter(0, 1000), time.Second)
+	}
+	g.Expect(l.own.factor()).To(gomega.BeEquivalentTo(1))
+}
--- a/node/stagework/loadmodel_test.go
+++ b/node/stagework/loadmodel_test.go
@@ -31,11 +31,15 @@
 	rooms  map[wire.MemberID]*modelRoom
 	calls  map[*call]bool // under way
 	engine map[wire.MemberID]time.Time
-	read   map[string]bool // engine and part
-	byHash bool            // engines are chosen by hash alone, as before the owner did
-	deaf   bool            // callers are not told of results, as before
-	keeps  bool            // inputs are kept until the pieces are made, as before
-	eager  bool            // pieces that can wait do not, as before
+	read   map[string]bool           // engine and part
+	byHash bool                      // engines are chosen by hash alone, as before the owner did
+	deaf   bool                      // callers are not told of results, as before
+	keeps  bool                      // inputs are kept until the pieces are made, as before
+	eager  bool                      // pieces that can wait do not, as before
+	rate   float64                   // tokens that an engine reads in a second
+	slow   map[wire.MemberID]float64 // upstreams that take so many times as long
+	dead   map[wire.MemberID]bool    // upstreams that answer nothing
+	light  bool                      // pieces with results of lightBytes take less
 
 	waiting map[string]*modelCall // calls whose stages are under way, by handing in
 	serial  int
@@ -57,17 +61,24 @@
 	arrived time.Time
 	prompt  *Prompt
 	job     Job
+	again   time.Time // when its caller came back; zero before
+	early   bool      // it was refused within a quarter of its goal
 }
 
 // modelKind is one kind of call.
 type modelKind struct {
-	name   string
-	goal   time.Duration
-	left   time.Duration
-	shared int64 // tokens of the part that calls share
-	own    int64 // tokens, mean of a log-normal distribution with a spread of 1
-	things int   // different shared parts
-	stages func(r *rand.Rand) []Stage
+	name     string
+	goal     time.Duration
+	left     time.Duration
+	shared   int64   // tokens of the part that calls share
+	own      int64   // tokens, mean of a log-normal distribution with a spread of 1
+	things   int     // different shared parts
+	clump    int     // arrive at the same moment; zero counts as one
+	worth    float64 // of one in time, and of one that is late
+	late     float64
+	returns  bool // callers come back once after a refusal
+	priority int
+	stages   func(r *rand.Rand) []Stage
 }
 
 type modelEnd struct {
@@ -75,6 +86,7 @@
 	arrived time.Time
 	inTime  bool
 	refused bool
+	credit  float64       // of its worth
 	first   time.Duration // from the stages' end to the first event
 }
 
@@ -128,7 +140,7 @@
 
 func newLoadModel(seed uint64) *loadModel {
 	m := &loadModel{specs: modelServices, rand: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), heard: newHandedIn(), rooms: map[wire.MemberID]*modelRoom{},
-		calls: map[*call]bool{}, engine: map[wire.MemberID]time.Time{}, read: map[string]bool{}, waiting: map[string]*modelCall{}}
+		calls: map[*call]bool{}, rate: readRate, slow: map[wire.MemberID]float64{}, dead: map[wire.MemberID]bool{}, engine: map[wire.MemberID]time.Time{}, read: map[string]bool{}, waiting: map[string]*modelCall{}}
 	m.takeOver(false)
 	return m
 }
@@ -161,11 +173,15 @@
 // traffic lets calls of a kind arrive for a while.
 func (m *loadModel) traffic(k modelKind, from, until time.Duration, perSecond float64) {
 	for at := from; ; {
-		at += time.Duration(m.rand.ExpFloat64() / perSecond * float64(time.Second))
+		at += time.Duration(m.rand.ExpFloat64() / perSecond * float64(max(1, k.clump)) * float64(time.Second))
 		if at > until {
 			return
 		}
-		m.after(at, func() { m.arrive(k) })
+		m.after(at, func() {
+			for range max(1, k.clump) {
+				m.arrive(k)
+			}
+		})
 	}
 }
 
@@ -174,7 +190,7 @@
 	c := &modelCall{kind: k, id: fmt.Sprint("call", m.serial), arrived: m.now}
 	own := int64(min(math.Exp(m.rand.NormFloat64()-0.5)*float64(k.own), longestPrompt))
 	c.prompt = &Prompt{Service: "llm", Parts: []upstream.PromptPart{{ID: fmt.Sprint(k.name, m.rand.IntN(k.things)), Tokens: k.shared}, {ID: c.id, Tokens: own}}}
-	c.job = Job{ID: c.id, Key: c.id, Caller: "process", Stages: k.stages(m.rand), DataCenter: m.hashed(c).DataCenter}
+	c.job = Job{ID: c.id, Key: c.id, Caller: "process", Stages: k.stages(m.rand), Priority: k.priority, DataCenter: m.hashed(c).DataCenter}
 	if m.deaf {
 		c.job.Caller = ""
 	}
@@ -196,17 +212,20 @@
 	}
 	m.serial++
 	c.job.Handed = fmt.Sprint(c.id, "/", m.serial)
-	spent := m.now.Sub(c.arrived)
-	c.job.Left, c.job.FirstEvent = c.kind.left-spent, c.kind.goal-spent
-	c.job.Goal = c.job.FirstEvent - 50*time.Millisecond - readTime(c.prompt.Parts[1].Tokens)
+	began := c.arrived
+	if !c.again.IsZero() {
+		began = c.again // its process knows of no try before
+	}
+	c.job.Left, c.job.FirstEvent = c.kind.left-m.now.Sub(c.arrived), c.kind.goal-m.now.Sub(began)
+	c.job.Goal = c.job.FirstEvent - 50*time.Millisecond - m.readTime(c.prompt.Parts[1].Tokens)
 	m.heard.begin(c.job.Handed, c.job.Made)
 	handed, owner := c.job.Handed, m.owner
 	m.waiting[handed] = c
 	m.free(owner, owner.add(m.now, c.job, func(r Result, err error) { m.after(0, func() { m.staged(owner, c, handed, r, err) }) }))
 }
 
-func readTime(tokens int64) time.Duration {
-	return time.Duration(float64(tokens) / readRate * float64(time.Second))
+func (m *loadModel) readTime(tokens int64) time.Duration {
+	return time.Duration(float64(tokens) / m.rate * float64(time.Second))
 }
 
 // staged goes on when the stages of a call are done or refused.
@@ -217,6 +236,9 @@
 	delete(m.waiting, handed)
 	if err != nil {
 		m.free(owner, owner.done(m.now, Done{Handed: handed}))
+		if m.comesBack(c, err) {
+			return
+		}
 		m.ended = append(m.ended, modelEnd{kind: c.kind.name, arrived: c.arrived, refused: verdict.Of(err) == verdict.NotRun})
 		return
 	}
@@ -227,10 +249,46 @@
 	first := m.readBy(engine, c.prompt)
 	m.after(first, func() {
 		m.free(owner, owner.done(m.now, Done{Handed: handed, Engine: EngineBegan}))
-		m.ended = append(m.ended, modelEnd{kind: c.kind.name, arrived: c.arrived, inTime: m.now.Sub(c.arrived) <= c.kind.goal, first: first})
+		m.ended = append(m.ended, modelEnd{kind: c.kind.name, arrived: c.arrived, inTime: m.now.Sub(c.arrived) <= c.kind.goal, credit: m.credit(c), first: first})
 	})
 }
 
+// comesBack has a caller that was told when to come back do so, once.
+func (m *loadModel) comesBack(c *modelCall, err error) bool {
+	wait := verdict.From(err).RetryAfter
+	if !c.kind.returns || wait <= 0 || !c.again.IsZero() {
+		return false
+	}
+	c.again, c.early = m.now.Add(wait), m.now.Sub(c.arrived) <= c.kind.goal/4
+	m.after(wait, func() { m.handIn(c) })
+	return true
+}
+
+// credit is what an answer is worth whose first event comes now.
+func (m *loadModel) credit(c *modelCall) float64 {
+	switch {
+	case m.now.Sub(c.arrived) <= c.kind.goal:
+		return c.kind.worth
+	case !c.again.IsZero() && c.early && m.now.Sub(c.again) <= c.kind.goal:
+		return (c.kind.worth + c.kind.late) / 2
+	}
+	return c.kind.late
+}
+
+// earned is the credit of the calls of a kind that arrived in a span, as a part of what they
+// were worth; of all kinds where it is empty.
+func (m *loadModel) earned(kind string, worth map[string]float64, from, until time.Duration) float64 {
+	start, got, owed := time.Unix(1000, 0), 0.0, 0.0
+	for _, e := range m.ended {
+		if at := e.arrived.Sub(start); at < from || at >= until || kind != "" && e.kind != kind {
+			continue
+		}
+		got += e.credit
+		owed += worth[e.kind]
+	}
+	return got / math.Max(owed, 1e-9)
+}
+
 // readBy is how long an engine takes to the first event, behind what it reads already.
 func (m *loadModel) readBy(engine wire.MemberID, p *Prompt) time.Duration {
 	tokens := p.Parts[1].Tokens
@@ -242,7 +300,7 @@
 	if begin.Before(m.now) {
 		begin = m.now
 	}
-	m.engine[engine] = begin.Add(readTime(tokens))
+	m.engine[engine] = begin.Add(m.readTime(tokens))
 	return m.engine[engine].Sub(m.now) + 50*time.Millisecond
 }
 
@@ -325,7 +383,19 @@
 	}
 	took := 3 * time.Millisecond
 	if made > 0 {
-		took = spec.CallTime + time.Duration(made)*spec.PieceTime
+		took = spec.CallTime
+		for _, p := range c.pieces {
+			took += m.pieceTime(spec, p)
+		}
+		took = time.Duration(float64(took) * max(1, m.slow[c.worker.member.ID]))
+	}
+	if took > c.limit || m.dead[c.worker.member.ID] {
+		m.after(min(took, c.limit), func() {
+			if s == m.owner {
+				m.free(s, s.finish(m.now, c, outcome{err: "no answer"}))
+			}
+		})
+		return
 	}
 	m.after(took, func() {
 		for _, r := range o.results {
@@ -401,3 +471,17 @@
 	}
 	return float64(good) / math.Max(1, float64(asked))
 }
+
+// pieceTime is what a piece adds to a call.
+func (m *loadModel) pieceTime(spec *optext.Service, p *piece) time.Duration {
+	if m.light && p.bytes() == lightBytes {
+		return time.Duration(lightWork * float64(spec.PieceTime))
+	}
+	return spec.PieceTime
+}
+
+// Pieces with results of lightBytes are about the caller alone, and take less.
+const (
+	lightBytes = 8000
+	lightWork  = 0.3
+)
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -13,6 +13,7 @@
 	"caperdrum.org/node/discovery"
 	"caperdrum.org/node/logging"
 	"caperdrum.org/node/peer"
+	"caperdrum.org/node/settings"
 	"caperdrum.org/node/upstream"
 )
 
@@ -32,6 +33,7 @@
 // Params are what the service needs.
 type Params struct {
 	dig.In
+	Settings   *settings.Settings
 	Log        logr.Logger
 	Dial       peer.Dialer
 	Protocol   upstream.Protocol
@@ -68,6 +70,7 @@
 	s := &Service{log: p.Log, protocol: p.Protocol, pool: upstream.NewPool(p.Protocol),
 		events: make(chan func(time.Time), 256), dial: p.Dial, handed: newHandedIn(),
 		address: func() string { return p.ConfigSync.Self().Peer }, self: p.ConfigSync.Self, callers: map[string]*peer.Client{}, scheduler: newScheduler(), toFree: map[*worker][]made{}}
+	s.scheduler.engines.cold = p.Settings.Proxy.ColdLimit()
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.link = newLink(p.Dial, p.Log)
 	s.link.suspect = p.ConfigSync.Suspect
