Voters outlive the loss of data centres that the settings name

Ruled out: more voters (each costs syncs; the count is no answer where one data centre has most disks). Change: [control] data_center_losses. The leader adds voters where the fewest are, and swaps one of the fullest data centre for one elsewhere while the loss would take half; changes wait for that as long as somebody offers itself. Where it cannot be spread, repair says so in status and changes go on. Test: clusters of every shape from any founder, two data centres lost at most (rapid); it fails with a plan that does not know where voters are.

--- a/node/control/elastic.go
+++ b/node/control/elastic.go
@@ -106,10 +106,11 @@
 }
 
 // planElastic returns the next membership of a self-forming cluster, or nil.
-// Every process that offers itself votes, up to most. A voter that is dead or
-// silent is removed as long as least voters stay, so that the loss of another
-// one is borne again.
-func planElastic(st consensus.Status, offers []consensus.Peer, silent map[consensus.NodeID]bool, least, most int) (*consensus.Membership, string) {
+// Every process that offers itself votes, up to most, the data centres with the fewest
+// voters first. A voter that is dead or silent is removed as long as least voters stay, so
+// that the loss of another one is borne again. Where the loss of data centres would take
+// half of the voters, one of another data centre takes the place of one there.
+func planElastic(st consensus.Status, offers []consensus.Peer, silent map[consensus.NodeID]bool, least, most int, sp spread) (*consensus.Membership, string) {
 	m := st.Membership
 	gone := lost(st, offers, silent)
 	for _, l := range m.Learners {
@@ -130,14 +131,20 @@
 			return promote(m, l), fmt.Sprintf("learner %s caught up: promoting it", l.ID)
 		}
 	}
-	if len(m.Voters)+len(m.Learners) < most+len(gone) {
-		for _, p := range offers {
-			if !m.Has(p.ID) && !m.HasLearner(p.ID) {
-				return &consensus.Membership{Voters: m.Voters, Learners: append(slices.Clone(m.Learners), p)}, fmt.Sprintf("adding %s as a learner", p.ID)
-			}
+	if len(m.Voters) > most && len(gone) == 0 {
+		if v, ok := sp.surplus(m.Voters, st.ID); ok {
+			return dropVoter(m, v.ID), fmt.Sprintf("%s holds more voters than may be lost: removing %s", sp.where(v.Address), v.ID)
 		}
 	}
-	return nil, ""
+	p, ok := sp.best(m, offers)
+	if !ok {
+		return nil, sp.warning(m.Voters)
+	}
+	room := len(m.Voters)+len(m.Learners) < most+len(gone)
+	if room || len(m.Learners) == 0 && len(m.Voters) == most && sp.improves(m.Voters, p) {
+		return &consensus.Membership{Voters: m.Voters, Learners: append(slices.Clone(m.Learners), p)}, fmt.Sprintf("adding %s as a learner", p.ID)
+	}
+	return nil, sp.warning(m.Voters)
 }
 
 // lost returns the members that are silent, and those whose address another
--- a/node/control/elastic_test.go
+++ b/node/control/elastic_test.go
@@ -11,6 +11,9 @@
 	"caperdrum.org/node/consensus"
 )
 
+// anywhere is for voters of which nobody knows where they are.
+var anywhere = spread{where: func(string) string { return "" }}
+
 func peerNamed(name string) consensus.Peer {
 	return consensus.Peer{ID: consensus.NodeID(name), Address: name}
 }
@@ -44,7 +47,7 @@
 			for _, p := range st.Membership.All() {
 				st.Progress[p.ID] = consensus.Progress{Active: !silent[p.ID], Match: 100}
 			}
-			next, why := planElastic(st, offers, silent, least, most)
+			next, why := planElastic(st, offers, silent, least, most, anywhere)
 			if next == nil {
 				checkEnd(t, st, offers, silent, least, most)
 				return
--- a/node/control/puts.go
+++ b/node/control/puts.go
@@ -111,8 +111,19 @@
 	return s.puts.run(ctx, req, func(ctx context.Context) (*wire.PutResult, error) { return s.change(ctx, req) })
 }
 
+// enoughVoters reports whether the losses that the settings name are borne, as far as the
+// control processes that are there allow it.
 func (s *Service) enoughVoters() bool {
-	return len(s.cluster.Status().Membership.Voters) >= s.minVoters()
+	m := s.cluster.Status().Membership
+	if len(m.Voters) < s.minVoters() {
+		return false
+	}
+	if !s.set.Control.SelfForming {
+		return true
+	}
+	sp := s.spread()
+	p, ok := sp.best(m, s.repair.offers.fresh(s.clock.Now()))
+	return !sp.crowded(m.Voters) || !ok || !sp.improves(m.Voters, p)
 }
 
 func (s *Service) change(ctx context.Context, req *wire.PutRequest) (*wire.PutResult, error) {
--- a/node/control/repair.go
+++ b/node/control/repair.go
@@ -122,7 +122,7 @@
 func (r *repair) next(ctx context.Context, status consensus.Status, need uint64) (*consensus.Membership, string) {
 	c := r.s.set.Control
 	if c.SelfForming {
-		return planElastic(status, r.offers.fresh(r.s.clock.Now()), r.silentFor(elasticSilence), c.MinVoters(), c.Voters)
+		return planElastic(status, r.offers.fresh(r.s.clock.Now()), r.silentFor(elasticSilence), c.MinVoters(), c.Voters, r.s.spread())
 	}
 	return plan(status, r.findSpares(ctx, status), r.silentVoters(), c.Voters, need)
 }
--- a/node/control/selfforming_test.go
+++ b/node/control/selfforming_test.go
@@ -215,7 +215,7 @@
 		m := s.byID(p.ID)
 		silent[p.ID] = m == nil || s.cut[m.address]
 	}
-	if next, _ := planElastic(st, offers, silent, formingVoters, 7); next != nil {
+	if next, _ := planElastic(st, offers, silent, formingVoters, 7, anywhere); next != nil {
 		// A step that is refused now is proposed again in the next round.
 		_ = l.node.ProposeMembership(*next)
 		s.work(l)
--- /dev/null
+++ b/node/control/spread_test.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"caperdrum.org/node/consensus"
+)
+
+// inNames reads a data centre from an address such as north/3.
+func inNames(losses int) spread {
+	return spread{losses, func(address string) string { return strings.Split(address, "/")[0] }}
+}
+
+// bestWorst is the least number of voters that the loss can take where up to most of the
+// processes vote, an odd number of them: the processes of the data centres are taken in turn.
+func bestWorst(perDataCenter []int, losses, most int) (worst, voters int) {
+	took := make([]int, len(perDataCenter))
+	for took := took; voters < most; {
+		any := false
+		for i, n := range perDataCenter {
+			if voters < most && took[i] < n {
+				took[i]++
+				voters++
+				any = true
+			}
+		}
+		if !any {
+			break
+		}
+	}
+	slices.Sort(took)
+	for _, n := range took[max(0, len(took)-losses):] {
+		worst += n
+	}
+	return worst, voters
+}
+
+// TestVotersOutliveTheLossOfDataCenters lets clusters of every shape grow from any founder, with
+// voters that lie together at first, and follows the plan to its end: any data centres that the
+// settings allow to be lost together leave more than half of the voters, wherever that can be,
+// and a cluster that cannot be spread says so.
+func TestVotersOutliveTheLossOfDataCenters(t *testing.T) {
+	const most = 7
+	rapid.Check(t, func(t *rapid.T) {
+		losses := rapid.IntRange(1, 2).Draw(t, "losses")
+		sizes := rapid.SliceOfN(rapid.IntRange(1, 5), 1, 6).Draw(t, "processes")
+		sp := inNames(losses)
+		var all []consensus.Peer
+		for dc, n := range sizes {
+			for i := range n {
+				all = append(all, peerNamed(fmt.Sprintf("dc%d/%d", dc, i)))
+			}
+		}
+		st := consensus.Status{ID: all[0].ID, Last: 100}
+		st.Membership.Voters = slices.Clone(all[:rapid.IntRange(1, min(most, len(all))).Draw(t, "voters at first")])
+		var next *consensus.Membership
+		why := ""
+		for step := 0; ; step++ {
+			st.Progress = map[consensus.NodeID]consensus.Progress{}
+			for _, p := range st.Membership.All() {
+				st.Progress[p.ID] = consensus.Progress{Active: true, Match: 100}
+			}
+			if next, why = planElastic(st, all, nil, 3, most, sp); next == nil {
+				break
+			}
+			if len(next.Voters) > most+1 || !next.Has(st.ID) || step > 60 {
+				t.Fatalf("%s: %v", why, next.Voters)
+			}
+			st.Membership = *next
+		}
+		voters := st.Membership.Voters
+		worst, n := bestWorst(sizes, losses, most)
+		borne := 2*worst < n
+		if borne && sp.crowded(voters) {
+			t.Fatalf("of %v, the loss of %d data centres takes half of %v", sizes, losses, voters)
+		}
+		if sp.crowded(voters) == (why == "") {
+			t.Fatalf("voters %v: says %q", voters, why)
+		}
+	})
+}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -85,6 +85,8 @@
 	// that it hears of votes, up to Voters.
 	SelfForming bool `ini:"self_forming"`
 	Losses      int  `ini:"losses"` // disks that may be lost at once; changes wait for 2*Losses+1 voters
+	// DataCenterLosses are the data centres that may be lost at once, each with all its voters.
+	DataCenterLosses int `ini:"data_center_losses"`
 }
 
 // MinVoters is how many voters a self-forming cluster has before it accepts a
