What goes before a new job stands in sums, not in a walk over all jobs

Ruled out: the log's picture of calls that are half empty (a sixth of its lines is dropped in a burst). Change: package stagework keeps the pieces still to be made by service and by the step of time of the jobs' goals, and counts the jobs behind first tries, with each event. Test: after each event of four patterns with a lost owner the sums are what a walk finds.

--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -50,7 +50,7 @@
 	s.lastEstimate, s.lastReturned = estimate, j.returned
 	late := now.Add(estimate).After(j.goal)
 	if j.returned || now.Add(s.alone(j)).After(j.goal) {
-		if s.behind(now) < s.maxBehind(now) && now.Add(estimate).Before(j.deadline) {
+		if s.backlog.behind < s.maxBehind(now) && now.Add(estimate).Before(j.deadline) {
 			j.late = late
 			return 0, false
 		}
@@ -78,7 +78,7 @@
 // comes before: at each service that it needs, the work that is on its way
 // there, and what follows. binding is the service that it waits for longest.
 func (s *scheduler) estimate(now time.Time, j *job) (estimate time.Duration, binding string) {
-	ahead := s.ahead(now, j.goal)
+	s.pass(now)
 	var longest time.Duration
 	for i, st := range j.Stages {
 		if st.Pieces == 0 {
@@ -93,7 +93,7 @@
 		if q.idle(now) >= st.Pieces {
 			own = shortestCall(q.spec)
 		}
-		wait := time.Duration(ahead[st.Service] / rate * float64(time.Second))
+		wait := time.Duration(s.ahead(q, now, j.goal) / rate * float64(time.Second))
 		if whole := wait + own + j.tail[i]; whole > longest {
 			longest, binding = whole, st.Service
 		}
@@ -130,38 +130,6 @@
 	return max(trustAbove, int(s.ended.perSecond(now)*behindSpan.Seconds()))
 }
 
-// behind counts the jobs under way that miss their goal or whose callers came back.
-func (s *scheduler) behind(now time.Time) int {
-	n := 0
-	for _, j := range s.jobs {
-		if j.answer != nil && (j.returned || j.late || j.goal.Before(now)) {
-			n++
-		}
-	}
-	return n
-}
-
-// ahead counts the pieces that are not made yet, by service, of jobs whose goal
-// comes first. Those that are behind first tries count once they hold results. Of
-// calls under way only the part counts that is still to be done: half of them on
-// average, 0.15 s of a service's work.
-func (s *scheduler) ahead(now, goal time.Time) map[string]float64 {
-	out := map[string]float64{}
-	for _, other := range s.jobs {
-		behind := other.returned || other.late || other.goal.Before(now)
-		if other.answer == nil || behind && len(other.made) == 0 || other.goal.After(goal) {
-			continue
-		}
-		for i, st := range other.Stages {
-			out[st.Service] += float64(other.missing[i])
-		}
-	}
-	for name, q := range s.services {
-		out[name] = max(0, out[name]-q.done(now))
-	}
-	return out
-}
-
 // done is how many pieces the calls under way should have made by now.
 func (q *serviceQueue) done(now time.Time) float64 {
 	sum := 0.0
--- /dev/null
+++ b/node/stagework/backlog_test.go
@@ -0,0 +1,86 @@
+package stagework
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// walked is what a walk over all jobs finds before a goal, by service, and how many jobs are behind.
+func walked(s *scheduler, goal time.Time) (ahead map[string]int, behind int) {
+	ahead = map[string]int{}
+	for _, j := range s.jobs {
+		if j.answer == nil {
+			continue
+		}
+		overdue := stepOf(j.goal) < s.backlog.first
+		late := j.returned || j.late || overdue
+		if late {
+			behind++
+		}
+		if late && len(j.made) == 0 || !overdue && s.backlog.place(j.goal) > s.backlog.place(goal) {
+			continue
+		}
+		for i, st := range j.Stages {
+			ahead[st.Service] += j.missing[i]
+		}
+	}
+	return ahead, behind
+}
+
+// TestSumsEqualAWalk plays bursts in which jobs are refused, come back, are late, begin anew and
+// lose their owner: after each event the sums are what a walk over all jobs finds.
+func TestSumsEqualAWalk(t *testing.T) {
+	for name, day := range chainDays {
+		t.Run(name, func(t *testing.T) {
+			m := newChain(1)
+			steps := 0
+			m.check = func() {
+				s := m.owner
+				if steps++; s == nil || steps%7 != 0 {
+					return
+				}
+				s.pass(m.now)
+				for _, d := range []time.Duration{-time.Second, 0, 300 * time.Millisecond, 2 * time.Second, time.Minute} {
+					ahead, behind := walked(s, m.now.Add(d))
+					got := map[string]int{}
+					for service, q := range s.services {
+						got[service] = int(s.ahead(q, m.now, m.now.Add(d)) + q.done(m.now) + 0.5)
+						if float64(ahead[service]) < q.done(m.now) {
+							got[service], ahead[service] = 0, 0
+						}
+						if ahead[service] != got[service] {
+							t.Fatalf("%s before %s: sums %d, walk %d", service, d, got[service], ahead[service])
+						}
+					}
+					if s.backlog.behind != behind {
+						t.Fatalf("%d behind, a walk finds %d", s.backlog.behind, behind)
+					}
+				}
+			}
+			day(m)
+			m.run(7 * time.Second)
+			m.loseOwner(400 * time.Millisecond)
+			m.run(8 * time.Second)
+		})
+	}
+}
+
+// BenchmarkEstimate estimates a job beside so many others: what it costs must not grow with them.
+func BenchmarkEstimate(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("jobs=%d", n), func(b *testing.B) {
+			m := newChain(1)
+			job := func(i int) Job {
+				return Job{ID: fmt.Sprint(i), Handed: fmt.Sprint(i), Stages: chainChats.stages(m.rand), Left: 12 * time.Second, Goal: 2 * time.Second, Again: true}
+			}
+			for i := range n {
+				m.owner.add(m.now, job(i), func(Result, error) {})
+			}
+			last := m.owner.jobs["0"]
+			for b.Loop() {
+				m.owner.estimate(m.now, last)
+			}
+		})
+	}
+}
--- a/node/stagework/loadmodel_test.go
+++ b/node/stagework/loadmodel_test.go
@@ -39,6 +39,7 @@
 	rate   float64                   // tokens that an engine reads in a second
 	slow   map[wire.MemberID]float64 // upstreams that take so many times as long
 	dead   map[wire.MemberID]bool    // upstreams that answer nothing
+	check  func()                    // called after each event; nil: nothing is
 	light  bool                      // pieces with results of lightBytes take less
 
 	waiting map[string]*modelCall // calls whose stages are under way, by handing in
@@ -312,6 +313,9 @@
 		m.now = e.at
 		e.do()
 		m.step()
+		if m.check != nil {
+			m.check()
+		}
 	}
 	m.now = end
 }
--- a/node/stagework/outcome.go
+++ b/node/stagework/outcome.go
@@ -96,6 +96,7 @@
 	j.made = append(j.made, m)
 	j.handles[p.stage][p.number] = m.handle
 	j.missing[p.stage]--
+	s.recount(j)
 	if j.missing[p.stage] > 0 {
 		return nil
 	}
@@ -173,6 +174,7 @@
 	out := j.made
 	j.made = nil
 	s.reset(j)
+	s.recount(j)
 	s.advance(now, j)
 	return out
 }
--- /dev/null
+++ b/node/stagework/owner_bench_test.go
@@ -0,0 +1,108 @@
+package stagework
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/control"
+	"caperdrum.org/node/peer"
+	"caperdrum.org/node/upstream"
+)
+
+// benchCallers is how many processes hand their jobs in at the benchmark's owner.
+const benchCallers = 16
+
+// BenchmarkOwner hands jobs of a chain in at an owner over connections, with upstreams that
+// answer over HTTP as soon as they are asked: what a call costs with its messages. Callers and
+// upstreams run in the same process and are part of the figure.
+func BenchmarkOwner(b *testing.B) {
+	server := func(handle func(*peer.Server)) string {
+		s := peer.NewServer()
+		handle(s)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		go s.Serve(l)
+		b.Cleanup(func() { l.Close(); s.Close() })
+		return l.Addr().String()
+	}
+	var serial sync.Mutex
+	count := 0
+	stand := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var pieces []json.RawMessage
+		if err := json.NewDecoder(r.Body).Decode(&pieces); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		out := make([]upstream.PieceResult, len(pieces))
+		serial.Lock()
+		for i := range out {
+			count++
+			out[i].Handle = fmt.Sprint("127.0.0.1:9999/", count)
+		}
+		serial.Unlock()
+		json.NewEncoder(w).Encode(out)
+	}))
+	b.Cleanup(stand.Close)
+	members := chainMembers()
+	for _, list := range members {
+		for i := range list {
+			list[i].Direct = stand.Listener.Addr().String()
+		}
+	}
+	native := upstream.Native{}
+	s := &Service{log: logr.Discard(), protocol: native, pool: upstream.NewPool(native), events: make(chan func(time.Time), 256), dial: peer.DialTCP, link: newLink(peer.DialTCP, logr.Discard()),
+		address: func() string { return "self:1" }, self: func() wire.Member { return wire.Member{ID: "self", Incarnation: 7} },
+		callers: map[string]*peer.Client{}, scheduler: newScheduler(), toFree: map[*worker][]made{}, handed: newHandedIn()}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	b.Cleanup(s.cancel)
+	go s.loop()
+	s.post(func(now time.Time) {
+		s.scheduler.setServices(chainServices, members)
+		s.takeOwnership(now, wire.StageOwner{ID: "self", Incarnation: 7, Epoch: 1}, true, "view")
+	})
+	owner := server(func(p *peer.Server) {
+		peer.Handle(p, methodRun, s.run)
+		peer.Handle(p, methodDone, s.done)
+	})
+	var clients []*peer.Client
+	var addresses []string
+	for range benchCallers {
+		addresses = append(addresses, server(func(p *peer.Server) {
+			peer.Handle(p, methodNews, func(context.Context, *[]News) (*control.Empty, error) { return &control.Empty{}, nil })
+		}))
+		clients = append(clients, peer.NewClient(owner, peer.DialTCP))
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	var wg sync.WaitGroup
+	under := make(chan struct{}, 64)
+	b.ResetTimer()
+	for i := range b.N {
+		under <- struct{}{}
+		job := Job{ID: fmt.Sprint("call", i), Handed: fmt.Sprint("handed", i), Key: fmt.Sprint("key", i), Stages: chainChats.stages(random), Left: 12 * time.Second, Goal: 2 * time.Second,
+			FirstEvent: 2200 * time.Millisecond, Caller: addresses[i%benchCallers], Prompt: &Prompt{Service: "llm", Parts: []upstream.PromptPart{{ID: fmt.Sprint("shared", i%700), Tokens: 198}, {ID: "own", Tokens: 628}}}}
+		wg.Go(func() {
+			defer func() { <-under }()
+			var r Result
+			c := clients[i%benchCallers]
+			if err := c.Call(context.Background(), methodRun, job, &r); err != nil {
+				b.Error(err)
+				return
+			}
+			c.Notify(context.Background(), methodDone, Done{Handed: job.Handed, Engine: EngineBegan})
+		})
+	}
+	wg.Wait()
+}
--- a/node/stagework/progress.go
+++ b/node/stagework/progress.go
@@ -33,7 +33,8 @@
 	pick       *pick               // nil until its engine is chosen
 	estimate   time.Duration       // of its stages, when it was taken in; zero where nothing was estimated
 	answer     func(Result, error) // nil once called
-	expires    time.Time           // when its results are gone by themselves
+	standing   standing
+	expires    time.Time // when its results are gone by themselves
 }
 
 // stageTimes are the moments of one stage of a job; zero while they have not come.
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -26,6 +26,7 @@
 	waiting []*piece
 	workers map[wire.MemberID]*worker
 	asked   classes // jobs that need this service
+	sums    pieceSums
 
 	efficiency float64 // the part of its nominal rate that it reaches while pieces wait
 }
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -32,6 +32,7 @@
 	sentAway sentAway
 	ended    rate    // of jobs whose stages were done
 	fetching []*call // whose inputs are being fetched
+	backlog  backlog
 	gauged   time.Time
 
 	lastEstimate time.Duration // of the last job that was handed in
@@ -116,7 +117,9 @@
 			return nil
 		}
 	}
+	s.pass(now)
 	s.jobs[j.Handed] = n
+	s.recount(n)
 	if j.Again {
 		n.countHandedAgain()
 	}
@@ -243,6 +246,7 @@
 	}
 	j.answer(r, err)
 	j.answer = nil
+	s.recount(j)
 	s.unqueue(j)
 }
 
@@ -309,7 +313,10 @@
 			out = append(out, m)
 		}
 	}
-	j.made = kept
+	if len(out) > 0 {
+		j.made = kept
+		s.recount(j)
+	}
 	return out
 }
 
@@ -317,6 +324,7 @@
 // themselves. It returns what is to be freed.
 func (s *scheduler) expire(now time.Time) []made {
 	s.due = true // pauses end by themselves
+	s.pass(now)
 	out := s.fetchedInputs(now)
 	for _, j := range s.jobs {
 		switch {
