The owner looks at all events that wait before it starts calls and tells processes

Cause: after each event the owner sorted what waits, started calls and sent news; behind by a hundred events it did so a hundred times, for one piece each: a loop that feeds itself. Ruled out: refusing by the age of what waits (CoDel): not tried, as the loop itself went away. Change: the owner's goroutine takes all events that wait, then starts calls and tells processes.

--- a/node/stagework/loadmodel_test.go
+++ b/node/stagework/loadmodel_test.go
@@ -39,6 +39,10 @@
 	rate   float64                   // tokens that an engine reads in a second
 	slow   map[wire.MemberID]float64 // upstreams that take so many times as long
 	dead   map[wire.MemberID]bool    // upstreams that answer nothing
+	cost   ownerCost                 // zero: the owner takes no time
+	single bool                      // it begins calls after each event, as before
+	queue  []func()                  // events that the owner has not looked at
+	busy   bool                      // it works
 	check  func()                    // called after each event; nil: nothing is
 	light  bool                      // pieces with results of lightBytes take less
 
@@ -222,7 +226,9 @@
 	m.heard.begin(c.job.Handed, c.job.Made)
 	handed, owner := c.job.Handed, m.owner
 	m.waiting[handed] = c
-	m.free(owner, owner.add(m.now, c.job, func(r Result, err error) { m.after(0, func() { m.staged(owner, c, handed, r, err) }) }))
+	m.toOwner(owner, func() {
+		m.free(owner, owner.add(m.now, c.job, func(r Result, err error) { m.after(0, func() { m.staged(owner, c, handed, r, err) }) }))
+	})
 }
 
 func (m *loadModel) readTime(tokens int64) time.Duration {
@@ -236,7 +242,7 @@
 	}
 	delete(m.waiting, handed)
 	if err != nil {
-		m.free(owner, owner.done(m.now, Done{Handed: handed}))
+		m.toOwner(owner, func() { m.free(owner, owner.done(m.now, Done{Handed: handed})) })
 		if m.comesBack(c, err) {
 			return
 		}
@@ -249,7 +255,7 @@
 	}
 	first := m.readBy(engine, c.prompt)
 	m.after(first, func() {
-		m.free(owner, owner.done(m.now, Done{Handed: handed, Engine: EngineBegan}))
+		m.toOwner(owner, func() { m.free(owner, owner.done(m.now, Done{Handed: handed, Engine: EngineBegan})) })
 		m.ended = append(m.ended, modelEnd{kind: c.kind.name, arrived: c.arrived, inTime: m.now.Sub(c.arrived) <= c.kind.goal, credit: m.credit(c), first: first})
 	})
 }
@@ -312,7 +318,9 @@
 		e := heap.Pop(&m.events).(event)
 		m.now = e.at
 		e.do()
-		m.step()
+		if m.cost.event == 0 {
+			m.step()
+		}
 		if m.check != nil {
 			m.check()
 		}
@@ -395,9 +403,7 @@
 	}
 	if took > c.limit || m.dead[c.worker.member.ID] {
 		m.after(min(took, c.limit), func() {
-			if s == m.owner {
-				m.free(s, s.finish(m.now, c, outcome{err: "no answer"}))
-			}
+			m.toOwner(s, func() { m.free(s, s.finish(m.now, c, outcome{err: "no answer"})) })
 		})
 		return
 	}
@@ -405,9 +411,7 @@
 		for _, r := range o.results {
 			m.after(spec.ResultTTL, func() { m.expired(room, r.Handle) })
 		}
-		if s == m.owner {
-			m.free(s, s.finish(m.now, c, o))
-		}
+		m.toOwner(s, func() { m.free(s, s.finish(m.now, c, o)) })
 	})
 }
 
@@ -441,7 +445,7 @@
 			room.used -= room.results[r.handle]
 			delete(room.results, r.handle)
 		}
-		s.freed(list)
+		m.toOwner(s, func() { s.freed(list) })
 	})
 }
 
@@ -489,3 +493,48 @@
 	lightBytes = 8000
 	lightWork  = 0.3
 )
+
+// ownerCost is the processor time of an owner: for each event that it looks at, and for each
+// round in which it starts calls and tells processes.
+type ownerCost struct{ event, round time.Duration }
+
+// toOwner has the owner look at an event, once it is done with those before. One that was lost
+// looks at nothing.
+func (m *loadModel) toOwner(s *scheduler, do func()) {
+	if s != m.owner {
+		return
+	}
+	if m.cost.event == 0 {
+		do()
+		return
+	}
+	m.queue = append(m.queue, do)
+	m.work()
+}
+
+// work lets the owner look at events: all that wait, or one where it is single.
+func (m *loadModel) work() {
+	if m.busy || len(m.queue) == 0 {
+		return
+	}
+	m.busy = true
+	n := len(m.queue)
+	if m.single {
+		n = 1
+	}
+	for _, do := range m.queue[:n] {
+		do()
+	}
+	m.queue = m.queue[n:]
+	m.step()
+	m.after(time.Duration(n)*m.cost.event+m.cost.round, func() {
+		m.busy = false
+		m.work()
+	})
+}
+
+// tick has the owner look at its jobs from time to time.
+func (m *loadModel) tick() {
+	m.toOwner(m.owner, func() {})
+	m.after(ownerTick, m.tick)
+}
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -167,6 +167,7 @@
 			return
 		case f := <-s.events:
 			f(time.Now())
+			s.takeWaiting()
 		case <-timer.C:
 			armed = false
 			s.free(s.scheduler.expire(time.Now()))
@@ -186,6 +187,19 @@
 	}
 }
 
+// takeWaiting handles the events that wait already, before calls are started and processes are
+// told: an owner that is behind starts fewer, fuller calls and sends fewer, longer messages.
+func (s *Service) takeWaiting() {
+	for range cap(s.events) {
+		select {
+		case f := <-s.events:
+			f(time.Now())
+		default:
+			return
+		}
+	}
+}
+
 // run is the owner's side of Run.
 func (s *Service) run(ctx context.Context, j *Job) (*Result, error) {
 	type answer struct {
