Calls under which an upstream ended: a fingerprint, a log line and a counter

Cause: logs did not tell which calls are copies of one call, nor an upstream that has ended from an answer that was cut: both said 'unexpected EOF'. Ruled out: the end of an upstream's lease as the sign (6 s; an upstream is back after 1 to 2 s); a health check (it waits for a place at the upstream, and is counted there). Change: after a call that broke off, one connection to the upstream's address: refused, nobody listens, it has ended. A 421 and another member at the address say the same. Each call under which one ended is logged with the fingerprint of what its caller sent. Nothing that decides about a call has changed. Conclusion: the hypotheses can be told apart by grep of one fingerprint over all processes.

--- a/node/proxy/metrics.go
+++ b/node/proxy/metrics.go
@@ -21,6 +21,7 @@
 	deniedVar      = expvar.NewMap("proxy_repeats_denied") // by the quota, by service/reason
 	refusedVar     = expvar.NewMap("proxy_refused")        // by code/verdict
 	leftVar        = expvar.NewInt("proxy_callers_left")
+	endedUnderVar  = expvar.NewMap("proxy_upstreams_ended_under_calls") // calls that broke off since their upstream ended, by service
 	brokenVar      = expvar.NewInt("proxy_streams_broken")
 )
 
--- a/node/proxy/plain.go
+++ b/node/proxy/plain.go
@@ -52,14 +52,16 @@
 		return nil, a.err
 	}
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxPlainAnswer+1))
-	if err == nil && len(body) > maxPlainAnswer {
+	how := failed
+	switch {
+	case err != nil && ctx.Err() != nil:
+		how = unknown
+	case err != nil:
+		x.broke(a.member)
+	case len(body) > maxPlainAnswer:
 		err = errors.Errorf("the answer is above %d bytes", maxPlainAnswer)
 	}
 	if err != nil {
-		how := failed
-		if ctx.Err() != nil {
-			how = unknown
-		}
 		x.drop(a, how)
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeCut, "the answer of %s was cut: %v", a.member.ID, err)
 	}
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -22,6 +22,7 @@
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/configsync"
 	"caperdrum.org/node/logging"
+	"caperdrum.org/node/quarantine"
 	"caperdrum.org/node/retry"
 	"caperdrum.org/node/security"
 	"caperdrum.org/node/settings"
@@ -103,6 +104,7 @@
 	stopTrim  context.CancelFunc
 	peers     *retry.Peers
 	repeats   *retry.Quota
+	inquiries *quarantine.Inquiries
 }
 
 // New returns the service; Start opens its listeners.
@@ -117,6 +119,7 @@
 	s := &Service{set: set, log: log, protocol: protocol, sync: views, stages: stages,
 		pool: upstream.NewPool(protocol), endpoints: newEndpoints(), first: newFirstView(clockwork.NewRealClock())}
 	s.share(clockwork.NewRealClock())
+	s.inquiries = quarantine.NewInquiries(s.pool.Listens, s.endedUnder, clockwork.NewRealClock())
 	s.ending, s.end = context.WithCancel(context.Background())
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 	s.ready = &http.Server{Handler: http.HandlerFunc(s.answerReady), ReadHeaderTimeout: headerTimeout}
@@ -137,6 +140,7 @@
 	self := s.sync.Self()
 	here, known := v.Members[self.ID]
 	s.peers.Follow(retry.Standing{Members: t.proxies, Self: known && here.Start() == self.Start()})
+	s.inquiries.Follow(v.Members)
 	if v.Version > 0 {
 		s.first.set()
 	}
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -48,6 +48,7 @@
 		a := x.sendTo(ctx, m, len(list), lastEvent)
 		if a.moved() {
 			x.drop(a, wasMoved)
+			x.s.inquiries.Ended(m.Start())
 			a = &attempt{member: m, err: verdict.New(verdict.NotRun, verdict.CodeUpstream, "another upstream has the address of %s", m.ID).After(comeBack)}
 			if unsent < maxUnsent && ctx.Err() == nil && x.maySend(addressMoved) {
 				continue
@@ -81,8 +82,11 @@
 		a := &attempt{member: m, err: verdict.From(err)}
 		failedSendsVar.Add(x.service.Name, 1)
 		how := failed
-		if ctx.Err() != nil || a.err.Code == verdict.CodeOverloaded {
+		switch {
+		case ctx.Err() != nil || a.err.Code == verdict.CodeOverloaded:
 			how = unknown
+		case !a.notRun():
+			x.broke(m)
 		}
 		x.s.endpoints.release(m.Start(), how, now)
 		x.s.log.Info("attempt failed", "request", x.call.ID, "upstream", m.ID, "address", m.Direct, "sent", !a.notRun(),
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -112,6 +112,7 @@
 	case ctx.Err() != nil:
 		x.drop(a, unknown)
 	default:
+		x.broke(a.member)
 		x.drop(a, failed)
 	}
 	return false, verdict.New(verdict.MayHaveRun, verdict.CodeCut, "the stream of %s broke off: %v", a.member.ID, err)
--- a/node/proxy/table.go
+++ b/node/proxy/table.go
@@ -19,12 +19,13 @@
 	byHost    map[string][]*optext.Route // longest prefix first
 	customers map[[sha256.Size]byte]*optext.Customer
 	announced map[string][]wire.Member
+	members   map[wire.MemberID]wire.Member
 	proxies   int                 // processes that share what is bounded over all of them; at least one
 	proxiesIn map[string][]string // them, by data centre
 }
 
 func newTable(v *configsync.View) *table {
-	t := &table{version: v.Version, seq: v.Seq, config: v.Config, byHost: map[string][]*optext.Route{}, customers: map[[sha256.Size]byte]*optext.Customer{}, announced: v.Announced, proxiesIn: map[string][]string{}}
+	t := &table{version: v.Version, seq: v.Seq, config: v.Config, byHost: map[string][]*optext.Route{}, customers: map[[sha256.Size]byte]*optext.Customer{}, announced: v.Announced, members: v.Members, proxiesIn: map[string][]string{}}
 	for _, r := range v.Config.Routes {
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	}
@@ -49,6 +50,12 @@
 // configured reports whether this process knows a configuration.
 func (t *table) configured() bool { return t != nil && t.version > 0 }
 
+// leaving reports whether the start of an upstream has said that it leaves.
+func (t *table) leaving(start wire.Start) bool {
+	m, known := t.members[start.ID]
+	return known && m.Start() == start && m.Leaving
+}
+
 // route returns the route of the host with the longest prefix of path.
 func (t *table) route(host, path string) *optext.Route {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- /dev/null
+++ b/node/quarantine/inquiry_test.go
@@ -0,0 +1,90 @@
+package quarantine
+
+import (
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/wire"
+)
+
+func TestFingerprintsOfCopies(t *testing.T) {
+	call := Call{Customer: "foundry", Method: "POST", Host: "h.example", Target: "/chat/x", Body: []byte("body")}
+	if call.Fingerprint() != call.Fingerprint() || len(call.Fingerprint()) != 22 {
+		t.Fatalf("%q and %q", call.Fingerprint(), call.Fingerprint())
+	}
+	seen := map[wire.Fingerprint]Call{call.Fingerprint(): call}
+	for _, other := range []Call{
+		{Customer: "harbour", Method: "POST", Host: "h.example", Target: "/chat/x", Body: []byte("body")},
+		{Customer: "foundry", Method: "GET", Host: "h.example", Target: "/chat/x", Body: []byte("body")},
+		{Customer: "foundry", Method: "POST", Host: "h.example", Target: "/chat/x?y", Body: []byte("body")},
+		{Customer: "foundry", Method: "POST", Host: "h.example", Target: "/chat/x", Body: []byte("body2")},
+		{Customer: "foundry", Method: "POST", Host: "h.example", Target: "/chat/", Body: []byte("xbody")},
+		{Customer: "foundryP", Method: "OST", Host: "h.example", Target: "/chat/x", Body: []byte("body")},
+	} {
+		if same, taken := seen[other.Fingerprint()]; taken {
+			t.Errorf("%+v has the fingerprint of %+v", other, same)
+		}
+		seen[other.Fingerprint()] = other
+	}
+}
+
+var (
+	errRefused = errors.Annotate(syscall.ECONNREFUSED, "dial")
+	errSilent  = errors.New("no answer")
+)
+
+// TestInquiries lets calls break off at upstreams that have ended, that live, and that are out of reach.
+func TestInquiries(t *testing.T) {
+	m := wire.Member{ID: "i-1", Incarnation: 1, Service: "desk", Direct: "10.0.0.1:80"}
+	next := wire.Member{ID: "i-2", Incarnation: 1, Service: "desk", Direct: m.Direct}
+	cases := map[string]struct {
+		listens error
+		then    func(q *Inquiries)
+		want    int
+	}{
+		"nobody listens":             {errRefused, func(*Inquiries) {}, 2},
+		"it lives":                   {nil, func(q *Inquiries) { q.Ended(m.Start()) }, 0},
+		"out of reach":               {errSilent, func(*Inquiries) {}, 0},
+		"its address is another's":   {errSilent, func(q *Inquiries) { q.Follow(map[wire.MemberID]wire.Member{next.ID: next}) }, 2},
+		"it is no member, nobody is": {errSilent, func(q *Inquiries) { q.Follow(nil) }, 0},
+		"it is a member still":       {errSilent, func(q *Inquiries) { q.Follow(map[wire.MemberID]wire.Member{m.ID: m}) }, 0},
+		"another call is refused":    {errSilent, func(q *Inquiries) { q.Ended(m.Start()) }, 2},
+		"another call, much later": {errSilent, func(q *Inquiries) {
+			time.Sleep(undecided + time.Second)
+			q.Broke(Broken{Request: "third", Upstream: m})
+			synctest.Wait()
+			q.Ended(m.Start())
+		}, 1},
+		"noticed late": {errRefused, func(q *Inquiries) {
+			time.Sleep(remembered - time.Second)
+			q.Broke(Broken{Request: "third", Upstream: m})
+		}, 3},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var mu sync.Mutex
+				ended := map[string]bool{}
+				q := NewInquiries(func(string) error { return c.listens }, func(b Broken) {
+					mu.Lock()
+					defer mu.Unlock()
+					ended[b.Request] = true
+				}, clockwork.NewRealClock())
+				q.Broke(Broken{Request: "first", Upstream: m})
+				q.Broke(Broken{Request: "second", Upstream: m})
+				synctest.Wait()
+				c.then(q)
+				synctest.Wait()
+				if len(ended) != c.want {
+					t.Fatalf("%v ended, want %d", ended, c.want)
+				}
+			})
+		})
+	}
+}
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -108,6 +108,17 @@
 	return c, nil
 }
 
+// Listens connects to an address and closes the connection at once. A nil error says that a
+// process listens there.
+func (p *Pool) Listens(address string) error {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	c, err := d.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // noConn stands for a connection that was never made.
 type noConn struct{ net.Conn }
 
