What upstreams say of themselves in answers is read, logged and counted

Ruled out: reading it at each place that calls upstreams (proxy, pieces, rooms, freeing): all pass through upstream.Pool.Do, which tells the notices of the process. Nothing that decides about a call has changed. Tests: fractions, dates, nonsense and a year in Retry-After; starts apart.

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
 
 	"caperdrum.org/api/timeline"
 	"caperdrum.org/node/admin"
@@ -105,6 +106,7 @@
 		o.Protocol = upstream.Native{}
 	}
 	k.Supply(func() upstream.Protocol { return o.Protocol })
+	k.Supply(func() *upstream.Notices { return upstream.NewNotices(log, clockwork.NewRealClock()) })
 	if err := k.Add(append(modulesOf(set), o.Extra...)...); err != nil {
 		log.Error(err, "modules")
 		return ExitFailure
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -64,7 +64,8 @@
 	ConfigSync *configsync.Service    `name:"configsync"`
 	Control    *controlclient.Service `name:"controlclient"`
 	Stages     *stagework.Service     `name:"stagework"`
-	Security   *security.Store        `optional:"true"`
+	Notices    *upstream.Notices
+	Security   *security.Store `optional:"true"`
 }
 
 // views is what the proxy asks of synchronization.
@@ -115,16 +116,16 @@
 
 // New returns the service; Start opens its listeners.
 func New(p Params) *Service {
-	s := newService(p.Settings, p.Log, p.Protocol, p.ConfigSync, p.Stages)
+	s := newService(p.Settings, p.Log, p.Protocol, p.Notices, p.ConfigSync, p.Stages)
 	s.reporter = quarantine.NewReporter(p.Control.ReportCrashes)
 	s.secure = p.Security
 	p.ConfigSync.OnChange(s.follow)
 	return s
 }
 
-func newService(set *settings.Settings, log logr.Logger, protocol upstream.Protocol, views views, stages stages) *Service {
+func newService(set *settings.Settings, log logr.Logger, protocol upstream.Protocol, notices *upstream.Notices, views views, stages stages) *Service {
 	s := &Service{set: set, log: log, protocol: protocol, sync: views, stages: stages,
-		pool: upstream.NewPool(protocol), endpoints: newEndpoints(), first: newFirstView(clockwork.NewRealClock())}
+		pool: upstream.NewPool(protocol, notices), endpoints: newEndpoints(), first: newFirstView(clockwork.NewRealClock())}
 	s.share(clockwork.NewRealClock())
 	s.running = newRunning()
 	s.guard, s.answers, s.reporter = quarantine.NewGuard(), quarantine.NewAnswers(), quarantine.NewReporter(nobodyListens)
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -77,7 +77,7 @@
 	x.s.protocol.Tell(header, told)
 	x.s.log.V(logging.Routine).Info("attempt sent", "request", x.call.ID, "upstream", m.ID, "address", m.Direct, "data_center", m.DataCenter, "candidates", candidates,
 		"in_flight", x.s.endpoints.load(m.Start()), "tried", x.sends, "again", x.again, "last_event", lastEvent, "inputs", len(x.inputs), "fetch_from", told.FetchFrom, "left", told.Left, "members_seq", x.s.table.Load().seq)
-	resp, err := x.s.pool.Do(ctx, &upstream.Request{Address: m.Direct, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
+	resp, err := x.s.pool.Do(ctx, &upstream.Request{Upstream: m.Start(), Address: m.Direct, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: header, Body: x.body, ID: x.call.ID, Limit: x.connections()})
 	now := time.Now()
 	sendsVar.Add(x.service.Name, 1)
--- a/node/stagework/calls.go
+++ b/node/stagework/calls.go
@@ -34,7 +34,7 @@
 	path, body := s.protocol.RunPieces(c.request)
 	header := http.Header{"Content-Type": {"application/json"}}
 	s.protocol.Tell(header, upstream.Told{Instance: c.worker.member.ID})
-	resp, err := s.pool.Do(ctx, &upstream.Request{Address: c.worker.member.Direct, Method: http.MethodPost, Target: path,
+	resp, err := s.pool.Do(ctx, &upstream.Request{Upstream: c.worker.member.Start(), Address: c.worker.member.Direct, Method: http.MethodPost, Target: path,
 		Host: c.worker.member.Direct, Header: header, Body: body, Fresh: true})
 	if err != nil {
 		return outcome{err: err.Error()}
@@ -82,7 +82,7 @@
 	defer cancel()
 	header := http.Header{}
 	s.protocol.Tell(header, upstream.Told{Instance: m.ID})
-	resp, err := s.pool.Do(ctx, &upstream.Request{Address: m.Direct, Method: http.MethodGet, Target: s.protocol.RoomPath(), Host: m.Direct, Header: header})
+	resp, err := s.pool.Do(ctx, &upstream.Request{Upstream: m.Start(), Address: m.Direct, Method: http.MethodGet, Target: s.protocol.RoomPath(), Host: m.Direct, Header: header})
 	if err != nil {
 		return nil, err
 	}
@@ -132,7 +132,7 @@
 	path, body := s.protocol.FreeResults(handles)
 	header := http.Header{"Content-Type": {"application/json"}}
 	s.protocol.Tell(header, upstream.Told{Instance: m.ID})
-	resp, err := s.pool.Do(ctx, &upstream.Request{Address: m.Direct, Method: http.MethodPost, Target: path, Host: m.Direct, Header: header, Body: body})
+	resp, err := s.pool.Do(ctx, &upstream.Request{Upstream: m.Start(), Address: m.Direct, Method: http.MethodPost, Target: path, Host: m.Direct, Header: header, Body: body})
 	if err != nil {
 		s.log.V(logging.Detail).Info("results not freed", "upstream", m.ID, "error", err.Error())
 		return
--- a/node/stagework/owner_bench_test.go
+++ b/node/stagework/owner_bench_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
 
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/control"
@@ -63,7 +64,7 @@
 		}
 	}
 	native := upstream.Native{}
-	s := &Service{log: logr.Discard(), protocol: native, pool: upstream.NewPool(native), events: make(chan func(time.Time), 256), dial: peer.DialTCP, link: newLink(peer.DialTCP, logr.Discard()),
+	s := &Service{log: logr.Discard(), protocol: native, pool: upstream.NewPool(native, upstream.NewNotices(logr.Discard(), clockwork.NewRealClock())), events: make(chan func(time.Time), 256), dial: peer.DialTCP, link: newLink(peer.DialTCP, logr.Discard()),
 		address: func() string { return "self:1" }, self: func() wire.Member { return wire.Member{ID: "self", Incarnation: 7} },
 		callers: map[string]*peer.Client{}, scheduler: newScheduler(), toFree: map[*worker][]made{}, handed: newHandedIn()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -40,6 +40,7 @@
 	ConfigSync *configsync.Service `name:"configsync"`
 	Discovery  *discovery.Service  `name:"discovery"`
 	Control    *control.Service    `name:"control" optional:"true"`
+	Notices    *upstream.Notices
 }
 
 // Service hands jobs to their owner, and is an owner itself when others take
@@ -67,7 +68,7 @@
 
 // New returns the service and adds its methods to the process's peer server.
 func New(p Params) *Service {
-	s := &Service{log: p.Log, protocol: p.Protocol, pool: upstream.NewPool(p.Protocol),
+	s := &Service{log: p.Log, protocol: p.Protocol, pool: upstream.NewPool(p.Protocol, p.Notices),
 		events: make(chan func(time.Time), 256), dial: p.Dial, handed: newHandedIn(),
 		address: func() string { return p.ConfigSync.Self().Peer }, self: p.ConfigSync.Self, callers: map[string]*peer.Client{}, scheduler: newScheduler(), toFree: map[*worker][]made{}}
 	s.scheduler.engines.cold = p.Settings.Proxy.ColdLimit()
--- a/node/upstream/call.go
+++ b/node/upstream/call.go
@@ -10,19 +10,21 @@
 	"github.com/juju/errors"
 
 	"caperdrum.org/api/verdict"
+	"caperdrum.org/api/wire"
 )
 
 // Request is one call of an upstream.
 type Request struct {
-	Address string
-	Method  string
-	Target  string // path and query as the caller wrote them
-	Host    string
-	Header  http.Header // without those that concern one connection
-	Body    []byte
-	ID      string // the answer must carry it; empty when answers carry none
-	Limit   int    // connections to the address; zero is no limit
-	Fresh   bool   // use a new connection, since an answer that carries no id may be another call's
+	Upstream wire.Start // that is called
+	Address  string
+	Method   string
+	Target   string // path and query as the caller wrote them
+	Host     string
+	Header   http.Header // without those that concern one connection
+	Body     []byte
+	ID       string // the answer must carry it; empty when answers carry none
+	Limit    int    // connections to the address; zero is no limit
+	Fresh    bool   // use a new connection, since an answer that carries no id may be another call's
 }
 
 // Response is an upstream's answer whose body is still to be read. It must be
@@ -58,6 +60,9 @@
 		go func() { sent <- writeAll(c, head, req.Body) }()
 	}
 	r := &Response{conn: c, sent: sent, fresh: req.Fresh, detach: detach}
+	if pause, leaving := p.notices.Of(req.Upstream); pause > 0 || leaving {
+		sentInPauseVar.Add(1)
+	}
 	if err := r.readHead(p.protocol, req); err != nil {
 		detach()
 		c.Close()
@@ -66,6 +71,7 @@
 		}
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "%s: %v", req.Address, err)
 	}
+	p.notices.Heard(req.Upstream, r.Answer)
 	return r, nil
 }
 
--- a/node/upstream/native.go
+++ b/node/upstream/native.go
@@ -21,6 +21,7 @@
 	headerCustomer = "Caperdrum-Customer"
 	headerInputs   = "Caperdrum-Inputs" // handles, comma-separated
 	headerFetch    = "Caperdrum-Fetch-From"
+	headerLeaving  = "Caperdrum-Leaving"
 	headerEvent    = "Last-Event-Id" // of the WHATWG's server-sent events
 	headerKey      = "Authorization"
 
@@ -93,7 +94,8 @@
 // Answer implements Protocol.
 func (Native) Answer(status int, h http.Header) Answer {
 	notRun := verdict.Parse(h.Get(wire.HeaderVerdict)) == verdict.NotRun || status == http.StatusMisdirectedRequest
-	return Answer{ID: h.Get(wire.HeaderRequestID), NotRun: notRun, Instance: wire.MemberID(h.Get(headerInstance))}
+	return Answer{ID: h.Get(wire.HeaderRequestID), NotRun: notRun, Instance: wire.MemberID(h.Get(headerInstance)),
+		Pause: PauseOf(status, h, time.Now()), Leaving: h.Get(headerLeaving) != ""}
 }
 
 // nativePiece is a piece in the body of a call.
--- /dev/null
+++ b/node/upstream/notices_test.go
@@ -0,0 +1,58 @@
+package upstream
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+
+	"caperdrum.org/api/wire"
+)
+
+// TestPauseOf reads what upstreams write into Retry-After.
+func TestPauseOf(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	for raw, want := range map[string]time.Duration{
+		"": 0, "3": 3 * time.Second, "0.25": 250 * time.Millisecond, " 2 ": 2 * time.Second, "0": 0, "-3": 0, "soon": 0, "NaN": 0, "Inf": longestPause, "1e300": longestPause, "31536000": longestPause, "3, 4": 0,
+		now.Add(90 * time.Second).Format(http.TimeFormat): 90 * time.Second,
+		now.Add(-time.Second).Format(http.TimeFormat):     0,
+	} {
+		for status, expected := range map[int]time.Duration{http.StatusServiceUnavailable: want, http.StatusTooManyRequests: want, http.StatusOK: 0, http.StatusMovedPermanently: 0} {
+			if got := PauseOf(status, http.Header{"Retry-After": {raw}}, now); got != expected {
+				t.Errorf("%d with %q: %v, want %v", status, raw, got, expected)
+			}
+		}
+	}
+}
+
+// TestNotices keeps what one start of an upstream has said apart from the next, and the longer of two pauses.
+func TestNotices(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	n := NewNotices(logr.Discard(), clock)
+	first, second := wire.Start{ID: "i-1", Incarnation: 1}, wire.Start{ID: "i-1", Incarnation: 2}
+	expect := func(start wire.Start, pause time.Duration, leaving bool) {
+		t.Helper()
+		if p, l := n.Of(start); p != pause || l != leaving {
+			t.Fatalf("%v: a pause of %v, leaving %v; want %v, %v", start, p, l, pause, leaving)
+		}
+	}
+	n.Heard(first, Answer{})
+	expect(first, 0, false)
+	n.Heard(first, Answer{Pause: 3 * time.Second})
+	n.Heard(first, Answer{Pause: time.Second, Leaving: true})
+	expect(first, 3*time.Second, true)
+	expect(second, 0, false)
+	clock.Advance(2 * time.Second)
+	expect(first, time.Second, true)
+	clock.Advance(2 * time.Second)
+	expect(first, 0, true)
+	n.Heard(second, Answer{Pause: 24 * time.Hour})
+	expect(second, longestPause, false)
+	clock.Advance(noticeTime)
+	n.Heard(wire.Start{ID: "i-2"}, Answer{Leaving: true})
+	if len(n.by) != 2 {
+		t.Fatalf("%d notices are kept", len(n.by))
+	}
+}
--- /dev/null
+++ b/node/upstream/pause.go
@@ -0,0 +1,31 @@
+package upstream
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// PauseOf reads the header Retry-After (RFC 9110, section 10.2.3) of an answer that turned a call away:
+// seconds, also with a fraction, or a date. What cannot be read asks for nothing.
+func PauseOf(status int, h http.Header, now time.Time) time.Duration {
+	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+		return 0
+	}
+	raw := strings.TrimSpace(h.Get("Retry-After"))
+	if raw == "" {
+		return 0
+	}
+	if seconds, err := strconv.ParseFloat(raw, 64); err == nil {
+		if math.IsNaN(seconds) || seconds <= 0 {
+			return 0
+		}
+		return time.Duration(min(seconds, longestPause.Seconds()) * float64(time.Second))
+	}
+	if at, err := http.ParseTime(raw); err == nil {
+		return max(0, at.Sub(now))
+	}
+	return 0
+}
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -40,15 +40,16 @@
 // Pool keeps connections to upstreams, by address.
 type Pool struct {
 	protocol Protocol
+	notices  *Notices
 
 	mu   sync.Mutex
 	idle map[string][]*conn
 	open map[string]int // connections by address, idle ones included
 }
 
-// NewPool returns an empty pool.
-func NewPool(p Protocol) *Pool {
-	return &Pool{protocol: p, idle: map[string][]*conn{}, open: map[string]int{}}
+// NewPool returns an empty pool. Its answers are told to the notices.
+func NewPool(p Protocol, n *Notices) *Pool {
+	return &Pool{protocol: p, notices: n, idle: map[string][]*conn{}, open: map[string]int{}}
 }
 
 type conn struct {
--- a/node/upstream/protocol.go
+++ b/node/upstream/protocol.go
@@ -44,6 +44,8 @@
 	NotRun   bool          // the upstream promises that the call has not run and never will
 	Instance wire.MemberID // the start that answered, if it says so
 	Load     *Load         // nil when it does not say
+	Pause    time.Duration // for which the upstream wants no calls of this process; zero when it does not say
+	Leaving  bool          // the upstream leaves: it wants no further calls
 }
 
 // Load is what a batching upstream tells of itself.
--- a/node/upstream/upstream_test.go
+++ b/node/upstream/upstream_test.go
@@ -11,6 +11,9 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+
 	"caperdrum.org/api/verdict"
 )
 
@@ -94,7 +97,7 @@
 // before the answer to the second one, on one connection.
 func TestAnswerToAnotherCallIsSkipped(t *testing.T) {
 	s := newScript(t, answer("1", "one"), answer("1", "one again")+answer("2", "two"))
-	p := NewPool(plainProtocol{})
+	p := NewPool(plainProtocol{}, NewNotices(logr.Discard(), clockwork.NewRealClock()))
 	defer p.Close()
 	for id, want := range map[string]string{"1": "one"} {
 		if got, err := call(t, p, s.request(id)); err != nil || got != want {
@@ -109,7 +112,7 @@
 // TestOnlyStrayAnswersMayHaveRun gives answers to other calls only.
 func TestOnlyStrayAnswersMayHaveRun(t *testing.T) {
 	s := newScript(t, strings.Repeat(answer("9", "x"), maxStrayAnswers+1))
-	p := NewPool(plainProtocol{})
+	p := NewPool(plainProtocol{}, NewNotices(logr.Discard(), clockwork.NewRealClock()))
 	defer p.Close()
 	if _, err := call(t, p, s.request("1")); verdict.Of(err) != verdict.MayHaveRun || err == nil {
 		t.Fatalf("%v", err)
@@ -120,7 +123,7 @@
 // next call uses a new connection.
 func TestBytesAfterAnAnswerEndTheConnection(t *testing.T) {
 	s := newScript(t, answer("1", "one")+"more")
-	p := NewPool(plainProtocol{})
+	p := NewPool(plainProtocol{}, NewNotices(logr.Discard(), clockwork.NewRealClock()))
 	defer p.Close()
 	for range 2 {
 		if got, err := call(t, p, s.request("1")); err != nil || got != "one" {
@@ -136,7 +139,7 @@
 // the call fails as may-have-run and the upstream has read one request.
 func TestNoRequestIsSentTwice(t *testing.T) {
 	s := newScript(t, answer("1", "one"), closeNow)
-	p := NewPool(plainProtocol{})
+	p := NewPool(plainProtocol{}, NewNotices(logr.Discard(), clockwork.NewRealClock()))
 	defer p.Close()
 	if _, err := call(t, p, s.request("1")); err != nil {
 		t.Fatal(err)
@@ -158,7 +161,7 @@
 func TestRefusedConnectionHasNotRun(t *testing.T) {
 	s := newScript(t)
 	s.listener.Close()
-	p := NewPool(plainProtocol{})
+	p := NewPool(plainProtocol{}, NewNotices(logr.Discard(), clockwork.NewRealClock()))
 	if _, err := call(t, p, s.request("1")); verdict.Of(err) != verdict.NotRun {
 		t.Fatalf("%v", err)
 	}
@@ -170,7 +173,7 @@
 // TestConnectionsAreLimited holds one connection and asks for a second one.
 func TestConnectionsAreLimited(t *testing.T) {
 	s := newScript(t, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\n")
-	p := NewPool(plainProtocol{})
+	p := NewPool(plainProtocol{}, NewNotices(logr.Discard(), clockwork.NewRealClock()))
 	defer p.Close()
 	r := s.request("1")
 	r.Limit = 1
@@ -215,7 +218,7 @@
 					io.WriteString(conn, c.answer)
 				}
 			}()
-			p := NewPool(plainProtocol{})
+			p := NewPool(plainProtocol{}, NewNotices(logr.Discard(), clockwork.NewRealClock()))
 			got, err := call(t, p, &Request{Address: l.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, ID: "1"})
 			if got != "abc" || (err == nil) != c.whole {
 				t.Fatalf("%q, %v", got, err)
@@ -246,7 +249,7 @@
 			}
 		}
 	}()
-	p := NewPool(plainProtocol{})
+	p := NewPool(plainProtocol{}, NewNotices(logr.Discard(), clockwork.NewRealClock()))
 	defer p.Close()
 	r := &Request{Address: l.Addr().String(), Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, ID: "1", Body: make([]byte, 16<<20)}
 	for range 2 {
@@ -286,7 +289,7 @@
 // to an upstream that would keep them: none stays open.
 func TestFreshConnectionIsNotKept(t *testing.T) {
 	s := newScript(t, answer("1", "one"))
-	p := NewPool(plainProtocol{})
+	p := NewPool(plainProtocol{}, NewNotices(logr.Discard(), clockwork.NewRealClock()))
 	r := s.request("1")
 	r.Fresh = true
 	for range 3 {
