Upstreams that ask for a pause, or say that they leave, get no calls

What callers saw: calls refused with 503 after 200 ms and again, by upstreams that had asked the same process for seconds without any; calls that an upstream cut which had said in its answers that it leaves. Cause: one for both: nobody read what an answer says of its upstream. A refusal passed it over for 50 ms (60 ms in the queues of the stages), and as a preference only: it got the call where all others were passed over or tried. Change: upstream.Pool.Do, which every send of a process passes, is told by each answer and asks before each send, also after it has waited for a connection. Choices leave such upstreams out, also one that the owner of the stages has named; the owner leaves them out of its calls. Where all upstreams of a service have asked, callers are refused at once, with the least pause that is left; a job whose deadline lies within the pause of all upstreams of a stage is refused when it comes. Nothing is repeated, and no repeat counted, where no upstream is to be had. Why it works: the check stands at the last moment before the bytes leave, and the notice is taken over with the head of the answer; only calls that left before it was read still arrive. Weighed: sharing pauses between processes (an upstream asks one process; others may be below its limit). Two faults in one commit, since one mechanism mends both.

--- a/node/proxy/again_test.go
+++ b/node/proxy/again_test.go
@@ -12,7 +12,7 @@
 // tried by a call that its earlier start has failed, and is told apart once.
 func TestUpstreamThatStartsAgainIsNew(t *testing.T) {
 	now := time.Unix(1000, 0)
-	e := newEndpoints()
+	e := newEndpoints(noNotices())
 	members := func(incarnation uint64) map[string][]wire.Member {
 		return map[string][]wire.Member{"s": {
 			{ID: "u", Service: "s", Direct: "10.0.0.1:80", DataCenter: "d", Incarnation: incarnation},
--- a/node/proxy/cold_test.go
+++ b/node/proxy/cold_test.go
@@ -13,7 +13,7 @@
 // while upstreams are cold: those elsewhere get none of its calls, those here one in the time in
 // which each of the eight may have one. What the owner chose goes there in any case.
 func TestColdUpstreamsThatNobodyChose(t *testing.T) {
-	e := newEndpoints()
+	e := newEndpoints(noNotices())
 	now := time.Unix(1000, 0)
 	here, there := wire.AnnouncedUpstream("i-here", "llm", "10.0.0.1:80", "north", false).Said(1, true), wire.AnnouncedUpstream("i-there", "llm", "10.0.0.2:80", "south", false).Said(1, true)
 	list := []wire.Member{here, there}
--- a/node/proxy/endpoints.go
+++ b/node/proxy/endpoints.go
@@ -27,6 +27,8 @@
 
 // endpoints is what this process knows of upstreams by its own calls.
 type endpoints struct {
+	notices *upstream.Notices // what upstreams say themselves
+
 	mu     sync.Mutex
 	latest map[wire.MemberID]uint64 // incarnations of the members
 	by     map[wire.Start]*endpoint
@@ -41,7 +43,9 @@
 	waiting  time.Time // since when calls are unanswered; zero when none is
 }
 
-func newEndpoints() *endpoints { return &endpoints{by: map[wire.Start]*endpoint{}} }
+func newEndpoints(n *upstream.Notices) *endpoints {
+	return &endpoints{notices: n, by: map[wire.Start]*endpoint{}}
+}
 
 // keep forgets upstreams that are no members. It returns the addresses of those that
 // have started again since the last call.
@@ -117,7 +121,7 @@
 	var bestRank rank
 	for i, m := range list {
 		ep := e.get(m.Start())
-		if ep.moved || slices.Contains(c.tried, m.Start()) || !e.mayWarm(m, c, now) {
+		if ep.moved || slices.Contains(c.tried, m.Start()) || !e.mayWarm(m, c, now) || !e.notices.Wants(m.Start()) {
 			continue
 		}
 		r := e.rank(ep, m, c, now)
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -95,6 +95,7 @@
 	stages    stages
 	secure    *security.Store
 	pool      *upstream.Pool
+	notices   *upstream.Notices
 	endpoints *endpoints
 	table     atomic.Pointer[table]
 	first     *firstView
@@ -125,7 +126,7 @@
 
 func newService(set *settings.Settings, log logr.Logger, protocol upstream.Protocol, notices *upstream.Notices, views views, stages stages) *Service {
 	s := &Service{set: set, log: log, protocol: protocol, sync: views, stages: stages,
-		pool: upstream.NewPool(protocol, notices), endpoints: newEndpoints(), first: newFirstView(clockwork.NewRealClock())}
+		pool: upstream.NewPool(protocol, notices), endpoints: newEndpoints(notices), notices: notices, first: newFirstView(clockwork.NewRealClock())}
 	s.share(clockwork.NewRealClock())
 	s.running = newRunning()
 	s.guard, s.answers, s.reporter = quarantine.NewGuard(), quarantine.NewAnswers(), quarantine.NewReporter(nobodyListens)
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -136,6 +136,10 @@
 	view    configsync.View
 }
 
+func noNotices() *upstream.Notices {
+	return upstream.NewNotices(logr.Discard(), clockwork.NewRealClock())
+}
+
 func newBed(t *testing.T) *bed {
 	config, err := optext.Parse("text", []byte(text))
 	if err != nil {
@@ -144,7 +148,7 @@
 	b := &bed{t: t, views: &fixedViews{}, stages: &fakeStages{}}
 	self := b.views.Self()
 	b.view = configsync.View{Config: config, Version: 7, Announced: map[string][]wire.Member{}, Members: map[wire.MemberID]wire.Member{self.ID: self}}
-	b.service = newService(&settings.Settings{Proxy: settings.ProxyRole{KeyAge: 4 * time.Second, RepeatRatio: 0.2, RepeatFixed: 50, RepeatWindow: 10 * time.Second}}, logr.Discard(), upstream.Native{}, upstream.NewNotices(logr.Discard(), clockwork.NewRealClock()), b.views, b.stages)
+	b.service = newService(&settings.Settings{Proxy: settings.ProxyRole{KeyAge: 4 * time.Second, RepeatRatio: 0.2, RepeatFixed: 50, RepeatWindow: 10 * time.Second}}, logr.Discard(), upstream.Native{}, noNotices(), b.views, b.stages)
 	b.clock = clockwork.NewFakeClock()
 	b.service.share(b.clock)
 	b.front = httptest.NewServer(b.service)
--- a/node/proxy/repeat.go
+++ b/node/proxy/repeat.go
@@ -28,7 +28,10 @@
 // mayRepeat reports whether another upstream may be tried after err, and counts it.
 func (x *exchange) mayRepeat(err *verdict.Error) bool {
 	why := reasonOf(err)
-	if x.sends >= x.route.Attempts || err.Code == verdict.CodeQuarantined || why == afterFailure && x.suspected() {
+	switch {
+	case x.sends >= x.route.Attempts, err.Code == verdict.CodeQuarantined, why == afterFailure && x.suspected():
+		return false
+	case err.Code == verdict.CodeNoEndpoint, x.pause() > 0: // there is none
 		return false
 	}
 	return x.maySend(why)
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -45,7 +45,7 @@
 		list := x.s.table.Load().announced[x.service.Name]
 		m, ok := x.s.endpoints.take(list, c, time.Now())
 		if !ok {
-			return &attempt{err: verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "service %s has no upstream to try", x.service.Name).After(comeBack)}
+			return &attempt{err: x.nobody()}
 		}
 		*tried = append(*tried, m.Start())
 		a := x.sendTo(ctx, m, len(list), lastEvent)
@@ -99,11 +99,24 @@
 	x.s.endpoints.heard(m.Start(), now)
 	a := &attempt{member: m, response: resp}
 	if resp.Answer.NotRun {
-		a.err = verdict.New(verdict.NotRun, verdict.CodeOverloaded, "upstream %s refused the call", m.ID).After(comeBack)
+		a.err = verdict.New(verdict.NotRun, verdict.CodeOverloaded, "upstream %s refused the call", m.ID).After(max(comeBack, x.pause()))
 	}
 	return a
 }
 
+// pause is how long it takes until an upstream of the service wants calls again, where none does.
+func (x *exchange) pause() time.Duration {
+	return x.s.notices.LeastPause(x.s.table.Load().announced[x.service.Name])
+}
+
+// nobody returns why there is no upstream to try.
+func (x *exchange) nobody() *verdict.Error {
+	if pause := x.pause(); pause > 0 {
+		return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "all upstreams of service %s have asked for a pause", x.service.Name).After(pause)
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "service %s has no upstream to try", x.service.Name).After(comeBack)
+}
+
 // connections is this process's part of the connections to one upstream. It is divided by the
 // most processes lately: one that is cut off serves on for some seconds with the connections
 // that it has, while the others no longer see it.
--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -41,6 +41,9 @@
 // keeps from their goal, since their stages alone take longer. Coming back would only
 // make these later.
 func (s *scheduler) refuse(now time.Time, j *job) (comeBack time.Duration, refused bool) {
+	if pause := s.pause(now, j); pause > 0 && now.Add(pause+s.alone(j)).After(j.deadline) {
+		return pause, true
+	}
 	if len(s.jobs) < trustAbove {
 		return 0, false
 	}
@@ -66,6 +69,17 @@
 	return s.sendAway(now, j), true
 }
 
+// pause is how long it takes until all services that the job needs have an upstream that wants calls.
+func (s *scheduler) pause(now time.Time, j *job) time.Duration {
+	var longest time.Duration
+	for _, st := range j.Stages {
+		if st.Pieces > 0 {
+			longest = max(longest, s.services[st.Service].pause(now))
+		}
+	}
+	return longest
+}
+
 // sendAway remembers the caller and returns when it should come back.
 func (s *scheduler) sendAway(now time.Time, j *job) time.Duration {
 	s.sentAway.add(j.Key, now, j.deadline)
--- a/node/stagework/calls.go
+++ b/node/stagework/calls.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/logging"
 	"caperdrum.org/node/upstream"
@@ -37,9 +38,27 @@
 	resp, err := s.pool.Do(ctx, &upstream.Request{Upstream: c.worker.member.Start(), Address: c.worker.member.Direct, Method: http.MethodPost, Target: path,
 		Host: c.worker.member.Direct, Header: header, Body: body, Fresh: true})
 	if err != nil {
-		return outcome{err: err.Error()}
+		return withheld(err)
 	}
 	defer resp.Close()
+	o := s.readPieces(c, resp)
+	o.pause, o.leaving = resp.Answer.Pause, resp.Answer.Leaving
+	return o
+}
+
+// withheld is the outcome of a call that got no answer: as that of a full upstream where it wants none.
+func withheld(err error) outcome {
+	v := verdict.From(err)
+	switch {
+	case v.Verdict == verdict.NotRun && v.Code == verdict.CodeOverloaded:
+		return outcome{full: true, pause: v.RetryAfter, err: err.Error()}
+	case v.Verdict == verdict.NotRun && v.Code == verdict.CodeLeaving:
+		return outcome{full: true, leaving: true, err: err.Error()}
+	}
+	return outcome{err: err.Error()}
+}
+
+func (s *Service) readPieces(c *call, resp *upstream.Response) outcome {
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
 		return outcome{moved: true, err: "another upstream has the address"}
--- a/node/stagework/outcome.go
+++ b/node/stagework/outcome.go
@@ -32,6 +32,8 @@
 	results []upstream.PieceResult // one for each piece; nil when the call failed
 	full    bool                   // it was not run: the upstream is full
 	moved   bool                   // another upstream answered at the address
+	pause   time.Duration          // for which the upstream wants no calls
+	leaving bool                   // it wants none any more
 	err     string
 }
 
@@ -75,6 +77,10 @@
 // judge notes what a call tells of the upstream.
 func (s *scheduler) judge(now time.Time, c *call, o outcome) {
 	w := c.worker
+	w.leaving = w.leaving || o.leaving
+	if until := now.Add(o.pause); o.pause > 0 && until.After(w.paused) {
+		w.paused = until
+	}
 	switch {
 	case o.results != nil:
 		w.failures, w.proven = 0, true
--- a/node/stagework/workers.go
+++ b/node/stagework/workers.go
@@ -23,6 +23,8 @@
 	ratio    float64 // of the duration of its calls to what the text says
 	used     time.Time
 	freeAt   time.Time // when its last call should end
+	paused   time.Time // it wants no calls until then
+	leaving  bool      // it wants none any more
 	gone     bool      // it left the members, or another upstream has its address
 	lost     bool      // it has started again: what it held is gone
 	proven   bool      // its last call ended well
@@ -60,7 +62,7 @@
 
 // takes reports whether the upstream can take a call now.
 func (q *serviceQueue) takes(w *worker, now time.Time) bool {
-	return !w.gone && w.running < max(1, q.spec.Calls) && !now.Before(w.until) && q.room(w) > 0
+	return !w.gone && !w.leaving && !now.Before(w.paused) && w.running < max(1, q.spec.Calls) && !now.Before(w.until) && q.room(w) > 0
 }
 
 // idle counts the upstreams that would begin a piece that came now.
@@ -131,4 +133,20 @@
 	return sum
 }
 
-func (w *worker) healthy() bool { return w.ratio <= slowRatio && w.failures == 0 }
+func (w *worker) healthy() bool { return w.ratio <= slowRatio && w.failures == 0 && !w.leaving }
+
+// pause is how long it takes until an upstream of the service wants calls again, where none does.
+func (q *serviceQueue) pause(now time.Time) time.Duration {
+	least := time.Duration(0)
+	for _, w := range q.workers {
+		pause := w.paused.Sub(now)
+		switch {
+		case w.leaving:
+		case pause <= 0:
+			return 0
+		case least == 0 || pause < least:
+			least = pause
+		}
+	}
+	return least
+}
--- a/node/upstream/call.go
+++ b/node/upstream/call.go
@@ -44,13 +44,22 @@
 }
 
 // Do sends the request once and reads the head of the answer. An error carries
-// the verdict NotRun only if no byte of the request was sent. When ctx ends the
-// connection is closed, which most upstreams take as a cancellation.
+// the verdict NotRun only if no byte of the request was sent, as to an upstream that wants no
+// calls; see Notices. When ctx ends the connection is closed, which most upstreams take as a
+// cancellation.
 func (p *Pool) Do(ctx context.Context, req *Request) (*Response, error) {
+	if err := p.notices.refuse(req.Upstream); err != nil {
+		return nil, err
+	}
 	c, err := p.get(ctx, req.Address, req.Limit, req.Fresh)
 	if err != nil {
 		return nil, err
 	}
+	// The upstream may have spoken while the connection was made.
+	if err := p.notices.refuse(req.Upstream); err != nil {
+		c.Close()
+		return nil, err
+	}
 	detach := context.AfterFunc(ctx, func() { c.Close() })
 	sent := make(chan error, 1)
 	head := encodeHead(req)
@@ -60,9 +69,6 @@
 		go func() { sent <- writeAll(c, head, req.Body) }()
 	}
 	r := &Response{conn: c, sent: sent, fresh: req.Fresh, detach: detach}
-	if pause, leaving := p.notices.Of(req.Upstream); pause > 0 || leaving {
-		sentInPauseVar.Add(1)
-	}
 	if err := r.readHead(p.protocol, req); err != nil {
 		detach()
 		c.Close()
--- a/node/upstream/notices.go
+++ b/node/upstream/notices.go
@@ -8,14 +8,15 @@
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 
+	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 )
 
 // Counters since the start of the process.
 var (
-	pausesVar      = expvar.NewInt("upstream_pauses_asked")        // answers that ask for a pause
-	leavingVar     = expvar.NewInt("upstream_leaving_said")        // starts that said in an answer that they leave
-	sentInPauseVar = expvar.NewInt("upstream_calls_within_pauses") // calls that reached an upstream within a pause, or after it had said that it leaves
+	pausesVar   = expvar.NewInt("upstream_pauses_asked")   // answers that ask for a pause
+	leavingVar  = expvar.NewInt("upstream_leaving_said")   // starts that said in an answer that they leave
+	withheldVar = expvar.NewInt("upstream_calls_withheld") // calls that were not sent, within a pause or after the upstream had said that it leaves
 )
 
 const (
@@ -82,6 +83,43 @@
 	}
 }
 
+// refuse returns why nothing may be sent to the upstream now, or nil.
+func (n *Notices) refuse(start wire.Start) error {
+	pause, leaving := n.Of(start)
+	switch {
+	case leaving:
+		withheldVar.Add(1)
+		return verdict.New(verdict.NotRun, verdict.CodeLeaving, "upstream %s leaves", start.ID)
+	case pause > 0:
+		withheldVar.Add(1)
+		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "upstream %s has asked for a pause", start.ID).After(pause)
+	}
+	return nil
+}
+
+// Wants reports whether the upstream wants calls now.
+func (n *Notices) Wants(start wire.Start) bool {
+	pause, leaving := n.Of(start)
+	return pause == 0 && !leaving
+}
+
+// LeastPause returns how long it takes until one of the upstreams wants calls again; zero where one
+// does now, or where none will.
+func (n *Notices) LeastPause(members []wire.Member) time.Duration {
+	least := time.Duration(0)
+	for _, m := range members {
+		pause, leaving := n.Of(m.Start())
+		switch {
+		case leaving:
+		case pause == 0:
+			return 0
+		case least == 0 || pause < least:
+			least = pause
+		}
+	}
+	return least
+}
+
 // Of returns for how long the upstream still wants no calls, and whether it leaves.
 func (n *Notices) Of(start wire.Start) (pause time.Duration, leaving bool) {
 	n.mu.Lock()
