Ages of confirmations count the time in suspension

Cause: Go's reading of the steady clock stands still while a VM is suspended, so a process that wakes up takes its view, its leases and the leader's stamp for as young as before: a key that was withdrawn meanwhile would be accepted for up to what is left of its bound, and a control process would pass the young age on. Ruled out: a watcher that notices a jump (calls may be served before it runs); the time of day (it steps). Timers and deadlines of calls stay on the steady clock: a suspended VM's callers have left. Change: node/internal/boottime, one clock for a process that goes by CLOCK_BOOTTIME; used by configsync, control (leases, the followers' calls), the replica's stamps, the quota of repeats and the pauses of upstreams.

--- a/node/configsync/clock_test.go
+++ b/node/configsync/clock_test.go
@@ -4,7 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/internal/boottime"
+	"caperdrum.org/node/settings"
 )
 
 // TestStampIsKeptOnTheSteadyClock takes a confirmation with a reading of the
@@ -43,3 +47,12 @@
 		t.Fatalf("epoch %d", got)
 	}
 }
+
+// TestAgeOfAConfirmationCountsSuspension: a process that wakes up must not take a key for one that was
+// confirmed a moment ago.
+func TestAgeOfAConfirmationCountsSuspension(t *testing.T) {
+	s := New(Params{Settings: &settings.Settings{Peers: settings.Peers{Control: []string{"127.0.0.1:1"}}}, Log: logr.Discard()})
+	if _, counts := s.clock.(*boottime.Clock); !counts {
+		t.Fatalf("confirmations age by a %T", s.clock)
+	}
+}
--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -22,6 +22,7 @@
 
 	"caperdrum.org/api/timeline"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/internal/boottime"
 	"caperdrum.org/node/logging"
 	"caperdrum.org/node/peer"
 	"caperdrum.org/node/settings"
@@ -106,7 +107,7 @@
 	if p.Directory == nil {
 		p.Directory = peer.NewDirectory(p.Settings.Peers.Control)
 	}
-	s := &Service{held: NewHolder(m), log: p.Log, ring: p.Ring, clock: clockwork.NewRealClock(), poke: make(chan struct{}, 1), doubts: make(chan string, 1), done: make(chan struct{}),
+	s := &Service{held: NewHolder(m), log: p.Log, ring: p.Ring, clock: boottime.System(), poke: make(chan struct{}, 1), doubts: make(chan string, 1), done: make(chan struct{}),
 		control: peer.NewDirectoryControl(p.Directory, p.Dial), dial: p.Dial, directory: p.Directory, unanswered: map[string]time.Time{}}
 	s.follow()
 	s.current = spread(m.ID, len(s.sources))
--- a/node/control/service.go
+++ b/node/control/service.go
@@ -17,6 +17,7 @@
 	"caperdrum.org/node/consensus"
 	"caperdrum.org/node/disk"
 	"caperdrum.org/node/formation"
+	"caperdrum.org/node/internal/boottime"
 	"caperdrum.org/node/kernel"
 	"caperdrum.org/node/peer"
 	"caperdrum.org/node/replica"
@@ -91,7 +92,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	s.cluster, s.clock = s.replica, clockwork.NewRealClock()
+	s.cluster, s.clock = s.replica, boottime.System()
 	s.listen = func(address string) (net.Listener, error) { return s.secure.Listen(address, security.Peers) }
 	s.directory = p.Directory
 	if s.directory == nil {
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -12,7 +12,6 @@
 	"syscall"
 
 	"github.com/go-logr/logr"
-	"github.com/jonboulle/clockwork"
 
 	"caperdrum.org/api/timeline"
 	"caperdrum.org/node/admin"
@@ -26,6 +25,7 @@
 	"caperdrum.org/node/dispatch"
 	"caperdrum.org/node/gate"
 	"caperdrum.org/node/gateway"
+	"caperdrum.org/node/internal/boottime"
 	"caperdrum.org/node/kernel"
 	"caperdrum.org/node/ledger"
 	"caperdrum.org/node/logging"
@@ -106,7 +106,7 @@
 		o.Protocol = upstream.Native{}
 	}
 	k.Supply(func() upstream.Protocol { return o.Protocol })
-	k.Supply(func() *upstream.Notices { return upstream.NewNotices(log, clockwork.NewRealClock()) })
+	k.Supply(func() *upstream.Notices { return upstream.NewNotices(log, boottime.System()) })
 	if err := k.Add(append(modulesOf(set), o.Extra...)...); err != nil {
 		log.Error(err, "modules")
 		return ExitFailure
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -22,6 +22,7 @@
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/configsync"
 	"caperdrum.org/node/controlclient"
+	"caperdrum.org/node/internal/boottime"
 	"caperdrum.org/node/logging"
 	"caperdrum.org/node/quarantine"
 	"caperdrum.org/node/retry"
@@ -127,10 +128,10 @@
 func newService(set *settings.Settings, log logr.Logger, protocol upstream.Protocol, notices *upstream.Notices, views views, stages stages) *Service {
 	s := &Service{set: set, log: log, protocol: protocol, sync: views, stages: stages,
 		pool: upstream.NewPool(protocol, notices), endpoints: newEndpoints(notices), notices: notices, first: newFirstView(clockwork.NewRealClock())}
-	s.share(clockwork.NewRealClock())
+	s.share(boottime.System())
 	s.running = newRunning()
 	s.guard, s.answers, s.reporter = quarantine.NewGuard(), quarantine.NewAnswers(), quarantine.NewReporter(nobodyListens)
-	s.inquiries = quarantine.NewInquiries(s.pool.Listens, s.endedUnder, clockwork.NewRealClock())
+	s.inquiries = quarantine.NewInquiries(s.pool.Listens, s.endedUnder, boottime.System())
 	s.ending, s.end = context.WithCancel(context.Background())
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 	s.ready = &http.Server{Handler: http.HandlerFunc(s.answerReady), ReadHeaderTimeout: headerTimeout}
--- a/node/proxy/quarantine.go
+++ b/node/proxy/quarantine.go
@@ -51,6 +51,9 @@
 
 // barred returns why the call must not reach an upstream, or nil.
 func (x *exchange) barred() *verdict.Error {
+	if x.s.guard.Quiet() {
+		return nil
+	}
 	standing, f := x.s.guard.Check(x.copied(), x.s.stale())
 	if standing != quarantine.Barred {
 		return nil
--- a/node/quarantine/guard.go
+++ b/node/quarantine/guard.go
@@ -90,6 +90,11 @@
 	g.own.Store(newIndex(g.ledger.certain()))
 }
 
+// Quiet reports whether nobody is suspected, as on most days.
+func (g *Guard) Quiet() bool {
+	return len(g.known.Load().shapes) == 0 && len(g.own.Load().shapes) == 0
+}
+
 // Check returns what is known of the call, and its fingerprint where it is listed. With withOwn, what
 // this process has seen counts besides what a quorum holds.
 func (g *Guard) Check(c Call, withOwn bool) (Standing, wire.Fingerprint) {
--- a/node/replica/loop.go
+++ b/node/replica/loop.go
@@ -98,7 +98,7 @@
 	if r.node.Status().Role != consensus.Leader {
 		return
 	}
-	at := r.opts.Clock.Now()
+	at := r.opts.StampClock.Now()
 	rd := &reader{answer: make(chan error, 1)}
 	r.nextID++
 	if r.node.ReadIndex(r.nextID) != nil {
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -18,6 +18,7 @@
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/consensus"
 	"caperdrum.org/node/disk"
+	"caperdrum.org/node/internal/boottime"
 	"caperdrum.org/node/state"
 	"caperdrum.org/node/wal"
 )
@@ -50,6 +51,9 @@
 	Log       logr.Logger
 	Seed      uint64
 	Clock     clockwork.Clock // nil is the system's
+	// StampClock is by which confirmations age; nil is Clock where there is one, else the system's
+	// with the time in suspension.
+	StampClock clockwork.Clock
 }
 
 // Replica is this process's copy of the replicated state.
@@ -120,6 +124,12 @@
 
 // Open reads the data folder. Run must be called to make progress.
 func Open(opts Options) (*Replica, error) {
+	if opts.StampClock == nil {
+		opts.StampClock = opts.Clock
+	}
+	if opts.StampClock == nil {
+		opts.StampClock = boottime.System()
+	}
 	if opts.Clock == nil {
 		opts.Clock = clockwork.NewRealClock()
 	}
@@ -136,7 +146,7 @@
 		done:    make(chan struct{}), captured: make(chan captured, 1),
 		compactBytes: compactBytes,
 		waiting:      map[uint64]*proposal{}, readers: map[uint64]*reader{},
-		start: opts.Clock.Now(),
+		start: opts.StampClock.Now(),
 	}
 	if stored.Snapshot != nil {
 		if err := r.machine.Restore(stored.Snapshot.Data); err != nil {
@@ -144,7 +154,7 @@
 		}
 	}
 	r.node = r.newNode(stored.HardState, stored.Snapshot, stored.Entries)
-	r.beliefs.since = r.start
+	r.beliefs.since = opts.Clock.Now()
 	opened := r.node.Status()
 	opts.Log.Info("log read", "replica", r.self.ID, "term", opened.Term, "vote", stored.HardState.Vote, "first", opened.First, "last", opened.Last, "committed", opened.Committed,
 		"snapshot", opened.SnapshotIndex, "version", r.machine.View().Config.Version, "voters", names(opened.Membership.Voters))
@@ -194,7 +204,7 @@
 	if s < 0 {
 		return -1
 	}
-	return r.opts.Clock.Since(r.start) - time.Duration(s)
+	return r.opts.StampClock.Since(r.start) - time.Duration(s)
 }
 
 // SetStamp records that the view is known to be current as of the given time.
