Operators list and lift what is in quarantine

Cause: what is barred could be seen in logs only, and nobody could let a call back. Ruled out: lifting by customer or route: a bar is one call's. Change: GET /v1/quarantine, DELETE /v1/quarantine/FINGERPRINT, caperdrum quarantine list|lift.

--- a/ctl/adminclient/adminclient.go
+++ b/ctl/adminclient/adminclient.go
@@ -285,6 +285,19 @@
 	return out, err
 }
 
+// Quarantine returns the calls under which upstreams ended, as the ledger holds them.
+func (c *Client) Quarantine(ctx context.Context) ([]wire.QuarantineEntry, error) {
+	var out []wire.QuarantineEntry
+	err := c.leader(ctx, http.MethodGet, "/v1/quarantine", nil, &out)
+	return out, err
+}
+
+// LiftBar ends the quarantine of a call.
+func (c *Client) LiftBar(ctx context.Context, f wire.Fingerprint) error {
+	var out struct{}
+	return c.leader(ctx, http.MethodDelete, "/v1/quarantine/"+url.PathEscape(string(f)), nil, &out)
+}
+
 // PutTeam adds a team or replaces its rights.
 func (c *Client) PutTeam(ctx context.Context, t wire.TeamInfo) error {
 	var out struct{}
--- /dev/null
+++ b/ctl/commands/quarantine.go
@@ -0,0 +1,64 @@
+package commands
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/ctl/adminclient"
+)
+
+// Quarantine shows the calls that end upstreams, and lets one back.
+type Quarantine struct{ adminFlags }
+
+func (*Quarantine) Name() string     { return "quarantine" }
+func (*Quarantine) Synopsis() string { return "calls that are kept from upstreams since they end them" }
+func (*Quarantine) Usage() string {
+	return "quarantine [-admin ADDRESSES] list | lift FINGERPRINT\n  A refused call names its fingerprint. Lifting forgets what the call was accused of.\n"
+}
+
+// Execute implements subcommands.Command.
+func (q *Quarantine) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	verb, name := f.Arg(0), f.Arg(1)
+	switch {
+	case verb == "list" && f.NArg() == 1:
+		return q.withClient(ctx, printQuarantine)
+	case verb == "lift" && f.NArg() == 2 && name != "":
+		return q.withClient(ctx, func(ctx context.Context, cl *adminclient.Client) error {
+			err := cl.LiftBar(ctx, wire.Fingerprint(name))
+			if err == nil {
+				fmt.Println(name + ": lifted")
+			}
+			return err
+		})
+	}
+	return usage(fmt.Errorf("name list, or lift and the fingerprint"))
+}
+
+func printQuarantine(ctx context.Context, cl *adminclient.Client) error {
+	list, err := cl.Quarantine(ctx)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "FINGERPRINT\tSTATE\tSINCE\tCUSTOMER\tROUTE\tBYTES\tUPSTREAMS")
+	for _, e := range list {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n", e.Call.Fingerprint, e.State, time.UnixMilli(e.Since).Format(time.RFC3339), e.Call.Customer, e.Call.Route, e.Call.Bytes, startNames(e.Upstreams))
+	}
+	return w.Flush()
+}
+
+func startNames(starts []wire.Start) string {
+	var ids []string
+	for _, s := range starts {
+		ids = append(ids, string(s.ID))
+	}
+	return strings.Join(ids, " ")
+}
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -71,6 +71,7 @@
 	r.Get("/v1/config/history", s.history)
 	r.Get("/v1/teams", s.listTeams)
 	r.Get("/v1/evacuations", s.listEvacuations)
+	r.Get("/v1/quarantine", s.listQuarantine)
 	r.Post("/v1/config/validate", s.validate)
 	r.Post("/v1/config/diff", s.diff)
 	r.Group(func(r chi.Router) {
@@ -78,6 +79,7 @@
 		r.Post("/v1/config", s.apply)
 		r.Put("/v1/evacuations/{data_center}", s.startEvacuation)
 		r.Delete("/v1/evacuations/{data_center}", s.endEvacuation)
+		r.Delete("/v1/quarantine/{fingerprint}", s.liftBar)
 	})
 	r.Group(func(r chi.Router) {
 		r.Use(require(wire.RoleAdministrator))
--- a/node/admin/admin_test.go
+++ b/node/admin/admin_test.go
@@ -39,6 +39,7 @@
 // api is one control process with its administration handler.
 type api struct {
 	handler http.Handler
+	control *control.Service
 	logs    *gbytes.Buffer
 	flush   func() // writes what waits; nothing is written after it
 	ring    *timeline.Ring
@@ -55,6 +56,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	Expect(svc.Start(context.Background())).To(Succeed())
 	DeferCleanup(func() { svc.Stop(context.Background()) })
+	a.control = svc
 	a.handler = admin.New(admin.Params{Settings: set, Ring: a.ring, Control: svc}).Handler()
 	return a
 }
