Control: the test of resends waits until the resend has joined

Cause: the test let the change end while its resend was still on its way to join it; the resend then began a change of its own (which has no effect in the product: its version is in force) and the test's hook closed a channel twice: a panic. Change: the test runs in a synctest bubble and goes on once the resend waits. What it checks is the same. Conclusion: a fault of the test, mended.

--- a/node/control/puts_test.go
+++ b/node/control/puts_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
@@ -106,6 +107,10 @@
 // TestResendJoinsTheChangeUnderWay sends a change again while it is under way, and
 // once more after its first sender has left: it is proposed once, and all who wait are told.
 func TestResendJoinsTheChangeUnderWay(t *testing.T) {
+	synctest.Test(t, resendJoins)
+}
+
+func resendJoins(t *testing.T) {
 	s, p := newProposed(t)
 	proposing, goOn := make(chan struct{}), make(chan struct{})
 	p.before = func() { close(proposing); <-goOn }
@@ -127,6 +132,7 @@
 		t.Fatal("a resend begins the change anew")
 	}
 	go put(context.Background(), again)
+	synctest.Wait() // it waits for the change, or would begin another one after it
 	close(goOn)
 	if err := <-again; err != nil {
 		t.Fatal(err)
