--- a/node/proxy/quarantine_test.go
+++ b/node/proxy/quarantine_test.go
@@ -130,7 +130,9 @@
 			t.Fatalf("told to come back after %q: %s", after, body)
 		}
 	}
-	b.stages.before = func() { b.bar(call.Sketch("quote"), 1, true) }
+	sketch := call.Sketch("quote")
+	barred := wire.Suspects{Revision: 1, List: []wire.Suspect{{Fingerprint: sketch.Fingerprint, Shape: sketch.Shape, Barred: true}}}
+	b.stages.before = func() { b.service.guard.Follow(barred) }
 	expect("/quote/1", http.StatusServiceUnavailable)
 	made := len(b.stages.jobs)
 	expect("/quote/1", http.StatusServiceUnavailable)
--- a/node/quarantine/ledger_test.go
+++ b/node/quarantine/ledger_test.go
@@ -57,6 +57,8 @@
 		"then one ends another":           {[]wire.CrashReport{report(crashOf(1, "f", "g"), crashOf(2, "f", "g"), crashOf(3, "f", "g")), report(crashOf(4, "f"))}, []wire.Fingerprint{"f"}},
 		"two that always come together":   {[]wire.CrashReport{report(crashOf(1, "f", "g"), crashOf(2, "f", "g"), crashOf(3, "f", "g"), crashOf(4, "f", "g"), crashOf(5, "f", "g"))}, []wire.Fingerprint{"f", "g"}},
 		"a late report covers a bar":      {[]wire.CrashReport{report(crashOf(1, "g"), crashOf(2, "g"), crashOf(3, "g")), report(crashOf(1, "f"), crashOf(2, "f"), crashOf(3, "f"))}, nil},
+		"one that was beside it, and on another end": {[]wire.CrashReport{report(crashOf(1, "f", "h"), crashOf(2, "f", "h"), crashOf(3, "f")), report(crashOf(9, "h"))},
+			[]wire.Fingerprint{"f"}},
 		"one that was beside it, reported first": {[]wire.CrashReport{report(crashOf(1, "g")), report(crashOf(2, "g")), report(crashOf(3, "g")),
 			report(crashOf(1, "f"), crashOf(2, "f"), crashOf(3, "f"), crashOf(4, "f"))}, []wire.Fingerprint{"f"}},
 		"two that end upstreams, on some together": {[]wire.CrashReport{report(crashOf(1, "f"), crashOf(2, "f"), crashOf(3, "f", "g")),
