Quarantine: fewest ends go first; hopeless calls have no stages made; a 421 speaks for another upstream

Cause: read in the diff. (1) A wave of ends on a large site may accuse more calls than the ledger holds: the record to go was chosen by its customer before its ends, so a suspect with two could go before calls with one. (2) Where all upstreams of a service have asked for a pause beyond a call's deadline, its stages were made first. (3) A 421 comes from another upstream than the one that was called: its pause or farewell was noted for the wrong one. (4) Each command walked over all records to see what expires. Change: of calls that are not barred the fewest ends go first, of barred ones those of the customer with most; a check before the stages; 421 is not heard; the replicas know when the next record expires.

--- a/node/proxy/pause_test.go
+++ b/node/proxy/pause_test.go
@@ -66,6 +66,9 @@
 	if paused.Load() != 1 || served.Load() != 12 {
 		t.Fatalf("got %d and %d calls", paused.Load(), served.Load()-10)
 	}
+	if jobs := len(b.stages.jobs); jobs != 11 {
+		t.Fatalf("the stages of %d calls were made, of 11 that could be served or were not known to be hopeless", jobs)
+	}
 }
 
 // TestUpstreamThatSpokeMeanwhile asks for a pause while a call is on its way to it.
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -245,7 +245,7 @@
 		x.refuse(err)
 		return
 	}
-	if err := x.barred(); err != nil {
+	if err := x.hopeless(); err != nil {
 		x.refuse(err)
 		return
 	}
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -109,6 +109,17 @@
 	return x.s.notices.LeastPause(x.s.table.Load().announced[x.service.Name])
 }
 
+// hopeless returns why there is no use in having the stages of the call done, or nil.
+func (x *exchange) hopeless() *verdict.Error {
+	if err := x.barred(); err != nil {
+		return err
+	}
+	if pause := x.pause(); pause > 0 && pause >= time.Until(x.deadline) {
+		return x.nobody()
+	}
+	return nil
+}
+
 // nobody returns why there is no upstream to try.
 func (x *exchange) nobody() *verdict.Error {
 	if pause := x.pause(); pause > 0 {
--- a/node/quarantine/ledger.go
+++ b/node/quarantine/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -80,6 +81,15 @@
 	return true
 }
 
+// Due returns when Expire has something to do, in milliseconds since the Unix epoch.
+func (l *Ledger) Due() int64 {
+	due := int64(math.MaxInt64)
+	for _, r := range l.Records {
+		due = min(due, r.At+keepTime.Milliseconds()+1)
+	}
+	return due
+}
+
 // Expire forgets calls under which no upstream has ended lately. One that was barred stays a suspect.
 func (l *Ledger) Expire(now int64) {
 	var old []Record
@@ -245,25 +255,21 @@
 	for _, r := range l.Records {
 		of[r.Call.Customer]++
 	}
-	weight := func(r Record) [4]int64 {
-		barred := int64(0)
-		if r.Barred {
-			barred = 1
+	records := slices.Collect(maps.Values(l.Records))
+	least := slices.MinFunc(records, func(a, b Record) int {
+		byCustomer := cmp.Compare(of[b.Call.Customer], of[a.Call.Customer])
+		byAge := cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Call.Fingerprint, b.Call.Fingerprint))
+		switch {
+		case a.Barred && b.Barred:
+			return cmp.Or(byCustomer, byAge)
+		case a.Barred:
+			return 1
+		case b.Barred:
+			return -1
 		}
-		return [4]int64{barred, int64(-of[r.Call.Customer]), int64(len(r.Starts)), r.At}
-	}
-	var least wire.Fingerprint
-	for f, r := range l.Records {
-		if least == "" {
-			least = f
-			continue
-		}
-		a, b := weight(r), weight(l.Records[least])
-		if c := slices.Compare(a[:], b[:]); c < 0 || c == 0 && f < least {
-			least = f
-		}
-	}
-	delete(l.Records, least)
+		return cmp.Or(cmp.Compare(len(a.Starts), len(b.Starts)), byCustomer, byAge)
+	})
+	delete(l.Records, least.Call.Fingerprint)
 }
 
 // known returns what processes are told.
--- a/node/quarantine/ledger_test.go
+++ b/node/quarantine/ledger_test.go
@@ -229,3 +229,19 @@
 	g.Seen(&wire.CrashReport{Answered: []wire.CallSketch{sketch}}, time.Unix(1001, 0))
 	expect(call, true, Unsuspected)
 }
+
+// TestWaveOfEnds has more calls on upstreams that end than the ledger holds. A suspect of a customer with many of
+// them stays; of the others the oldest go.
+func TestWaveOfEnds(t *testing.T) {
+	var l Ledger
+	l.Take(&wire.CrashReport{Crashes: []wire.Crash{crashOf(-1, "f"), crashOf(-2, "f")}}, 0)
+	var wave wire.CrashReport
+	for i := range 2 * maxRecords {
+		wave.Crashes = append(wave.Crashes, crashOf(i, wire.Fingerprint(fmt.Sprint("g", i))))
+	}
+	l.Take(&wave, 1)
+	l.Take(&wire.CrashReport{Crashes: []wire.Crash{crashOf(-3, "f")}}, 2)
+	if len(l.Records) > maxRecords || states(&l)["f"] != wire.QuarantineBarred {
+		t.Fatalf("%d records, f is %q", len(l.Records), states(&l)["f"])
+	}
+}
--- a/node/state/quarantine.go
+++ b/node/state/quarantine.go
@@ -4,8 +4,10 @@
 
 // quarantine carries out what a command says of calls that end upstreams.
 func (m *Machine) quarantine(c *Command, r *Result) {
-	revision := m.s.Quarantine.Revision
-	m.s.Quarantine.Expire(m.s.Now)
+	expires := m.s.Now >= m.expireAt
+	if expires {
+		m.s.Quarantine.Expire(m.s.Now)
+	}
 	if c.Crashes != nil {
 		change := m.s.Quarantine.Take(c.Crashes, m.s.Now)
 		r.Quarantine = &change
@@ -16,11 +18,11 @@
 			r.Quarantine.Lifted = []wire.Fingerprint{c.Lift}
 		}
 	}
-	if r.Quarantine != nil || revision != m.s.Quarantine.Revision {
+	if expires || r.Quarantine != nil {
 		m.showQuarantine()
 	}
 }
 
 func (m *Machine) showQuarantine() {
-	m.suspects, m.quarantined = m.s.Quarantine.Suspects(), m.s.Quarantine.Entries()
+	m.suspects, m.quarantined, m.expireAt = m.s.Quarantine.Suspects(), m.s.Quarantine.Entries(), m.s.Quarantine.Due()
 }
--- a/node/state/quarantine_test.go
+++ b/node/state/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"testing"
+	"time"
 
 	"caperdrum.org/api/wire"
 )
@@ -58,6 +59,9 @@
 	if s := a.View().Suspects; s.Revision != held.Revision+1 || s.Barred() != 1 {
 		t.Fatalf("after three: %+v, before %+v", s, held)
 	}
+	if apply(b, Command{Now: 30 + 25*time.Hour.Milliseconds()}); len(b.View().Suspects.List) != 1 || b.View().Suspects.Barred() != 0 {
+		t.Fatalf("a day later: %+v", b.View().Suspects)
+	}
 	if r := apply(a, Command{Now: 30, Lift: "x"}); len(r.Quarantine.Lifted) != 0 || a.View().Suspects.Barred() != 1 {
 		t.Fatalf("an unknown one is lifted: %+v", r.Quarantine)
 	}
--- a/node/state/state.go
+++ b/node/state/state.go
@@ -125,6 +125,7 @@
 	historyView []wire.ChangeInfo // of the current changes
 	suspects    wire.Suspects     // of the current quarantine
 	quarantined []wire.QuarantineEntry
+	expireAt    int64 // when a call's quarantine ends; milliseconds since the Unix epoch
 	view        *View
 	parts       viewParts
 }
--- a/node/upstream/call.go
+++ b/node/upstream/call.go
@@ -77,7 +77,9 @@
 		}
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUpstream, "%s: %v", req.Address, err)
 	}
-	p.notices.Heard(req.Upstream, r.Answer)
+	if r.Status != http.StatusMisdirectedRequest { // that is another upstream's
+		p.notices.Heard(req.Upstream, r.Answer)
+	}
 	return r, nil
 }
 
