--- a/node/admin/evacuations.go
+++ b/node/admin/evacuations.go
@@ -32,12 +32,17 @@
 	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
 	defer cancel()
 	result, err := s.p.Control.Evacuate(ctx, order)
+	s.answer(w, result, err, "see the data centres in GET /v1/members")
+}
+
+// answer writes the result of an order, or why it had none. remedy is where to see what orders may name.
+func (s *Service) answer(w http.ResponseWriter, result any, err error, remedy string) {
 	var v *verdict.Error
 	switch {
 	case err == nil:
 		writeJSON(w, http.StatusOK, result)
 	case errors.As(err, &v) && v.Code == verdict.CodeUnknown:
-		writeJSON(w, http.StatusNotFound, Error{Message: v.Message, Remedy: "see the data centres in GET /v1/members"})
+		writeJSON(w, http.StatusNotFound, Error{Message: v.Message, Remedy: remedy})
 	default:
 		s.fail(w, err)
 	}
--- a/node/admin/quarantine.go
+++ b/node/admin/quarantine.go
@@ -5,9 +5,7 @@
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
-	"github.com/juju/errors"
 
-	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 )
 
@@ -25,13 +23,5 @@
 	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
 	defer cancel()
 	err := s.p.Control.LiftBar(ctx, wire.Fingerprint(chi.URLParam(r, "fingerprint")))
-	var v *verdict.Error
-	switch {
-	case err == nil:
-		writeJSON(w, http.StatusOK, struct{}{})
-	case errors.As(err, &v) && v.Code == verdict.CodeUnknown:
-		writeJSON(w, http.StatusNotFound, Error{Message: v.Message, Remedy: "see the fingerprints in GET /v1/quarantine"})
-	default:
-		s.fail(w, err)
-	}
+	s.answer(w, struct{}{}, err, "see the fingerprints in GET /v1/quarantine")
 }
--- a/node/state/quarantine_test.go
+++ b/node/state/quarantine_test.go
@@ -20,22 +20,10 @@
 // snapshot. A replica that lacks the last commands goes on from there alike.
 func TestQuarantineIsReplicated(t *testing.T) {
 	a, b := New(), New()
-	apply := func(m *Machine, c Command) Result {
-		t.Helper()
-		data, err := c.Encode()
-		if err != nil {
-			t.Fatal(err)
-		}
-		r, err := m.Apply(data)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return r
-	}
 	first := Command{Now: 10, Crashes: &wire.CrashReport{Crashes: []wire.Crash{crash("i-1", "f", "g"), crash("i-2", "f")}}}
 	second := Command{Now: 20, Crashes: &wire.CrashReport{Crashes: []wire.Crash{crash("i-3", "f"), crash("i-1", "h")}}}
-	apply(a, first)
-	apply(a, first)
+	apply(t, a, first)
+	apply(t, a, first)
 	if s := a.View().Suspects; len(s.List) != 1 || s.List[0].Barred || s.List[0].Shape != 1<<63 {
 		t.Fatalf("after two ends: %+v", s)
 	}
@@ -48,10 +36,10 @@
 	}
 	held := a.View().Suspects
 	for _, m := range []*Machine{a, b} {
-		if r := apply(m, second); len(r.Quarantine.Barred) != 1 || r.Quarantine.Barred[0].Call.Fingerprint != "f" {
+		if r := apply(t, m, second); len(r.Quarantine.Barred) != 1 || r.Quarantine.Barred[0].Call.Fingerprint != "f" {
 			t.Fatalf("the third end: %+v", r.Quarantine)
 		}
-		apply(m, second)
+		apply(t, m, second)
 	}
 	if held.List[0].Barred || !reflect.DeepEqual(a.View().Suspects, b.View().Suspects) || !reflect.DeepEqual(a.View().Quarantine, b.View().Quarantine) {
 		t.Fatalf("%+v and %+v", a.View().Quarantine, b.View().Quarantine)
@@ -59,13 +47,13 @@
 	if s := a.View().Suspects; s.Revision != held.Revision+1 || s.Barred() != 1 {
 		t.Fatalf("after three: %+v, before %+v", s, held)
 	}
-	if apply(b, Command{Now: 30 + 25*time.Hour.Milliseconds()}); len(b.View().Suspects.List) != 1 || b.View().Suspects.Barred() != 0 {
+	if apply(t, b, Command{Now: 30 + 25*time.Hour.Milliseconds()}); len(b.View().Suspects.List) != 1 || b.View().Suspects.Barred() != 0 {
 		t.Fatalf("a day later: %+v", b.View().Suspects)
 	}
-	if r := apply(a, Command{Now: 30, Lift: "x"}); len(r.Quarantine.Lifted) != 0 || a.View().Suspects.Barred() != 1 {
+	if r := apply(t, a, Command{Now: 30, Lift: "x"}); len(r.Quarantine.Lifted) != 0 || a.View().Suspects.Barred() != 1 {
 		t.Fatalf("an unknown one is lifted: %+v", r.Quarantine)
 	}
-	if r := apply(a, Command{Now: 30, Lift: "f"}); len(r.Quarantine.Lifted) != 1 || len(a.View().Suspects.List) != 0 {
+	if r := apply(t, a, Command{Now: 30, Lift: "f"}); len(r.Quarantine.Lifted) != 1 || len(a.View().Suspects.List) != 0 {
 		t.Fatalf("lifted: %+v", r.Quarantine)
 	}
 }
