Suspects reach one upstream a time; an answer counts for the ends before it

Cause: read in the diff. (1) One copy of a suspect could arrive at up to four upstreams: three whose address was another's by then, and one more; each arrival counts, and a late bar leaves room for three. (2) A call that was answered once could never be barred: a later version of an upstream may end under a call that earlier ones have served. Evidence: TestSuspectThatMeetsAnotherUpstream failed before (3 arrived); 'answered, and five ends after it' of TestWhoIsBarred. Ruled out: refusing suspects (innocent calls are among them). Change: nothing is sent once more for a suspect, whatever the reason; after an answer it takes five ends; what a process remembers as answered counts for one end.

--- a/node/proxy/quarantine.go
+++ b/node/proxy/quarantine.go
@@ -37,7 +37,7 @@
 	sketch := b.Call.Sketch(b.Route)
 	s.log.Info("upstream ended under a call", "request", b.Request, "route", b.Route, "customer", b.Call.Customer, "fingerprint", sketch.Fingerprint,
 		"upstream", b.Upstream.ID, "address", b.Upstream.Direct, "service", b.Upstream.Service)
-	if s.answers.Has(b.Call) {
+	if s.answers.Take(b.Call) {
 		s.report(&wire.CrashReport{Answered: []wire.CallSketch{sketch}})
 		return
 	}
@@ -62,8 +62,8 @@
 	return verdict.New(verdict.NotRun, verdict.CodeQuarantined, "several upstreams have ended while they ran this call; it is in quarantine as %s", f).After(comeBackBarred)
 }
 
-// suspected reports whether several upstreams have ended under the call. Nothing is tried again on
-// the system's own account then: each try may end another one.
+// suspected reports whether several upstreams have ended under the call. It then reaches one at most
+// each time that its caller sends it: each may be another one that ends.
 func (x *exchange) suspected() bool {
 	standing, _ := x.s.guard.Check(x.copied(), true)
 	return standing != quarantine.Unsuspected
--- a/node/proxy/quarantine_test.go
+++ b/node/proxy/quarantine_test.go
@@ -164,6 +164,30 @@
 	}
 }
 
+// TestSuspectThatMeetsAnotherUpstream has the address of an upstream be another's: a suspect is refused as not run, others go on.
+func TestSuspectThatMeetsAnotherUpstream(t *testing.T) {
+	for _, suspect := range []bool{false, true} {
+		b := newBed(t)
+		var arrived atomic.Int32
+		for _, id := range []string{"i-1", "i-2", "i-3"} {
+			b.upstream("desk", id, func(w http.ResponseWriter, _ *http.Request) {
+				arrived.Add(1)
+				w.WriteHeader(http.StatusMisdirectedRequest)
+			})
+		}
+		if suspect {
+			call := quarantine.Call{Customer: "foundry", Method: http.MethodPost, Host: "desk.example", Target: "/reserve/1", Body: []byte("body")}
+			b.bar(call.Sketch("reserve"), 1, false)
+		}
+		if resp, body, err := b.send(http.MethodPost, "/reserve/1", nil); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+			t.Fatal(resp, body, err)
+		}
+		if want := map[bool]int32{false: 3, true: 1}[suspect]; arrived.Load() != want {
+			t.Errorf("suspect %v: %d arrived, want %d", suspect, arrived.Load(), want)
+		}
+	}
+}
+
 // TestSuspectIsNotRepeated ends an upstream under a call that may be repeated: it is, unless it is a suspect.
 func TestSuspectIsNotRepeated(t *testing.T) {
 	for _, suspect := range []bool{false, true} {
--- a/node/proxy/repeat.go
+++ b/node/proxy/repeat.go
@@ -27,20 +27,19 @@
 
 // mayRepeat reports whether another upstream may be tried after err, and counts it.
 func (x *exchange) mayRepeat(err *verdict.Error) bool {
-	why := reasonOf(err)
 	switch {
-	case x.sends >= x.route.Attempts, err.Code == verdict.CodeQuarantined, why == afterFailure && x.suspected():
+	case x.sends >= x.route.Attempts, err.Code == verdict.CodeQuarantined:
 		return false
 	case err.Code == verdict.CodeNoEndpoint, x.pause() > 0: // there is none
 		return false
 	}
-	return x.maySend(why)
+	return x.maySend(reasonOf(err))
 }
 
 // maySend reports whether the call may reach an upstream once more. Nothing is sent beyond a
 // call's first time without asking: upstreams count each arrival, also those that they reject.
 func (x *exchange) maySend(why reason) bool {
-	if time.Until(x.deadline) < minLeft {
+	if time.Until(x.deadline) < minLeft || x.suspected() {
 		return false
 	}
 	d := x.s.repeats.Take(x.service.Name)
--- a/node/quarantine/answers.go
+++ b/node/quarantine/answers.go
@@ -37,12 +37,14 @@
 	a.oldest = (a.oldest + 1) % answersKept
 }
 
-// Has reports whether a copy of the call was answered.
-func (a *Answers) Has(c Call) bool {
+// Take reports whether a copy of the call was answered since it was asked last.
+func (a *Answers) Take(c Call) bool {
 	h := a.hash(c)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.known[h]
+	had := a.known[h]
+	delete(a.known, h)
+	return had
 }
 
 // hash is another one in each process, so that nobody can find a call which passes for an
--- a/node/quarantine/ledger.go
+++ b/node/quarantine/ledger.go
@@ -13,7 +13,8 @@
 const (
 	// barAfter is how many upstreams end under a call until it is barred.
 	barAfter = 3
-	// barDespite is the same where other barred calls were on these upstreams too.
+	// barDespite is the same where other barred calls were on these upstreams too, or the call
+	// was answered before.
 	barDespite = 5
 	// tellFrom is how many ends make a call known to all processes: they report when it is answered.
 	tellFrom = 2
@@ -30,13 +31,14 @@
 	Call    wire.CallSketch `cbor:"1,keyasint"`
 	Starts  []wire.Start    `cbor:"2,keyasint"` // of upstreams that ended under it, the latest last
 	Barred  bool            `cbor:"3,keyasint,omitempty"`
-	Cleared bool            `cbor:"4,keyasint,omitempty"` // it was answered: it does not end upstreams
+	Cleared bool            `cbor:"4,keyasint,omitempty"` // it was answered once; Starts are those since the last time
 	Since   int64           `cbor:"5,keyasint"`           // Barred or Cleared changed; milliseconds since the Unix epoch
 	At      int64           `cbor:"6,keyasint"`           // last accused
 }
 
 // Ledger weighs which calls end upstreams. An end accuses all calls that the upstream had. The
-// call that causes it is on each upstream that ends; those beside it are on some, and are answered elsewhere.
+// call that causes it is on each upstream that ends; those beside it are on some, and are answered elsewhere. An
+// answer counts for what was before: a later version of the upstream may end under the same call.
 //
 // It is deterministic, reads no clock, and can be encoded. One goroutine owns it; Suspects are
 // immutable.
@@ -125,10 +127,8 @@
 		return
 	}
 	r.At = now
-	if !r.Cleared {
-		r.Starts = append(slices.Clone(r.Starts), start)
-		r.Starts = r.Starts[max(0, len(r.Starts)-maxStarts):]
-	}
+	r.Starts = append(slices.Clone(r.Starts), start)
+	r.Starts = r.Starts[max(0, len(r.Starts)-maxStarts):]
 	l.Records[call.Fingerprint] = r
 }
 
@@ -193,7 +193,7 @@
 	if len(r.Starts) >= barDespite {
 		return true
 	}
-	if l.covered(r, on) {
+	if r.Cleared || l.covered(r, on) {
 		return false // another was on all of these upstreams too: the next end tells the two apart
 	}
 	own := 0
@@ -218,7 +218,8 @@
 // covered reports whether another suspect was on all upstreams that r was on.
 func (l *Ledger) covered(r Record, on onStart) bool {
 	for _, f := range on[r.Starts[0]] {
-		if f != r.Call.Fingerprint && within(r.Starts, l.Records[f].Starts) {
+		other := l.Records[f]
+		if f != r.Call.Fingerprint && !other.Cleared && within(r.Starts, other.Starts) {
 			return true
 		}
 	}
@@ -234,10 +235,11 @@
 	return true
 }
 
-// clear takes an upstream's answer as proof that the call does not end upstreams.
+// clear takes an upstream's answer as proof that the call did not end those before, and reports whether
+// that is new.
 func (l *Ledger) clear(call wire.CallSketch, now int64) bool {
 	r := l.record(call, now)
-	if r.Cleared {
+	if r.Cleared && len(r.Starts) == 0 {
 		return false
 	}
 	r.Cleared, r.Barred, r.Starts, r.Since, r.At = true, false, nil, now, now
--- a/node/quarantine/ledger_test.go
+++ b/node/quarantine/ledger_test.go
@@ -65,9 +65,13 @@
 			report(crashOf(4, "g"), crashOf(5, "g")), report(crashOf(6, "g"))}, []wire.Fingerprint{"f", "g"}},
 		"one that was on others' ends five times": {[]wire.CrashReport{report(crashOf(1, "f"), crashOf(2, "f"), crashOf(3, "f")),
 			report(crashOf(1, "h"), crashOf(2, "h"), crashOf(3, "h"), crashOf(4, "h"), crashOf(5, "h"))}, []wire.Fingerprint{"h"}},
-		"answered between ends":      {[]wire.CrashReport{report(crashOf(1, "f"), crashOf(2, "f")), answered("f"), report(crashOf(3, "f"), crashOf(4, "f"), crashOf(5, "f"))}, nil},
-		"answered once it is barred": {[]wire.CrashReport{report(crashOf(1, "f"), crashOf(2, "f"), crashOf(3, "f")), answered("f")}, nil},
-		"another was answered":       {[]wire.CrashReport{answered("g"), report(crashOf(1, "f"), crashOf(2, "f"), crashOf(3, "f"))}, []wire.Fingerprint{"f"}},
+		"answered between ends": {[]wire.CrashReport{report(crashOf(1, "f"), crashOf(2, "f")), answered("f"), report(crashOf(3, "f"), crashOf(4, "f"), crashOf(5, "f"))}, nil},
+		"answered, and five ends after it": {[]wire.CrashReport{answered("f"), report(crashOf(1, "f"), crashOf(2, "f"), crashOf(3, "f"), crashOf(4, "f")), report(crashOf(5, "f"))},
+			[]wire.Fingerprint{"f"}},
+		"answered on and on":          {[]wire.CrashReport{answered("f"), report(crashOf(1, "f"), crashOf(2, "f"), crashOf(3, "f"), crashOf(4, "f")), answered("f"), report(crashOf(5, "f"))}, nil},
+		"beside one that is answered": {[]wire.CrashReport{answered("g"), report(crashOf(1, "f", "g"), crashOf(2, "f", "g"), crashOf(3, "f", "g"))}, []wire.Fingerprint{"f"}},
+		"answered once it is barred":  {[]wire.CrashReport{report(crashOf(1, "f"), crashOf(2, "f"), crashOf(3, "f")), answered("f")}, nil},
+		"another was answered":        {[]wire.CrashReport{answered("g"), report(crashOf(1, "f"), crashOf(2, "f"), crashOf(3, "f"))}, []wire.Fingerprint{"f"}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -140,19 +144,21 @@
 	}
 }
 
-// TestLedgerKeepsItsBounds draws reports. No order of them bars a call that was answered since, or under
-// which fewer than three upstreams ended; every call with three ends that no other call shares is barred.
+// TestLedgerKeepsItsBounds draws reports. No order of them bars a call under which fewer than three upstreams
+// ended, or fewer than five since it was answered; every call with three ends that no other call shares is barred, unless it
+// was answered.
 func TestLedgerKeepsItsBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var l Ledger
 		ends := map[wire.Fingerprint]map[int]bool{}
+		since := map[wire.Fingerprint]map[int]bool{} // the last answer
 		cleared := map[wire.Fingerprint]bool{}
 		calls := []wire.Fingerprint{"a", "b", "c", "d"}
 		for i := range rapid.IntRange(1, 40).Draw(t, "reports") {
 			var r wire.CrashReport
 			if f := rapid.SampledFrom(calls).Draw(t, "answered"); rapid.IntRange(0, 5).Draw(t, "whether") == 0 {
 				r.Answered = answeredCalls(f)
-				cleared[f] = true
+				cleared[f], since[f] = true, nil
 			}
 			n := rapid.IntRange(1, 12).Draw(t, "upstream")
 			on := rapid.SliceOfNDistinct(rapid.SampledFrom(calls), 0, 3, rapid.ID).Draw(t, "calls")
@@ -162,6 +168,10 @@
 					ends[f] = map[int]bool{}
 				}
 				ends[f][n] = true
+				if since[f] == nil {
+					since[f] = map[int]bool{}
+				}
+				since[f][n] = true
 			}
 			before, known := l.Revision, l.Suspects().List
 			l.Take(&r, int64(i))
@@ -169,8 +179,8 @@
 				t.Fatalf("revision %d and then %d, the same suspects: %v", before, l.Revision, same)
 			}
 			for f, s := range states(&l) {
-				if s == wire.QuarantineBarred && (cleared[f] || len(ends[f]) < barAfter) {
-					t.Fatalf("%s is barred: cleared %v, %d ends", f, cleared[f], len(ends[f]))
+				if s == wire.QuarantineBarred && (len(since[f]) < barAfter || cleared[f] && len(since[f]) < barDespite) {
+					t.Fatalf("%s is barred: cleared %v, %d ends", f, cleared[f], len(since[f]))
 				}
 			}
 			for f := range ends {
--- a/node/quarantine/processes_test.go
+++ b/node/quarantine/processes_test.go
@@ -232,7 +232,7 @@
 	}
 	sketch := c.call().Sketch("chat")
 	r := &wire.CrashReport{Crashes: []wire.Crash{{Upstream: start, Calls: []wire.CallSketch{sketch}}}}
-	if c.process.answers.Has(c.call()) {
+	if c.process.answers.Take(c.call()) {
 		r = &wire.CrashReport{Answered: []wire.CallSketch{sketch}}
 	}
 	m.report(c.process, r)
