A call that is being answered is not ended when it is barred

Cause: read in the diff: calls under way were ended when they were barred, also streams whose answer had begun. Those run already, so their upstream falls or does not; an innocent one that is barred for a moment would lose its stream, and its caller's connection. Ruled out: ending none (one that still waits at its upstream does not end it when it goes). Change: only calls without a head of an answer are ended. Figures: TestStreamThatIsAnsweredGoesOn fails without it.

--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -221,6 +221,8 @@
 	again    reason // why the next one repeats another; empty for the first
 	mayRan   bool   // one of them has run or may have run
 
+	answering atomic.Bool // an upstream has begun to answer
+
 	kept           *keptAnswer   // nil when no upstream has answered with a failure
 	firstByte      time.Duration // until the answer began
 	staged         bool          // the results of the stages are there
--- a/node/proxy/quarantine_test.go
+++ b/node/proxy/quarantine_test.go
@@ -164,6 +164,44 @@
 	}
 }
 
+// TestStreamThatIsAnsweredGoesOn bars a call while its stream is under way.
+func TestStreamThatIsAnsweredGoesOn(t *testing.T) {
+	b := newBed(t)
+	b.upstream("llm", "i-1", func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(w, "id: 1\ndata: a\n\n")
+		http.NewResponseController(w).Flush()
+		for b.service.running.answering() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		call := quarantine.Call{Customer: "foundry", Method: http.MethodPost, Host: "desk.example", Target: "/quote/1", Body: []byte("body")}
+		b.service.guard.Follow(wire.Suspects{Revision: 1, List: []wire.Suspect{{Fingerprint: call.Fingerprint(), Shape: call.Shape(), Barred: true}}})
+		b.service.running.endBarred()
+		select {
+		case <-r.Context().Done():
+		case <-time.After(50 * time.Millisecond): // a call that is ended closes its connection before
+			io.WriteString(w, "id: 2\ndata: b\n\n")
+		}
+	})
+	resp, body, err := b.send(http.MethodPost, "/quote/1", map[string]string{"Caperdrum-Pieces": "1"})
+	if err != nil || resp.StatusCode != http.StatusOK || body != "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" {
+		t.Fatal(resp, body, err)
+	}
+}
+
+// answering counts the calls that an upstream has begun to answer.
+func (r *running) answering() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for x := range r.calls {
+		if x.answering.Load() {
+			n++
+		}
+	}
+	return n
+}
+
 // TestSuspectThatMeetsAnotherUpstream has the address of an upstream be another's: a suspect is refused as not run, others go on.
 func TestSuspectThatMeetsAnotherUpstream(t *testing.T) {
 	for _, suspect := range []bool{false, true} {
--- a/node/proxy/running.go
+++ b/node/proxy/running.go
@@ -31,11 +31,14 @@
 }
 
 // endBarred ends the calls that are barred by now: one that still waits at its upstream does not
-// end it then.
+// end it then. One that is being answered runs already.
 func (r *running) endBarred() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for x, cancel := range r.calls {
+		if x.answering.Load() {
+			continue
+		}
 		if err := x.barred(); err != nil {
 			cancel(err)
 		}
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -97,6 +97,7 @@
 		return a
 	}
 	x.s.endpoints.heard(m.Start(), now)
+	x.answering.Store(!resp.Answer.NotRun)
 	a := &attempt{member: m, response: resp}
 	if resp.Answer.NotRun {
 		a.err = verdict.New(verdict.NotRun, verdict.CodeOverloaded, "upstream %s refused the call", m.ID).After(max(comeBack, x.pause()))
