--- a/e2e/harness/process.go
+++ b/e2e/harness/process.go
@@ -65,7 +65,8 @@
 	}
 }
 
-const tailBytes = 6000
+// tailBytes of a process's log are shown where a test fails: some minutes of its last lines.
+const tailBytes = 200_000
 
 func tail(log []byte) []byte { return log[max(0, len(log)-tailBytes):] }
 
