Reports of crashes that were not acknowledged are logged

Cause: read in the diff: the reporter sends a report again when the leader does not acknowledge it, and said so nowhere; an engineer who asks why a call is not barred yet would see nothing at the process. Ruled out: a logger in the reporter: the service has one. Change: a log line with the error; reports are sent again as before. Figures: node/proxy's tests and TestCallThatCrashesUpstreams green. Conclusion: sight only.

--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -117,7 +117,7 @@
 // New returns the service; Start opens its listeners.
 func New(p Params) *Service {
 	s := newService(p.Settings, p.Log, p.Protocol, p.Notices, p.ConfigSync, p.Stages)
-	s.reporter = quarantine.NewReporter(p.Control.ReportCrashes)
+	s.reporter = quarantine.NewReporter(s.reportTo(p.Control.ReportCrashes))
 	s.secure = p.Security
 	p.ConfigSync.OnChange(s.follow)
 	return s
--- a/node/proxy/quarantine.go
+++ b/node/proxy/quarantine.go
@@ -17,6 +17,17 @@
 // noReports stands for the leader until the service has control.
 func noReports(context.Context, *wire.CrashReport) error { return nil }
 
+// reportTo sends reports by send, and logs those that were not acknowledged; they are sent again.
+func (s *Service) reportTo(send func(context.Context, *wire.CrashReport) error) func(context.Context, *wire.CrashReport) error {
+	return func(ctx context.Context, r *wire.CrashReport) error {
+		err := send(ctx, r)
+		if err != nil {
+			s.log.Info("report of crashes not acknowledged", "crashes", len(r.Crashes), "answered", len(r.Answered), "error", err.Error())
+		}
+		return err
+	}
+}
+
 // copied is what other tries of the same call share with this one.
 func (x *exchange) copied() quarantine.Call {
 	return quarantine.Call{Customer: x.customerName(), Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Body: x.body}
