--- a/api/optext/optext.go
+++ b/api/optext/optext.go
@@ -88,9 +88,10 @@
 	Share float64 `ini:"share" json:"share"` // weight in fair queues
 	Rate  float64 `ini:"rate" json:"rate"`   // requests per second over all entries; 0 means no limit
 
-	Keys      []string `ini:"keys" json:"-"`      // bearer keys of calls on routes
-	Priority  int      `ini:"priority" json:"-"`  // goes before a route's; NoPriority leaves that
-	Extension string   `ini:"extension" json:"-"` // see Direct.Extension
+	Regions   []string `ini:"regions" json:"regions,omitempty"` // as a route's
+	Keys      []string `ini:"keys" json:"-"`                    // bearer keys of calls on routes
+	Priority  int      `ini:"priority" json:"-"`                // goes before a route's; NoPriority leaves that
+	Extension string   `ini:"extension" json:"-"`               // see Direct.Extension
 }
 
 // NoPriority is the priority of a customer that has none of its own.
--- a/api/optext/route.go
+++ b/api/optext/route.go
@@ -65,6 +65,8 @@
 	Public   bool          `ini:"public"`   // needs no customer's key
 	Affinity bool          `ini:"affinity"` // calls share prompt prefixes
 
+	Regions []string `ini:"regions"` // in which calls may be served, and what is made for them kept; empty: in all
+
 	Extension string `ini:"extension"` // see Direct.Extension
 
 	Weights []Weight      `ini:"-"` // from Service or Split
--- a/api/wire/messages.go
+++ b/api/wire/messages.go
@@ -30,6 +30,7 @@
 	Peer        string   `json:"peer,omitempty"`     // proxies only: peer address
 	Direct      string   `json:"direct,omitempty"`   // announced upstreams only: address of the upstream itself
 	Revision    uint64   `json:"revision,omitempty"` // grows with each change of the record within an incarnation
+	Version     string   `json:"version,omitempty"`  // announced upstreams only: of its software; empty where it does not say
 	Cold        bool     `json:"cold,omitempty"`     // announced upstreams only: it has just started or come back, and bears few calls a second
 }
 
@@ -57,6 +58,7 @@
 	OwnerEpoch    uint64        `json:"owner_epoch,omitempty"`
 	Evacuations   uint64        `json:"evacuations,omitempty"` // revision held
 	Suspects      uint64        `json:"suspects,omitempty"`    // revision held
+	Rollouts      uint64        `json:"rollouts,omitempty"`    // revision held
 }
 
 // SyncReply carries what the caller lacks. Config is nil when the caller is
@@ -78,6 +80,8 @@
 	EvacuationsRevision uint64        `json:"evacuations_revision,omitempty"` // highest known there
 	Suspects            *Suspects     `json:"suspects,omitempty"`             // when newer than the caller's
 	SuspectsRevision    uint64        `json:"suspects_revision,omitempty"`    // highest known there
+	Rollouts            *Rollouts     `json:"rollouts,omitempty"`             // when newer than the caller's
+	RolloutsRevision    uint64        `json:"rollouts_revision,omitempty"`    // highest known there
 
 	// Hints, which need not be current: they only say when to ask the leader.
 	Fence uint64 `json:"fence,omitempty"` // highest token known there for the caller
--- a/ctl/adminclient/adminclient.go
+++ b/ctl/adminclient/adminclient.go
@@ -298,6 +298,27 @@
 	return c.leader(ctx, http.MethodDelete, "/v1/quarantine/"+url.PathEscape(string(f)), nil, &out)
 }
 
+// Rollouts returns the last roll-out of each service.
+func (c *Client) Rollouts(ctx context.Context) (wire.Rollouts, error) {
+	var out wire.Rollouts
+	err := c.leader(ctx, http.MethodGet, "/v1/rollouts", nil, &out)
+	return out, err
+}
+
+// StartRollout moves a service's calls to a target version within span.
+func (c *Client) StartRollout(ctx context.Context, service, target string, span time.Duration) (wire.RolloutResult, error) {
+	var out wire.RolloutResult
+	err := c.leader(ctx, http.MethodPut, "/v1/rollouts/"+url.PathEscape(service), wire.RolloutOrder{Target: target, Span: span}, &out)
+	return out, err
+}
+
+// AbortRollout rolls a running roll-out back.
+func (c *Client) AbortRollout(ctx context.Context, service string) (wire.RolloutResult, error) {
+	var out wire.RolloutResult
+	err := c.leader(ctx, http.MethodDelete, "/v1/rollouts/"+url.PathEscape(service), nil, &out)
+	return out, err
+}
+
 // PutTeam adds a team or replaces its rights.
 func (c *Client) PutTeam(ctx context.Context, t wire.TeamInfo) error {
 	var out struct{}
--- a/ctl/cmd/caperdrum/main.go
+++ b/ctl/cmd/caperdrum/main.go
@@ -21,7 +21,7 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&commands.Version{Version: version}, "")
 	for _, c := range []subcommands.Command{&commands.Init{}, &commands.Get{}, &commands.Apply{}, &commands.Diff{}, &commands.Validate{}, &commands.Status{}, &commands.Members{},
-		&commands.History{}, &commands.Timeline{}, &commands.Evacuate{}, &commands.Quarantine{}, &commands.Teams{}, &commands.Key{}} {
+		&commands.History{}, &commands.Timeline{}, &commands.Evacuate{}, &commands.Rollout{}, &commands.Quarantine{}, &commands.Teams{}, &commands.Key{}} {
 		subcommands.Register(c, "operate")
 	}
 	for _, c := range []subcommands.Command{&commands.Standin{}, &commands.WeightStore{}, &commands.Demo{}, &commands.Bench{}} {
--- /dev/null
+++ b/ctl/commands/rollout.go
@@ -0,0 +1,91 @@
+package commands
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/ctl/adminclient"
+)
+
+// Rollout moves a service's calls to upstreams of another version.
+type Rollout struct {
+	adminFlags
+	span time.Duration
+}
+
+func (*Rollout) Name() string     { return "rollout" }
+func (*Rollout) Synopsis() string { return "move a service's calls to another version" }
+func (*Rollout) Usage() string {
+	return "rollout [-admin ADDRESSES] [-span DURATION] list | start SERVICE VERSION | status SERVICE | abort SERVICE\n" +
+		"  A part of the calls goes to the version; it gets all of them at the end of the span, or none if it\n  answers worse than the others.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (r *Rollout) SetFlags(f *flag.FlagSet) {
+	r.adminFlags.SetFlags(f)
+	f.DurationVar(&r.span, "span", 10*time.Minute, "until the roll-out must have ended")
+}
+
+// Execute implements subcommands.Command.
+func (r *Rollout) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	verb, service := f.Arg(0), f.Arg(1)
+	switch {
+	case verb == "list" && f.NArg() == 1:
+		return r.withClient(ctx, func(ctx context.Context, cl *adminclient.Client) error {
+			list, err := cl.Rollouts(ctx)
+			if err == nil {
+				writeRollouts(list.List...)
+			}
+			return err
+		})
+	case verb == "status" && f.NArg() == 2:
+		return r.withClient(ctx, func(ctx context.Context, cl *adminclient.Client) error { return printRollout(ctx, cl, service) })
+	case verb == "start" && f.NArg() == 3:
+		return r.withClient(ctx, func(ctx context.Context, cl *adminclient.Client) error {
+			result, err := cl.StartRollout(ctx, service, f.Arg(2), r.span)
+			return writeResult(result, err)
+		})
+	case verb == "abort" && f.NArg() == 2:
+		return r.withClient(ctx, func(ctx context.Context, cl *adminclient.Client) error {
+			result, err := cl.AbortRollout(ctx, service)
+			return writeResult(result, err)
+		})
+	}
+	return usage(fmt.Errorf("name list, start SERVICE VERSION, status SERVICE or abort SERVICE"))
+}
+
+func writeResult(result wire.RolloutResult, err error) error {
+	if err == nil {
+		writeRollouts(result.Rollout)
+	}
+	return err
+}
+
+func printRollout(ctx context.Context, cl *adminclient.Client, service string) error {
+	list, err := cl.Rollouts(ctx)
+	if err != nil {
+		return err
+	}
+	r := list.Of(service)
+	if r.Order == 0 {
+		return fmt.Errorf("there was no roll-out of service %s", service)
+	}
+	writeRollouts(r)
+	return nil
+}
+
+func writeRollouts(list ...wire.Rollout) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "SERVICE\tTARGET\tSTATE\tSHARE\tSTARTED\tSPAN\tBY\tREASON")
+	for _, r := range list {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.3f\t%s\t%s\t%s\t%s\n", r.Service, r.Target, r.State, r.Share, time.UnixMilli(r.Started).Format(time.RFC3339), r.Span, r.Author, r.Reason)
+	}
+	w.Flush()
+}
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -72,6 +72,7 @@
 	r.Get("/v1/teams", s.listTeams)
 	r.Get("/v1/evacuations", s.listEvacuations)
 	r.Get("/v1/quarantine", s.listQuarantine)
+	r.Get("/v1/rollouts", s.listRollouts)
 	r.Post("/v1/config/validate", s.validate)
 	r.Post("/v1/config/diff", s.diff)
 	r.Group(func(r chi.Router) {
@@ -80,6 +81,8 @@
 		r.Put("/v1/evacuations/{data_center}", s.startEvacuation)
 		r.Delete("/v1/evacuations/{data_center}", s.endEvacuation)
 		r.Delete("/v1/quarantine/{fingerprint}", s.liftBar)
+		r.Put("/v1/rollouts/{service}", s.startRollout)
+		r.Delete("/v1/rollouts/{service}", s.abortRollout)
 	})
 	r.Group(func(r chi.Router) {
 		r.Use(require(wire.RoleAdministrator))
@@ -201,9 +204,13 @@
 	if err := json.Unmarshal(data, c); err != nil {
 		return nil, strictini.Problems{{File: "request", Fault: err.Error(), Remedy: "send {number, text, change_id} as JSON"}}
 	}
-	if _, err := optext.Parse("text", []byte(c.Text)); err != nil {
+	config, err := optext.Parse("text", []byte(c.Text))
+	if err != nil {
 		return nil, err
 	}
+	if err := s.p.Control.CheckRegions(config); err != nil {
+		return nil, strictini.Problems{{File: "text", Fault: err.Error(), Remedy: "name regions of [data_center:NAME] sections"}}
+	}
 	return c, nil
 }
 
--- a/node/admin/evacuations.go
+++ b/node/admin/evacuations.go
@@ -41,8 +41,8 @@
 	switch {
 	case err == nil:
 		writeJSON(w, http.StatusOK, result)
-	case errors.As(err, &v) && v.Code == verdict.CodeUnknown:
-		writeJSON(w, http.StatusNotFound, Error{Message: v.Message, Remedy: remedy})
+	case errors.As(err, &v) && (v.Code == verdict.CodeUnknown || v.Code == verdict.CodeInvalid || v.Code == verdict.CodeConflict):
+		writeJSON(w, v.Status, Error{Message: v.Message, Remedy: remedy})
 	default:
 		s.fail(w, err)
 	}
--- a/node/configsync/holder.go
+++ b/node/configsync/holder.go
@@ -90,7 +90,7 @@
 	req := wire.SyncRequest{Member: h.member, Wait: wait, Fence: h.hint.Fence, Term: h.hint.Term}
 	if v := h.View(); v != nil {
 		req.ConfigVersion, req.MembersSeq, req.OwnerEpoch = v.Version, v.Seq, v.Owner.Epoch
-		req.Evacuations, req.Suspects = v.Evacuations.Revision, v.Suspects.Revision
+		req.Evacuations, req.Suspects, req.Rollouts = v.Evacuations.Revision, v.Suspects.Revision, v.Rollouts.Revision
 		if h.fault == nil {
 			req.ConfigHash = v.Hash
 		}
@@ -145,17 +145,18 @@
 	}
 	next.takeEvacuations(reply.Evacuations)
 	next.takeSuspects(reply.Suspects)
-	if reply.Version < next.Version || reply.MembersSeq < next.Seq || reply.EvacuationsRevision < next.Evacuations.Revision || reply.SuspectsRevision < next.Suspects.Revision {
+	next.takeRollouts(reply.Rollouts)
+	if next.ahead(reply) {
 		return nil, errBehind
 	}
-	if reply.Version > next.Version || reply.MembersSeq > next.Seq || reply.EvacuationsRevision > next.Evacuations.Revision || reply.SuspectsRevision > next.Suspects.Revision {
+	if next.behind(reply) {
 		return nil, errors.Annotate(errGap, "the answer does not bring all that it knows of")
 	}
 	if reply.Owner.Epoch > next.Owner.Epoch {
 		next.Owner = reply.Owner
 	}
 	var changed *View
-	if old == nil || next.Version != old.Version || next.Seq != old.Seq || next.Owner != old.Owner || next.Evacuations.Revision != old.Evacuations.Revision || next.Suspects.Revision != old.Suspects.Revision {
+	if old == nil || next.differs(old) {
 		h.view.Store(&next)
 		changed = &next
 	}
--- a/node/configsync/view.go
+++ b/node/configsync/view.go
@@ -26,6 +26,8 @@
 	Evacuations wire.Evacuations
 	// Suspects are calls that end upstreams.
 	Suspects wire.Suspects
+	// Rollouts of services; upstreams of versions that they exclude are not in Announced.
+	Rollouts wire.Rollouts
 
 	ends []int // where the sections of Text end
 }
@@ -77,6 +79,32 @@
 	}
 }
 
+func (v *View) takeRollouts(r *wire.Rollouts) {
+	if r == nil || r.Revision <= v.Rollouts.Revision {
+		return
+	}
+	v.Rollouts = *r
+	v.index()
+}
+
+// ahead reports whether the view holds something newer than an answer's sender knows.
+func (v *View) ahead(r *wire.SyncReply) bool {
+	return r.Version < v.Version || r.MembersSeq < v.Seq || r.EvacuationsRevision < v.Evacuations.Revision ||
+		r.SuspectsRevision < v.Suspects.Revision || r.RolloutsRevision < v.Rollouts.Revision
+}
+
+// behind reports whether an answer's sender knows something newer than the view holds.
+func (v *View) behind(r *wire.SyncReply) bool {
+	return r.Version > v.Version || r.MembersSeq > v.Seq || r.EvacuationsRevision > v.Evacuations.Revision ||
+		r.SuspectsRevision > v.Suspects.Revision || r.RolloutsRevision > v.Rollouts.Revision
+}
+
+// differs reports whether something that processes follow is another in old.
+func (v *View) differs(old *View) bool {
+	return v.Version != old.Version || v.Seq != old.Seq || v.Owner != old.Owner || v.Evacuations.Revision != old.Evacuations.Revision ||
+		v.Suspects.Revision != old.Suspects.Revision || v.Rollouts.Revision != old.Rollouts.Revision
+}
+
 // index makes the lists of those that get calls.
 func (v *View) index() {
 	v.ByService, v.Announced = map[string][]wire.Member{}, map[string][]wire.Member{}
@@ -90,10 +118,24 @@
 			v.ByService[m.Service] = append(v.ByService[m.Service], m)
 		}
 	}
+	v.exclude()
 	sortByID(v.ByService)
 	sortByID(v.Announced)
 }
 
+// exclude takes upstreams out that a roll-out has decided against. Those of a version that was
+// replaced stay while there are no others: they have served well. Those of one that was rolled
+// back never do.
+func (v *View) exclude() {
+	for _, r := range v.Rollouts.List {
+		list := v.Announced[r.Service]
+		kept := slices.DeleteFunc(slices.Clone(list), func(m wire.Member) bool { return r.Excludes(m.Version) })
+		if len(kept) > 0 || r.State == wire.RolloutRolledBack {
+			v.Announced[r.Service] = kept
+		}
+	}
+}
+
 func sortByID(lists map[string][]wire.Member) {
 	for _, list := range lists {
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
--- a/node/control/metrics.go
+++ b/node/control/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"sync/atomic"
 
+	"caperdrum.org/api/wire"
 	"caperdrum.org/node/consensus"
 )
 
@@ -40,6 +41,8 @@
 	OwnerEpoch    uint64         `json:"owner_epoch"`
 	Members       map[string]int `json:"members"` // by service, or role, and state
 	Waits         string         `json:"waits"`   // what repair of the voters waits for
+
+	Rollouts map[string]rolloutFigures `json:"rollouts,omitempty"` // by service
 }
 
 func (s *Service) figures() figures {
@@ -59,5 +62,31 @@
 		}
 		out.Members[kind+"/"+state]++
 	}
+	out.Rollouts = s.rollouts.figures(v.Rollouts)
+	return out
+}
+
+// rolloutFigures are what is known of a service's last roll-out. The answers are those that the leader
+// has heard of.
+type rolloutFigures struct {
+	Target  string            `json:"target"`
+	State   wire.RolloutState `json:"state"`
+	Share   float64           `json:"share"`
+	Answers uint64            `json:"answers"` // of the target
+	Bad     uint64            `json:"bad"`     // of these
+	Others  uint64            `json:"others"`  // answers of the other versions
+}
+
+func (l *rollouts) figures(r wire.Rollouts) map[string]rolloutFigures {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[string]rolloutFigures{}
+	for _, x := range r.List {
+		f := rolloutFigures{Target: x.Target, State: x.State, Share: x.Share}
+		if j := l.judges[x.Service]; j != nil && j.order == x.Order {
+			f.Answers, f.Bad, f.Others = j.judge.Target.Answers, j.judge.Target.Bad, j.judge.Others.Answers
+		}
+		out[x.Service] = f
+	}
 	return out
 }
--- a/node/control/news.go
+++ b/node/control/news.go
@@ -6,7 +6,7 @@
 )
 
 // news wakes the held-back sync calls when the configuration, the members, the
-// evacuations, the suspects, the fences or the term changed, or the replica takes no part any more. Most commands
+// evacuations, the suspects, the roll-outs, the fences or the term changed, or the replica takes no part any more. Most commands
 // change none of them.
 type news struct {
 	cluster     cluster
@@ -17,6 +17,7 @@
 	owner       uint64
 	evacuations uint64
 	suspects    uint64
+	rollouts    uint64
 	outage      bool
 	next        atomic.Pointer[chan struct{}]
 }
@@ -45,11 +46,11 @@
 
 func (n *news) check() {
 	v, term, outage := n.cluster.View(), n.cluster.Status().Term, n.cluster.Outage() != nil
-	if outage == n.outage && v.Config.Version == n.version && v.MembersSeq == n.seq && v.Fence == n.fence && term == n.term && v.Owner.Epoch == n.owner && v.Evacuations.Revision == n.evacuations && v.Suspects.Revision == n.suspects {
+	if outage == n.outage && v.Config.Version == n.version && v.MembersSeq == n.seq && v.Fence == n.fence && term == n.term && v.Owner.Epoch == n.owner && v.Evacuations.Revision == n.evacuations && v.Suspects.Revision == n.suspects && v.Rollouts.Revision == n.rollouts {
 		return
 	}
 	n.version, n.seq, n.fence, n.term, n.owner = v.Config.Version, v.MembersSeq, v.Fence, term, v.Owner.Epoch
-	n.outage, n.evacuations, n.suspects = outage, v.Evacuations.Revision, v.Suspects.Revision
+	n.outage, n.evacuations, n.suspects, n.rollouts = outage, v.Evacuations.Revision, v.Suspects.Revision, v.Rollouts.Revision
 	next := make(chan struct{})
 	close(*n.next.Swap(&next))
 }
--- a/node/control/puts.go
+++ b/node/control/puts.go
@@ -10,6 +10,7 @@
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/residency"
 	"caperdrum.org/node/state"
 )
 
@@ -26,19 +27,19 @@
 	valid *optext.Config // the text that was checked last
 }
 
-// check reports what is wrong with a text. It decodes what differs from the last one.
-func (p *puts) check(text string) error {
+// check reads a text, or reports what is wrong with it. It decodes what differs from the last one.
+func (p *puts) check(text string) (*optext.Config, error) {
 	p.mu.Lock()
 	last := p.valid
 	p.mu.Unlock()
 	next, err := last.Next("text", text)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.valid = next
-	return nil
+	return next, nil
 }
 
 // underWay is one change. Its result is valid once done is closed.
@@ -128,7 +129,11 @@
 
 func (s *Service) change(ctx context.Context, req *wire.PutRequest) (*wire.PutResult, error) {
 	began := s.clock.Now()
-	if err := s.puts.check(req.Text); err != nil {
+	config, err := s.puts.check(req.Text)
+	if err == nil {
+		err = s.CheckRegions(config)
+	}
+	if err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeInvalid, "%s", err)
 	}
 	parsed := s.clock.Since(began)
@@ -145,6 +150,11 @@
 	return result, nil
 }
 
+// CheckRegions reports regions that a text names and that are not known.
+func (s *Service) CheckRegions(c *optext.Config) error {
+	return residency.RegionsOf(s.set.Node.RegionsOfDataCenters(), c).Check(c)
+}
+
 // commit proposes the change as the difference to the text in force. Another change
 // may come first; then the difference is made anew.
 func (s *Service) commit(ctx context.Context, req *wire.PutRequest) (*wire.PutResult, error) {
--- a/node/control/service.go
+++ b/node/control/service.go
@@ -63,6 +63,7 @@
 	news      *news
 	repair    *repair
 	puts      puts
+	rollouts  rollouts
 	replica   *replica.Replica
 	handouts  handouts
 	cluster   cluster // the replica, as synchronization and leases see it
@@ -124,6 +125,9 @@
 	peer.Handle(s.server, MethodOffer, s.offer)
 	peer.Handle(s.server, MethodEvacuate, s.Evacuate)
 	peer.Handle(s.server, MethodCrashes, s.crashes)
+	peer.Handle(s.server, MethodStartRollout, s.StartRollout)
+	peer.Handle(s.server, MethodRollout, s.rollout)
+	peer.Handle(s.server, MethodReportRollout, s.reportRollout)
 	peer.Handle(s.server, formation.MethodHello, s.answerHello)
 	peer.Handle(s.server, peer.MethodWhere, s.where)
 	peer.Handle(s.server, peer.MethodTell, peer.Told)
@@ -154,6 +158,7 @@
 	go s.follow.run(ctx)
 	go s.repair.run(ctx)
 	go newOwnership(s).run(ctx)
+	go s.rolloutRun(ctx)
 	if s.set.Control.SelfForming {
 		go s.form(ctx)
 		go s.offerRun(ctx)
--- a/node/control/sync.go
+++ b/node/control/sync.go
@@ -33,7 +33,7 @@
 		reply := s.reply(req)
 		reply.Renewed = renewed
 		hinted := reply.Fence > req.Fence || reply.Term > req.Term || reply.Owner.Epoch > req.OwnerEpoch
-		if late || hinted || reply.Config != nil || reply.Delta != nil || reply.Members != nil || reply.Evacuations != nil || reply.Suspects != nil {
+		if late || hinted || reply.Config != nil || reply.Delta != nil || reply.Members != nil || reply.Evacuations != nil || reply.Suspects != nil || reply.Rollouts != nil {
 			return reply, nil
 		}
 		select {
@@ -70,7 +70,7 @@
 // ahead of v.
 func answer(v *state.View, req *wire.SyncRequest, age time.Duration, leader consensus.Peer) *wire.SyncReply {
 	r := &wire.SyncReply{Version: v.Config.Version, MembersSeq: v.MembersSeq, Members: v.Delta(req.MembersSeq),
-		Owner: v.Owner, StampAge: age, Leader: wire.MemberID(leader.ID), LeaderPeer: leader.Address, EvacuationsRevision: v.Evacuations.Revision, SuspectsRevision: v.Suspects.Revision}
+		Owner: v.Owner, StampAge: age, Leader: wire.MemberID(leader.ID), LeaderPeer: leader.Address, EvacuationsRevision: v.Evacuations.Revision, SuspectsRevision: v.Suspects.Revision, RolloutsRevision: v.Rollouts.Revision}
 	if v.Evacuations.Revision > req.Evacuations {
 		evacuations := v.Evacuations
 		r.Evacuations = &evacuations
@@ -79,6 +79,10 @@
 		suspects := v.Suspects
 		r.Suspects = &suspects
 	}
+	if v.Rollouts.Revision > req.Rollouts {
+		rollouts := v.Rollouts
+		r.Rollouts = &rollouts
+	}
 	if v.Config.Version > req.ConfigVersion {
 		r.Delta = v.Texts.Delta(req.ConfigVersion, req.ConfigHash)
 		if r.Delta == nil {
--- a/node/controlclient/controlclient.go
+++ b/node/controlclient/controlclient.go
@@ -141,17 +141,70 @@
 		return result, errNoText
 	}
 	order := wire.EvacuationOrder{DataCenter: dataCenter, Out: out, Base: held.Evacuations.Of(dataCenter).Revision}
-	// A round trip to a quorum gives time to notice that the sender has left.
-	if _, err := s.Config(ctx); err != nil {
+	if err := s.stillWanted(ctx); err != nil {
 		return result, err
 	}
-	if err := ctx.Err(); err != nil {
+	err := s.control.CallLeader(ctx, control.MethodEvacuate, order, &result)
+	return result, err
+}
+
+// stillWanted reports whether the sender of an order has left: a round trip to a quorum gives time to
+// notice it.
+func (s *Service) stillWanted(ctx context.Context) error {
+	if _, err := s.Config(ctx); err != nil {
+		return err
+	}
+	return ctx.Err()
+}
+
+// StartRollout starts a roll-out, as an operator asks who still waits for the answer when ctx is valid.
+// Like an evacuation it holds for what this process knew when it came.
+func (s *Service) StartRollout(ctx context.Context, service, target string, span time.Duration) (wire.RolloutResult, error) {
+	var result wire.RolloutResult
+	held := s.view()
+	if held == nil || held.Version == 0 {
+		return result, errNoText
+	}
+	order := wire.RolloutOrder{Service: service, Target: target, Span: span, Base: held.Rollouts.Of(service).Revision}
+	if err := control.CheckRollout(held.Config, &order); err != nil {
+		return result, s.unlessNewer(ctx, err)
+	}
+	if err := s.stillWanted(ctx); err != nil {
 		return result, err
 	}
-	err := s.control.CallLeader(ctx, control.MethodEvacuate, order, &result)
+	err := s.control.CallLeader(ctx, control.MethodStartRollout, order, &result)
 	return result, err
 }
 
+// unlessNewer returns a refusal that this process's text gives reason for, or that it can't tell: a
+// newer text may name the service.
+func (s *Service) unlessNewer(ctx context.Context, refusal error) error {
+	version := s.view().Version
+	text, err := s.Config(ctx)
+	if err != nil {
+		return err
+	}
+	if text.Version != version {
+		return errBehind
+	}
+	return refusal
+}
+
+// errBehind says that this process's text has been replaced.
+var errBehind = errors.New("controlclient: this process is behind the configuration in force")
+
+// Rollout returns the last roll-out of a service, as a quorum has confirmed it.
+func (s *Service) Rollout(ctx context.Context, service string) (wire.Rollout, error) {
+	var r wire.Rollout
+	err := s.control.CallLeader(ctx, control.MethodRollout, control.RolloutQuery(service), &r)
+	return r, err
+}
+
+// ReportRollouts tells the leader what this process has counted.
+func (s *Service) ReportRollouts(ctx context.Context, report *wire.RolloutReport) error {
+	return s.control.CallLeader(ctx, control.MethodReportRollout, report, nil)
+}
+
 // ReportCrashes tells the leader of calls that end upstreams. It returns once a quorum holds the report.
 func (s *Service) ReportCrashes(ctx context.Context, report *wire.CrashReport) error {
 	return s.control.CallLeader(ctx, control.MethodCrashes, report, nil)
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -34,6 +34,7 @@
 	"caperdrum.org/node/pipeline"
 	"caperdrum.org/node/planner"
 	"caperdrum.org/node/proxy"
+	"caperdrum.org/node/rollout"
 	"caperdrum.org/node/routing"
 	"caperdrum.org/node/security"
 	"caperdrum.org/node/settings"
@@ -107,6 +108,7 @@
 	}
 	k.Supply(func() upstream.Protocol { return o.Protocol })
 	k.Supply(func() *upstream.Notices { return upstream.NewNotices(log, boottime.System()) })
+	k.Supply(rollout.NewCounter)
 	if err := k.Add(append(modulesOf(set), o.Extra...)...); err != nil {
 		log.Error(err, "modules")
 		return ExitFailure
--- a/node/gateway/call.go
+++ b/node/gateway/call.go
@@ -78,6 +78,9 @@
 	if c.customer == nil {
 		return c, verdict.New(verdict.NotRun, verdict.CodeInvalid, "customer %q is not known: set the header %s to a customer of the operators' text", name, wire.HeaderCustomer)
 	}
+	if len(c.customer.Regions) > 0 {
+		return c, verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "customer %q may be served in regions %s only, and pipelines keep to no region: use a route", name, strings.Join(c.customer.Regions, ", "))
+	}
 	if err := c.readTimeout(r); err != nil {
 		return c, err
 	}
--- a/node/proxy/admit.go
+++ b/node/proxy/admit.go
@@ -33,6 +33,7 @@
 	if err := x.identify(); err != nil {
 		return err
 	}
+	x.within = x.table.regions.Within(x.route.Regions, x.customerRegions())
 	x.service = x.table.config.Services[service(x.route, rand.Float64())]
 	x.deadline = x.began.Add(x.route.Timeout)
 	if wait := x.call.Wait; wait > 0 && wait < x.route.Timeout {
@@ -41,6 +42,13 @@
 	return nil
 }
 
+func (x *exchange) customerRegions() []string {
+	if x.customer == nil {
+		return nil
+	}
+	return x.customer.Regions
+}
+
 // identify finds out whose call it is. A key counts only while this process
 // knows that it was not withdrawn.
 func (x *exchange) identify() error {
--- a/node/proxy/endpoints.go
+++ b/node/proxy/endpoints.go
@@ -1,12 +1,14 @@
 package proxy
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/coldstart"
+	"caperdrum.org/node/rollout"
 	"caperdrum.org/node/upstream"
 )
 
@@ -33,6 +35,7 @@
 	latest map[wire.MemberID]uint64 // incarnations of the members
 	by     map[wire.Start]*endpoint
 	direct coldstart.Direct
+	split  *rollout.Split
 }
 
 type endpoint struct {
@@ -44,7 +47,7 @@
 }
 
 func newEndpoints(n *upstream.Notices) *endpoints {
-	return &endpoints{notices: n, by: map[wire.Start]*endpoint{}}
+	return &endpoints{notices: n, by: map[wire.Start]*endpoint{}, split: rollout.NewSplit(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
 }
 
 // keep forgets upstreams that are no members. It returns the addresses of those that
@@ -94,10 +97,13 @@
 func (e *endpoints) take(list []wire.Member, c choice, now time.Time) (wire.Member, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	m, found := e.best(list, c, now)
+	m, found := e.pick(list, c, now)
 	if !found {
 		return m, false
 	}
+	if m.ID != c.wanted {
+		e.split.Sent(m.Service, m.Version)
+	}
 	if m.Cold && m.ID != c.wanted {
 		e.direct.Count(now, string(m.ID))
 	}
@@ -109,6 +115,43 @@
 	return m, true
 }
 
+// pick picks an upstream of the versions to which the call may go. One that the owner of the
+// stages wants was counted there.
+func (e *endpoints) pick(list []wire.Member, c choice, now time.Time) (wire.Member, bool) {
+	if len(list) == 0 {
+		return wire.Member{}, false
+	}
+	service := list[0].Service
+	stable := e.split.Stable(service)
+	if stable.Whole() {
+		return e.best(list, c, now)
+	}
+	if wanted := slices.IndexFunc(list, func(m wire.Member) bool { return m.ID == c.wanted }); wanted >= 0 {
+		others := stable.Choose(list)
+		if !stable.Admits(list[wanted].Version) {
+			others = append(others, list[wanted])
+			if m, ok := e.best(others, c, now); !ok || m.ID == c.wanted {
+				return m, ok
+			}
+			others = others[:len(others)-1]
+		}
+		return e.best(others, c, now)
+	}
+	if track := e.split.Next(service, e.split.HasTarget(service, list)); track.Target() {
+		if m, ok := e.best(track.Choose(list), c, now); ok {
+			return m, true
+		}
+	}
+	return e.best(stable.Choose(list), c, now)
+}
+
+// follow takes over the roll-outs of a view.
+func (e *endpoints) follow(r wire.Rollouts) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.split.Follow(r)
+}
+
 // peek returns what take would pick.
 func (e *endpoints) peek(list []wire.Member, c choice, now time.Time) (wire.Member, bool) {
 	e.mu.Lock()
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -23,7 +23,9 @@
 	"caperdrum.org/node/internal/boottime"
 	"caperdrum.org/node/logging"
 	"caperdrum.org/node/quarantine"
+	"caperdrum.org/node/residency"
 	"caperdrum.org/node/retry"
+	"caperdrum.org/node/rollout"
 	"caperdrum.org/node/security"
 	"caperdrum.org/node/settings"
 	"caperdrum.org/node/stagework"
@@ -64,6 +66,7 @@
 	Control    *controlclient.Service `name:"controlclient"`
 	Stages     *stagework.Service     `name:"stagework"`
 	Notices    *upstream.Notices
+	Counter    *rollout.Counter
 	Security   *security.Store `optional:"true"`
 }
 
@@ -112,12 +115,17 @@
 	guard     *quarantine.Guard
 	answers   *quarantine.Answers
 	running   *running
+	counter   *rollout.Counter  // of answers, while a service is rolled out
+	rollouts  *rollout.Reporter // of them
 }
 
 // New returns the service; Start opens its listeners.
 func New(p Params) *Service {
 	s := newService(p.Settings, p.Log, p.Protocol, p.Notices, p.ConfigSync, p.Stages)
 	s.reporter = quarantine.NewReporter(s.reportTo(p.Control.ReportCrashes))
+	s.counter = p.Counter
+	s.rollouts = &rollout.Reporter{Counter: p.Counter, Clock: clockwork.NewRealClock(), Self: p.ConfigSync.Self, Processes: s.processes, Send: p.Control.ReportRollouts,
+		Lost: func(err error) { s.log.Info("counts of a roll-out not acknowledged", "error", err.Error()) }}
 	s.secure = p.Security
 	p.ConfigSync.OnChange(s.follow)
 	return s
@@ -127,7 +135,7 @@
 	s := &Service{set: set, log: log, protocol: protocol, sync: views, stages: stages,
 		pool: upstream.NewPool(protocol, notices), endpoints: newEndpoints(notices), notices: notices, first: newFirstView(clockwork.NewRealClock())}
 	s.share(boottime.System())
-	s.running = newRunning()
+	s.running, s.counter = newRunning(), rollout.NewCounter()
 	s.guard, s.answers, s.reporter = quarantine.NewGuard(), quarantine.NewAnswers(), quarantine.NewReporter(noReports)
 	s.inquiries = quarantine.NewInquiries(s.pool.Listens, s.endedUnder, boottime.System())
 	s.ending, s.end = context.WithCancel(context.Background())
@@ -145,8 +153,10 @@
 
 // follow takes over a view of the configuration and the members.
 func (s *Service) follow(v *configsync.View) {
-	t := newTable(v)
+	t := newTable(v, s.set.Node.RegionsOfDataCenters())
 	s.table.Store(t)
+	s.endpoints.follow(v.Rollouts)
+	s.counter.Follow(v.Rollouts)
 	self := s.sync.Self()
 	here, known := v.Members[self.ID]
 	s.peers.Follow(retry.Standing{Members: t.proxies, Self: known && here.Start() == self.Start()})
@@ -162,6 +172,14 @@
 	}
 }
 
+// processes is how many processes there are like this one.
+func (s *Service) processes() int {
+	if t := s.table.Load(); t != nil {
+		return t.proxies
+	}
+	return 1
+}
+
 // Start implements kernel.Starter.
 func (s *Service) Start(context.Context) error {
 	front, err := s.secure.Listen(s.set.Proxy.Listen, security.Callers)
@@ -178,6 +196,7 @@
 	go s.ready.Serve(ready)
 	go s.pool.Run(ctx)
 	go s.reporter.Run(ctx)
+	go s.rollouts.Run(ctx)
 	return nil
 }
 
@@ -212,6 +231,7 @@
 	route    *optext.Route
 	service  *optext.Service
 	customer *optext.Customer
+	within   residency.Within // where it may be served
 	body     []byte
 	began    time.Time
 	deadline time.Time
--- /dev/null
+++ b/node/proxy/rollout_test.go
@@ -0,0 +1,92 @@
+package proxy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"caperdrum.org/api/wire"
+)
+
+// trialList are four upstreams of each of two versions.
+func trialList() []wire.Member {
+	var list []wire.Member
+	for i := range 4 {
+		for _, version := range []string{"v1", "v2"} {
+			m := wire.AnnouncedUpstream(wire.MemberID(fmt.Sprint("i-", i, version)), "desk", "10.0.0.1:80", "north", false)
+			m.Version = version
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+func onTrial(share float64) wire.Rollouts {
+	return wire.Rollouts{Revision: 1, List: []wire.Rollout{{Service: "desk", Target: "v2", State: wire.RolloutRunning, Share: share, Replaced: []string{"v1"}, Order: 1, Revision: 1}}}
+}
+
+// TestTargetGetsItsShare sends calls while a service is rolled out: the target gets its share, at the one
+// upstream that then bears the load of one.
+func TestTargetGetsItsShare(t *testing.T) {
+	for _, share := range []float64{0, 0.05, 0.2} {
+		e := newEndpoints(noNotices())
+		e.follow(onTrial(share))
+		sent := map[string]int{}
+		upstreams := map[wire.MemberID]bool{}
+		for i := range 400 {
+			now := time.Unix(1000, int64(i))
+			m, ok := e.take(trialList(), choice{dataCenter: "north"}, now)
+			if !ok {
+				t.Fatal("took none")
+			}
+			e.release(m.Start(), stood, now)
+			sent[m.Version]++
+			if m.Version == "v2" {
+				upstreams[m.ID] = true
+			}
+		}
+		want := int(400 * share)
+		if got := sent["v2"]; got < want-1 || got > want+2 || share == 0 && got > 0 {
+			t.Errorf("share %.2f: %d of 400 at the target", share, got)
+		}
+		if len(upstreams) > 1 {
+			t.Errorf("share %.2f: %d upstreams of the target got calls", share, len(upstreams))
+		}
+	}
+}
+
+// TestOwnersChoiceIsCountedOnce has the owner of the stages choose engines: its choice is taken, also one of
+// the target, and a call whose engine cannot be had goes to the versions that serve already.
+func TestOwnersChoiceIsCountedOnce(t *testing.T) {
+	e := newEndpoints(noNotices())
+	e.follow(onTrial(0.05))
+	now := time.Unix(1000, 0)
+	for i := range 100 {
+		c := choice{dataCenter: "north", wanted: wire.MemberID(fmt.Sprint("i-", i%4, "v2"))}
+		m, ok := e.take(trialList(), c, now)
+		if !ok || m.ID != c.wanted {
+			t.Fatalf("took %q in place of the owner's choice %q", m.ID, c.wanted)
+		}
+		e.release(m.Start(), unknown, now)
+		c.tried = []wire.Start{m.Start()}
+		if m, ok := e.take(trialList(), c, now); !ok || m.Version != "v1" {
+			t.Fatalf("the second try went to %q of %s", m.ID, m.Version)
+		}
+	}
+}
+
+// TestTargetAlone leaves only the target's upstreams: beyond its share it gets nothing, since nobody knows
+// whether it is sound.
+func TestTargetAlone(t *testing.T) {
+	e := newEndpoints(noNotices())
+	e.follow(onTrial(0.05))
+	var list []wire.Member
+	for _, m := range trialList() {
+		if m.Version == "v2" {
+			list = append(list, m)
+		}
+	}
+	if m, ok := e.take(list, choice{}, time.Unix(1000, 0)); ok {
+		t.Fatalf("took %q", m.ID)
+	}
+}
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -4,12 +4,16 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
+
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/logging"
+	"caperdrum.org/node/rollout"
 	"caperdrum.org/node/upstream"
 )
 
@@ -18,6 +22,7 @@
 	member   wire.Member
 	response *upstream.Response // nil when there was none
 	err      *verdict.Error     // why there was none, or why it counts as none
+	took     time.Duration      // until the answer began
 }
 
 // notRun reports whether the upstream has not run the call and never will.
@@ -42,7 +47,7 @@
 		}
 		c.tried = *tried
 		// The stages may have taken seconds: an upstream may have left meanwhile.
-		list := x.s.table.Load().announced[x.service.Name]
+		list := x.upstreams(x.service.Name)
 		m, ok := x.s.endpoints.take(list, c, time.Now())
 		if !ok {
 			return &attempt{err: x.nobody()}
@@ -75,6 +80,7 @@
 		told.FetchFrom = x.fetchFrom
 	}
 	x.s.protocol.Tell(header, told)
+	began := time.Now()
 	x.s.log.V(logging.Routine).Info("attempt sent", "request", x.call.ID, "upstream", m.ID, "address", m.Direct, "data_center", m.DataCenter, "candidates", candidates,
 		"in_flight", x.s.endpoints.load(m.Start()), "tried", x.sends, "again", x.again, "last_event", lastEvent, "inputs", len(x.inputs), "fetch_from", told.FetchFrom, "left", told.Left, "members_seq", x.s.table.Load().seq)
 	resp, err := x.s.pool.Do(ctx, &upstream.Request{Upstream: m.Start(), Address: m.Direct, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
@@ -92,13 +98,16 @@
 			x.broke(m)
 		}
 		x.s.endpoints.release(m.Start(), how, now)
+		if how == failed && !a.notRun() || x.outOfTime(ctx) {
+			x.s.counter.Add(m, x.route.Name, rollout.Failed, 0)
+		}
 		x.s.log.Info("attempt failed", "request", x.call.ID, "upstream", m.ID, "address", m.Direct, "sent", !a.notRun(),
 			"left", time.Until(x.deadline), "verdict", a.err.Verdict, "error", a.err.Message)
 		return a
 	}
 	x.s.endpoints.heard(m.Start(), now)
 	x.answering.Store(!resp.Answer.NotRun)
-	a := &attempt{member: m, response: resp}
+	a := &attempt{member: m, response: resp, took: now.Sub(began)}
 	if resp.Answer.NotRun {
 		a.err = verdict.New(verdict.NotRun, verdict.CodeOverloaded, "upstream %s refused the call", m.ID).After(max(comeBack, x.pause()))
 	}
@@ -118,6 +127,34 @@
 	if pause := x.pause(); pause > 0 && pause >= time.Until(x.deadline) {
 		return x.nobody()
 	}
+	return x.nowhere()
+}
+
+// upstreams are those of a service that may serve the call, as far as is known now.
+func (x *exchange) upstreams(service string) []wire.Member {
+	list := x.s.table.Load().announced[service]
+	if !x.within.Bound {
+		return list
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(m wire.Member) bool { return !x.within.Has(m.DataCenter) })
+}
+
+// nowhere returns why no upstream may serve a call that is bound to regions, or nil.
+func (x *exchange) nowhere() *verdict.Error {
+	if !x.within.Bound {
+		return nil
+	}
+	services := []string{x.service.Name}
+	for i, st := range x.route.Stages {
+		if i < len(x.call.Pieces) && x.call.Pieces[i] > 0 {
+			services = append(services, st.Service)
+		}
+	}
+	for _, service := range services {
+		if len(x.upstreams(service)) == 0 {
+			return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "service %s has no upstream in the data centres %v, where the call may be served", service, x.within.DataCenters).After(comeBack)
+		}
+	}
 	return nil
 }
 
@@ -143,6 +180,22 @@
 func (x *exchange) drop(a *attempt, how standing) {
 	a.response.Close()
 	x.s.endpoints.release(a.member.Start(), how, time.Now())
+	x.count(a, how)
+}
+
+// count counts how the attempt ended, while the service is rolled out.
+func (x *exchange) count(a *attempt, how standing) {
+	switch {
+	case how == failed, how == stood && a.response.Status >= http.StatusInternalServerError:
+		x.s.counter.Add(a.member, x.route.Name, rollout.Failed, 0)
+	case how == stood && !a.inputsGone():
+		x.s.counter.Add(a.member, x.route.Name, rollout.Answered, a.took)
+	}
+}
+
+// outOfTime reports whether the call's time is over while its caller still waits.
+func (x *exchange) outOfTime(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.DeadlineExceeded) && x.r.Context().Err() == nil
 }
 
 // refusal is the body of a call that got no upstream's answer.
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -215,10 +215,10 @@
 
 func (x *exchange) job() (job stagework.Job, pieces int) {
 	job = stagework.Job{ID: x.call.ID, Key: x.call.PieceKey, Left: time.Until(x.deadline),
-		Goal: time.Until(x.began.Add(x.route.Goal - engineStart(x.call.Prefix))), DataCenter: x.engineAt(), Priority: x.route.Priority}
+		Goal: time.Until(x.began.Add(x.route.Goal - engineStart(x.call.Prefix))), DataCenter: x.engineAt(), Priority: x.route.Priority, Within: x.within}
 	if len(x.call.Prefix) > 0 {
 		job.FirstEvent = time.Until(x.began.Add(x.route.Goal))
-		job.Prompt = &stagework.Prompt{Service: x.service.Name, Parts: x.call.Prefix}
+		job.Prompt = &stagework.Prompt{Service: x.service.Name, Parts: x.call.Prefix, Within: x.within}
 	}
 	for i, st := range x.route.Stages {
 		n := 0
@@ -234,7 +234,7 @@
 // engineAt is the data centre of the engine that the call would go to now: large
 // results are best made there.
 func (x *exchange) engineAt() string {
-	m, ok := x.s.endpoints.peek(x.s.table.Load().announced[x.service.Name], x.choice(), time.Now())
+	m, ok := x.s.endpoints.peek(x.upstreams(x.service.Name), x.choice(), time.Now())
 	if !ok {
 		return x.s.set.Node.DataCenter
 	}
--- a/node/proxy/table.go
+++ b/node/proxy/table.go
@@ -9,6 +9,7 @@
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/configsync"
+	"caperdrum.org/node/residency"
 )
 
 // table is an immutable picture of what decides about calls.
@@ -22,10 +23,11 @@
 	members   map[wire.MemberID]wire.Member
 	proxies   int                 // processes that share what is bounded over all of them; at least one
 	proxiesIn map[string][]string // them, by data centre
+	regions   residency.Regions
 }
 
-func newTable(v *configsync.View) *table {
-	t := &table{version: v.Version, seq: v.Seq, config: v.Config, byHost: map[string][]*optext.Route{}, customers: map[[sha256.Size]byte]*optext.Customer{}, announced: v.Announced, members: v.Members, proxiesIn: map[string][]string{}}
+func newTable(v *configsync.View, regions map[string]string) *table {
+	t := &table{version: v.Version, seq: v.Seq, config: v.Config, byHost: map[string][]*optext.Route{}, customers: map[[sha256.Size]byte]*optext.Customer{}, announced: v.Announced, members: v.Members, proxiesIn: map[string][]string{}, regions: residency.RegionsOf(regions, v.Config)}
 	for _, r := range v.Config.Routes {
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	}
--- /dev/null
+++ b/node/residency/residency_test.go
@@ -0,0 +1,51 @@
+package residency
+
+import (
+	"testing"
+
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+
+	"caperdrum.org/api/optext"
+)
+
+var regions = Regions{"a1": "east", "a2": "east", "b1": "west", "c1": "north"}
+
+// TestWithin has a data centre allowed exactly where each list that names regions names its own.
+func TestWithin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := rapid.SliceOfN(rapid.SampledFrom([]string{"east", "west", "north", "nowhere"}), 0, 3)
+		lists := rapid.SliceOfN(names, 0, 3).Draw(t, "lists")
+		w := regions.Within(lists...)
+		for dataCenter, region := range regions {
+			allowed := true
+			for _, list := range lists {
+				in := len(list) == 0
+				for _, name := range list {
+					in = in || name == region
+				}
+				allowed = allowed && in
+			}
+			if w.Has(dataCenter) != allowed {
+				t.Fatalf("%v: %s allowed is %t", lists, dataCenter, !allowed)
+			}
+		}
+		if w.Bound && w.Has("unknown") {
+			t.Fatalf("%v: a data centre of no known region is allowed", lists)
+		}
+	})
+}
+
+func TestUnknownRegionIsAnError(t *testing.T) {
+	good := &optext.Config{Routes: []*optext.Route{{Name: "r", Regions: []string{"east"}}}}
+	bad := &optext.Config{Customers: map[string]*optext.Customer{"foundry": {Name: "foundry", Regions: []string{"east", "mars"}}}}
+	if err := regions.Check(good); err != nil {
+		t.Fatal(err)
+	}
+	if err := regions.Check(bad); !errors.Is(err, ErrRegion) {
+		t.Fatalf("%v", err)
+	}
+	if err := (Regions{}).Check(bad); err != nil {
+		t.Fatalf("no region is known, and it says %v", err)
+	}
+}
--- /dev/null
+++ b/node/rollout/model_test.go
@@ -0,0 +1,330 @@
+package rollout
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"caperdrum.org/api/wire"
+)
+
+// The model plays roll-outs on a virtual clock: many processes that hear late of the leader's decisions and
+// report their counts, and upstreams of two versions.
+const (
+	modelStep   = 10 * time.Millisecond
+	modelCommit = 30 * time.Millisecond // of a decision, by a quorum
+	modelSpread = 300 * time.Millisecond
+	modelShare  = 0.1 // that a bad version may get, and modelSlack calls besides
+	modelSlack  = 50
+	// modelBad is the number of bad answers, and modelRollback the time after them, after which a bad
+	// version must get no calls.
+	modelSeeds    = 2
+	modelBad      = 50
+	modelRollback = 5 * time.Second
+)
+
+// behaviour is how the upstreams of a version answer a call, at a time since the order.
+type behaviour func(r *rand.Rand, at time.Duration, route string, load float64) (failed bool, slower float64)
+
+func sound(r *rand.Rand, _ time.Duration, _ string, _ float64) (bool, float64) {
+	return r.Float64() < 0.003, 1
+}
+
+// failing fails some of the calls that meet the condition, besides what a sound version does.
+func failing(part float64, when func(at time.Duration, route string, load float64) bool) behaviour {
+	return func(r *rand.Rand, at time.Duration, route string, load float64) (bool, float64) {
+		if when(at, route, load) && r.Float64() < part {
+			return true, 1
+		}
+		return sound(r, at, route, load)
+	}
+}
+
+func always(time.Duration, string, float64) bool { return true }
+
+// slow answers some calls several times slower.
+func slow(part, factor float64) behaviour {
+	return func(r *rand.Rand, at time.Duration, route string, load float64) (bool, float64) {
+		failed, _ := sound(r, at, route, load)
+		if r.Float64() < part {
+			return failed, factor
+		}
+		return failed, 1
+	}
+}
+
+// modelled is a roll-out on the model.
+type modelled struct {
+	seed      uint64
+	processes int
+	rate      float64 // calls a second, over all processes
+	span      time.Duration
+	perSide   int // upstreams of each version
+	old, new  behaviour
+	leaderAt  time.Duration // at which the leader is lost and another one begins; zero: never
+	cut       int           // processes that hear of nothing from a third of the span on
+}
+
+type modelCall struct {
+	ends    time.Duration
+	from    int
+	to      wire.Member
+	route   string
+	failed  bool
+	took    time.Duration
+	started time.Duration
+}
+
+// played is what came of it, counted as the users do.
+type played struct {
+	all, target int           // calls that reached the service, and the target version
+	bad         int           // answers of the target that were bad
+	fiftieth    time.Duration // when the fiftieth of them came; zero: it did not
+	late        int           // calls at the target that were sent too long after it
+	state       wire.RolloutState
+	ended       time.Duration
+	reason      string
+}
+
+func (m modelled) play() played {
+	rnd := rand.New(rand.NewPCG(m.seed, 1))
+	start := time.Unix(1_000_000, 0)
+	var members []wire.Member
+	for i := range m.perSide {
+		for _, v := range []string{"v1", "v2"} {
+			x := wire.AnnouncedUpstream(wire.MemberID(fmt.Sprintf("i-%03d-%s", i, v)), "desk", "10.0.0.1:80", "north", false)
+			x.Version = v
+			members = append(members, x)
+		}
+	}
+	current := wire.Rollout{Service: "desk", Target: "v2", Span: m.span, State: wire.RolloutRunning, Replaced: []string{"v1"}, Revision: 1, Order: 1, Started: start.UnixMilli()}
+	type process struct {
+		split   *Split
+		counter *Counter
+		lag     time.Duration
+		known   uint64
+		reports time.Duration
+	}
+	history := []struct {
+		at time.Duration
+		r  wire.Rollout
+	}{{0, current}}
+	var ps []*process
+	for range m.processes {
+		p := &process{split: NewSplit(rnd), counter: NewCounter(), lag: time.Duration(rnd.Int64N(int64(modelSpread)))}
+		p.reports = time.Duration(rnd.Int64N(int64(Interval(m.processes))))
+		ps = append(ps, p)
+	}
+	judge, ends := NewJudge("v2"), m.span
+	var calls []modelCall
+	running := map[wire.MemberID]int{}
+	var out played
+	var pending *wire.RolloutStep
+	var commitAt time.Duration
+	for at := time.Duration(0); at < m.span+time.Second; at += modelStep {
+		now := start.Add(at)
+		if m.leaderAt > 0 && at == m.leaderAt {
+			judge, ends, pending = NewJudge("v2"), at+Left(m.span, at), nil
+		}
+		for i, p := range ps {
+			if i < m.cut && at > m.span/3 {
+				continue
+			}
+			for _, h := range history {
+				if h.r.Revision > p.known && at >= h.at+p.lag {
+					p.known = h.r.Revision
+					view := wire.Rollouts{Revision: h.r.Revision, List: []wire.Rollout{h.r}}
+					p.split.Follow(view)
+					p.counter.Follow(view)
+				}
+			}
+			if at >= p.reports {
+				p.reports = at + Interval(m.processes)
+				for _, c := range p.counter.Report() {
+					if c.Order == current.Order && current.Running() {
+						judge.Take(now, wire.Start{ID: wire.MemberID(fmt.Sprint("p", i)), Incarnation: 1}, c.Counts)
+					}
+				}
+			}
+		}
+		due := m.rate * modelStep.Seconds()
+		n := int(due)
+		if rnd.Float64() < due-float64(n) {
+			n++
+		}
+		for range n {
+			k := rnd.IntN(len(ps))
+			p := ps[k]
+			if p.known == 0 {
+				continue // it knows nothing, so it serves nothing
+			}
+			track := p.split.Next("desk", p.split.HasTarget("desk", members))
+			list := track.Choose(members)
+			if r := p.split.rollouts.Of("desk"); !r.Running() {
+				list = nil
+				for _, x := range members {
+					if !r.Excludes(x.Version) {
+						list = append(list, x)
+					}
+				}
+			}
+			to := list[rnd.IntN(len(list))]
+			p.split.Sent("desk", to.Version)
+			route := []string{"book", "look"}[rnd.IntN(2)]
+			b := m.old
+			if to.Version == "v2" {
+				b = m.new
+				out.target++
+				if k >= m.cut && out.fiftieth > 0 && at > out.fiftieth+modelRollback {
+					out.late++
+				}
+			}
+			out.all++
+			usual := m.rate / float64(m.perSide)
+			failed, slower := b(rnd, at, route, float64(running[to.ID])/max(usual*0.06, 1e-9))
+			took := time.Duration(slower * float64(40*time.Millisecond) * math.Exp(0.4*rnd.NormFloat64()))
+			running[to.ID]++
+			calls = append(calls, modelCall{ends: at + took, from: k, to: to, route: route, failed: failed, took: took, started: at})
+			if to.Version == "v2" && (failed && slower == 1 || slower > 1) && !(m.isSound()) {
+				out.bad++
+				if out.bad == modelBad {
+					out.fiftieth = at + took
+				}
+			}
+		}
+		kept := calls[:0]
+		for _, c := range calls {
+			if c.ends > at {
+				kept = append(kept, c)
+				continue
+			}
+			running[c.to.ID]--
+			how := Answered
+			if c.failed {
+				how = Failed
+			}
+			ps[c.from].counter.Add(c.to, c.route, how, c.took)
+		}
+		calls = kept
+		if pending != nil && at >= commitAt {
+			if pending.Base == current.Revision {
+				current.Revision++
+				current.State, current.Share, current.Reason = pending.State, pending.Share, pending.Reason
+				history = append(history, struct {
+					at time.Duration
+					r  wire.Rollout
+				}{at, current})
+				out.ended, out.reason = at, current.Reason
+			}
+			pending = nil
+		}
+		if pending == nil && current.Running() && at%(100*time.Millisecond) == 0 {
+			up := Upstreams{Target: m.perSide, Others: m.perSide}
+			if pending = Next(current, ends-at, judge.Verdict(), judge.Target.Answers, judge.Others.Answers, up, Limits{Share: modelShare}); pending != nil {
+				commitAt = at + modelCommit
+			}
+		}
+	}
+	out.state = current.State
+	return out
+}
+
+// isSound reports whether the new version is no worse than the old one.
+func (m modelled) isSound() bool { return fmt.Sprintf("%p", m.old) == fmt.Sprintf("%p", m.new) }
+
+// check holds what came of a roll-out of a bad version against the users' rules.
+func (p played) check(t *testing.T, name string) {
+	t.Helper()
+	if float64(p.target) > modelShare*float64(p.all)+modelSlack {
+		t.Errorf("%s: %d of %d calls reached the target (%s after %s: %s)", name, p.target, p.all, p.state, p.ended, p.reason)
+	}
+	if p.late > 0 {
+		t.Errorf("%s: %d calls reached the target later than %s after its %dth bad answer", name, p.late, modelRollback, modelBad)
+	}
+}
+
+// sizes are processes and calls a second: few calls a process are the hard case.
+var sizes = []struct {
+	processes int
+	rate      float64
+	perSide   int
+}{{8, 60, 4}, {32, 200, 12}, {400, 125, 24}, {400, 500, 60}}
+
+// TestModelBadVersions rolls out versions that are bad in different ways.
+func TestModelBadVersions(t *testing.T) {
+	bad := map[string]behaviour{
+		"bad at once":      failing(0.3, always),
+		"always bad":       failing(1, always),
+		"bad later":        failing(0.4, func(at time.Duration, _ string, _ float64) bool { return at > 8*time.Second }),
+		"bad on one route": failing(0.5, func(_ time.Duration, route string, _ float64) bool { return route == "book" }),
+		"bad under load":   failing(0.5, func(_ time.Duration, _ string, load float64) bool { return load > 0.3 }),
+		"slow":             slow(0.5, 4),
+		"a little bad":     failing(0.12, always),
+	}
+	for _, size := range sizes {
+		for name, b := range bad {
+			for seed := range uint64(modelSeeds) {
+				m := modelled{seed: seed, processes: size.processes, rate: size.rate, perSide: size.perSide, span: 20 * time.Second, old: sound, new: b}
+				p := m.play()
+				what := fmt.Sprintf("%s, %d processes, %.0f calls a second, seed %d", name, size.processes, size.rate, seed)
+				p.check(t, what)
+				// A few upstreams cannot be given their usual load within the bound: a version that fails
+				// under it only is found out too late there.
+				usual := name != "bad under load" || size.perSide >= 24
+				if usual && p.bad >= modelBad && p.state != wire.RolloutRolledBack {
+					t.Errorf("%s: %s with %d bad answers of %d: %s", what, p.state, p.bad, p.target, p.reason)
+				}
+			}
+		}
+	}
+}
+
+// TestModelGoodVersions rolls out versions that are as good as the others, also while both fail, and
+// while calls are few.
+func TestModelGoodVersions(t *testing.T) {
+	both := failing(0.25, func(at time.Duration, _ string, _ float64) bool { return at > 4*time.Second })
+	for _, size := range append(sizes, struct {
+		processes int
+		rate      float64
+		perSide   int
+	}{32, 0.5, 3}) {
+		for name, b := range map[string]behaviour{"good": sound, "a fault of both": both} {
+			for seed := range uint64(modelSeeds) {
+				m := modelled{seed: seed, processes: size.processes, rate: size.rate, perSide: size.perSide, span: 12 * time.Second, old: b, new: b}
+				p := m.play()
+				if p.state != wire.RolloutCompleted || p.ended >= m.span {
+					t.Errorf("%s, %d processes, %.1f calls a second, seed %d: %s after %s: %s", name, size.processes, size.rate, seed, p.state, p.ended, p.reason)
+				}
+			}
+		}
+	}
+}
+
+// TestModelLeaderLost loses the leader in the middle: the next one hears of all that was counted.
+func TestModelLeaderLost(t *testing.T) {
+	for _, at := range []time.Duration{3 * time.Second, 9 * time.Second, 15 * time.Second} {
+		for seed := range uint64(modelSeeds) {
+			m := modelled{seed: seed, processes: 32, rate: 200, perSide: 12, span: 20 * time.Second, old: sound, new: failing(0.3, always), leaderAt: at}
+			p := m.play()
+			p.check(t, fmt.Sprintf("lost at %s, seed %d", at, seed))
+			if p.state != wire.RolloutRolledBack {
+				t.Errorf("lost at %s, seed %d: %s: %s", at, seed, p.state, p.reason)
+			}
+			m.new = sound
+			if p := m.play(); p.state != wire.RolloutCompleted {
+				t.Errorf("lost at %s, seed %d, a good version: %s: %s", at, seed, p.state, p.reason)
+			}
+		}
+	}
+}
+
+// TestModelProcessesCutOff cuts some processes off: they go on with the share that they know, and the bound
+// holds with theirs too.
+func TestModelProcessesCutOff(t *testing.T) {
+	for seed := range uint64(modelSeeds) {
+		m := modelled{seed: seed, processes: 32, rate: 200, perSide: 12, span: 20 * time.Second, old: sound, new: failing(0.3, always), cut: 8}
+		m.play().check(t, fmt.Sprint("seed ", seed))
+	}
+}
--- /dev/null
+++ b/node/rollout/plan.go
@@ -0,0 +1,97 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+
+	"caperdrum.org/api/wire"
+)
+
+// Limits bound what the target version of a roll-out may get before it has proved itself.
+type Limits struct {
+	// Share is the part of the service's calls that a bad version may get, over all processes.
+	Share float64
+}
+
+const (
+	// usedShare is the part of Limits.Share that is used: processes count their own calls, and
+	// what upstreams count differs by calls that are under way.
+	usedShare = 0.9
+	// leastShare is the part of Limits.Share that the target gets in any case, one in so many, where
+	// the span is so short that its end takes the rest.
+	leastShare = 4
+	// leastEnd and mostEnd bound what is left of the span when it is decided: a commit by a
+	// quorum, and the way to who stops the upstreams that were replaced.
+	leastEnd = 700 * time.Millisecond
+	mostEnd  = 4 * time.Second
+	// endPart is the part of the span that is left otherwise, one in so many.
+	endPart = 20
+	// leastCalls is how many calls of the service the target must have had a part of, if there
+	// were so many: one that got none of them was never reached.
+	leastCalls = 100
+)
+
+// usableShare is the share that the target may have until its end, so that the bound holds over the whole
+// span even if the version turns bad once it gets all calls.
+func usableShare(span time.Duration, l Limits) float64 {
+	end := float64(ending(span)) / float64(span)
+	return max(usedShare*(l.Share-end), l.Share/leastShare)
+}
+
+// steps are the parts of the usable share, and from which part of the span on.
+var steps = [...]struct{ from, share float64 }{{0, 0.25}, {0.1, 0.5}, {0.2, 1}}
+
+// Upstreams counts a service's upstreams that are there and not leaving.
+type Upstreams struct{ Target, Others int }
+
+// Next returns the leader's decision about a running roll-out, left before its span is over, or
+// nil. Until its end the target gets the bounded share only: a version may turn bad late, and what
+// it got by then counts against the bound.
+func Next(r wire.Rollout, left time.Duration, v Verdict, target, others uint64, up Upstreams, l Limits) *wire.RolloutStep {
+	decide := func(state wire.RolloutState, share float64, format string, args ...any) *wire.RolloutStep {
+		return &wire.RolloutStep{Service: r.Service, Base: r.Revision, State: state, Share: share, Reason: fmt.Sprintf(format, args...)}
+	}
+	ending := left <= ending(r.Span)
+	switch {
+	case v.Bad, ending && v.Suspected:
+		return decide(wire.RolloutRolledBack, 0, "%s", v.Reason)
+	case ending && up.Target == 0:
+		return decide(wire.RolloutRolledBack, 0, "no upstream of version %s serves", r.Target)
+	case ending && 2*up.Target < up.Others:
+		return decide(wire.RolloutRolledBack, 0, "%d upstreams of version %s cannot take the calls of %d", up.Target, r.Target, up.Others)
+	case ending && target == 0 && others >= leastCalls:
+		return decide(wire.RolloutRolledBack, 0, "version %s has answered no call, the others %d", r.Target, others)
+	case ending:
+		return decide(wire.RolloutCompleted, 1, "%d answers of version %s were as good as %d of the others", target, r.Target, others)
+	}
+	if share := shareAt(r.Span, left, l); share > r.Share && !v.Suspected {
+		return decide(wire.RolloutRunning, share, "step")
+	}
+	return nil
+}
+
+// ending is how long before its span is over a roll-out is decided.
+func ending(span time.Duration) time.Duration { return min(max(span/endPart, leastEnd), mostEnd) }
+
+// Left is the rest of a span of which so much has passed by a leader's time of day, for a leader that
+// has just heard of the roll-out: it listens for a while before it decides, and the time of day may have
+// been set since the order.
+func Left(span, passed time.Duration) time.Duration {
+	left := span - min(max(passed, 0), span)
+	return max(left, min(span, ending(span)+leastHeard))
+}
+
+// leastHeard is how long a leader listens to the processes before it decides: each reports within it.
+const leastHeard = 2 * time.Second
+
+// shareAt is the share that the target gets when so much of the span is left.
+func shareAt(span, left time.Duration, l Limits) float64 {
+	passed := 1 - float64(left)/float64(span)
+	share := 0.0
+	for _, s := range steps {
+		if passed >= s.from {
+			share = s.share * usableShare(span, l)
+		}
+	}
+	return share
+}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -34,7 +34,9 @@
 	DataCenter string `ini:"data_center" required:"true"`
 	// DataCenters are all of the deployment, where the settings know them: control takes
 	// orders for them also while no member is there.
-	DataCenters  []string      `ini:"data_centers"`
+	DataCenters []string `ini:"data_centers"`
+	// Regions are theirs, as DATA_CENTER:REGION.
+	Regions      []string      `ini:"regions"`
 	Roles        []string      `ini:"roles" required:"true"`
 	DataDir      string        `ini:"data_dir"`
 	DrainTimeout time.Duration `ini:"drain_timeout"`
@@ -87,6 +89,8 @@
 	Losses      int  `ini:"losses"` // disks that may be lost at once; changes wait for 2*Losses+1 voters
 	// DataCenterLosses are the data centres that may be lost at once, each with all its voters.
 	DataCenterLosses int `ini:"data_center_losses"`
+	// RolloutShare is the part of a service's calls that a bad version may get while it is rolled out.
+	RolloutShare float64 `ini:"rollout_share"`
 }
 
 // MinVoters is how many voters a self-forming cluster has before it accepts a
@@ -122,6 +126,16 @@
 	TLS      TLS
 }
 
+// RegionsOfDataCenters returns the regions that the settings name, by data centre.
+func (n Node) RegionsOfDataCenters() map[string]string {
+	out := map[string]string{}
+	for _, pair := range n.Regions {
+		dataCenter, region, _ := strings.Cut(pair, ":")
+		out[dataCenter] = region
+	}
+	return out
+}
+
 // Has reports whether the process plays the role.
 func (s *Settings) Has(r Role) bool { return slices.Contains(s.Node.Roles, string(r)) }
 
@@ -141,7 +155,7 @@
 func defaults() *Settings {
 	return &Settings{
 		Node:    Node{DrainTimeout: 30 * time.Second, LogLevel: "info", Timeline: 4096},
-		Control: ControlRole{Lease: 3 * time.Second, Voters: 3, LedgerMax: 128 << 20, Losses: 1},
+		Control: ControlRole{Lease: 3 * time.Second, Voters: 3, LedgerMax: 128 << 20, Losses: 1, RolloutShare: 0.1},
 		Proxy:   proxyDefaults(),
 		Entry:   EntryRole{MaxBody: 4 << 20, StaleAfter: 5 * time.Second, MaxInFlight: 4096, MaxAnswer: 16 << 20},
 		Agent:   AgentRole{KeepAnswers: 2 * time.Minute, KeepBytes: 8 << 20, MaxAnswer: 16 << 20, HealthPath: "/health", LeaveGrace: time.Second},
@@ -228,6 +242,11 @@
 	if s.Node.Memory < 0 {
 		f.Fail("node", "memory", "memory is negative", "use MB, or 0 for no limit")
 	}
+	for _, pair := range s.Node.Regions {
+		if dataCenter, region, _ := strings.Cut(pair, ":"); dataCenter == "" || region == "" {
+			f.Fail("node", "regions", fmt.Sprintf("%q names no data centre and its region", pair), "write regions = north:east, south:west")
+		}
+	}
 	s.checkPlainText(f)
 	for _, a := range s.Peers.Control {
 		checkAddress(f, "peers", "control", a)
@@ -256,6 +275,9 @@
 	if s.Control.Admin == "" && !s.Control.SelfForming {
 		f.Fail("control", "admin", `key "admin" is missing in [control]`, "add admin = ...")
 	}
+	if s.Control.RolloutShare <= 0 || s.Control.RolloutShare > 1 {
+		f.Fail("control", "rollout_share", "rollout_share is not above zero and at most one", "write rollout_share = 0.1")
+	}
 	if s.Control.Voters%2 == 0 && !s.Control.SelfForming {
 		f.Fail("control", "voters", "an even number of voters", "use 1, 3 or 5")
 	}
--- a/node/stagework/engines.go
+++ b/node/stagework/engines.go
@@ -8,6 +8,8 @@
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/coldstart"
+	"caperdrum.org/node/residency"
+	"caperdrum.org/node/rollout"
 	"caperdrum.org/node/upstream"
 )
 
@@ -44,6 +46,7 @@
 type Prompt struct {
 	Service string                `json:"service"` // whose upstreams the engines are
 	Parts   []upstream.PromptPart `json:"parts"`   // in order, shared ones first
+	Within  residency.Within      `json:"within,omitzero"`
 }
 
 // engines chooses engines by what they have to read before a call's first event: the
@@ -60,6 +63,7 @@
 	holders  holders
 	cold     coldstart.Limit // of what a cold engine gets
 	turn     int             // of candidates
+	split    *rollout.Split  // of the calls that this owner chooses engines for
 	pace     pace            // of all engines
 }
 
@@ -95,7 +99,7 @@
 }
 
 func newEngines() *engines {
-	return &engines{by: map[wire.MemberID]*engineLoad{}, holders: holders{}, pace: newPace()}
+	return &engines{by: map[wire.MemberID]*engineLoad{}, holders: holders{}, pace: newPace(), split: newSplit()}
 }
 
 // follow takes over the services and the engines that are there.
@@ -123,6 +127,16 @@
 // the one that should begin soon at no great cost. bytes are where the results that it
 // fetches lie, by data centre.
 func (e *engines) choose(now, goal time.Time, p *Prompt, bytes map[string]int64) plan {
+	if track := e.split.Next(p.Service, e.split.HasTarget(p.Service, e.members[p.Service])); track.Target() {
+		if x := e.chooseOn(track, now, goal, p, bytes); x.engine.ID != "" {
+			return x
+		}
+	}
+	return e.chooseOn(e.split.Stable(p.Service), now, goal, p, bytes)
+}
+
+// chooseOn chooses among the engines of the versions that the track admits.
+func (e *engines) chooseOn(track rollout.Track, now, goal time.Time, p *Prompt, bytes map[string]int64) plan {
 	first, source, spec := e.first(p), e.source(now, p), e.services[p.Service]
 	all := int64(0)
 	for _, n := range bytes {
@@ -130,7 +144,7 @@
 	}
 	var best plan
 	var least rank
-	for _, l := range e.candidates(p, first) {
+	for _, l := range e.candidates(p, first, track) {
 		m := l.member
 		if m.Cold && spec != nil && !l.chosen.Allows(now, e.cold, spec.ColdRate) {
 			continue
@@ -212,13 +226,16 @@
 
 // candidates are the engines of a prompt's service that are looked at: all of a few, else
 // those that keep its shared parts, or count as such, and some others, by turns.
-func (e *engines) candidates(p *Prompt, first wire.MemberID) []*engineLoad {
-	members := e.members[p.Service]
+func (e *engines) candidates(p *Prompt, first wire.MemberID, track rollout.Track) []*engineLoad {
+	members := track.Choose(e.members[p.Service])
+	if p.Within.Bound {
+		members = slices.DeleteFunc(slices.Clone(members), func(m wire.Member) bool { return !p.Within.Has(m.DataCenter) })
+	}
 	n := min(len(members), mostLooked)
 	out := make([]*engineLoad, 0, 2*n)
 	if n < len(members) {
 		for _, l := range e.holders.of(p) {
-			if l.member.Service == p.Service {
+			if l.member.Service == p.Service && track.Admits(l.member.Version) && p.Within.Has(l.member.DataCenter) {
 				out = append(out, l)
 			}
 		}
@@ -240,6 +257,7 @@
 	l := e.get(x.engine)
 	l.waiting = l.waiting.plus(x.read)
 	l.chosen.Count(now)
+	e.split.Sent(p.Service, x.engine.Version)
 	e.sendParts(now, l, shared(p.Parts))
 	if x.fetch.source != nil {
 		x.fetch.begin(now)
--- a/node/stagework/job.go
+++ b/node/stagework/job.go
@@ -9,6 +9,7 @@
 
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/residency"
 )
 
 // Job is the stages of one call. Times are spans, since VMs' clocks differ.
@@ -22,9 +23,11 @@
 	FirstEvent time.Duration `json:"first_event,omitempty"` // until the first event of the call's answer is due
 	DataCenter string        `json:"data_center"`
 	Priority   int           `json:"priority,omitempty"` // 0 is the most urgent
-	Caller     string        `json:"caller,omitempty"`   // peer address of the process whose call it is; empty: it wants no news
-	Made       []StageMade   `json:"made,omitempty"`     // stages that an owner before has made
-	Again      bool          `json:"again,omitempty"`    // it was handed in before, at an owner that did not end it
+	// Within are the data centres in which pieces and the call itself may be made.
+	Within residency.Within `json:"within,omitzero"`
+	Caller string           `json:"caller,omitempty"` // peer address of the process whose call it is; empty: it wants no news
+	Made   []StageMade      `json:"made,omitempty"`   // stages that an owner before has made
+	Again  bool             `json:"again,omitempty"`  // it was handed in before, at an owner that did not end it
 	// Owner is the process that its caller takes for the owner: one that was named may not
 	// have heard of it yet.
 	Owner  wire.StageOwner `json:"owner"`
@@ -109,6 +112,11 @@
 	return nil
 }
 
+// errNowhere refuses a job that may be made in data centres only where no upstream of a service is.
+func errNowhere(service string, w residency.Within) error {
+	return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "service %s has no upstream in the data centres %v, where the stages may be made", service, w.DataCenters)
+}
+
 func errNoTime() error {
 	return verdict.New(verdict.NotRun, verdict.CodeDeadline, "the stages were not done in time")
 }
--- a/node/stagework/outcome.go
+++ b/node/stagework/outcome.go
@@ -46,6 +46,7 @@
 	w.running--
 	w.hold(-c.bytes)
 	s.judge(now, c, o)
+	s.countTrial(now, c, o)
 	var free []made
 	for i, p := range c.pieces {
 		p.job.calls--
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -6,6 +6,7 @@
 
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/rollout"
 	"caperdrum.org/node/upstream"
 )
 
@@ -28,6 +29,9 @@
 	asked   classes // jobs that need this service
 	sums    pieceSums
 
+	name  string
+	split *rollout.Split // of this owner's calls
+
 	efficiency float64 // the part of its nominal rate that it reaches while pieces wait
 }
 
@@ -63,7 +67,7 @@
 // next takes the next call out of the queue, or returns nil when no upstream
 // can take one.
 func (q *serviceQueue) next(now time.Time) *call {
-	free := q.free(now)
+	free := q.onTrack(q.free(now))
 	if len(free) == 0 {
 		return nil
 	}
@@ -158,6 +162,9 @@
 func (q *serviceQueue) fitting(w *worker, now time.Time) []*piece {
 	out := make([]*piece, 0, len(q.waiting))
 	for _, p := range q.waiting {
+		if !p.job.Within.Has(w.member.DataCenter) {
+			continue
+		}
 		if p.home == "" || p.home == w.member.DataCenter || p.nowhere || p.wait > fullCall(q.spec) || p.pressed(now, q.spec) {
 			out = append(out, p)
 		}
@@ -216,6 +223,7 @@
 	w.running++
 	w.current = c
 	q.reached(c)
+	q.split.Sent(q.name, w.member.Version)
 	w.hold(c.bytes)
 	w.used = now
 	w.freeAt = now.Add(time.Duration(float64(c.expect) * max(1, w.ratio)))
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -7,6 +7,7 @@
 
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/rollout"
 	"caperdrum.org/node/upstream"
 )
 
@@ -29,6 +30,8 @@
 	news     []news
 	lost     []*worker // that have started again, until takeLost
 	engines  *engines
+	split    *rollout.Split
+	counter  *rollout.Counter
 	sentAway sentAway
 	ended    rate    // of jobs whose stages were done
 	fetching []*call // whose inputs are being fetched
@@ -40,7 +43,8 @@
 }
 
 func newScheduler() *scheduler {
-	return &scheduler{services: map[string]*serviceQueue{}, jobs: map[string]*job{}, engines: newEngines(), sentAway: sentAway{}}
+	e := newEngines()
+	return &scheduler{services: map[string]*serviceQueue{}, jobs: map[string]*job{}, engines: e, split: e.split, counter: rollout.NewCounter(), sentAway: sentAway{}}
 }
 
 // setServices takes over the services that make pieces and their upstreams.
@@ -53,7 +57,7 @@
 		}
 		q := s.services[name]
 		if q == nil {
-			q = &serviceQueue{workers: map[wire.MemberID]*worker{}, asked: classes{}, efficiency: firstEfficiency}
+			q = &serviceQueue{workers: map[wire.MemberID]*worker{}, asked: classes{}, efficiency: firstEfficiency, name: name, split: s.split}
 			s.services[name] = q
 		}
 		q.spec = spec
@@ -108,6 +112,10 @@
 			answer(Result{}, errStages("service "+st.Service+" makes no pieces"))
 			return nil
 		}
+		if st.Pieces > 0 && !s.services[st.Service].within(j.Within) {
+			answer(Result{}, errNowhere(st.Service, j.Within))
+			return nil
+		}
 	}
 	s.reset(n)
 	s.foresee(now, n)
@@ -331,6 +339,9 @@
 		case j.answer != nil && !now.Before(j.deadline):
 			s.end(j, Result{}, errNoTime())
 			out = append(out, s.forget(j)...)
+		case j.answer != nil && s.outside(j):
+			s.end(j, Result{}, errNowhere("of a stage", j.Within))
+			out = append(out, s.forget(j)...)
 		case j.answer != nil && s.starved(now, j):
 			s.end(j, Result{}, errBusy(starvedComeBack))
 			out = append(out, s.forget(j)...)
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -13,6 +13,7 @@
 	"caperdrum.org/node/discovery"
 	"caperdrum.org/node/logging"
 	"caperdrum.org/node/peer"
+	"caperdrum.org/node/rollout"
 	"caperdrum.org/node/settings"
 	"caperdrum.org/node/upstream"
 )
@@ -41,6 +42,7 @@
 	Discovery  *discovery.Service  `name:"discovery"`
 	Control    *control.Service    `name:"control" optional:"true"`
 	Notices    *upstream.Notices
+	Counter    *rollout.Counter
 }
 
 // Service hands jobs to their owner, and is an owner itself when others take
@@ -71,6 +73,7 @@
 	s := &Service{log: p.Log, protocol: p.Protocol, pool: upstream.NewPool(p.Protocol, p.Notices),
 		events: make(chan func(time.Time), 256), dial: p.Dial, handed: newHandedIn(),
 		address: func() string { return p.ConfigSync.Self().Peer }, self: p.ConfigSync.Self, callers: map[string]*peer.Client{}, scheduler: newScheduler(), toFree: map[*worker][]made{}}
+	s.scheduler.counter = p.Counter
 	s.scheduler.engines.cold = p.Settings.Proxy.ColdLimit()
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.link = newLink(p.Dial, p.Log)
@@ -86,6 +89,7 @@
 		self := p.ConfigSync.Self()
 		s.post(func(now time.Time) {
 			s.scheduler.setServices(v.Config.Services, v.Announced)
+			s.scheduler.followRollouts(v.Rollouts)
 			s.startedAgain(now, s.scheduler.takeLost())
 			s.keepCallers(v.Members)
 			s.takeOwnership(now, v.Owner, v.Owner.ID == self.ID && v.Owner.Incarnation == self.Incarnation, "view")
--- a/node/stagework/workers.go
+++ b/node/stagework/workers.go
@@ -29,6 +29,7 @@
 	lost     bool      // it has started again: what it held is gone
 	proven   bool      // its last call ended well
 	ahead    bool      // its start is known from a report, before the members say so
+	trial    bool      // it is of the version to which the service is being rolled out
 }
 
 // setWorkers takes over the upstreams that are there, and returns those that have
@@ -133,7 +134,11 @@
 	return sum
 }
 
-func (w *worker) healthy() bool { return w.ratio <= slowRatio && w.failures == 0 && !w.leaving }
+// healthy reports whether the upstream is neither slow, nor failing, nor on trial: what the service can
+// make is foreseen from the others.
+func (w *worker) healthy() bool {
+	return !w.trial && w.ratio <= slowRatio && w.failures == 0 && !w.leaving
+}
 
 // pause is how long it takes until an upstream of the service wants calls again, where none does.
 func (q *serviceQueue) pause(now time.Time) time.Duration {
--- a/node/state/evacuations_test.go
+++ b/node/state/evacuations_test.go
@@ -27,15 +27,18 @@
 	acked   map[string]int
 }
 
-func (o *operators) apply(c Command) Result {
-	c.Now = o.now
+func (o *operators) apply(c Command) Result { return applyAt(o.t, o.machine, o.now, c) }
+
+// applyAt has a machine execute a command at a time of the leader's clock.
+func applyAt(t *rapid.T, m *Machine, now int64, c Command) Result {
+	c.Now = now
 	data, err := c.Encode()
 	if err != nil {
-		o.t.Fatal(err)
+		t.Fatal(err)
 	}
-	r, err := o.machine.Apply(data)
+	r, err := m.Apply(data)
 	if err != nil {
-		o.t.Fatal(err)
+		t.Fatal(err)
 	}
 	return r
 }
--- a/node/state/state.go
+++ b/node/state/state.go
@@ -38,9 +38,12 @@
 	// Crashes accuse calls under which upstreams ended, and clear those that were answered.
 	Crashes *wire.CrashReport `cbor:"13,keyasint,omitempty"`
 	// Lift ends the quarantine of a call.
-	Lift   wire.Fingerprint `cbor:"14,keyasint,omitempty"`
-	Team   *TeamCommand     `cbor:"20,keyasint,omitempty"`
-	Orders *OrderCommand    `cbor:"40,keyasint,omitempty"`
+	Lift wire.Fingerprint `cbor:"14,keyasint,omitempty"`
+	// StartRollout starts a roll-out; StepRollout decides about a running one.
+	StartRollout *wire.RolloutOrder `cbor:"15,keyasint,omitempty"`
+	StepRollout  *wire.RolloutStep  `cbor:"16,keyasint,omitempty"`
+	Team         *TeamCommand       `cbor:"20,keyasint,omitempty"`
+	Orders       *OrderCommand      `cbor:"40,keyasint,omitempty"`
 }
 
 // Removal ends a membership, unless the process has since come back under
@@ -62,6 +65,7 @@
 	Rebase     bool
 	Evacuation *wire.EvacuationResult
 	Quarantine *wire.QuarantineChange
+	Rollout    *wire.RolloutResult
 	Team       *TeamResult
 	Orders     []IssueResult
 }
@@ -112,6 +116,7 @@
 
 	Evacuations wire.Evacuations  `cbor:"43,keyasint"`
 	Quarantine  quarantine.Ledger `cbor:"44,keyasint"`
+	Rollouts    wire.Rollouts     `cbor:"45,keyasint"`
 }
 
 // Machine is the state. One goroutine owns it; others read its View.
@@ -151,7 +156,9 @@
 	// Suspects are calls that end upstreams, as processes are told; Quarantine is what operators see of them.
 	Suspects   wire.Suspects
 	Quarantine []wire.QuarantineEntry
-	log        []memberChange
+	// Rollouts are the last roll-outs of services.
+	Rollouts wire.Rollouts
+	log      []memberChange
 }
 
 // New returns an empty machine.
@@ -210,6 +217,7 @@
 		r.Evacuation = &res
 	}
 	m.quarantine(&c, &r)
+	m.rollouts(&c, &r)
 	for _, member := range c.Join {
 		m.join(member)
 	}
@@ -369,6 +377,7 @@
 		Evacuations: m.s.Evacuations,
 		Suspects:    m.suspects,
 		Quarantine:  m.quarantined,
+		Rollouts:    m.s.Rollouts,
 		log:         m.memberLog[:len(m.memberLog):len(m.memberLog)],
 	}
 	return m.view
