Proxy: callers that read slowly hold up neither upstreams nor memory

Cause: a stream was read from its upstream only as its caller took it. A caller that reads a byte a second kept the upstream's connection and place until the upstream cut the stream off; bodies (4 MB each) and whole answers (8 MB) of any number of calls were held without a bound.

Ruled out: a larger socket buffer (the platform's windows are small, and it bounds nothing over all calls).

Change: a stream is read ahead into a spool of 256 kB at most; all calls together hold a fifth of the process's memory, except for 16 kB of each, so that every stream goes on. Above that upstreams wait; a body for which there is no room is refused as not run, at once. A caller has its deadline and 10 s to take a stream or a whole answer.

--- a/node/proxy/admit.go
+++ b/node/proxy/admit.go
@@ -76,11 +76,13 @@
 		limit = defaultMaxBody
 	}
 	var err error
-	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	x.body, err = io.ReadAll(&fullReader{r: http.MaxBytesReader(x.w, x.r.Body, limit), held: &x.held, free: freeBytes})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the body is above %d bytes", limit)
+	case errors.Is(err, errHeld):
+		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%s", err).After(comeBack)
 	case err != nil:
 		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "the body ended early")
 	}
--- a/node/proxy/plain.go
+++ b/node/proxy/plain.go
@@ -51,7 +51,7 @@
 		x.drop(a, wasFull)
 		return nil, a.err
 	}
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxPlainAnswer+1))
+	body, err := io.ReadAll(&patientReader{ctx: ctx, r: io.LimitReader(a.response.Body, maxPlainAnswer+1), held: &x.held, free: freeBytes})
 	how := failed
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -105,11 +105,26 @@
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(a.response.Status)
 	if x.r.Method != http.MethodHead {
+		defer x.deliverBy(time.Now())()
 		x.w.Write(body) // a caller that left needs no answer
 	}
 	x.answered(a, "")
 }
 
+// deliverBy bounds how long the caller may take to read the answer that begins now. The function that it
+// returns ends the bound: the connection serves further calls.
+func (x *exchange) deliverBy(now time.Time) (end func()) {
+	latest := x.deadline
+	if latest.Before(now) {
+		latest = now
+	}
+	c := http.NewResponseController(x.w)
+	if c.SetWriteDeadline(latest.Add(lateDelivery)) != nil {
+		return func() {} // a writer without deadlines
+	}
+	return func() { c.SetWriteDeadline(time.Time{}) }
+}
+
 func (x *exchange) copyHeader(a *attempt) {
 	header := a.response.Header.Clone()
 	dropHopByHop(header)
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -51,6 +51,9 @@
 	// staleAfter is the age of a quorum's confirmation from which on this
 	// process no longer refuses for good: a route or key may be new.
 	staleAfter = 3 * time.Second
+	// lateDelivery is how long after its deadline an answer is still being sent to a caller that reads
+	// slowly: one that has left is not told apart from one that reads nothing.
+	lateDelivery = 10 * time.Second
 	// lastAnswers is left of the time to stop for the final answers of calls
 	// that are still under way.
 	lastAnswers = 500 * time.Millisecond
@@ -115,6 +118,7 @@
 	guard     *quarantine.Guard
 	answers   *quarantine.Answers
 	running   *running
+	holdings  *holdings
 	counter   *rollout.Counter  // of answers, while a service is rolled out
 	rollouts  *rollout.Reporter // of them
 }
@@ -136,6 +140,7 @@
 		pool: upstream.NewPool(protocol, notices), endpoints: newEndpoints(notices), notices: notices, first: newFirstView(clockwork.NewRealClock())}
 	s.share(boottime.System())
 	s.running, s.counter = newRunning(), rollout.NewCounter()
+	s.holdings = newHoldings(set.Node.Memory)
 	s.guard, s.answers, s.reporter = quarantine.NewGuard(), quarantine.NewAnswers(), quarantine.NewReporter(noReports)
 	s.inquiries = quarantine.NewInquiries(s.pool.Listens, s.endedUnder, boottime.System())
 	s.ending, s.end = context.WithCancel(context.Background())
@@ -233,6 +238,7 @@
 	customer *optext.Customer
 	within   residency.Within // where it may be served
 	body     []byte
+	held     held // of all that is kept for the call
 	began    time.Time
 	deadline time.Time
 	sends    int    // calls of upstreams so far
@@ -253,7 +259,8 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{s: s, w: w, r: r, began: time.Now(), table: s.table.Load()}
+	x := &exchange{s: s, w: w, r: r, began: time.Now(), table: s.table.Load(), held: held{all: s.holdings}}
+	defer x.held.release()
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close") // the caller's next call goes elsewhere
 	}
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -102,7 +102,7 @@
 		x.engineOutcome = stagework.EngineBegan
 	}
 	x.release()
-	err := out.copy(a)
+	err := out.copy(ctx, a)
 	switch {
 	case err == io.EOF:
 		x.drop(a, stood)
@@ -141,22 +141,32 @@
 
 // copy passes whole events on as they come. It returns io.EOF after a whole
 // stream.
-func (o *streamWriter) copy(a *attempt) error {
-	buf := make([]byte, readChunk)
+func (o *streamWriter) copy(ctx context.Context, a *attempt) error {
+	defer o.x.deliverBy(time.Now())()
+	ahead := newSpool(ctx, a.response.Body, o.x.s.holdings)
+	err := o.copyFrom(ahead)
+	if err != io.EOF {
+		a.response.Abort() // a read that waits
+	}
+	ahead.drop()
+	return err
+}
+
+func (o *streamWriter) copyFrom(ahead *spool) error {
 	flush := http.NewResponseController(o.x.w)
 	for {
-		n, err := a.response.Body.Read(buf)
-		if whole := o.events.feed(buf[:n]); len(whole) > 0 {
-			if _, werr := o.x.w.Write(whole); werr != nil {
-				return werr
-			}
-			if ferr := flush.Flush(); ferr != nil {
-				return ferr
-			}
-		}
+		data, err := ahead.next()
 		if err != nil {
 			return err
 		}
+		if whole := o.events.feed(data); len(whole) > 0 {
+			if _, err := o.x.w.Write(whole); err != nil {
+				return err
+			}
+			if err := flush.Flush(); err != nil {
+				return err
+			}
+		}
 	}
 }
 
--- a/node/upstream/call.go
+++ b/node/upstream/call.go
@@ -167,6 +167,9 @@
 // waiting.
 func (r *Response) Buffered() int { return r.conn.br.Buffered() }
 
+// Abort closes the connection, and so ends a read of the body that waits.
+func (r *Response) Abort() { r.conn.Close() }
+
 // Close ends the call. The connection is kept if answer and request are
 // complete and nothing follows.
 func (r *Response) Close() {
