Views: a member's change costs the one list that it changes

Cause: takeMembers copied the whole map of members, index() made and sorted all lists, newTable went over all members and hashed the keys of all customers, keep() and the engines went over all upstreams: at each change of one member, in each process. Members that change grow with the fleet and so did the cost of each: n*n.

Ruled out: a longer pause between two commands of members (joinGap): a larger constant, and news of an upstream that leaves comes later.

Change: members in an immutable set that shares what stays (package memberset, over benbjohnson/immutable); lists by service are replaced one by one; a table takes over what has not changed; proxy and stage queues pass over services whose list is the same, and the shared ends of one that is not.

What still grows is the copy of the list of one service: linear in it, not in all members.

--- a/ctl/capacity/members.go
+++ b/ctl/capacity/members.go
@@ -98,7 +98,10 @@
 	ms.list[i] = m
 	self := m.Self()
 	return waitFor(ctx, "a restart known to all", func() bool {
-		return ms.all(func(v *configsync.View) bool { return v.Members[self.ID].Incarnation == self.Incarnation })
+		return ms.all(func(v *configsync.View) bool {
+			m, known := v.Members.Get(self.ID)
+			return known && m.Incarnation == self.Incarnation
+		})
 	})
 }
 
--- a/node/admission/admission.go
+++ b/node/admission/admission.go
@@ -73,7 +73,7 @@
 
 func countEntries(v *configsync.View) int {
 	n := 0
-	for _, m := range v.Members {
+	for m := range v.Members.All() {
 		if strings.Contains(m.Role, string(settings.Entry)) && !m.Leaving {
 			n++
 		}
--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -93,7 +93,7 @@
 		}
 		out := map[string]any{"stamp_age_ms": s.StampAge().Milliseconds()}
 		if v := s.View(); v != nil {
-			out["version"], out["bytes"], out["members_seq"], out["members"], out["owner_epoch"] = v.Version, len(v.Text), v.Seq, len(v.Members), v.Owner.Epoch
+			out["version"], out["bytes"], out["members_seq"], out["members"], out["owner_epoch"] = v.Version, len(v.Text), v.Seq, v.Members.Len(), v.Owner.Epoch
 			out["evacuated"] = v.Evacuations.Out()
 		}
 		return out
--- a/node/configsync/evacuations_test.go
+++ b/node/configsync/evacuations_test.go
@@ -41,8 +41,8 @@
 	}
 	expect := func(v *View, want int) {
 		t.Helper()
-		if announced, agents := len(v.Announced["llm"]), len(v.ByService["llm"]); announced != want || agents != want || len(v.Members) != 4 {
-			t.Fatalf("%d announced, %d agents, %d members; want %d", announced, agents, len(v.Members), want)
+		if announced, agents := len(v.Announced["llm"]), len(v.ByService["llm"]); announced != want || agents != want || v.Members.Len() != 4 {
+			t.Fatalf("%d announced, %d agents, %d members; want %d", announced, agents, v.Members.Len(), want)
 		}
 	}
 	expect(take(wire.SyncReply{Members: upstreamsIn("north", "south"), Evacuations: evacuated(2, "north"), EvacuationsRevision: 2}), 1)
--- a/node/configsync/view.go
+++ b/node/configsync/view.go
@@ -2,12 +2,12 @@
 
 import (
 	"slices"
-	"sort"
 
 	"github.com/juju/errors"
 
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/memberset"
 )
 
 // View is an immutable picture of the configuration and the members. Version
@@ -18,7 +18,8 @@
 	Text      string
 	Hash      uint64 // xxhash64 of Text
 	Seq       uint64
-	Members   map[wire.MemberID]wire.Member
+	Members   memberset.Set
+	Peers     []wire.Member            // proxies, sorted by id
 	ByService map[string][]wire.Member // agents that are not leaving, by service, sorted by id
 	Owner     wire.StageOwner
 	Announced map[string][]wire.Member // announced upstreams that are not leaving, likewise
@@ -29,11 +30,13 @@
 	// Rollouts of services; upstreams of versions that they exclude are not in Announced.
 	Rollouts wire.Rollouts
 
+	announced lists // as Announced, with upstreams of versions that Rollouts exclude
+
 	ends []int // where the sections of Text end
 }
 
 func emptyView() View {
-	return View{Config: &optext.Config{}, Members: map[wire.MemberID]wire.Member{}}
+	return View{Config: &optext.Config{}}
 }
 
 // errGap says that a member delta does not follow what is held.
@@ -46,21 +49,29 @@
 	if !d.Whole && d.From != v.Seq {
 		return errors.Annotatef(errGap, "from %d to %d, held %d", d.From, d.To, v.Seq)
 	}
-	members := make(map[wire.MemberID]wire.Member, len(v.Members)+len(d.Changed))
-	if !d.Whole {
-		for id, m := range v.Members {
-			members[id] = m
-		}
+	if d.Whole {
+		v.Members, v.Seq = memberset.Of(d.Changed...), d.To
+		v.index()
+		return nil
 	}
-	for _, m := range d.Changed {
-		members[m.ID] = m
+	v.Seq = d.To
+	v.change(d.Changed, d.Removed)
+	return nil
+}
+
+// change takes over single members. What it costs does not grow with the members, but for the
+// copies of the lists that change.
+func (v *View) change(changed []wire.Member, removed []wire.MemberID) {
+	u := update{v: v, evacuated: v.Evacuations.Out(), fresh: [listKinds]map[string]bool{{}, {}, {}}}
+	u.lists = [listKinds]lists{agents: cloneLists(v.ByService), announced: cloneLists(v.announced), peers: {peerList: v.Peers}}
+	for _, m := range changed {
+		u.put(m)
 	}
-	for _, id := range d.Removed {
-		delete(members, id)
+	for _, id := range removed {
+		u.remove(id)
 	}
-	v.Members, v.Seq = members, d.To
-	v.index()
-	return nil
+	v.ByService, v.announced, v.Peers = u.lists[agents], u.lists[announced], u.lists[peers][peerList]
+	v.exclude(u.fresh[announced])
 }
 
 // takeEvacuations takes over newer evacuations. What lies at upstreams of such a data centre
@@ -105,39 +116,24 @@
 		v.Suspects.Revision != old.Suspects.Revision || v.Rollouts.Revision != old.Rollouts.Revision
 }
 
-// index makes the lists of those that get calls.
+// index makes the lists anew.
 func (v *View) index() {
-	v.ByService, v.Announced = map[string][]wire.Member{}, map[string][]wire.Member{}
+	v.ByService, v.announced, v.Peers = lists{}, lists{}, nil
 	evacuated := v.Evacuations.Out()
-	for _, m := range v.Members {
-		switch {
-		case m.Service == "" || m.Leaving || slices.Contains(evacuated, m.DataCenter):
-		case m.Direct != "":
-			v.Announced[m.Service] = append(v.Announced[m.Service], m)
-		default:
-			v.ByService[m.Service] = append(v.ByService[m.Service], m)
+	all := [listKinds]lists{agents: v.ByService, announced: v.announced, peers: {}}
+	for m := range v.Members.All() {
+		for kind, name := range placesOf(m, evacuated) {
+			if name != "" {
+				all[kind][name] = append(all[kind][name], m)
+			}
 		}
 	}
-	v.exclude()
-	sortByID(v.ByService)
-	sortByID(v.Announced)
-}
-
-// exclude takes upstreams out that a roll-out has decided against. Those of a version that was
-// replaced stay while there are no others: they have served well. Those of one that was rolled
-// back never do.
-func (v *View) exclude() {
-	for _, r := range v.Rollouts.List {
-		list := v.Announced[r.Service]
-		kept := slices.DeleteFunc(slices.Clone(list), func(m wire.Member) bool { return r.Excludes(m.Version) })
-		if len(kept) > 0 || r.State == wire.RolloutRolledBack {
-			v.Announced[r.Service] = kept
+	for _, l := range all {
+		for _, list := range l {
+			slices.SortFunc(list, func(a, b wire.Member) int { return compareID(a, b.ID) })
 		}
 	}
-}
-
-func sortByID(lists map[string][]wire.Member) {
-	for _, list := range lists {
-		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	}
+	v.Peers = all[peers][peerList]
+	v.Announced = nil
+	v.exclude(nil)
 }
--- a/node/control/bench_test.go
+++ b/node/control/bench_test.go
@@ -6,6 +6,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/configsync"
 )
 
 // processorTime is what this process has used so far.
@@ -81,7 +84,7 @@
 	s.wait("all know the new incarnations", func() bool {
 		for _, m := range s.members {
 			for _, g := range gone {
-				if known := m.View(); known == nil || known.Members[g.Self().ID].Incarnation <= g.Self().Incarnation {
+				if known := m.View(); known == nil || startOf(known, g.Self().ID) <= g.Self().Incarnation {
 					return false
 				}
 			}
@@ -124,3 +127,9 @@
 	b.ReportMetric(float64((processorTime()-cpu).Microseconds())/float64(b.N)/1000, "cpu-ms/change")
 	b.ReportMetric(float64(s.network.bytes.Load()-bytes)/float64(b.N*len(s.members)), "B/change/member")
 }
+
+// startOf returns the incarnation of a member in a view; zero where it is none.
+func startOf(v *configsync.View, id wire.MemberID) uint64 {
+	m, _ := v.Members.Get(id)
+	return m.Incarnation
+}
--- a/node/control/sync_test.go
+++ b/node/control/sync_test.go
@@ -278,11 +278,15 @@
 	if want, err := optext.Parse("t", []byte(v.Text)); err != nil || v.Version > 0 && !reflect.DeepEqual(want, v.Config) {
 		w.t.Fatalf("version %d was parsed wrongly: %v", v.Version, err)
 	}
-	if !maps.Equal(v.Members, w.members[v.Seq]) {
-		w.t.Fatalf("members at %d: %v, want %v", v.Seq, v.Members, w.members[v.Seq])
+	held := map[wire.MemberID]wire.Member{}
+	for m := range v.Members.All() {
+		held[m.ID] = m
+	}
+	if !maps.Equal(held, w.members[v.Seq]) {
+		w.t.Fatalf("members at %d: %v, want %v", v.Seq, held, w.members[v.Seq])
 	}
 	for _, m := range v.ByService["s"] {
-		if v.Members[m.ID].Leaving {
+		if held[m.ID].Leaving {
 			w.t.Fatalf("%s is leaving and offered", m.ID)
 		}
 	}
--- a/node/control/system_test.go
+++ b/node/control/system_test.go
@@ -282,7 +282,7 @@
 	version, _ = s.apply(customers(3, 0, 2))
 	s.inForce(version)
 	for _, m := range s.members {
-		if len(m.View().Members) != 6 {
+		if m.View().Members.Len() != 6 {
 			t.Fatalf("a healthy member was removed: %v", m.View().Members)
 		}
 	}
--- a/node/ledger/service.go
+++ b/node/ledger/service.go
@@ -96,8 +96,7 @@
 	if v == nil {
 		return wire.Member{}, false
 	}
-	m, ok := v.Members[id]
-	return m, ok
+	return v.Members.Get(id)
 }
 
 func (s *Service) record(kind timeline.Kind, c dispatch.Call, detail string) {
--- a/node/proxy/endpoints.go
+++ b/node/proxy/endpoints.go
@@ -8,6 +8,7 @@
 
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/coldstart"
+	"caperdrum.org/node/configsync"
 	"caperdrum.org/node/rollout"
 	"caperdrum.org/node/upstream"
 )
@@ -32,7 +33,7 @@
 	notices *upstream.Notices // what upstreams say themselves
 
 	mu     sync.Mutex
-	latest map[wire.MemberID]uint64 // incarnations of the members
+	lists  map[string][]wire.Member // of the last view
 	by     map[wire.Start]*endpoint
 	direct coldstart.Direct
 	split  *rollout.Split
@@ -43,6 +44,7 @@
 	failures int
 	until    time.Time // passed over until then
 	moved    bool      // another upstream has its address
+	gone     bool      // it is no member any more: it is forgotten with its last call
 	waiting  time.Time // since when calls are unanswered; zero when none is
 }
 
@@ -51,25 +53,46 @@
 }
 
 // keep forgets upstreams that are no members. It returns the addresses of those that
-// have started again since the last call.
+// have started again since the last call. Services whose upstreams have not changed are passed over.
 func (e *endpoints) keep(announced map[string][]wire.Member) (again []string) {
-	present := map[wire.Start]bool{}
-	latest := map[wire.MemberID]uint64{}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, list := range announced {
-		for _, m := range list {
-			present[m.Start()] = true
-			latest[m.ID] = m.Incarnation
-			if before, known := e.latest[m.ID]; known && before != m.Incarnation {
-				again = append(again, m.Direct)
-			}
+	for service, before := range e.lists {
+		if _, there := announced[service]; !there {
+			again = append(again, e.replace(before, nil)...)
 		}
 	}
-	e.latest = latest
-	for start, ep := range e.by {
-		if !present[start] && ep.inFlight == 0 {
-			delete(e.by, start)
+	for service, list := range announced {
+		if before := e.lists[service]; !configsync.SameList(before, list) {
+			again = append(again, e.replace(before, list)...)
+		}
+	}
+	e.lists = announced
+	return again
+}
+
+// replace takes over the next list of a service.
+func (e *endpoints) replace(before, list []wire.Member) (again []string) {
+	before, list = configsync.ChangedPart(before, list)
+	present := make(map[wire.MemberID]int, len(list))
+	for i, m := range list {
+		present[m.ID] = i
+		if ep := e.by[m.Start()]; ep != nil {
+			ep.gone = false
+		}
+	}
+	for _, m := range before {
+		i, there := present[m.ID]
+		if there && list[i].Incarnation == m.Incarnation {
+			continue
+		}
+		if there {
+			again = append(again, list[i].Direct)
+		}
+		if ep := e.by[m.Start()]; ep != nil && ep.inFlight == 0 {
+			delete(e.by, m.Start())
+		} else if ep != nil {
+			ep.gone = true
 		}
 	}
 	return again
@@ -260,6 +283,10 @@
 	ep := e.get(start)
 	if ep.inFlight--; ep.inFlight == 0 {
 		ep.waiting = time.Time{}
+		if ep.gone {
+			delete(e.by, start)
+			return
+		}
 	}
 	switch s {
 	case stood:
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -158,12 +158,12 @@
 
 // follow takes over a view of the configuration and the members.
 func (s *Service) follow(v *configsync.View) {
-	t := newTable(v, s.set.Node.RegionsOfDataCenters())
+	t := newTable(v, s.set.Node.RegionsOfDataCenters(), s.table.Load())
 	s.table.Store(t)
 	s.endpoints.follow(v.Rollouts)
 	s.counter.Follow(v.Rollouts)
 	self := s.sync.Self()
-	here, known := v.Members[self.ID]
+	here, known := v.Members.Get(self.ID)
 	s.peers.Follow(retry.Standing{Members: t.proxies, Self: known && here.Start() == self.Start()})
 	s.inquiries.Follow(v.Members)
 	if s.guard.Follow(v.Suspects) {
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -20,6 +20,7 @@
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/configsync"
+	"caperdrum.org/node/memberset"
 	"caperdrum.org/node/settings"
 	"caperdrum.org/node/stagework"
 	"caperdrum.org/node/upstream"
@@ -147,7 +148,7 @@
 	}
 	b := &bed{t: t, views: &fixedViews{}, stages: &fakeStages{}}
 	self := b.views.Self()
-	b.view = configsync.View{Config: config, Version: 7, Announced: map[string][]wire.Member{}, Members: map[wire.MemberID]wire.Member{self.ID: self}}
+	b.view = configsync.View{Config: config, Version: 7, Announced: map[string][]wire.Member{}, Members: memberset.Of(self), Peers: []wire.Member{self}}
 	b.service = newService(&settings.Settings{Proxy: settings.ProxyRole{KeyAge: 4 * time.Second, RepeatRatio: 0.2, RepeatFixed: 50, RepeatWindow: 10 * time.Second}}, logr.Discard(), upstream.Native{}, noNotices(), b.views, b.stages)
 	b.clock = clockwork.NewFakeClock()
 	b.service.share(b.clock)
--- a/node/proxy/repeat_test.go
+++ b/node/proxy/repeat_test.go
@@ -9,6 +9,7 @@
 
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/memberset"
 )
 
 // The incident: a service got more calls beyond the first of each request than are allowed
@@ -100,13 +101,13 @@
 // TestStartThatIsNoMemberHasNoPart lets calls fail at a process whose view does not hold this
 // start of it: what its predecessor has repeated still counts.
 func TestStartThatIsNoMemberHasNoPart(t *testing.T) {
-	for name, members := range map[string]map[wire.MemberID]wire.Member{
+	for name, members := range map[string][]wire.Member{
 		"it has not joined":           {},
-		"its predecessor is a member": {"proxy-1": {ID: "proxy-1", Peer: "127.0.0.1:1"}},
+		"its predecessor is a member": {{ID: "proxy-1", Peer: "127.0.0.1:1"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBed(t)
-			b.view.Members = members
+			b.view.Members, b.view.Peers = memberset.Of(members...), members
 			var n counter
 			b.upstream("desk", "d1", n.count(breakOff))
 			b.upstream("desk", "d2", n.count(breakOff))
@@ -142,11 +143,12 @@
 	self := b.views.Self()
 	see := func(n int) {
 		next := b.view
-		next.Members = map[wire.MemberID]wire.Member{self.ID: self}
+		next.Peers = []wire.Member{self}
 		for i := range n - 1 {
 			id := wire.MemberID(fmt.Sprint("other-", i))
-			next.Members[id] = wire.Member{ID: id, Peer: "127.0.0.1:2"}
+			next.Peers = append(next.Peers, wire.Member{ID: id, Peer: "127.0.0.1:2"})
 		}
+		next.Members = memberset.Of(next.Peers...)
 		b.service.follow(&next)
 	}
 	x := &exchange{s: b.service, service: &optext.Service{}}
--- a/node/proxy/table.go
+++ b/node/proxy/table.go
@@ -9,6 +9,7 @@
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/configsync"
+	"caperdrum.org/node/memberset"
 	"caperdrum.org/node/residency"
 )
 
@@ -20,33 +21,51 @@
 	byHost    map[string][]*optext.Route // longest prefix first
 	customers map[[sha256.Size]byte]*optext.Customer
 	announced map[string][]wire.Member
-	members   map[wire.MemberID]wire.Member
+	members   memberset.Set
+	peers     []wire.Member       // of which proxies and proxiesIn were made
 	proxies   int                 // processes that share what is bounded over all of them; at least one
 	proxiesIn map[string][]string // them, by data centre
 	regions   residency.Regions
 }
 
-func newTable(v *configsync.View, regions map[string]string) *table {
-	t := &table{version: v.Version, seq: v.Seq, config: v.Config, byHost: map[string][]*optext.Route{}, customers: map[[sha256.Size]byte]*optext.Customer{}, announced: v.Announced, members: v.Members, proxiesIn: map[string][]string{}, regions: residency.RegionsOf(regions, v.Config)}
-	for _, r := range v.Config.Routes {
+// newTable returns the table of a view. What has not changed since before, which may be nil, is taken over.
+func newTable(v *configsync.View, regions map[string]string, before *table) *table {
+	t := &table{version: v.Version, seq: v.Seq, config: v.Config, announced: v.Announced, members: v.Members, peers: v.Peers}
+	if before != nil && before.config == v.Config {
+		t.byHost, t.customers, t.regions = before.byHost, before.customers, before.regions
+	} else {
+		t.takeText(v.Config, regions)
+	}
+	if before != nil && configsync.SameList(before.peers, v.Peers) {
+		t.proxies, t.proxiesIn = before.proxies, before.proxiesIn
+	} else {
+		t.takePeers(v.Peers)
+	}
+	return t
+}
+
+func (t *table) takeText(c *optext.Config, regions map[string]string) {
+	t.byHost, t.customers = map[string][]*optext.Route{}, map[[sha256.Size]byte]*optext.Customer{}
+	t.regions = residency.RegionsOf(regions, c)
+	for _, r := range c.Routes {
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	}
 	for _, list := range t.byHost {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
 	}
-	for _, c := range v.Config.Customers {
+	for _, c := range c.Customers {
 		for _, key := range c.Keys {
 			t.customers[sha256.Sum256([]byte(key))] = c
 		}
 	}
-	for _, m := range v.Members {
-		if m.Peer != "" {
-			t.proxies++
-			t.proxiesIn[m.DataCenter] = append(t.proxiesIn[m.DataCenter], string(m.ID))
-		}
+}
+
+func (t *table) takePeers(peers []wire.Member) {
+	t.proxiesIn = map[string][]string{}
+	for _, m := range peers {
+		t.proxiesIn[m.DataCenter] = append(t.proxiesIn[m.DataCenter], string(m.ID))
 	}
-	t.proxies = max(t.proxies, 1)
-	return t
+	t.proxies = max(len(peers), 1)
 }
 
 // configured reports whether this process knows a configuration.
@@ -54,7 +73,7 @@
 
 // leaving reports whether the start of an upstream has said that it leaves.
 func (t *table) leaving(start wire.Start) bool {
-	m, known := t.members[start.ID]
+	m, known := t.members.Get(start.ID)
 	return known && m.Start() == start && m.Leaving
 }
 
--- a/node/quarantine/inquiry.go
+++ b/node/quarantine/inquiry.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/memberset"
 )
 
 const (
@@ -120,19 +121,19 @@
 }
 
 // Follow takes over the members: a start whose address is another's now has ended.
-func (q *Inquiries) Follow(members map[wire.MemberID]wire.Member) {
+func (q *Inquiries) Follow(members memberset.Set) {
 	q.mu.Lock()
 	if len(q.open) == 0 {
 		q.mu.Unlock()
 		return
 	}
 	addresses := map[string]bool{}
-	for _, m := range members {
+	for m := range members.All() {
 		addresses[m.Direct] = true
 	}
 	var ended []wire.Start
 	for start, in := range q.open {
-		if m, known := members[start.ID]; !in.ended && (!known || m.Start() != start) && addresses[in.upstream.Direct] {
+		if m, known := members.Get(start.ID); !in.ended && (!known || m.Start() != start) && addresses[in.upstream.Direct] {
 			ended = append(ended, start)
 		}
 	}
--- a/node/quarantine/inquiry_test.go
+++ b/node/quarantine/inquiry_test.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/memberset"
 )
 
 func TestFingerprintsOfCopies(t *testing.T) {
@@ -53,9 +54,9 @@
 		"nobody listens":             {errRefused, func(*Inquiries) {}, 2},
 		"it lives":                   {nil, func(q *Inquiries) { q.Ended(m.Start()) }, 0},
 		"out of reach":               {errSilent, func(*Inquiries) {}, 0},
-		"its address is another's":   {errSilent, func(q *Inquiries) { q.Follow(map[wire.MemberID]wire.Member{next.ID: next}) }, 2},
-		"it is no member, nobody is": {errSilent, func(q *Inquiries) { q.Follow(nil) }, 0},
-		"it is a member still":       {errSilent, func(q *Inquiries) { q.Follow(map[wire.MemberID]wire.Member{m.ID: m}) }, 0},
+		"its address is another's":   {errSilent, func(q *Inquiries) { q.Follow(memberset.Of(next)) }, 2},
+		"it is no member, nobody is": {errSilent, func(q *Inquiries) { q.Follow(memberset.Set{}) }, 0},
+		"it is a member still":       {errSilent, func(q *Inquiries) { q.Follow(memberset.Of(m)) }, 0},
 		"another call is refused":    {errSilent, func(q *Inquiries) { q.Ended(m.Start()) }, 2},
 		"another call, much later": {errSilent, func(q *Inquiries) {
 			time.Sleep(undecided + time.Second)
--- a/node/stagework/engines.go
+++ b/node/stagework/engines.go
@@ -8,6 +8,7 @@
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/coldstart"
+	"caperdrum.org/node/configsync"
 	"caperdrum.org/node/residency"
 	"caperdrum.org/node/rollout"
 	"caperdrum.org/node/upstream"
@@ -104,21 +105,32 @@
 
 // follow takes over the services and the engines that are there.
 func (e *engines) follow(services map[string]*optext.Service, announced map[string][]wire.Member) {
-	e.services, e.members = services, announced
-	present := map[wire.MemberID]wire.Member{}
-	for _, list := range announced {
-		for _, m := range list {
-			present[m.ID] = m
+	for service, before := range e.members {
+		if list := announced[service]; !configsync.SameList(before, list) {
+			e.replace(before, list)
 		}
 	}
-	for id, l := range e.by {
-		m, there := present[id]
-		if there && l.member.Start() == m.Start() {
-			l.member = m
+	e.services, e.members = services, announced
+}
+
+// replace takes over the next list of a service's engines.
+func (e *engines) replace(before, list []wire.Member) {
+	before, list = configsync.ChangedPart(before, list)
+	present := make(map[wire.MemberID]int, len(list))
+	for i, m := range list {
+		present[m.ID] = i
+	}
+	for _, m := range before {
+		l := e.by[m.ID]
+		if l == nil {
+			continue
+		}
+		if i, there := present[m.ID]; there && l.member.Start() == list[i].Start() {
+			l.member = list[i]
 			continue
 		}
 		e.holders.forget(l) // one that has started again has read nothing
-		delete(e.by, id)
+		delete(e.by, m.ID)
 	}
 }
 
--- a/node/stagework/handover_test.go
+++ b/node/stagework/handover_test.go
@@ -10,7 +10,6 @@
 	"pgregory.net/rapid"
 
 	"caperdrum.org/api/verdict"
-	"caperdrum.org/api/wire"
 	"caperdrum.org/node/peer"
 	"caperdrum.org/node/upstream"
 )
@@ -227,7 +226,7 @@
 	if n.Handed != "x" || n.Made == nil || !slices.Equal(n.Made.Pieces, []PieceMade{{Upstream: "u", Handle: "h"}}) {
 		t.Fatalf("%+v", n)
 	}
-	s.keepCallers(map[wire.MemberID]wire.Member{})
+	s.keepCallers(nil)
 	if len(s.callers) != 0 {
 		t.Fatal("a connection to a process that is gone is kept")
 	}
--- a/node/stagework/link.go
+++ b/node/stagework/link.go
@@ -14,6 +14,7 @@
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/internal/periodic"
 	"caperdrum.org/node/logging"
+	"caperdrum.org/node/memberset"
 	"caperdrum.org/node/peer"
 )
 
@@ -99,10 +100,10 @@
 }
 
 // handsOver reports whether the owner is one that leaves as planned.
-func (l *link) handsOver(members map[wire.MemberID]wire.Member) bool {
+func (l *link) handsOver(members memberset.Set) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	m, there := members[l.owner.ID]
+	m, there := members.Get(l.owner.ID)
 	return there && m.Leaving && m.Incarnation == l.owner.Incarnation
 }
 
--- a/node/stagework/link_test.go
+++ b/node/stagework/link_test.go
@@ -12,6 +12,7 @@
 
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/memberset"
 	"caperdrum.org/node/peer"
 )
 
@@ -142,8 +143,8 @@
 	s.link.follow(wire.StageOwner{ID: "a", Incarnation: 1, Peer: first.address, Epoch: 1}, false)
 	got := s.runAsync(context.Background(), "job")
 	<-first.arrived
-	leaving := map[wire.MemberID]wire.Member{"a": {ID: "a", Incarnation: 1, Leaving: true}}
-	if !s.link.handsOver(leaving) || s.link.handsOver(map[wire.MemberID]wire.Member{"a": {ID: "a", Incarnation: 2, Leaving: true}}) || s.link.handsOver(nil) {
+	leaving := memberset.Of(wire.Member{ID: "a", Incarnation: 1, Leaving: true})
+	if !s.link.handsOver(leaving) || s.link.handsOver(memberset.Of(wire.Member{ID: "a", Incarnation: 2, Leaving: true})) || s.link.handsOver(memberset.Set{}) {
 		t.Fatal("which owner hands over is not known")
 	}
 	s.link.follow(wire.StageOwner{ID: "b", Peer: second.address, Epoch: 2}, true)
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -26,7 +26,9 @@
 	spec    *optext.Service
 	waiting []*piece
 	workers map[wire.MemberID]*worker
-	asked   classes // jobs that need this service
+	members []wire.Member // of which workers were made
+	known   bool          // they were made
+	asked   classes       // jobs that need this service
 	sums    pieceSums
 
 	name  string
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -7,6 +7,7 @@
 
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/configsync"
 	"caperdrum.org/node/rollout"
 	"caperdrum.org/node/upstream"
 )
@@ -61,7 +62,10 @@
 			s.services[name] = q
 		}
 		q.spec = spec
-		s.lost = append(s.lost, q.setWorkers(announced[name])...)
+		if list := announced[name]; !q.known || !configsync.SameList(q.members, list) {
+			q.members, q.known = list, true
+			s.lost = append(s.lost, q.setWorkers(list)...)
+		}
 	}
 }
 
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -91,7 +91,7 @@
 			s.scheduler.setServices(v.Config.Services, v.Announced)
 			s.scheduler.followRollouts(v.Rollouts)
 			s.startedAgain(now, s.scheduler.takeLost())
-			s.keepCallers(v.Members)
+			s.keepCallers(v.Peers)
 			s.takeOwnership(now, v.Owner, v.Owner.ID == self.ID && v.Owner.Incarnation == self.Incarnation, "view")
 		})
 		s.link.follow(v.Owner, s.link.handsOver(v.Members))
@@ -301,9 +301,12 @@
 }
 
 // keepCallers closes the connections to processes that are no members any more.
-func (s *Service) keepCallers(members map[wire.MemberID]wire.Member) {
+func (s *Service) keepCallers(peers []wire.Member) {
+	if len(s.callers) == 0 {
+		return
+	}
 	present := map[string]bool{}
-	for _, m := range members {
+	for _, m := range peers {
 		present[m.Peer] = true
 	}
 	for address, client := range s.callers {
