Consensus: replicas that have heard of no leader since they started campaign after a heartbeat, not an election timeout

Ruled out: shorter election timeouts for all (a leader that stalls for a moment would be deposed). Campaigning at once: two of three that start again while their leader lives would depose it before they hear of it.

Change: until a replica has heard of a leader it waits for a heartbeat's interval and a random part of an election timeout.

--- a/node/consensus/election.go
+++ b/node/consensus/election.go
@@ -55,7 +55,7 @@
 }
 
 func (n *Node) becomeLeader() {
-	n.role, n.leader = Leader, n.id
+	n.role, n.leader, n.heard = Leader, n.id, true
 	n.votes = nil
 	n.electionElapsed, n.heartbeatElapsed = 0, 0
 	n.progress = map[NodeID]*Progress{}
--- a/node/consensus/node.go
+++ b/node/consensus/node.go
@@ -57,6 +57,7 @@
 	newSnapshot  *Snapshot
 	appendDue    bool // entries were proposed since the last broadcast
 	uncommitted  int  // bytes proposed in this term and not committed yet
+	heard        bool // of a leader, since the start
 	handedOut    bool
 	handedCommit uint64
 }
@@ -148,9 +149,16 @@
 	n.resetElection()
 }
 
+// resetElection draws when to campaign next. A replica that has heard of no leader since it started waits for
+// one heartbeat of a leader that lives, not for an election timeout: it does not know of a leader that was
+// lost. After a start of all replicas nobody else ends the wait.
 func (n *Node) resetElection() {
 	n.electionElapsed = 0
-	n.timeout = n.cfg.ElectionTicks + n.cfg.Rand.IntN(n.cfg.ElectionTicks)
+	wait := n.cfg.ElectionTicks
+	if !n.heard {
+		wait = min(wait, n.cfg.HeartbeatTicks+1)
+	}
+	n.timeout = wait + n.cfg.Rand.IntN(n.cfg.ElectionTicks)
 }
 
 // others returns the replicas that the leader sends to, always in one order,
--- a/node/consensus/step.go
+++ b/node/consensus/step.go
@@ -125,7 +125,7 @@
 	if n.role != Follower {
 		n.becomeFollower(m.Term, m.From)
 	}
-	n.leader = m.From
+	n.leader, n.heard = m.From, true
 	n.electionElapsed = 0
 	switch m.Kind {
 	case MsgAppend:
