Member lists: packed, and encoded once for all processes that hold none

Cause: after a start of all, each of 360 processes got the whole list (1,086 upstreams and 360 processes) as JSON text with names, made and encoded anew for each: 0.25 MB and more, 0.4 s over a link of 10 Mbit/s, and the text of the operators packed anew 51 times at each of seven voters.

Ruled out: parts by need (the proxies of today choose among all upstreams; what is sent is small once it is packed).

Change: lists of 16 members and more are rows without names (CBOR), compressed; a whole list is made and packed once for a sequence number, a text once for a version.

--- /dev/null
+++ b/api/wire/members.go
@@ -0,0 +1,134 @@
+package wire
+
+import (
+	"encoding/json"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+)
+
+// packMembersFrom is the number of members from which on a list is packed: some 4 kB as text.
+const packMembersFrom = 16
+
+// MembersDelta brings a member list from sequence number From to To. When
+// Whole is set, Changed is the whole list and From does not matter.
+type MembersDelta struct {
+	From    uint64
+	To      uint64
+	Whole   bool
+	Changed []Member
+	Removed []MemberID
+
+	packed func() ([]byte, error) // of Changed, made once; nil: it is made when the delta is encoded
+}
+
+// Shared makes a delta that many processes get be packed once for all of them. Changed must not change any more.
+func (d *MembersDelta) Shared() *MembersDelta {
+	if len(d.Changed) >= packMembersFrom {
+		d.packed = sync.OnceValues(func() ([]byte, error) { return packMembers(d.Changed) })
+	}
+	return d
+}
+
+// membersDeltaWire is a delta on the wire. A long list stands in Packed.
+type membersDeltaWire struct {
+	From    uint64     `json:"from"`
+	To      uint64     `json:"to"`
+	Whole   bool       `json:"whole,omitempty"`
+	Changed []Member   `json:"changed,omitempty"`
+	Packed  []byte     `json:"packed,omitempty"`
+	Removed []MemberID `json:"removed,omitempty"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (d MembersDelta) MarshalJSON() ([]byte, error) {
+	w := membersDeltaWire{From: d.From, To: d.To, Whole: d.Whole, Removed: d.Removed}
+	var err error
+	switch {
+	case d.packed != nil:
+		w.Packed, err = d.packed()
+	case len(d.Changed) >= packMembersFrom:
+		w.Packed, err = packMembers(d.Changed)
+	default:
+		w.Changed = d.Changed
+	}
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return json.Marshal(w)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *MembersDelta) UnmarshalJSON(data []byte) error {
+	var w membersDeltaWire
+	if err := json.Unmarshal(data, &w); err != nil {
+		return errors.Trace(err)
+	}
+	*d = MembersDelta{From: w.From, To: w.To, Whole: w.Whole, Changed: w.Changed, Removed: w.Removed}
+	if w.Packed == nil {
+		return nil
+	}
+	var err error
+	d.Changed, err = unpackMembers(w.Packed)
+	return err
+}
+
+// memberRow is a Member in a packed list: fields without their names. New fields are added at the end.
+type memberRow struct {
+	_           struct{} `cbor:",toarray"`
+	ID          MemberID
+	Role        string
+	VM          string
+	DataCenter  string
+	Debug       string
+	Service     string
+	Gate        string
+	Incarnation uint64
+	Leaving     bool
+	Holds       string
+	Peer        string
+	Direct      string
+	Revision    uint64
+	Version     string
+	Cold        bool
+}
+
+func packMembers(list []Member) ([]byte, error) {
+	rows := make([]memberRow, len(list))
+	for i, m := range list {
+		rows[i] = memberRow{ID: m.ID, Role: m.Role, VM: m.VM, DataCenter: m.DataCenter, Debug: m.Debug, Service: m.Service, Gate: m.Gate, Incarnation: m.Incarnation,
+			Leaving: m.Leaving, Holds: m.Holds, Peer: m.Peer, Direct: m.Direct, Revision: m.Revision, Version: m.Version, Cold: m.Cold}
+	}
+	data, err := cbor.Marshal(rows)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return Pack(data), nil
+}
+
+// memberDecoding takes lists of any length that fits into what Unpack returns.
+var memberDecoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxUnpacked}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
+func unpackMembers(packed []byte) ([]Member, error) {
+	data, err := Unpack(packed)
+	if err != nil {
+		return nil, err
+	}
+	var rows []memberRow
+	if err := memberDecoding.Unmarshal(data, &rows); err != nil {
+		return nil, errors.WithType(errors.Trace(err), ErrUnpack)
+	}
+	out := make([]Member, len(rows))
+	for i, r := range rows {
+		out[i] = Member{ID: r.ID, Role: r.Role, VM: r.VM, DataCenter: r.DataCenter, Debug: r.Debug, Service: r.Service, Gate: r.Gate, Incarnation: r.Incarnation,
+			Leaving: r.Leaving, Holds: r.Holds, Peer: r.Peer, Direct: r.Direct, Revision: r.Revision, Version: r.Version, Cold: r.Cold}
+	}
+	return out, nil
+}
--- a/api/wire/messages.go
+++ b/api/wire/messages.go
@@ -95,16 +95,6 @@
 	Hash    uint64 `json:"hash"`
 }
 
-// MembersDelta brings a member list from sequence number From to To. When
-// Whole is set, Changed is the whole list and From does not matter.
-type MembersDelta struct {
-	From    uint64     `json:"from"`
-	To      uint64     `json:"to"`
-	Whole   bool       `json:"whole"`
-	Changed []Member   `json:"changed"`
-	Removed []MemberID `json:"removed"`
-}
-
 // ChangeRequest is an operators' change of the text.
 type ChangeRequest struct {
 	Number   uint64 `json:"number"` // must be the current version plus one
--- a/api/wire/packed.go
+++ b/api/wire/packed.go
@@ -85,7 +85,7 @@
 
 // MarshalJSON implements json.Marshaler.
 func (c ConfigText) MarshalJSON() ([]byte, error) {
-	return json.Marshal(configTextWire{c.Version, c.Hash, packText(c.Text)})
+	return json.Marshal(configTextWire{c.Version, c.Hash, c.packedText()})
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -99,6 +99,26 @@
 	return err
 }
 
+// lastPacked is the text that was packed last. After a start of many processes each gets the same one.
+var lastPacked struct {
+	sync.Mutex
+	version, hash uint64
+	long          longText
+}
+
+func (c ConfigText) packedText() longText {
+	if c.Hash == 0 || len(c.Text) < PackFrom {
+		return packText(c.Text)
+	}
+	l := &lastPacked
+	l.Lock()
+	defer l.Unlock()
+	if l.version != c.Version || l.hash != c.Hash {
+		l.version, l.hash, l.long = c.Version, c.Hash, packText(c.Text)
+	}
+	return l.long
+}
+
 type putRequestWire struct {
 	Version uint64 `json:"version"`
 	longText
--- a/node/state/state.go
+++ b/node/state/state.go
@@ -159,6 +159,7 @@
 	// Rollouts are the last roll-outs of services.
 	Rollouts wire.Rollouts
 	log      []memberChange
+	whole    *wholeList
 }
 
 // New returns an empty machine.
@@ -365,6 +366,7 @@
 		Winner:      m.s.Winner,
 		MembersSeq:  m.s.MembersSeq,
 		Members:     m.memberView(),
+		whole:       m.parts.whole,
 		Ledger:      len(m.ledger.entries),
 		LedgerSize:  m.ledger.bytes,
 		Teams:       m.teamsView,
