Control: a process that holds nothing is sent nothing before a quorum has confirmed it

Cause: a control process that has started again knows text and members from its log.

Ruled out: a longer pause of the processes between their calls (the view comes that much later).

Change: such a call is held for 250 ms at most and answered with the first confirmation; before that with nothing but who votes.

--- a/node/control/hint_test.go
+++ b/node/control/hint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -130,3 +131,70 @@
 		t.Fatalf("%v", err)
 	}
 }
+
+// unconfirmed is a control process that has started again: it knows what its log says, and no quorum has
+// confirmed it yet.
+type unconfirmed struct {
+	*hinting
+	age atomic.Int64
+}
+
+func (u *unconfirmed) StampAge() time.Duration { return time.Duration(u.age.Load()) }
+
+// TestFirstViewWaitsForAConfirmation has processes that hold nothing ask again and again while no quorum has
+// confirmed what is known: nothing is sent that they could not use, and all get it with the first confirmation.
+func TestFirstViewWaitsForAConfirmation(t *testing.T) {
+	u := &unconfirmed{hinting: &hinting{machine: state.New()}}
+	u.age.Store(-1)
+	data, err := state.Command{Join: fleetRecords(100), Put: &wire.PutRequest{Version: 1, Text: "[customer:foundry]\n"}}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := u.machine.Apply(data); err != nil {
+		t.Fatal(err)
+	}
+	u.view.Store(u.machine.View())
+	clock := clockwork.NewFakeClock()
+	s := &Service{cluster: u, clock: clock, news: newNews(u)}
+	s.follow = &follower{cluster: u, clock: clock, wake: make(chan struct{}, 1), pending: map[wire.MemberID]queued{}, told: map[wire.MemberID]uint64{}}
+	const processes = 360
+	replies := make(chan *wire.SyncReply, processes)
+	ask := func() {
+		for i := range processes {
+			req := configsync.NewHolder(wire.Member{ID: wire.MemberID(fmt.Sprint("p", i))}).Request(0)
+			go func() {
+				reply, err := s.sync(context.Background(), &req)
+				if err != nil {
+					t.Error(err)
+				}
+				replies <- reply
+			}()
+		}
+		if err := clock.BlockUntilContext(t.Context(), processes); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ask()
+	clock.Advance(firstWait)
+	for range processes {
+		if r := <-replies; r.Config != nil || r.Members != nil {
+			t.Fatal("something is sent that no quorum has confirmed")
+		}
+	}
+	ask()
+	u.age.Store(0)
+	s.news.check() // without a step of the clock
+	for range processes {
+		if r := <-replies; r.Config == nil || r.Members == nil || len(r.Members.Changed) != 100 {
+			t.Fatalf("with the confirmation comes %+v", r)
+		}
+	}
+}
+
+func fleetRecords(n int) []wire.Member {
+	var out []wire.Member
+	for i := range n {
+		out = append(out, wire.AnnouncedUpstream(wire.MemberID(fmt.Sprint("i-", i)), "llm", "10.0.0.1:80", "north", false))
+	}
+	return out
+}
--- a/node/control/news.go
+++ b/node/control/news.go
@@ -19,6 +19,7 @@
 	suspects    uint64
 	rollouts    uint64
 	outage      bool
+	confirmed   bool // what is known makes a first view
 	next        atomic.Pointer[chan struct{}]
 }
 
@@ -46,10 +47,12 @@
 
 func (n *news) check() {
 	v, term, outage := n.cluster.View(), n.cluster.Status().Term, n.cluster.Outage() != nil
-	if outage == n.outage && v.Config.Version == n.version && v.MembersSeq == n.seq && v.Fence == n.fence && term == n.term && v.Owner.Epoch == n.owner && v.Evacuations.Revision == n.evacuations && v.Suspects.Revision == n.suspects && v.Rollouts.Revision == n.rollouts {
+	confirmed := usable(n.cluster.StampAge())
+	if outage == n.outage && confirmed == n.confirmed && v.Config.Version == n.version && v.MembersSeq == n.seq && v.Fence == n.fence && term == n.term && v.Owner.Epoch == n.owner && v.Evacuations.Revision == n.evacuations && v.Suspects.Revision == n.suspects && v.Rollouts.Revision == n.rollouts {
 		return
 	}
 	n.version, n.seq, n.fence, n.term, n.owner = v.Config.Version, v.MembersSeq, v.Fence, term, v.Owner.Epoch
+	n.confirmed = confirmed
 	n.outage, n.evacuations, n.suspects, n.rollouts = outage, v.Evacuations.Revision, v.Suspects.Revision, v.Rollouts.Revision
 	next := make(chan struct{})
 	close(*n.next.Swap(&next))
--- a/node/control/sync.go
+++ b/node/control/sync.go
@@ -10,8 +10,13 @@
 	"caperdrum.org/node/state"
 )
 
-// maxWait bounds how long a sync call is held back.
-const maxWait = 5 * time.Second
+const (
+	// maxWait bounds how long a sync call is held back.
+	maxWait = 5 * time.Second
+	// firstWait is how long a call of a process that holds nothing is held back where there is nothing that it
+	// could take over. Below the time after which such a process asks elsewhere.
+	firstWait = 250 * time.Millisecond
+)
 
 // errSuspended sends the caller to another control process: this one hears of no
 // changes while its replica takes no part, and its callers would wait for nothing.
@@ -22,18 +27,20 @@
 // sync renews the caller's lease and answers as soon as there is news.
 func (s *Service) sync(ctx context.Context, req *wire.SyncRequest) (*wire.SyncReply, error) {
 	renewed := s.renewMember(req)
-	timer := s.clock.NewTimer(min(req.Wait, maxWait))
+	wait := min(req.Wait, maxWait)
+	if holdsNothing(req) {
+		wait = max(wait, firstWait)
+	}
+	timer := s.clock.NewTimer(wait)
 	defer timer.Stop()
-	late := false
-	for {
+	for late := false; ; {
 		changed := s.news.changed()
 		if err := s.cluster.Outage(); err != nil {
 			return nil, errSuspended(err)
 		}
-		reply := s.reply(req)
+		reply := s.replyTo(req)
 		reply.Renewed = renewed
-		hinted := reply.Fence > req.Fence || reply.Term > req.Term || reply.Owner.Epoch > req.OwnerEpoch
-		if late || hinted || reply.Config != nil || reply.Delta != nil || reply.Members != nil || reply.Evacuations != nil || reply.Suspects != nil || reply.Rollouts != nil {
+		if late || brings(reply, req) {
 			return reply, nil
 		}
 		select {
@@ -46,6 +53,25 @@
 	}
 }
 
+// holdsNothing reports whether the caller has had no view since it started.
+func holdsNothing(req *wire.SyncRequest) bool { return req.ConfigVersion == 0 && req.MembersSeq == 0 }
+
+// brings reports whether a reply has something for its caller, or a hint.
+func brings(r *wire.SyncReply, req *wire.SyncRequest) bool {
+	hinted := r.Fence > req.Fence || r.Term > req.Term || r.Owner.Epoch > req.OwnerEpoch
+	return hinted || r.Config != nil || r.Delta != nil || r.Members != nil || r.Evacuations != nil || r.Suspects != nil || r.Rollouts != nil
+}
+
+// replyTo returns what the caller can take over: a first view has to be confirmed by a quorum. Until there is a
+// confirmation a copy of all that is known here would be made for nothing, again for each call of each process
+// that has just started.
+func (s *Service) replyTo(req *wire.SyncRequest) *wire.SyncReply {
+	if age := s.cluster.StampAge(); holdsNothing(req) && !usable(age) {
+		return &wire.SyncReply{StampAge: age, Control: s.voterAddresses()}
+	}
+	return s.reply(req)
+}
+
 func (s *Service) renewMember(req *wire.SyncRequest) bool {
 	r := Renewal{Member: req.Member, ConfigVersion: req.ConfigVersion, Fault: req.Fault}
 	if s.cluster.IsLeader() {
@@ -55,6 +81,9 @@
 	return s.follow.add(r, req.Wait == 0)
 }
 
+// usable reports whether a confirmation of that age makes a first view.
+func usable(age time.Duration) bool { return age >= 0 && age <= stampLimit }
+
 // reply reads the stamp before the view: what is read later is at least as new
 // as the stamp says.
 func (s *Service) reply(req *wire.SyncRequest) *wire.SyncReply {
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -207,17 +207,27 @@
 	return r.opts.StampClock.Since(r.start) - time.Duration(s)
 }
 
-// SetStamp records that the view is known to be current as of the given time.
+// SetStamp records that the view is known to be current as of the given time. Who waits for a change is woken by
+// the first one, and by the first after a gap: there may be nothing else to wait for.
 func (r *Replica) SetStamp(at time.Time) {
 	s := int64(at.Sub(r.start))
 	for {
 		old := r.stamp.Load()
-		if old >= s || r.stamp.CompareAndSwap(old, s) {
+		if old >= s {
+			return
+		}
+		if r.stamp.CompareAndSwap(old, s) {
+			if old < 0 || time.Duration(s-old) > stampGap {
+				r.announce()
+			}
 			return
 		}
 	}
 }
 
+// stampGap is between two confirmations that follow each other without a gap: several of a leader's intervals.
+const stampGap = 4 * stampInterval
+
 // Leader returns the leader's identity; it is empty when none is known.
 func (r *Replica) Leader() consensus.Peer {
 	s := r.status.Load()
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -31,8 +31,10 @@
 	asked   classes       // jobs that need this service
 	sums    pieceSums
 
-	name  string
-	split *rollout.Split // of this owner's calls
+	name         string
+	regions      regions
+	apartRegions bool           // there is more than one
+	split        *rollout.Split // of this owner's calls
 
 	efficiency float64 // the part of its nominal rate that it reaches while pieces wait
 }
@@ -48,6 +50,8 @@
 
 	wait    time.Duration // until an upstream there begins it, as last foreseen
 	nowhere bool          // there is none that is neither slow nor failing
+
+	anywhere bool // also an upstream of another region may make it, as last foreseen
 }
 
 // call is a call of an upstream that is to be made, or under way.
@@ -79,6 +83,9 @@
 		return nil
 	}
 	q.foresee(now)
+	if q.apartRegions {
+		q.foreseeRegion(now)
+	}
 	for _, w := range free {
 		fit := q.fitting(w, now)
 		limit := q.limit(w, len(fit), now)
@@ -164,7 +171,7 @@
 func (q *serviceQueue) fitting(w *worker, now time.Time) []*piece {
 	out := make([]*piece, 0, len(q.waiting))
 	for _, p := range q.waiting {
-		if !p.job.Within.Has(w.member.DataCenter) {
+		if !p.job.Within.Has(w.member.DataCenter) || !q.mayMake(w, p) {
 			continue
 		}
 		if p.home == "" || p.home == w.member.DataCenter || p.nowhere || p.wait > fullCall(q.spec) || p.pressed(now, q.spec) {
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -8,6 +8,7 @@
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/configsync"
+	"caperdrum.org/node/residency"
 	"caperdrum.org/node/rollout"
 	"caperdrum.org/node/upstream"
 )
@@ -48,6 +49,14 @@
 	return &scheduler{services: map[string]*serviceQueue{}, jobs: map[string]*job{}, engines: e, split: e.split, counter: rollout.NewCounter(), sentAway: sentAway{}}
 }
 
+// setRegions takes over the regions of the data centres.
+func (s *scheduler) setRegions(r residency.Regions) {
+	s.engines.regions = regions{r}
+	for _, q := range s.services {
+		q.regions, q.apartRegions = s.engines.regions, s.engines.regions.several()
+	}
+}
+
 // setServices takes over the services that make pieces and their upstreams.
 func (s *scheduler) setServices(services map[string]*optext.Service, announced map[string][]wire.Member) {
 	s.engines.follow(services, announced)
@@ -58,7 +67,7 @@
 		}
 		q := s.services[name]
 		if q == nil {
-			q = &serviceQueue{workers: map[wire.MemberID]*worker{}, asked: classes{}, efficiency: firstEfficiency, name: name, split: s.split}
+			q = &serviceQueue{workers: map[wire.MemberID]*worker{}, asked: classes{}, efficiency: firstEfficiency, name: name, split: s.split, regions: s.engines.regions, apartRegions: s.engines.regions.several()}
 			s.services[name] = q
 		}
 		q.spec = spec
