Owner of the stages: the queue is looked at once a data centre, upstreams are asked for their room in parts

Cause: for each call the owner went over all pieces that wait for each idle upstream in turn, though what fits depends on the data centre only: 43,200 looks at 360 pieces with 360 processes, 172,800 at 720 with 720, and looked at all 426 upstreams after each event. A process that takes the queues over asked all of them for their room at once.

Ruled out: as the only cause, the room that is asked for: the first owner was silent two seconds after it took over.

Change: what fits is found once for a data centre and call, the queue is sorted once a pass, upstreams are gone over as a list; reports are looked for every 10 ms, 100 at once and 400 a second at most.

--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -147,7 +147,7 @@
 // done is how many pieces the calls under way should have made by now.
 func (q *serviceQueue) done(now time.Time) float64 {
 	sum := 0.0
-	for _, w := range q.workers {
+	for _, w := range q.list {
 		if c := w.current; c != nil && w.running > 0 {
 			sum += float64(len(c.pieces)) * min(1, now.Sub(c.began).Seconds()/w.freeAt.Sub(c.began).Seconds())
 		}
--- /dev/null
+++ b/node/stagework/fleet_test.go
@@ -0,0 +1,120 @@
+package stagework
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"caperdrum.org/api/optext"
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/upstream"
+)
+
+// fleetOwner owns the queues of services whose upstreams are as many as a deployment of so many processes has.
+func fleetOwner(processes int) (*scheduler, time.Time) {
+	s, now := newScheduler(), time.Unix(1000, 0)
+	specs := map[string]*optext.Service{}
+	members := map[string][]wire.Member{}
+	for name, spec := range chainServices {
+		specs[name] = spec
+		for i := range processes * 2 / 5 {
+			id := fmt.Sprint(name, i)
+			members[name] = append(members[name], wire.Member{ID: wire.MemberID(id), Service: name, Direct: id, DataCenter: fmt.Sprint("dc", i%6), Incarnation: 1})
+		}
+	}
+	s.setServices(specs, members)
+	s.own(now, true, false)
+	return s, now
+}
+
+// fleetJob is one of a burst: a chain whose second stage is the busiest.
+func fleetJob(i int) Job {
+	id := fmt.Sprint("j", i)
+	return Job{ID: id, Handed: id, Key: id, Left: 10 * time.Second, Goal: 2 * time.Second, DataCenter: fmt.Sprint("dc", i%6),
+		Stages: []Stage{{Service: "front", Pieces: 1, Bytes: 8000}, {Service: "catalog", After: []int{0}, Pieces: 4, Bytes: 60_000}, {Service: "courier", After: []int{1}, Pieces: 6, Bytes: 6000}}}
+}
+
+// BenchmarkBurst has callers return all at once, three jobs for each process, and plays it until all are done.
+func BenchmarkBurst(b *testing.B) {
+	for _, processes := range []int{90, 360, 720} {
+		b.Run(fmt.Sprint(processes), func(b *testing.B) {
+			calls := 0
+			for range b.N {
+				calls += playBurst(processes)
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(calls), "us/call")
+		})
+	}
+}
+
+// playBurst plays the burst on a virtual clock and returns how many calls were made.
+func playBurst(processes int) (calls int) {
+	s, now := fleetOwner(processes)
+	type ending struct {
+		at time.Time
+		c  *call
+	}
+	var under []ending
+	start := func() {
+		for _, c := range s.start(now) {
+			calls++
+			under = append(under, ending{now.Add(c.expect), c})
+		}
+	}
+	left := 0
+	for i := range 3 * processes {
+		left++
+		s.add(now, fleetJob(i), func(Result, error) { left-- })
+		start()
+	}
+	for step := 0; left > 0 && step < 20_000; step++ {
+		now = now.Add(time.Millisecond)
+		ended := under
+		under = nil
+		for _, e := range ended {
+			if e.at.After(now) {
+				under = append(under, e)
+				continue
+			}
+			o := outcome{}
+			for k := range e.c.pieces {
+				o.results = append(o.results, upstream.PieceResult{Handle: fmt.Sprint("h", calls, k)})
+			}
+			s.freed(s.finish(now, e.c, o))
+			start() // after each event, as an owner does that keeps up
+		}
+		if step%20 == 0 {
+			s.freed(s.expire(now))
+			start()
+		}
+	}
+	return calls
+}
+
+// TestQueueIsLookedAtOnceADataCenter has pieces wait for upstreams of one data centre, which are all busy, while
+// those of five others are idle: the owner looks at each piece once for a data centre, however many upstreams there are.
+func TestQueueIsLookedAtOnceADataCenter(t *testing.T) {
+	const dataCenters = 6
+	for _, processes := range []int{90, 360, 720} {
+		s, now := fleetOwner(processes)
+		q := s.services["courier"]
+		for _, w := range q.list {
+			if w.member.DataCenter == "dc0" {
+				w.running = 1
+				w.freeAt = now.Add(300 * time.Millisecond)
+			}
+		}
+		for i := range processes {
+			j := &job{Job: fleetJob(i), serial: uint64(i), arrived: now, deadline: now.Add(10 * time.Second), goal: now.Add(2 * time.Second)}
+			s.reset(j)
+			q.wait(&piece{job: j, stage: 2, home: "dc0", queued: now})
+		}
+		before := q.looked
+		if c := q.next(now); c != nil {
+			t.Fatalf("%d processes: a call of %d pieces, which should wait", processes, len(c.pieces))
+		}
+		if looked := q.looked - before; looked > dataCenters*processes {
+			t.Errorf("%d processes: %d looks at %d pieces", processes, looked, processes)
+		}
+	}
+}
--- a/node/stagework/outcome.go
+++ b/node/stagework/outcome.go
@@ -147,7 +147,7 @@
 		return s.forget(j)
 	}
 	q := s.services[j.Stages[p.stage].Service]
-	q.waiting = append(q.waiting, p)
+	q.wait(p)
 	againVar.Add(c.service+"/"+againBecause(why, innocent), 1)
 	return nil
 }
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -25,7 +25,10 @@
 type serviceQueue struct {
 	spec    *optext.Service
 	waiting []*piece
+	looked  int       // pieces of which it was asked whether they fit an upstream
+	sorted  time.Time // for which moment waiting is in order; zero: it is not
 	workers map[wire.MemberID]*worker
+	list    []*worker     // the same, to go over
 	members []wire.Member // of which workers were made
 	known   bool          // they were made
 	asked   classes       // jobs that need this service
@@ -77,7 +80,7 @@
 	if len(free) == 0 {
 		return nil
 	}
-	slices.SortFunc(q.waiting, func(a, b *piece) int { return a.compare(b, now, q.spec) })
+	q.sort(now)
 	spares := q.spares(len(free))
 	if spares && q.holds(now) {
 		return nil
@@ -86,8 +89,13 @@
 	if q.apartRegions {
 		q.foreseeRegion(now)
 	}
+	fits := map[string][]*piece{} // by data centre: what fits does not depend on the upstream
 	for _, w := range free {
-		fit := q.fitting(w, now)
+		fit, known := fits[w.member.DataCenter]
+		if !known {
+			fit = q.fitting(w, now)
+			fits[w.member.DataCenter] = fit
+		}
 		limit := q.limit(w, len(fit), now)
 		if limit == 0 {
 			continue
@@ -108,6 +116,22 @@
 	return nil
 }
 
+// sort brings what waits into the order in which it is taken. The order holds for one moment: within a pass it
+// is made once.
+func (q *serviceQueue) sort(now time.Time) {
+	if q.sorted.Equal(now) {
+		return
+	}
+	slices.SortFunc(q.waiting, func(a, b *piece) int { return a.compare(b, now, q.spec) })
+	q.sorted = now
+}
+
+// wait adds a piece to what waits.
+func (q *serviceQueue) wait(p *piece) {
+	q.waiting = append(q.waiting, p)
+	q.sorted = time.Time{}
+}
+
 // apart is how many pieces of a group go into a call by themselves, zero where the group
 // stays together. It is taken apart where it would miss its goal together, makes it in
 // calls of so many pieces, and there are upstreams idle for all of them and nobody else
@@ -144,7 +168,7 @@
 // be, behind those that go before it. The queue is in order.
 func (q *serviceQueue) foresee(now time.Time) {
 	free := map[string][]time.Duration{} // by data centre: when its upstreams are free
-	for _, w := range q.workers {
+	for _, w := range q.list {
 		if w.healthy() {
 			dc := w.member.DataCenter
 			free[dc] = append(free[dc], max(0, w.freeAt.Sub(now)))
@@ -169,6 +193,7 @@
 // inputs or result are large waits for an upstream in their data centre, as
 // long as it can wait without missing its goal and there is one.
 func (q *serviceQueue) fitting(w *worker, now time.Time) []*piece {
+	q.looked += len(q.waiting)
 	out := make([]*piece, 0, len(q.waiting))
 	for _, p := range q.waiting {
 		if !p.job.Within.Has(w.member.DataCenter) || !q.mayMake(w, p) {
--- a/node/stagework/regions.go
+++ b/node/stagework/regions.go
@@ -52,7 +52,7 @@
 func (q *serviceQueue) foreseeRegion(now time.Time) {
 	free := map[string]int{} // healthy upstreams, by region
 	soonest := map[string]time.Duration{}
-	for _, w := range q.workers {
+	for _, w := range q.list {
 		if !w.healthy() {
 			continue
 		}
--- a/node/stagework/room.go
+++ b/node/stagework/room.go
@@ -68,7 +68,7 @@
 		if q.spec.ResultRoom <= 0 {
 			continue
 		}
-		for _, w := range q.workers {
+		for _, w := range q.list {
 			w.ask(now)
 			w.held.until = now.Add(q.spec.ResultTTL)
 			w.until = now.Add(fullPause)
@@ -76,20 +76,57 @@
 	}
 }
 
+const (
+	// lookInterval is how often the owner looks which upstreams are to be asked. There are thousands of events a
+	// second, and hundreds of upstreams.
+	lookInterval = 10 * time.Millisecond
+	// askBurst and askRate bound the upstreams that are asked at once, and in a second. A process that takes the
+	// queues over asks all of them while all processes connect to it: it would not answer anybody meanwhile,
+	// and count as lost.
+	askBurst = 100
+	askRate  = 400.0
+)
+
+// asks bound how many upstreams are asked for their room.
+type asks struct {
+	looked time.Time // when it was looked last which are to be asked
+	spare  float64
+}
+
+// due reports whether it is time to look again, and lets spare grow.
+func (a *asks) due(now time.Time) bool {
+	passed := now.Sub(a.looked)
+	if passed < lookInterval {
+		return false
+	}
+	a.spare = min(a.spare+askRate*min(passed, time.Second).Seconds(), askBurst)
+	a.looked = now
+	return true
+}
+
+// take reports whether one more may be asked now.
+func (a *asks) take() bool {
+	if a.spare < 1 {
+		return false
+	}
+	a.spare--
+	return true
+}
+
 // reports returns the upstreams that are to be asked for their room now, and
 // forgets others' results that are gone by now.
 func (s *scheduler) reports(now time.Time) []*worker {
-	if !s.owner {
+	if !s.owner || !s.asks.due(now) {
 		return nil
 	}
 	var out []*worker
 	for _, q := range s.services {
-		for _, w := range q.workers {
+		for _, w := range q.list {
 			if w.foreign > 0 && now.After(w.held.until) {
 				w.foreign, w.askAt = 0, time.Time{}
 				s.due = true
 			}
-			if !w.askAt.IsZero() && !w.asking && !now.Before(w.askAt) {
+			if !w.askAt.IsZero() && !w.asking && !now.Before(w.askAt) && s.asks.take() {
 				w.asking = true
 				out = append(out, w)
 			}
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -28,6 +28,7 @@
 	jobs     map[string]*job
 	serial   uint64
 	owner    bool // this process starts calls
+	asks     asks
 	due      bool // something happened by which calls may be started
 	news     []news
 	lost     []*worker // that have started again, until takeLost
@@ -225,7 +226,7 @@
 		q := s.services[st.Service]
 		home := j.home(i)
 		for k := range st.Pieces {
-			q.waiting = append(q.waiting, &piece{job: j, stage: i, number: k, epoch: j.restarts, home: home, queued: now})
+			q.wait(&piece{job: j, stage: i, number: k, epoch: j.restarts, home: home, queued: now})
 		}
 	}
 	if all {
@@ -387,6 +388,7 @@
 	s.due = false
 	for _, name := range slices.Sorted(maps.Keys(s.services)) { // the same order each time, as tests play it again
 		q := s.services[name]
+		q.sorted = time.Time{}
 		for len(q.waiting) > 0 {
 			c := q.next(now)
 			if c == nil {
--- /dev/null
+++ b/node/stagework/takeover_test.go
@@ -0,0 +1,44 @@
+package stagework
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"caperdrum.org/api/optext"
+	"caperdrum.org/api/wire"
+)
+
+// TestTakeOverAsksInParts has a process take the queues of more and more upstreams over: what it asks at once does
+// not grow with them, and all of them are asked soon.
+func TestTakeOverAsksInParts(t *testing.T) {
+	for _, upstreams := range []int{50, 426, 852} {
+		s, now := newScheduler(), time.Unix(1000, 0)
+		spec := &optext.Service{Name: "a", Kind: string(optext.Batch), Direct: optext.Direct{Batch: 4, Calls: 1, CallTime: 100 * time.Millisecond, ResultRoom: 1000, ResultTTL: 4 * time.Second}}
+		var list []wire.Member
+		for i := range upstreams {
+			id := fmt.Sprint("a", i)
+			list = append(list, wire.Member{ID: wire.MemberID(id), Service: "a", Direct: id, DataCenter: "dc0", Incarnation: 1})
+		}
+		s.setServices(map[string]*optext.Service{"a": spec}, map[string][]wire.Member{"a": list})
+		s.own(now, true, true)
+		asked := map[*worker]bool{}
+		const window = 100 * time.Millisecond
+		lately, windowFrom := 0, now
+		for end := now.Add(3 * time.Second); now.Before(end) && len(asked) < upstreams; now = now.Add(time.Millisecond) {
+			if now.Sub(windowFrom) >= window {
+				lately, windowFrom = 0, now
+			}
+			for _, w := range s.reports(now) {
+				asked[w] = true
+				lately++
+			}
+			if most := askBurst + askRate*window.Seconds(); float64(lately) > most {
+				t.Fatalf("%d upstreams: %d are asked within %s", upstreams, lately, window)
+			}
+		}
+		if len(asked) != upstreams {
+			t.Fatalf("%d of %d upstreams are asked in 3 s", len(asked), upstreams)
+		}
+	}
+}
--- a/node/stagework/trial.go
+++ b/node/stagework/trial.go
@@ -19,7 +19,7 @@
 	s.split.Follow(r)
 	for name, q := range s.services {
 		x := r.Of(name)
-		for _, w := range q.workers {
+		for _, w := range q.list {
 			w.trial = x.Running() && w.member.Version == x.Target && len(x.Replaced) > 0
 		}
 	}
--- a/node/stagework/workers.go
+++ b/node/stagework/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -51,6 +52,7 @@
 			delete(q.workers, id)
 		}
 	}
+	q.relist()
 	return lost
 }
 
@@ -58,9 +60,14 @@
 func (q *serviceQueue) replace(w *worker, next wire.Member) *worker {
 	q.workers[next.ID] = &worker{member: next, ratio: 1}
 	w.gone, w.lost = true, true
+	q.relist()
 	return w
 }
 
+func (q *serviceQueue) relist() {
+	q.list = slices.SortedFunc(maps.Values(q.workers), func(a, b *worker) int { return cmp.Compare(a.member.ID, b.member.ID) })
+}
+
 // takes reports whether the upstream can take a call now.
 func (q *serviceQueue) takes(w *worker, now time.Time) bool {
 	return !w.gone && !w.leaving && !now.Before(w.paused) && w.running < max(1, q.spec.Calls) && !now.Before(w.until) && q.room(w) > 0
@@ -72,7 +79,7 @@
 		return 0
 	}
 	n := 0
-	for _, w := range q.workers {
+	for _, w := range q.list {
 		if w.healthy() && q.takes(w, now) {
 			n++
 		}
@@ -83,7 +90,7 @@
 // free returns the upstreams that take a call now, the fastest first.
 func (q *serviceQueue) free(now time.Time) []*worker {
 	var out []*worker
-	for _, w := range q.workers {
+	for _, w := range q.list {
 		if q.takes(w, now) {
 			out = append(out, w)
 		}
@@ -104,7 +111,7 @@
 // healthy counts the upstreams that are neither slow nor failing.
 func (q *serviceQueue) healthy() int {
 	n := 0
-	for _, w := range q.workers {
+	for _, w := range q.list {
 		if w.healthy() {
 			n++
 		}
@@ -115,7 +122,7 @@
 // freeRoom is how many bytes more all healthy upstreams can hold.
 func (q *serviceQueue) freeRoom() int64 {
 	var sum int64
-	for _, w := range q.workers {
+	for _, w := range q.list {
 		if w.healthy() {
 			sum += max(0, q.room(w))
 		}
@@ -126,7 +133,7 @@
 // ownRoom is how many bytes of this owner's results all healthy upstreams can hold.
 func (q *serviceQueue) ownRoom() int64 {
 	var sum int64
-	for _, w := range q.workers {
+	for _, w := range q.list {
 		if w.healthy() {
 			sum += max(0, q.spec.ResultRoom-w.foreign)
 		}
@@ -143,7 +150,7 @@
 // pause is how long it takes until an upstream of the service wants calls again, where none does.
 func (q *serviceQueue) pause(now time.Time) time.Duration {
 	least := time.Duration(0)
-	for _, w := range q.workers {
+	for _, w := range q.list {
 		pause := w.paused.Sub(now)
 		switch {
 		case w.leaving:
