A new lead is confirmed at once; a busy owner of the stages is given time

Cause: (1) after an election the leader's first confirmation came with the next half-second tick, and followers asked for it with theirs: a lead gained at 26.75 s was of use to processes from 27.3 s on. (2) An owner that has more work than it can do does not answer pings for 0.25 s, was replaced, and its work went to the next, which had it besides its own. Each process gave an owner up after one ping of 0.3 s, and the ping's time limit ended the connection with all jobs on it.

Ruled out: a longer silence for all (a lost owner would be replaced later).

Processes stay with a silent owner for 0.7 s, or until the leader names another.

Tests of the parts fail on the code before by their nature: the calls are new.

--- a/node/control/follower.go
+++ b/node/control/follower.go
@@ -130,6 +130,7 @@
 			return
 		case <-ticker.Chan():
 		case <-f.wake:
+		case <-f.unconfirmed():
 		}
 		if err := f.step(ctx); err != nil {
 			f.failed(err)
@@ -142,6 +143,15 @@
 	}
 }
 
+// unconfirmed returns when the leader is to be asked while no confirmation is known that makes a first view:
+// processes that have just started wait for it. Otherwise it returns nil.
+func (f *follower) unconfirmed() <-chan time.Time {
+	if usable(f.cluster.StampAge()) {
+		return nil
+	}
+	return f.clock.After(followGap)
+}
+
 func (f *follower) step(ctx context.Context) error {
 	if f.cluster.IsLeader() {
 		f.leases.renew(renewals(f.take()))
--- a/node/control/owner.go
+++ b/node/control/owner.go
@@ -34,6 +34,7 @@
 	asked  time.Time                   // when it was asked last
 	failed map[wire.MemberID]time.Time // that did not answer, and when
 	apart  time.Time                   // of the last try to lead elsewhere than the owner is
+	silent suspicions
 }
 
 func newOwnership(s *Service) *ownership {
@@ -116,9 +117,13 @@
 		o.pulse.restart()
 	}
 	o.asked = now
+	o.pulse.patience = o.silent.patience(now)
 	if o.pulse.lost() {
 		silent, err := o.pulse.silence()
 		o.s.log.Info("stage owner lost", "owner", m.ID, "silent", silent, "error", err)
+		if err == nil {
+			o.silent.note(now)
+		}
 		o.watch(m.Peer)
 		return false
 	}
--- a/node/control/pulse.go
+++ b/node/control/pulse.go
@@ -13,7 +13,7 @@
 
 const (
 	// pulseSilence is how long a question may stay unanswered until its process counts as
-	// lost. Above a pause of a collector and a lost packet's first repeat, 200 ms.
+	// lost, where no other did lately. Above a pause of a collector and a lost packet's first repeat, 200 ms.
 	pulseSilence = 250 * time.Millisecond
 	// pulseDoubt is how long one may stay unanswered until the next goes over another
 	// connection: one that is open may have gone silent without its process.
@@ -29,9 +29,10 @@
 // were answered, so that a silence is noticed pulseSilence after it began, and not after
 // the time limits of questions that follow each other.
 type pulse struct {
-	clock   clockwork.Clock
-	address string
-	connect func() pulseClient
+	clock    clockwork.Clock
+	address  string
+	connect  func() pulseClient
+	patience time.Duration // after which a silence counts as a loss
 
 	mu       sync.Mutex
 	client   pulseClient
@@ -54,7 +55,7 @@
 }
 
 func newPulse(clock clockwork.Clock, address string, connect func() pulseClient) *pulse {
-	return &pulse{clock: clock, address: address, connect: connect, client: connect()}
+	return &pulse{clock: clock, address: address, connect: connect, client: connect(), patience: pulseSilence}
 }
 
 // beat asks once more, without waiting for the answer.
@@ -94,7 +95,7 @@
 func (p *pulse) lost() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.failures >= pulseFailures || len(p.pending) > 0 && p.clock.Since(p.pending[0]) > pulseSilence
+	return p.failures >= pulseFailures || len(p.pending) > 0 && p.clock.Since(p.pending[0]) > p.patience
 }
 
 // silence says for how long no question was answered, and how the last one failed; the error
--- a/node/replica/loop.go
+++ b/node/replica/loop.go
@@ -54,6 +54,15 @@
 		if err := r.process(); err != nil {
 			return err
 		}
+		r.stampLead()
+	}
+}
+
+// stampLead has a new lead confirmed at once: processes that have just started wait for it.
+func (r *Replica) stampLead() {
+	if s := r.node.Status(); s.Role == consensus.Leader && s.Term != r.stamped {
+		r.stamped = s.Term
+		r.requestStamp()
 	}
 }
 
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -78,6 +78,7 @@
 	snapshotBytes int64 // size of the last snapshot
 	fatal         error // the disk failed outside process
 	nextID        uint64
+	stamped       uint64 // the last term in which this replica led and asked for a confirmation at once
 	waiters       []*applyWaiter
 	floor         uint64 // applied before an outage; the view never goes below
 	beliefs       beliefs
--- a/node/stagework/link.go
+++ b/node/stagework/link.go
@@ -23,6 +23,10 @@
 	// frozen or cut off from this process.
 	pingInterval = 200 * time.Millisecond
 	pingTimeout  = 300 * time.Millisecond
+	// giveUpAfter is how long an owner may not answer pings until its jobs wait no longer. One that has more work
+	// than it can do answers late; what it has made of a job is lost with it. One that the leader takes
+	// for lost is replaced before.
+	giveUpAfter = 700 * time.Millisecond
 	// moveWait is how long a job waits for another owner once its own is gone:
 	// what the leader takes to notice and to name the next one.
 	moveWait = 1200 * time.Millisecond
@@ -151,13 +155,26 @@
 		if client == nil || !due || answered.since(client) && !silent {
 			return
 		}
-		ping, cancel := context.WithTimeout(ctx, pingTimeout)
-		err := client.Call(ping, peer.MethodPing, peer.Empty{}, nil)
-		cancel()
-		l.heard(client, err)
+		l.heard(client, pingOnce(ctx, client))
 	})
 }
 
+// errLate says that an owner has not answered a ping in time. It may be busy.
+const errLate = errors.ConstError("stagework: no answer to a ping in time")
+
+// pingOnce asks whether the owner lives. The call is cancelled when its time is over: a deadline would end the
+// connection, and with it all jobs that are under way over it.
+func pingOnce(ctx context.Context, client *peer.Client) error {
+	ping, cancel := context.WithCancel(ctx)
+	defer cancel()
+	late := time.AfterFunc(pingTimeout, cancel)
+	err := client.Call(ping, peer.MethodPing, peer.Empty{}, nil)
+	if err != nil && !late.Stop() {
+		return errLate
+	}
+	return err
+}
+
 // watched is how much an owner had sent when it was looked at last.
 type watched struct {
 	client   *peer.Client
@@ -185,11 +202,13 @@
 	case err != nil && l.silent.IsZero():
 		l.log.Info("stage owner does not answer", "owner", l.owner.ID, "error", err.Error(), "jobs", l.jobs)
 		l.silent = time.Now()
-		l.lost.give()
 		if l.suspect != nil {
 			l.suspect(l.owner.Peer)
 		}
 	}
+	if err != nil && (!errors.Is(err, errLate) || time.Since(l.silent) > giveUpAfter) {
+		l.lost.give()
+	}
 }
 
 func (l *link) close() {
--- a/node/stagework/link_test.go
+++ b/node/stagework/link_test.go
@@ -211,3 +211,47 @@
 		t.Fatal("what another owner has sent counts")
 	}
 }
+
+// TestJobStaysAtABusyOwner has an owner not answer a ping in time while a job is under way there: the job stays,
+// over the same connection, and gets its answer.
+func TestJobStaysAtABusyOwner(t *testing.T) {
+	busy := newOwner(t, "job")
+	answering := make(chan struct{})
+	peer.Handle(busy.server, peer.MethodPing, func(ctx context.Context, e *peer.Empty) (*peer.Empty, error) {
+		<-answering
+		return e, nil
+	})
+	s := newClientService(t)
+	s.link.follow(wire.StageOwner{ID: "a", Peer: busy.address, Epoch: 1}, false)
+	got := s.runAsync(context.Background(), "job")
+	<-busy.arrived
+	err := pingOnce(t.Context(), s.link.client)
+	if !errors.Is(err, errLate) {
+		t.Fatalf("%v", err)
+	}
+	s.link.heard(s.link.client, err)
+	if s.Silent() == 0 {
+		t.Fatal("the owner does not count as silent")
+	}
+	close(answering)
+	busy.answer["job"] <- nil
+	if a := <-got; a.err != nil {
+		t.Fatal(a.err)
+	}
+	if len(busy.arrived) > 0 {
+		t.Fatal("the job was handed in again")
+	}
+}
+
+// TestJobLeavesAnOwnerThatIsGone has the owner's address answer no more: its jobs do not wait.
+func TestJobLeavesAnOwnerThatIsGone(t *testing.T) {
+	s := newClientService(t)
+	s.link.follow(wire.StageOwner{ID: "a", Peer: "127.0.0.1:1", Epoch: 1}, false)
+	lost := s.link.lost
+	s.link.heard(s.link.client, pingOnce(t.Context(), s.link.client))
+	select {
+	case <-lost.given:
+	default:
+		t.Fatal("the owner does not count as lost")
+	}
+}
