--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -60,7 +61,7 @@
 	if conn := c.connected(); conn != nil {
 		return conn, nil
 	}
-	raw, err := c.dial(ctx, c.address)
+	raw, err := redial(ctx, c.dial, c.address)
 	if err != nil {
 		return nil, errors.WithType(errors.Trace(err), ErrUnreachable)
 	}
@@ -74,6 +75,27 @@
 	return conn, nil
 }
 
+// firstDial is how long the first attempt to connect may take; each further one has twice as long. The opening
+// packet to a VM that is just starting is lost, and the kernel repeats it after a second only: all replicas are
+// without a leader meanwhile. Above a round trip between regions.
+const firstDial = 200 * time.Millisecond
+
+// redial connects, in several attempts while an attempt gets no answer at all. Together they take dialTimeout at
+// most.
+func redial(ctx context.Context, dial Dialer, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	for limit := firstDial; ; limit *= 2 {
+		attempt, cancel := context.WithTimeout(ctx, limit)
+		conn, err := dial(attempt, address)
+		unanswered := attempt.Err() != nil
+		cancel()
+		if err == nil || ctx.Err() != nil || !unanswered {
+			return conn, err
+		}
+	}
+}
+
 func (c *Client) connected() *jsonrpc2.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
