--- a/node/stagework/engines.go
+++ b/node/stagework/engines.go
@@ -64,9 +64,8 @@
 	holders  holders
 	cold     coldstart.Limit // of what a cold engine gets
 	turn     int             // of candidates
-	regions  regions
-	split    *rollout.Split // of the calls that this owner chooses engines for
-	pace     pace           // of all engines
+	split    *rollout.Split  // of the calls that this owner chooses engines for
+	pace     pace            // of all engines
 }
 
 // engineLoad is what is known of one engine.
@@ -150,7 +149,11 @@
 
 // chooseOn chooses among the engines of the versions that the track admits.
 func (e *engines) chooseOn(track rollout.Track, now, goal time.Time, p *Prompt, bytes map[string]int64) plan {
-	first, sources, spec := e.first(p), e.sources(now, p), e.services[p.Service]
+	first, source, spec := e.first(p), e.source(now, p), e.services[p.Service]
+	all := int64(0)
+	for _, n := range bytes {
+		all += n
+	}
 	var best plan
 	var least rank
 	for _, l := range e.candidates(p, first, track) {
@@ -160,14 +163,14 @@
 		}
 		missing, own := readingOf(p.Parts, func(id string) bool { return m.ID == first || l.has(id) })
 		x := plan{engine: m, read: own}
-		if f, ok := e.fetchTime(now, spec, l, sources[e.regions.of[m.DataCenter]], missing); ok {
+		if f, ok := e.fetchTime(now, spec, l, source, missing); ok {
 			x.fetch, missing = f, reading{}
 		}
 		x.read = own.plus(missing)
 		x.begins = x.fetch.takes + e.beginsIn(l, x.read)
 		r := rank{paused: now.Before(l.until), begins: x.begins, id: m.ID}
 		r.late = now.Add(goalPart * x.begins).After(goal)
-		r.cost = x.fetch.transfer + e.cost(r, missing, e.regions.moved(bytes, m.DataCenter))
+		r.cost = x.fetch.transfer + e.cost(r, missing, all-bytes[m.DataCenter])
 		if best.engine.ID == "" || r.compare(least) < 0 {
 			best, least = x, r
 		}
@@ -182,11 +185,11 @@
 }
 
 // cost is what taking an engine costs in time of engines: to read what it is missing, and
-// to move the results that lie in other data centres, in tokens. Of one that is late it is in time of
+// to move the bytes that lie in other data centres. Of one that is late it is in time of
 // the call too.
-func (e *engines) cost(r rank, missing reading, move int64) time.Duration {
+func (e *engines) cost(r rank, missing reading, bytes int64) time.Duration {
 	again := e.pace.readTime(missing)
-	moved := e.pace.readTime(reading{tokens: move})
+	moved := e.pace.readTime(reading{tokens: movedTokens * bytes / 1_000_000})
 	if !r.late {
 		return again + moved
 	}
--- a/node/stagework/fetch.go
+++ b/node/stagework/fetch.go
@@ -58,21 +58,20 @@
 	return list[:min(len(list), mostLooked)]
 }
 
-// sources returns, by region, the engine of the prompt's service that can send its shared parts first; none
-// where none keeps all of them. One that failed lately is none: nobody should wait for an engine that is gone.
-// Parts do not cross regions: to bring them takes longer than to read them.
-func (e *engines) sources(now time.Time, p *Prompt) map[string]*engineLoad {
+// source returns the engine of the prompt's service that can send its shared parts first,
+// nil where none keeps all of them. One that failed lately is none: nobody should wait for
+// an engine that is gone.
+func (e *engines) source(now time.Time, p *Prompt) *engineLoad {
 	if !fetches(e.services[p.Service]) {
 		return nil
 	}
-	best := map[string]*engineLoad{}
+	var best *engineLoad
 	for _, l := range e.holders.of(p) {
 		if l.member.Service != p.Service || l.member.Leaving || l.failures > 0 || !p.Within.Has(l.member.DataCenter) || !l.keeps(shared(p.Parts)) {
 			continue
 		}
-		region := e.regions.of[l.member.DataCenter]
-		if best[region] == nil || l.sendsBefore(best[region], now) {
-			best[region] = l
+		if best == nil || l.sendsBefore(best, now) {
+			best = l
 		}
 	}
 	return best
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -34,10 +34,8 @@
 	asked   classes       // jobs that need this service
 	sums    pieceSums
 
-	name         string
-	regions      regions
-	apartRegions bool           // there is more than one
-	split        *rollout.Split // of this owner's calls
+	name  string
+	split *rollout.Split // of this owner's calls
 
 	efficiency float64 // the part of its nominal rate that it reaches while pieces wait
 }
@@ -53,8 +51,6 @@
 
 	wait    time.Duration // until an upstream there begins it, as last foreseen
 	nowhere bool          // there is none that is neither slow nor failing
-
-	anywhere bool // also an upstream of another region may make it, as last foreseen
 }
 
 // call is a call of an upstream that is to be made, or under way.
@@ -86,9 +82,6 @@
 		return nil
 	}
 	q.foresee(now)
-	if q.apartRegions {
-		q.foreseeRegion(now)
-	}
 	fits := map[string][]*piece{} // by data centre: what fits does not depend on the upstream
 	for _, w := range free {
 		fit, known := fits[w.member.DataCenter]
@@ -196,7 +189,7 @@
 	q.looked += len(q.waiting)
 	out := make([]*piece, 0, len(q.waiting))
 	for _, p := range q.waiting {
-		if !p.job.Within.Has(w.member.DataCenter) || !q.mayMake(w, p) {
+		if !p.job.Within.Has(w.member.DataCenter) {
 			continue
 		}
 		if p.home == "" || p.home == w.member.DataCenter || p.nowhere || p.wait > fullCall(q.spec) || p.pressed(now, q.spec) {
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -13,7 +13,6 @@
 	"caperdrum.org/node/discovery"
 	"caperdrum.org/node/logging"
 	"caperdrum.org/node/peer"
-	"caperdrum.org/node/residency"
 	"caperdrum.org/node/rollout"
 	"caperdrum.org/node/settings"
 	"caperdrum.org/node/upstream"
@@ -86,13 +85,11 @@
 	peer.Handle(server, methodRun, s.run)
 	peer.Handle(server, methodDone, s.done)
 	peer.Handle(server, methodNews, s.learn)
-	named := p.Settings.Node.RegionsOfDataCenters()
 	p.ConfigSync.OnChange(func(v *configsync.View) {
 		self := p.ConfigSync.Self()
 		s.post(func(now time.Time) {
 			s.scheduler.setServices(v.Config.Services, v.Announced)
 			s.scheduler.followRollouts(v.Rollouts)
-			s.scheduler.setRegions(residency.RegionsOf(named, v.Config))
 			s.startedAgain(now, s.scheduler.takeLost())
 			s.keepCallers(v.Peers)
 			s.takeOwnership(now, v.Owner, v.Owner.ID == self.ID && v.Owner.Incarnation == self.Incarnation, "view")
