--- a/node/stagework/within_test.go
+++ b/node/stagework/within_test.go
@@ -28,7 +28,7 @@
 		dataCenters := []string{"dc0", "dc1", "dc2"}
 		follow := func() {
 			members := map[string][]wire.Member{}
-			for service := range specs {
+			for _, service := range []string{"a", "b", "llm"} {
 				for i := range rapid.IntRange(0, 4).Draw(t, service) {
 					id := fmt.Sprint(service, i)
 					members[service] = append(members[service], wire.Member{ID: wire.MemberID(id), Service: service, Direct: id, DataCenter: dataCenters[i%3], Incarnation: 1})
@@ -119,3 +119,23 @@
 	s.expire(now)
 	refused(2)
 }
+
+// TestPartsAreNotFetchedFromOutside has a part read in one data centre: a call that is bound to another reads it
+// there, one that is not fetches it.
+func TestPartsAreNotFetchedFromOutside(t *testing.T) {
+	for _, bound := range []bool{false, true} {
+		p := linked(fastLinks)
+		p.readAt("e0", prompt("shared", 10)) // in dc0, as e2
+		p.busy("e0", 1_000_000)
+		p.busy("e2", 1_000_000)
+		pr := prompt("shared", 1000)
+		pr.Within = residency.Within{Bound: bound, DataCenters: []string{"dc1"}}
+		x := p.plan(pr)
+		if x.engine.DataCenter != "dc1" {
+			t.Fatalf("bound %t: engine %s", bound, x.engine.ID)
+		}
+		if fetches := x.fetch.source != nil; fetches == bound {
+			t.Errorf("bound %t: the part is fetched: %t", bound, fetches)
+		}
+	}
+}
