--- a/node/control/rollout.go
+++ b/node/control/rollout.go
@@ -110,16 +110,13 @@
 	return s.stepRollout(ctx, &wire.RolloutStep{Service: service, Base: current.Revision, State: wire.RolloutRolledBack, Reason: "aborted by " + author})
 }
 
-// rolloutRead names the service whose roll-out is read.
-type rolloutRead struct {
+// RolloutRead names the service whose roll-out is read.
+type RolloutRead struct {
 	Service string `json:"service"`
 }
 
-// RolloutQuery returns the call that reads a service's roll-out.
-func RolloutQuery(service string) any { return rolloutRead{service} }
-
 // rollout reads a service's roll-out with a quorum's confirmation.
-func (s *Service) rollout(ctx context.Context, q *rolloutRead) (*wire.Rollout, error) {
+func (s *Service) rollout(ctx context.Context, q *RolloutRead) (*wire.Rollout, error) {
 	if err := s.replica.ReadBarrier(ctx); err != nil {
 		return nil, s.leaderError(err)
 	}
--- a/node/controlclient/controlclient.go
+++ b/node/controlclient/controlclient.go
@@ -196,7 +196,7 @@
 // Rollout returns the last roll-out of a service, as a quorum has confirmed it.
 func (s *Service) Rollout(ctx context.Context, service string) (wire.Rollout, error) {
 	var r wire.Rollout
-	err := s.control.CallLeader(ctx, control.MethodRollout, control.RolloutQuery(service), &r)
+	err := s.control.CallLeader(ctx, control.MethodRollout, control.RolloutRead{Service: service}, &r)
 	return r, err
 }
 
