Slow callers: large answers don't wait for each other

Cause: found by reading. Each answer that is read whole takes its bytes as they come and keeps them until it is delivered. Several that each had a part when the bound was reached waited for each other's bytes until their deadlines, though each was served. Nobody is woken by nothing given back. New metrics: held bytes, answers read without room, bodies refused, callers cut off. The test (five answers of 700 kB, a bound of 1 MB) ends in a deadlock without the change and passes with it.

--- a/node/proxy/admit.go
+++ b/node/proxy/admit.go
@@ -82,6 +82,7 @@
 	case errors.As(err, &tooLarge):
 		return verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the body is above %d bytes", limit)
 	case errors.Is(err, errHeld):
+		noRoomVar.Add(1)
 		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%s", err).After(comeBack)
 	case err != nil:
 		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "the body ended early")
--- a/node/proxy/holdings.go
+++ b/node/proxy/holdings.go
@@ -26,6 +26,7 @@
 	mu    sync.Mutex
 	used  int64
 	freed chan struct{} // closed when bytes are given back; nil while nobody waits
+	over  *held         // the one call that reads on without room; nil: none
 }
 
 // newHoldings bounds them for a process that may use so many MB of 2^20 bytes; zero: no limit is known.
@@ -43,16 +44,21 @@
 	if h.used+n > h.limit {
 		return false
 	}
-	h.used += n
+	h.count(n)
 	return true
 }
 
-// wait takes n bytes once there is room for them, or reports why not.
-func (h *holdings) wait(ctx context.Context, n int64) error {
+// wait takes n bytes for a call once there is room for them, or reports why not. One call at a time, until its
+// release, takes them without room: calls that each have a part of an answer would else wait for each other.
+func (h *holdings) wait(ctx context.Context, call *held, n int64) error {
 	for {
 		h.mu.Lock()
-		if h.used+n <= h.limit {
-			h.used += n
+		if h.used+n > h.limit && h.over == nil {
+			h.over = call
+			overVar.Add(1)
+		}
+		if h.used+n <= h.limit || h.over == call {
+			h.count(n)
 			h.mu.Unlock()
 			return nil
 		}
@@ -73,7 +79,7 @@
 func (h *holdings) force(n int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.used += n
+	h.count(n)
 }
 
 // inUse returns how many bytes are held.
@@ -84,15 +90,40 @@
 }
 
 func (h *holdings) give(n int64) {
+	if n == 0 {
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.used -= n
+	h.count(-n)
+	h.wake()
+}
+
+// count adds n bytes to what is held. It must be called with the lock, like wake.
+func (h *holdings) count(n int64) {
+	h.used += n
+	heldVar.Add(n)
+}
+
+func (h *holdings) wake() {
 	if h.freed != nil {
 		close(h.freed)
 		h.freed = nil
 	}
 }
 
+// end gives back what a call holds.
+func (h *holdings) end(call *held) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.over == call {
+		h.over = nil
+	}
+	h.count(-call.n)
+	call.n = 0
+	h.wake()
+}
+
 // held counts the bytes of one call.
 type held struct {
 	all *holdings
@@ -100,10 +131,7 @@
 }
 
 // release gives back what the call holds.
-func (h *held) release() {
-	h.all.give(h.n)
-	h.n = 0
-}
+func (h *held) release() { h.all.end(h) }
 
 // fullReader reads a caller's body, and ends with errHeld when there is no room for it.
 type fullReader struct {
@@ -140,7 +168,7 @@
 func (f *patientReader) Read(p []byte) (int, error) {
 	if f.free <= 0 {
 		p = p[:min(len(p), readChunk)]
-		if err := f.held.all.wait(f.ctx, int64(len(p))); err != nil {
+		if err := f.held.all.wait(f.ctx, f.held, int64(len(p))); err != nil {
 			return 0, err
 		}
 		n, err := f.r.Read(p)
--- /dev/null
+++ b/node/proxy/holdings_test.go
@@ -0,0 +1,49 @@
+package proxy
+
+import (
+	"bytes"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+)
+
+// TestAnswersDoNotWaitForEachOther has several large answers arrive at once, each of which the process can hold,
+// and not all: each has a part already when there is no room any more. All are delivered, one after the other.
+func TestAnswersDoNotWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			callers = 5
+			size    = 700 << 10
+		)
+		h := &holdings{limit: 1 << 20}
+		all := make(chan struct{}) // closed once each has a part
+		var wg sync.WaitGroup
+		for range callers {
+			part := make(chan struct{})
+			wg.Go(func() {
+				mine := held{all: h}
+				defer mine.release()
+				r := &patientReader{ctx: t.Context(), r: bytes.NewReader(make([]byte, size)), held: &mine, free: freeBytes}
+				if _, err := io.ReadFull(r, make([]byte, size/callers)); err != nil {
+					t.Error(err)
+				}
+				close(part)
+				<-all
+				rest, err := io.ReadAll(r)
+				if err != nil || len(rest) != size-size/callers {
+					t.Errorf("%d bytes: %v", len(rest), err)
+				}
+				if used := h.inUse(); used > h.limit+size {
+					t.Errorf("%d bytes are held", used)
+				}
+			})
+			<-part
+		}
+		close(all)
+		wg.Wait()
+		if got := h.inUse(); got != 0 {
+			t.Errorf("%d bytes are held at the end", got)
+		}
+	})
+}
--- a/node/proxy/metrics.go
+++ b/node/proxy/metrics.go
@@ -24,6 +24,10 @@
 	endedUnderVar  = expvar.NewMap("proxy_upstreams_ended_under_calls") // calls that broke off since their upstream ended, by service
 	barredVar      = expvar.NewMap("proxy_barred")                      // calls kept from upstreams since they end them, by route
 	brokenVar      = expvar.NewInt("proxy_streams_broken")
+	heldVar        = expvar.NewInt("proxy_held_bytes")       // of bodies, and of answers that callers have not taken yet
+	overVar        = expvar.NewInt("proxy_held_over")        // answers that were read without room for them, one at a time
+	noRoomVar      = expvar.NewInt("proxy_bodies_refused")   // since there was no room for them
+	slowVar        = expvar.NewInt("proxy_callers_too_slow") // whose answers were cut off since they did not take them in time
 )
 
 // Bounds of the latency histograms: a microsecond to ten minutes, to two digits.
--- a/node/proxy/spool.go
+++ b/node/proxy/spool.go
@@ -6,8 +6,8 @@
 	"sync"
 )
 
-// spoolLimit bounds what is kept of one stream for a caller that reads slower than its upstream writes. It is
-// far above a whole stream of the users': the upstream ends, and is free for others, before it would cut the stream off.
+// spoolLimit bounds what is kept of one stream for a caller that reads slower than its upstream writes, in bytes:
+// an upstream whose whole stream fits ends, and is free for others, however slow the caller is.
 const spoolLimit = 256 << 10
 
 // spool reads a stream ahead of its caller. When it is full, or all calls together hold too much, the upstream
