Proxy: a caller that takes nothing is no fault of its upstream

Cause: found by reading. A stream that couldn't be written to its caller ended as a failure of the upstream: the upstream was passed over for a while, an inquiry began, a repeatable stream was asked for again elsewhere, and a roll-out counted it against the version. Ruled out: callers whose connection is known to be closed; these end the call before. Change: a failed write marks the call; nothing is counted and nothing begins elsewhere. A caller that is cut off since it reads too slowly has a log line and a metric. The test fails without the change (one failure counted for the roll-out, one for the upstream) and passes with it.

--- a/node/proxy/plain.go
+++ b/node/proxy/plain.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -106,11 +107,30 @@
 	x.w.WriteHeader(a.response.Status)
 	if x.r.Method != http.MethodHead {
 		defer x.deliverBy(time.Now())()
-		x.w.Write(body) // a caller that left needs no answer
+		x.write(body) // a caller that left needs no answer
 	}
 	x.answered(a, "")
 }
 
+// write writes a part of the answer to the caller.
+func (x *exchange) write(p []byte) error {
+	_, err := x.w.Write(p)
+	return x.delivered(err)
+}
+
+// delivered notes whether the caller took what was written. That it did not is no fault of an upstream.
+func (x *exchange) delivered(err error) error {
+	if err == nil || x.gone {
+		return err
+	}
+	x.gone = true
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		slowVar.Add(1)
+		x.s.log.Info("answer cut off", "request", x.call.ID, "route", x.route.Name, "reason", "the caller takes it too slowly", "after", time.Since(x.began))
+	}
+	return err
+}
+
 // deliverBy bounds how long the caller may take to read the answer that begins now. The function that it
 // returns ends the bound: the connection serves further calls.
 func (x *exchange) deliverBy(now time.Time) (end func()) {
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -239,6 +239,7 @@
 	within   residency.Within // where it may be served
 	body     []byte
 	held     held // of all that is kept for the call
+	gone     bool // the caller takes nothing more
 	began    time.Time
 	deadline time.Time
 	sends    int    // calls of upstreams so far
--- a/node/proxy/slow_test.go
+++ b/node/proxy/slow_test.go
@@ -6,10 +6,15 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"caperdrum.org/api/wire"
 )
 
 const slowCallers = 500
@@ -162,3 +167,45 @@
 	}
 	t.Error("bytes are held at the end")
 }
+
+// deafCaller is a caller to which nothing can be written any more, though its connection is not known to be
+// closed.
+type deafCaller struct{ *httptest.ResponseRecorder }
+
+// Write implements http.ResponseWriter.
+func (deafCaller) Write([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
+
+// TestCallersFaultIsNoUpstreams has callers take nothing of their streams while a service is rolled out: neither is it
+// counted against the version that answered, nor is the upstream passed over, nor is the stream begun elsewhere.
+func TestCallersFaultIsNoUpstreams(t *testing.T) {
+	b := newBed(t)
+	var calls atomic.Int32
+	b.upstream("llm", "e1", func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, "id: 1\ndata: one\n\n")
+	})
+	b.service.counter.Follow(wire.Rollouts{List: []wire.Rollout{{Service: "llm", Target: "v2", State: wire.RolloutRunning, Order: 1}}})
+	r := httptest.NewRequest(http.MethodPost, "/quote/", strings.NewReader("body"))
+	r.Host = "desk.example"
+	r.Header.Set("Authorization", "Bearer secret")
+	func() {
+		defer func() {
+			if p := recover(); p != http.ErrAbortHandler {
+				t.Errorf("the answer ends with %v", p)
+			}
+		}()
+		b.service.ServeHTTP(deafCaller{httptest.NewRecorder()}, r)
+	}()
+	if got := calls.Load(); got != 1 {
+		t.Errorf("%d calls of upstreams", got)
+	}
+	if counts := b.service.counter.Report(); counts != nil {
+		t.Errorf("counted: %+v", counts)
+	}
+	for _, ep := range b.service.endpoints.by {
+		if ep.failures > 0 {
+			t.Errorf("%d failures of the upstream", ep.failures)
+		}
+	}
+}
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -49,7 +49,7 @@
 			return nil
 		}
 		x.note(err)
-		if err.Verdict != verdict.NotRun && !x.route.Repeatable() || ctx.Err() != nil || !x.mayRepeat(err) {
+		if err.Verdict != verdict.NotRun && !x.route.Repeatable() || ctx.Err() != nil || x.gone || !x.mayRepeat(err) {
 			return out.abandon(err)
 		}
 		x.s.log.Info("stream goes on elsewhere", "request", x.call.ID, "from", a.member.ID, "last_event", out.events.last, "reason", err.Message)
@@ -109,7 +109,7 @@
 		out.finish()
 		x.answered(a, out.events.last)
 		return true, nil
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, x.gone:
 		x.drop(a, unknown)
 	default:
 		x.broke(a.member)
@@ -160,10 +160,10 @@
 			return err
 		}
 		if whole := o.events.feed(data); len(whole) > 0 {
-			if _, err := o.x.w.Write(whole); err != nil {
+			if err := o.x.write(whole); err != nil {
 				return err
 			}
-			if err := flush.Flush(); err != nil {
+			if err := o.x.delivered(flush.Flush()); err != nil {
 				return err
 			}
 		}
@@ -173,7 +173,7 @@
 // finish passes on what followed the last event of a whole stream.
 func (o *streamWriter) finish() {
 	if len(o.events.pending) > 0 {
-		o.x.w.Write(o.events.pending)
+		o.x.write(o.events.pending)
 	}
 }
 
