Roll-outs, stage queues, news: what reading the diff found

Cause: (1) an upstream of the target version that starts again while its service is rolled out lost its mark between its own report and the members' next change, and was counted as healthy; the marks were also set anew for all upstreams with each member's change. (2) The owner's choice of an engine was looked for twice, in three levels. (3) A figure of X-Server-Load was kept and decided nothing. (4) Ten fields that repeat what a sync call is told of. (5) Processes gave a busy owner up without a line; the leader's line didn't say how long it had waited. (6) A refusal named 'a stage' in place of the service. Change: marks are made when the roll-out or the list changes; one choice; the figure is passed over; one comparable struct; a line 'stage owner given up', 'patience' in the leader's; the service is named.

--- /dev/null
+++ b/node/control/follower_test.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/consensus"
+	"caperdrum.org/node/state"
+)
+
+// following is a cluster of which another process leads.
+type following struct {
+	hinting
+	mu      sync.Mutex
+	stamped time.Time // zero: never
+}
+
+func (f *following) Leader() consensus.Peer                    { return consensus.Peer{ID: "a", Address: "a:1"} }
+func (f *following) WaitApplied(context.Context, uint64) error { return nil }
+
+func (f *following) SetStamp(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stamped = at
+}
+
+func (f *following) StampAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stamped.IsZero() {
+		return -1
+	}
+	return time.Since(f.stamped)
+}
+
+// TestConfirmationIsAskedForUntilThereIsOne starts all processes at once: a control process that does not lead
+// has a confirmation soon after its leader, since all others wait for it, and asks no more often than before from then on.
+func TestConfirmationIsAskedForUntilThereIsOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			confirmed = 1230 * time.Millisecond // of the leader itself, after the start
+			later     = 10 * time.Second
+		)
+		c := &following{hinting: hinting{machine: state.New()}}
+		c.view.Store(c.machine.View())
+		began, calls := time.Now(), 0
+		f := &follower{cluster: c, clock: clockwork.NewRealClock(), wake: make(chan struct{}, 1), pending: map[wire.MemberID]queued{}, told: map[wire.MemberID]uint64{}, failed: func(error) {}}
+		f.call = func(context.Context, string, RenewRequest) (*RenewReply, error) {
+			calls++
+			if time.Since(began) < confirmed {
+				return nil, errors.New("no confirmation yet")
+			}
+			return &RenewReply{}, nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			f.run(ctx)
+		}()
+		time.Sleep(confirmed + 2*followGap)
+		if age := c.StampAge(); age < 0 {
+			t.Errorf("no confirmation %s after the leader had one", 2*followGap)
+		}
+		before := calls
+		time.Sleep(later)
+		if got, most := calls-before, int(later/followInterval)+1; got > most {
+			t.Errorf("%d calls in %s with a confirmation, more than %d", got, later, most)
+		}
+		cancel()
+		<-ended
+	})
+}
--- a/node/control/news.go
+++ b/node/control/news.go
@@ -5,22 +5,27 @@
 	"sync/atomic"
 )
 
-// news wakes the held-back sync calls when the configuration, the members, the
-// evacuations, the suspects, the roll-outs, the fences or the term changed, or the replica takes no part any more. Most commands
-// change none of them.
+// news wakes the held-back sync calls when something changed that they are told of. Most commands change
+// nothing of it.
 type news struct {
-	cluster     cluster
-	version     uint64
-	seq         uint64
-	fence       uint64
-	term        uint64
-	owner       uint64
-	evacuations uint64
-	suspects    uint64
-	rollouts    uint64
-	outage      bool
-	confirmed   bool // what is known makes a first view
-	next        atomic.Pointer[chan struct{}]
+	cluster cluster
+	last    told
+	next    atomic.Pointer[chan struct{}]
+}
+
+// told is by what a sync call sees that there is something new.
+type told struct {
+	version, seq, fence, term, owner uint64
+	evacuations, suspects, rollouts  uint64 // revisions
+	outage                           bool   // the replica takes no part
+	confirmed                        bool   // what is known makes a first view
+}
+
+func toldBy(c cluster) told {
+	v := c.View()
+	return told{version: v.Config.Version, seq: v.MembersSeq, fence: v.Fence, term: c.Status().Term, owner: v.Owner.Epoch,
+		evacuations: v.Evacuations.Revision, suspects: v.Suspects.Revision, rollouts: v.Rollouts.Revision,
+		outage: c.Outage() != nil, confirmed: usable(c.StampAge())}
 }
 
 func newNews(c cluster) *news {
@@ -46,14 +51,11 @@
 }
 
 func (n *news) check() {
-	v, term, outage := n.cluster.View(), n.cluster.Status().Term, n.cluster.Outage() != nil
-	confirmed := usable(n.cluster.StampAge())
-	if outage == n.outage && confirmed == n.confirmed && v.Config.Version == n.version && v.MembersSeq == n.seq && v.Fence == n.fence && term == n.term && v.Owner.Epoch == n.owner && v.Evacuations.Revision == n.evacuations && v.Suspects.Revision == n.suspects && v.Rollouts.Revision == n.rollouts {
+	now := toldBy(n.cluster)
+	if now == n.last {
 		return
 	}
-	n.version, n.seq, n.fence, n.term, n.owner = v.Config.Version, v.MembersSeq, v.Fence, term, v.Owner.Epoch
-	n.confirmed = confirmed
-	n.outage, n.evacuations, n.suspects, n.rollouts = outage, v.Evacuations.Revision, v.Suspects.Revision, v.Rollouts.Revision
+	n.last = now
 	next := make(chan struct{})
 	close(*n.next.Swap(&next))
 }
--- a/node/control/owner.go
+++ b/node/control/owner.go
@@ -120,7 +120,7 @@
 	o.pulse.patience = o.silent.patience(now)
 	if o.pulse.lost() {
 		silent, err := o.pulse.silence()
-		o.s.log.Info("stage owner lost", "owner", m.ID, "silent", silent, "error", err)
+		o.s.log.Info("stage owner lost", "owner", m.ID, "silent", silent, "patience", o.pulse.patience, "error", err)
 		if err == nil {
 			o.silent.note(now)
 		}
--- a/node/proxy/endpoints.go
+++ b/node/proxy/endpoints.go
@@ -150,15 +150,7 @@
 		return e.best(list, c, now)
 	}
 	if wanted := slices.IndexFunc(list, func(m wire.Member) bool { return m.ID == c.wanted }); wanted >= 0 {
-		others := stable.Choose(list)
-		if !stable.Admits(list[wanted].Version) {
-			others = append(others, list[wanted])
-			if m, ok := e.best(others, c, now); !ok || m.ID == c.wanted {
-				return m, ok
-			}
-			others = others[:len(others)-1]
-		}
-		return e.best(others, c, now)
+		return e.best(append(stable.Choose(list), list[wanted]), c, now)
 	}
 	if track := e.split.Next(service, e.split.HasTarget(service, list)); track.Target() {
 		if m, ok := e.best(track.Choose(list), c, now); ok {
--- a/node/stagework/link.go
+++ b/node/stagework/link.go
@@ -64,7 +64,14 @@
 
 func newSign() *sign { return &sign{given: make(chan struct{})} }
 
-func (s *sign) give() { s.once.Do(func() { close(s.given) }) }
+// give gives the sign, and reports whether it had not been given.
+func (s *sign) give() (first bool) {
+	s.once.Do(func() {
+		close(s.given)
+		first = true
+	})
+	return first
+}
 
 func newLink(dial peer.Dialer, log logr.Logger) *link {
 	return &link{dial: dial, log: log, lost: newSign(), changed: make(chan struct{})}
@@ -206,8 +213,8 @@
 			l.suspect(l.owner.Peer)
 		}
 	}
-	if err != nil && (!errors.Is(err, errLate) || time.Since(l.silent) > giveUpAfter) {
-		l.lost.give()
+	if err != nil && (!errors.Is(err, errLate) || time.Since(l.silent) > giveUpAfter) && l.lost.give() {
+		l.log.Info("stage owner given up", "owner", l.owner.ID, "silent", time.Since(l.silent), "error", err.Error(), "jobs", l.jobs)
 	}
 }
 
--- a/node/stagework/owner_bench_test.go
+++ b/node/stagework/owner_bench_test.go
@@ -21,8 +21,8 @@
 	"caperdrum.org/node/upstream"
 )
 
-// benchCallers is how many processes hand their jobs in at the benchmark's owner.
-const benchCallers = 16
+// jobCallers is how many processes hand their jobs in.
+const jobCallers = 16
 
 // BenchmarkOwner hands jobs of a chain in at an owner over connections, with upstreams that
 // answer over HTTP as soon as they are asked: what a call costs with its messages. Callers and
@@ -80,7 +80,7 @@
 	})
 	var clients []*peer.Client
 	var addresses []string
-	for range benchCallers {
+	for range jobCallers {
 		addresses = append(addresses, server(func(p *peer.Server) {
 			peer.Handle(p, methodNews, func(context.Context, *[]News) (*control.Empty, error) { return &control.Empty{}, nil })
 		}))
@@ -93,11 +93,11 @@
 	for i := range b.N {
 		under <- struct{}{}
 		job := Job{ID: fmt.Sprint("call", i), Handed: fmt.Sprint("handed", i), Key: fmt.Sprint("key", i), Stages: chainChats.stages(random), Left: 12 * time.Second, Goal: 2 * time.Second,
-			FirstEvent: 2200 * time.Millisecond, Caller: addresses[i%benchCallers], Prompt: &Prompt{Service: "llm", Parts: []upstream.PromptPart{{ID: fmt.Sprint("shared", i%700), Tokens: 198}, {ID: "own", Tokens: 628}}}}
+			FirstEvent: 2200 * time.Millisecond, Caller: addresses[i%jobCallers], Prompt: &Prompt{Service: "llm", Parts: []upstream.PromptPart{{ID: fmt.Sprint("shared", i%700), Tokens: 198}, {ID: "own", Tokens: 628}}}}
 		wg.Go(func() {
 			defer func() { <-under }()
 			var r Result
-			c := clients[i%benchCallers]
+			c := clients[i%jobCallers]
 			if err := c.Call(context.Background(), methodRun, job, &r); err != nil {
 				b.Error(err)
 				return
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -34,8 +34,9 @@
 	asked   classes       // jobs that need this service
 	sums    pieceSums
 
-	name  string
-	split *rollout.Split // of this owner's calls
+	name    string
+	split   *rollout.Split // of this owner's calls
+	rollout wire.Rollout   // the service's last one
 
 	efficiency float64 // the part of its nominal rate that it reaches while pieces wait
 }
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -313,8 +313,8 @@
 		case j.answer != nil && !now.Before(j.deadline):
 			s.end(j, Result{}, errNoTime())
 			out = append(out, s.forget(j)...)
-		case j.answer != nil && s.outside(j):
-			s.end(j, Result{}, errNowhere("of a stage", j.Within))
+		case j.answer != nil && s.outside(j) != "":
+			s.end(j, Result{}, errNowhere(s.outside(j), j.Within))
 			out = append(out, s.forget(j)...)
 		case j.answer != nil && s.starved(now, j):
 			s.end(j, Result{}, errBusy(starvedComeBack))
--- a/node/stagework/trial.go
+++ b/node/stagework/trial.go
@@ -18,13 +18,21 @@
 func (s *scheduler) followRollouts(r wire.Rollouts) {
 	s.split.Follow(r)
 	for name, q := range s.services {
-		x := r.Of(name)
-		for _, w := range q.list {
-			w.trial = x.Running() && w.member.Version == x.Target && len(x.Replaced) > 0
+		if x := r.Of(name); x.Revision != q.rollout.Revision {
+			q.rollout = x
+			q.markTrials()
 		}
 	}
 }
 
+// markTrials finds out which upstreams are of the version to which the service is being rolled out.
+func (q *serviceQueue) markTrials() {
+	x := q.rollout
+	for _, w := range q.list {
+		w.trial = x.Running() && w.member.Version == x.Target && len(x.Replaced) > 0
+	}
+}
+
 // onTrack returns the upstreams, of those that are free, to which the service's next call may go: one
 // of the target version first, where it is its turn.
 func (q *serviceQueue) onTrack(free []*worker) []*worker {
--- a/node/stagework/within.go
+++ b/node/stagework/within.go
@@ -17,16 +17,16 @@
 	return false
 }
 
-// outside reports whether a job that is bound to data centres waits for a service that has no upstream
-// there any more.
-func (s *scheduler) outside(j *job) bool {
+// outside returns the service for which a job waits that is bound to data centres where the service has no
+// upstream any more; empty: none.
+func (s *scheduler) outside(j *job) string {
 	if !j.Within.Bound {
-		return false
+		return ""
 	}
 	for i, st := range j.Stages {
 		if j.missing[i] > 0 && !s.services[st.Service].within(j.Within) {
-			return true
+			return st.Service
 		}
 	}
-	return false
+	return ""
 }
--- a/node/stagework/workers.go
+++ b/node/stagework/workers.go
@@ -66,6 +66,7 @@
 
 func (q *serviceQueue) relist() {
 	q.list = slices.SortedFunc(maps.Values(q.workers), func(a, b *worker) int { return cmp.Compare(a.member.ID, b.member.ID) })
+	q.markTrials()
 }
 
 // takes reports whether the upstream can take a call now.
--- a/node/upstream/protocol.go
+++ b/node/upstream/protocol.go
@@ -49,12 +49,7 @@
 }
 
 // Load is what a batching upstream tells of itself.
-type Load struct {
-	Running, Waiting, Slots int
-	// Slowness is how long work takes there at that moment, in parts of what it usually takes; zero where it
-	// does not say.
-	Slowness float64
-}
+type Load struct{ Running, Waiting, Slots int }
 
 // Piece is one piece of a stage that an upstream is asked for.
 type Piece struct {
