Roll-outs: a new leader listens to all processes before it decides

Cause: found by reading. The leader that follows a lost one decided 2 s after it had begun to listen, by a constant said to cover one report of each process. Processes report less often the more there are: every 1.8 s at 360, 3.6 s at 720, and a report may take 0.8 s. Ruled out: a larger constant. Change: the leader listens for as long as a report of each of the processes takes, 2 s at least. The test fails at 360, 720 and 1,440 without the change. The model of 8, 32 and 400 processes passes.

--- a/node/control/rollout.go
+++ b/node/control/rollout.go
@@ -151,7 +151,7 @@
 	j := l.judges[r.Service]
 	if j == nil || j.order != r.Order {
 		passed := time.Duration(now.UnixMilli()-r.Started) * time.Millisecond
-		j = &judged{order: r.Order, judge: rollout.NewJudge(r.Target), ends: now.Add(rollout.Left(r.Span, passed))}
+		j = &judged{order: r.Order, judge: rollout.NewJudge(r.Target), ends: now.Add(rollout.Left(r.Span, passed, reporters(v.Members)))}
 		if l.judges == nil {
 			l.judges = map[string]*judged{}
 		}
@@ -196,6 +196,17 @@
 		upstreamsOf(r, view.Members), rollout.Limits{Share: s.set.Control.RolloutShare})
 }
 
+// reporters counts the processes that report what they count.
+func reporters(members map[wire.MemberID]wire.Member) int {
+	n := 0
+	for _, m := range members {
+		if m.Peer != "" {
+			n++
+		}
+	}
+	return n
+}
+
 // upstreamsOf counts the upstreams of both sides of a roll-out.
 func upstreamsOf(r wire.Rollout, members map[wire.MemberID]wire.Member) rollout.Upstreams {
 	var up rollout.Upstreams
--- a/node/rollout/model_test.go
+++ b/node/rollout/model_test.go
@@ -126,7 +126,7 @@
 	for at := time.Duration(0); at < m.span+time.Second; at += modelStep {
 		now := start.Add(at)
 		if m.leaderAt > 0 && at == m.leaderAt {
-			judge, ends, pending = NewJudge("v2"), at+Left(m.span, at), nil
+			judge, ends, pending = NewJudge("v2"), at+Left(m.span, at, m.processes), nil
 		}
 		for i, p := range ps {
 			if i < m.cut && at > m.span/3 {
--- a/node/rollout/plan.go
+++ b/node/rollout/plan.go
@@ -74,16 +74,19 @@
 func ending(span time.Duration) time.Duration { return min(max(span/endPart, leastEnd), mostEnd) }
 
 // Left is the rest of a span of which so much has passed by a leader's time of day, for a leader that
-// has just heard of the roll-out: it listens for a while before it decides, and the time of day may have
-// been set since the order.
-func Left(span, passed time.Duration) time.Duration {
+// has just heard of the roll-out: it listens to so many processes before it decides, and the time of day may
+// have been set since the order.
+func Left(span, passed time.Duration, processes int) time.Duration {
 	left := span - min(max(passed, 0), span)
-	return max(left, min(span, ending(span)+leastHeard))
+	return max(left, min(span, ending(span)+listening(processes)))
 }
 
-// leastHeard is how long a leader listens to the processes before it decides: each reports within it.
+// leastHeard is how long a leader listens at least.
 const leastHeard = 2 * time.Second
 
+// listening is how long a leader listens to so many processes: each reports within it.
+func listening(processes int) time.Duration { return max(leastHeard, Interval(processes)+reportTime) }
+
 // shareAt is the share that the target gets when so much of the span is left.
 func shareAt(span, left time.Duration, l Limits) float64 {
 	passed := 1 - float64(left)/float64(span)
