Control: orders of operators are checked at one place

Cause: evacuations and roll-outs wrote the same two refusals. Ruled out: one function for both orders; their answers differ.

--- a/node/control/evacuate.go
+++ b/node/control/evacuate.go
@@ -47,13 +47,22 @@
 // name the data centres, those count that a member is in or that had an order before.
 func (s *Service) mayEvacuate(dataCenter string) error {
 	v := s.cluster.View()
+	if err := s.mayOrder(v); err != nil {
+		return err
+	}
+	if !s.knowsDataCenter(v, dataCenter) {
+		return verdict.New(verdict.NotRun, verdict.CodeUnknown, "no data centre %q is known", dataCenter)
+	}
+	return nil
+}
+
+// mayOrder reports why no order of operators is taken yet.
+func (s *Service) mayOrder(v *state.View) error {
 	switch {
 	case v.Config.Version == 0:
 		return verdict.New(verdict.NotRun, verdict.CodeStale, "no configuration yet")
 	case !s.enoughVoters():
 		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "too few control processes have joined yet")
-	case !s.knowsDataCenter(v, dataCenter):
-		return verdict.New(verdict.NotRun, verdict.CodeUnknown, "no data centre %q is known", dataCenter)
 	}
 	return nil
 }
--- a/node/control/rollout.go
+++ b/node/control/rollout.go
@@ -69,11 +69,8 @@
 
 func (s *Service) mayRollOut(o *wire.RolloutOrder) error {
 	v := s.cluster.View()
-	switch {
-	case v.Config.Version == 0:
-		return verdict.New(verdict.NotRun, verdict.CodeStale, "no configuration yet")
-	case !s.enoughVoters():
-		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "too few control processes have joined yet")
+	if err := s.mayOrder(v); err != nil {
+		return err
 	}
 	config, err := s.puts.check(v.Config.Text)
 	if err != nil {
