Control: the count of a test's calls is read under its own synchronization

Cause: TestConfirmationIsAskedForUntilThereIsOne counted calls in the follower's goroutine and read the count in the test's; a virtual sleep orders them in time but not for the race detector. Ruled out: a race of the product: the detector names only the test's own variable. Change: the count is atomic; check and bound are as before.

--- a/node/control/follower_test.go
+++ b/node/control/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,10 +51,11 @@
 		)
 		c := &following{hinting: hinting{machine: state.New()}}
 		c.view.Store(c.machine.View())
-		began, calls := time.Now(), 0
+		began := time.Now()
+		var calls atomic.Int64
 		f := &follower{cluster: c, clock: clockwork.NewRealClock(), wake: make(chan struct{}, 1), pending: map[wire.MemberID]queued{}, told: map[wire.MemberID]uint64{}, failed: func(error) {}}
 		f.call = func(context.Context, string, RenewRequest) (*RenewReply, error) {
-			calls++
+			calls.Add(1)
 			if time.Since(began) < confirmed {
 				return nil, errors.New("no confirmation yet")
 			}
@@ -69,9 +71,9 @@
 		if age := c.StampAge(); age < 0 {
 			t.Errorf("no confirmation %s after the leader had one", 2*followGap)
 		}
-		before := calls
+		before := calls.Load()
 		time.Sleep(later)
-		if got, most := calls-before, int(later/followInterval)+1; got > most {
+		if got, most := calls.Load()-before, int64(later/followInterval)+1; got > most {
 			t.Errorf("%d calls in %s with a confirmation, more than %d", got, later, most)
 		}
 		cancel()
