Proxy: a call whose time is over while it waits for the first configuration is refused

Change: the wait ends with the caller's time, and such a call is refused as not run; it is not offered to an upstream in vain. TestCallIsNotSentPastItsDeadline.

--- a/node/proxy/admit.go
+++ b/node/proxy/admit.go
@@ -13,16 +13,13 @@
 // admit finds the route and the customer, and how long the call may take.
 func (x *exchange) admit() error {
 	s := x.s
-	if !x.table.configured() {
-		s.first.wait(x.r.Context())
-		x.table = s.table.Load()
-	}
-	if !x.table.configured() {
-		return verdict.New(verdict.NotRun, verdict.CodeStale, "no configuration yet").After(afterOutage())
+	var invalid error
+	x.call, invalid = s.protocol.Call(x.r.Header)
+	if err := x.awaitConfiguration(); err != nil {
+		return err
 	}
-	var err error
-	if x.call, err = s.protocol.Call(x.r.Header); err != nil {
-		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "%s", err)
+	if invalid != nil {
+		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "%s", invalid)
 	}
 	if x.route = x.table.route(x.r.Host, x.r.URL.EscapedPath()); x.route == nil {
 		if s.stale() {
@@ -42,6 +39,23 @@
 	return nil
 }
 
+// awaitConfiguration lets a call wait for this process's first configuration. One whose time is over by then is
+// not sent on: an upstream could only be asked in vain.
+func (x *exchange) awaitConfiguration() error {
+	if x.table.configured() {
+		return nil
+	}
+	tooLate := x.s.first.wait(x.r.Context(), x.call.Wait)
+	x.table = x.s.table.Load()
+	switch {
+	case tooLate:
+		return verdict.New(verdict.NotRun, verdict.CodeDeadline, "the deadline passed before there was a configuration")
+	case !x.table.configured():
+		return verdict.New(verdict.NotRun, verdict.CodeStale, "no configuration yet").After(afterOutage())
+	}
+	return nil
+}
+
 func (x *exchange) customerRegions() []string {
 	if x.customer == nil {
 		return nil
--- a/node/proxy/firstview.go
+++ b/node/proxy/firstview.go
@@ -41,15 +41,20 @@
 func (f *firstView) set() { f.once.Do(func() { close(f.known) }) }
 
 // wait returns once there is a configuration, or when waiting for it is over:
-// the process is past its start, too many calls wait, or ctx ends.
-func (f *firstView) wait(ctx context.Context) {
-	left := f.until.Sub(f.clock.Now())
+// the process is past its start, too many calls wait, ctx ends, or the caller's
+// time is over, which it reports. A caller that says no time has zero.
+func (f *firstView) wait(ctx context.Context, callers time.Duration) (tooLate bool) {
+	now := f.clock.Now()
+	left := f.until.Sub(now)
+	if callers > 0 {
+		left = min(left, callers)
+	}
 	if left <= 0 {
-		return
+		return false
 	}
 	defer f.waiting.Add(-1)
 	if f.waiting.Add(1) > maxWaiting {
-		return
+		return false
 	}
 	timer := f.clock.NewTimer(left)
 	defer timer.Stop()
@@ -58,4 +63,5 @@
 	case <-timer.Chan():
 	case <-ctx.Done():
 	}
+	return callers > 0 && f.clock.Since(now) >= callers
 }
--- a/node/proxy/firstview_test.go
+++ b/node/proxy/firstview_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"caperdrum.org/api/wire"
 )
 
 // starting is a bed whose process has no configuration yet, on a clock of the
@@ -20,7 +23,10 @@
 }
 
 // ask sends a call and returns where its status will come.
-func (b *bed) ask() <-chan int {
+func (b *bed) ask() <-chan int { return b.askWithin(0) }
+
+// askWithin sends a call of a caller that waits for so long; zero: it does not say.
+func (b *bed) askWithin(wait time.Duration) <-chan int {
 	status := make(chan int, 1)
 	go func() {
 		r, err := http.NewRequest(http.MethodGet, b.front.URL+"/reserve/deep/x", nil)
@@ -28,6 +34,9 @@
 			b.t.Error(err)
 		}
 		r.Host = "desk.example"
+		if wait > 0 {
+			r.Header.Set(wire.HeaderTimeout, wait.String())
+		}
 		resp, err := http.DefaultClient.Do(r)
 		if err != nil {
 			status <- 0
@@ -69,17 +78,48 @@
 	}
 }
 
+// sent is how many calls have gone to upstreams of a service so far.
+func sent(service string) int64 {
+	if n, ok := sendsVar.Get(service).(*expvar.Int); ok {
+		return n.Value()
+	}
+	return 0
+}
+
+// TestCallIsNotSentPastItsDeadline lets a call wait until its caller's time is over: it is refused as not run then,
+// and no upstream is asked in vain. One that has time waits on and is served.
+func TestCallIsNotSentPastItsDeadline(t *testing.T) {
+	const short = 300 * time.Millisecond
+	b, clock := starting(t)
+	first, second := b.askWithin(short), b.ask()
+	if err := clock.BlockUntilContext(t.Context(), 2); err != nil {
+		t.Fatal(err)
+	}
+	before := sent("desk")
+	clock.Advance(short)
+	if got := <-first; got != http.StatusServiceUnavailable {
+		t.Errorf("status %d at the deadline", got)
+	}
+	b.service.follow(&b.view)
+	if got := <-second; got != http.StatusOK {
+		t.Errorf("status %d with time left", got)
+	}
+	if got := sent("desk") - before; got != 1 {
+		t.Errorf("%d sends, want 1", got)
+	}
+}
+
 // TestWaitingCallsAreBounded fills the places for calls that wait: the next one
 // does not wait.
 func TestWaitingCallsAreBounded(t *testing.T) {
 	f := newFirstView(clockwork.NewFakeClock())
 	f.waiting.Store(maxWaiting)
-	f.wait(context.Background())
+	f.wait(context.Background(), 0)
 	if got := f.waiting.Load(); got != maxWaiting {
 		t.Fatalf("%d wait", got)
 	}
 	f.waiting.Store(0)
 	left, leave := context.WithTimeout(context.Background(), time.Nanosecond)
 	defer leave()
-	f.wait(left) // a caller that has left does not wait either
+	f.wait(left, 0) // a caller that has left does not wait either
 }
