Replica: a confirmation from before this process's start counts

Cause: a follower keeps its last confirmation as a time since its own start, and took any figure below zero for 'never'. A leader confirms at once when it gains the lead, then each 0.5 s; what it tells a follower that has started later than that lies before the follower's start, and was dropped until the leader's next confirmation. Ruled out: the encoding of first views (1.3 ms each) as the first cause; time until the state is applied (0.8 to 11 ms). Change: 'never' has a figure of its own. Figures: TestConfirmationFromBeforeTheStart fails before (-1 ns, nobody is woken).

--- a/node/replica/lead_test.go
+++ b/node/replica/lead_test.go
@@ -7,8 +7,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+
 	"caperdrum.org/node/disk"
 	"caperdrum.org/node/disk/disktest"
+	"caperdrum.org/node/replica"
 )
 
 // TestNewLeadIsConfirmedAtOnce stops all replicas at once and starts them again, several times: the new leader
@@ -44,3 +48,27 @@
 		}
 	})
 }
+
+// TestConfirmationFromBeforeTheStart tells a replica of a confirmation that its leader got before this process
+// started. It is as good as a later one; waiting for the next costs up to stampInterval.
+func TestConfirmationFromBeforeTheStart(t *testing.T) {
+	const ago = 200 * time.Millisecond
+	clock := clockwork.NewFakeClock()
+	r, err := replica.Open(replica.Options{Name: "late", FS: disktest.New(1), Log: logr.Discard(), StampClock: clock})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if age := r.StampAge(); age >= 0 {
+		t.Fatalf("confirmed %s ago without a confirmation", age)
+	}
+	changed := r.Changed()
+	r.SetStamp(clock.Now().Add(-ago))
+	if age := r.StampAge(); age != ago {
+		t.Errorf("confirmed %s ago, want %s", age, ago)
+	}
+	select {
+	case <-changed:
+	default:
+		t.Error("nobody is woken by the first confirmation")
+	}
+}
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,10 @@
 	stampInterval  = 500 * time.Millisecond
 )
 
+// neverStamped stands for no confirmation yet. Any other figure may be that of one: a leader's is from before this
+// process's start, where it has just started.
+const neverStamped = math.MinInt64
+
 // Transport sends messages to other replicas. It never blocks and may lose
 // messages.
 type Transport interface {
@@ -87,7 +92,7 @@
 	view    atomic.Pointer[state.View]
 	status  atomic.Pointer[consensus.Status]
 	changed atomic.Pointer[chan struct{}]
-	stamp   atomic.Int64 // time of the last quorum confirmation, nanoseconds since start
+	stamp   atomic.Int64 // time of the last quorum confirmation, nanoseconds since start; neverStamped
 	start   time.Time
 }
 
@@ -162,7 +167,7 @@
 	r.hurry()
 	ch := make(chan struct{})
 	r.changed.Store(&ch)
-	r.stamp.Store(-1)
+	r.stamp.Store(neverStamped)
 	r.publish()
 	return r, nil
 }
@@ -202,7 +207,7 @@
 // or a negative duration when that never happened.
 func (r *Replica) StampAge() time.Duration {
 	s := r.stamp.Load()
-	if s < 0 {
+	if s == neverStamped {
 		return -1
 	}
 	return r.opts.StampClock.Since(r.start) - time.Duration(s)
@@ -218,7 +223,7 @@
 			return
 		}
 		if r.stamp.CompareAndSwap(old, s) {
-			if old < 0 || time.Duration(s-old) > stampGap {
+			if old == neverStamped || time.Duration(s-old) > stampGap {
 				r.announce()
 			}
 			return
