Synchronization: processes wait for their first view where it will be, not at the seeds

Cause: a process that holds nothing was held at its seed for 0.25 s when there was no confirmation, before it heard of the other voters; each further call asked for an answer at once. TestFirstViewWaitsForAConfirmation asks without and with waiting, and checks as before that nothing unconfirmed is sent; 'firstWait' is gone with what it was for.

--- a/node/configsync/holder.go
+++ b/node/configsync/holder.go
@@ -22,9 +22,11 @@
 
 // Errors that make the process ask another control process.
 var (
-	errStale      = errors.New("configsync: the control process has no fresh confirmation by a quorum")
-	errBehind     = errors.New("configsync: the control process is behind what is held here")
-	errNotRenewed = errors.New("configsync: the lease could not be renewed there")
+	errStale = errors.New("configsync: the control process has no fresh confirmation by a quorum")
+	// errUnconfirmed sends a process that holds nothing to another control process, at which it waits.
+	errUnconfirmed = errors.New("configsync: no quorum has confirmed what the control process knows")
+	errBehind      = errors.New("configsync: the control process is behind what is held here")
+	errNotRenewed  = errors.New("configsync: the lease could not be renewed there")
 )
 
 // Holder is the part of Service that decides what is held. It has no goroutine
@@ -131,7 +133,7 @@
 	fresh := reply.StampAge >= 0 && reply.StampAge <= staleStamp
 	old := h.View()
 	if !fresh && old == nil {
-		return nil, errStale
+		return nil, errUnconfirmed
 	}
 	next := emptyView()
 	if old != nil {
--- a/node/configsync/loop.go
+++ b/node/configsync/loop.go
@@ -45,8 +45,8 @@
 	switch {
 	case err == nil:
 		return pace{wait: syncWait, grace: grace}, false
-	case errors.Is(err, errNotRenewed):
-		// News still arrives through it. Others may reach the leader.
+	case errors.Is(err, errNotRenewed) || errors.Is(err, errUnconfirmed):
+		// News still arrives through it. Others may reach the leader, or have its confirmation.
 		return pace{wait: jitter(seekWait), grace: grace}, true
 	case errors.Is(err, errGap) || errors.Is(err, errText):
 		// The list or the text comes whole next time.
@@ -122,7 +122,7 @@
 
 // answered reports whether a synchronization that failed was answered.
 func answered(err error) bool {
-	for _, known := range []error{errNotRenewed, errStale, errBehind, errGap, errText} {
+	for _, known := range []error{errNotRenewed, errStale, errUnconfirmed, errBehind, errGap, errText} {
 		if errors.Is(err, known) {
 			return true
 		}
--- a/node/control/hint_test.go
+++ b/node/control/hint_test.go
@@ -142,7 +142,8 @@
 func (u *unconfirmed) StampAge() time.Duration { return time.Duration(u.age.Load()) }
 
 // TestFirstViewWaitsForAConfirmation has processes that hold nothing ask again and again while no quorum has
-// confirmed what is known: nothing is sent that they could not use, and all get it with the first confirmation.
+// confirmed what is known: nothing is sent that they could not use, and all that wait get it with the first
+// confirmation. A call that does not wait is answered at once, since its caller hears where the voters are.
 func TestFirstViewWaitsForAConfirmation(t *testing.T) {
 	u := &unconfirmed{hinting: &hinting{machine: state.New()}}
 	u.age.Store(-1)
@@ -159,9 +160,10 @@
 	s.follow = &follower{cluster: u, clock: clock, wake: make(chan struct{}, 1), pending: map[wire.MemberID]queued{}, told: map[wire.MemberID]uint64{}}
 	const processes = 360
 	replies := make(chan *wire.SyncReply, processes)
-	ask := func() {
+	const patience = 250 * time.Millisecond
+	ask := func(wait time.Duration) {
 		for i := range processes {
-			req := configsync.NewHolder(wire.Member{ID: wire.MemberID(fmt.Sprint("p", i))}).Request(0)
+			req := configsync.NewHolder(wire.Member{ID: wire.MemberID(fmt.Sprint("p", i))}).Request(wait)
 			go func() {
 				reply, err := s.sync(context.Background(), &req)
 				if err != nil {
@@ -170,18 +172,23 @@
 				replies <- reply
 			}()
 		}
+		if wait == 0 {
+			return
+		}
 		if err := clock.BlockUntilContext(t.Context(), processes); err != nil {
 			t.Fatal(err)
 		}
 	}
-	ask()
-	clock.Advance(firstWait)
-	for range processes {
-		if r := <-replies; r.Config != nil || r.Members != nil {
-			t.Fatal("something is sent that no quorum has confirmed")
+	for _, wait := range []time.Duration{0, patience} {
+		ask(wait)
+		clock.Advance(wait)
+		for range processes {
+			if r := <-replies; r.Config != nil || r.Members != nil {
+				t.Fatal("something is sent that no quorum has confirmed")
+			}
 		}
 	}
-	ask()
+	ask(patience)
 	u.age.Store(0)
 	s.news.check() // without a step of the clock
 	for range processes {
--- a/node/control/sync.go
+++ b/node/control/sync.go
@@ -10,13 +10,8 @@
 	"caperdrum.org/node/state"
 )
 
-const (
-	// maxWait bounds how long a sync call is held back.
-	maxWait = 5 * time.Second
-	// firstWait is how long a call of a process that holds nothing is held back where there is nothing that it
-	// could take over. Below the time after which such a process asks elsewhere.
-	firstWait = 250 * time.Millisecond
-)
+// maxWait bounds how long a sync call is held back.
+const maxWait = 5 * time.Second
 
 // errSuspended sends the caller to another control process: this one hears of no
 // changes while its replica takes no part, and its callers would wait for nothing.
@@ -27,11 +22,7 @@
 // sync renews the caller's lease and answers as soon as there is news.
 func (s *Service) sync(ctx context.Context, req *wire.SyncRequest) (*wire.SyncReply, error) {
 	renewed := s.renewMember(req)
-	wait := min(req.Wait, maxWait)
-	if holdsNothing(req) {
-		wait = max(wait, firstWait)
-	}
-	timer := s.clock.NewTimer(wait)
+	timer := s.clock.NewTimer(min(req.Wait, maxWait))
 	defer timer.Stop()
 	for late := false; ; {
 		changed := s.news.changed()
