Peers: an answer is encoded once

Cause: package jsonrpc2 encodes a result, the response around it and the message around that, each over all bytes again: five passes over the 45 kB of a first view, and the base64 text anew for each process. Change: the server's own responder encodes the response object at once and writes it; shared lists and the last text keep their encoded form. The wire is the same JSON-RPC 2.0; whoever reads it need not know.

--- a/api/wire/members.go
+++ b/api/wire/members.go
@@ -20,13 +20,13 @@
 	Changed []Member
 	Removed []MemberID
 
-	packed func() ([]byte, error) // of Changed, made once; nil: it is made when the delta is encoded
+	encoded func() ([]byte, error) // once for all; nil: each time that the delta is sent
 }
 
-// Shared makes a delta that many processes get be packed once for all of them. Changed must not change any more.
+// Shared makes a delta that many processes get be encoded once for all of them. It must not change any more.
 func (d *MembersDelta) Shared() *MembersDelta {
 	if len(d.Changed) >= packMembersFrom {
-		d.packed = sync.OnceValues(func() ([]byte, error) { return packMembers(d.Changed) })
+		d.encoded = sync.OnceValues(d.encode)
 	}
 	return d
 }
@@ -43,17 +43,20 @@
 
 // MarshalJSON implements json.Marshaler.
 func (d MembersDelta) MarshalJSON() ([]byte, error) {
+	if d.encoded != nil {
+		return d.encoded()
+	}
+	return d.encode()
+}
+
+func (d *MembersDelta) encode() ([]byte, error) {
 	w := membersDeltaWire{From: d.From, To: d.To, Whole: d.Whole, Removed: d.Removed}
-	var err error
-	switch {
-	case d.packed != nil:
-		w.Packed, err = d.packed()
-	case len(d.Changed) >= packMembersFrom:
-		w.Packed, err = packMembers(d.Changed)
-	default:
+	if len(d.Changed) < packMembersFrom {
 		w.Changed = d.Changed
+		return json.Marshal(w)
 	}
-	if err != nil {
+	var err error
+	if w.Packed, err = packMembers(d.Changed); err != nil {
 		return nil, errors.Trace(err)
 	}
 	return json.Marshal(w)
--- a/api/wire/packed.go
+++ b/api/wire/packed.go
@@ -85,7 +85,32 @@
 
 // MarshalJSON implements json.Marshaler.
 func (c ConfigText) MarshalJSON() ([]byte, error) {
-	return json.Marshal(configTextWire{c.Version, c.Hash, c.packedText()})
+	if c.Hash == 0 || len(c.Text) < PackFrom {
+		return c.encode()
+	}
+	l := &lastText
+	l.Lock()
+	defer l.Unlock()
+	if l.version == c.Version && l.hash == c.Hash {
+		return l.encoded, nil
+	}
+	encoded, err := c.encode()
+	if err != nil {
+		return nil, err
+	}
+	l.version, l.hash, l.encoded = c.Version, c.Hash, encoded
+	return encoded, nil
+}
+
+func (c ConfigText) encode() ([]byte, error) {
+	return json.Marshal(configTextWire{c.Version, c.Hash, packText(c.Text)})
+}
+
+// lastText is the text that was encoded last. After a start of many processes each gets the same one.
+var lastText struct {
+	sync.Mutex
+	version, hash uint64
+	encoded       []byte
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -99,26 +124,6 @@
 	return err
 }
 
-// lastPacked is the text that was packed last. After a start of many processes each gets the same one.
-var lastPacked struct {
-	sync.Mutex
-	version, hash uint64
-	long          longText
-}
-
-func (c ConfigText) packedText() longText {
-	if c.Hash == 0 || len(c.Text) < PackFrom {
-		return packText(c.Text)
-	}
-	l := &lastPacked
-	l.Lock()
-	defer l.Unlock()
-	if l.version != c.Version || l.hash != c.Hash {
-		l.version, l.hash, l.long = c.Version, c.Hash, packText(c.Text)
-	}
-	return l.long
-}
-
 type putRequestWire struct {
 	Version uint64 `json:"version"`
 	longText
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -68,7 +68,7 @@
 	refuse := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end only calls"}
 	})
-	conn := jsonrpc2.NewConn(context.Background(), stream(countedConn{raw, &c.received}), refuse, jsonrpc2.SetLogger(silent{}))
+	conn := jsonrpc2.NewConn(context.Background(), newStream(countedConn{raw, &c.received}), refuse, jsonrpc2.SetLogger(silent{}))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conn = conn
--- a/node/peer/peer.go
+++ b/node/peer/peer.go
@@ -116,7 +116,6 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
-	h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.dispatch).SuppressErrClosed())
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -128,7 +127,8 @@
 			c.Close()
 			continue
 		}
-		conn := jsonrpc2.NewConn(context.Background(), stream(c), h, jsonrpc2.SetLogger(silent{}))
+		st := newStream(c)
+		conn := jsonrpc2.NewConn(context.Background(), st, jsonrpc2.AsyncHandler(responder{s, st}), jsonrpc2.SetLogger(silent{}))
 		s.conns[conn] = struct{}{}
 		s.mu.Unlock()
 		go s.forget(conn)
@@ -154,7 +154,7 @@
 	}
 }
 
-func (s *Server) dispatch(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+func (s *Server) dispatch(ctx context.Context, req *jsonrpc2.Request) (any, error) {
 	h := s.handlers[req.Method]
 	if h == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
@@ -166,38 +166,6 @@
 	return h(ctx, params)
 }
 
-func stream(c net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewPlainObjectStream(boundedConn{c})
-}
-
-const (
-	// writeTimeout bounds a write without progress: a peer that was cut off
-	// silently acknowledges nothing, and the kernel would keep a writer with a
-	// full send buffer waiting for many minutes.
-	writeTimeout = 2 * time.Second
-	writeChunk   = 64 << 10
-)
-
-// boundedConn fails writes that make no progress within writeTimeout.
-type boundedConn struct{ net.Conn }
-
-// Write implements io.Writer.
-func (c boundedConn) Write(p []byte) (int, error) {
-	sent := 0
-	for sent < len(p) {
-		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-			return sent, err
-		}
-		n, err := c.Conn.Write(p[sent:min(len(p), sent+writeChunk)])
-		sent += n
-		if err != nil {
-			c.Close() // part of a message may have been sent
-			return sent, err
-		}
-	}
-	return sent, nil
-}
-
 type silent struct{}
 
 func (silent) Printf(string, ...any) {}
