Stage queues: an owner that has started again is replaced at once; control processes ask themselves first

The new start was known from its first sign of life, but was looked up in the committed members. Ruled out: a shorter silence: it would replace owners under load. Change: the starts that the leader has heard of count, also before they are committed; a leader younger than 0.5 s names only processes that it has heard of, since the others may be starts of before; a process with the control role begins with itself. TestOwnerThatStartedAgainIsReplacedAtOnce, TestUnheardProcessIsNamedInTheEnd, TestControlProcessBeginsWithItself; TestNextOwner has three more rows.

--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -11,6 +11,7 @@
 	"expvar"
 	"hash/fnv"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -145,11 +146,21 @@
 		delete(s.unanswered, address)
 	}
 	if s.View() == nil {
-		// After a start of all, the seeds alone would send all processes their first views.
-		s.current = spread(s.Self().ID, len(s.sources))
+		s.current = s.first(addresses)
 	}
 }
 
+// first picks the control process that a process which holds nothing begins with: the one that it is itself,
+// which has all that it needs at hand, or one of all by its hash. After a start of all, the seeds alone would send
+// all processes their first views.
+func (s *Service) first(addresses []string) int {
+	self := s.Self()
+	if i := slices.Index(addresses, self.Peer); i >= 0 && strings.Contains(self.Role, string(settings.Control)) {
+		return i
+	}
+	return spread(self.ID, len(addresses))
+}
+
 // spread picks the control process to begin with, so that not all members
 // begin with the same.
 func spread(id wire.MemberID, n int) int {
--- a/node/configsync/spread_test.go
+++ b/node/configsync/spread_test.go
@@ -20,7 +20,7 @@
 	for _, processes := range []int{90, 360, 720} {
 		asked := map[string]int{}
 		for i := range processes {
-			s := starting(wire.MemberID(fmt.Sprintf("edge-%d", i)), seeds)
+			s := starting(wire.Member{ID: wire.MemberID(fmt.Sprintf("edge-%d", i))}, seeds)
 			src := s.sources[s.current]
 			err := s.accept(&wire.SyncReply{StampAge: -1, Control: voters}, s.clock.Now())
 			if _, moveOn := startPace().after(err, len(s.sources)); !moveOn {
@@ -40,8 +40,23 @@
 }
 
 // starting is a process that holds nothing and knows the seeds.
-func starting(id wire.MemberID, seeds []string) *Service {
-	s := &Service{held: NewHolder(wire.Member{ID: id}), log: logr.Discard(), clock: clockwork.NewFakeClock(), directory: peer.NewDirectory(seeds), unanswered: map[string]time.Time{}}
+func starting(m wire.Member, seeds []string) *Service {
+	s := &Service{held: NewHolder(m), log: logr.Discard(), clock: clockwork.NewFakeClock(), directory: peer.NewDirectory(seeds), unanswered: map[string]time.Time{}}
 	s.follow()
 	return s
 }
+
+// TestControlProcessBeginsWithItself starts a voter, and a process that has the address of one without being one.
+func TestControlProcessBeginsWithItself(t *testing.T) {
+	seeds := []string{"10.1.0.1:7740", "10.2.0.1:7740", "10.3.0.1:7740"}
+	for _, address := range seeds {
+		s := starting(wire.Member{ID: "voter", Peer: address, Role: "proxy+control"}, seeds)
+		if got := s.sources[s.current].Address(); got != address {
+			t.Errorf("%s begins with %s", address, got)
+		}
+		other := starting(wire.Member{ID: "voter", Peer: address, Role: "proxy"}, seeds)
+		if other.current != spread("voter", len(seeds)) {
+			t.Errorf("a process without the role begins with address %d", other.current)
+		}
+	}
+}
--- a/node/control/elastic_test.go
+++ b/node/control/elastic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -100,14 +101,18 @@
 		members []wire.Member
 		avoid   wire.MemberID
 		want    wire.MemberID
+		heard   []wire.MemberID
 	}{
-		"nobody":                              {nil, "", ""},
-		"an agent owns nothing":               {[]wire.Member{{ID: "agent", Role: "agent"}}, "", ""},
-		"control before others":               {[]wire.Member{proxy("a", "proxy", false), proxy("b", "proxy+control", false)}, "", "b"},
-		"not the leader, if there is another": {[]wire.Member{proxy("leader", "proxy+control", false), proxy("b", "proxy+control", false)}, "", "b"},
-		"the leader before a smaller VM":      {[]wire.Member{proxy("leader", "proxy+control", false), proxy("b", "proxy", false)}, "", "leader"},
-		"not one that leaves":                 {[]wire.Member{proxy("a", "proxy+control", true), proxy("b", "proxy", false)}, "", "b"},
-		"one that was silent comes last":      {[]wire.Member{proxy("a", "proxy+control", false), proxy("b", "proxy", false)}, "a", "b"},
+		"nobody":                              {nil, "", "", nil},
+		"an agent owns nothing":               {[]wire.Member{{ID: "agent", Role: "agent"}}, "", "", nil},
+		"control before others":               {[]wire.Member{proxy("a", "proxy", false), proxy("b", "proxy+control", false)}, "", "b", nil},
+		"not the leader, if there is another": {[]wire.Member{proxy("leader", "proxy+control", false), proxy("b", "proxy+control", false)}, "", "b", nil},
+		"the leader before a smaller VM":      {[]wire.Member{proxy("leader", "proxy+control", false), proxy("b", "proxy", false)}, "", "leader", nil},
+		"not one that leaves":                 {[]wire.Member{proxy("a", "proxy+control", true), proxy("b", "proxy", false)}, "", "b", nil},
+		"one that was silent comes last":      {[]wire.Member{proxy("a", "proxy+control", false), proxy("b", "proxy", false)}, "a", "b", nil},
+		"one that was heard of":               {[]wire.Member{proxy("a", "proxy+control", false), proxy("b", "proxy+control", false)}, "", "a", []wire.MemberID{"a"}},
+		"another that was heard of":           {[]wire.Member{proxy("a", "proxy+control", false), proxy("b", "proxy+control", false)}, "", "b", []wire.MemberID{"b"}},
+		"the larger VM, heard of or not":      {[]wire.Member{proxy("a", "proxy+control", false), proxy("b", "proxy", false)}, "", "a", []wire.MemberID{"b"}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -115,7 +120,7 @@
 			for _, m := range c.members {
 				members[m.ID] = m
 			}
-			got, _ := nextOwner(members, "leader", func(id wire.MemberID) bool { return id == c.avoid })
+			got, _ := nextOwner(members, "leader", func(id wire.MemberID) bool { return id == c.avoid }, func(m wire.Member) bool { return slices.Contains(c.heard, m.ID) })
 			if got.ID != c.want {
 				t.Fatalf("named %q, want %q", got.ID, c.want)
 			}
--- a/node/control/leases.go
+++ b/node/control/leases.go
@@ -81,6 +81,20 @@
 	}
 }
 
+// lastStart is what a leader knows of the last start of a member.
+type lastStart struct {
+	incarnation uint64 // also of a start that the state does not hold yet
+	heard       bool   // of it, since this process leads
+}
+
+// lastStart returns what is known of the last start of a member with the given record.
+func (l *leases) lastStart(m wire.Member) lastStart {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, known := l.seen[m.ID]
+	return lastStart{incarnation: max(m.Incarnation, s.incarnation), heard: known && !s.granted}
+}
+
 // leaving returns the record by which an announced upstream leaves. None needs
 // one that neither the members hold nor a sign of life has named, and none a start
 // that a later one has replaced.
--- a/node/control/owner.go
+++ b/node/control/owner.go
@@ -20,6 +20,10 @@
 	// ownerPause is a time between two such questions after which the leader cannot tell
 	// whether the owner was silent or it was not listening itself.
 	ownerPause = pulseSilence / 2
+	// youngLead is for how long a leader names only processes that it has heard of: after a loss of power all
+	// have started again, and the state knows the starts before. Above the time between two signs of life of a
+	// control process through a follower.
+	youngLead = 500 * time.Millisecond
 	// apartInterval is how often a leader that owns the stage queues itself tries to
 	// hand the lead over. Above the longest election, so that one has ended.
 	apartInterval = 2 * time.Second
@@ -30,6 +34,8 @@
 // both start calls would fill each other's upstreams.
 type ownership struct {
 	s      *Service
+	start  func(wire.Member) lastStart
+	since  time.Time                   // when this process began to lead; zero while it does not
 	pulse  *pulse                      // of the owner; nil before one was asked
 	asked  time.Time                   // when it was asked last
 	failed map[wire.MemberID]time.Time // that did not answer, and when
@@ -38,7 +44,7 @@
 }
 
 func newOwnership(s *Service) *ownership {
-	return &ownership{s: s, failed: map[wire.MemberID]time.Time{}}
+	return &ownership{s: s, start: s.leases.lastStart, failed: map[wire.MemberID]time.Time{}}
 }
 
 func (o *ownership) run(ctx context.Context) {
@@ -52,13 +58,19 @@
 		case <-ticker.Chan():
 		case <-changed:
 		}
-		if o.s.cluster.IsLeader() {
-			o.step(ctx)
+		if !o.s.cluster.IsLeader() {
+			o.since = time.Time{}
+			continue
+		}
+		if o.since.IsZero() {
+			o.since = o.s.clock.Now()
 		}
+		o.step(ctx)
 	}
 }
 
-// step keeps the owner or names another one. Without a text there are no stages:
+// step keeps the owner or names another one: a process that has started again has lost the queues, and calls go
+// to it in vain until another is named. Without a text there are no stages:
 // the founder of a cluster is alone for some 100 ms, and would else name itself
 // and take the queues with it when it is lost.
 func (o *ownership) step(ctx context.Context) {
@@ -67,15 +79,19 @@
 		return
 	}
 	m, member := view.Members[view.Owner.ID]
-	if member && !m.Leaving && m.Incarnation == view.Owner.Incarnation && o.answers(ctx, m) {
+	if member && !m.Leaving && o.start(m).incarnation == view.Owner.Incarnation && o.answers(ctx, m) {
 		o.leadElsewhere(ctx, m)
 		return
 	}
 	if member {
 		o.failed[m.ID] = o.s.clock.Now()
 	}
-	next, ok := nextOwner(view.Members, wire.MemberID(o.s.set.Node.Name), o.avoided)
-	if !ok || next.ID == view.Owner.ID && next.Incarnation == view.Owner.Incarnation {
+	next, ok := nextOwner(view.Members, wire.MemberID(o.s.set.Node.Name), o.avoided, o.heard)
+	if !ok || !o.heard(next) && o.s.clock.Since(o.since) < youngLead {
+		return
+	}
+	next.Incarnation = o.start(next).incarnation
+	if next.ID == view.Owner.ID && next.Incarnation == view.Owner.Incarnation {
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, standstill/2)
@@ -148,18 +164,20 @@
 	return known && o.s.clock.Since(at) < ownerAvoided
 }
 
+func (o *ownership) heard(m wire.Member) bool { return o.start(m).heard }
+
 // nextOwner picks the owner among the proxies that are not leaving: one that
 // lately answered before one that did not, one that plays control, which has
-// the larger VM, before another, and not the leader if there is a choice, so
-// that one loss does not take both.
-func nextOwner(members map[wire.MemberID]wire.Member, leader wire.MemberID, avoided func(wire.MemberID) bool) (wire.Member, bool) {
+// the larger VM, before another, not the leader if there is a choice, so
+// that one loss does not take both, and one that was heard of before others.
+func nextOwner(members map[wire.MemberID]wire.Member, leader wire.MemberID, avoided func(wire.MemberID) bool, heard func(wire.Member) bool) (wire.Member, bool) {
 	var best wire.Member
 	bestRank, found := uint64(0), false
 	for id, m := range members {
 		if m.Peer == "" || m.Leaving {
 			continue
 		}
-		rank := xxhash.Sum64String(string(id)) >> 3
+		rank := xxhash.Sum64String(string(id)) >> 4
 		if !avoided(id) {
 			rank |= 1 << 63
 		}
@@ -169,6 +187,9 @@
 		if id != leader {
 			rank |= 1 << 61
 		}
+		if heard(m) {
+			rank |= 1 << 60
+		}
 		if !found || rank > bestRank {
 			best, bestRank, found = m, rank, true
 		}
--- a/node/control/owner_test.go
+++ b/node/control/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
@@ -46,7 +47,7 @@
 	l := &leading{machine: state.New()}
 	set := &settings.Settings{}
 	set.Node.Name = "leader"
-	o := newOwnership(&Service{cluster: l, set: set, log: logr.Discard(), clock: clockwork.NewFakeClock()})
+	o := newOwnership(&Service{cluster: l, set: set, log: logr.Discard(), clock: clockwork.NewFakeClock(), leases: &leases{}})
 	proxy := func(id wire.MemberID) wire.Member {
 		return wire.Member{ID: id, Role: "proxy+control", Peer: "127.0.0.1:1", Incarnation: 1}
 	}
@@ -68,7 +69,7 @@
 	l, clock := &leading{machine: state.New()}, clockwork.NewFakeClock()
 	set := &settings.Settings{}
 	set.Node.Name = "owner"
-	o := newOwnership(&Service{cluster: l, set: set, log: logr.Discard(), clock: clock})
+	o := newOwnership(&Service{cluster: l, set: set, log: logr.Discard(), clock: clock, leases: &leases{}})
 	for _, id := range []wire.MemberID{"owner", "other"} {
 		l.mustPropose(t, state.Command{Join: []wire.Member{{ID: id, Role: "proxy+control", Peer: "127.0.0.1:1", Incarnation: 1}}})
 	}
@@ -82,3 +83,63 @@
 		clock.Advance(apartInterval)
 	}
 }
+
+// TestOwnerThatStartedAgainIsReplacedAtOnce starts all processes again. The leader hears of the new starts before
+// the state holds them: it names none of the old ones, and a new one as soon as it has heard of it.
+func TestOwnerThatStartedAgainIsReplacedAtOnce(t *testing.T) {
+	l, clock := &leading{machine: state.New()}, clockwork.NewFakeClock()
+	set := &settings.Settings{}
+	set.Node.Name = "leader"
+	lease := newLeases(l, clock, time.Second, nil)
+	o := newOwnership(&Service{cluster: l, set: set, log: logr.Discard(), clock: clock, leases: lease})
+	process := func(id wire.MemberID, incarnation uint64) wire.Member {
+		return wire.Member{ID: id, Role: "proxy+control", Peer: "127.0.0.1:1", Incarnation: incarnation}
+	}
+	for _, id := range []wire.MemberID{"leader", "owner", "other", "third"} {
+		l.mustPropose(t, state.Command{Join: []wire.Member{process(id, 1)}})
+	}
+	l.mustPropose(t, state.Command{Put: &wire.PutRequest{Version: 1}, Owner: &wire.StageOwner{ID: "owner", Incarnation: 1, Epoch: 1}})
+	lease.grantAll(clock.Now())
+	o.since = clock.Now()
+
+	lease.renew([]Renewal{{Member: process("owner", 2)}})
+	o.step(t.Context())
+	if got := l.View().Owner; got.Epoch != 1 {
+		t.Fatalf("%+v is named, of which nothing was heard", got)
+	}
+	lease.renew([]Renewal{{Member: process("other", 2)}})
+	o.step(t.Context())
+	if got := l.View().Owner; got.ID != "other" || got.Incarnation != 2 {
+		t.Fatalf("%+v is named, want the new start of other", got)
+	}
+	o.pulse = newPulse(clock, "127.0.0.1:1", func() pulseClient { return alive{} })
+	o.step(t.Context())
+	if got := l.View().Owner; got.Epoch != 2 {
+		t.Fatalf("%+v is named again", got)
+	}
+}
+
+// alive is a process that answers.
+type alive struct{}
+
+func (alive) ask(context.Context) error { return nil }
+func (alive) Close()                    {}
+
+// TestUnheardProcessIsNamedInTheEnd loses the owner, and no other process is heard of.
+func TestUnheardProcessIsNamedInTheEnd(t *testing.T) {
+	l, clock := &leading{machine: state.New()}, clockwork.NewFakeClock()
+	set := &settings.Settings{}
+	set.Node.Name = "leader"
+	o := newOwnership(&Service{cluster: l, set: set, log: logr.Discard(), clock: clock, leases: newLeases(l, clock, time.Second, nil)})
+	l.mustPropose(t, state.Command{Join: []wire.Member{{ID: "other", Role: "proxy", Peer: "127.0.0.1:1", Incarnation: 1}}, Put: &wire.PutRequest{Version: 1}})
+	o.since = clock.Now()
+	o.step(t.Context())
+	if got := l.View().Owner.ID; got != "" {
+		t.Fatalf("%s is named at once", got)
+	}
+	clock.Advance(youngLead)
+	o.step(t.Context())
+	if got := l.View().Owner.ID; got != "other" {
+		t.Fatalf("%q is named", got)
+	}
+}
