Synchronization: lists that nobody has confirmed are learnt once

Where two such processes name different voters, a caller went back and forth between them and never came to a third (a replica that was cut off while voters were replaced names old ones). Change: the first such list is learnt, and no other until there is a confirmed one; only that of the settings and the first one are begun anew with.

--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -55,6 +55,7 @@
 
 	directory  *peer.Directory
 	generation uint64   // of the directory, as sources were made
+	lists      int      // of addresses that sources were made of so far
 	sources    []source // for synchronization, which any control process answers
 	current    int
 
@@ -145,11 +146,16 @@
 		src.Close()
 		delete(s.unanswered, address)
 	}
-	if s.View() == nil {
+	if s.lists++; s.lists <= spreadLists && s.View() == nil {
 		s.current = s.first(addresses)
 	}
 }
 
+// spreadLists is how many lists of control processes a process that holds nothing begins anew with: that of its
+// settings, and the first that it hears of. From then on it goes through all addresses in turn: lists of control
+// processes that no quorum confirms may differ, and it would go back and forth between two.
+const spreadLists = 2
+
 // first picks the control process that a process which holds nothing begins with: the one that it is itself,
 // which has all that it needs at hand, or one of all by its hash. After a start of all, the seeds alone would send
 // all processes their first views.
--- a/node/configsync/loop.go
+++ b/node/configsync/loop.go
@@ -197,7 +197,8 @@
 func (s *Service) accept(reply *wire.SyncReply, asked time.Time) error {
 	before := s.View()
 	s.takeHint(reply)
-	if before == nil || reply.StampAge >= 0 && reply.StampAge <= staleStamp {
+	confirmed := reply.StampAge >= 0 && reply.StampAge <= staleStamp
+	if confirmed || before == nil && len(s.directory.Learned()) == 0 {
 		s.directory.Learn(reply.Control)
 	}
 	how := arrival{whole: reply.Config != nil, arrived: s.clock.Since(asked)}
--- a/node/configsync/spread_test.go
+++ b/node/configsync/spread_test.go
@@ -39,6 +39,28 @@
 	}
 }
 
+// TestAllControlProcessesAreAskedInTheEnd lets control processes that no quorum confirms name different voters, each
+// its own: a process that holds nothing comes to each of them all the same, and so to one that has a confirmation.
+func TestAllControlProcessesAreAskedInTheEnd(t *testing.T) {
+	seeds := []string{"10.1.0.1:7740", "10.2.0.1:7740", "10.3.0.1:7740", "10.4.0.1:7740", "10.5.0.1:7740"}
+	for i := range 200 {
+		s := starting(wire.Member{ID: wire.MemberID(fmt.Sprintf("edge-%d", i))}, seeds)
+		asked := map[string]bool{}
+		for range 4 * len(seeds) {
+			address := s.sources[s.current].Address()
+			asked[address] = true
+			err := s.accept(&wire.SyncReply{StampAge: -1, Control: []string{address, fmt.Sprint("10.9.0.", len(asked), ":7740")}}, s.clock.Now())
+			s.moveOn(err)
+			s.follow()
+		}
+		for _, address := range seeds {
+			if !asked[address] {
+				t.Errorf("edge-%d has asked %d addresses, and not %s", i, len(asked), address)
+			}
+		}
+	}
+}
+
 // starting is a process that holds nothing and knows the seeds.
 func starting(m wire.Member, seeds []string) *Service {
 	s := &Service{held: NewHolder(m), log: logr.Discard(), clock: clockwork.NewFakeClock(), directory: peer.NewDirectory(seeds), unanswered: map[string]time.Time{}}
