Stage queues: a process that is cut off knows it by control's silence, and refuses at once

A process has a third of a call with stages a second, and asks whether the owner lives only while it has one: so each found out by its own first calls. They were sent to the owner, given up 1.3 s later, waited for a next owner of which no news could come, and were refused after 1.6 s to 2.0 s with a second to wait on top; 209 answers of 503. It holds while a process has calls enough to notice; it grows as the processes that are cut off. Ruled out: pings without jobs: 1,800 a second to one owner. Becoming unready sooner by itself: the balancer's next look comes too late for the calls that wait. Change: synchronization says since when no control process has answered, from the time on at which an answer was due. Meanwhile the owner is pinged; once control has been silent for 1.5 s and the owner is silent too, jobs are refused as not run at once, those that wait for the owner included, and their callers are told to come back at once, to another process. 1.5 s: a start of all of control's processes takes less, and its callers should wait for it.

--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -59,7 +59,8 @@
 	sources    []source // for synchronization, which any control process answers
 	current    int
 
-	unanswered map[string]time.Time // by address of a source that did not answer last time: when
+	unanswered map[string]time.Time      // by address of a source that did not answer last time: when
+	silent     atomic.Pointer[time.Time] // since when synchronizations have had no answer; nil while they have
 
 	listen []func(*View)
 	onHint []func()
@@ -188,6 +189,15 @@
 // LongestGap; zero while there is one.
 func (s *Service) Steady() time.Duration { return s.held.Steady(s.clock.Now()) }
 
+// Silent returns for how long no control process has answered this process; zero while they do.
+func (s *Service) Silent() time.Duration {
+	since := s.silent.Load()
+	if since == nil {
+		return 0
+	}
+	return s.clock.Since(*since)
+}
+
 // Self returns this process's member record.
 func (s *Service) Self() wire.Member { return s.held.Self() }
 
--- a/node/configsync/loop.go
+++ b/node/configsync/loop.go
@@ -68,7 +68,11 @@
 	for p := startPace(); ctx.Err() == nil; {
 		s.follow()
 		src := s.sources[s.current]
+		began := s.clock.Now()
 		err := s.syncOnce(ctx, src, p)
+		if err != nil && !answered(err) {
+			s.noteSilence(began.Add(p.wait))
+		}
 		if err != nil && ctx.Err() == nil {
 			s.log.V(logging.Detail).Info("control process not used", "address", src.Address(), "error", err.Error())
 		}
@@ -120,6 +124,15 @@
 	s.current = (s.current + 1) % n
 }
 
+// noteSilence notes that a synchronization had no answer, which was due at the given time at the latest.
+func (s *Service) noteSilence(due time.Time) {
+	since := s.clock.Now()
+	if due.Before(since) {
+		since = due
+	}
+	s.silent.CompareAndSwap(nil, &since)
+}
+
 // answered reports whether a synchronization that failed was answered.
 func answered(err error) bool {
 	for _, known := range []error{errNotRenewed, errStale, errUnconfirmed, errBehind, errGap, errText} {
@@ -195,6 +208,7 @@
 }
 
 func (s *Service) accept(reply *wire.SyncReply, asked time.Time) error {
+	s.silent.Store(nil)
 	before := s.View()
 	s.takeHint(reply)
 	confirmed := reply.StampAge >= 0 && reply.StampAge <= staleStamp
--- /dev/null
+++ b/node/configsync/silence_test.go
@@ -0,0 +1,44 @@
+package configsync
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/peer"
+)
+
+// TestSilenceOfControl lets synchronizations end in each way: control counts as silent from the time on at which the
+// first answer was due that did not come, until any answer comes, also one of a control process without a leader.
+func TestSilenceOfControl(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := &Service{held: NewHolder(wire.Member{ID: "m"}), log: logr.Discard(), clock: clock, directory: peer.NewDirectory([]string{"c1"})}
+	want := func(when string, silent time.Duration) {
+		t.Helper()
+		if got := s.Silent(); got != silent {
+			t.Errorf("%s: silent for %s, want %s", when, got, silent)
+		}
+	}
+	want("at the start", 0)
+
+	due := clock.Now().Add(syncWait)
+	clock.Advance(syncWait + grace)
+	s.noteSilence(due)
+	want("held back, then given up", grace)
+	clock.Advance(time.Second)
+	s.noteSilence(clock.Now())
+	want("not answered again", grace+time.Second)
+
+	if err := s.accept(&wire.SyncReply{StampAge: -1}, clock.Now()); !errors.Is(err, errUnconfirmed) {
+		t.Fatal(err)
+	}
+	want("answered without a confirmation", 0)
+
+	s.noteSilence(clock.Now().Add(syncWait))
+	clock.Advance(time.Millisecond)
+	want("reset before the answer was due", time.Millisecond)
+}
--- a/node/stagework/link.go
+++ b/node/stagework/link.go
@@ -33,6 +33,11 @@
 	// ownerComeBack is when a caller should come back that found no owner: by then
 	// the leader has named another one.
 	ownerComeBack = time.Second
+	// cutOffAfter is how long neither the owner nor control may answer until this process counts as cut off. Above
+	// what control takes to be back after a start of all its processes.
+	cutOffAfter = 1500 * time.Millisecond
+	// cutOffComeBack is when a caller should come back that came to such a process: at once, to another one.
+	cutOffComeBack = 100 * time.Millisecond
 	// moveOut is how long jobs stay at an owner that has handed the queues over: as long as
 	// the calls that are under way there may take.
 	moveOut = time.Second
@@ -46,6 +51,7 @@
 	dial    peer.Dialer
 	log     logr.Logger
 	suspect func(address string) // told of an owner that does not answer; nil: nobody is
+	control func() time.Duration // for how long no control process has answered; nil: that is not known
 
 	mu      sync.Mutex
 	owner   wire.StageOwner
@@ -150,15 +156,14 @@
 	return time.Since(s.link.silent)
 }
 
-// watch pings the owner while jobs are under way there, or while it is silent. An owner
+// watch pings the owner while jobs are under way there, while it is silent, or while no control process answers: a
+// process with few calls would else find out by one of them that it is cut off. An owner
 // that has answered jobs since the last time needs no ping: at 26 processes their pings
 // were an eighth of the messages that it handles.
 func (l *link) watch(ctx context.Context) {
 	var answered watched
 	periodic.Run(ctx, clockwork.NewRealClock(), pingInterval, func() {
-		l.mu.Lock()
-		client, due, silent := l.client, l.jobs > 0 || !l.silent.IsZero(), !l.silent.IsZero()
-		l.mu.Unlock()
+		client, due, silent := l.watched()
 		if client == nil || !due || answered.since(client) && !silent {
 			return
 		}
@@ -166,6 +171,14 @@
 	})
 }
 
+// watched returns the owner's client, whether the owner is to be pinged, and whether it is silent.
+func (l *link) watched() (client *peer.Client, due, silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	silent = !l.silent.IsZero()
+	return l.client, l.jobs > 0 || silent || l.controlSilent() > 0, silent
+}
+
 // errLate says that an owner has not answered a ping in time. It may be busy.
 const errLate = errors.ConstError("stagework: no answer to a ping in time")
 
@@ -213,7 +226,7 @@
 			l.suspect(l.owner.Peer)
 		}
 	}
-	if err != nil && (!errors.Is(err, errLate) || time.Since(l.silent) > giveUpAfter) && l.lost.give() {
+	if err != nil && (!errors.Is(err, errLate) || time.Since(l.silent) > giveUpAfter || l.controlSilent() > cutOffAfter) && l.lost.give() {
 		l.log.Info("stage owner given up", "owner", l.owner.ID, "silent", time.Since(l.silent), "error", err.Error(), "jobs", l.jobs)
 	}
 }
@@ -230,6 +243,28 @@
 	return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "no process that owns the stages can be reached").After(ownerComeBack)
 }
 
+// errCutOff says that others can most likely do what this process cannot.
+func errCutOff() error {
+	return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "this process reaches neither control nor the owner of the stages").After(cutOffComeBack)
+}
+
+// controlSilent is for how long no control process has answered this process.
+func (l *link) controlSilent() time.Duration {
+	if l.control == nil {
+		return 0
+	}
+	return l.control()
+}
+
+// cutOff reports whether this process reaches neither control nor the owner: nobody will name another owner here, and
+// a job would wait in vain.
+func (l *link) cutOff() bool {
+	l.mu.Lock()
+	silent := !l.silent.IsZero()
+	l.mu.Unlock()
+	return silent && l.controlSilent() > cutOffAfter
+}
+
 // Release gives up what the owner keeps for a call: its engine has begun to answer, or
 // the call is over.
 type Release func(engine EngineOutcome)
@@ -261,6 +296,9 @@
 	deadline, goal, firstEvent := time.Now().Add(j.Left), time.Now().Add(j.Goal), time.Now().Add(j.FirstEvent)
 	var since time.Time // of the loss; zero while there is an owner
 	for {
+		if s.link.cutOff() {
+			return Result{}, nil, errCutOff()
+		}
 		client, lost, changed := s.link.use()
 		j.Left, j.Goal, j.FirstEvent = time.Until(deadline), time.Until(goal), time.Until(firstEvent)
 		j.Handed, j.Caller, j.Owner = uuid.NewString(), s.address(), s.link.named()
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -77,7 +77,7 @@
 	s.scheduler.engines.cold = p.Settings.Proxy.ColdLimit()
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.link = newLink(p.Dial, p.Log)
-	s.link.suspect = p.ConfigSync.Suspect
+	s.link.suspect, s.link.control = p.ConfigSync.Suspect, p.ConfigSync.Silent
 	server := p.Discovery.Server()
 	if server == nil {
 		server = p.Control.Server()
