Synchronization: control that does not reach its leader counts as silent

Change: only an answer of a control process that reaches the leader ends the silence. TestSilenceOfControl.

--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -60,7 +60,7 @@
 	current    int
 
 	unanswered map[string]time.Time      // by address of a source that did not answer last time: when
-	silent     atomic.Pointer[time.Time] // since when synchronizations have had no answer; nil while they have
+	silent     atomic.Pointer[time.Time] // since when no control process that reaches the leader has answered; nil while one does
 
 	listen []func(*View)
 	onHint []func()
@@ -189,7 +189,7 @@
 // LongestGap; zero while there is one.
 func (s *Service) Steady() time.Duration { return s.held.Steady(s.clock.Now()) }
 
-// Silent returns for how long no control process has answered this process; zero while they do.
+// Silent returns for how long no control process that reaches the leader has answered this process; zero while one does.
 func (s *Service) Silent() time.Duration {
 	since := s.silent.Load()
 	if since == nil {
--- a/node/configsync/loop.go
+++ b/node/configsync/loop.go
@@ -70,7 +70,7 @@
 		src := s.sources[s.current]
 		began := s.clock.Now()
 		err := s.syncOnce(ctx, src, p)
-		if err != nil && !answered(err) {
+		if err != nil {
 			s.noteSilence(began.Add(p.wait))
 		}
 		if err != nil && ctx.Err() == nil {
@@ -124,7 +124,8 @@
 	s.current = (s.current + 1) % n
 }
 
-// noteSilence notes that a synchronization had no answer, which was due at the given time at the latest.
+// noteSilence notes that a synchronization had no answer of a control process that reaches the leader. It was due at
+// the given time at the latest. A control process that is cut off together with this one answers, but knows nothing.
 func (s *Service) noteSilence(due time.Time) {
 	since := s.clock.Now()
 	if due.Before(since) {
@@ -208,7 +209,6 @@
 }
 
 func (s *Service) accept(reply *wire.SyncReply, asked time.Time) error {
-	s.silent.Store(nil)
 	before := s.View()
 	s.takeHint(reply)
 	confirmed := reply.StampAge >= 0 && reply.StampAge <= staleStamp
@@ -224,6 +224,9 @@
 	if err == nil && !reply.Renewed {
 		return errNotRenewed
 	}
+	if err == nil {
+		s.silent.Store(nil)
+	}
 	return err
 }
 
--- a/node/configsync/silence_test.go
+++ b/node/configsync/silence_test.go
@@ -13,7 +13,7 @@
 )
 
 // TestSilenceOfControl lets synchronizations end in each way: control counts as silent from the time on at which the
-// first answer was due that did not come, until any answer comes, also one of a control process without a leader.
+// first answer was due that did not come, until a control process answers that reaches the leader.
 func TestSilenceOfControl(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	s := &Service{held: NewHolder(wire.Member{ID: "m"}), log: logr.Discard(), clock: clock, directory: peer.NewDirectory([]string{"c1"})}
@@ -36,7 +36,15 @@
 	if err := s.accept(&wire.SyncReply{StampAge: -1}, clock.Now()); !errors.Is(err, errUnconfirmed) {
 		t.Fatal(err)
 	}
-	want("answered without a confirmation", 0)
+	want("answered without a confirmation", grace+time.Second)
+	if err := s.accept(&wire.SyncReply{}, clock.Now()); !errors.Is(err, errNotRenewed) {
+		t.Fatal(err)
+	}
+	want("answered by one that does not reach the leader", grace+time.Second)
+	if err := s.accept(&wire.SyncReply{Renewed: true}, clock.Now()); err != nil {
+		t.Fatal(err)
+	}
+	want("answered", 0)
 
 	s.noteSilence(clock.Now().Add(syncWait))
 	clock.Advance(time.Millisecond)
--- a/node/stagework/link.go
+++ b/node/stagework/link.go
@@ -33,8 +33,8 @@
 	// ownerComeBack is when a caller should come back that found no owner: by then
 	// the leader has named another one.
 	ownerComeBack = time.Second
-	// cutOffAfter is how long neither the owner nor control may answer until this process counts as cut off. Above
-	// what control takes to be back after a start of all its processes.
+	// cutOffAfter is how long control may be silent, and the owner too, until this process counts as cut off. Above
+	// an election, and above what control takes to be back after a start of all its processes.
 	cutOffAfter = 1500 * time.Millisecond
 	// cutOffComeBack is when a caller should come back that came to such a process: at once, to another one.
 	cutOffComeBack = 100 * time.Millisecond
@@ -51,7 +51,7 @@
 	dial    peer.Dialer
 	log     logr.Logger
 	suspect func(address string) // told of an owner that does not answer; nil: nobody is
-	control func() time.Duration // for how long no control process has answered; nil: that is not known
+	control func() time.Duration // for how long no control process that reaches the leader has answered; nil: that is not known
 
 	mu      sync.Mutex
 	owner   wire.StageOwner
@@ -248,7 +248,7 @@
 	return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "this process reaches neither control nor the owner of the stages").After(cutOffComeBack)
 }
 
-// controlSilent is for how long no control process has answered this process.
+// controlSilent is for how long no control process that reaches the leader has answered this process.
 func (l *link) controlSilent() time.Duration {
 	if l.control == nil {
 		return 0
