--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -147,7 +147,8 @@
 		src.Close()
 		delete(s.unanswered, address)
 	}
-	if s.lists++; s.lists <= spreadLists && s.View() == nil {
+	s.lists++
+	if s.View() == nil && s.lists <= spreadLists {
 		s.current = s.first(addresses)
 	}
 }
--- a/node/stagework/link.go
+++ b/node/stagework/link.go
@@ -33,11 +33,6 @@
 	// ownerComeBack is when a caller should come back that found no owner: by then
 	// the leader has named another one.
 	ownerComeBack = time.Second
-	// cutOffAfter is how long control may be silent, and the owner too, until this process counts as cut off. Above
-	// an election, and above what control takes to be back after a start of all its processes.
-	cutOffAfter = 1500 * time.Millisecond
-	// cutOffComeBack is when a caller should come back that came to such a process: at once, to another one.
-	cutOffComeBack = 100 * time.Millisecond
 	// moveOut is how long jobs stay at an owner that has handed the queues over: as long as
 	// the calls that are under way there may take.
 	moveOut = time.Second
@@ -243,28 +238,6 @@
 	return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "no process that owns the stages can be reached").After(ownerComeBack)
 }
 
-// errCutOff says that others can most likely do what this process cannot.
-func errCutOff() error {
-	return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "this process reaches neither control nor the owner of the stages").After(cutOffComeBack)
-}
-
-// controlSilent is for how long no control process that reaches the leader has answered this process.
-func (l *link) controlSilent() time.Duration {
-	if l.control == nil {
-		return 0
-	}
-	return l.control()
-}
-
-// cutOff reports whether this process reaches neither control nor the owner: nobody will name another owner here, and
-// a job would wait in vain.
-func (l *link) cutOff() bool {
-	l.mu.Lock()
-	silent := !l.silent.IsZero()
-	l.mu.Unlock()
-	return silent && l.controlSilent() > cutOffAfter
-}
-
 // Release gives up what the owner keeps for a call: its engine has begun to answer, or
 // the call is over.
 type Release func(engine EngineOutcome)
