Lines of what was traced: a replica's first confirmation, an owner that has started again

The first confirmation that counted was found only by lines of a trial, and 'stage owner named' did not say that the one before had started again.

--- a/node/control/owner.go
+++ b/node/control/owner.go
@@ -101,7 +101,7 @@
 		o.s.log.Info("stage owner not named", "owner", next.ID, "error", err.Error())
 		return
 	}
-	o.s.log.Info("stage owner named", "owner", next.ID, "epoch", owner.Epoch, "before", view.Owner.ID, "before_leaving", m.Leaving, "before_member", member)
+	o.s.log.Info("stage owner named", "owner", next.ID, "epoch", owner.Epoch, "before", view.Owner.ID, "before_leaving", m.Leaving, "before_member", member, "before_started_again", o.start(m).incarnation > view.Owner.Incarnation)
 }
 
 // leadElsewhere hands the lead over when it came to the owner by an election: when one
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -223,6 +223,9 @@
 			return
 		}
 		if r.stamp.CompareAndSwap(old, s) {
+			if old == neverStamped {
+				r.opts.Log.Info("first confirmation by a quorum", "made_before", r.StampAge(), "after_start", r.opts.StampClock.Since(r.start))
+			}
 			if old == neverStamped || time.Duration(s-old) > stampGap {
 				r.announce()
 			}
