Stages: an owner that stood still learns nothing of it, and starts no calls until it is confirmed

Cause, two of them, both from a process that gets no processor for seconds: - judge counted calls that were under way as if their upstreams had taken so long: ratio 13 at all of them, or a failure each.

Ruled out: noticing it in the scheduler, whose models have gaps in their clock.

Change: the loop's timer tells a standstill (over 0.5 s between two beats while it is armed). Calls and picks from before it are not measured, nor counted for a roll-out. An owner is fenced until a quorum has confirmed it since, for 1 s at most: while control has no leader nobody else is named.

Tests that fail without: TestStandstillIsNotTheUpstreams (ratio 13.0; 1 failure), TestStandstillIsNotTheEngines (foreseen 391 ms for 33 ms), TestOwnerThatStoodStillIsFenced (96 calls), TestDoubtEndsByAQuorum, TestPulse. Six mutations, all caught.

--- a/node/stagework/engines.go
+++ b/node/stagework/engines.go
@@ -66,6 +66,7 @@
 	turn     int             // of candidates
 	split    *rollout.Split  // of the calls that this owner chooses engines for
 	pace     pace            // of all engines
+	resumed  time.Time       // when this process last went on after a standstill
 }
 
 // engineLoad is what is known of one engine.
@@ -289,7 +290,9 @@
 	case EngineBegan:
 		l.failures = 0
 		l.readParts(p.shared)
-		e.observe(l, p.behind, now.Sub(p.at)-p.fetch.takes)
+		if !p.at.Before(e.resumed) {
+			e.observe(l, p.behind, now.Sub(p.at)-p.fetch.takes)
+		}
 	case EngineFailed:
 		l.failures++
 		l.until = now.Add(pauseAfter(l.failures))
--- a/node/stagework/outcome.go
+++ b/node/stagework/outcome.go
@@ -85,13 +85,15 @@
 	switch {
 	case o.results != nil:
 		w.failures, w.proven = 0, true
-		ratio := float64(now.Sub(c.began)) / float64(c.expect)
-		w.ratio += speedWeight * (ratio - w.ratio)
+		if s.measured(c) {
+			ratio := float64(now.Sub(c.began)) / float64(c.expect)
+			w.ratio += speedWeight * (ratio - w.ratio)
+		}
 	case o.full:
 		w.until = now.Add(fullPause)
 	case o.moved:
 		w.gone = true // the members will say so too
-	default:
+	case s.measured(c):
 		w.proven = false
 		w.failures++
 		w.until = now.Add(pauseAfter(w.failures))
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -36,6 +36,8 @@
 	fetching []*call // whose inputs are being fetched
 	backlog  backlog
 	gauged   time.Time
+	resumed  time.Time // when this process last went on after a standstill
+	doubted  bool      // it was the owner then, and has not been confirmed since
 
 	lastEstimate time.Duration // of the last job that was handed in
 	lastReturned bool          // its caller was sent away before
@@ -134,7 +136,7 @@
 	if owner && after && !s.owner {
 		s.askAll(now)
 	}
-	s.owner = owner
+	s.owner, s.doubted = owner, false
 	if owner {
 		return nil
 	}
@@ -342,7 +344,7 @@
 // work in an overload, and two events in three change nothing there.
 func (s *scheduler) start(now time.Time) []*call {
 	var out []*call
-	if !s.owner || !s.due {
+	if !s.owner || !s.due || s.doubtful(now) {
 		return nil
 	}
 	s.due = false
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -58,6 +58,7 @@
 
 	address func() string      // this process's peer address
 	self    func() wire.Member // its record
+	owner   func() ownership
 	dial    peer.Dialer
 	handed  *handedIn
 
@@ -66,13 +67,14 @@
 	toFree    map[*worker][]made      // of the owner's goroutine
 	freeing   bool                    // of the owner's goroutine
 	epoch     uint64                  // of the newest owner that this process knows; of the owner's goroutine
+	pulse     pulse                   // of the owner's goroutine
 }
 
 // New returns the service and adds its methods to the process's peer server.
 func New(p Params) *Service {
 	s := &Service{log: p.Log, protocol: p.Protocol, pool: upstream.NewPool(p.Protocol, p.Notices),
 		events: make(chan func(time.Time), 256), dial: p.Dial, handed: newHandedIn(),
-		address: func() string { return p.ConfigSync.Self().Peer }, self: p.ConfigSync.Self, callers: map[string]*peer.Client{}, scheduler: newScheduler(), toFree: map[*worker][]made{}}
+		address: func() string { return p.ConfigSync.Self().Peer }, self: p.ConfigSync.Self, owner: ownershipOf(p.ConfigSync), callers: map[string]*peer.Client{}, scheduler: newScheduler(), toFree: map[*worker][]made{}}
 	s.scheduler.counter = p.Counter
 	s.scheduler.engines.cold = p.Settings.Proxy.ColdLimit()
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -171,12 +173,13 @@
 			s.keepCallers(nil)
 			return
 		case f := <-s.events:
-			f(time.Now())
+			f(s.now())
 			s.takeWaiting()
 		case <-timer.C:
 			armed = false
-			s.free(s.scheduler.expire(time.Now()))
+			s.free(s.scheduler.expire(s.now()))
 		}
+		s.clearDoubt(time.Now())
 		s.sendNews(s.scheduler.takeNews())
 		for _, w := range s.scheduler.reports(time.Now()) {
 			go s.askRoom(w)
@@ -189,16 +192,27 @@
 			timer.Reset(ownerTick)
 			armed = true
 		}
+		s.pulse.arm(time.Now(), armed)
 	}
 }
 
+// now returns the time, and tells the scheduler when the process stood still until now.
+func (s *Service) now() time.Time {
+	now := time.Now()
+	if stood := s.pulse.beat(now); stood > 0 {
+		s.log.Info("stood still", "for", stood, "jobs", len(s.scheduler.jobs), "owner", s.scheduler.owner)
+		s.scheduler.stoodStill(now)
+	}
+	return now
+}
+
 // takeWaiting handles the events that wait already, before calls are started and processes are
 // told: an owner that is behind starts fewer, fuller calls and sends fewer, longer messages.
 func (s *Service) takeWaiting() {
 	for range cap(s.events) {
 		select {
 		case f := <-s.events:
-			f(time.Now())
+			f(s.now())
 		default:
 			return
 		}
--- a/node/stagework/trial.go
+++ b/node/stagework/trial.go
@@ -59,7 +59,7 @@
 func (s *scheduler) countTrial(now time.Time, c *call, o outcome) {
 	how := rollout.Answered
 	switch {
-	case o.full, o.moved, o.leaving && o.results == nil:
+	case o.full, o.moved, o.leaving && o.results == nil, !s.measured(c):
 		return
 	case o.results == nil, slices.ContainsFunc(o.results, func(r upstream.PieceResult) bool { return r.Failure == upstream.Failed }):
 		how = rollout.Failed
