Stages: a data centre that goes dark is found out once, and told

Cause: when all upstreams of a data centre answer nothing, each call that goes there costs 0.4 s, and who finds out keeps it for itself: processes x upstreams pairs, until the members drop them. Besides, an engine that could not be reached was replaced within the process's send, which told the owner nothing: it went on choosing it.

Ruled out: longer pauses for single upstreams, since each pair still has to learn; the leader's signs of life, which are all there while links are cut; each process by itself (tried on paper: a process of 360 has a call there every second or two).

Change: the owner counts a data centre as dark when connections to three of its upstreams were answered by nothing, with no answer of any there in between. Its engines and stage upstreams are passed over, one call a second looks, any answer ends it, and what is known expires after 10 s or with the queues. Results of jobs name the dark ones, for calls that the owner chooses nothing for; that counts for 2 s. An engine's failure is reported also where another one took the call.

--- a/node/proxy/endpoints.go
+++ b/node/proxy/endpoints.go
@@ -23,6 +23,9 @@
 	// silence is how long an upstream of short calls may leave all of them
 	// unanswered until others are preferred. Over ten times a usual call.
 	silence = 400 * time.Millisecond
+	// darkFor is for how long the owner's word counts that a data centre is dark. In a large
+	// deployment a process hears from it about once a second.
+	darkFor = 2 * time.Second
 	// affinitySlack is how many more calls an upstream that holds a prompt's
 	// prefix may have than the next one by the same hash.
 	affinitySlack = 6
@@ -37,6 +40,7 @@
 	by     map[wire.Start]*endpoint
 	direct coldstart.Direct
 	split  *rollout.Split
+	dark   map[string]time.Time // data centres whose upstreams are passed over, until then
 }
 
 type endpoint struct {
@@ -160,6 +164,19 @@
 	return e.best(stable.Choose(list), c, now)
 }
 
+// hear takes over which data centres are dark, as the owner of the stages says.
+func (e *endpoints) hear(dark []string, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dark = nil
+	for _, dc := range dark {
+		if e.dark == nil {
+			e.dark = map[string]time.Time{}
+		}
+		e.dark[dc] = now.Add(darkFor)
+	}
+}
+
 // follow takes over the roll-outs of a view.
 func (e *endpoints) follow(r wire.Rollouts) {
 	e.mu.Lock()
@@ -222,7 +239,7 @@
 }
 
 func (e *endpoints) rank(ep *endpoint, m wire.Member, c choice, now time.Time) rank {
-	r := rank{paused: now.Before(ep.until), load: float64(ep.inFlight)}
+	r := rank{paused: now.Before(ep.until) || m.ID != c.wanted && now.Before(e.dark[m.DataCenter]), load: float64(ep.inFlight)}
 	if c.short && !ep.waiting.IsZero() && now.Sub(ep.waiting) > silence {
 		r.paused = true
 	}
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -665,6 +665,24 @@
 	}
 }
 
+// TestChosenEngineThatIsReplacedIsReported has the owner choose an engine that refuses connections: another one takes
+// the call, and the owner hears of it. Else it would choose the same one for every call until the members drop it.
+func TestChosenEngineThatIsReplacedIsReported(t *testing.T) {
+	b := newBed(t)
+	b.upstream("llm", "other", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "id: 1\n\n") })
+	gone := httptest.NewServer(http.NotFoundHandler())
+	address := gone.Listener.Addr().String()
+	gone.Close()
+	b.announce("llm", append(b.view.Announced["llm"], wire.Member{ID: "gone", Service: "llm", Direct: address}))
+	b.stages.engine = "gone"
+	b.want(http.StatusOK, http.MethodPost, "/chat/", map[string]string{"Caperdrum-Prompt-Parts": "a:10,b:10"})
+	b.stages.mu.Lock()
+	defer b.stages.mu.Unlock()
+	if !slices.Equal(b.stages.outcomes, []stagework.EngineOutcome{stagework.EngineFailed}) {
+		t.Errorf("the owner is told %v", b.stages.outcomes)
+	}
+}
+
 // TestChosenEngineFetches tells the chosen engine, and no other, where it gets parts of
 // the prompt: an engine that takes the call in its place reads them.
 func TestChosenEngineFetches(t *testing.T) {
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -14,6 +14,7 @@
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/logging"
 	"caperdrum.org/node/rollout"
+	"caperdrum.org/node/stagework"
 	"caperdrum.org/node/upstream"
 )
 
@@ -97,6 +98,9 @@
 		case !a.notRun():
 			x.broke(m)
 		}
+		if how == failed && m.ID == x.engine {
+			x.engineOutcome = outcomeOf(err) // also where another engine takes the call
+		}
 		x.s.endpoints.release(m.Start(), how, now)
 		if how == failed && !a.notRun() || x.outOfTime(ctx) {
 			x.s.counter.Add(m, x.route.Name, rollout.Failed, 0)
@@ -114,6 +118,14 @@
 	return a
 }
 
+// outcomeOf is what the owner of the stages is told of an engine at which an attempt failed.
+func outcomeOf(err error) stagework.EngineOutcome {
+	if upstream.Unreached(err) {
+		return stagework.EngineUnreached
+	}
+	return stagework.EngineFailed
+}
+
 // pause is how long it takes until an upstream of the service wants calls again, where none does.
 func (x *exchange) pause() time.Duration {
 	return x.s.notices.LeastPause(x.s.table.Load().announced[x.service.Name])
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -204,6 +204,7 @@
 	if err != nil {
 		return err
 	}
+	x.s.endpoints.hear(result.Dark, time.Now())
 	x.inputs, x.staged, x.releaseResults = result.Handles, true, release
 	x.engine, x.fetchFrom, x.engineOutcome = result.Engine, result.FetchFrom, stagework.EngineUnknown
 	x.s.log.V(logging.Routine).Info("stages done", "request", x.call.ID, "pieces", pieces, "results", len(result.Handles), "took", time.Since(began), "left", time.Until(x.deadline))
@@ -220,6 +221,7 @@
 	if !ok {
 		return
 	}
+	x.s.endpoints.hear(result.Dark, time.Now())
 	x.staged, x.releaseResults, x.engine, x.fetchFrom = true, release, result.Engine, result.FetchFrom
 }
 
--- a/node/stagework/calls.go
+++ b/node/stagework/calls.go
@@ -55,7 +55,7 @@
 	case v.Verdict == verdict.NotRun && v.Code == verdict.CodeLeaving:
 		return outcome{full: true, leaving: true, err: err.Error()}
 	}
-	return outcome{err: err.Error()}
+	return outcome{err: err.Error(), dark: upstream.Unreached(err)}
 }
 
 func (s *Service) readPieces(c *call, resp *upstream.Response) outcome {
--- a/node/stagework/engines.go
+++ b/node/stagework/engines.go
@@ -67,6 +67,7 @@
 	split    *rollout.Split  // of the calls that this owner chooses engines for
 	pace     pace            // of all engines
 	resumed  time.Time       // when this process last went on after a standstill
+	reach    *reach          // of data centres; shared with the stages
 }
 
 // engineLoad is what is known of one engine.
@@ -101,7 +102,7 @@
 }
 
 func newEngines() *engines {
-	return &engines{by: map[wire.MemberID]*engineLoad{}, holders: holders{}, pace: newPace(), split: newSplit()}
+	return &engines{by: map[wire.MemberID]*engineLoad{}, holders: holders{}, pace: newPace(), split: newSplit(), reach: newReach(func(string, bool) {})}
 }
 
 // follow takes over the services and the engines that are there.
@@ -169,7 +170,7 @@
 		}
 		x.read = own.plus(missing)
 		x.begins = x.fetch.takes + e.beginsIn(l, x.read)
-		r := rank{paused: now.Before(l.until), begins: x.begins, id: m.ID}
+		r := rank{paused: now.Before(l.until) || !e.reach.mayTry(now, m.DataCenter), begins: x.begins, id: m.ID}
 		r.late = now.Add(goalPart * x.begins).After(goal)
 		r.cost = x.fetch.transfer + e.cost(r, missing, all-bytes[m.DataCenter])
 		if best.engine.ID == "" || r.compare(least) < 0 {
@@ -270,6 +271,7 @@
 	l := e.get(x.engine)
 	l.waiting = l.waiting.plus(x.read)
 	l.chosen.Count(now)
+	e.reach.sent(now, x.engine.DataCenter)
 	e.split.Sent(p.Service, x.engine.Version)
 	e.sendParts(now, l, shared(p.Parts))
 	if x.fetch.source != nil {
@@ -288,14 +290,17 @@
 	l.waiting = l.waiting.minus(p.read)
 	switch how {
 	case EngineBegan:
+		e.reach.answered(l.member.DataCenter)
 		l.failures = 0
 		l.readParts(p.shared)
 		if !p.at.Before(e.resumed) {
 			e.observe(l, p.behind, now.Sub(p.at)-p.fetch.takes)
 		}
 	case EngineFailed:
-		l.failures++
-		l.until = now.Add(pauseAfter(l.failures))
+		l.fail(now)
+	case EngineUnreached:
+		l.fail(now)
+		e.reach.failed(now, l.member)
 	}
 }
 
@@ -319,6 +324,12 @@
 	return l
 }
 
+// fail has the engine passed over for a while.
+func (l *engineLoad) fail(now time.Time) {
+	l.failures++
+	l.until = now.Add(pauseAfter(l.failures))
+}
+
 func (l *engineLoad) has(part string) bool { return l.parts[part] != nil }
 
 // forgetOldest forgets the part of an engine that was used the longest ago.
--- a/node/stagework/follow.go
+++ b/node/stagework/follow.go
@@ -16,7 +16,7 @@
 		}
 		q := s.services[name]
 		if q == nil {
-			q = &serviceQueue{workers: map[wire.MemberID]*worker{}, asked: classes{}, efficiency: firstEfficiency, name: name, split: s.split}
+			q = &serviceQueue{workers: map[wire.MemberID]*worker{}, asked: classes{}, efficiency: firstEfficiency, name: name, split: s.split, reach: s.reach}
 			s.services[name] = q
 		}
 		q.spec = spec
--- a/node/stagework/job.go
+++ b/node/stagework/job.go
@@ -52,6 +52,9 @@
 	// Moved says that the job goes on at the next owner, with the stages that were made.
 	Moved bool        `json:"moved,omitempty"`
 	Made  []StageMade `json:"made,omitempty"`
+	// Dark are the data centres whose upstreams the owner cannot reach, for calls that it
+	// does not choose an upstream for.
+	Dark []string `json:"dark,omitempty"`
 }
 
 // Done tells the owner that a handing in is over.
@@ -69,9 +72,10 @@
 
 // Outcomes at engines.
 const (
-	EngineUnknown EngineOutcome = ""       // the call was not sent there, or ended before it answered
-	EngineBegan   EngineOutcome = "began"  // it has begun to answer
-	EngineFailed  EngineOutcome = "failed" // it did not answer, or refused the call
+	EngineUnknown   EngineOutcome = ""          // the call was not sent there, or ended before it answered
+	EngineBegan     EngineOutcome = "began"     // it has begun to answer
+	EngineFailed    EngineOutcome = "failed"    // it did not answer, or refused the call
+	EngineUnreached EngineOutcome = "unreached" // nothing answered at its address
 )
 
 // Methods of an owner.
--- a/node/stagework/outcome.go
+++ b/node/stagework/outcome.go
@@ -34,6 +34,7 @@
 	moved   bool                   // another upstream answered at the address
 	pause   time.Duration          // for which the upstream wants no calls
 	leaving bool                   // it wants none any more
+	dark    bool                   // nothing answered at its address
 	err     string
 }
 
@@ -85,6 +86,7 @@
 	switch {
 	case o.results != nil:
 		w.failures, w.proven = 0, true
+		s.reach.answered(w.member.DataCenter)
 		if s.measured(c) {
 			ratio := float64(now.Sub(c.began)) / float64(c.expect)
 			w.ratio += speedWeight * (ratio - w.ratio)
@@ -97,6 +99,9 @@
 		w.proven = false
 		w.failures++
 		w.until = now.Add(pauseAfter(w.failures))
+		if o.dark {
+			s.reach.failed(now, w.member)
+		}
 	}
 }
 
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -36,6 +36,7 @@
 
 	name    string
 	split   *rollout.Split // of this owner's calls
+	reach   *reach         // of data centres; shared by all services
 	rollout wire.Rollout   // the service's last one
 
 	efficiency float64 // the part of its nominal rate that it reaches while pieces wait
@@ -150,6 +151,8 @@
 	switch healthy := q.healthy(); {
 	case fit == 0:
 		return 0
+	case w.dark:
+		return 1 // to find out whether its data centre is back
 	case w.ratio <= slowRatio, healthy == 0, fit > healthy*q.spec.Batch:
 		return q.spec.Batch
 	case now.Sub(w.used) > probeAfter:
--- /dev/null
+++ b/node/stagework/reach_test.go
@@ -0,0 +1,230 @@
+package stagework
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"caperdrum.org/api/wire"
+)
+
+// TestDarkDataCenterIsFoundOnce has one of six data centres of a fleet lose its power while calls come as usual: a few of
+// them find out, and the others go elsewhere. Before, each upstream there was found out by calls of its own.
+func TestDarkDataCenterIsFoundOnce(t *testing.T) {
+	for _, processes := range []int{90, 360, 720} {
+		t.Run(fmt.Sprint(processes), func(t *testing.T) {
+			s, now := fleetOwner(processes)
+			lost := playDark(s, now, 3*time.Second, "dc0", processes/20)
+			// one that looks each second, of each service at most, whatever the size
+			if most := 2 * len(s.services); lost.later > most {
+				t.Errorf("%d calls go to the dark data centre after the first second, %d may", lost.later, most)
+			}
+			if most := lost.later * largestGroup; lost.pieces > most {
+				t.Errorf("%d pieces in %d calls that look whether it is back, %d may", lost.pieces, lost.later, most)
+			}
+		})
+	}
+}
+
+// largestGroup is how many pieces a stage of fleetJob has at most: they stay together.
+const largestGroup = 6
+
+// lost are the calls that went to a dark data centre once that could be known.
+type lost struct{ later, pieces int }
+
+// playDark plays calls of a fleet on a virtual clock while connections to a data centre time out.
+func playDark(s *scheduler, now time.Time, span time.Duration, dark string, jobsATick int) (l lost) {
+	const dial = 400 * time.Millisecond
+	type ending struct {
+		at time.Time
+		c  *call
+	}
+	var under []ending
+	began, number := now, 0
+	for end := now.Add(span); now.Before(end); now = now.Add(ownerTick) {
+		under = endCalls(s, now, under, func(e ending) time.Time { return e.at }, func(e ending) (*call, outcome) {
+			if e.c.worker.member.DataCenter == dark {
+				return e.c, outcome{err: "i/o timeout", dark: true}
+			}
+			return e.c, answered(e.c)
+		})
+		for range jobsATick {
+			number++
+			j := fleetJob(number)
+			s.add(now, j, func(Result, error) {})
+		}
+		s.expire(now)
+		for _, c := range s.start(now) {
+			takes := c.expect
+			if c.worker.member.DataCenter == dark {
+				takes = dial
+				if now.Sub(began) > time.Second {
+					l.later++
+					l.pieces += len(c.pieces)
+				}
+			}
+			under = append(under, ending{now.Add(takes), c})
+		}
+	}
+	return l
+}
+
+// endCalls ends the calls whose time has come and returns the others.
+func endCalls[E any](s *scheduler, now time.Time, under []E, at func(E) time.Time, how func(E) (*call, outcome)) (rest []E) {
+	for _, e := range under {
+		if now.Before(at(e)) {
+			rest = append(rest, e)
+			continue
+		}
+		c, o := how(e)
+		s.finish(now, c, o)
+	}
+	return rest
+}
+
+// TestDarkDataCenterIsTriedAgain has a dark data centre come back: the call that looks finds it, and its upstreams are
+// used at once. One that stays dark gets a call a second.
+func TestDarkDataCenterIsTriedAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var told []string
+	r := newReach(func(dc string, dark bool) { told = append(told, fmt.Sprint(dc, " ", dark)) })
+	at := func(i int) wire.Member { return wire.Member{ID: wire.MemberID(fmt.Sprint("u", i)), DataCenter: "dc0"} }
+	for i := range darkUpstreams - 1 {
+		r.failed(now, at(i))
+		r.failed(now, at(i)) // the same one again says nothing of the others
+	}
+	if !r.mayTry(now, "dc0") {
+		t.Fatal("dark too early")
+	}
+	r.answered("dc0")
+	for i := range darkUpstreams {
+		if !r.mayTry(now, "dc0") {
+			t.Fatal("an answer in between does not count")
+		}
+		r.failed(now, at(10+i))
+	}
+	if r.mayTry(now, "dc0") || !r.mayTry(now, "dc1") {
+		t.Fatal("not dark, or another one is")
+	}
+	now = now.Add(darkPause)
+	if !r.mayTry(now, "dc0") {
+		t.Fatal("it is never tried again")
+	}
+	r.sent(now, "dc0")
+	if r.mayTry(now, "dc0") {
+		t.Fatal("tried by more than one call")
+	}
+	r.answered("dc0")
+	if !r.mayTry(now, "dc0") || r.dark("dc0") {
+		t.Fatal("not back")
+	}
+	if want := "[dc0 true dc0 false]"; fmt.Sprint(told) != want {
+		t.Errorf("told %v, want %s", told, want)
+	}
+}
+
+// TestDarkDataCenterIsForgottenInTheEnd has work so little that nothing looks whether a data centre is back.
+func TestDarkDataCenterIsForgottenInTheEnd(t *testing.T) {
+	s, now := fleetOwner(90)
+	for i := range darkUpstreams {
+		s.reach.failed(now, wire.Member{ID: wire.MemberID(fmt.Sprint("u", i)), DataCenter: "dc0"})
+	}
+	s.expire(now.Add(unreachedFor))
+	if !s.reach.dark("dc0") {
+		t.Fatal("forgotten too early")
+	}
+	s.expire(now.Add(unreachedFor + ownerTick))
+	for _, w := range s.services["front"].list {
+		if w.dark {
+			t.Fatalf("%s is passed over for good", w.member.ID)
+		}
+	}
+}
+
+// TestUpstreamsThatFailAreNotADarkDataCenter has upstreams of a data centre fail while others there answer, and upstreams
+// refuse calls: their VMs run.
+func TestUpstreamsThatFailAreNotADarkDataCenter(t *testing.T) {
+	s, now := fleetOwner(90)
+	burst(s, now, 0)
+	var failing int
+	for _, c := range s.start(now) {
+		o := outcome{err: "connection refused"}
+		if c.worker.member.DataCenter == "dc1" {
+			if failing++; failing%darkUpstreams == 0 {
+				o = answered(c)
+			} else {
+				o.dark = true
+			}
+		}
+		s.finish(now, c, o)
+	}
+	if failing < 2*darkUpstreams {
+		t.Fatalf("%d calls in dc1", failing)
+	}
+	for _, dc := range []string{"dc0", "dc1"} {
+		if s.reach.dark(dc) {
+			t.Errorf("%s counts as dark", dc)
+		}
+	}
+}
+
+// TestEnginesOfADarkDataCenter has calls find that a data centre's engines cannot be reached: the next ones go elsewhere,
+// though an engine there has read what they share, and come back when it answers.
+func TestEnginesOfADarkDataCenter(t *testing.T) {
+	p := newPark()
+	p.reach = newReach(func(string, bool) {})
+	first, k := p.call(prompt("shared", 1000))
+	p.ended(p.now, k, EngineBegan)
+	dc := p.by[first].member.DataCenter
+	for i := range darkUpstreams {
+		p.reach.failed(p.now, wire.Member{ID: wire.MemberID(fmt.Sprint("other", i)), DataCenter: dc})
+	}
+	id, _ := p.call(prompt("shared", 1000))
+	if p.by[id].member.DataCenter == dc {
+		t.Fatalf("%s is chosen in a dark data centre", id)
+	}
+	p.reach.answered(dc)
+	if id, _ := p.call(prompt("shared", 1000)); p.by[id].member.DataCenter != dc {
+		t.Errorf("%s is chosen though the data centre is back", id)
+	}
+}
+
+// TestEngineThatCannotBeReached ends a pick with nothing answering: the engine is passed over, and counts for its data
+// centre.
+func TestEngineThatCannotBeReached(t *testing.T) {
+	p := newPark()
+	id, k := p.call(prompt("shared", 1000))
+	p.ended(p.now, k, EngineUnreached)
+	l := p.by[id]
+	if !p.now.Before(l.until) || len(p.reach.centers[l.member.DataCenter].unreached) != 1 {
+		t.Errorf("passed over until %s, %v", l.until, p.reach.centers)
+	}
+}
+
+// TestResultsSayWhatIsDark has results of jobs tell their processes which data centres the owner cannot reach.
+func TestResultsSayWhatIsDark(t *testing.T) {
+	s := newNamed(t)
+	named := wire.StageOwner{ID: "self", Incarnation: 7, Epoch: 5}
+	s.post(func(time.Time) { s.scheduler.setServices(services, nil) })
+	dark := func() []string {
+		r, err := s.run(t.Context(), &Job{ID: "j", Handed: "j", Left: time.Minute, Goal: time.Minute, Owner: named})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r.Dark
+	}
+	if got := dark(); got != nil {
+		t.Errorf("dark: %v", got)
+	}
+	s.post(func(now time.Time) {
+		for _, dc := range []string{"dc2", "dc1"} {
+			for i := range darkUpstreams {
+				s.scheduler.reach.failed(now, wire.Member{ID: wire.MemberID(fmt.Sprint("u", i)), DataCenter: dc})
+			}
+		}
+		s.scheduler.reach.failed(now, wire.Member{ID: "v", DataCenter: "dc3"})
+	})
+	if got := fmt.Sprint(dark()); got != "[dc1 dc2]" {
+		t.Errorf("dark: %s", got)
+	}
+}
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -36,6 +36,8 @@
 	fetching []*call // whose inputs are being fetched
 	backlog  backlog
 	gauged   time.Time
+	reach    *reach
+	darkened []darkened
 	resumed  time.Time // when this process last went on after a standstill
 	doubted  bool      // it was the owner then, and has not been confirmed since
 
@@ -45,7 +47,10 @@
 
 func newScheduler() *scheduler {
 	e := newEngines()
-	return &scheduler{services: map[string]*serviceQueue{}, jobs: map[string]*job{}, engines: e, split: e.split, counter: rollout.NewCounter(), sentAway: sentAway{}}
+	s := &scheduler{services: map[string]*serviceQueue{}, jobs: map[string]*job{}, engines: e, split: e.split, counter: rollout.NewCounter(), sentAway: sentAway{}}
+	s.reach = newReach(s.markDark)
+	e.reach = s.reach
+	return s
 }
 
 // remake begins jobs anew whose results lay at upstreams that have started again, and
@@ -136,6 +141,9 @@
 	if owner && after && !s.owner {
 		s.askAll(now)
 	}
+	if owner && !s.owner {
+		s.reach.forget() // it has made no calls lately
+	}
 	s.owner, s.doubted = owner, false
 	if owner {
 		return nil
@@ -308,6 +316,7 @@
 // themselves. It returns what is to be freed.
 func (s *scheduler) expire(now time.Time) []made {
 	s.due = true // pauses end by themselves
+	s.reach.expire(now)
 	s.pass(now)
 	out := s.fetchedInputs(now)
 	for _, j := range s.jobs {
@@ -357,6 +366,7 @@
 				break
 			}
 			c.service = name
+			s.reach.sent(now, c.worker.member.DataCenter)
 			s.watchInputs(c)
 			q.countCall(c)
 			out = append(out, c)
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -180,6 +180,7 @@
 			s.free(s.scheduler.expire(s.now()))
 		}
 		s.clearDoubt(time.Now())
+		s.logDark(s.scheduler.takeDarkened())
 		s.sendNews(s.scheduler.takeNews())
 		for _, w := range s.scheduler.reports(time.Now()) {
 			go s.askRoom(w)
@@ -229,6 +230,7 @@
 	s.post(func(now time.Time) {
 		s.believe(now, j.Owner)
 		s.free(s.scheduler.add(now, *j, func(r Result, err error) {
+			r.Dark = s.scheduler.reach.list()
 			s.ended(j, r, err)
 			answered <- answer{r, err}
 		}))
--- a/node/stagework/workers.go
+++ b/node/stagework/workers.go
@@ -31,6 +31,7 @@
 	proven   bool      // its last call ended well
 	ahead    bool      // its start is known from a report, before the members say so
 	trial    bool      // it is of the version to which the service is being rolled out
+	dark     bool      // its data centre is
 }
 
 // setWorkers takes over the upstreams that are there, and returns those that have
@@ -41,7 +42,7 @@
 		present[m.ID] = true
 		switch w := q.workers[m.ID]; {
 		case w == nil:
-			q.workers[m.ID] = &worker{member: m, ratio: 1}
+			q.workers[m.ID] = q.newWorker(m)
 		case w.member.Incarnation < m.Incarnation, w.member.Incarnation > m.Incarnation && !w.ahead:
 			lost = append(lost, q.replace(w, m))
 		}
@@ -56,9 +57,13 @@
 	return lost
 }
 
+func (q *serviceQueue) newWorker(m wire.Member) *worker {
+	return &worker{member: m, ratio: 1, dark: q.reach.dark(m.DataCenter)}
+}
+
 // replace puts the next start of an upstream in the place of one, and returns that.
 func (q *serviceQueue) replace(w *worker, next wire.Member) *worker {
-	q.workers[next.ID] = &worker{member: next, ratio: 1}
+	q.workers[next.ID] = q.newWorker(next)
 	w.gone, w.lost = true, true
 	q.relist()
 	return w
@@ -71,7 +76,8 @@
 
 // takes reports whether the upstream can take a call now.
 func (q *serviceQueue) takes(w *worker, now time.Time) bool {
-	return !w.gone && !w.leaving && !now.Before(w.paused) && w.running < max(1, q.spec.Calls) && !now.Before(w.until) && q.room(w) > 0
+	return !w.gone && !w.leaving && !now.Before(w.paused) && w.running < max(1, q.spec.Calls) && !now.Before(w.until) && q.room(w) > 0 &&
+		(!w.dark || q.reach.mayTry(now, w.member.DataCenter))
 }
 
 // idle counts the upstreams that would begin a piece that came now.
@@ -142,10 +148,10 @@
 	return sum
 }
 
-// healthy reports whether the upstream is neither slow, nor failing, nor on trial: what the service can
+// healthy reports whether the upstream is neither slow, nor failing, nor dark, nor on trial: what the service can
 // make is foreseen from the others.
 func (w *worker) healthy() bool {
-	return !w.trial && w.ratio <= slowRatio && w.failures == 0 && !w.leaving
+	return !w.trial && !w.dark && w.ratio <= slowRatio && w.failures == 0 && !w.leaving
 }
 
 // pause is how long it takes until an upstream of the service wants calls again, where none does.
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -80,6 +80,32 @@
 	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "all connections to %s are in use", address)
 }
 
+// unreached is the error of a connection that nothing answered in time, not even the upstream's VM.
+type unreached struct{ cause *verdict.Error }
+
+// Error implements error.
+func (u unreached) Error() string { return u.cause.Error() }
+
+// Unwrap returns the verdict.
+func (u unreached) Unwrap() error { return u.cause }
+
+// Unreached reports whether a call was not sent since nothing answered at the upstream's address. A VM
+// that runs refuses connections to an upstream that does not.
+func Unreached(err error) bool {
+	var u unreached
+	return errors.As(err, &u)
+}
+
+// errConnect says why a connection was not made. A call whose own time is over has not waited long enough to tell.
+func errConnect(ctx context.Context, address string, err error) error {
+	cause := verdict.New(verdict.NotRun, verdict.CodeUpstream, "connect to %s: %v", address, err)
+	var timed net.Error
+	if errors.As(err, &timed) && timed.Timeout() && ctx.Err() == nil {
+		return unreached{cause}
+	}
+	return cause
+}
+
 // get returns a connection. With fresh it is a new one.
 func (p *Pool) get(ctx context.Context, address string, limit int, fresh bool) (*conn, error) {
 	if !fresh {
@@ -103,7 +129,7 @@
 	if err != nil {
 		c.Conn = noConn{}
 		c.Close()
-		return nil, verdict.New(verdict.NotRun, verdict.CodeUpstream, "connect to %s: %v", address, err)
+		return nil, errConnect(ctx, address, err)
 	}
 	c.br = bufio.NewReaderSize(raw, readBuffer)
 	return c, nil
--- /dev/null
+++ b/node/upstream/unreached_test.go
@@ -0,0 +1,41 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+
+	"caperdrum.org/api/verdict"
+)
+
+// TestUnreached tells a VM that does not answer from one that refuses a connection, and from a call that had no time
+// to wait. None of them has been sent.
+func TestUnreached(t *testing.T) {
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	for name, c := range map[string]struct {
+		ctx   context.Context
+		cause error
+		want  bool
+	}{
+		"times out":       {context.Background(), os.ErrDeadlineExceeded, true},
+		"given up by TCP": {context.Background(), syscall.ETIMEDOUT, true},
+		"refused":         {context.Background(), syscall.ECONNREFUSED, false},
+		"reset":           {context.Background(), syscall.ECONNRESET, false},
+		"no time left":    {over, os.ErrDeadlineExceeded, false},
+	} {
+		err := errConnect(c.ctx, "10.0.0.9:80", &net.OpError{Op: "dial", Net: "tcp", Err: c.cause})
+		if Unreached(err) != c.want {
+			t.Errorf("%s: %v", name, Unreached(err))
+		}
+		if v := verdict.From(err); v.Verdict != verdict.NotRun || v.Code != verdict.CodeUpstream {
+			t.Errorf("%s: %+v", name, v)
+		}
+	}
+	if Unreached(nil) || Unreached(errors.New("dial")) {
+		t.Error("another error counts")
+	}
+}
