Harness: the opener of a connection is asked of the kernel, one socket at a time

The replicas' lines say that they were reached again after 92 s, at the moment when the test ended: the relays between them passed nothing. For each connection a relay read the kernel's table of all TCP sockets of the machine, 24,000 lines under that load, and the processes' open files under the lock that every chunk takes; processes gave up after a second and dialled anew, which made it longer. A soak.test used 170 s of processor time in 225 s.

Change: sock_diag(7) gives the one socket's inode; the table is read only where the kernel cannot be asked. Open files are looked through without the lock.

Conclusion: a fault of the harness.

--- a/e2e/harness/opener.go
+++ b/e2e/harness/opener.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"strings"
@@ -13,15 +14,16 @@
 const outside = "test"
 
 // opener returns the name of the process that opened the connection: its
-// socket's inode stands in /proc/net/tcp and among the process's open files.
+// socket's inode stands among the process's open files.
 func (n *Network) opener(c net.Conn) string {
 	inode := inodeOf(c.RemoteAddr().(*net.TCPAddr), c.LocalAddr().(*net.TCPAddr))
 	if inode == "" {
 		return outside
 	}
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	for name, p := range n.processes {
+	processes := maps.Clone(n.processes)
+	n.mu.Unlock()
+	for name, p := range processes {
 		if pid := p.PID(); pid > 0 && holdsSocket(pid, inode) {
 			return name
 		}
@@ -49,7 +51,17 @@
 	columnInode  = 9
 )
 
+// inodeOf returns the inode of the socket with these ends, empty where there is none. The kernel is asked for this
+// one socket: its table has those of all processes of the machine, and to read it for each connection takes longer
+// than the processes wait for one once there are tens of thousands.
 func inodeOf(local, remote *net.TCPAddr) string {
+	if inode, err := askKernel(local, remote); err == nil {
+		return inode
+	}
+	return inodeInTable(local, remote)
+}
+
+func inodeInTable(local, remote *net.TCPAddr) string {
 	f, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return ""
