Roll-outs: a leader that comes late wants answers before it gives the target all calls

All processes had been killed near the end of the span, and their counts with them; the next leader listened for 2 s, heard nothing of the target, and gave it all calls, for good.

Ruled out: keeping counts over the loss of all processes (a write for each report); a longer time to listen for every new leader, which a good version would pay for; waiting without a bound, since calls may be few.

Change: a leader that begins to listen when the span is over, or nearly so, waits up to 5 s more for three answers of the target, unless nobody calls or the others have a hundred (then a target without any is rolled back, as before). Three bad answers are enough for the test to tell.

Before and after: TestLateLeaderWantsAnswers fails without (completed where nothing is to be decided); its mutation is caught. The model on the virtual clock and the two tests over separate processes pass.

--- a/node/control/rollout.go
+++ b/node/control/rollout.go
@@ -38,6 +38,7 @@
 	order uint64
 	judge *rollout.Judge
 	ends  time.Time // by this process's clock
+	late  bool      // the span was over, or nearly so, when this process began to listen
 }
 
 // StartRollout carries out an order, and returns once a quorum holds it. An order for what runs
@@ -148,7 +149,8 @@
 	j := l.judges[r.Service]
 	if j == nil || j.order != r.Order {
 		passed := time.Duration(now.UnixMilli()-r.Started) * time.Millisecond
-		j = &judged{order: r.Order, judge: rollout.NewJudge(r.Target), ends: now.Add(rollout.Left(r.Span, passed, reporters(v.Members)))}
+		left := rollout.Left(r.Span, passed, reporters(v.Members))
+		j = &judged{order: r.Order, judge: rollout.NewJudge(r.Target), ends: now.Add(left), late: left > r.Span-passed}
 		if l.judges == nil {
 			l.judges = map[string]*judged{}
 		}
@@ -189,7 +191,8 @@
 	s.rollouts.mu.Lock()
 	defer s.rollouts.mu.Unlock()
 	j := s.rollouts.of(r, view, now)
-	return rollout.Next(r, j.ends.Sub(now), j.judge.Verdict(), j.judge.Target.Answers, j.judge.Others.Answers,
+	heard := rollout.Heard{Verdict: j.judge.Verdict(), Target: j.judge.Target.Answers, Others: j.judge.Others.Answers, Late: j.late}
+	return rollout.Next(r, j.ends.Sub(now), heard,
 		upstreamsOf(r, view.Members), rollout.Limits{Share: s.set.Control.RolloutShare})
 }
 
--- a/node/rollout/model_test.go
+++ b/node/rollout/model_test.go
@@ -117,7 +117,7 @@
 		p.reports = time.Duration(rnd.Int64N(int64(Interval(m.processes))))
 		ps = append(ps, p)
 	}
-	judge, ends := NewJudge("v2"), m.span
+	judge, ends, late := NewJudge("v2"), m.span, false
 	var calls []modelCall
 	running := map[wire.MemberID]int{}
 	var out played
@@ -127,6 +127,7 @@
 		now := start.Add(at)
 		if m.leaderAt > 0 && at == m.leaderAt {
 			judge, ends, pending = NewJudge("v2"), at+Left(m.span, at, m.processes), nil
+			late = ends > m.span
 		}
 		for i, p := range ps {
 			if i < m.cut && at > m.span/3 {
@@ -222,7 +223,7 @@
 		}
 		if pending == nil && current.Running() && at%(100*time.Millisecond) == 0 {
 			up := Upstreams{Target: m.perSide, Others: m.perSide}
-			if pending = Next(current, ends-at, judge.Verdict(), judge.Target.Answers, judge.Others.Answers, up, Limits{Share: modelShare}); pending != nil {
+			if pending = Next(current, ends-at, Heard{Verdict: judge.Verdict(), Target: judge.Target.Answers, Others: judge.Others.Answers, Late: late}, up, Limits{Share: modelShare}); pending != nil {
 				commitAt = at + modelCommit
 			}
 		}
--- a/node/rollout/plan.go
+++ b/node/rollout/plan.go
@@ -29,6 +29,13 @@
 	// leastCalls is how many calls of the service the target must have had a part of, if there
 	// were so many: one that got none of them was never reached.
 	leastCalls = 100
+	// leastAnswers is how many answers of the target a leader wants that began to listen when the
+	// span was over or nearly so. What the processes had counted is lost with them: a version of
+	// which nothing is known would get all calls, for good. As many bad ones are enough to tell.
+	leastAnswers = 3
+	// lateWait bounds for how long it waits for them: a good version must not stay behind where
+	// calls are few.
+	lateWait = 5 * time.Second
 )
 
 // usableShare is the share that the target may have until its end, so that the bound holds over the whole
@@ -44,27 +51,42 @@
 // Upstreams counts a service's upstreams that are there and not leaving.
 type Upstreams struct{ Target, Others int }
 
+// Heard is what a leader has heard of a roll-out.
+type Heard struct {
+	Verdict        Verdict
+	Target, Others uint64 // answers
+	Late           bool   // it listens only since the span was over, or nearly so
+}
+
+// tooLittle reports whether the leader should hear more before it gives the target all calls. left is
+// below zero once the time for that is over.
+func (h Heard) tooLittle(left time.Duration) bool {
+	return h.Late && h.Target < leastAnswers && h.Others > 0 && h.Others < leastCalls && left > -lateWait
+}
+
 // Next returns the leader's decision about a running roll-out, left before its span is over, or
 // nil. Until its end the target gets the bounded share only: a version may turn bad late, and what
 // it got by then counts against the bound.
-func Next(r wire.Rollout, left time.Duration, v Verdict, target, others uint64, up Upstreams, l Limits) *wire.RolloutStep {
+func Next(r wire.Rollout, left time.Duration, h Heard, up Upstreams, l Limits) *wire.RolloutStep {
 	decide := func(state wire.RolloutState, share float64, format string, args ...any) *wire.RolloutStep {
 		return &wire.RolloutStep{Service: r.Service, Base: r.Revision, State: state, Share: share, Reason: fmt.Sprintf(format, args...)}
 	}
 	ending := left <= ending(r.Span)
 	switch {
-	case v.Bad, ending && v.Suspected:
-		return decide(wire.RolloutRolledBack, 0, "%s", v.Reason)
+	case h.Verdict.Bad, ending && h.Verdict.Suspected:
+		return decide(wire.RolloutRolledBack, 0, "%s", h.Verdict.Reason)
 	case ending && up.Target == 0:
 		return decide(wire.RolloutRolledBack, 0, "no upstream of version %s serves", r.Target)
 	case ending && 2*up.Target < up.Others:
 		return decide(wire.RolloutRolledBack, 0, "%d upstreams of version %s cannot take the calls of %d", up.Target, r.Target, up.Others)
-	case ending && target == 0 && others >= leastCalls:
-		return decide(wire.RolloutRolledBack, 0, "version %s has answered no call, the others %d", r.Target, others)
+	case ending && h.Target == 0 && h.Others >= leastCalls:
+		return decide(wire.RolloutRolledBack, 0, "version %s has answered no call, the others %d", r.Target, h.Others)
+	case ending && h.tooLittle(left):
+		return nil
 	case ending:
-		return decide(wire.RolloutCompleted, 1, "%d answers of version %s were as good as %d of the others", target, r.Target, others)
+		return decide(wire.RolloutCompleted, 1, "%d answers of version %s were as good as %d of the others", h.Target, r.Target, h.Others)
 	}
-	if share := shareAt(r.Span, left, l); share > r.Share && !v.Suspected {
+	if share := shareAt(r.Span, left, l); share > r.Share && !h.Verdict.Suspected {
 		return decide(wire.RolloutRunning, share, "step")
 	}
 	return nil
--- a/node/rollout/plan_test.go
+++ b/node/rollout/plan_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"caperdrum.org/api/wire"
 )
 
 // TestNewLeaderHearsAllProcesses has a leader be lost at the end of a span in deployments of several sizes: the
@@ -16,3 +18,33 @@
 		}
 	}
 }
+
+// TestLateLeaderWantsAnswers has all processes be lost near the end of a span, and with them what they had counted: the
+// leader that comes then does not give all calls to a version of which it has heard nothing, unless calls are few.
+func TestLateLeaderWantsAnswers(t *testing.T) {
+	r := wire.Rollout{Service: "desk", Target: "v2", Span: 10 * time.Second, State: wire.RolloutRunning, Share: 0.09}
+	bad := Verdict{Bad: true, Suspected: true, Reason: "fails"}
+	for name, c := range map[string]struct {
+		left time.Duration
+		h    Heard
+		want wire.RolloutState // empty: nothing is decided
+	}{
+		"nothing was lost":                {500 * time.Millisecond, Heard{Others: 45}, wire.RolloutCompleted},
+		"late, nothing of the target":     {500 * time.Millisecond, Heard{Others: 45, Late: true}, ""},
+		"late, two answers":               {0, Heard{Target: leastAnswers - 1, Others: 45, Late: true}, ""},
+		"late, answers enough":            {0, Heard{Target: leastAnswers, Others: 45, Late: true}, wire.RolloutCompleted},
+		"late, bad answers":               {-time.Second, Heard{Verdict: bad, Target: leastAnswers, Others: 45, Late: true}, wire.RolloutRolledBack},
+		"late, none of many":              {-time.Second, Heard{Others: leastCalls, Late: true}, wire.RolloutRolledBack},
+		"late, nobody calls":              {0, Heard{Late: true}, wire.RolloutCompleted},
+		"late, calls are few for long":    {-lateWait, Heard{Target: 1, Others: 9, Late: true}, wire.RolloutCompleted},
+		"late, calls are few for a while": {time.Millisecond - lateWait, Heard{Target: 1, Others: 9, Late: true}, ""},
+	} {
+		step := Next(r, c.left, c.h, Upstreams{Target: 2, Others: 2}, Limits{Share: 0.1})
+		switch {
+		case c.want == "" && step != nil:
+			t.Errorf("%s: %s", name, step.State)
+		case c.want != "" && (step == nil || step.State != c.want):
+			t.Errorf("%s: %+v, want %s", name, step, c.want)
+		}
+	}
+}
