Roll-outs: a leader that comes late makes up for missed steps, however many the others answer

The steps of the share had been missed while nobody led, so the target got one call in fifty, and a hundred answers of the others ended the wait.

Change: the wait ends by three answers of the target or by its time only, and the target gets the share meanwhile that the steps would have given it, within the bound.

Ruled out: rolling back where one of a hundred was heard, which would strike sound versions as often.

--- a/node/rollout/plan.go
+++ b/node/rollout/plan.go
@@ -61,7 +61,7 @@
 // tooLittle reports whether the leader should hear more before it gives the target all calls. left is
 // below zero once the time for that is over.
 func (h Heard) tooLittle(left time.Duration) bool {
-	return h.Late && h.Target < leastAnswers && h.Others > 0 && h.Others < leastCalls && left > -lateWait
+	return h.Late && h.Target < leastAnswers && h.Others > 0 && left > -lateWait
 }
 
 // Next returns the leader's decision about a running roll-out, left before its span is over, or
@@ -79,10 +79,14 @@
 		return decide(wire.RolloutRolledBack, 0, "no upstream of version %s serves", r.Target)
 	case ending && 2*up.Target < up.Others:
 		return decide(wire.RolloutRolledBack, 0, "%d upstreams of version %s cannot take the calls of %d", up.Target, r.Target, up.Others)
-	case ending && h.Target == 0 && h.Others >= leastCalls:
-		return decide(wire.RolloutRolledBack, 0, "version %s has answered no call, the others %d", r.Target, h.Others)
 	case ending && h.tooLittle(left):
+		// The steps to here may have been missed too.
+		if share := usableShare(r.Span, l); share > r.Share && !h.Verdict.Suspected {
+			return decide(wire.RolloutRunning, share, "step")
+		}
 		return nil
+	case ending && h.Target == 0 && h.Others >= leastCalls:
+		return decide(wire.RolloutRolledBack, 0, "version %s has answered no call, the others %d", r.Target, h.Others)
 	case ending:
 		return decide(wire.RolloutCompleted, 1, "%d answers of version %s were as good as %d of the others", h.Target, r.Target, h.Others)
 	}
