Dark data centres: pieces with nowhere else to go are tried; what is known stands in one place

Besides, darkness was kept twice (in reach and as a mark on each upstream, with a callback and a list for the log), the end of a standstill in two places, and an engine's failure was reported in two.

Ruled out: refusing such jobs at once: three connections that nothing answered are a suspicion, and without another place a wrong one would refuse everybody.

Change: pieces that may go to dark data centres only go there as if nothing were known, and end by their own tries. The mark, the callback and the list are gone: upstreams ask reach, the log compares with what it said last. One standstill, shared; one report of an engine. The step of a late leader says why. announceGone in the proxy's tests, for two copies.

--- a/node/proxy/endpoints.go
+++ b/node/proxy/endpoints.go
@@ -23,8 +23,7 @@
 	// silence is how long an upstream of short calls may leave all of them
 	// unanswered until others are preferred. Over ten times a usual call.
 	silence = 400 * time.Millisecond
-	// darkFor is for how long the owner's word counts that a data centre is dark. In a large
-	// deployment a process hears from it about once a second.
+	// darkFor is for how long the owner's word counts that a data centre is dark.
 	darkFor = 2 * time.Second
 	// affinitySlack is how many more calls an upstream that holds a prompt's
 	// prefix may have than the next one by the same hash.
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -360,15 +360,20 @@
 	}
 }
 
+// announceGone announces an upstream of a service, "gone", at an address where nobody listens.
+func (b *bed) announceGone(service string) {
+	gone := httptest.NewServer(http.NotFoundHandler())
+	address := gone.Listener.Addr().String()
+	gone.Close()
+	b.announce(service, append(b.view.Announced[service], wire.Member{ID: "gone", Service: service, Direct: address}))
+}
+
 // TestUnreachableUpstreamIsReplaced announces an address where nobody listens
 // beside one that answers: it counts as no attempt.
 func TestUnreachableUpstreamIsReplaced(t *testing.T) {
 	b := newBed(t)
 	b.upstream("desk", "d1", ok)
-	gone := httptest.NewServer(http.NotFoundHandler())
-	address := gone.Listener.Addr().String()
-	gone.Close()
-	b.announce("desk", append(b.view.Announced["desk"], wire.Member{ID: "gone", Service: "desk", Direct: address}))
+	b.announceGone("desk")
 	for range 5 {
 		b.want(http.StatusOK, http.MethodPost, "/confirm/", nil)
 	}
@@ -670,10 +675,7 @@
 func TestChosenEngineThatIsReplacedIsReported(t *testing.T) {
 	b := newBed(t)
 	b.upstream("llm", "other", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "id: 1\n\n") })
-	gone := httptest.NewServer(http.NotFoundHandler())
-	address := gone.Listener.Addr().String()
-	gone.Close()
-	b.announce("llm", append(b.view.Announced["llm"], wire.Member{ID: "gone", Service: "llm", Direct: address}))
+	b.announceGone("llm")
 	b.stages.engine = "gone"
 	b.want(http.StatusOK, http.MethodPost, "/chat/", map[string]string{"Caperdrum-Prompt-Parts": "a:10,b:10"})
 	b.stages.mu.Lock()
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -58,6 +58,7 @@
 		if a.moved() {
 			x.drop(a, wasMoved)
 			x.s.inquiries.Ended(m.Start())
+			x.report(m, stagework.EngineFailed)
 			a = &attempt{member: m, err: verdict.New(verdict.NotRun, verdict.CodeUpstream, "another upstream has the address of %s", m.ID).After(comeBack)}
 			if unsent < maxUnsent && ctx.Err() == nil && x.maySend(addressMoved) {
 				continue
@@ -98,8 +99,8 @@
 		case !a.notRun():
 			x.broke(m)
 		}
-		if how == failed && m.ID == x.engine {
-			x.engineOutcome = outcomeOf(err) // also where another engine takes the call
+		if how == failed {
+			x.report(m, outcomeOf(err))
 		}
 		x.s.endpoints.release(m.Start(), how, now)
 		if how == failed && !a.notRun() || x.outOfTime(ctx) {
@@ -118,6 +119,13 @@
 	return a
 }
 
+// report notes what the owner of the stages is told of the engine that it chose, also where another one takes the call.
+func (x *exchange) report(m wire.Member, how stagework.EngineOutcome) {
+	if m.ID == x.engine {
+		x.engineOutcome = how
+	}
+}
+
 // outcomeOf is what the owner of the stages is told of an engine at which an attempt failed.
 func outcomeOf(err error) stagework.EngineOutcome {
 	if upstream.Unreached(err) {
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -30,9 +30,6 @@
 		}
 		c.wanted = x.engine
 		a := x.send(ctx, &tried, c, out.events.last)
-		if a.member.ID == x.engine && a.unanswered() && ctx.Err() == nil {
-			x.engineOutcome = stagework.EngineFailed
-		}
 		if a.inputsGone() {
 			x.drop(a, stood)
 			x.release()
@@ -56,12 +53,6 @@
 	}
 }
 
-// unanswered reports whether the upstream did not answer the call, or refused it for
-// reasons of its own.
-func (a *attempt) unanswered() bool {
-	return a.err != nil && a.err.Code != verdict.CodeOverloaded && !a.inputsGone()
-}
-
 // inputsGone reports whether results of the stages were lost before the
 // upstream had fetched them.
 func (a *attempt) inputsGone() bool {
@@ -98,9 +89,7 @@
 		return true, nil
 	}
 	out.begin(a)
-	if a.member.ID == x.engine {
-		x.engineOutcome = stagework.EngineBegan
-	}
+	x.report(a.member, stagework.EngineBegan)
 	x.release()
 	err := out.copy(ctx, a)
 	switch {
--- a/node/rollout/plan.go
+++ b/node/rollout/plan.go
@@ -31,7 +31,7 @@
 	leastCalls = 100
 	// leastAnswers is how many answers of the target a leader wants that began to listen when the
 	// span was over or nearly so. What the processes had counted is lost with them: a version of
-	// which nothing is known would get all calls, for good. As many bad ones are enough to tell.
+	// which nothing is known would get all calls, for good.
 	leastAnswers = 3
 	// lateWait bounds for how long it waits for them: a good version must not stay behind where
 	// calls are few.
@@ -80,9 +80,8 @@
 	case ending && 2*up.Target < up.Others:
 		return decide(wire.RolloutRolledBack, 0, "%d upstreams of version %s cannot take the calls of %d", up.Target, r.Target, up.Others)
 	case ending && h.tooLittle(left):
-		// The steps to here may have been missed too.
-		if share := usableShare(r.Span, l); share > r.Share && !h.Verdict.Suspected {
-			return decide(wire.RolloutRunning, share, "step")
+		if share := usableShare(r.Span, l); share > r.Share {
+			return decide(wire.RolloutRunning, share, "steps were missed: %d answers of version %s are known, %d of the others", h.Target, r.Target, h.Others)
 		}
 		return nil
 	case ending && h.Target == 0 && h.Others >= leastCalls:
--- a/node/stagework/engines.go
+++ b/node/stagework/engines.go
@@ -66,8 +66,8 @@
 	turn     int             // of candidates
 	split    *rollout.Split  // of the calls that this owner chooses engines for
 	pace     pace            // of all engines
-	resumed  time.Time       // when this process last went on after a standstill
-	reach    *reach          // of data centres; shared with the stages
+	still    *standstill
+	reach    *reach // of data centres; shared with the stages
 }
 
 // engineLoad is what is known of one engine.
@@ -102,7 +102,7 @@
 }
 
 func newEngines() *engines {
-	return &engines{by: map[wire.MemberID]*engineLoad{}, holders: holders{}, pace: newPace(), split: newSplit(), reach: newReach(func(string, bool) {})}
+	return &engines{by: map[wire.MemberID]*engineLoad{}, holders: holders{}, pace: newPace(), split: newSplit(), reach: newReach(), still: &standstill{}}
 }
 
 // follow takes over the services and the engines that are there.
@@ -170,7 +170,7 @@
 		}
 		x.read = own.plus(missing)
 		x.begins = x.fetch.takes + e.beginsIn(l, x.read)
-		r := rank{paused: now.Before(l.until) || !e.reach.mayTry(now, m.DataCenter), begins: x.begins, id: m.ID}
+		r := rank{paused: now.Before(l.until) || e.reach.closed(now, m.DataCenter), begins: x.begins, id: m.ID}
 		r.late = now.Add(goalPart * x.begins).After(goal)
 		r.cost = x.fetch.transfer + e.cost(r, missing, all-bytes[m.DataCenter])
 		if best.engine.ID == "" || r.compare(least) < 0 {
@@ -293,7 +293,7 @@
 		e.reach.answered(l.member.DataCenter)
 		l.failures = 0
 		l.readParts(p.shared)
-		if !p.at.Before(e.resumed) {
+		if e.still.before(p.at) {
 			e.observe(l, p.behind, now.Sub(p.at)-p.fetch.takes)
 		}
 	case EngineFailed:
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -34,10 +34,11 @@
 	asked   classes       // jobs that need this service
 	sums    pieceSums
 
-	name    string
-	split   *rollout.Split // of this owner's calls
-	reach   *reach         // of data centres; shared by all services
-	rollout wire.Rollout   // the service's last one
+	name     string
+	split    *rollout.Split // of this owner's calls
+	reach    *reach         // of data centres; shared by all services
+	stranded []string       // dark data centres to which pieces that wait have to go
+	rollout  wire.Rollout   // the service's last one
 
 	efficiency float64 // the part of its nominal rate that it reaches while pieces wait
 }
@@ -51,8 +52,9 @@
 	queued time.Time
 	home   string // data centre where its inputs lie or its result is fetched; empty when they are small
 
-	wait    time.Duration // until an upstream there begins it, as last foreseen
-	nowhere bool          // there is none that is neither slow nor failing
+	wait     time.Duration // until an upstream there begins it, as last foreseen
+	stranded bool          // it may go to dark data centres only
+	nowhere  bool          // there is none that is neither slow nor failing
 }
 
 // call is a call of an upstream that is to be made, or under way.
@@ -74,6 +76,7 @@
 // next takes the next call out of the queue, or returns nil when no upstream
 // can take one.
 func (q *serviceQueue) next(now time.Time) *call {
+	q.strand()
 	free := q.onTrack(q.free(now))
 	if len(free) == 0 {
 		return nil
@@ -151,7 +154,7 @@
 	switch healthy := q.healthy(); {
 	case fit == 0:
 		return 0
-	case w.dark:
+	case w.dark():
 		return 1 // to find out whether its data centre is back
 	case w.ratio <= slowRatio, healthy == 0, fit > healthy*q.spec.Batch:
 		return q.spec.Batch
@@ -192,8 +195,9 @@
 func (q *serviceQueue) fitting(w *worker, now time.Time) []*piece {
 	q.looked += len(q.waiting)
 	out := make([]*piece, 0, len(q.waiting))
+	closed := q.reach.closed(now, w.member.DataCenter)
 	for _, p := range q.waiting {
-		if !p.job.Within.Has(w.member.DataCenter) {
+		if closed && !p.stranded || !p.job.Within.Has(w.member.DataCenter) {
 			continue
 		}
 		if p.home == "" || p.home == w.member.DataCenter || p.nowhere || p.wait > fullCall(q.spec) || p.pressed(now, q.spec) {
--- a/node/stagework/reach.go
+++ b/node/stagework/reach.go
@@ -22,8 +22,7 @@
 // of one share their fate (a failure domain), so what a few calls found out holds for all of them;
 // by itself each would cost every process that has a call for it the time of a connection.
 type reach struct {
-	centers map[string]*center                 // by name; those at which a call could not be sent since the last answer
-	mark    func(dataCenter string, dark bool) // called when one goes dark, or is back
+	centers map[string]*center // by name; those at which a call could not be sent since the last answer
 }
 
 // center is a data centre of which nothing was heard lately.
@@ -35,9 +34,7 @@
 
 func (c *center) dark() bool { return c != nil && len(c.unreached) >= darkUpstreams }
 
-func newReach(mark func(dataCenter string, dark bool)) *reach {
-	return &reach{centers: map[string]*center{}, mark: mark}
-}
+func newReach() *reach { return &reach{centers: map[string]*center{}} }
 
 // failed notes that nothing answered a connection to an upstream.
 func (r *reach) failed(now time.Time, m wire.Member) {
@@ -50,26 +47,19 @@
 	c.unreached[m.ID], c.failed = true, now
 	if c.dark() && !before {
 		c.next = now.Add(darkPause)
-		r.mark(m.DataCenter, true)
 	}
 }
 
 // answered notes that an upstream of the data centre answered.
-func (r *reach) answered(dataCenter string) {
-	c := r.centers[dataCenter]
-	delete(r.centers, dataCenter)
-	if c.dark() {
-		r.mark(dataCenter, false)
-	}
-}
+func (r *reach) answered(dataCenter string) { delete(r.centers, dataCenter) }
 
 // dark reports whether the data centre counts as dark.
 func (r *reach) dark(dataCenter string) bool { return r.centers[dataCenter].dark() }
 
-// mayTry reports whether a call may go to the data centre: one that is dark gets one from time to time.
-func (r *reach) mayTry(now time.Time, dataCenter string) bool {
+// closed reports whether a data centre is dark and no call looks now whether it is back.
+func (r *reach) closed(now time.Time, dataCenter string) bool {
 	c := r.centers[dataCenter]
-	return !c.dark() || !now.Before(c.next)
+	return c.dark() && now.Before(c.next)
 }
 
 // sent notes that a call goes to the data centre.
@@ -101,44 +91,48 @@
 }
 
 // forget ends all that is known.
-func (r *reach) forget() {
-	for dc := range r.centers {
-		r.answered(dc)
+func (r *reach) forget() { clear(r.centers) }
+
+// strand notes the pieces that may go to dark data centres only: passed over, they would wait until their jobs'
+// deadlines. They go there as if nothing were known, and end by their own tries.
+func (q *serviceQueue) strand() {
+	q.stranded = nil
+	dark := q.reach.list()
+	if len(dark) == 0 {
+		return
 	}
-}
-
-// markDark notes at the upstreams of stages that their data centre has gone dark, or is back.
-func (s *scheduler) markDark(dataCenter string, dark bool) {
-	s.due = true
-	for _, q := range s.services {
-		for _, w := range q.list {
-			if w.member.DataCenter == dataCenter {
-				w.dark = dark
-			}
+	var lit []string
+	for _, w := range q.list {
+		if !w.dark() && !w.leaving && !slices.Contains(lit, w.member.DataCenter) {
+			lit = append(lit, w.member.DataCenter)
+		}
+	}
+	for _, p := range q.waiting {
+		p.stranded = !slices.ContainsFunc(lit, p.job.Within.Has)
+		if p.stranded {
+			q.stranded = dark
 		}
 	}
-	s.darkened = append(s.darkened, darkened{dataCenter, dark})
 }
 
-// darkened is a data centre that has gone dark, or is back.
-type darkened struct {
-	dataCenter string
-	dark       bool
+// passedOver reports whether an upstream gets no call since its data centre is dark, but for pieces that
+// have nowhere else to go.
+func (q *serviceQueue) passedOver(w *worker, now time.Time) bool {
+	return q.reach.closed(now, w.member.DataCenter) && !slices.Contains(q.stranded, w.member.DataCenter)
 }
 
-func (s *Service) logDark(list []darkened) {
-	for _, d := range list {
-		if d.dark {
-			s.log.Info("data centre is dark", "data_center", d.dataCenter, "jobs", len(s.scheduler.jobs))
-		} else {
-			s.log.Info("data centre answers again", "data_center", d.dataCenter, "jobs", len(s.scheduler.jobs))
+// logDark logs which data centres have gone dark, or are back, since it was called last.
+func (s *Service) logDark() {
+	dark := s.scheduler.reach.list()
+	for _, dc := range dark {
+		if !slices.Contains(s.dark, dc) {
+			s.log.Info("data centre is dark", "data_center", dc, "jobs", len(s.scheduler.jobs))
 		}
 	}
-}
-
-// takeDarkened returns the data centres that have gone dark, or are back, since the last call.
-func (s *scheduler) takeDarkened() []darkened {
-	out := s.darkened
-	s.darkened = nil
-	return out
+	for _, dc := range s.dark {
+		if !slices.Contains(dark, dc) {
+			s.log.Info("data centre answers again", "data_center", dc, "jobs", len(s.scheduler.jobs))
+		}
+	}
+	s.dark = dark
 }
--- a/node/stagework/reach_test.go
+++ b/node/stagework/reach_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
+
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/residency"
 )
 
 // TestDarkDataCenterIsFoundOnce has one of six data centres of a fleet lose its power while calls come as usual: a few of
@@ -86,41 +90,37 @@
 // used at once. One that stays dark gets a call a second.
 func TestDarkDataCenterIsTriedAgain(t *testing.T) {
 	now := time.Unix(1000, 0)
-	var told []string
-	r := newReach(func(dc string, dark bool) { told = append(told, fmt.Sprint(dc, " ", dark)) })
+	r := newReach()
 	at := func(i int) wire.Member { return wire.Member{ID: wire.MemberID(fmt.Sprint("u", i)), DataCenter: "dc0"} }
 	for i := range darkUpstreams - 1 {
 		r.failed(now, at(i))
 		r.failed(now, at(i)) // the same one again says nothing of the others
 	}
-	if !r.mayTry(now, "dc0") {
+	if r.closed(now, "dc0") {
 		t.Fatal("dark too early")
 	}
 	r.answered("dc0")
 	for i := range darkUpstreams {
-		if !r.mayTry(now, "dc0") {
+		if r.closed(now, "dc0") {
 			t.Fatal("an answer in between does not count")
 		}
 		r.failed(now, at(10+i))
 	}
-	if r.mayTry(now, "dc0") || !r.mayTry(now, "dc1") {
+	if !r.closed(now, "dc0") || r.closed(now, "dc1") {
 		t.Fatal("not dark, or another one is")
 	}
 	now = now.Add(darkPause)
-	if !r.mayTry(now, "dc0") {
+	if r.closed(now, "dc0") {
 		t.Fatal("it is never tried again")
 	}
 	r.sent(now, "dc0")
-	if r.mayTry(now, "dc0") {
+	if !r.closed(now, "dc0") {
 		t.Fatal("tried by more than one call")
 	}
 	r.answered("dc0")
-	if !r.mayTry(now, "dc0") || r.dark("dc0") {
+	if r.closed(now, "dc0") || r.dark("dc0") {
 		t.Fatal("not back")
 	}
-	if want := "[dc0 true dc0 false]"; fmt.Sprint(told) != want {
-		t.Errorf("told %v, want %s", told, want)
-	}
 }
 
 // TestDarkDataCenterIsForgottenInTheEnd has work so little that nothing looks whether a data centre is back.
@@ -135,12 +135,88 @@
 	}
 	s.expire(now.Add(unreachedFor + ownerTick))
 	for _, w := range s.services["front"].list {
-		if w.dark {
+		if w.dark() {
 			t.Fatalf("%s is passed over for good", w.member.ID)
 		}
 	}
 }
 
+// TestPiecesWithNowhereElseAreTried has all data centres to which a job may go be dark: it is not held until its
+// deadline, but ends by its own tries, as where nothing is known of data centres.
+func TestPiecesWithNowhereElseAreTried(t *testing.T) {
+	all := []string{"dc0", "dc1", "dc2", "dc3", "dc4", "dc5"}
+	for name, c := range map[string]struct {
+		dark   []string
+		within residency.Within
+	}{
+		"all are dark":       {all, residency.Within{}},
+		"its region is":      {[]string{"dc0"}, residency.Within{Bound: true, DataCenters: []string{"dc0"}}},
+		"both of its region": {[]string{"dc0", "dc1"}, residency.Within{Bound: true, DataCenters: []string{"dc0", "dc1"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			known := endsAfter(t, c.dark, c.within, func(*scheduler) {})
+			unknown := endsAfter(t, c.dark, c.within, func(s *scheduler) { s.reach.forget() })
+			if known > unknown {
+				t.Errorf("the job ends after %s, after %s where nothing is known", known, unknown)
+			}
+		})
+	}
+}
+
+// endsAfter is how long a job takes to end that may go to dark data centres only.
+func endsAfter(t *testing.T, dark []string, within residency.Within, tick func(*scheduler)) time.Duration {
+	s, now := fleetOwner(90)
+	for _, dc := range dark {
+		for i := range darkUpstreams {
+			s.reach.failed(now, wire.Member{ID: wire.MemberID(fmt.Sprint("u", i)), DataCenter: dc})
+		}
+	}
+	var ended error
+	j := fleetJob(1)
+	j.Within = within
+	s.add(now, j, func(_ Result, err error) { ended = err })
+	type ending struct {
+		at time.Time
+		c  *call
+	}
+	var under []ending
+	for passed := time.Duration(0); passed < 2*j.Left; passed += ownerTick {
+		at := now.Add(passed)
+		tick(s)
+		under = endCalls(s, at, under, func(e ending) time.Time { return e.at }, func(e ending) (*call, outcome) {
+			return e.c, outcome{err: "i/o timeout", dark: true}
+		})
+		s.expire(at)
+		if ended != nil {
+			return passed
+		}
+		for _, c := range s.start(at) {
+			under = append(under, ending{at.Add(400 * time.Millisecond), c})
+		}
+	}
+	t.Fatal("the job never ends")
+	return 0
+}
+
+// TestDarkDataCenterIsLogged logs when a data centre goes dark and when it is back, once each.
+func TestDarkDataCenterIsLogged(t *testing.T) {
+	var lines []string
+	sched, now := fleetOwner(90)
+	s := &Service{scheduler: sched, log: funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})}
+	for i := range darkUpstreams {
+		s.logDark()
+		sched.reach.failed(now, wire.Member{ID: wire.MemberID(fmt.Sprint("u", i)), DataCenter: "dc0"})
+	}
+	s.logDark()
+	s.logDark()
+	sched.reach.answered("dc0")
+	s.logDark()
+	s.logDark()
+	if len(lines) != 2 || !strings.Contains(lines[0], "data centre is dark") || !strings.Contains(lines[1], "answers again") {
+		t.Errorf("logged %q", lines)
+	}
+}
+
 // TestUpstreamsThatFailAreNotADarkDataCenter has upstreams of a data centre fail while others there answer, and upstreams
 // refuse calls: their VMs run.
 func TestUpstreamsThatFailAreNotADarkDataCenter(t *testing.T) {
@@ -172,7 +248,6 @@
 // though an engine there has read what they share, and come back when it answers.
 func TestEnginesOfADarkDataCenter(t *testing.T) {
 	p := newPark()
-	p.reach = newReach(func(string, bool) {})
 	first, k := p.call(prompt("shared", 1000))
 	p.ended(p.now, k, EngineBegan)
 	dc := p.by[first].member.DataCenter
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -37,9 +37,8 @@
 	backlog  backlog
 	gauged   time.Time
 	reach    *reach
-	darkened []darkened
-	resumed  time.Time // when this process last went on after a standstill
-	doubted  bool      // it was the owner then, and has not been confirmed since
+	still    *standstill
+	doubted  bool // this process owned the queues before the last one, and has not been confirmed since
 
 	lastEstimate time.Duration // of the last job that was handed in
 	lastReturned bool          // its caller was sent away before
@@ -47,10 +46,7 @@
 
 func newScheduler() *scheduler {
 	e := newEngines()
-	s := &scheduler{services: map[string]*serviceQueue{}, jobs: map[string]*job{}, engines: e, split: e.split, counter: rollout.NewCounter(), sentAway: sentAway{}}
-	s.reach = newReach(s.markDark)
-	e.reach = s.reach
-	return s
+	return &scheduler{services: map[string]*serviceQueue{}, jobs: map[string]*job{}, engines: e, split: e.split, reach: e.reach, still: e.still, counter: rollout.NewCounter(), sentAway: sentAway{}}
 }
 
 // remake begins jobs anew whose results lay at upstreams that have started again, and
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -68,6 +68,7 @@
 	freeing   bool                    // of the owner's goroutine
 	epoch     uint64                  // of the newest owner that this process knows; of the owner's goroutine
 	pulse     pulse                   // of the owner's goroutine
+	dark      []string                // data centres, as they were logged last; of the owner's goroutine
 }
 
 // New returns the service and adds its methods to the process's peer server.
@@ -180,7 +181,7 @@
 			s.free(s.scheduler.expire(s.now()))
 		}
 		s.clearDoubt(time.Now())
-		s.logDark(s.scheduler.takeDarkened())
+		s.logDark()
 		s.sendNews(s.scheduler.takeNews())
 		for _, w := range s.scheduler.reports(time.Now()) {
 			go s.askRoom(w)
--- a/node/stagework/standstill.go
+++ b/node/stagework/standstill.go
@@ -40,14 +40,19 @@
 	p.armed = armed
 }
 
+// standstill is the last time that this process stood still.
+type standstill struct{ ended time.Time }
+
+// before reports whether it had ended at a time.
+func (s *standstill) before(at time.Time) bool { return !at.Before(s.ended) }
+
 // stoodStill notes that the process did nothing until now. What calls took that were under way
 // then is its own doing: counted as the upstreams', it would make all of them slow for the
 // next ten seconds, and nearly every job would be refused. An owner has most likely been
 // replaced meanwhile: it starts no calls until it is confirmed, or its successor's upstreams
 // would work for jobs that have moved there.
 func (s *scheduler) stoodStill(now time.Time) {
-	s.resumed = now
-	s.engines.resumed = now
+	s.still.ended = now
 	s.doubted = s.owner
 }
 
@@ -59,12 +64,12 @@
 
 // doubtful reports whether calls have to wait until the owner is confirmed.
 func (s *scheduler) doubtful(now time.Time) bool {
-	return s.doubted && now.Sub(s.resumed) < doubtTime
+	return s.doubted && now.Sub(s.still.ended) < doubtTime
 }
 
 // measured reports whether what a call took, and that it did not end in time, tells of the
 // upstream: the owner has not stood still meanwhile.
-func (s *scheduler) measured(c *call) bool { return !c.began.Before(s.resumed) }
+func (s *scheduler) measured(c *call) bool { return s.still.before(c.began) }
 
 // ownership is the owner that this process knows of.
 type ownership struct {
@@ -89,8 +94,8 @@
 		return
 	}
 	at, self := s.owner(), s.self()
-	if at.owner.ID == self.ID && at.owner.Incarnation == self.Incarnation && at.age < now.Sub(s.scheduler.resumed) {
-		s.log.Info("owner confirmed after a standstill", "epoch", at.owner.Epoch, "jobs", len(s.scheduler.jobs), "after", now.Sub(s.scheduler.resumed))
+	if at.owner.ID == self.ID && at.owner.Incarnation == self.Incarnation && at.age < now.Sub(s.scheduler.still.ended) {
+		s.log.Info("owner confirmed after a standstill", "epoch", at.owner.Epoch, "jobs", len(s.scheduler.jobs), "after", now.Sub(s.scheduler.still.ended))
 		s.scheduler.confirmed()
 	}
 }
--- a/node/stagework/standstill_test.go
+++ b/node/stagework/standstill_test.go
@@ -117,7 +117,7 @@
 	engine := p.by[first.engine]
 	before, factor := p.pace.timeFor(reading{tokens: 1000}), engine.own.factor()
 	p.now = p.now.Add(8 * time.Second)
-	p.resumed = p.now
+	p.still.ended = p.now
 	p.ended(p.now, first, EngineBegan)
 	if after := p.pace.timeFor(reading{tokens: 1000}); after != before || engine.own.factor() != factor {
 		t.Errorf("foreseen %s, before %s; factor %.1f", after, before, engine.own.factor())
--- a/node/stagework/workers.go
+++ b/node/stagework/workers.go
@@ -31,7 +31,7 @@
 	proven   bool      // its last call ended well
 	ahead    bool      // its start is known from a report, before the members say so
 	trial    bool      // it is of the version to which the service is being rolled out
-	dark     bool      // its data centre is
+	reach    *reach    // of its data centre, among others
 }
 
 // setWorkers takes over the upstreams that are there, and returns those that have
@@ -58,7 +58,7 @@
 }
 
 func (q *serviceQueue) newWorker(m wire.Member) *worker {
-	return &worker{member: m, ratio: 1, dark: q.reach.dark(m.DataCenter)}
+	return &worker{member: m, ratio: 1, reach: q.reach}
 }
 
 // replace puts the next start of an upstream in the place of one, and returns that.
@@ -76,8 +76,7 @@
 
 // takes reports whether the upstream can take a call now.
 func (q *serviceQueue) takes(w *worker, now time.Time) bool {
-	return !w.gone && !w.leaving && !now.Before(w.paused) && w.running < max(1, q.spec.Calls) && !now.Before(w.until) && q.room(w) > 0 &&
-		(!w.dark || q.reach.mayTry(now, w.member.DataCenter))
+	return !w.gone && !w.leaving && !now.Before(w.paused) && w.running < max(1, q.spec.Calls) && !now.Before(w.until) && q.room(w) > 0 && !q.passedOver(w, now)
 }
 
 // idle counts the upstreams that would begin a piece that came now.
@@ -151,9 +150,11 @@
 // healthy reports whether the upstream is neither slow, nor failing, nor dark, nor on trial: what the service can
 // make is foreseen from the others.
 func (w *worker) healthy() bool {
-	return !w.trial && !w.dark && w.ratio <= slowRatio && w.failures == 0 && !w.leaving
+	return !w.trial && !w.dark() && w.ratio <= slowRatio && w.failures == 0 && !w.leaving
 }
 
+func (w *worker) dark() bool { return w.reach.dark(w.member.DataCenter) }
+
 // pause is how long it takes until an upstream of the service wants calls again, where none does.
 func (q *serviceQueue) pause(now time.Time) time.Duration {
 	least := time.Duration(0)
