Replica: a slow write of the log has a line

The lines showed a leader that led on and committed nothing for 8.6 s; nothing told why.

Change: writes of the log of 0.2 s and more have a line, 'log written slowly'.

--- a/node/replica/beliefs.go
+++ b/node/replica/beliefs.go
@@ -22,7 +22,9 @@
 	// slowCommand and largeCommand are the time until a commit and the size from
 	// which on a command has a line of its own: an election takes 0.6 s at least, and a
 	// fast replica syncs 64 KiB in a few milliseconds.
-	slowCommand  = 500 * time.Millisecond
+	slowCommand = 500 * time.Millisecond
+	// slowSave is the time of a write of the log from which on it has a line.
+	slowSave     = 200 * time.Millisecond
 	largeCommand = 64 << 10
 )
 
@@ -102,6 +104,14 @@
 	}
 }
 
+// logSave writes a line for a write of the log that the disk took long for: nothing is committed meanwhile, though the
+// leader still leads.
+func (r *Replica) logSave(entries int, began time.Time) {
+	if took := r.opts.Clock.Since(began); took >= slowSave {
+		r.opts.Log.Info("log written slowly", "entries", entries, "took", took)
+	}
+}
+
 // logRead writes a line for a read that no quorum confirmed.
 func (r *Replica) logRead(began time.Time, err error) {
 	if err == nil || errNotTaken(err) {
--- a/node/replica/loop.go
+++ b/node/replica/loop.go
@@ -174,7 +174,10 @@
 		hs := r.currentHardState(rd)
 		return r.log.SaveSnapshot(rd.Snapshot, hs, rd.Entries)
 	}
-	return r.log.Save(rd.HardState, rd.Entries)
+	began := r.opts.Clock.Now()
+	err := r.log.Save(rd.HardState, rd.Entries)
+	r.logSave(len(rd.Entries), began)
+	return err
 }
 
 func (r *Replica) currentHardState(rd consensus.Ready) consensus.HardState {
