upstream: request limits of upstreams are decoded, logged and counted

The header is now decoded once, at the boundary (upstream.ParseRequestLimit); a limit that begins, changes or ends is logged and counted, and so is an invalid value. Nothing acts on it yet.

An invalid value changes nothing of what was known; if values differ the least valid one holds. Responses to reports and releases, and refusals, may omit the header without ending a limit.

--- a/node/stagework/calls.go
+++ b/node/stagework/calls.go
@@ -102,7 +102,7 @@
 	defer cancel()
 	header := http.Header{}
 	s.protocol.SetHeaders(header, upstream.CallMetadata{Instance: m.ID})
-	resp, err := s.pool.Do(ctx, &upstream.Request{Upstream: m.Start(), Address: m.Direct, Method: http.MethodGet, Target: s.protocol.RoomPath(), Host: m.Direct, Header: header})
+	resp, err := s.pool.Do(ctx, &upstream.Request{Upstream: m.Start(), Address: m.Direct, Method: http.MethodGet, Target: s.protocol.RoomPath(), Host: m.Direct, Header: header, Auxiliary: true})
 	if err != nil {
 		return nil, err
 	}
@@ -151,7 +151,7 @@
 	path, body := s.protocol.FreeResults(handles)
 	header := http.Header{"Content-Type": {"application/json"}}
 	s.protocol.SetHeaders(header, upstream.CallMetadata{Instance: m.ID})
-	resp, err := s.pool.Do(ctx, &upstream.Request{Upstream: m.Start(), Address: m.Direct, Method: http.MethodPost, Target: path, Host: m.Direct, Header: header, Body: body})
+	resp, err := s.pool.Do(ctx, &upstream.Request{Upstream: m.Start(), Address: m.Direct, Method: http.MethodPost, Target: path, Host: m.Direct, Header: header, Body: body, Auxiliary: true})
 	if err != nil {
 		s.log.V(logging.Detail).Info("results not freed", "upstream", m.ID, "error", err.Error())
 		return
--- a/node/upstream/call.go
+++ b/node/upstream/call.go
@@ -25,6 +25,7 @@
 	ID             string // the response must carry it; empty if responses carry none
 	MaxConnections int    // maximum of connections to the address; zero is no limit
 	NewConnection  bool   // use a new connection, since a response without an id may belong to another call
+	Auxiliary      bool   // a report or a release, whose response need not state what responses to calls do
 }
 
 // Response is an upstream's response whose body is still to be read. It must be closed.
@@ -77,7 +78,11 @@
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "%s: %v", req.Address, err)
 	}
 	if r.Status != http.StatusMisdirectedRequest { // then another upstream responded
-		p.notices.Record(req.Upstream, r.Info)
+		announced := r.Info
+		if announced.Limit.Statement == LimitNone && (req.Auxiliary || announced.NotRun) {
+			announced.Limit.Statement = LimitUnstated
+		}
+		p.notices.Record(req.Upstream, announced)
 	}
 	return r, nil
 }
--- a/node/upstream/native.go
+++ b/node/upstream/native.go
@@ -22,6 +22,7 @@
 	headerInputs        = "Caperdrum-Inputs" // handles, comma-separated
 	headerFetch         = "Caperdrum-Fetch-From"
 	headerLeaving       = "Caperdrum-Leaving"
+	headerRequestLimit  = "Caperdrum-Request-Limit" // requests per second from all processes together; absent for no limit
 	headerLastEventID   = "Last-Event-Id" // of server-sent events (WHATWG HTML)
 	headerAuthorization = "Authorization"
 
@@ -95,7 +96,8 @@
 func (Native) ParseResponse(status int, h http.Header) ResponseInfo {
 	notRun := verdict.Parse(h.Get(wire.HeaderVerdict)) == verdict.NotRun || status == http.StatusMisdirectedRequest
 	return ResponseInfo{ID: h.Get(wire.HeaderRequestID), NotRun: notRun, Instance: wire.MemberID(h.Get(headerInstance)),
-		Pause: ParseRetryAfter(status, h, time.Now()), Leaving: h.Get(headerLeaving) != ""}
+		Pause: ParseRetryAfter(status, h, time.Now()), Leaving: h.Get(headerLeaving) != "",
+		Limit: ParseRequestLimit(h.Values(headerRequestLimit))}
 }
 
 // nativePiece is a piece in the body of a call.
--- a/node/upstream/notices.go
+++ b/node/upstream/notices.go
@@ -17,6 +17,10 @@
 	pausesVar   = expvar.NewInt("upstream_pauses_asked")   // responses that ask for a pause
 	leavingVar  = expvar.NewInt("upstream_leaving_said")   // incarnations that announced in a response that they are leaving
 	withheldVar = expvar.NewInt("upstream_calls_withheld") // calls not sent because the upstream asked for a pause or is leaving
+
+	limitsNamedVar   = expvar.NewInt("upstream_limits_named")   // request limits that upstreams named or changed
+	limitsEndedVar   = expvar.NewInt("upstream_limits_ended")   // request limits that upstreams no longer name
+	limitsInvalidVar = expvar.NewInt("upstream_limits_invalid") // responses that name an invalid limit, or limits that differ
 )
 
 const (
@@ -40,6 +44,8 @@
 type notice struct {
 	pausedUntil time.Time // the upstream accepts no calls until then
 	leaving     bool
+	limited     bool      // the upstream names a request limit
+	limit       float64   // in requests per second, if limited
 	lastHeard   time.Time // time of the last response that said so
 }
 
@@ -50,14 +56,16 @@
 
 // Record records what a response announces.
 func (n *Notices) Record(start wire.Start, a ResponseInfo) {
-	if a.Pause <= 0 && !a.Leaving {
-		return
-	}
 	now := n.clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.logInvalidLimit(start, a.Limit)
+	current, known := n.byStart[start]
+	if a.Pause <= 0 && !a.Leaving && a.Limit.Statement != LimitNamed && !(known && a.Limit.Statement == LimitNone) {
+		return
+	}
 	n.expire(now)
-	current := n.byStart[start]
+	n.recordLimit(start, &current, a.Limit)
 	if a.Leaving && !current.leaving {
 		leavingVar.Add(1)
 		n.log.Info("upstream announced that it is leaving", "upstream", start.ID)
@@ -74,9 +82,31 @@
 	n.byStart[start] = current
 }
 
+// recordLimit applies what a response says about the upstream's request limit.
+func (n *Notices) recordLimit(start wire.Start, current *notice, l RequestLimit) {
+	switch {
+	case l.Statement == LimitNamed && (!current.limited || current.limit != l.PerSecond):
+		limitsNamedVar.Add(1)
+		n.log.Info("upstream named a request limit", "upstream", start.ID, "per_second", l.PerSecond, "before", current.limit, "limited_before", current.limited)
+		current.limited, current.limit = true, l.PerSecond
+	case l.Statement == LimitNone && current.limited:
+		limitsEndedVar.Add(1)
+		n.log.Info("upstream ended its request limit", "upstream", start.ID, "before", current.limit)
+		current.limited, current.limit = false, 0
+	}
+}
+
+func (n *Notices) logInvalidLimit(start wire.Start, l RequestLimit) {
+	if l.Invalid == "" {
+		return
+	}
+	limitsInvalidVar.Add(1)
+	n.log.Info("invalid request limit", "upstream", start.ID, "values", l.Invalid, "in_force", l.Statement == LimitNamed, "per_second", l.PerSecond)
+}
+
 func (n *Notices) expire(now time.Time) {
 	for start, x := range n.byStart {
-		if now.Sub(x.lastHeard) > noticeRetention && now.After(x.pausedUntil) {
+		if now.Sub(x.lastHeard) > noticeRetention && now.After(x.pausedUntil) && !x.limited {
 			delete(n.byStart, start)
 		}
 	}
--- a/node/upstream/protocol.go
+++ b/node/upstream/protocol.go
@@ -44,6 +44,7 @@
 	Load     *Load         // nil if not stated
 	Pause    time.Duration // how long the upstream accepts no calls from this process; zero if not stated
 	Leaving  bool          // the upstream is leaving and accepts no further calls
+	Limit    RequestLimit  // on the requests from all processes together
 }
 
 // Load is the load that a batching upstream reports, in requests.
