Request limits of upstreams hold for all processes together

Users saw: two engines named a limit of one request a second and got 12 to 15 in 4 s from processes that they had told; 11 may arrive. Callers lost nothing then, but an upstream in need got as much as before.

Cause: nobody read the header (the rate did not change after it, and no process was above the limit by itself). Class: a bound over all processes that no process can keep by looking at its own calls; a limiter in each process would allow the limit times the processes.

Fix: the stage owner, which chooses most calls' upstreams already, hands out a permit for each request to a limited upstream (package requestlimit: a token bucket each). Calls for which it chooses the engine carry the permit with the choice; other calls ask for one. upstream.Pool sends nothing to a limited upstream without a permit that is still valid, at the moment of sending: first attempts, repeats, resumed streams, calls with pieces, and what was under way when the limit became known. Reports and releases are not sent to limited upstreams. Who gets no answer sends nothing. Permits expire after 300 ms. An owner that was not confirmed for 4 s hands out none, and a new owner hands out a quarter of each limit for that time, so that two owners stay below one and a half times the limit. What one process hears (a limit, another one, its end) it tells the owner, which tells the others with its answers. A response without the header ends the limit. When limits admit no call, callers are refused at once, with a Retry-After from the sum of the limits and the refused demand; jobs are refused before their stages run.

--- a/node/proxy/coldstart_test.go
+++ b/node/proxy/coldstart_test.go
@@ -27,27 +27,27 @@
 		may[limit.MayCall(18, "i-here", p, processes)] = wire.MemberID(p)
 	}
 	c := criteria{dataCenter: "north", cold: coldPolicy{limit: limit, rate: 18, self: may[false], nearby: processes}}
-	if m, ok := e.acquire(list, c, now); ok {
+	if m, _, ok := e.acquire(list, c, now); ok {
 		t.Fatalf("chose %q, which only other processes may call", m.ID)
 	}
 	c.cold.self = may[true]
-	if m, ok := e.acquire(list, c, now); !ok || m.ID != here.ID {
+	if m, _, ok := e.acquire(list, c, now); !ok || m.ID != here.ID {
 		t.Fatalf("chose %q, %t", m.ID, ok)
 	}
 	for _, after := range []time.Duration{0, 900 * time.Millisecond} {
-		if m, ok := e.acquire(list, c, now.Add(after)); ok {
+		if m, _, ok := e.acquire(list, c, now.Add(after)); ok {
 			t.Fatalf("chose %q again after %s", m.ID, after)
 		}
 	}
-	if _, ok := e.acquire(list, c, now.Add(time.Second)); !ok {
+	if _, _, ok := e.acquire(list, c, now.Add(time.Second)); !ok {
 		t.Fatal("chose none after a second")
 	}
 	c.chosen = there.ID
-	if m, ok := e.acquire(list, c, now.Add(2*time.Second)); !ok || m.ID != there.ID {
+	if m, _, ok := e.acquire(list, c, now.Add(2*time.Second)); !ok || m.ID != there.ID {
 		t.Fatalf("chose %q instead of the owner's choice", m.ID)
 	}
 	c.chosen, c.cold.rate = "", 0
-	if _, ok := e.acquire(list, c, now.Add(2*time.Second)); !ok {
+	if _, _, ok := e.acquire(list, c, now.Add(2*time.Second)); !ok {
 		t.Fatal("an upstream without a rate is limited")
 	}
 }
--- a/node/proxy/endpoints.go
+++ b/node/proxy/endpoints.go
@@ -9,6 +9,7 @@
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/coldstart"
 	"caperdrum.org/node/configsync"
+	"caperdrum.org/node/requestlimit"
 	"caperdrum.org/node/rollout"
 	"caperdrum.org/node/upstream"
 )
@@ -38,6 +39,8 @@
 	announced        map[string][]wire.Member // of the last view, by service
 	byStart          map[wire.Start]*endpoint
 	direct           coldstart.DirectLimiter
+	denials          requestlimit.Denials // of permits for upstreams that limit their requests
+	refused          map[string]int       // callers refused for want of a permit since the last request for one, by service
 	split            *rollout.Splitter
 	unreachableUntil map[string]time.Time // by data centre: its upstreams are avoided until then
 }
@@ -52,7 +55,7 @@
 }
 
 func newEndpoints(n *upstream.Notices) *endpoints {
-	return &endpoints{notices: n, byStart: map[wire.Start]*endpoint{}, split: rollout.NewSplitter(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
+	return &endpoints{notices: n, byStart: map[wire.Start]*endpoint{}, refused: map[string]int{}, split: rollout.NewSplitter(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
 }
 
 // update applies the announced upstreams of a view and deletes the state of removed ones. It returns the
@@ -108,6 +111,7 @@
 	affinity   uint64        // hash of the prompt's shared parts; zero if none
 	shortCalls bool          // calls are short, so that a silent upstream is suspicious
 	chosen     wire.MemberID // by the stage owner; taken unless it is avoided; empty if none
+	permitted  wire.MemberID // upstream for which the call has a permit; empty if none
 	cold       coldPolicy
 }
 
@@ -119,13 +123,20 @@
 	nearby []string // processes in this process's data centre
 }
 
-// acquire selects an upstream and counts the call there until release.
-func (e *endpoints) acquire(list []wire.Member, c criteria, now time.Time) (wire.Member, bool) {
+// acquire selects an upstream and counts the call there until release. If the upstream limits its requests and
+// the call has no permit, it returns needsPermit and counts nothing.
+func (e *endpoints) acquire(list []wire.Member, c criteria, now time.Time) (m wire.Member, needsPermit, found bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	m, found := e.pickVersion(list, c, now)
+	m, found = e.pickPermitted(list, c, now)
 	if !found {
-		return m, false
+		m, found = e.pickVersion(list, c, now)
+	}
+	if !found {
+		return m, false, false
+	}
+	if _, limited := e.notices.Limit(m.Start()); limited && m.ID != c.permitted {
+		return m, true, true
 	}
 	if m.ID != c.chosen {
 		e.split.RecordSent(m.Service, m.Version)
@@ -138,7 +149,81 @@
 	if ep.silentSince.IsZero() {
 		ep.silentSince = now
 	}
-	return m, true
+	return m, false, true
+}
+
+// pickPermitted returns the upstream for which the call has asked for a permit, if it can still take the call.
+func (e *endpoints) pickPermitted(list []wire.Member, c criteria, now time.Time) (wire.Member, bool) {
+	if c.permitted == "" || c.permitted == c.chosen {
+		return wire.Member{}, false
+	}
+	i := slices.IndexFunc(list, func(m wire.Member) bool { return m.ID == c.permitted })
+	if i < 0 {
+		return wire.Member{}, false
+	}
+	return e.pickBest(list[i:i+1], c, now)
+}
+
+// limitedCandidates returns the upstreams that limit their requests and could take the call with a permit,
+// first before the others.
+func (e *endpoints) limitedCandidates(list []wire.Member, first wire.Member, c criteria, now time.Time) []wire.Member {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := []wire.Member{first}
+	for i, m := range list {
+		_, limited := e.notices.Limit(m.Start())
+		if _, usable := e.pickBest(list[i:i+1], c, now); limited && usable && m.ID != first.ID {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// denyPermits records that the stage owner handed out no permit for any of the upstreams.
+func (e *endpoints) denyPermits(list []wire.Member, wait, retryAfter time.Duration, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, m := range list {
+		e.denials.Deny(now, m.Start(), wait, retryAfter)
+	}
+}
+
+// countRefused counts a caller of the service that was refused for want of a permit.
+func (e *endpoints) countRefused(service string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refused[service]++
+}
+
+// takeRefused returns and resets the count of refused callers of a service.
+func (e *endpoints) takeRefused(service string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := e.refused[service]
+	delete(e.refused, service)
+	return n
+}
+
+// shortestWait returns the time after which callers should come back to upstreams that accept no calls now, since
+// they asked for a pause or there is no permit for them. It is zero if one accepts calls, or if none will.
+func (e *endpoints) shortestWait(list []wire.Member, now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	least := time.Duration(0)
+	for _, m := range list {
+		wait, leaving := e.notices.State(m.Start())
+		if after, denied := e.denials.Denied(now, m.Start()); denied {
+			wait = max(wait, after)
+		}
+		switch {
+		case leaving:
+		case wait == 0:
+			return 0
+		case least == 0 || wait < least:
+			least = wait
+		}
+	}
+	return least
 }
 
 // pickVersion selects an upstream among the versions that the call may use during a rollout. An upstream
@@ -195,7 +280,7 @@
 	var bestRank rank
 	for i, m := range list {
 		ep := e.get(m.Start())
-		if ep.addressTaken || slices.Contains(c.tried, m.Start()) || !e.allowsCold(m, c, now) || !e.notices.Accepts(m.Start()) {
+		if ep.addressTaken || slices.Contains(c.tried, m.Start()) || !e.allowsCold(m, c, now) || !e.notices.Accepts(m.Start()) || m.ID != c.permitted && e.denied(m, now) {
 			continue
 		}
 		r := e.rank(ep, m, c, now)
@@ -212,6 +297,16 @@
 	return list[best], true
 }
 
+// denied reports whether there was no permit for the upstream a moment ago.
+func (e *endpoints) denied(m wire.Member, now time.Time) bool {
+	_, denied := e.denials.Denied(now, m.Start())
+	if !denied {
+		return false
+	}
+	_, limited := e.notices.Limit(m.Start())
+	return limited
+}
+
 // allowsCold reports whether the limits for cold upstreams allow the call.
 func (e *endpoints) allowsCold(m wire.Member, c criteria, now time.Time) bool {
 	if !m.Cold || c.cold.rate <= 0 || m.ID == c.chosen {
--- a/node/proxy/pause_test.go
+++ b/node/proxy/pause_test.go
@@ -78,7 +78,7 @@
 	var arrived atomic.Int32
 	f.upstream("desk", "i-1", func(http.ResponseWriter, *http.Request) { arrived.Add(1) })
 	start := f.view.Announced["desk"][0].Start()
-	m, ok := f.service.endpoints.acquire(f.view.Announced["desk"], criteria{}, time.Now())
+	m, _, ok := f.service.endpoints.acquire(f.view.Announced["desk"], criteria{}, time.Now())
 	if !ok || m.Start() != start {
 		t.Fatal(m, ok)
 	}
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -84,6 +84,9 @@
 	Run(ctx context.Context, j stagework.Job) (r stagework.Result, release stagework.Release, err error)
 	// Choose has an engine chosen for a call without stages.
 	Choose(ctx context.Context, j stagework.Job) (r stagework.Result, release stagework.Release, ok bool)
+	// Permit asks the stage owner for a permit for one of the upstreams, which limit their requests; see
+	// package stagework.
+	Permit(ctx context.Context, service string, list []wire.Member, refused int) stagework.PermitReply
 	// Silent returns for how long the stage owner has not answered.
 	Silent() time.Duration
 }
@@ -252,6 +255,8 @@
 	engine         wire.MemberID // chosen by the stage owner; empty if it chose none
 	fetchFrom      string        // address from which that engine fetches parts of the prompt; empty for none
 	engineOutcome  stagework.EngineOutcome
+	permit         upstream.Permit // for the next attempt; zero if none is needed
+	permitted      wire.MemberID   // upstream of that permit
 }
 
 // ServeHTTP implements http.Handler.
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -100,12 +100,15 @@
 	err      error
 
 	engine    wire.MemberID             // the chosen engine; empty for none
+	permitted bool                      // the choice is within the engine's request limit
 	fetchFrom string                    // where the engine fetches parts of the prompt
+	permits   []stagework.PermitReply   // answers to requests for permits, in order; the last one is repeated
+	asked     [][]wire.MemberID         // upstreams for which permits were asked
 	outcomes  []stagework.EngineOutcome // reported for the engine
 }
 
 func (f *fakeStages) Choose(context.Context, stagework.Job) (stagework.Result, stagework.Release, bool) {
-	return stagework.Result{Engine: f.engine, FetchFrom: f.fetchFrom}, f.noteEngine, f.engine != ""
+	return stagework.Result{Engine: f.engine, FetchFrom: f.fetchFrom, Permitted: f.permitted}, f.noteEngine, f.engine != ""
 }
 
 func (f *fakeStages) noteEngine(how stagework.EngineOutcome) {
@@ -121,7 +124,25 @@
 	if f.before != nil {
 		f.before()
 	}
-	return stagework.Result{Handles: []string{fmt.Sprint("handle-", len(f.jobs))}, Engine: f.engine, FetchFrom: f.fetchFrom}, func(stagework.EngineOutcome) { f.released++ }, f.err
+	return stagework.Result{Handles: []string{fmt.Sprint("handle-", len(f.jobs))}, Engine: f.engine, FetchFrom: f.fetchFrom, Permitted: f.permitted}, func(stagework.EngineOutcome) { f.released++ }, f.err
+}
+
+func (f *fakeStages) Permit(_ context.Context, _ string, list []wire.Member, _ int) stagework.PermitReply {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ids []wire.MemberID
+	for _, m := range list {
+		ids = append(ids, m.ID)
+	}
+	f.asked = append(f.asked, ids)
+	if len(f.permits) == 0 {
+		return stagework.PermitReply{Wait: time.Hour, RetryAfter: time.Second}
+	}
+	reply := f.permits[0]
+	if len(f.permits) > 1 {
+		f.permits = f.permits[1:]
+	}
+	return reply
 }
 
 func (f *fakeStages) Silent() time.Duration { return f.silent }
--- a/node/proxy/rollout_test.go
+++ b/node/proxy/rollout_test.go
@@ -35,7 +35,7 @@
 		upstreams := map[wire.MemberID]bool{}
 		for i := range 400 {
 			now := time.Unix(1000, int64(i))
-			m, ok := e.acquire(versionedUpstreams(), criteria{dataCenter: "north"}, now)
+			m, _, ok := e.acquire(versionedUpstreams(), criteria{dataCenter: "north"}, now)
 			if !ok {
 				t.Fatal("no upstream was chosen")
 			}
@@ -63,13 +63,13 @@
 	now := time.Unix(1000, 0)
 	for i := range 100 {
 		c := criteria{dataCenter: "north", chosen: wire.MemberID(fmt.Sprint("i-", i%4, "v2"))}
-		m, ok := e.acquire(versionedUpstreams(), c, now)
+		m, _, ok := e.acquire(versionedUpstreams(), c, now)
 		if !ok || m.ID != c.chosen {
 			t.Fatalf("chose %q instead of the owner's choice %q", m.ID, c.chosen)
 		}
 		e.release(m.Start(), callUnknown, now)
 		c.tried = []wire.Start{m.Start()}
-		if m, ok := e.acquire(versionedUpstreams(), c, now); !ok || m.Version != "v1" {
+		if m, _, ok := e.acquire(versionedUpstreams(), c, now); !ok || m.Version != "v1" {
 			t.Fatalf("the second attempt went to %q of version %s", m.ID, m.Version)
 		}
 	}
@@ -86,7 +86,7 @@
 			list = append(list, m)
 		}
 	}
-	if m, ok := e.acquire(list, criteria{}, time.Unix(1000, 0)); ok {
+	if m, _, ok := e.acquire(list, criteria{}, time.Unix(1000, 0)); ok {
 		t.Fatalf("chose %q", m.ID)
 	}
 }
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -47,7 +47,7 @@
 		c.tried = *tried
 		// Read again each time: upstreams may have left during the stages, which can take seconds.
 		list := x.eligibleUpstreams(x.service.Name)
-		m, ok := x.s.endpoints.acquire(list, c, time.Now())
+		m, ok := x.acquire(ctx, list, c)
 		if !ok {
 			return &attempt{err: x.noUpstreamError()}
 		}
@@ -69,6 +69,42 @@
 	}
 }
 
+// maxPermitRequests bounds how often one attempt asks for a permit.
+const maxPermitRequests = 2
+
+// acquire selects an upstream and counts the call there. If the upstream limits its requests it asks for a permit, and
+// selects another one if there is none.
+func (x *exchange) acquire(ctx context.Context, list []wire.Member, c criteria) (wire.Member, bool) {
+	for range maxPermitRequests {
+		c.permitted = x.permitted
+		m, needsPermit, ok := x.s.endpoints.acquire(list, c, time.Now())
+		if !needsPermit {
+			return m, ok
+		}
+		x.requestPermit(ctx, x.s.endpoints.limitedCandidates(list, m, c, time.Now()))
+	}
+	c.permitted = x.permitted
+	m, needsPermit, ok := x.s.endpoints.acquire(list, c, time.Now())
+	return m, ok && !needsPermit
+}
+
+// requestPermit asks the stage owner for a permit for one of the upstreams, the first one preferred.
+func (x *exchange) requestPermit(ctx context.Context, list []wire.Member) {
+	expires := x.s.notices.PermitExpiry()
+	reply := x.s.stages.Permit(ctx, x.service.Name, list, x.s.endpoints.takeRefused(x.service.Name))
+	if reply.Upstream.ID != "" {
+		x.setPermit(reply.Upstream, expires)
+		return
+	}
+	x.s.endpoints.denyPermits(list, reply.Wait, reply.RetryAfter, time.Now())
+	x.s.log.V(logging.Routine).Info("no permit", "request", x.call.ID, "service", x.service.Name, "limited", len(list), "wait", reply.Wait, "retry_after", reply.RetryAfter)
+}
+
+// setPermit records that there is a permit for a request to the upstream.
+func (x *exchange) setPermit(start wire.Start, expires time.Time) {
+	x.permit, x.permitted = upstream.NewPermit(start, expires), start.ID
+}
+
 func (x *exchange) sendTo(ctx context.Context, m wire.Member, candidates int, lastEvent string) *attempt {
 	header := x.r.Header.Clone()
 	dropHopByHop(header)
@@ -84,7 +120,8 @@
 	x.s.log.V(logging.Routine).Info("attempt sent", "request", x.call.ID, "upstream", m.ID, "address", m.Direct, "data_center", m.DataCenter, "candidates", candidates,
 		"in_flight", x.s.endpoints.callsInFlight(m.Start()), "tried", x.sends, "again", x.repeatReason, "last_event", lastEvent, "inputs", len(x.inputs), "fetch_from", metadata.FetchFrom, "left", metadata.Remaining, "members_seq", x.s.table.Load().membersSeq)
 	resp, err := x.s.pool.Do(ctx, &upstream.Request{Upstream: m.Start(), Address: m.Direct, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
-		Header: header, Body: x.body, ID: x.call.ID, MaxConnections: x.maxConnections()})
+		Header: header, Body: x.body, ID: x.call.ID, MaxConnections: x.maxConnections(), Permit: x.permit})
+	x.permit, x.permitted = upstream.Permit{}, "" // it was for one request
 	now := time.Now()
 	sendsVar.Add(x.service.Name, 1)
 	if err != nil {
@@ -133,9 +170,10 @@
 	return stagework.EngineFailed
 }
 
-// upstreamPause returns the time until the first upstream of the service accepts calls again, or zero if one does now.
+// upstreamPause returns when callers should come back to a service whose upstreams accept no calls now, or zero if one
+// does.
 func (x *exchange) upstreamPause() time.Duration {
-	return x.s.notices.ShortestPause(x.s.table.Load().announced[x.service.Name])
+	return x.s.endpoints.shortestWait(x.s.table.Load().announced[x.service.Name], time.Now())
 }
 
 // checkServable returns an error if running the stages of the call would be pointless, else nil.
@@ -180,7 +218,8 @@
 // noUpstreamError returns the error for a call that has no upstream to try.
 func (x *exchange) noUpstreamError() *verdict.Error {
 	if pause := x.upstreamPause(); pause > 0 {
-		return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "all upstreams of service %s have asked for a pause", x.service.Name).WithRetryAfter(pause)
+		x.s.endpoints.countRefused(x.service.Name)
+		return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "all upstreams of service %s have asked for a pause or limit their requests", x.service.Name).WithRetryAfter(pause)
 	}
 	return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "service %s has no upstream to try", x.service.Name).WithRetryAfter(defaultRetryAfter)
 }
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"caperdrum.org/api/verdict"
@@ -192,6 +193,7 @@
 	x.s.endpoints.setUnreachable(result.UnreachableDataCenters, time.Now())
 	x.inputs, x.stagesDone, x.releaseResults = result.Handles, true, release
 	x.engine, x.fetchFrom, x.engineOutcome = result.Engine, result.FetchFrom, stagework.EngineUnknown
+	x.applyLimits(result)
 	x.s.log.V(logging.Routine).Info("stages done", "request", x.call.ID, "pieces", pieces, "results", len(result.Handles), "took", time.Since(began), "left", time.Until(x.deadline))
 	return nil
 }
@@ -208,6 +210,17 @@
 	}
 	x.s.endpoints.setUnreachable(result.UnreachableDataCenters, time.Now())
 	x.stagesDone, x.releaseResults, x.engine, x.fetchFrom = true, release, result.Engine, result.FetchFrom
+	x.applyLimits(result)
+}
+
+// applyLimits applies what the stage owner says of the upstreams' request limits.
+func (x *exchange) applyLimits(r stagework.Result) {
+	x.s.notices.Merge(r.Limits)
+	list := x.s.table.Load().announced[x.service.Name]
+	i := slices.IndexFunc(list, func(m wire.Member) bool { return m.ID == r.Engine })
+	if r.Permitted && i >= 0 {
+		x.setPermit(list[i].Start(), x.s.notices.PermitExpiry())
+	}
 }
 
 func (x *exchange) job() (job stagework.Job, pieces int) {
--- a/node/proxy/unreachable_test.go
+++ b/node/proxy/unreachable_test.go
@@ -35,12 +35,12 @@
 		t.Run(name, func(t *testing.T) {
 			e := newEndpoints(noNotices())
 			e.setUnreachable(c.unreachable, now)
-			m, ok := e.acquire(c.list, criteria{dataCenter: "dc0", chosen: c.wanted}, now.Add(c.after))
+			m, _, ok := e.acquire(c.list, criteria{dataCenter: "dc0", chosen: c.wanted}, now.Add(c.after))
 			if !ok || m.DataCenter != c.want {
 				t.Errorf("%s in %s, %v", m.ID, m.DataCenter, ok)
 			}
 			e.setUnreachable(nil, now)
-			if m, _ := e.acquire(list, criteria{dataCenter: "dc0"}, now); c.want == "dc1" && m.DataCenter != "dc0" {
+			if m, _, _ := e.acquire(list, criteria{dataCenter: "dc0"}, now); c.want == "dc1" && m.DataCenter != "dc0" {
 				t.Errorf("%s was chosen though the data centre is reachable again", m.ID)
 			}
 		})
--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -42,7 +42,7 @@
 	if pause := s.upstreamPause(now, j); pause > 0 && now.Add(pause+s.unloadedTime(j)).After(j.deadline) {
 		return pause, true
 	}
-	if len(s.jobs) < minJobsForEstimates {
+	if len(s.jobs) < minJobsForEstimates && !s.needsLimited(j) {
 		return 0, false
 	}
 	j.retry = s.refusedCallers.has(j.Key, now)
@@ -67,6 +67,17 @@
 	return s.refuseCaller(now, j), true
 }
 
+// needsLimited reports whether all upstreams of a service that the job needs limit their requests, so that even a
+// few jobs may be too many.
+func (s *scheduler) needsLimited(j *job) bool {
+	for _, st := range j.Stages {
+		if q := s.services[st.Service]; st.Pieces > 0 && s.permits.allLimited(q.members) {
+			return true
+		}
+	}
+	return false
+}
+
 // upstreamPause is how long until each service that the job needs has an upstream that accepts calls.
 func (s *scheduler) upstreamPause(now time.Time, j *job) time.Duration {
 	var longest time.Duration
@@ -172,9 +183,20 @@
 // of its upstreams and by the room for results, which are kept for the time hold.
 func (q *serviceQueue) throughput(bytes int64, hold time.Duration) float64 {
 	call := fullCall(q.spec)
-	rate := float64(q.healthyWorkers()) * float64(q.spec.Batch) / call.Seconds() * q.efficiency
+	rate := q.callRate(call) * float64(q.spec.Batch) * q.efficiency
 	if q.spec.ResultRoom > 0 && bytes > 0 {
 		rate = min(rate, float64(q.ownRoom())/float64(bytes)/(call+hold).Seconds())
 	}
 	return rate
 }
+
+// callRate is the number of calls a second that the healthy upstreams can take if each takes that long.
+func (q *serviceQueue) callRate(call time.Duration) float64 {
+	sum := 0.0
+	for _, w := range q.list {
+		if w.healthy() {
+			sum += q.permits.perSecond(w.member, 1/call.Seconds())
+		}
+	}
+	return sum
+}
--- a/node/stagework/calls.go
+++ b/node/stagework/calls.go
@@ -36,7 +36,7 @@
 	header := http.Header{"Content-Type": {"application/json"}}
 	s.protocol.SetHeaders(header, upstream.CallMetadata{Instance: c.worker.member.ID})
 	resp, err := s.pool.Do(ctx, &upstream.Request{Upstream: c.worker.member.Start(), Address: c.worker.member.Direct, Method: http.MethodPost, Target: path,
-		Host: c.worker.member.Direct, Header: header, Body: body, NewConnection: true})
+		Host: c.worker.member.Direct, Header: header, Body: body, NewConnection: true, Permit: upstream.NewPermit(c.worker.member.Start(), s.notices.PermitExpiry())})
 	if err != nil {
 		return errorOutcome(err)
 	}
--- a/node/stagework/engines.go
+++ b/node/stagework/engines.go
@@ -68,6 +68,7 @@
 	ttft          ttftModel         // fitted over all engines
 	lastStall     *stall
 	reachability  *reachability // of data centres; shared with the stage queues
+	permits       *permits      // shared with the stage queues
 }
 
 // engineLoad is the known state of one engine.
@@ -99,10 +100,11 @@
 	fetch        fetch
 	sharedParts  []upstream.PromptPart // of its prompt
 	sentAt       time.Time
+	permitted    bool // it is within the engine's request limit
 }
 
 func newEngines() *engines {
-	return &engines{loads: map[wire.MemberID]*engineLoad{}, holders: holders{}, ttft: newTTFTModel(), split: newSplit(), reachability: newReachability(), lastStall: &stall{}}
+	return &engines{loads: map[wire.MemberID]*engineLoad{}, holders: holders{}, ttft: newTTFTModel(), split: newSplit(), reachability: newReachability(), permits: newPermits(), lastStall: &stall{}}
 }
 
 // setMembers applies the current services and engines.
@@ -163,6 +165,9 @@
 		if m.Cold && spec != nil && !l.coldChooser.Allows(now, e.cold, spec.ColdRate) {
 			continue
 		}
+		if !e.permits.available(now, m) {
+			continue
+		}
 		missing, own := prefillOf(p.Parts, func(id string) bool { return m.ID == first || l.hasPart(id) })
 		x := plan{engine: m, prefill: own}
 		if f, ok := e.planFetch(now, spec, l, source, missing); ok {
@@ -277,7 +282,7 @@
 		x.fetch.start(now)
 		fetchesVar.Add(1)
 	}
-	return &assignment{engine: x.engine.ID, incarnation: x.engine.Incarnation, prefill: x.prefill, prefillAhead: l.waiting, fetch: x.fetch, sharedParts: sharedParts(p.Parts), sentAt: now}
+	return &assignment{engine: x.engine.ID, incarnation: x.engine.Incarnation, prefill: x.prefill, prefillAhead: l.waiting, fetch: x.fetch, sharedParts: sharedParts(p.Parts), sentAt: now, permitted: e.permits.takeLimited(now, x.engine)}
 }
 
 // finishAssignment records that a call no longer waits at the engine.
--- a/node/stagework/job.go
+++ b/node/stagework/job.go
@@ -10,6 +10,7 @@
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/residency"
+	"caperdrum.org/node/upstream"
 )
 
 // Job describes the stages of one call. Times are durations from now, as the clocks of
@@ -51,6 +52,10 @@
 	// FetchFrom is the address of an engine that caches the shared parts of the prompt, from
 	// which Engine should fetch them; empty: Engine prefills what it does not have.
 	FetchFrom string `json:"fetch_from,omitempty"`
+	// Permitted says that the call is within the request limit of Engine, if it has one.
+	Permitted bool `json:"permitted,omitempty"`
+	// Limits are the request limits of the upstreams of the prompt's service.
+	Limits []upstream.LimitNotice `json:"limits,omitempty"`
 	// Moved says that the job continues at the next owner, from the completed stages.
 	Moved           bool             `json:"moved,omitempty"`
 	CompletedStages []CompletedStage `json:"made,omitempty"`
@@ -133,6 +138,11 @@
 	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the stages are busy").WithRetryAfter(comeBack)
 }
 
+// errEnginesLimited refuses a job whose call the request limits of the engines do not admit.
+func errEnginesLimited(service string, retryAfter time.Duration) error {
+	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "all upstreams of service %s limit their requests", service).WithRetryAfter(retryAfter)
+}
+
 // errNotOwner says that another process owns the queues.
 func errNotOwner() error {
 	return verdict.New(verdict.NotRun, verdict.CodeUpstreamLeaving, "another process owns the stages")
--- a/node/stagework/metrics.go
+++ b/node/stagework/metrics.go
@@ -10,20 +10,23 @@
 // Counters since the start of the process. The labels are configured services and the
 // outcomes below, so their number is bounded.
 var (
-	jobsVar           = expvar.NewMap("stagework_jobs")           // jobs that this process ended as the owner, by outcome
-	callsVar          = expvar.NewMap("stagework_calls")          // of upstreams, by service
-	piecesVar         = expvar.NewMap("stagework_pieces")         // in those calls, by service
-	retriedVar        = expvar.NewMap("stagework_pieces_again")   // pieces tried again, by service/reason
-	batchSlotsVar     = expvar.NewMap("stagework_places")         // batch slots of calls made while another batch waited, by service
-	batchSlotsUsedVar = expvar.NewMap("stagework_taken")          // used ones of those slots, by service
-	noRoomVar         = expvar.NewMap("stagework_no_room")        // pieces rejected for want of room, by service
-	failedReportsVar  = expvar.NewMap("stagework_reports_unread") // room reports that failed, by service
-	earlyFreedVar     = expvar.NewInt("stagework_given_up")       // results freed as soon as they were fetched
-	fetchesVar        = expvar.NewInt("stagework_fetches")        // calls for which an engine fetches prompt parts
-	ownerSince        = expvar.NewString("stagework_owner_since")
-	waitingVar        = expvar.NewMap("stagework_waiting")   // pieces, by service; at the owner
-	roomVar           = expvar.NewMap("stagework_room_free") // bytes at all healthy upstreams, by service; at the owner
-	activeJobsVar     = expvar.NewInt("stagework_jobs_now")  // at the owner
+	jobsVar              = expvar.NewMap("stagework_jobs")               // jobs that this process ended as the owner, by outcome
+	callsVar             = expvar.NewMap("stagework_calls")              // of upstreams, by service
+	piecesVar            = expvar.NewMap("stagework_pieces")             // in those calls, by service
+	retriedVar           = expvar.NewMap("stagework_pieces_again")       // pieces tried again, by service/reason
+	batchSlotsVar        = expvar.NewMap("stagework_places")             // batch slots of calls made while another batch waited, by service
+	batchSlotsUsedVar    = expvar.NewMap("stagework_taken")              // used ones of those slots, by service
+	noRoomVar            = expvar.NewMap("stagework_no_room")            // pieces rejected for want of room, by service
+	failedReportsVar     = expvar.NewMap("stagework_reports_unread")     // room reports that failed, by service
+	earlyFreedVar        = expvar.NewInt("stagework_given_up")           // results freed as soon as they were fetched
+	permitsVar           = expvar.NewMap("stagework_permits")            // permits handed out for upstreams that limit their requests, by service; at the owner
+	permitsDeniedVar     = expvar.NewMap("stagework_permits_denied")     // requests for a permit that no upstream's limit admitted, by service; at the owner
+	permitsUnansweredVar = expvar.NewInt("stagework_permits_unanswered") // requests for a permit that the owner did not answer
+	fetchesVar           = expvar.NewInt("stagework_fetches")            // calls for which an engine fetches prompt parts
+	ownerSince           = expvar.NewString("stagework_owner_since")
+	waitingVar           = expvar.NewMap("stagework_waiting")   // pieces, by service; at the owner
+	roomVar              = expvar.NewMap("stagework_room_free") // bytes at all healthy upstreams, by service; at the owner
+	activeJobsVar        = expvar.NewInt("stagework_jobs_now")  // at the owner
 )
 
 // Outcomes of jobs.
--- a/node/stagework/owner_bench_test.go
+++ b/node/stagework/owner_bench_test.go
@@ -64,7 +64,7 @@
 		}
 	}
 	native := upstream.Native{}
-	s := &Service{log: logr.Discard(), protocol: native, pool: upstream.NewPool(native, upstream.NewNotices(logr.Discard(), clockwork.NewRealClock())), events: make(chan func(time.Time), 256), dial: peer.DialTCP, link: newOwnerLink(peer.DialTCP, logr.Discard()),
+	s := &Service{log: logr.Discard(), notices: noNotices(), protocol: native, pool: upstream.NewPool(native, upstream.NewNotices(logr.Discard(), clockwork.NewRealClock())), events: make(chan func(time.Time), 256), dial: peer.DialTCP, link: newOwnerLink(peer.DialTCP, logr.Discard()),
 		address: func() string { return "self:1" }, self: func() wire.Member { return wire.Member{ID: "self", Incarnation: 7} },
 		callers: map[string]*peer.Client{}, scheduler: newScheduler(), pendingFrees: map[*worker][]storedResult{}, submissions: newSubmissions()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
--- a/node/stagework/ownerlink.go
+++ b/node/stagework/ownerlink.go
@@ -79,12 +79,12 @@
 }
 
 // setOwner applies the owner named by the leader. If the previous owner is alive and hands the
-// queues over, its jobs stay there until it answers them.
-func (l *ownerLink) setOwner(o wire.StageOwner, handsOver bool) {
+// queues over, its jobs stay there until it answers them. It reports whether the owner is a new one.
+func (l *ownerLink) setOwner(o wire.StageOwner, handsOver bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if o.Epoch <= l.owner.Epoch {
-		return
+		return false
 	}
 	l.log.Info("stage owner changed", "owner", o.ID, "epoch", o.Epoch, "before", l.owner.ID, "hands_over", handsOver, "jobs", l.jobs)
 	l.releaseOwner(handsOver && l.silentSince.IsZero())
@@ -92,6 +92,7 @@
 	l.lost = newSignal()
 	close(l.changed)
 	l.changed = make(chan struct{})
+	return true
 }
 
 // releaseOwner closes the link to the owner, at once or after its jobs had time to be answered.
--- a/node/stagework/ownerlink_test.go
+++ b/node/stagework/ownerlink_test.go
@@ -66,7 +66,7 @@
 }
 
 func newClientService(t *testing.T) *Service {
-	s := &Service{log: logr.Discard(), link: newOwnerLink(peer.DialTCP, logr.Discard()), submissions: newSubmissions(), address: func() string { return "" }}
+	s := &Service{log: logr.Discard(), notices: noNotices(), link: newOwnerLink(peer.DialTCP, logr.Discard()), submissions: newSubmissions(), address: func() string { return "" }}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	t.Cleanup(func() {
 		s.cancel()
--- a/node/stagework/ownership_test.go
+++ b/node/stagework/ownership_test.go
@@ -14,7 +14,7 @@
 
 // newNamedOwner returns a process that may be named owner, as incarnation 7 of "self".
 func newNamedOwner(t *testing.T) *Service {
-	s := &Service{log: logr.Discard(), events: make(chan func(time.Time), 16), dial: peer.DialTCP, link: newOwnerLink(peer.DialTCP, logr.Discard()),
+	s := &Service{log: logr.Discard(), notices: noNotices(), events: make(chan func(time.Time), 16), dial: peer.DialTCP, link: newOwnerLink(peer.DialTCP, logr.Discard()),
 		address: func() string { return "self:1" }, self: func() wire.Member { return wire.Member{ID: "self", Incarnation: 7} },
 		callers: map[string]*peer.Client{}, scheduler: newScheduler(), pendingFrees: map[*worker][]storedResult{}, submissions: newSubmissions()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
--- a/node/stagework/progress.go
+++ b/node/stagework/progress.go
@@ -99,7 +99,7 @@
 func (j *job) result() Result {
 	r := Result{Handles: j.finalHandles(), Engine: j.assignedEngine()}
 	if j.assignment != nil {
-		r.FetchFrom = j.assignment.fetch.sourceAddress()
+		r.FetchFrom, r.Permitted = j.assignment.fetch.sourceAddress(), j.assignment.permitted
 	}
 	return r
 }
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -38,6 +38,7 @@
 	name                string
 	split               *rollout.Splitter // of this owner's calls between versions
 	reachability        *reachability     // of data centres; shared by all services
+	permits             *permits          // for upstreams that limit their requests; shared by all services
 	strandedDataCenters []string          // unreachable data centres that stranded pieces may try
 	rollout             wire.Rollout      // the service's last one
 
@@ -262,7 +263,8 @@
 	q.split.RecordSent(q.name, w.member.Version)
 	w.addOwn(c.bytes)
 	w.lastCallAt = now
-	w.freeAt = now.Add(time.Duration(float64(c.expected) * max(1, w.slowdown)))
+	q.permits.take(now, w.member)
+	w.freeAt = now.Add(max(time.Duration(float64(c.expected)*max(1, w.slowdown)), q.permits.wait(now, w.member)))
 	c.timeout = callLimit(c.expected, w.slowdown)
 	return c
 }
--- a/node/stagework/room.go
+++ b/node/stagework/room.go
@@ -124,6 +124,9 @@
 				w.foreignBytes, w.reportAt = 0, time.Time{}
 				s.startPending = true
 			}
+			if _, limited := s.permits.limit(w.member); limited {
+				continue // its limit is for work
+			}
 			if !w.reportAt.IsZero() && !w.reportPending && !now.Before(w.reportAt) && s.reportLimit.take() {
 				w.reportPending = true
 				out = append(out, w)
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -37,6 +37,7 @@
 	backlog        backlog
 	gaugesSet      time.Time
 	reachability   *reachability
+	permits        *permits
 	lastStall      *stall
 	unconfirmed    bool // was the owner before the last stall, and is not confirmed since
 
@@ -46,7 +47,7 @@
 
 func newScheduler() *scheduler {
 	e := newEngines()
-	return &scheduler{services: map[string]*serviceQueue{}, jobs: map[string]*job{}, engines: e, split: e.split, reachability: e.reachability, lastStall: e.lastStall, counter: rollout.NewCounter(), refusedCallers: refusedCallers{}}
+	return &scheduler{services: map[string]*serviceQueue{}, jobs: map[string]*job{}, engines: e, split: e.split, reachability: e.reachability, permits: e.permits, lastStall: e.lastStall, counter: rollout.NewCounter(), refusedCallers: refusedCallers{}}
 }
 
 // restartLostJobs restarts jobs with results at upstreams that restarted, and returns their other
@@ -101,6 +102,10 @@
 			answer(Result{}, errOverloaded(wait))
 			return nil
 		}
+		if wait, admitted := s.admitEngineCall(now, n); !admitted {
+			answer(Result{}, errEnginesLimited(n.Prompt.Service, wait))
+			return nil
+		}
 	}
 	s.advanceBacklog(now)
 	s.jobs[j.SubmissionID] = n
@@ -127,6 +132,14 @@
 	j.goal = j.firstEvent.Add(-x.ttft - engineMargin)
 }
 
+// admitEngineCall reports whether the request limits of the engines admit the job's call.
+func (s *scheduler) admitEngineCall(now time.Time, j *job) (retryAfter time.Duration, admitted bool) {
+	if j.Prompt == nil {
+		return 0, true
+	}
+	return s.permits.admit(now, j.Prompt.Service, s.engines.members[j.Prompt.Service])
+}
+
 // engineMargin is the slack between the stages and the first event on top of the engine's
 // expected time: four one-way delays between processes and one step of the engine.
 const engineMargin = 30 * time.Millisecond
@@ -140,6 +153,7 @@
 	}
 	if owner && !s.owner {
 		s.reachability.reset() // knowledge from an earlier ownership is out of date
+		s.permits.reset(now, after)
 	}
 	s.owner, s.unconfirmed = owner, false
 	if owner {
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -62,6 +62,9 @@
 	dial        peer.Dialer
 	submissions *submissions
 
+	notices      *upstream.Notices
+	limitReports *limitReports
+
 	scheduler         *scheduler              // used by the owner goroutine only, as are the fields below
 	callers           map[string]*peer.Client // by peer address, for progress updates
 	pendingFrees      map[*worker][]storedResult
@@ -74,9 +77,11 @@
 // New returns the service and registers its methods with the process's peer server.
 func New(p Params) *Service {
 	s := &Service{log: p.Log, protocol: p.Protocol, pool: upstream.NewPool(p.Protocol, p.Notices),
-		events: make(chan func(time.Time), 256), dial: p.Dial, submissions: newSubmissions(),
+		events: make(chan func(time.Time), 256), dial: p.Dial, submissions: newSubmissions(), notices: p.Notices, limitReports: newLimitReports(),
 		address: func() string { return p.ConfigSync.Self().Peer }, self: p.ConfigSync.Self, ownership: knownOwnerOf(p.ConfigSync), callers: map[string]*peer.Client{}, scheduler: newScheduler(), pendingFrees: map[*worker][]storedResult{}}
 	s.scheduler.counter = p.Counter
+	s.scheduler.permits.notices = p.Notices
+	p.Notices.OnLimitChanged(func(start wire.Start) { s.limitReports.add(start) })
 	s.scheduler.engines.cold = p.Settings.Proxy.ColdLimit()
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.link = newOwnerLink(p.Dial, p.Log)
@@ -88,6 +93,8 @@
 	peer.Handle(server, methodRun, s.handleRun)
 	peer.Handle(server, methodDone, s.handleDone)
 	peer.Handle(server, methodProgress, s.handleProgress)
+	peer.Handle(server, methodPermit, s.handlePermit)
+	peer.Handle(server, methodLimits, s.handleLimits)
 	p.ConfigSync.OnChange(func(v *configsync.View) {
 		self := p.ConfigSync.Self()
 		s.post(func(now time.Time) {
@@ -97,7 +104,10 @@
 			s.closeStaleCallers(v.Proxies)
 			s.setOwnership(now, v.Owner, v.Owner.ID == self.ID && v.Owner.Incarnation == self.Incarnation, "view")
 		})
-		s.link.setOwner(v.Owner, s.link.handsOver(v.Members))
+		p.Notices.UpdateMembers(v.Members)
+		if s.link.setOwner(v.Owner, s.link.handsOver(v.Members)) {
+			s.limitReports.add(p.Notices.LimitedUpstreams()...)
+		}
 	})
 	return s
 }
@@ -145,6 +155,7 @@
 	go s.loop()
 	go s.link.monitor(s.ctx)
 	go s.pool.Run(s.ctx)
+	go s.runLimitReports(s.ctx)
 	return nil
 }
 
@@ -175,6 +186,7 @@
 			s.closeStaleCallers(nil)
 			return
 		case f := <-s.events:
+			s.confirmPermits(time.Now())
 			f(s.now())
 			s.drainEvents()
 		case <-timer.C:
@@ -233,6 +245,7 @@
 		s.learnOwnership(now, j.Owner)
 		s.scheduleFree(s.scheduler.submit(now, *j, func(r Result, err error) {
 			r.UnreachableDataCenters = s.scheduler.reachability.unreachableDataCenters()
+			r.Limits = s.limitsFor(j)
 			s.logJobEnd(j, r, err)
 			answered <- answer{r, err}
 		}))
--- a/node/stagework/stall_test.go
+++ b/node/stagework/stall_test.go
@@ -189,7 +189,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			sched, now := fleetOwner(90)
-			s := &Service{log: logr.Discard(), self: func() wire.Member { return self }, ownership: func() knownOwner { return c.known }, scheduler: sched}
+			s := &Service{log: logr.Discard(), notices: noNotices(), self: func() wire.Member { return self }, ownership: func() knownOwner { return c.known }, scheduler: sched}
 			sched.recordStall(now)
 			s.confirmOwnership(now.Add(100 * time.Millisecond))
 			if sched.unconfirmed == c.ends {
--- a/node/stagework/workers.go
+++ b/node/stagework/workers.go
@@ -76,7 +76,7 @@
 
 // canTake reports whether the upstream can take a call now.
 func (q *serviceQueue) canTake(w *worker, now time.Time) bool {
-	return !w.gone && !w.leaving && !now.Before(w.pausedUntil) && w.runningCalls < max(1, q.spec.Calls) && !now.Before(w.backoffUntil) && q.freeRoomAt(w) > 0 && !q.skips(w, now)
+	return !w.gone && !w.leaving && !now.Before(w.pausedUntil) && w.runningCalls < max(1, q.spec.Calls) && !now.Before(w.backoffUntil) && q.freeRoomAt(w) > 0 && !q.skips(w, now) && q.permits.available(now, w.member)
 }
 
 // idleWorkers counts the upstreams that would start a newly queued piece at once.
@@ -160,7 +160,7 @@
 func (q *serviceQueue) shortestPause(now time.Time) time.Duration {
 	least := time.Duration(0)
 	for _, w := range q.list {
-		pause := w.pausedUntil.Sub(now)
+		pause := max(w.pausedUntil.Sub(now), q.permits.wait(now, w.member))
 		switch {
 		case w.leaving:
 		case pause <= 0:
--- a/node/upstream/call.go
+++ b/node/upstream/call.go
@@ -26,6 +26,7 @@
 	MaxConnections int    // maximum of connections to the address; zero is no limit
 	NewConnection  bool   // use a new connection, since a response without an id may belong to another call
 	Auxiliary      bool   // a report or a release, whose response need not state what responses to calls do
+	Permit         Permit // needed if the upstream limits its requests
 }
 
 // Response is an upstream's response whose body is still to be read. It must be closed.
@@ -47,16 +48,16 @@
 // byte of the request was sent, for example because the upstream accepts no calls; see Notices. When ctx ends
 // the connection is closed, which most upstreams take as a cancellation.
 func (p *Pool) Do(ctx context.Context, req *Request) (*Response, error) {
-	if err := p.notices.checkAvailable(req.Upstream); err != nil {
+	if err := p.notices.Check(req.Upstream, req.Permit); err != nil {
 		return nil, err
 	}
 	c, err := p.get(ctx, req.Address, req.MaxConnections, req.NewConnection)
 	if err != nil {
 		return nil, err
 	}
-	// A response to another call may have announced a pause or the upstream's leaving while the connection
-	// was made.
-	if err := p.notices.checkAvailable(req.Upstream); err != nil {
+	// A response to another call may have announced a pause, a limit or the upstream's leaving while the
+	// connection was made.
+	if err := p.notices.Check(req.Upstream, req.Permit); err != nil {
 		c.Close()
 		return nil, err
 	}
--- a/node/upstream/native.go
+++ b/node/upstream/native.go
@@ -23,7 +23,7 @@
 	headerFetch         = "Caperdrum-Fetch-From"
 	headerLeaving       = "Caperdrum-Leaving"
 	headerRequestLimit  = "Caperdrum-Request-Limit" // requests per second from all processes together; absent for no limit
-	headerLastEventID   = "Last-Event-Id" // of server-sent events (WHATWG HTML)
+	headerLastEventID   = "Last-Event-Id"           // of server-sent events (WHATWG HTML)
 	headerAuthorization = "Authorization"
 
 	pathPieces = "/v1/pieces"
--- a/node/upstream/notices.go
+++ b/node/upstream/notices.go
@@ -10,6 +10,7 @@
 
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/memberset"
 )
 
 // Counters since the process started.
@@ -18,9 +19,11 @@
 	leavingVar  = expvar.NewInt("upstream_leaving_said")   // incarnations that announced in a response that they are leaving
 	withheldVar = expvar.NewInt("upstream_calls_withheld") // calls not sent because the upstream asked for a pause or is leaving
 
-	limitsNamedVar   = expvar.NewInt("upstream_limits_named")   // request limits that upstreams named or changed
-	limitsEndedVar   = expvar.NewInt("upstream_limits_ended")   // request limits that upstreams no longer name
-	limitsInvalidVar = expvar.NewInt("upstream_limits_invalid") // responses that name an invalid limit, or limits that differ
+	limitsNamedVar   = expvar.NewInt("upstream_limits_named")      // request limits that upstreams named or changed
+	limitsEndedVar   = expvar.NewInt("upstream_limits_ended")      // request limits that upstreams no longer name
+	limitsInvalidVar = expvar.NewInt("upstream_limits_invalid")    // responses that name an invalid limit, or limits that differ
+	limitsNowVar     = expvar.NewInt("upstream_limits_now")        // upstreams known to name a limit
+	unpermittedVar   = expvar.NewInt("upstream_calls_unpermitted") // calls not sent because they had no permit for a limited upstream
 )
 
 const (
@@ -32,13 +35,17 @@
 )
 
 // Notices record what upstreams announced in their responses to this process: that they accept no calls for a
-// while, or that they are leaving. A notice holds for one incarnation of an upstream.
+// while, that they are leaving, or that they limit the requests from all processes together. A notice holds for
+// one incarnation of an upstream. Other processes tell of limits as well; see Merge.
 type Notices struct {
 	log   logr.Logger
 	clock clockwork.Clock
 
-	mu      sync.Mutex
-	byStart map[wire.Start]notice
+	mu             sync.Mutex
+	byStart        map[wire.Start]notice
+	limited        int // upstreams that name a limit
+	members        memberset.Set
+	onLimitChanged func(wire.Start)
 }
 
 type notice struct {
@@ -46,7 +53,8 @@
 	leaving     bool
 	limited     bool      // the upstream names a request limit
 	limit       float64   // in requests per second, if limited
-	lastHeard   time.Time // time of the last response that said so
+	limitHeard  time.Time // time of the last response that named or ended a limit; zero if there was none
+	lastHeard   time.Time // time of the last response that said any of this
 }
 
 // NewNotices returns an empty set of notices.
@@ -56,16 +64,23 @@
 
 // Record records what a response announces.
 func (n *Notices) Record(start wire.Start, a ResponseInfo) {
+	if n.record(start, a) && n.onLimitChanged != nil {
+		n.onLimitChanged(start)
+	}
+}
+
+// record reports whether the response changes the upstream's limit.
+func (n *Notices) record(start wire.Start, a ResponseInfo) (limitChanged bool) {
 	now := n.clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.logInvalidLimit(start, a.Limit)
-	current, known := n.byStart[start]
-	if a.Pause <= 0 && !a.Leaving && a.Limit.Statement != LimitNamed && !(known && a.Limit.Statement == LimitNone) {
-		return
+	current := n.byStart[start]
+	endsLimit := a.Limit.Statement == LimitNone && current.limited
+	if a.Pause <= 0 && !a.Leaving && a.Limit.Statement != LimitNamed && !endsLimit {
+		return false
 	}
 	n.expire(now)
-	n.recordLimit(start, &current, a.Limit)
 	if a.Leaving && !current.leaving {
 		leavingVar.Add(1)
 		n.log.Info("upstream announced that it is leaving", "upstream", start.ID)
@@ -79,21 +94,11 @@
 	}
 	current.leaving = current.leaving || a.Leaving
 	current.lastHeard = now
-	n.byStart[start] = current
-}
-
-// recordLimit applies what a response says about the upstream's request limit.
-func (n *Notices) recordLimit(start wire.Start, current *notice, l RequestLimit) {
-	switch {
-	case l.Statement == LimitNamed && (!current.limited || current.limit != l.PerSecond):
-		limitsNamedVar.Add(1)
-		n.log.Info("upstream named a request limit", "upstream", start.ID, "per_second", l.PerSecond, "before", current.limit, "limited_before", current.limited)
-		current.limited, current.limit = true, l.PerSecond
-	case l.Statement == LimitNone && current.limited:
-		limitsEndedVar.Add(1)
-		n.log.Info("upstream ended its request limit", "upstream", start.ID, "before", current.limit)
-		current.limited, current.limit = false, 0
+	if endsLimit || a.Limit.Statement == LimitNamed {
+		limitChanged = n.setLimit(start, &current, LimitNotice{Upstream: start, PerSecond: a.Limit.PerSecond, Ended: endsLimit}, now)
 	}
+	n.byStart[start] = current
+	return limitChanged
 }
 
 func (n *Notices) logInvalidLimit(start wire.Start, l RequestLimit) {
@@ -104,16 +109,34 @@
 	n.log.Info("invalid request limit", "upstream", start.ID, "values", l.Invalid, "in_force", l.Statement == LimitNamed, "per_second", l.PerSecond)
 }
 
+// expire deletes old notices. A limit of a current member stays known: processes that forget it would all send
+// a request to learn of it again.
 func (n *Notices) expire(now time.Time) {
 	for start, x := range n.byStart {
-		if now.Sub(x.lastHeard) > noticeRetention && now.After(x.pausedUntil) && !x.limited {
-			delete(n.byStart, start)
+		if now.Sub(x.lastHeard) <= noticeRetention || !now.After(x.pausedUntil) || x.limited && n.isMember(start) {
+			continue
 		}
+		if x.limited {
+			n.countLimited(-1)
+		}
+		delete(n.byStart, start)
 	}
 }
 
-// checkAvailable returns why nothing may be sent to the upstream now, or nil.
-func (n *Notices) checkAvailable(start wire.Start) error {
+func (n *Notices) isMember(start wire.Start) bool {
+	m, known := n.members.Get(start.ID)
+	return known && m.Start() == start
+}
+
+// UpdateMembers sets the current members.
+func (n *Notices) UpdateMembers(members memberset.Set) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members = members
+}
+
+// Check returns why a request with that permit may not be sent to the upstream now, or nil.
+func (n *Notices) Check(start wire.Start, permit Permit) error {
 	pause, leaving := n.State(start)
 	switch {
 	case leaving:
@@ -123,6 +146,10 @@
 		withheldVar.Add(1)
 		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "upstream %s has asked for a pause", start.ID).WithRetryAfter(pause)
 	}
+	if _, limited := n.Limit(start); limited && !permit.validFor(start, n.clock.Now()) {
+		unpermittedVar.Add(1)
+		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "upstream %s limits its requests, and there is no permit for this one", start.ID)
+	}
 	return nil
 }
 
@@ -132,23 +159,6 @@
 	return pause == 0 && !leaving
 }
 
-// ShortestPause returns the time until one of the upstreams accepts calls again; zero if one does now, or if
-// none will.
-func (n *Notices) ShortestPause(members []wire.Member) time.Duration {
-	least := time.Duration(0)
-	for _, m := range members {
-		pause, leaving := n.State(m.Start())
-		switch {
-		case leaving:
-		case pause == 0:
-			return 0
-		case least == 0 || pause < least:
-			least = pause
-		}
-	}
-	return least
-}
-
 // State returns for how long the upstream still accepts no calls, and whether it is leaving.
 func (n *Notices) State(start wire.Start) (pause time.Duration, leaving bool) {
 	n.mu.Lock()
