gate: an agent keeps to the request limit that its upstream names

The same cause elsewhere: the agent is the only way to its upstream and did not read the limit either, so an upstream with an agent got as many attempts as its slots took. Now attempts that wait start at the rate of the limit, new ones beyond it are refused at once as not run with a Retry-After, and a response without the header ends the limit.

--- a/api/wire/headers.go
+++ b/api/wire/headers.go
@@ -12,6 +12,9 @@
 	HeaderConfigVersion  = "X-Config-Version"
 	HeaderReplayed       = "X-Idempotent-Replayed" // "true" if the answer is a recorded one
 	HeaderRetryAfter     = "Retry-After"           // whole seconds, RFC 9110 section 10.2.3
+	// HeaderRequestLimit names how many requests per second an upstream takes from all processes together;
+	// without it there is no limit.
+	HeaderRequestLimit = "Caperdrum-Request-Limit"
 )
 
 // Headers between an entry and a gate. The Trailer names are HTTP trailers: an answer
--- a/node/gate/run.go
+++ b/node/gate/run.go
@@ -16,6 +16,7 @@
 
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/upstream"
 )
 
 const readChunk = 32 << 10 // bytes
@@ -62,6 +63,7 @@
 		return callFailure(ctx, err, written.Load())
 	}
 	defer resp.Body.Close()
+	s.recordLimit(upstream.ParseRequestLimit(resp.Header.Values(wire.HeaderRequestLimit)))
 	header := http.Header{}
 	wire.ForwardResponseHeaders(header, resp.Header)
 	a.response.start(resp.StatusCode, header)
--- a/node/gate/table.go
+++ b/node/gate/table.go
@@ -70,6 +70,7 @@
 	limits   limits
 	limiter  limiter
 	leaving  bool
+	pace     pace
 	runTime  ewma // seconds an attempt runs
 	timer    clockwork.Timer
 	timerAt  time.Time // when timer fires; zero while it is not set
@@ -130,7 +131,7 @@
 		t.tombstone(a, refusal)
 		return refusal
 	}
-	if t.running < t.limit() {
+	if t.mayStart() {
 		t.startAttempt(a)
 		return nil
 	}
@@ -197,6 +198,8 @@
 		return verdict.New(verdict.NotRun, verdict.CodeUpstreamLeaving, "the upstream is leaving").WithRetryAfter(time.Second)
 	case left <= 0 || t.usesEstimates() && t.waitMargin(a)*wait+t.expectedRun() > left:
 		return deadlineRefusal(wait)
+	case t.pace.wait(t.clock.Now()) > 0:
+		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the upstream limits its requests").WithRetryAfter(max(wait, retryAfterMin))
 	case t.running >= t.limit() && t.queue.len() >= t.limits.queueLength && !t.displaceFor(a):
 		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the queue is full").WithRetryAfter(max(wait, retryAfterMin))
 	}
@@ -228,11 +231,12 @@
 
 // expectedWait estimates the time until a new attempt would start.
 func (t *table) expectedWait(a *attempt) time.Duration {
+	limited := t.pace.waitFor(t.clock.Now(), t.queue.attemptsAhead(a)+1)
 	if t.running < t.limit() {
-		return 0
+		return limited
 	}
 	rounds := float64(t.queue.attemptsAhead(a)+1) / float64(t.limit())
-	return time.Duration(rounds * t.runTime.value * float64(time.Second))
+	return max(limited, time.Duration(rounds*t.runTime.value*float64(time.Second)))
 }
 
 func (t *table) waitMargin(a *attempt) time.Duration {
@@ -255,7 +259,13 @@
 	return a.deadline
 }
 
+// mayStart reports whether the upstream can take one more attempt now.
+func (t *table) mayStart() bool {
+	return t.running < t.limit() && t.pace.wait(t.clock.Now()) == 0
+}
+
 func (t *table) startAttempt(a *attempt) {
+	t.pace.take(t.clock.Now())
 	a.state = wire.AttemptRunning
 	a.started = t.clock.Now()
 	t.running++
@@ -284,7 +294,7 @@
 
 // startQueued starts queued attempts up to the limit.
 func (t *table) startQueued() {
-	for t.running < t.limit() {
+	for t.mayStart() {
 		a := t.queue.pop()
 		if a == nil {
 			return
--- a/node/gate/timer.go
+++ b/node/gate/timer.go
@@ -33,6 +33,9 @@
 	}
 	if a := t.queue.earliestDeadline(); a != nil {
 		sooner(t.latestStart(a))
+		if wait := t.pace.wait(t.clock.Now()); wait > 0 {
+			sooner(t.clock.Now().Add(wait))
+		}
 	}
 	if u := t.records.unread; len(u) > 0 {
 		sooner(u[0].unreadSince.Add(unreadGrace))
@@ -43,8 +46,8 @@
 	return next
 }
 
-// sweep handles due events: it refuses waiting attempts that can no longer finish in time, abandons those
-// without a reader and expires old records.
+// sweep handles due events: it refuses waiting attempts that can no longer finish in time, starts those that the
+// upstream's request limit admits, abandons those without a reader and expires old records.
 func (t *table) sweep() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -52,6 +55,7 @@
 	t.expireRecords()
 	t.abandonUnread()
 	t.refuseLate()
+	t.startQueued()
 	t.resetTimer()
 }
 
--- a/node/gate/upstream_test.go
+++ b/node/gate/upstream_test.go
@@ -86,7 +86,7 @@
 			for _, body := range []string{"", "order"} {
 				t.Run(fmt.Sprintf("%s %q read=%v", method, body, readNext), func(t *testing.T) {
 					u := newClosingUpstream(t, 3, readNext)
-					s := &Service{set: settings.AgentRole{Upstream: u.Addr().String(), MaxAnswerBytes: 1 << 20}, upstream: newUpstreamClients()}
+					s := &Service{set: settings.AgentRole{Upstream: u.Addr().String(), MaxAnswerBytes: 1 << 20}, upstream: newUpstreamClients(), table: newGateModel().table}
 					failed := 0
 					for i := range calls {
 						a := &attempt{method: method, path: fmt.Sprintf("/%d", i), header: http.Header{"Idempotency-Key": {"k"}}, body: []byte(body), response: newResponseBuffer()}
--- a/node/upstream/native.go
+++ b/node/upstream/native.go
@@ -22,8 +22,7 @@
 	headerInputs        = "Caperdrum-Inputs" // handles, comma-separated
 	headerFetch         = "Caperdrum-Fetch-From"
 	headerLeaving       = "Caperdrum-Leaving"
-	headerRequestLimit  = "Caperdrum-Request-Limit" // requests per second from all processes together; absent for no limit
-	headerLastEventID   = "Last-Event-Id"           // of server-sent events (WHATWG HTML)
+	headerLastEventID   = "Last-Event-Id" // of server-sent events (WHATWG HTML)
 	headerAuthorization = "Authorization"
 
 	pathPieces = "/v1/pieces"
@@ -97,7 +96,7 @@
 	notRun := verdict.Parse(h.Get(wire.HeaderVerdict)) == verdict.NotRun || status == http.StatusMisdirectedRequest
 	return ResponseInfo{ID: h.Get(wire.HeaderRequestID), NotRun: notRun, Instance: wire.MemberID(h.Get(headerInstance)),
 		Pause: ParseRetryAfter(status, h, time.Now()), Leaving: h.Get(headerLeaving) != "",
-		Limit: ParseRequestLimit(h.Values(headerRequestLimit))}
+		Limit: ParseRequestLimit(h.Values(wire.HeaderRequestLimit))}
 }
 
 // nativePiece is a piece in the body of a call.
