--- a/node/proxy/endpoints.go
+++ b/node/proxy/endpoints.go
@@ -164,13 +164,19 @@
 	return e.pickBest(list[i:i+1], c, now)
 }
 
-// limitedCandidates returns the upstreams that limit their requests and could take the call with a permit,
-// first before the others.
+// maxPermitCandidates bounds the upstreams for which one request for a permit asks.
+const maxPermitCandidates = 64
+
+// limitedCandidates returns upstreams that limit their requests and could take the call with a permit, first
+// before the others.
 func (e *endpoints) limitedCandidates(list []wire.Member, first wire.Member, c criteria, now time.Time) []wire.Member {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	out := []wire.Member{first}
 	for i, m := range list {
+		if len(out) == maxPermitCandidates {
+			break
+		}
 		_, limited := e.notices.Limit(m.Start())
 		if _, usable := e.pickBest(list[i:i+1], c, now); limited && usable && m.ID != first.ID {
 			out = append(out, m)
@@ -212,7 +218,7 @@
 	least := time.Duration(0)
 	for _, m := range list {
 		wait, leaving := e.notices.State(m.Start())
-		if after, denied := e.denials.Denied(now, m.Start()); denied {
+		if after, denied := e.denied(m, now); denied {
 			wait = max(wait, after)
 		}
 		switch {
@@ -280,7 +286,10 @@
 	var bestRank rank
 	for i, m := range list {
 		ep := e.get(m.Start())
-		if ep.addressTaken || slices.Contains(c.tried, m.Start()) || !e.allowsCold(m, c, now) || !e.notices.Accepts(m.Start()) || m.ID != c.permitted && e.denied(m, now) {
+		if ep.addressTaken || slices.Contains(c.tried, m.Start()) || !e.allowsCold(m, c, now) || !e.notices.Accepts(m.Start()) {
+			continue
+		}
+		if _, denied := e.denied(m, now); denied && m.ID != c.permitted {
 			continue
 		}
 		r := e.rank(ep, m, c, now)
@@ -297,14 +306,14 @@
 	return list[best], true
 }
 
-// denied reports whether there was no permit for the upstream a moment ago.
-func (e *endpoints) denied(m wire.Member, now time.Time) bool {
-	_, denied := e.denials.Denied(now, m.Start())
-	if !denied {
-		return false
+// denied reports whether there was no permit for a limited upstream a moment ago, and when callers should come back
+// then.
+func (e *endpoints) denied(m wire.Member, now time.Time) (retryAfter time.Duration, denied bool) {
+	if retryAfter, denied = e.denials.Denied(now, m.Start()); !denied {
+		return 0, false
 	}
 	_, limited := e.notices.Limit(m.Start())
-	return limited
+	return retryAfter, limited
 }
 
 // allowsCold reports whether the limits for cold upstreams allow the call.
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -193,7 +193,7 @@
 	x.s.endpoints.setUnreachable(result.UnreachableDataCenters, time.Now())
 	x.inputs, x.stagesDone, x.releaseResults = result.Handles, true, release
 	x.engine, x.fetchFrom, x.engineOutcome = result.Engine, result.FetchFrom, stagework.EngineUnknown
-	x.applyLimits(result)
+	x.applyPermit(result)
 	x.s.log.V(logging.Routine).Info("stages done", "request", x.call.ID, "pieces", pieces, "results", len(result.Handles), "took", time.Since(began), "left", time.Until(x.deadline))
 	return nil
 }
@@ -210,12 +210,11 @@
 	}
 	x.s.endpoints.setUnreachable(result.UnreachableDataCenters, time.Now())
 	x.stagesDone, x.releaseResults, x.engine, x.fetchFrom = true, release, result.Engine, result.FetchFrom
-	x.applyLimits(result)
+	x.applyPermit(result)
 }
 
-// applyLimits applies what the stage owner says of the upstreams' request limits.
-func (x *exchange) applyLimits(r stagework.Result) {
-	x.s.notices.Merge(r.Limits)
+// applyPermit records that the stage owner's choice is within the engine's request limit.
+func (x *exchange) applyPermit(r stagework.Result) {
 	list := x.s.table.Load().announced[x.service.Name]
 	i := slices.IndexFunc(list, func(m wire.Member) bool { return m.ID == r.Engine })
 	if r.Permitted && i >= 0 {
--- a/node/requestlimit/allocator.go
+++ b/node/requestlimit/allocator.go
@@ -11,6 +11,7 @@
 package requestlimit
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -29,6 +30,8 @@
 	// minRate is the rate in requests per second at which upstreams that name a lower limit are
 	// still called: only a response shows that a limit has ended.
 	minRate = 1.0 / 60
+	// maxRate is the rate above which a limit makes no difference.
+	maxRate = 1e6
 	// burst and burstTime set how many permits can be saved up: burst plus those of burstTime. They
 	// are for requests that come unevenly, and cover the longest wait of Wait.
 	burst     = 2
@@ -48,7 +51,8 @@
 	PerSecond float64 // zero or more
 }
 
-func (l Limited) rate() float64 { return max(l.PerSecond, minRate) }
+// rate returns the limit within the bounds between which permits are handed out.
+func (l Limited) rate() float64 { return min(max(l.PerSecond, minRate), maxRate) }
 
 // Allocator hands out permits. Its zero value is ready to use. It is not safe for concurrent use.
 type Allocator struct {
@@ -93,7 +97,8 @@
 	if now.Before(a.reducedUntil) {
 		rate *= reducedShare
 	}
-	return max(0, time.Duration(min((1-b.tokens)/rate, maxInterval.Seconds()/reducedShare)*float64(time.Second)))
+	seconds := min((1-b.tokens)/rate, maxInterval.Seconds()/reducedShare)
+	return max(0, time.Duration(math.Ceil(seconds*float64(time.Second))))
 }
 
 // bucket returns the upstream's bucket, filled up to now.
--- a/node/stagework/job.go
+++ b/node/stagework/job.go
@@ -10,7 +10,6 @@
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/residency"
-	"caperdrum.org/node/upstream"
 )
 
 // Job describes the stages of one call. Times are durations from now, as the clocks of
@@ -52,10 +51,8 @@
 	// FetchFrom is the address of an engine that caches the shared parts of the prompt, from
 	// which Engine should fetch them; empty: Engine prefills what it does not have.
 	FetchFrom string `json:"fetch_from,omitempty"`
-	// Permitted says that the call is within the request limit of Engine, if it has one.
+	// Permitted says that the owner knows of a request limit of Engine, and that it admits the call.
 	Permitted bool `json:"permitted,omitempty"`
-	// Limits are the request limits of the upstreams of the prompt's service.
-	Limits []upstream.LimitNotice `json:"limits,omitempty"`
 	// Moved says that the job continues at the next owner, from the completed stages.
 	Moved           bool             `json:"moved,omitempty"`
 	CompletedStages []CompletedStage `json:"made,omitempty"`
--- a/node/stagework/permits.go
+++ b/node/stagework/permits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -28,8 +29,11 @@
 	permitTimeout = 100 * time.Millisecond
 	// noOwnerWait is how long a process that got no answer waits before it asks again.
 	noOwnerWait = 200 * time.Millisecond
-	// maxLimitRetryAfter bounds the retry-after of callers that limits do not admit.
+	// minLimitRetryAfter and maxLimitRetryAfter bound the retry-after of callers that limits do not admit.
+	minLimitRetryAfter = 200 * time.Millisecond
 	maxLimitRetryAfter = 10 * time.Second
+	// maxReplyLimits bounds the upstreams of a service of whose limits a reply tells, besides those asked for.
+	maxReplyLimits = 64
 	// limitReportDelay is how long changed limits are collected for one report.
 	limitReportDelay = 10 * time.Millisecond
 )
@@ -156,13 +160,14 @@
 }
 
 // retryAfter is when callers that the limits of the upstreams do not admit should come back: when the limits
-// have admitted those that are waiting already.
+// have admitted those that are waiting already, spread over half of that time again.
 func (p *permits) retryAfter(now time.Time, service string, list []requestlimit.Limited) time.Duration {
 	waiting := 1.0
 	if r := p.refused[service]; r != nil {
 		waiting += r.lately(now)
 	}
-	return time.Duration(min(waiting*float64(requestlimit.SumInterval(list)), float64(maxLimitRetryAfter)))
+	wait := waiting * float64(requestlimit.SumInterval(list)) * (1 + rand.Float64()/2)
+	return max(minLimitRetryAfter, time.Duration(min(wait, float64(maxLimitRetryAfter))))
 }
 
 func countIn(m map[string]*rate, service string, now time.Time, n int) {
@@ -177,10 +182,7 @@
 
 // answer answers a request for a permit. members are the upstreams of the service.
 func (p *permits) answer(now time.Time, req *PermitRequest, members []wire.Member) *PermitReply {
-	reply := &PermitReply{}
-	if p.notices != nil {
-		reply.Limits = p.notices.LimitNotices(starts(members))
-	}
+	reply := &PermitReply{Limits: p.limitsToTell(req, members)}
 	countIn(p.refused, req.Service, now, req.Refused)
 	var limited []requestlimit.Limited
 	for _, n := range req.Upstreams {
@@ -198,6 +200,21 @@
 	return reply
 }
 
+// limitsToTell returns the limits of which the reply to a request tells.
+func (p *permits) limitsToTell(req *PermitRequest, members []wire.Member) []upstream.LimitNotice {
+	if p.notices == nil {
+		return nil
+	}
+	if len(members) <= maxReplyLimits {
+		return p.notices.LimitNotices(starts(members))
+	}
+	var asked []wire.Start
+	for _, n := range req.Upstreams {
+		asked = append(asked, n.Upstream)
+	}
+	return p.notices.LimitNotices(asked)
+}
+
 // handlePermit is the owner's side of Permit.
 func (s *Service) handlePermit(ctx context.Context, req *PermitRequest) (*PermitReply, error) {
 	s.notices.Merge(req.Upstreams)
@@ -248,7 +265,7 @@
 	req := PermitRequest{Service: service, Upstreams: s.notices.LimitNotices(starts(list)), Refused: refused, Owner: s.link.currentOwner()}
 	if err := callWithin(ctx, client, methodPermit, req, &reply); err != nil {
 		permitsUnansweredVar.Add(1)
-		s.log.Info("no permit", "service", service, "owner", req.Owner.ID, "error", err.Error())
+		s.log.Info("permit request failed", "service", service, "owner", req.Owner.ID, "error", err.Error())
 		return PermitReply{Wait: noOwnerWait, RetryAfter: noOwnerRetryAfter}
 	}
 	s.notices.Merge(reply.Limits)
@@ -263,14 +280,6 @@
 	return out
 }
 
-// limitsFor returns the limits of the upstreams that may take the job's call.
-func (s *Service) limitsFor(j *Job) []upstream.LimitNotice {
-	if j.Prompt == nil {
-		return nil
-	}
-	return s.notices.LimitNotices(starts(s.scheduler.engines.members[j.Prompt.Service]))
-}
-
 // callWithin calls a method until ctx ends. The deadline must not reach the client, which takes an expired one
 // for a broken connection.
 func callWithin(ctx context.Context, client *peer.Client, method string, req, reply any) error {
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -245,7 +245,6 @@
 		s.learnOwnership(now, j.Owner)
 		s.scheduleFree(s.scheduler.submit(now, *j, func(r Result, err error) {
 			r.UnreachableDataCenters = s.scheduler.reachability.unreachableDataCenters()
-			r.Limits = s.limitsFor(j)
 			s.logJobEnd(j, r, err)
 			answered <- answer{r, err}
 		}))
