--- a/node/gate/pace.go
+++ b/node/gate/pace.go
@@ -12,6 +12,7 @@
 type pace struct {
 	limited   bool
 	limit     requestlimit.Limited
+	invalid   string // the last invalid values of the limit, quoted
 	allocator requestlimit.Allocator
 }
 
@@ -33,20 +34,20 @@
 	}
 }
 
-// set applies what a response says, and reports whether that changes the limit.
+// set applies what a response says, and reports whether that changes the limit or its invalid values.
 func (p *pace) set(l upstream.RequestLimit) bool {
-	if l.Statement == upstream.LimitUnstated {
-		return false
+	limited, perSecond, invalid := p.limited, p.limit.PerSecond, p.invalid
+	p.invalid = l.Invalid
+	if l.Statement != upstream.LimitUnstated {
+		p.limited = l.Statement == upstream.LimitNamed
+		p.limit = requestlimit.Limited{PerSecond: l.PerSecond}
 	}
-	limited, perSecond := p.limited, p.limit.PerSecond
-	p.limited = l.Statement == upstream.LimitNamed
-	p.limit = requestlimit.Limited{PerSecond: l.PerSecond}
-	return p.limited != limited || p.limit.PerSecond != perSecond
+	return p.limited != limited || p.limit.PerSecond != perSecond || p.invalid != invalid
 }
 
 // recordLimit applies what a response of the upstream says about its request limit.
 func (s *Service) recordLimit(l upstream.RequestLimit) {
-	if s.table.setRequestLimit(l) || l.Invalid != "" {
+	if s.table.setRequestLimit(l) {
 		s.log.Info("upstream's request limit", "named", l.Statement == upstream.LimitNamed, "per_second", l.PerSecond, "invalid", l.Invalid)
 	}
 }
--- a/node/upstream/notices.go
+++ b/node/upstream/notices.go
@@ -54,6 +54,7 @@
 	limited     bool      // the upstream names a request limit
 	limit       float64   // in requests per second, if limited
 	limitHeard  time.Time // time of the last response that named or ended a limit; zero if there was none
+	invalid     string    // the last invalid values of the limit, quoted; empty if the last response had none
 	lastHeard   time.Time // time of the last response that said any of this
 }
 
@@ -74,12 +75,13 @@
 	now := n.clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.logInvalidLimit(start, a.Limit)
 	current := n.byStart[start]
 	endsLimit := a.Limit.Statement == LimitNone && current.limited
-	if a.Pause <= 0 && !a.Leaving && a.Limit.Statement != LimitNamed && !endsLimit {
+	if a.Pause <= 0 && !a.Leaving && a.Limit.Statement != LimitNamed && !endsLimit && a.Limit.Invalid == current.invalid {
+		n.countInvalid(a.Limit)
 		return false
 	}
+	n.logInvalidLimit(start, &current, a.Limit)
 	n.expire(now)
 	if a.Leaving && !current.leaving {
 		leavingVar.Add(1)
@@ -101,11 +103,20 @@
 	return limitChanged
 }
 
-func (n *Notices) logInvalidLimit(start wire.Start, l RequestLimit) {
-	if l.Invalid == "" {
+func (n *Notices) countInvalid(l RequestLimit) {
+	if l.Invalid != "" {
+		limitsInvalidVar.Add(1)
+	}
+}
+
+// logInvalidLimit counts invalid values, and logs them when they change.
+func (n *Notices) logInvalidLimit(start wire.Start, current *notice, l RequestLimit) {
+	n.countInvalid(l)
+	changed := l.Invalid != current.invalid
+	current.invalid = l.Invalid
+	if l.Invalid == "" || !changed {
 		return
 	}
-	limitsInvalidVar.Add(1)
 	n.log.Info("invalid request limit", "upstream", start.ID, "values", l.Invalid, "in_force", l.Statement == LimitNamed, "per_second", l.PerSecond)
 }
 
--- a/node/upstream/request_limit_test.go
+++ b/node/upstream/request_limit_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/jonboulle/clockwork"
 
 	"caperdrum.org/api/verdict"
@@ -125,3 +126,26 @@
 	n.Record(wire.Start{ID: "i-2"}, ResponseInfo{Leaving: true})
 	expect(0, false)
 }
+
+// TestInvalidLimitIsLoggedOnce guards against a log line for each response of an upstream that names an invalid
+// limit.
+func TestInvalidLimitIsLoggedOnce(t *testing.T) {
+	var lines []string
+	n := NewNotices(funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{}), clockwork.NewFakeClock())
+	start, before := wire.Start{ID: "i-1"}, limitsInvalidVar.Value()
+	record := func(values ...string) {
+		n.Record(start, ResponseInfo{Limit: ParseRequestLimit(values)})
+	}
+	for range 5 {
+		record("soon")
+	}
+	record("-1")
+	record()
+	record("-1")
+	if len(lines) != 3 {
+		t.Errorf("%d lines: %q", len(lines), lines)
+	}
+	if got := limitsInvalidVar.Value() - before; got != 7 {
+		t.Errorf("%d invalid values are counted, want 7", got)
+	}
+}
