stagework: permits are confirmed while nothing happens

Read again: the owner looked at its last confirmation with each event only. Pieces for a limited upstream that waited while nothing else happened got no permit once the last event was 4 s old, and their callers waited until the deadline. It looks with each tick as well; there is one while jobs wait. TestPermitsAreConfirmedWithoutEvents hung without the line in loop, and passes with it.

--- a/node/stagework/permits.go
+++ b/node/stagework/permits.go
@@ -63,11 +63,11 @@
 
 // permits is the owner's part of the limits. It reads no clock, and is used by the owner goroutine only.
 type permits struct {
-	notices   limitNotices // nil: no upstream limits its requests
-	allocator requestlimit.Allocator
-	allowedAt time.Time              // time of the last confirmation that this process is the owner
-	admission requestlimit.Allocator // of jobs, by the service of their engines
-	refused   map[string]*rate       // callers refused for want of a permit, by service
+	notices     limitNotices // nil: no upstream limits its requests
+	allocator   requestlimit.Allocator
+	confirmedAt time.Time              // time of the last confirmation that this process is the owner
+	admission   requestlimit.Allocator // of jobs, by the service of their engines
+	refused     map[string]*rate       // callers refused for want of a permit, by service
 }
 
 func newPermits() *permits {
@@ -75,11 +75,11 @@
 }
 
 // confirmed records when this process was last confirmed to be the owner.
-func (p *permits) confirmed(at time.Time) { p.allowedAt = at }
+func (p *permits) confirmed(at time.Time) { p.confirmedAt = at }
 
 // handsOut reports whether this process may hand out permits: another one may have become the owner otherwise.
 func (p *permits) handsOut(now time.Time) bool {
-	return now.Sub(p.allowedAt) < requestlimit.TakeoverTime
+	return now.Sub(p.confirmedAt) < requestlimit.TakeoverTime
 }
 
 // limit returns the limit of an upstream, and whether it has one.
--- a/node/stagework/permits_test.go
+++ b/node/stagework/permits_test.go
@@ -141,3 +141,32 @@
 		t.Fatalf("confirmed again: %+v", got)
 	}
 }
+
+// TestPermitsAreConfirmedWithoutEvents guards against the following failure: the owner learned of its last
+// confirmation with events only, so that pieces for a limited upstream that waited while nothing else happened
+// got no permit any more.
+func TestPermitsAreConfirmedWithoutEvents(t *testing.T) {
+	s := newNamedOwner(t)
+	limited := wire.Member{ID: "w1", Service: "trace", Incarnation: 1}
+	asked := make(chan struct{}, 100)
+	posted := make(chan struct{})
+	s.post(func(now time.Time) {
+		s.ownership = func() knownOwner {
+			select {
+			case asked <- struct{}{}:
+			default:
+			}
+			return knownOwner{}
+		}
+		s.notices.Record(limited.Start(), upstream.ResponseInfo{Limit: upstream.RequestLimit{Statement: upstream.LimitNamed, PerSecond: 1}})
+		s.scheduler.permits.notices = s.notices
+		s.scheduler.setServices(map[string]*optext.Service{"trace": {Name: "trace", Direct: optext.Direct{Batch: 4, Calls: 1, CallTime: time.Millisecond}}}, map[string][]wire.Member{"trace": {limited}})
+		s.scheduler.setOwner(now, true, false)
+		s.scheduler.submit(now, Job{ID: "j", SubmissionID: "j", TimeLeft: time.Hour, Goal: time.Hour, Resubmitted: true, Stages: []Stage{{Service: "trace", Pieces: 1}}}, func(Result, error) {})
+		close(posted)
+	})
+	<-posted
+	for range 5 {
+		<-asked
+	}
+}
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -191,6 +191,7 @@
 			s.drainEvents()
 		case <-timer.C:
 			armed = false
+			s.confirmPermits(time.Now())
 			s.scheduleFree(s.scheduler.expireJobs(s.now()))
 		}
 		s.confirmOwnership(time.Now())
