--- a/e2e/harness/opener.go
+++ b/e2e/harness/opener.go
@@ -13,9 +13,9 @@
 // external is returned for connections from outside the system, such as the test itself.
 const external = "test"
 
-// opener returns the name of the process that opened the connection. It looks for the inode of the socket
+// Opener returns the name of the process that opened the connection. It looks for the inode of the socket
 // among the open files of the processes.
-func (n *Network) opener(c net.Conn) string {
+func (n *Network) Opener(c net.Conn) string {
 	inode := inodeOf(c.RemoteAddr().(*net.TCPAddr), c.LocalAddr().(*net.TCPAddr))
 	if inode == "" {
 		return external
--- a/e2e/harness/relay.go
+++ b/e2e/harness/relay.go
@@ -152,7 +152,7 @@
 
 func (n *Network) serve(c net.Conn, name, target string) {
 	defer c.Close()
-	from := n.opener(c)
+	from := n.Opener(c)
 	s, err := net.DialTimeout("tcp", target, time.Second)
 	if err != nil {
 		// Reset the connection at once, so that the caller sees a failed connection attempt rather than a
