--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	go test $(PASS_OVER) -count=1 -p 1 -parallel 4 -timeout 10m $(PROCESSES)
 
 race:
-	go test $(PASS_OVER) -race -short $(IN_PROCESS)
+	go test $(PASS_OVER) -race -short -timeout 20m $(IN_PROCESS)
 
 e2e-long:
 	go test -count=1 -parallel 4 -timeout 60m -v ./e2e -args -long
