proxy: a caller that leaves while a permit is asked for denies none to others

Read again: the request for a permit ends with its caller, and that counted as an owner without an answer, so that all other callers of the process got no permit for 200 ms and might be refused.

--- a/node/proxy/limit_test.go
+++ b/node/proxy/limit_test.go
@@ -1,12 +1,14 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"caperdrum.org/api/optext"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/stagework"
 )
@@ -118,3 +120,23 @@
 		t.Fatalf("%d permits were asked for", len(f.stages.asked))
 	}
 }
+
+// TestCallerThatLeavesDeniesNoPermits guards against the following failure: a caller left while a permit was asked
+// for, and all other callers of the process were denied one for a while.
+func TestCallerThatLeavesDeniesNoPermits(t *testing.T) {
+	f := newFixture(t)
+	var arrived atomic.Int32
+	f.upstream("desk", "i-1", limited(&arrived))
+	list := f.view.Announced["desk"]
+	left, leave := context.WithCancel(t.Context())
+	x := &exchange{s: f.service, service: &optext.Service{Name: "desk"}}
+	leave()
+	x.requestPermit(left, list)
+	if _, denied := f.service.endpoints.denials.Denied(time.Now(), list[0].Start()); denied {
+		t.Fatal("denied for a caller that has left")
+	}
+	x.requestPermit(t.Context(), list)
+	if _, denied := f.service.endpoints.denials.Denied(time.Now(), list[0].Start()); !denied {
+		t.Fatal("not denied for one that waits")
+	}
+}
--- a/node/proxy/permits.go
+++ b/node/proxy/permits.go
@@ -38,6 +38,9 @@
 		x.setPermit(reply.Upstream, expires)
 		return
 	}
+	if ctx.Err() != nil {
+		return // the caller has left, which says nothing about the limits
+	}
 	x.s.endpoints.denyPermits(list, reply.Wait, reply.RetryAfter, time.Now())
 	x.s.log.V(logging.Routine).Info("no permit", "request", x.call.ID, "service", x.service.Name, "limited", len(list), "wait", reply.Wait, "retry_after", reply.RetryAfter)
 }
