proxy: logs and counters tell at which software version streams go on

The lines of attempts, answers and retried streams name the upstream's version, "stream taken up" names the attempt that the call continues, and proxy_streams_continued counts streams that go on at another upstream by whether its version is that of the first event, another one, or unknown.

--- a/node/proxy/metrics.go
+++ b/node/proxy/metrics.go
@@ -14,20 +14,21 @@
 // Counters since the start of the process. Labels are configured routes and services, and codes of package
 // verdict, so their number is bounded.
 var (
-	callsVar           = expvar.NewMap("proxy_calls")          // admitted calls, by route
-	sendsVar           = expvar.NewMap("proxy_sends")          // attempts sent to upstreams, by service
-	failedSendsVar     = expvar.NewMap("proxy_failed_sends")   // attempts without a response, by service
-	repeatsVar         = expvar.NewMap("proxy_repeats")        // attempts after the first of a call, by service/reason
-	deniedVar          = expvar.NewMap("proxy_repeats_denied") // repeats denied by the quota, by service/reason
-	refusedVar         = expvar.NewMap("proxy_refused")        // refused calls, by code/verdict
-	callersLeftVar     = expvar.NewInt("proxy_callers_left")
-	upstreamCrashesVar = expvar.NewMap("proxy_upstreams_ended_under_calls") // calls that broke because their upstream's process ended, by service
-	barredVar          = expvar.NewMap("proxy_barred")                      // calls refused because upstreams crashed on them, by route
-	streamsBrokenVar   = expvar.NewInt("proxy_streams_broken")
-	heldBytesVar       = expvar.NewInt("proxy_held_bytes")       // reserved for bodies, and for responses that callers have not read yet
-	overBudgetVar      = expvar.NewInt("proxy_held_over")        // responses read in excess of the memory budget, one at a time
-	bodiesRefusedVar   = expvar.NewInt("proxy_bodies_refused")   // bodies refused for lack of memory
-	slowCallersVar     = expvar.NewInt("proxy_callers_too_slow") // responses aborted because the caller did not read them in time
+	callsVar            = expvar.NewMap("proxy_calls")          // admitted calls, by route
+	sendsVar            = expvar.NewMap("proxy_sends")          // attempts sent to upstreams, by service
+	failedSendsVar      = expvar.NewMap("proxy_failed_sends")   // attempts without a response, by service
+	repeatsVar          = expvar.NewMap("proxy_repeats")        // attempts after the first of a call, by service/reason
+	deniedVar           = expvar.NewMap("proxy_repeats_denied") // repeats denied by the quota, by service/reason
+	refusedVar          = expvar.NewMap("proxy_refused")        // refused calls, by code/verdict
+	callersLeftVar      = expvar.NewInt("proxy_callers_left")
+	upstreamCrashesVar  = expvar.NewMap("proxy_upstreams_ended_under_calls") // calls that broke because their upstream's process ended, by service
+	barredVar           = expvar.NewMap("proxy_barred")                      // calls refused because upstreams crashed on them, by route
+	streamsBrokenVar    = expvar.NewInt("proxy_streams_broken")
+	streamsContinuedVar = expvar.NewMap("proxy_streams_continued") // streams that went on at another upstream, by service/result
+	heldBytesVar        = expvar.NewInt("proxy_held_bytes")        // reserved for bodies, and for responses that callers have not read yet
+	overBudgetVar       = expvar.NewInt("proxy_held_over")         // responses read in excess of the memory budget, one at a time
+	bodiesRefusedVar    = expvar.NewInt("proxy_bodies_refused")    // bodies refused for lack of memory
+	slowCallersVar      = expvar.NewInt("proxy_callers_too_slow")  // responses aborted because the caller did not read them in time
 )
 
 // Range of the latency histograms: 1 us to 10 min, with two significant digits.
--- a/node/proxy/plain.go
+++ b/node/proxy/plain.go
@@ -154,6 +154,6 @@
 	took := time.Since(x.began)
 	observe(x.route, took)
 	x.reportAnswered(a)
-	x.s.log.V(logging.Routine).Info("call answered", "request", x.call.ID, "route", x.route.Name, "upstream", a.member.ID, "status", a.response.Status,
+	x.s.log.V(logging.Routine).Info("call answered", "request", x.call.ID, "route", x.route.Name, "upstream", a.member.ID, "version", a.member.Version, "status", a.response.Status,
 		"sends", x.sends, "first_byte", x.firstByte, "took", took, "goal", x.route.Goal, "late", x.firstByte > x.route.Goal, "last_event", lastEvent)
 }
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -23,6 +23,7 @@
 	c := x.selectionCriteria()
 	out := &streamWriter{x: x}
 	out.events.lastID = x.call.LastEventID
+	x.logTakenUp()
 	rerun := false
 	for {
 		if err := x.runStages(ctx); err != nil {
@@ -49,7 +50,7 @@
 		if err.Verdict != verdict.NotRun && !x.route.Repeatable() || ctx.Err() != nil || x.callerGone || !x.mayRepeat(err) {
 			return out.fail(err)
 		}
-		x.s.log.Info("stream retried on another upstream", "request", x.call.ID, "from", a.member.ID, "last_event", out.events.lastID, "reason", err.Message)
+		x.s.log.Info("stream retried on another upstream", "request", x.call.ID, "from", a.member.ID, "version", a.member.Version, "last_event", out.events.lastID, "reason", err.Message)
 	}
 }
 
@@ -86,9 +87,11 @@
 		x.sendResponse(a, body)
 		return true, nil
 	}
+	out.countContinued(a)
 	out.begin(a)
 	x.setEngineOutcome(a.member, stagework.EngineStarted)
 	x.releaseStages()
+	out.current = a.member
 	err := out.copy(ctx, a)
 	switch {
 	case err == io.EOF:
@@ -110,6 +113,32 @@
 	x       *exchange
 	started bool
 	events  eventSplitter
+	current wire.Member // upstream of the stream now
+	origin  wire.Member // upstream of the first event; its ID is empty if that event came in another call or has not come
+}
+
+// logTakenUp logs that the call continues a stream of an earlier one.
+func (x *exchange) logTakenUp() {
+	if x.call.LastEventID == "" {
+		return
+	}
+	x.s.log.Info("stream taken up", "request", x.call.ID, "route", x.route.Name, "service", x.service.Name, "customer", x.customerName(),
+		"last_event", x.call.LastEventID, "resumes", x.call.Resumes.Attempt, "invalid", x.call.Resumes.Invalid)
+}
+
+// countContinued counts a stream that goes on at another upstream.
+func (o *streamWriter) countContinued(a *attempt) {
+	if o.events.lastID == "" {
+		return
+	}
+	result := "unknown-version"
+	if o.origin.ID != "" {
+		result = "other-version"
+		if o.origin.Version == a.member.Version {
+			result = "same-version"
+		}
+	}
+	streamsContinuedVar.Add(o.x.service.Name+"/"+result, 1)
 }
 
 // begin sends the headers of the first upstream; those of later ones are not passed on.
@@ -145,6 +174,9 @@
 			return err
 		}
 		if whole := o.events.feed(data); len(whole) > 0 {
+			if o.origin.ID == "" && o.x.call.LastEventID == "" {
+				o.origin = o.current
+			}
 			if err := o.x.write(whole); err != nil {
 				return err
 			}
--- a/node/upstream/protocol.go
+++ b/node/upstream/protocol.go
@@ -11,13 +11,14 @@
 
 // Call holds the values that a caller's headers set for a call on a route.
 type Call struct {
-	ID          string        // of this call; every response to it carries it
-	BearerKey   string        // bearer key; empty if there is none
-	Timeout     time.Duration // how long the caller waits; zero if not stated
-	Prefix      []PromptPart  // parts of the prompt in order, shared ones first
-	Pieces      []int         // number of pieces in each stage of the route; nil if not stated
-	PieceKey    string        // identifies the input of stages that depend on no other
-	LastEventID string        // id of the last event that the caller received of the stream
+	ID          string          // of this call; every response to it carries it
+	BearerKey   string          // bearer key; empty if there is none
+	Timeout     time.Duration   // how long the caller waits; zero if not stated
+	Prefix      []PromptPart    // parts of the prompt in order, shared ones first
+	Pieces      []int           // number of pieces in each stage of the route; nil if not stated
+	PieceKey    string          // identifies the input of stages that depend on no other
+	LastEventID string          // id of the last event that the caller received of the stream
+	Resumes     StreamReference // the stream of that event
 }
 
 // PromptPart is a part of a prompt that several requests may share.
