Streams go on only at the software version that began them

What callers saw: streams that held events from engines of two software versions, within one answer (an engine broke off, the process went on at another one) and over their tries (they took the stream up at another process).

Cause: nothing tied the choice of an upstream to the version that began the stream. Within an answer the process knew it and did not use it: every place that picks an upstream knew only which ones had been tried. Over a caller's tries nobody read the attempt that the caller names, and what it names was known to one process only, which may be gone. Class: a decision of one process that binds what others do next, and that has no place where they can find it.

The fix: one constraint (package eligibility) says which upstreams may take a call at all, by data centre and by version. The proxy's choice, permits, predictions and Retry-After, the stage owner's choice and its admission filter by it; rollouts neither choose nor count streams that have begun. Where a stream began is recorded at two other processes, in different data centres, before its first event goes out (package streamorigin); the processes follow from the id and the member list. Whoever gets a stream that is taken up asks for the record. Without one the call is refused at once as not run (stream_unknown).

Why it works: records are written once and never changed, so that no copy can be out of date.

--- a/api/verdict/verdict.go
+++ b/api/verdict/verdict.go
@@ -78,7 +78,8 @@
 	CodeConfigStale         Code = "configuration_stale"
 	CodeShuttingDown        Code = "shutting_down"
 	CodeCustomerLimit       Code = "customer_limit"
-	CodeQuarantined         Code = "quarantined" // calls with this fingerprint crash the upstreams that run them
+	CodeQuarantined         Code = "quarantined"    // calls with this fingerprint crash the upstreams that run them
+	CodeStreamUnknown       Code = "stream_unknown" // it is not known where the stream that the call continues began
 )
 
 // Error is the failure of a request or attempt together with its verdict.
--- a/node/configsync/member_update.go
+++ b/node/configsync/member_update.go
@@ -72,12 +72,12 @@
 // removed.
 func (v *View) filterAnnounced(touched map[string]bool) {
 	if touched == nil {
-		v.Announced = cloneLists(v.announced)
+		v.Announced = cloneLists(v.AllVersions)
 	} else {
 		v.Announced = cloneLists(v.Announced)
 		for service := range touched {
 			delete(v.Announced, service)
-			if list := v.announced[service]; len(list) > 0 {
+			if list := v.AllVersions[service]; len(list) > 0 {
 				v.Announced[service] = list
 			}
 		}
@@ -86,7 +86,7 @@
 		if r.Running() || touched != nil && !touched[r.Service] {
 			continue
 		}
-		kept := slices.DeleteFunc(slices.Clone(v.announced[r.Service]), func(m wire.Member) bool { return r.Excludes(m.Version) })
+		kept := slices.DeleteFunc(slices.Clone(v.AllVersions[r.Service]), func(m wire.Member) bool { return r.Excludes(m.Version) })
 		if len(kept) > 0 || r.State == wire.RolloutRolledBack {
 			v.Announced[r.Service] = kept
 		}
--- a/node/configsync/view.go
+++ b/node/configsync/view.go
@@ -31,8 +31,9 @@
 	// Rollouts contains the rollouts of services. Upstreams of versions that they exclude are not in
 	// Announced.
 	Rollouts wire.Rollouts
-
-	announced lists // like Announced, but including versions that Rollouts exclude
+	// AllVersions is like Announced, and includes versions that Rollouts exclude: a stream goes on only at the
+	// version at which it began.
+	AllVersions map[string][]wire.Member
 
 	ends []int // end offsets of the sections of Text
 }
@@ -65,14 +66,14 @@
 // except for copying the lists that change.
 func (v *View) applyMemberChanges(changed []wire.Member, removed []wire.MemberID) {
 	u := memberUpdate{v: v, evacuated: v.Evacuations.Evacuated(), owned: [listKinds]map[string]bool{{}, {}, {}}}
-	u.lists = [listKinds]lists{agents: cloneLists(v.Agents), announced: cloneLists(v.announced), peers: {peerList: v.Proxies}}
+	u.lists = [listKinds]lists{agents: cloneLists(v.Agents), announced: cloneLists(v.AllVersions), peers: {peerList: v.Proxies}}
 	for _, m := range changed {
 		u.put(m)
 	}
 	for _, id := range removed {
 		u.remove(id)
 	}
-	v.Agents, v.announced, v.Proxies = u.lists[agents], u.lists[announced], u.lists[peers][peerList]
+	v.Agents, v.AllVersions, v.Proxies = u.lists[agents], u.lists[announced], u.lists[peers][peerList]
 	v.filterAnnounced(u.owned[announced])
 }
 
@@ -120,9 +121,9 @@
 
 // rebuildLists computes all lists from Members.
 func (v *View) rebuildLists() {
-	v.Agents, v.announced, v.Proxies = lists{}, lists{}, nil
+	v.Agents, v.AllVersions, v.Proxies = lists{}, lists{}, nil
 	evacuated := v.Evacuations.Evacuated()
-	all := [listKinds]lists{agents: v.Agents, announced: v.announced, peers: {}}
+	all := [listKinds]lists{agents: v.Agents, announced: v.AllVersions, peers: {}}
 	for m := range v.Members.All() {
 		for kind, name := range listsOf(m, evacuated) {
 			if name != "" {
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -39,6 +39,7 @@
 	"caperdrum.org/node/security"
 	"caperdrum.org/node/settings"
 	"caperdrum.org/node/stagework"
+	"caperdrum.org/node/streamorigin"
 	"caperdrum.org/node/upstream"
 )
 
@@ -153,6 +154,7 @@
 			kernel.Module{Name: "discovery", New: discovery.New},
 			kernel.Module{Name: "controlclient", New: controlclient.New},
 			kernel.Module{Name: "stagework", New: stagework.New},
+			kernel.Module{Name: "streamorigin", New: streamorigin.New},
 			kernel.Module{Name: "proxy", New: proxy.New})
 	}
 	return modules
--- a/node/proxy/endpoints.go
+++ b/node/proxy/endpoints.go
@@ -112,6 +112,7 @@
 	shortCalls bool          // calls are short, so that a silent upstream is suspicious
 	chosen     wire.MemberID // by the stage owner; taken unless it is avoided; empty if none
 	permitted  wire.MemberID // upstream for which the call has a permit; empty if none
+	pinned     bool          // all upstreams are of the version at which the call's stream began; rollouts do not count it
 	cold       coldPolicy
 }
 
@@ -138,7 +139,7 @@
 	if _, limited := e.notices.Limit(m.Start()); limited && m.ID != c.permitted {
 		return m, true, true
 	}
-	if m.ID != c.chosen {
+	if m.ID != c.chosen && !c.pinned {
 		e.split.RecordSent(m.Service, m.Version)
 	}
 	if m.Cold && m.ID != c.chosen {
@@ -158,6 +159,9 @@
 	if len(list) == 0 {
 		return wire.Member{}, false
 	}
+	if c.pinned {
+		return e.pickBest(list, c, now)
+	}
 	service := list[0].Service
 	stable := e.split.StableTrack(service)
 	if stable.Unrestricted() {
--- a/node/proxy/fleet_test.go
+++ b/node/proxy/fleet_test.go
@@ -112,7 +112,7 @@
 }
 
 func newFollower(t testing.TB) *Service {
-	s := newService(&settings.Settings{Proxy: settings.ProxyRole{RepeatRatio: 0.2, RepeatFixed: 50, RepeatWindow: 10 * time.Second}}, logr.Discard(), upstream.Native{}, noNotices(), &fixedViews{}, &fakeStages{})
+	s := newService(&settings.Settings{Proxy: settings.ProxyRole{RepeatRatio: 0.2, RepeatFixed: 50, RepeatWindow: 10 * time.Second}}, logr.Discard(), upstream.Native{}, noNotices(), &fixedViews{}, &fakeStages{}, &fakeOrigins{})
 	s.initQuota(clockwork.NewFakeClock())
 	return s
 }
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -29,6 +29,7 @@
 	"caperdrum.org/node/security"
 	"caperdrum.org/node/settings"
 	"caperdrum.org/node/stagework"
+	"caperdrum.org/node/streamorigin"
 	"caperdrum.org/node/upstream"
 )
 
@@ -65,6 +66,7 @@
 	ConfigSync *configsync.Service    `name:"configsync"`
 	Control    *controlclient.Service `name:"controlclient"`
 	Stages     *stagework.Service     `name:"stagework"`
+	Origins    *streamorigin.Service  `name:"streamorigin"`
 	Notices    *upstream.Notices
 	Counter    *rollout.Counter
 	Security   *security.Store `optional:"true"`
@@ -91,6 +93,12 @@
 	Silent() time.Duration
 }
 
+// streamOrigins is the part of streamorigin.Service that the proxy uses.
+type streamOrigins interface {
+	Begin(ctx context.Context, r streamorigin.Record) (held bool)
+	Find(ctx context.Context, key streamorigin.Key) (origin streamorigin.Origin, known bool)
+}
+
 // Service is the HTTP server for callers.
 type Service struct {
 	set            *settings.Settings
@@ -98,6 +106,7 @@
 	protocol       upstream.Protocol
 	views          viewSource
 	stages         stages
+	origins        streamOrigins
 	secure         *security.Store
 	pool           *upstream.Pool
 	notices        *upstream.Notices
@@ -125,7 +134,7 @@
 
 // New returns the service. Start opens its listeners.
 func New(p Params) *Service {
-	s := newService(p.Settings, p.Log, p.Protocol, p.Notices, p.ConfigSync, p.Stages)
+	s := newService(p.Settings, p.Log, p.Protocol, p.Notices, p.ConfigSync, p.Stages, p.Origins)
 	s.reporter = quarantine.NewReporter(s.reportTo(p.Control.ReportCrashes))
 	s.counter = p.Counter
 	s.rollouts = &rollout.Reporter{Counter: p.Counter, Clock: clockwork.NewRealClock(), Self: p.ConfigSync.Self, Processes: s.processCount, Send: p.Control.ReportRollouts,
@@ -135,8 +144,8 @@
 	return s
 }
 
-func newService(set *settings.Settings, log logr.Logger, protocol upstream.Protocol, notices *upstream.Notices, views viewSource, stages stages) *Service {
-	s := &Service{set: set, log: log, protocol: protocol, views: views, stages: stages,
+func newService(set *settings.Settings, log logr.Logger, protocol upstream.Protocol, notices *upstream.Notices, views viewSource, stages stages, origins streamOrigins) *Service {
+	s := &Service{set: set, log: log, protocol: protocol, views: views, stages: stages, origins: origins,
 		pool: upstream.NewPool(protocol, notices), endpoints: newEndpoints(notices), notices: notices, startup: newStartupWait(clockwork.NewRealClock())}
 	s.initQuota(boottime.System())
 	s.running, s.counter = newRunning(), rollout.NewCounter()
@@ -172,7 +181,7 @@
 	if v.Version > 0 {
 		s.startup.setConfigured()
 	}
-	for _, address := range s.endpoints.update(v.Announced) {
+	for _, address := range s.endpoints.update(v.AllVersions) {
 		s.pool.CloseIdle(address)
 	}
 }
@@ -236,6 +245,7 @@
 	service      *optext.Service
 	customer     *optext.Customer
 	allowed      residency.AllowedDataCenters // data centres in which it may be served
+	version      *string                      // software version at which its stream began; nil if it has not begun
 	body         []byte
 	memory       callMemory // reserved for the call's body and response
 	callerGone   bool       // the caller no longer reads the response
@@ -244,6 +254,7 @@
 	sends        int    // attempts so far
 	repeatReason reason // why the next attempt repeats another; empty for the first
 	mayHaveRun   bool   // an attempt has run or may have run
+	resumed      bool   // the next attempt goes on with a stream that has begun
 
 	answering atomic.Bool // an upstream has begun to answer
 
@@ -274,6 +285,10 @@
 		x.refuse(err)
 		return
 	}
+	if err := x.findOrigin(r.Context()); err != nil {
+		x.refuse(err)
+		return
+	}
 	if err := x.checkServable(); err != nil {
 		x.refuse(err)
 		return
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -23,6 +23,7 @@
 	"caperdrum.org/node/memberset"
 	"caperdrum.org/node/settings"
 	"caperdrum.org/node/stagework"
+	"caperdrum.org/node/streamorigin"
 	"caperdrum.org/node/upstream"
 )
 
@@ -147,6 +148,30 @@
 
 func (f *fakeStages) Silent() time.Duration { return f.silent }
 
+// fakeOrigins implements streamOrigins.
+type fakeOrigins struct {
+	mu    sync.Mutex
+	known map[streamorigin.Key]streamorigin.Origin
+	begun []streamorigin.Record
+	asked []streamorigin.Key
+}
+
+func (f *fakeOrigins) Begin(_ context.Context, r streamorigin.Record) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.begun = append(f.begun, r)
+	f.known[r.Key] = r.Origin
+	return true
+}
+
+func (f *fakeOrigins) Find(_ context.Context, key streamorigin.Key) (streamorigin.Origin, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked = append(f.asked, key)
+	origin, known := f.known[key]
+	return origin, known
+}
+
 // fixture is a proxy with upstreams whose handlers the test provides.
 type fixture struct {
 	t       *testing.T
@@ -154,6 +179,7 @@
 	server  *httptest.Server
 	views   *fixedViews
 	stages  *fakeStages
+	origins *fakeOrigins
 	clock   *clockwork.FakeClock // of the repeat quota
 	view    configsync.View
 }
@@ -167,10 +193,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fixture{t: t, views: &fixedViews{}, stages: &fakeStages{}}
+	f := &fixture{t: t, views: &fixedViews{}, stages: &fakeStages{}, origins: &fakeOrigins{known: map[streamorigin.Key]streamorigin.Origin{}}}
 	self := f.views.Self()
 	f.view = configsync.View{Config: config, Version: 7, Announced: map[string][]wire.Member{}, Members: memberset.Of(self), Proxies: []wire.Member{self}}
-	f.service = newService(&settings.Settings{Proxy: settings.ProxyRole{KeyAge: 4 * time.Second, RepeatRatio: 0.2, RepeatFixed: 50, RepeatWindow: 10 * time.Second}}, logr.Discard(), upstream.Native{}, noNotices(), f.views, f.stages)
+	f.service = newService(&settings.Settings{Proxy: settings.ProxyRole{KeyAge: 4 * time.Second, RepeatRatio: 0.2, RepeatFixed: 50, RepeatWindow: 10 * time.Second}}, logr.Discard(), upstream.Native{}, noNotices(), f.views, f.stages, f.origins)
 	f.clock = clockwork.NewFakeClock()
 	f.service.initQuota(f.clock)
 	f.server = httptest.NewServer(f.service)
@@ -200,6 +226,7 @@
 		next.Announced[name] = l
 	}
 	next.Announced[service] = list
+	next.AllVersions = next.Announced
 	f.view = next
 	f.service.applyView(&next)
 }
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -12,6 +11,7 @@
 
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/eligibility"
 	"caperdrum.org/node/logging"
 	"caperdrum.org/node/rollout"
 	"caperdrum.org/node/stagework"
@@ -46,7 +46,7 @@
 		}
 		c.tried = *tried
 		// Read again each time: upstreams may have left during the stages, which can take seconds.
-		list := x.eligibleUpstreams(x.service.Name)
+		list := x.eligibleUpstreams()
 		m, ok := x.acquire(ctx, list, c)
 		if !ok {
 			return &attempt{err: x.noUpstreamError()}
@@ -102,7 +102,7 @@
 			x.setEngineOutcome(m, engineOutcomeOf(err))
 		}
 		x.s.endpoints.release(m.Start(), outcome, now)
-		if outcome == callFailed && !a.notRun() || x.outOfTime(ctx) {
+		if !x.resumed && (outcome == callFailed && !a.notRun() || x.outOfTime(ctx)) {
 			x.s.counter.Add(m, x.route.Name, rollout.Failed, 0)
 		}
 		x.s.log.Info("attempt failed", "request", x.call.ID, "upstream", m.ID, "address", m.Direct, "sent", !a.notRun(),
@@ -137,7 +137,7 @@
 // upstreamPause returns when callers should come back to a service whose upstreams accept no calls now, or zero if one
 // does.
 func (x *exchange) upstreamPause() time.Duration {
-	return x.s.endpoints.shortestWait(x.s.table.Load().announced[x.service.Name], time.Now())
+	return x.s.endpoints.shortestWait(x.eligibleUpstreams(), time.Now())
 }
 
 // checkServable returns an error if running the stages of the call would be pointless, else nil.
@@ -148,16 +148,30 @@
 	if pause := x.upstreamPause(); pause > 0 && pause >= time.Until(x.deadline) {
 		return x.noUpstreamError()
 	}
+	if x.version != nil && len(x.eligibleUpstreams()) == 0 {
+		return x.noUpstreamError()
+	}
 	return x.checkRegions()
 }
 
-// eligibleUpstreams returns the service's currently announced upstreams in data centres that the call may use.
-func (x *exchange) eligibleUpstreams(service string) []wire.Member {
-	list := x.s.table.Load().announced[service]
-	if !x.allowed.Restricted {
-		return list
+// constraint restricts the upstreams that may take the call.
+func (x *exchange) constraint() eligibility.Constraint {
+	return eligibility.Constraint{Within: x.allowed, Version: x.version}
+}
+
+// eligibleUpstreams returns the currently announced upstreams that may take the call. A stream that has begun goes on
+// at its version, also if a rollout excludes that version from new calls.
+func (x *exchange) eligibleUpstreams() []wire.Member {
+	t, c := x.s.table.Load(), x.constraint()
+	if c.Pinned() {
+		return c.Filter(t.allVersions[x.service.Name])
 	}
-	return slices.DeleteFunc(slices.Clone(list), func(m wire.Member) bool { return !x.allowed.Contains(m.DataCenter) })
+	return c.Filter(t.announced[x.service.Name])
+}
+
+// hasUpstream reports whether a service has an upstream in the data centres that the call may use.
+func (x *exchange) hasUpstream(service string) bool {
+	return len(eligibility.Constraint{Within: x.allowed}.Filter(x.s.table.Load().announced[service])) > 0
 }
 
 // checkRegions returns an error if a service of the call has no upstream in the regions to which the call is restricted.
@@ -165,14 +179,17 @@
 	if !x.allowed.Restricted {
 		return nil
 	}
-	services := []string{x.service.Name}
+	var services []string
+	if x.version == nil {
+		services = append(services, x.service.Name)
+	}
 	for i, st := range x.route.Stages {
 		if i < len(x.call.Pieces) && x.call.Pieces[i] > 0 {
 			services = append(services, st.Service)
 		}
 	}
 	for _, service := range services {
-		if len(x.eligibleUpstreams(service)) == 0 {
+		if !x.hasUpstream(service) {
 			return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "service %s has no upstream in the data centres %v, where the call may be served", service, x.allowed.DataCenters).WithRetryAfter(defaultRetryAfter)
 		}
 	}
@@ -185,6 +202,9 @@
 		x.s.endpoints.countRefused(x.service.Name)
 		return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "all upstreams of service %s have asked for a pause or limit their requests", x.service.Name).WithRetryAfter(pause)
 	}
+	if x.version != nil {
+		return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "service %s has no upstream to try of version %q, at which the stream began", x.service.Name, *x.version).WithRetryAfter(outageRetryAfter())
+	}
 	return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "service %s has no upstream to try", x.service.Name).WithRetryAfter(defaultRetryAfter)
 }
 
@@ -208,6 +228,7 @@
 // countOutcome counts the attempt's outcome during a rollout of the service.
 func (x *exchange) countOutcome(a *attempt, outcome callOutcome) {
 	switch {
+	case x.resumed: // its version was not chosen, so it says nothing about the share of one
 	case outcome == callFailed, outcome == callAnswered && a.response.Status >= http.StatusInternalServerError:
 		x.s.counter.Add(a.member, x.route.Name, rollout.Failed, 0)
 	case outcome == callAnswered && !a.inputsGone():
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -23,13 +23,14 @@
 	c := x.selectionCriteria()
 	out := &streamWriter{x: x}
 	out.events.lastID = x.call.LastEventID
-	x.logTakenUp()
 	rerun := false
 	for {
 		if err := x.runStages(ctx); err != nil {
 			return out.fail(verdict.From(err))
 		}
 		c.chosen = x.engine
+		x.resumed = x.version != nil
+		c.pinned = x.resumed
 		a := x.send(ctx, &tried, c, out.events.lastID)
 		if a.inputsGone() {
 			x.discard(a, callAnswered)
@@ -87,11 +88,12 @@
 		x.sendResponse(a, body)
 		return true, nil
 	}
-	out.countContinued(a)
+	if x.resumed {
+		x.countContinued(a.member)
+	}
 	out.begin(a)
 	x.setEngineOutcome(a.member, stagework.EngineStarted)
 	x.releaseStages()
-	out.current = a.member
 	err := out.copy(ctx, a)
 	switch {
 	case err == io.EOF:
@@ -113,32 +115,6 @@
 	x       *exchange
 	started bool
 	events  eventSplitter
-	current wire.Member // upstream of the stream now
-	origin  wire.Member // upstream of the first event; its ID is empty if that event came in another call or has not come
-}
-
-// logTakenUp logs that the call continues a stream of an earlier one.
-func (x *exchange) logTakenUp() {
-	if x.call.LastEventID == "" {
-		return
-	}
-	x.s.log.Info("stream taken up", "request", x.call.ID, "route", x.route.Name, "service", x.service.Name, "customer", x.customerName(),
-		"last_event", x.call.LastEventID, "resumes", x.call.Resumes.Attempt, "invalid", x.call.Resumes.Invalid)
-}
-
-// countContinued counts a stream that goes on at another upstream.
-func (o *streamWriter) countContinued(a *attempt) {
-	if o.events.lastID == "" {
-		return
-	}
-	result := "unknown-version"
-	if o.origin.ID != "" {
-		result = "other-version"
-		if o.origin.Version == a.member.Version {
-			result = "same-version"
-		}
-	}
-	streamsContinuedVar.Add(o.x.service.Name+"/"+result, 1)
 }
 
 // begin sends the headers of the first upstream; those of later ones are not passed on.
@@ -158,7 +134,7 @@
 func (o *streamWriter) copy(ctx context.Context, a *attempt) error {
 	defer o.x.setWriteDeadline(time.Now())()
 	buffer := newStreamBuffer(ctx, a.response.Body, o.x.s.memory)
-	err := o.copyFrom(buffer)
+	err := o.copyFrom(ctx, buffer, a.member)
 	if err != io.EOF {
 		a.response.Abort() // unblocks a pending read
 	}
@@ -166,7 +142,7 @@
 	return err
 }
 
-func (o *streamWriter) copyFrom(buffer *streamBuffer) error {
+func (o *streamWriter) copyFrom(ctx context.Context, buffer *streamBuffer, from wire.Member) error {
 	flush := http.NewResponseController(o.x.w)
 	for {
 		data, err := buffer.next()
@@ -174,9 +150,7 @@
 			return err
 		}
 		if whole := o.events.feed(data); len(whole) > 0 {
-			if o.origin.ID == "" && o.x.call.LastEventID == "" {
-				o.origin = o.current
-			}
+			o.x.recordOrigin(ctx, from)
 			if err := o.x.write(whole); err != nil {
 				return err
 			}
@@ -249,7 +223,7 @@
 		Goal: time.Until(x.began.Add(x.route.Goal - engineTime(x.call.Prefix))), DataCenter: x.engineDataCenter(), Priority: x.route.Priority, Within: x.allowed}
 	if len(x.call.Prefix) > 0 {
 		job.FirstEvent = time.Until(x.began.Add(x.route.Goal))
-		job.Prompt = &stagework.Prompt{Service: x.service.Name, Parts: x.call.Prefix, Within: x.allowed}
+		job.Prompt = &stagework.Prompt{Service: x.service.Name, Parts: x.call.Prefix, Constraint: x.constraint()}
 	}
 	for i, st := range x.route.Stages {
 		n := 0
@@ -265,7 +239,7 @@
 // engineDataCenter returns the data centre of the engine to which the call would go now, where large results are best
 // computed.
 func (x *exchange) engineDataCenter() string {
-	m, ok := x.s.endpoints.peek(x.eligibleUpstreams(x.service.Name), x.selectionCriteria(), time.Now())
+	m, ok := x.s.endpoints.peek(x.eligibleUpstreams(), x.selectionCriteria(), time.Now())
 	if !ok {
 		return x.s.set.Node.DataCenter
 	}
--- a/node/proxy/table.go
+++ b/node/proxy/table.go
@@ -21,6 +21,7 @@
 	byHost              map[string][]*optext.Route // longest prefix first
 	customers           map[[sha256.Size]byte]*optext.Customer
 	announced           map[string][]wire.Member
+	allVersions         map[string][]wire.Member // like announced, with the versions that rollouts exclude
 	members             memberset.Set
 	peers               []wire.Member       // from which proxyCount and proxiesByDataCenter were computed
 	proxyCount          int                 // processes that share the limits over all processes; at least one
@@ -30,7 +31,7 @@
 
 // newTable returns the table of a view. It reuses what has not changed since the previous table, which may be nil.
 func newTable(v *configsync.View, regions map[string]string, previous *table) *table {
-	t := &table{version: v.Version, membersSeq: v.MembersSeq, config: v.Config, announced: v.Announced, members: v.Members, peers: v.Proxies}
+	t := &table{version: v.Version, membersSeq: v.MembersSeq, config: v.Config, announced: v.Announced, allVersions: v.AllVersions, members: v.Members, peers: v.Proxies}
 	if previous != nil && previous.config == v.Config {
 		t.byHost, t.customers, t.regions = previous.byHost, previous.customers, previous.regions
 	} else {
--- a/node/stagework/engines.go
+++ b/node/stagework/engines.go
@@ -9,7 +9,7 @@
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/coldstart"
 	"caperdrum.org/node/configsync"
-	"caperdrum.org/node/residency"
+	"caperdrum.org/node/eligibility"
 	"caperdrum.org/node/rollout"
 	"caperdrum.org/node/upstream"
 )
@@ -45,9 +45,9 @@
 
 // Prompt is what the choice of an engine needs to know of a call.
 type Prompt struct {
-	Service string                       `json:"service"` // of which the engines are upstreams
-	Parts   []upstream.PromptPart        `json:"parts"`   // in order, shared parts first
-	Within  residency.AllowedDataCenters `json:"within,omitzero"`
+	Service string                `json:"service"` // of which the engines are upstreams
+	Parts   []upstream.PromptPart `json:"parts"`   // in order, shared parts first
+	eligibility.Constraint
 }
 
 // engines chooses engines by the prefill work before a call's first event: the prompts of the
@@ -59,6 +59,7 @@
 // differ widely in length; their results meanwhile occupied the result memory of the stages.
 type engines struct {
 	members       map[string][]wire.Member // by service
+	allVersions   map[string][]wire.Member // like members, and those of versions that rollouts exclude
 	services      map[string]*optext.Service
 	loads         map[wire.MemberID]*engineLoad
 	holders       holders
@@ -109,12 +110,31 @@
 
 // setMembers applies the current services and engines.
 func (e *engines) setMembers(services map[string]*optext.Service, announced map[string][]wire.Member) {
-	for service, before := range e.members {
-		if list := announced[service]; !configsync.SameList(before, list) {
-			e.replaceMembers(before, list)
+	e.replaceLists(e.members, announced)
+	e.services, e.members = services, announced
+}
+
+// setAllVersions applies the current engines with those of versions that rollouts exclude.
+func (e *engines) setAllVersions(announced map[string][]wire.Member) {
+	e.replaceLists(e.allVersions, announced)
+	e.allVersions = announced
+}
+
+func (e *engines) replaceLists(before, after map[string][]wire.Member) {
+	for service, list := range before {
+		if !configsync.SameList(list, after[service]) {
+			e.replaceMembers(list, after[service])
 		}
 	}
-	e.services, e.members = services, announced
+}
+
+// eligible returns the engines that may take the call with the prompt. A stream that has begun goes on at its
+// version, also if a rollout excludes that version from new calls.
+func (e *engines) eligible(p *Prompt) []wire.Member {
+	if p.Pinned() {
+		return p.Filter(e.allVersions[p.Service])
+	}
+	return p.Filter(e.members[p.Service])
 }
 
 // replaceMembers applies a new list of a service's engines.
@@ -143,6 +163,9 @@
 // one that starts soon at a moderate cost. bytes are the sizes of the results that the engine
 // will fetch, by data centre.
 func (e *engines) choose(now, goal time.Time, p *Prompt, bytes map[string]int64) plan {
+	if p.Pinned() {
+		return e.chooseFromTrack(rollout.Track{}, now, goal, p, bytes)
+	}
 	if track := e.split.NextTrack(p.Service, e.split.HasTarget(p.Service, e.members[p.Service])); track.Target() {
 		if x := e.chooseFromTrack(track, now, goal, p, bytes); x.engine.ID != "" {
 			return x
@@ -245,15 +268,12 @@
 // candidates are the engines of a prompt's service to consider: all if there are few, else the
 // holders of its shared parts, its default holder, and some others in rotation.
 func (e *engines) candidates(p *Prompt, first wire.MemberID, track rollout.Track) []*engineLoad {
-	members := track.Filter(e.members[p.Service])
-	if p.Within.Restricted {
-		members = slices.DeleteFunc(slices.Clone(members), func(m wire.Member) bool { return !p.Within.Contains(m.DataCenter) })
-	}
+	members := track.Filter(e.eligible(p))
 	n := min(len(members), maxCandidates)
 	out := make([]*engineLoad, 0, 2*n)
 	if n < len(members) {
 		for _, l := range e.holders.find(p) {
-			if l.member.Service == p.Service && track.Allows(l.member.Version) && p.Within.Contains(l.member.DataCenter) {
+			if l.member.Service == p.Service && track.Allows(l.member.Version) && p.Allows(l.member) {
 				out = append(out, l)
 			}
 		}
@@ -276,7 +296,9 @@
 	l.waiting = l.waiting.plus(x.prefill)
 	l.coldChooser.Count(now)
 	e.reachability.recordCall(now, x.engine.DataCenter)
-	e.split.RecordSent(p.Service, x.engine.Version)
+	if !p.Pinned() {
+		e.split.RecordSent(p.Service, x.engine.Version)
+	}
 	e.addParts(now, l, sharedParts(p.Parts))
 	if x.fetch.source != nil {
 		x.fetch.start(now)
--- a/node/stagework/residency_test.go
+++ b/node/stagework/residency_test.go
@@ -10,6 +10,7 @@
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/eligibility"
 	"caperdrum.org/node/residency"
 	"caperdrum.org/node/upstream"
 )
@@ -53,7 +54,7 @@
 			id := fmt.Sprint("j", i)
 			bound[id] = w
 			job := Job{ID: id, SubmissionID: id, Key: "k", TimeLeft: 10 * time.Second, Goal: 5 * time.Second, FirstEvent: 5 * time.Second, Within: w,
-				Prompt: &Prompt{Service: "llm", Parts: []upstream.PromptPart{{ID: "shared", Tokens: 2000}, {ID: id, Tokens: 10}}, Within: w},
+				Prompt: &Prompt{Service: "llm", Parts: []upstream.PromptPart{{ID: "shared", Tokens: 2000}, {ID: id, Tokens: 10}}, Constraint: eligibility.Constraint{Within: w}},
 				Stages: []Stage{{Service: "a", Pieces: 1 + i%2, ResultBytes: 200_000}, {Service: "b", DependsOn: []int{0}, Pieces: 1, ResultBytes: 100}}}
 			s.submit(now, job, func(r Result, err error) {
 				if err == nil && r.Engine != "" {
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -137,7 +137,7 @@
 	if j.Prompt == nil {
 		return 0, true
 	}
-	return s.permits.admit(now, j.Prompt.Service, s.engines.members[j.Prompt.Service])
+	return s.permits.admit(now, j.Prompt.Service, s.engines.eligible(j.Prompt))
 }
 
 // engineMargin is the slack between the stages and the first event on top of the engine's
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -99,6 +99,7 @@
 		self := p.ConfigSync.Self()
 		s.post(func(now time.Time) {
 			s.scheduler.setServices(v.Config.Services, v.Announced)
+			s.scheduler.engines.setAllVersions(v.AllVersions)
 			s.scheduler.followRollouts(v.Rollouts)
 			s.upstreamsRestarted(now, s.scheduler.takeRestarted())
 			s.closeStaleCallers(v.Proxies)
--- a/node/upstream/native.go
+++ b/node/upstream/native.go
@@ -22,7 +22,8 @@
 	headerInputs        = "Caperdrum-Inputs" // handles, comma-separated
 	headerFetch         = "Caperdrum-Fetch-From"
 	headerLeaving       = "Caperdrum-Leaving"
-	headerLastEventID   = "Last-Event-Id" // of server-sent events (WHATWG HTML)
+	headerLastEventID   = "Last-Event-Id"     // of server-sent events (WHATWG HTML)
+	headerResumes       = "Caperdrum-Resumes" // id of the caller's attempt that brought the stream's first event
 	headerAuthorization = "Authorization"
 
 	pathPieces = "/v1/pieces"
@@ -38,7 +39,7 @@
 
 // ParseCall implements Protocol.
 func (Native) ParseCall(h http.Header) (Call, error) {
-	c := Call{ID: h.Get(wire.HeaderRequestID), PieceKey: h.Get(headerPieceKey), LastEventID: h.Get(headerLastEventID)}
+	c := Call{ID: h.Get(wire.HeaderRequestID), PieceKey: h.Get(headerPieceKey), LastEventID: h.Get(headerLastEventID), Resumes: ParseStreamReference(h.Values(headerResumes))}
 	c.BearerKey, _ = strings.CutPrefix(h.Get(headerAuthorization), bearer)
 	if raw := h.Get(wire.HeaderTimeout); raw != "" {
 		wait, err := time.ParseDuration(raw)
