stagework: parts of prompts are fetched from engines of the same version only

The same cause elsewhere: the stage owner told an engine to fetch cached parts of a prompt from any engine of its service. What one version has written need not fit another, and upstreams do not check it.

The source of a fetch is found for each version. While one version serves, nothing changes. TestPartsAreFetchedFromTheSameVersion fails without it.

--- a/node/stagework/engines.go
+++ b/node/stagework/engines.go
@@ -176,7 +176,7 @@
 
 // chooseFromTrack chooses among the engines of the versions that the track admits.
 func (e *engines) chooseFromTrack(track rollout.Track, now, goal time.Time, p *Prompt, bytes map[string]int64) plan {
-	first, source, spec := e.defaultHolder(p), e.fetchSource(now, p), e.services[p.Service]
+	first, sources, spec := e.defaultHolder(p), fetchSources{}, e.services[p.Service]
 	all := int64(0)
 	for _, n := range bytes {
 		all += n
@@ -193,7 +193,7 @@
 		}
 		missing, own := prefillOf(p.Parts, func(id string) bool { return m.ID == first || l.hasPart(id) })
 		x := plan{engine: m, prefill: own}
-		if f, ok := e.planFetch(now, spec, l, source, missing); ok {
+		if f, ok := e.planFetch(now, spec, l, sources.find(e, now, p, m.Version), missing); ok {
 			x.fetch, missing = f, prefill{}
 		}
 		x.prefill = own.plus(missing)
--- a/node/stagework/fetch.go
+++ b/node/stagework/fetch.go
@@ -59,16 +59,29 @@
 	return list[:min(len(list), maxCandidates)]
 }
 
-// fetchSource returns the engine of the prompt's service that can send the shared parts soonest,
-// nil where none has prefilled all of them. Engines that failed lately are left out, as they may
+// fetchSources are the best sources of a prompt's shared parts, by software version: what one version has cached may
+// be of no use to another.
+type fetchSources map[string]*engineLoad
+
+func (f fetchSources) find(e *engines, now time.Time, p *Prompt, version string) *engineLoad {
+	l, known := f[version]
+	if !known {
+		l = e.fetchSource(now, p, version)
+		f[version] = l
+	}
+	return l
+}
+
+// fetchSource returns the engine of the prompt's service and the version that can send the shared parts
+// soonest, nil where none has prefilled all of them. Engines that failed lately are left out, as they may
 // be gone and a fetch would wait for them.
-func (e *engines) fetchSource(now time.Time, p *Prompt) *engineLoad {
+func (e *engines) fetchSource(now time.Time, p *Prompt, version string) *engineLoad {
 	if !supportsFetch(e.services[p.Service]) {
 		return nil
 	}
 	var best *engineLoad
 	for _, l := range e.holders.find(p) {
-		if l.member.Service != p.Service || l.member.Leaving || l.failures > 0 || !p.Within.Contains(l.member.DataCenter) || !l.hasPrefilled(sharedParts(p.Parts)) {
+		if l.member.Service != p.Service || l.member.Leaving || l.failures > 0 || l.member.Version != version || !p.Within.Contains(l.member.DataCenter) || !l.hasPrefilled(sharedParts(p.Parts)) {
 			continue
 		}
 		if best == nil || l.sendsSooner(best, now) {
--- a/node/stagework/versions_test.go
+++ b/node/stagework/versions_test.go
@@ -64,6 +64,29 @@
 	}
 }
 
+// TestPartsAreFetchedFromTheSameVersion has only an engine of the other version hold a prompt's shared parts: they are
+// prefilled again, and fetched once an engine of the same version holds them too.
+func TestPartsAreFetchedFromTheSameVersion(t *testing.T) {
+	e, now := newEngines(), time.Unix(1000, 0)
+	list := versionedEngines()
+	e.setAllVersions(map[string][]wire.Member{"llm": list})
+	e.setMembers(map[string]*optext.Service{"llm": fastLinks}, map[string][]wire.Member{"llm": list})
+	hold := func(m wire.Member) {
+		p := versionedPrompt("shared", m.Version)
+		a := e.assign(now, p, plan{engine: m, prefill: prefill{tokens: 10}})
+		e.finishAssignment(now, a, EngineStarted)
+	}
+	hold(list[1])
+	if x := e.choose(now, now.Add(time.Second), versionedPrompt("shared", "v1"), nil); x.fetch.source != nil || x.engine.Version != "v1" {
+		t.Errorf("fetched from %+v", x.fetch.source.member)
+	}
+	hold(list[0])
+	e.loads[list[0].ID].waiting = prefill{tokens: 1_000_000}
+	if x := e.choose(now, now.Add(time.Second), versionedPrompt("shared", "v1"), nil); x.engine.ID != "e2" || x.fetch.source == nil || x.fetch.source.member.ID != "e0" {
+		t.Errorf("chose %s, fetched from %+v", x.engine.ID, x.fetch.source)
+	}
+}
+
 // TestLimitsOfItsVersionAdmitAJob has the engines of one version limit their requests: jobs of streams that began there
 // are refused before their stages run, with a Retry-After, and others are not.
 func TestLimitsOfItsVersionAdmitAJob(t *testing.T) {
