control: an upstream that deregisters keeps its software version in the member list

The record that marks an upstream as leaving was built without its version, so that the member list, for 30 s, had an upstream of version "" of the service. Rollouts listed "" among the versions to be replaced. TestDeregistrationOfListedAndPendingUpstreams fails without the change.

--- a/node/control/leases.go
+++ b/node/control/leases.go
@@ -106,6 +106,7 @@
 		return nil
 	}
 	left := wire.AnnouncedUpstream(req.ID, m.Service, m.Direct, m.DataCenter, true)
+	left.Version = m.Version
 	return []wire.Member{left.WithStartTime(max(req.Incarnation, m.Incarnation))}
 }
 
--- a/node/control/leases_test.go
+++ b/node/control/leases_test.go
@@ -134,11 +134,13 @@
 	lead := w.nodes[0].svc.leases
 	held := wire.AnnouncedUpstream("m0", "s", "10.0.0.1:80", "d", false)
 	waits := wire.AnnouncedUpstream("m1", "s", "10.0.0.2:80", "e", false)
+	held.Version, waits.Version = "v1", "v2"
 	lead.record([]Renewal{{Member: held}, {Member: wire.Member{ID: "m2", Incarnation: 1}}})
 	lead.step(context.Background())
 	lead.record([]Renewal{{Member: waits}})
 	for _, m := range []wire.Member{held, waits} {
 		want := wire.AnnouncedUpstream(m.ID, m.Service, m.Direct, m.DataCenter, true)
+		want.Version = m.Version
 		if got := lead.leavingRecords(&wire.LeaveRequest{ID: m.ID}); len(got) != 1 || !reflect.DeepEqual(got[0], want) {
 			t.Errorf("%s leaves as %+v", m.ID, got)
 		}
