Streams of a service that has had one version only go on without a record

Refused although it is known where they began: at the only version that there is. The same after the loss of all records.

A process that gets a stream without a record asks the leader, which answers after a read barrier: the answer covers every upstream that had registered before the call arrived, so that also a process that was cut off while a second version came up cannot be wrong. Without an answer, or with several versions, the stream is refused as before.

--- a/node/control/rollout.go
+++ b/node/control/rollout.go
@@ -18,6 +18,7 @@
 const (
 	MethodStartRollout  = "control.rollout_start"
 	MethodRollout       = "control.rollout"
+	MethodVersions      = "control.versions"
 	MethodReportRollout = "control.rollout_report"
 )
 
@@ -125,6 +126,27 @@
 	return &r, nil
 }
 
+// VersionsRequest is a request for the recent software versions of a service.
+type VersionsRequest struct {
+	Service string `json:"service"`
+}
+
+// VersionsReply lists the software versions of a service's upstreams, with those that have gone some time ago.
+type VersionsReply struct {
+	Versions []string `json:"versions"`
+	Complete bool     `json:"complete"` // false: there may have been others
+}
+
+// readVersions is a linearizable read of the recent software versions of a service.
+func (s *Service) readVersions(ctx context.Context, q *VersionsRequest) (*VersionsReply, error) {
+	if err := s.replica.ReadBarrier(ctx); err != nil {
+		return nil, s.leaderError(err)
+	}
+	reply := &VersionsReply{}
+	reply.Versions, reply.Complete = s.cluster.View().RecentVersions(q.Service)
+	return reply, nil
+}
+
 // Rollouts returns the rollouts that this process has applied.
 func (s *Service) Rollouts() wire.Rollouts { return s.cluster.View().Rollouts }
 
--- a/node/control/service.go
+++ b/node/control/service.go
@@ -127,6 +127,7 @@
 	peer.Handle(s.server, MethodReportCrashes, s.reportCrashes)
 	peer.Handle(s.server, MethodStartRollout, s.StartRollout)
 	peer.Handle(s.server, MethodRollout, s.readRollout)
+	peer.Handle(s.server, MethodVersions, s.readVersions)
 	peer.Handle(s.server, MethodReportRollout, s.reportRollout)
 	peer.Handle(s.server, formation.MethodHello, s.answerHello)
 	peer.Handle(s.server, peer.MethodControlAddresses, s.controlAddresses)
--- a/node/controlclient/controlclient.go
+++ b/node/controlclient/controlclient.go
@@ -201,6 +201,18 @@
 	return r, err
 }
 
+// SoleVersion returns the software version of the service's upstreams if they have had only one for as long as a
+// stream can last. It is confirmed by a quorum after the call; ok is false if there may have been another version, or
+// if that cannot be confirmed before ctx ends.
+func (s *Service) SoleVersion(ctx context.Context, service string) (version string, ok bool) {
+	var reply control.VersionsReply
+	err := s.control.CallLeader(ctx, control.MethodVersions, control.VersionsRequest{Service: service}, &reply)
+	if err != nil || !reply.Complete || len(reply.Versions) != 1 {
+		return "", false
+	}
+	return reply.Versions[0], true
+}
+
 // ReportRollouts sends the call counts of this process to the leader.
 func (s *Service) ReportRollouts(ctx context.Context, report *wire.RolloutReport) error {
 	return s.control.CallLeader(ctx, control.MethodReportRollout, report, nil)
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -107,6 +107,7 @@
 	views          viewSource
 	stages         stages
 	origins        streamOrigins
+	soleVersion    func(ctx context.Context, service string) (version string, ok bool) // see controlclient.Service
 	secure         *security.Store
 	pool           *upstream.Pool
 	notices        *upstream.Notices
@@ -140,6 +141,7 @@
 	s.rollouts = &rollout.Reporter{Counter: p.Counter, Clock: clockwork.NewRealClock(), Self: p.ConfigSync.Self, Processes: s.processCount, Send: p.Control.ReportRollouts,
 		OnError: func(err error) { s.log.Info("rollout counts not acknowledged", "error", err.Error()) }}
 	s.secure = p.Security
+	s.soleVersion = p.Control.SoleVersion
 	p.ConfigSync.OnChange(s.applyView)
 	return s
 }
@@ -147,6 +149,7 @@
 func newService(set *settings.Settings, log logr.Logger, protocol upstream.Protocol, notices *upstream.Notices, views viewSource, stages stages, origins streamOrigins) *Service {
 	s := &Service{set: set, log: log, protocol: protocol, views: views, stages: stages, origins: origins,
 		pool: upstream.NewPool(protocol, notices), endpoints: newEndpoints(notices), notices: notices, startup: newStartupWait(clockwork.NewRealClock())}
+	s.soleVersion = func(context.Context, string) (string, bool) { return "", false }
 	s.initQuota(boottime.System())
 	s.running, s.counter = newRunning(), rollout.NewCounter()
 	s.memory = newMemoryBudget(set.Node.MemoryMB)
--- a/node/proxy/resume.go
+++ b/node/proxy/resume.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"caperdrum.org/api/optext"
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/streamorigin"
@@ -15,35 +14,71 @@
 // caller's clock and this process.
 const originGrace = time.Second
 
+// soleVersionTimeout bounds how long a call waits for the answer whether its service has had one version only.
+const soleVersionTimeout = 250 * time.Millisecond
+
 // findOrigin finds the service and the software version at which the stream began that the call continues. Without
-// them it returns an error: at another version the rest of the stream would not fit. A call that names no last event
-// begins a stream, whatever it names besides.
+// them it returns an error: at another version the rest of the stream would not fit. They are known by a record of the
+// attempt that the call names, or since the service has had one version only. A call that names no last event begins
+// a stream, whatever it names besides.
 func (x *exchange) findOrigin(ctx context.Context) error {
 	if !x.route.Streaming || x.call.LastEventID == "" {
 		return nil
 	}
 	x.s.log.Info("stream taken up", "request", x.call.ID, "route", x.route.Name, "customer", x.customerName(),
 		"last_event", x.call.LastEventID, "resumes", x.call.Resumes.Attempt, "invalid", x.call.Resumes.Invalid)
-	switch {
+	reason := "the attempt that began the stream is not named"
+	switch attempt := x.call.Resumes.Attempt; {
 	case x.call.Resumes.Invalid != "":
-		return errStreamUnknown("the attempt that began the stream is not named by one valid id")
-	case x.call.Resumes.Attempt == "":
-		return errStreamUnknown("the attempt that began the stream is not named")
+		reason = "the attempt that began the stream is not named by one valid id"
+	case attempt != "":
+		origin, known := x.s.origins.Find(ctx, streamorigin.Key{Customer: x.customerName(), Attempt: attempt})
+		if known {
+			return x.pin(origin)
+		}
+		reason = "no process that answers knows where attempt " + attempt + " of this customer began a stream"
 	}
-	origin, known := x.s.origins.Find(ctx, streamorigin.Key{Customer: x.customerName(), Attempt: x.call.Resumes.Attempt})
-	if !known {
-		return errStreamUnknown("it is not known here where attempt %s of this customer began a stream", x.call.Resumes.Attempt)
+	if origin, known := x.soleOrigin(ctx); known {
+		return x.pin(origin)
 	}
+	return errStreamUnknown(reason)
+}
+
+// pin restricts the call to where its stream began.
+func (x *exchange) pin(origin streamorigin.Origin) error {
 	service := x.table.config.Services[origin.Service]
-	if service == nil || !slices.ContainsFunc(x.route.Weights, func(w optext.Weight) bool { return w.Service == origin.Service && w.Weight > 0 }) {
-		return errStreamUnknown("the stream began at service %s, to which the route does not lead", origin.Service)
+	if service == nil || !slices.Contains(x.services(), origin.Service) {
+		return errStreamUnknown("the stream began at service " + origin.Service + ", to which the route does not lead")
 	}
 	x.service, x.version = service, &origin.Version
 	return nil
 }
 
-func errStreamUnknown(format string, args ...any) error {
-	return verdict.New(verdict.NotRun, verdict.CodeStreamUnknown, format, args...).WithRetryAfter(outageRetryAfter())
+// services returns the services to which the route leads.
+func (x *exchange) services() (out []string) {
+	for _, w := range x.route.Weights {
+		if w.Weight > 0 {
+			out = append(out, w.Service)
+		}
+	}
+	return out
+}
+
+// soleOrigin returns where every stream of the route has begun, if its service has had one version only.
+func (x *exchange) soleOrigin(ctx context.Context) (streamorigin.Origin, bool) {
+	services := x.services()
+	if len(services) != 1 {
+		return streamorigin.Origin{}, false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer time.AfterFunc(soleVersionTimeout, cancel).Stop()
+	version, ok := x.s.soleVersion(ctx, services[0])
+	return streamorigin.Origin{Service: services[0], Version: version}, ok
+}
+
+func errStreamUnknown(reason string) error {
+	return verdict.New(verdict.NotRun, verdict.CodeStreamUnknown, "%s", reason).WithRetryAfter(outageRetryAfter())
 }
 
 // recordOrigin records that the stream begins at the upstream, before its first event goes out. From then on it goes
--- a/node/proxy/resume_test.go
+++ b/node/proxy/resume_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -226,3 +227,39 @@
 		t.Fatalf("%d of 200 new calls at the target, want half", n)
 	}
 }
+
+// TestServiceOfOneVersion has a service that has had one version only: streams that are not known otherwise go on there.
+// Those that began elsewhere by their record do not.
+func TestServiceOfOneVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		resumes string
+		sole    bool
+		status  int
+		asked   int // whether the service has had one version only
+	}{
+		"not named":                  {"", true, http.StatusOK, 1},
+		"unknown":                    {"b", true, http.StatusOK, 1},
+		"invalid":                    {"a b", true, http.StatusOK, 1},
+		"known":                      {"a", true, http.StatusOK, 0},
+		"of a version that has gone": {"gone", true, http.StatusServiceUnavailable, 0},
+		"several versions":           {"b", false, http.StatusServiceUnavailable, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.versionedEngine("e1", "v1", nil)
+			f.origins.known[streamorigin.Key{Customer: "foundry", Attempt: "a"}] = streamorigin.Origin{Service: "llm", Version: "v1"}
+			f.origins.known[streamorigin.Key{Customer: "foundry", Attempt: "gone"}] = streamorigin.Origin{Service: "llm", Version: "v0"}
+			asked := 0
+			f.service.soleVersion = func(_ context.Context, service string) (string, bool) {
+				if asked++; service != "llm" {
+					t.Errorf("asked for %s", service)
+				}
+				return "v1", c.sole
+			}
+			f.wantStatus(c.status, http.MethodPost, "/quote/", map[string]string{"Last-Event-Id": "2", "Caperdrum-Resumes": c.resumes})
+			if asked != c.asked {
+				t.Errorf("asked %d times", asked)
+			}
+		})
+	}
+}
--- a/node/state/state.go
+++ b/node/state/state.go
@@ -113,6 +113,9 @@
 	Evacuations wire.Evacuations  `cbor:"43,keyasint"`
 	Quarantine  quarantine.Ledger `cbor:"44,keyasint"`
 	Rollouts    wire.Rollouts     `cbor:"45,keyasint"`
+	Versions    versionTimes      `cbor:"46,keyasint,omitempty"`
+	// VersionsFrom is when the history in Versions begins, or sinceCreation; zero if there is none yet.
+	VersionsFrom int64 `cbor:"47,keyasint,omitempty"`
 }
 
 // Machine is the state machine. A single goroutine owns it; others read its View.
@@ -154,9 +157,12 @@
 	Suspects   wire.Suspects
 	Quarantine []wire.QuarantineEntry
 	// Rollouts holds the last rollout of each service.
-	Rollouts  wire.Rollouts
-	memberLog []memberChange
-	fullList  *fullMemberList
+	Rollouts     wire.Rollouts
+	memberLog    []memberChange
+	fullList     *fullMemberList
+	now          int64 // of the last command, milliseconds since the Unix epoch
+	versions     versionTimes
+	versionsFrom int64
 }
 
 // New returns an empty machine.
@@ -193,6 +199,7 @@
 	if err != nil {
 		return Result{}, err
 	}
+	m.beginVersions()
 	m.s.Now = max(m.s.Now, c.Now)
 	m.ledger.expire(m.s.Now)
 	var r Result
@@ -294,9 +301,12 @@
 }
 
 func (m *Machine) addMember(member wire.Member) {
-	if old, known := m.s.Members[member.ID]; known && !member.NewerThan(old) {
+	old, known := m.s.Members[member.ID]
+	if known && !member.NewerThan(old) {
 		return
 	}
+	m.recordVersion(old)
+	m.recordVersion(member)
 	m.s.Members[member.ID] = member
 	m.recordMemberChange(member.ID, false)
 }
@@ -306,6 +316,7 @@
 	if !ok || current.Incarnation != r.Incarnation {
 		return
 	}
+	m.recordVersion(current)
 	delete(m.s.Members, r.ID)
 	m.recordMemberChange(r.ID, true)
 }
@@ -378,6 +389,9 @@
 		Quarantine:    m.quarantineEntries,
 		Rollouts:      m.s.Rollouts,
 		memberLog:     m.memberLog[:len(m.memberLog):len(m.memberLog)],
+		now:           m.s.Now,
+		versions:      m.s.Versions,
+		versionsFrom:  m.s.VersionsFrom,
 	}
 	return m.view
 }
