--- a/node/streamorigin/service_test.go
+++ b/node/streamorigin/service_test.go
@@ -149,11 +149,15 @@
 	}
 }
 
-// TestStoppedProcessHandsOver stops the two processes that hold a record, one after the other: it is still found.
+// TestStoppedProcessHandsOver stops the process that began streams, and then others one after the other: the streams
+// are known as long as two processes are left.
 func TestStoppedProcessHandsOver(t *testing.T) {
 	f := newServiceFixture(t, 5, 0)
-	key := Key{Customer: "foundry", Attempt: "a"}
-	f.begin(0, key, "v1")
+	var keys []Key
+	for i := range 20 {
+		keys = append(keys, Key{Customer: "foundry", Attempt: fmt.Sprint("a", i)})
+		f.begin(0, keys[i], "v1")
+	}
 	for len(f.members) > 2 {
 		i := 0
 		if len(f.members) < 5 {
@@ -171,8 +175,10 @@
 	}
 	for _, m := range f.members {
 		at := int(m.ID[len(m.ID)-1] - '0')
-		if _, known := f.services[at].Find(context.Background(), key); !known {
-			t.Errorf("not known at %s", m.ID)
+		for _, key := range keys {
+			if _, known := f.services[at].Find(context.Background(), key); !known {
+				t.Errorf("%s is not known at %s", key.Attempt, m.ID)
+			}
 		}
 	}
 }
--- a/node/streamorigin/simulation_test.go
+++ b/node/streamorigin/simulation_test.go
@@ -298,8 +298,8 @@
 const least = 0.95
 
 // TestStreamsGoOnInAHealthyCluster has streams taken up at random processes, once and a second time, while all
-// processes run, after the process that began them was killed, after one that holds records was killed, and while the
-// processes are restarted one after the other.
+// processes run, after the process that began them was killed, and after another one with it, after one that holds
+// records was killed, and while the processes are restarted one after the other.
 func TestStreamsGoOnInAHealthyCluster(t *testing.T) {
 	for _, c := range []struct{ processes, dataCenters int }{{2, 1}, {2, 2}, {3, 1}, {4, 2}, {8, 4}, {60, 6}, {360, 6}, {1000, 18}} {
 		if testing.Short() && c.processes > 60 {
@@ -333,6 +333,17 @@
 		s.start(lost)
 		s.run(time.Second)
 
+		if len(s.processes) > 3 {
+			keys = beginAll("server and another one lost", 200, func() *simProcess { return lost })
+			other := s.healthy(lost)
+			s.kill(lost)
+			s.kill(other)
+			takeUpAll("server and another one lost", keys, lost)
+			s.start(lost)
+			s.start(other)
+			s.run(time.Second)
+		}
+
 		keys = beginAll("holder lost", 200, func() *simProcess { return s.healthy(nil) })
 		lost = s.healthy(nil)
 		s.kill(lost)
@@ -350,6 +361,30 @@
 	}
 }
 
+// TestCopiesAreReplaced kills the processes that hold the records of one process, one after the other, and then that
+// process itself: its streams are known, since it has sent new copies meanwhile.
+func TestCopiesAreReplaced(t *testing.T) {
+	s := newSimulation(t, 1, 8, 4)
+	server := s.processes[0]
+	var keys []Key
+	for i := range 100 {
+		if key, ok := s.begin(server, fmt.Sprint(i)); ok {
+			keys = append(keys, key)
+		}
+	}
+	s.run(50 * time.Millisecond)
+	for _, p := range s.processes[3:] {
+		s.kill(p)
+		s.run(time.Second)
+	}
+	s.kill(server)
+	for _, key := range keys {
+		s.takeUp("replaced", s.processes[1], key)
+	}
+	s.run(time.Second)
+	s.wantShare("replaced", least)
+}
+
 // TestStreamsOfAProcessCutOff has a process that is cut off begin streams: they are not known elsewhere, and go on
 // there only.
 func TestStreamsOfAProcessCutOff(t *testing.T) {
