proxy: streams whose ids no caller can name are not recorded

Records name the processes that hold copies by their starts instead of whole members.

TestStreamThatCannotBeNamedIsNotRecorded fails without it.

--- a/node/proxy/resume.go
+++ b/node/proxy/resume.go
@@ -8,6 +8,7 @@
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/streamorigin"
+	"caperdrum.org/node/upstream"
 )
 
 // originGrace is how much longer than its caller waits the record of a stream is kept, for the time between the
@@ -88,8 +89,8 @@
 		return
 	}
 	x.version = &m.Version
-	if !x.route.Repeatable() || x.call.ID == "" {
-		return
+	if !x.route.Repeatable() || !upstream.ValidAttemptID(x.call.ID) {
+		return // it cannot be taken up
 	}
 	wait := x.route.Timeout
 	if x.call.Timeout > 0 {
--- a/node/proxy/resume_test.go
+++ b/node/proxy/resume_test.go
@@ -167,6 +167,19 @@
 	}
 }
 
+// TestStreamThatCannotBeNamedIsNotRecorded has callers send ids that no header can name, as long as a header may be: the
+// memory for records must not depend on them.
+func TestStreamThatCannotBeNamedIsNotRecorded(t *testing.T) {
+	f := newFixture(t)
+	f.versionedEngine("e1", "v1", nil)
+	for _, id := range []string{strings.Repeat("a", 20_000), "a b", "é"} {
+		f.wantStatus(http.StatusOK, http.MethodPost, "/quote/", map[string]string{wire.HeaderRequestID: id})
+	}
+	if len(f.origins.begun) > 0 {
+		t.Fatalf("recorded %d streams", len(f.origins.begun))
+	}
+}
+
 // TestPausedVersionIsRefusedWithItsPause has the only upstream of a version ask for a pause: streams that began there
 // are refused at once with that pause, although the other version serves.
 func TestPausedVersionIsRefusedWithItsPause(t *testing.T) {
--- a/node/streamorigin/store.go
+++ b/node/streamorigin/store.go
@@ -16,10 +16,10 @@
 	key      Key
 	origin   Origin
 	expires  time.Time
-	conflict bool          // two origins were recorded for the key
-	began    bool          // the stream began at this process, which sees to the copies
-	asked    []wire.Member // processes that have a copy or are asked to take one
-	acked    bool          // one of them has taken a copy at some time
+	conflict bool         // two origins were recorded for the key
+	began    bool         // the stream began at this process, which sees to the copies
+	asked    []wire.Start // processes that have a copy or are asked to take one
+	acked    bool         // one of them has taken a copy at some time
 	failures int
 	index    int // in the heap
 }
--- a/node/streamorigin/tracker.go
+++ b/node/streamorigin/tracker.go
@@ -45,19 +45,15 @@
 		if len(e.asked) >= copies || e.failures > maxFailures {
 			break
 		}
-		if m.ID == t.self || m.Leaving || contains(e.asked, m) {
+		if m.ID == t.self || m.Leaving || slices.Contains(e.asked, m.Start()) {
 			continue
 		}
-		e.asked = append(e.asked, m)
+		e.asked = append(e.asked, m.Start())
 		out = append(out, Send{To: m, Record: e.record(now)})
 	}
 	return out
 }
 
-func contains(list []wire.Member, m wire.Member) bool {
-	return slices.ContainsFunc(list, func(o wire.Member) bool { return o.Start() == m.Start() })
-}
-
 func (e *entry) record(now time.Time) Record {
 	return Record{Key: e.key, Origin: e.origin, TTL: e.expires.Sub(now)}
 }
@@ -72,7 +68,7 @@
 // Failed records that a process did not take a copy, and returns the copies to be sent to others instead.
 func (t *Tracker) Failed(now time.Time, to wire.Member, key Key) []Send {
 	e := t.store.find(now, key)
-	if e == nil || !e.began || e.conflict || !contains(e.asked, to) {
+	if e == nil || !e.began || e.conflict || !slices.Contains(e.asked, to.Start()) {
 		return nil
 	}
 	e.failures++
@@ -81,8 +77,8 @@
 		return nil
 	}
 	for _, m := range t.placement.Ranked(key) {
-		if m.ID != t.self && !m.Leaving && !contains(e.asked, m) {
-			e.asked = append(e.asked, m)
+		if m.ID != t.self && !m.Leaving && !slices.Contains(e.asked, m.Start()) {
+			e.asked = append(e.asked, m.Start())
 			return []Send{{To: m, Record: e.record(now)}}
 		}
 	}
@@ -115,7 +111,7 @@
 			continue
 		}
 		before := len(e.asked)
-		e.asked = slices.DeleteFunc(e.asked, func(m wire.Member) bool { return !present[m.Start()] })
+		e.asked = slices.DeleteFunc(e.asked, func(start wire.Start) bool { return !present[start] })
 		if len(e.asked) < before {
 			e.failures = 0
 		}
@@ -196,7 +192,7 @@
 				continue
 			}
 			n++
-			if !contains(e.asked, m) {
+			if !slices.Contains(e.asked, m.Start()) {
 				out = append(out, Send{To: m, Record: e.record(now)})
 			}
 		}
--- a/node/upstream/stream_reference.go
+++ b/node/upstream/stream_reference.go
@@ -24,7 +24,7 @@
 		id := strings.TrimSpace(raw)
 		switch {
 		case id == "" || id == attempt:
-		case attempt != "" || !validAttemptID(id):
+		case attempt != "" || !ValidAttemptID(id):
 			return StreamReference{Invalid: quoteShort(values)}
 		default:
 			attempt = id
@@ -33,8 +33,9 @@
 	return StreamReference{Attempt: attempt}
 }
 
-func validAttemptID(id string) bool {
-	return len(id) <= maxAttemptIDBytes && !strings.ContainsFunc(id, func(r rune) bool { return r <= ' ' || r > '~' })
+// ValidAttemptID reports whether callers can name the id.
+func ValidAttemptID(id string) bool {
+	return id != "" && len(id) <= maxAttemptIDBytes && !strings.ContainsFunc(id, func(r rune) bool { return r <= ' ' || r > '~' })
 }
 
 // quoteShort quotes values for a log line, each cut to the length of the longest valid one.
