--- a/node/streamorigin/service_test.go
+++ b/node/streamorigin/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"testing"
@@ -255,3 +256,35 @@
 		}
 	}
 }
+
+// TestCostOfAStreamDoesNotGrow records streams in clusters of 8 to 2,000 processes: the copies of a stream, the processes
+// that each process is connected to, and those asked for a record, stay the same.
+func TestCostOfAStreamDoesNotGrow(t *testing.T) {
+	for _, n := range []int{8, 360, 2000} {
+		var list []wire.Member
+		for i := range n {
+			list = append(list, wire.Member{ID: wire.MemberID(fmt.Sprint("edge-", i)), DataCenter: fmt.Sprint("dc-", i%18), Incarnation: 1})
+		}
+		tracker, now, copied, holders, bytes := NewTracker(), time.Unix(1000, 0), 0, map[wire.MemberID]bool{}, 0
+		tracker.SetProcesses(now, "edge-0", list)
+		const streams = 2000
+		for i := range streams {
+			r := Record{Key: Key{Customer: "customer-123", Attempt: fmt.Sprintf("%016x", i)}, Origin: Origin{Service: "model-pool", Version: "v1.12.3"}, TTL: 12 * time.Second}
+			for _, x := range tracker.Begin(now, r) {
+				data, err := json.Marshal(x.Record)
+				if err != nil {
+					t.Fatal(err)
+				}
+				copied, bytes = copied+1, bytes+len(data)
+				holders[x.To.ID] = true
+			}
+			if asked := len(tracker.Askable(r.Key)); asked > askedProcesses {
+				t.Fatalf("%d processes are asked", asked)
+			}
+		}
+		t.Logf("%d processes: %d copies of %d streams, %d bytes each, at %d processes", n, copied, streams, bytes/copied, len(holders))
+		if copied != copies*streams || len(holders) > maxHolders {
+			t.Errorf("%d processes: %d copies of %d streams at %d processes", n, copied, streams, len(holders))
+		}
+	}
+}
--- a/node/streamorigin/simulation_test.go
+++ b/node/streamorigin/simulation_test.go
@@ -289,6 +289,7 @@
 func (s *simulation) wantShare(phase string, least float64) {
 	s.t.Helper()
 	r := s.results[phase]
+	s.t.Logf("%d processes, %s: %d of %d streams go on", len(s.processes), phase, r[0], r[1])
 	if r[1] == 0 || float64(r[0]) < least*float64(r[1]) {
 		s.t.Errorf("%s, %d processes: %d of %d streams go on, want %.2f", phase, len(s.processes), r[0], r[1], least)
 	}
