--- a/node/streamorigin/service_test.go
+++ b/node/streamorigin/service_test.go
@@ -17,7 +17,7 @@
 
 // serviceFixture are services that reach each other over loopback.
 type serviceFixture struct {
-	t        *testing.T
+	t        testing.TB
 	clock    *clockwork.FakeClock
 	services []*Service
 	servers  []*peer.Server
@@ -26,7 +26,7 @@
 
 // newServiceFixture starts n services, each in a data centre of its own. The servers of the first mute ones do not know
 // the methods, as those of an earlier release.
-func newServiceFixture(t *testing.T, n, mute int) *serviceFixture {
+func newServiceFixture(t testing.TB, n, mute int) *serviceFixture {
 	f := &serviceFixture{t: t, clock: clockwork.NewFakeClock()}
 	for i := range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -288,3 +288,13 @@
 		}
 	}
 }
+
+// BenchmarkBegin measures one stream that begins with copies at two processes over loopback, all three in one program.
+func BenchmarkBegin(b *testing.B) {
+	f := newServiceFixture(b, 3, 0)
+	for i := range b.N {
+		if !f.begin(0, Key{Customer: "foundry", Attempt: fmt.Sprint(i)}, "v1") {
+			b.Fatal("no other process has a copy")
+		}
+	}
+}
