proxy: the record of a stream is kept for four timeouts of its route at most

It was kept for as long as its caller said that it waits, an hour at most. When there are too many records those that expire first are dropped: one customer with long deadlines, at ten streams a second, would have had those of all others dropped within the hour, and their streams refused.

TestRecordsDoNotLastAsLongAsCallersSay fails without it.

--- a/node/proxy/resume.go
+++ b/node/proxy/resume.go
@@ -15,6 +15,10 @@
 // caller's clock and this process.
 const originGrace = time.Second
 
+// maxRecordedTimeouts bounds how long the record of a stream is kept, in timeouts of its route, however long its caller
+// says that it waits: records that expire last are kept when there are too many.
+const maxRecordedTimeouts = 4
+
 // soleVersionTimeout bounds how long a call waits for the answer whether its service has had one version only.
 const soleVersionTimeout = 250 * time.Millisecond
 
@@ -94,7 +98,7 @@
 	}
 	wait := x.route.Timeout
 	if x.call.Timeout > 0 {
-		wait = x.call.Timeout
+		wait = min(x.call.Timeout, maxRecordedTimeouts*x.route.Timeout)
 	}
 	x.s.origins.Begin(ctx, streamorigin.Record{
 		Key:    streamorigin.Key{Customer: x.customerName(), Attempt: x.call.ID},
--- a/node/proxy/resume_test.go
+++ b/node/proxy/resume_test.go
@@ -180,6 +180,17 @@
 	}
 }
 
+// TestRecordsDoNotLastAsLongAsCallersSay has a caller say that it waits for a year: its record must not outlast those of
+// others, which would be dropped first.
+func TestRecordsDoNotLastAsLongAsCallersSay(t *testing.T) {
+	f := newFixture(t)
+	f.versionedEngine("e1", "v1", nil)
+	f.wantStatus(http.StatusOK, http.MethodPost, "/quote/", map[string]string{wire.HeaderTimeout: "8760h"})
+	if ttl := f.origins.begun[0].TTL; ttl > maxRecordedTimeouts*5*time.Second+originGrace {
+		t.Fatalf("recorded for %v on a route with a timeout of 5 s", ttl)
+	}
+}
+
 // TestPausedVersionIsRefusedWithItsPause has the only upstream of a version ask for a pause: streams that began there
 // are refused at once with that pause, although the other version serves.
 func TestPausedVersionIsRefusedWithItsPause(t *testing.T) {
--- a/node/streamorigin/streamorigin.go
+++ b/node/streamorigin/streamorigin.go
@@ -52,5 +52,5 @@
 	// member lists differ between processes for a while after a change.
 	askedProcesses = 8
 	// MaxTTL bounds how long a record is kept.
-	MaxTTL = time.Hour
+	MaxTTL = 10 * time.Minute
 )
