Tests of stream records: none depends on how long a message takes

The fault was the test's: it looked before the message that tells of the other origin had arrived; Begin returns with the first copy that is taken. It waits for all of them now. The other tests of the package, read for the same fault, relied on answers within 80 and 250 ms: they set time limits that only end a hung test.

--- a/node/streamorigin/service.go
+++ b/node/streamorigin/service.go
@@ -25,15 +25,21 @@
 	methodFind = "stream.find"
 )
 
+// timeouts bound the waits for other processes.
+type timeouts struct {
+	// begin bounds how long the first event of a stream waits for a copy of its record. A stream without a copy goes
+	// on all the same; it cannot be taken up at another process.
+	begin time.Duration
+	// take bounds a call that sends copies, after which they go to another process.
+	take time.Duration
+	// find bounds how long a caller waits that takes a stream up.
+	find time.Duration
+}
+
+// defaultTimeouts allow a lookup for the retransmission of a lost packet.
+var defaultTimeouts = timeouts{begin: 80 * time.Millisecond, take: 300 * time.Millisecond, find: 250 * time.Millisecond}
+
 const (
-	// beginTimeout bounds how long the first event of a stream waits for a copy of its record. A stream without
-	// a copy goes on all the same; it cannot be taken up at another process.
-	beginTimeout = 80 * time.Millisecond
-	// takeTimeout bounds a call that sends copies, after which they go to another process.
-	takeTimeout = 300 * time.Millisecond
-	// findTimeout bounds how long a caller waits that takes a stream up. It allows for the retransmission of a
-	// lost packet.
-	findTimeout = 250 * time.Millisecond
 	// maxBatch bounds the records of one message.
 	maxBatch = 512
 	// maxQueued bounds the records that wait for one process; further ones go to another process.
@@ -55,6 +61,7 @@
 	log    logr.Logger
 	dial   peer.Dialer
 	clock  clockwork.Clock
+	limits timeouts
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -88,7 +95,7 @@
 }
 
 func newService(log logr.Logger, dial peer.Dialer, clock clockwork.Clock) *Service {
-	s := &Service{log: log, dial: dial, clock: clock, tracker: NewTracker(), peers: map[string]*holder{}, waiting: map[Key][]chan struct{}{}}
+	s := &Service{log: log, dial: dial, clock: clock, limits: defaultTimeouts, tracker: NewTracker(), peers: map[string]*holder{}, waiting: map[Key][]chan struct{}{}}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
@@ -111,7 +118,7 @@
 	go func() { s.sending.Wait(); close(sent) }()
 	select {
 	case <-sent:
-	case <-time.After(takeTimeout):
+	case <-time.After(s.limits.take):
 	case <-ctx.Done():
 	}
 	s.cancel()
@@ -149,7 +156,7 @@
 	s.dispatch(list)
 }
 
-// Begin records where a stream began. It returns once another process has a copy, and after beginTimeout at the
+// Begin records where a stream began. It returns once another process has a copy, and after a time limit at the
 // latest; held says whether one has.
 func (s *Service) Begin(ctx context.Context, r Record) (held bool) {
 	begunVar.Add(1)
@@ -163,7 +170,7 @@
 	s.waiting[r.Key] = append(s.waiting[r.Key], taken)
 	s.dispatch(list)
 	s.mu.Unlock()
-	timeout := time.NewTimer(beginTimeout)
+	timeout := time.NewTimer(s.limits.begin)
 	defer timeout.Stop()
 	select {
 	case <-taken:
@@ -230,7 +237,7 @@
 		to, batch := h.member, h.queue[:min(len(h.queue), maxBatch)]
 		h.queue = h.queue[len(batch):]
 		s.mu.Unlock()
-		err := call(s.ctx, takeTimeout, h.client, methodTake, batch, nil)
+		err := call(s.ctx, s.limits.take, h.client, methodTake, batch, nil)
 		copiesVar.Add(int64(len(batch)))
 		s.mu.Lock()
 		now := s.clock.Now()
@@ -262,8 +269,7 @@
 	delete(s.waiting, key)
 }
 
-// Find returns the origin of a stream. It is not known unless this process or one that answers within findTimeout
-// has a record.
+// Find returns the origin of a stream. It is not known unless this process or one that answers in time has a record.
 func (s *Service) Find(ctx context.Context, key Key) (origin Origin, known bool) {
 	s.mu.Lock()
 	answer := s.tracker.Find(s.clock.Now(), key)
@@ -283,7 +289,7 @@
 	for _, c := range clients {
 		go func() {
 			a := new(Answer)
-			if call(ctx, findTimeout, c, methodFind, key, a) != nil {
+			if call(ctx, s.limits.find, c, methodFind, key, a) != nil {
 				a = nil
 			}
 			answers <- a
--- a/node/streamorigin/service_test.go
+++ b/node/streamorigin/service_test.go
@@ -34,6 +34,7 @@
 			t.Fatal(err)
 		}
 		s, server := newService(logr.Discard(), peer.DialTCP, f.clock), peer.NewServer()
+		s.limits = timeouts{time.Minute, time.Minute, time.Minute} // only end a hung test
 		if i >= mute {
 			s.register(server)
 		}
@@ -57,6 +58,13 @@
 	return f.services[at].Begin(context.Background(), Record{Key: key, Origin: Origin{Service: "llm", Version: version}, TTL: 12 * time.Second})
 }
 
+// settle waits until all copies that are under way have been taken.
+func (f *serviceFixture) settle() {
+	for _, s := range f.services {
+		s.sending.Wait()
+	}
+}
+
 // remove stops a process, and tells the others.
 func (f *serviceFixture) remove(i int) {
 	f.servers[i].Close()
@@ -104,6 +112,7 @@
 	key := Key{Customer: "foundry", Attempt: "a"}
 	f.begin(0, key, "v1")
 	f.begin(1, key, "v2")
+	f.settle()
 	for at, s := range f.services {
 		if o, known := s.Find(context.Background(), key); known {
 			t.Errorf("process %d takes %+v for the origin", at, o)
