peer: one way to call a process for a limited time

streamorigin.call wrote stagework.callWithin again: a call that ends with its context while the connection is kept for others. It is peer.Client.CallWithin now, and both call it.

--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -126,6 +126,15 @@
 	return nil
 }
 
+// CallWithin is Call, except that the connection is kept for other calls if ctx's deadline expires: the process may be
+// slow, and the call is of use only until then.
+func (c *Client) CallWithin(ctx context.Context, method string, params, result any) error {
+	call, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, cancel)()
+	return c.Call(call, method, params, result)
+}
+
 // Notify sends params without waiting for an answer.
 func (c *Client) Notify(ctx context.Context, method string, params any) error {
 	conn, err := c.connection(ctx)
--- a/node/stagework/permits.go
+++ b/node/stagework/permits.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"caperdrum.org/api/wire"
-	"caperdrum.org/node/peer"
 	"caperdrum.org/node/requestlimit"
 	"caperdrum.org/node/upstream"
 )
@@ -257,7 +256,7 @@
 		return PermitReply{Wait: noOwnerWait, RetryAfter: noOwnerRetryAfter}
 	}
 	req := PermitRequest{Service: service, Upstreams: s.notices.LimitNotices(starts(list)), Refused: refused, Owner: s.link.currentOwner()}
-	if err := callWithin(ctx, client, methodPermit, req, &reply); err != nil {
+	if err := client.CallWithin(ctx, methodPermit, req, &reply); err != nil {
 		permitsUnansweredVar.Add(1)
 		s.log.Info("permit request failed", "service", service, "owner", req.Owner.ID, "error", err.Error())
 		return PermitReply{Wait: noOwnerWait, RetryAfter: noOwnerRetryAfter}
@@ -273,12 +272,3 @@
 	}
 	return out
 }
-
-// callWithin calls a method until ctx ends. The deadline must not reach the client, which takes an expired one
-// for a broken connection.
-func callWithin(ctx context.Context, client *peer.Client, method string, req, reply any) error {
-	call, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	defer context.AfterFunc(ctx, cancel)()
-	return client.Call(call, method, req, reply)
-}
--- a/node/streamorigin/service.go
+++ b/node/streamorigin/service.go
@@ -340,12 +340,9 @@
 	return &a, nil
 }
 
-// call calls a method until ctx ends or the timeout has passed. Neither may reach the client as a deadline, which it
-// takes for a broken connection.
-func call(ctx context.Context, timeout time.Duration, client *peer.Client, method string, params, result any) error {
-	bounded, cancel := context.WithCancel(context.WithoutCancel(ctx))
+// call calls a method, for a limited time.
+func call(ctx context.Context, limit time.Duration, client *peer.Client, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	defer context.AfterFunc(ctx, cancel)()
-	defer time.AfterFunc(timeout, cancel).Stop()
-	return client.Call(bounded, method, params, result)
+	return client.CallWithin(ctx, method, params, result)
 }
