Log streams that begin without a copy of their record, and unknown upstreams that leave

A stream that was refused as unknown could not be traced to its begin: only a counter said that no other process had taken its record.

--- a/node/control/admin.go
+++ b/node/control/admin.go
@@ -45,7 +45,11 @@
 	if err := s.replica.ReadBarrier(ctx); err != nil {
 		return nil, s.leaderError(err)
 	}
-	return s.renewAndWait(ctx, s.leases.leavingRecords(req))
+	records := s.leases.leavingRecords(req)
+	if len(records) == 0 {
+		s.log.Info("an upstream that is not known leaves", "upstream", req.ID, "incarnation", req.Incarnation)
+	}
+	return s.renewAndWait(ctx, records)
 }
 
 // renewAndWait renews leases and returns once the member list contains the records. It fails if this process
--- a/node/proxy/resume.go
+++ b/node/proxy/resume.go
@@ -100,17 +100,20 @@
 	if x.call.Timeout > 0 {
 		wait = min(x.call.Timeout, maxRecordedTimeouts*x.route.Timeout)
 	}
-	x.s.origins.Begin(ctx, streamorigin.Record{
+	held := x.s.origins.Begin(ctx, streamorigin.Record{
 		Key:    streamorigin.Key{Customer: x.customerName(), Attempt: x.call.ID},
 		Origin: streamorigin.Origin{Service: x.service.Name, Version: m.Version},
 		TTL:    time.Until(x.began.Add(wait)) + originGrace,
 	})
+	if !held && x.s.processCount() > 1 {
+		x.s.log.Info("stream begins without a copy of its record", "request", x.call.ID, "service", x.service.Name, "upstream", m.ID, "version", m.Version)
+	}
 }
 
 // countContinued counts a stream that goes on at another upstream.
 func (x *exchange) countContinued(m wire.Member) {
 	result := "same-version"
-	if x.version == nil || *x.version != m.Version {
+	if *x.version != m.Version {
 		result = "other-version"
 	}
 	streamsContinuedVar.Add(x.service.Name+"/"+result, 1)
