proxy: logs and counters tell how the answers of upstreams were framed and ended

No log of the incident tells an answer that ends with its connection from one with a length or chunks, nor an end within an event from one between two. The verdict has one type, upstream.Ending; what it decides is unchanged: nothing but logs and the counter proxy_answers_ended reads it yet, and crashed and closed are not told apart. An answer that is kept for its caller carries its verdict with it.

Tests of node/proxy and node/upstream pass.

--- a/node/proxy/metrics.go
+++ b/node/proxy/metrics.go
@@ -24,6 +24,7 @@
 	upstreamCrashesVar  = expvar.NewMap("proxy_upstreams_ended_under_calls") // calls that broke because their upstream's process ended, by service
 	barredVar           = expvar.NewMap("proxy_barred")                      // calls refused because upstreams crashed on them, by route
 	streamsBrokenVar    = expvar.NewInt("proxy_streams_broken")
+	answersEndedVar     = expvar.NewMap("proxy_answers_ended")     // responses whose body was read, by service/framing/ending
 	streamsContinuedVar = expvar.NewMap("proxy_streams_continued") // streams that went on at another upstream, by service/result
 	heldBytesVar        = expvar.NewInt("proxy_held_bytes")        // reserved for bodies, and for responses that callers have not read yet
 	overBudgetVar       = expvar.NewInt("proxy_held_over")         // responses read in excess of the memory budget, one at a time
--- a/node/proxy/plain.go
+++ b/node/proxy/plain.go
@@ -14,6 +14,7 @@
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/logging"
+	"caperdrum.org/node/upstream"
 )
 
 // maxPlainResponseBytes bounds a response, which is buffered until it is complete.
@@ -28,13 +29,13 @@
 	c.shortCalls, c.affinity = true, 0
 	for {
 		a := x.send(ctx, &tried, c, "")
-		body, err := x.readResponse(ctx, a)
+		answer, err := x.readResponse(ctx, a)
 		if err == nil && !x.isRepeatableFailure(a) {
-			x.sendResponse(a, body)
+			x.sendResponse(answer)
 			return nil
 		}
 		if err == nil {
-			err = x.saveFailure(a, body)
+			err = x.saveFailure(answer)
 		}
 		x.noteFailure(err)
 		if err.Verdict != verdict.NotRun && !x.route.Repeatable() || ctx.Err() != nil || !x.mayRepeat(err) {
@@ -43,8 +44,15 @@
 	}
 }
 
+// plainAnswer is a complete response.
+type plainAnswer struct {
+	from   *attempt
+	body   []byte
+	ending upstream.Ending
+}
+
 // readResponse reads the body of the attempt's response and ends the attempt.
-func (x *exchange) readResponse(ctx context.Context, a *attempt) ([]byte, *verdict.Error) {
+func (x *exchange) readResponse(ctx context.Context, a *attempt) (*plainAnswer, *verdict.Error) {
 	if a.response == nil {
 		return nil, a.err
 	}
@@ -53,6 +61,7 @@
 		return nil, a.err
 	}
 	body, err := io.ReadAll(&responseReader{ctx: ctx, r: io.LimitReader(a.response.Body, maxPlainResponseBytes+1), memory: &x.memory, uncounted: uncountedBytes})
+	ending := x.ending(a, upstream.BodyEnd{Err: err, Abandoned: ctx.Err() != nil, TooLarge: len(body) > maxPlainResponseBytes})
 	outcome := callFailed
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -64,16 +73,10 @@
 	}
 	if err != nil {
 		x.discard(a, outcome)
-		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeAnswerCut, "the answer of %s was cut: %v", a.member.ID, err)
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeAnswerCut, "the answer of %s was cut (%s, framing %s): %v", a.member.ID, ending, a.response.Framing(), err)
 	}
 	x.discard(a, callAnswered)
-	return body, nil
-}
-
-// upstreamFailure is a complete response with which an upstream reports a failure.
-type upstreamFailure struct {
-	from *attempt
-	body []byte
+	return &plainAnswer{from: a, body: body, ending: ending}, nil
 }
 
 // isRepeatableFailure reports whether the upstream answered with a server error to a call that may be repeated
@@ -83,9 +86,9 @@
 }
 
 // saveFailure saves such a response: the caller gets it unless a repeat brings a better one.
-func (x *exchange) saveFailure(a *attempt, body []byte) *verdict.Error {
-	x.savedFailure = &upstreamFailure{from: a, body: body}
-	return verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "%s answered %d", a.member.ID, a.response.Status)
+func (x *exchange) saveFailure(answer *plainAnswer) *verdict.Error {
+	x.savedFailure = answer
+	return verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "%s answered %d", answer.from.member.ID, answer.from.response.Status)
 }
 
 // sendSavedFailure sends the saved response to the caller. It returns false if there is none or the caller has left.
@@ -93,21 +96,21 @@
 	if x.savedFailure == nil || x.r.Context().Err() != nil {
 		return false
 	}
-	x.sendResponse(x.savedFailure.from, x.savedFailure.body)
+	x.sendResponse(x.savedFailure)
 	return true
 }
 
 // sendResponse sends a complete response to the caller.
-func (x *exchange) sendResponse(a *attempt, body []byte) {
+func (x *exchange) sendResponse(answer *plainAnswer) {
 	x.firstByte = time.Since(x.began)
-	x.copyHeader(a)
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	x.w.WriteHeader(a.response.Status)
+	x.copyHeader(answer.from)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
+	x.w.WriteHeader(answer.from.response.Status)
 	if x.r.Method != http.MethodHead {
 		defer x.setWriteDeadline(time.Now())()
-		x.write(body) // the error is ignored: a caller that left needs no response
+		x.write(answer.body) // the error is ignored: a caller that left needs no response
 	}
-	x.recordResponse(a, "")
+	x.recordResponse(answer.from, answer.ending, "")
 }
 
 // write writes a part of the response to the caller.
@@ -150,10 +153,11 @@
 }
 
 // recordResponse records that the caller got an upstream's complete response.
-func (x *exchange) recordResponse(a *attempt, lastEvent string) {
+func (x *exchange) recordResponse(a *attempt, ending upstream.Ending, lastEvent string) {
 	took := time.Since(x.began)
 	observe(x.route, took)
 	x.reportAnswered(a)
 	x.s.log.V(logging.Routine).Info("call answered", "request", x.call.ID, "route", x.route.Name, "upstream", a.member.ID, "version", a.member.Version, "status", a.response.Status,
-		"sends", x.sends, "first_byte", x.firstByte, "took", took, "goal", x.route.Goal, "late", x.firstByte > x.route.Goal, "last_event", lastEvent)
+		"sends", x.sends, "first_byte", x.firstByte, "took", took, "goal", x.route.Goal, "late", x.firstByte > x.route.Goal, "last_event", lastEvent,
+		"framing", a.response.Framing(), "ended", ending)
 }
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -261,10 +261,10 @@
 
 	answering atomic.Bool // an upstream has begun to answer
 
-	savedFailure   *upstreamFailure // nil if no upstream has answered with a failure
-	firstByte      time.Duration    // time until the response began
-	stagesDone     bool             // the results of the stages are available
-	inputs         []string         // handles of these results
+	savedFailure   *plainAnswer  // nil if no upstream has answered with a failure
+	firstByte      time.Duration // time until the response began
+	stagesDone     bool          // the results of the stages are available
+	inputs         []string      // handles of these results
 	releaseResults stagework.Release
 	engine         wire.MemberID // chosen by the stage owner; empty if it chose none
 	fetchFrom      string        // address from which that engine fetches parts of the prompt; empty for none
--- a/node/proxy/quarantine.go
+++ b/node/proxy/quarantine.go
@@ -8,6 +8,7 @@
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/quarantine"
+	"caperdrum.org/node/upstream"
 )
 
 // barredRetryAfter is the Retry-After of barred calls, which are refused until an operator lifts the bar.
@@ -81,7 +82,7 @@
 
 // reportAnswered records that an upstream answered the call, and reports it if the call is a suspect.
 func (x *exchange) reportAnswered(a *attempt) {
-	if a.response.Status/100 != http.StatusOK/100 || !a.response.Framed() {
+	if a.response.Status/100 != http.StatusOK/100 || a.response.Framing() == upstream.FramedByClose {
 		return // a response delimited by the end of its connection may be incomplete
 	}
 	x.s.answers.Add(x.quarantineCall())
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -78,14 +78,14 @@
 			x.discard(a, callFailed)
 			return false, verdict.New(verdict.MayHaveRun, verdict.CodeAnswerCut, "%s answered %d to a stream that goes on", a.member.ID, a.response.Status)
 		}
-		body, err := x.readResponse(ctx, a)
+		answer, err := x.readResponse(ctx, a)
 		if err != nil {
 			return false, err
 		}
 		if x.isRepeatableFailure(a) {
-			return false, x.saveFailure(a, body)
+			return false, x.saveFailure(answer)
 		}
-		x.sendResponse(a, body)
+		x.sendResponse(answer)
 		return true, nil
 	}
 	if x.resumed {
@@ -95,11 +95,12 @@
 	x.setEngineOutcome(a.member, stagework.EngineStarted)
 	x.releaseStages()
 	err := out.copy(ctx, a)
+	ending := x.ending(a, upstream.BodyEnd{Err: err, Abandoned: ctx.Err() != nil || x.callerGone, InsideEvent: len(out.events.pending) > 0})
 	switch {
 	case err == io.EOF:
 		x.discard(a, callAnswered)
 		out.finish()
-		x.recordResponse(a, out.events.lastID)
+		x.recordResponse(a, ending, out.events.lastID)
 		return true, nil
 	case ctx.Err() != nil, x.callerGone:
 		x.discard(a, callUnknown)
@@ -107,7 +108,7 @@
 		x.investigateBreak(a.member)
 		x.discard(a, callFailed)
 	}
-	return false, verdict.New(verdict.MayHaveRun, verdict.CodeAnswerCut, "the stream of %s broke off: %v", a.member.ID, err)
+	return false, verdict.New(verdict.MayHaveRun, verdict.CodeAnswerCut, "the stream of %s broke off (%s, framing %s): %v", a.member.ID, ending, a.response.Framing(), err)
 }
 
 // streamWriter writes the caller's stream, which may come from several upstreams in turn.
--- a/node/upstream/call.go
+++ b/node/upstream/call.go
@@ -163,12 +163,6 @@
 	return n, err
 }
 
-// Framed reports whether the response has a length or is chunked. The body of any other ends with its
-// connection.
-func (r *Response) Framed() bool {
-	return r.resp.ContentLength >= 0 || len(r.resp.TransferEncoding) > 0
-}
-
 // Buffered returns how many bytes of the connection can be read without blocking.
 func (r *Response) Buffered() int { return r.conn.br.Buffered() }
 
@@ -192,7 +186,7 @@
 }
 
 func (r *Response) reusable() bool {
-	if !r.bodyEnded || r.noReuse || r.resp.Close || !r.Framed() || r.conn.br.Buffered() > 0 {
+	if !r.bodyEnded || r.noReuse || r.resp.Close || r.Framing() == FramedByClose || r.conn.br.Buffered() > 0 {
 		return false
 	}
 	select {
--- /dev/null
+++ b/node/upstream/ending.go
@@ -0,0 +1,104 @@
+package upstream
+
+import (
+	"io"
+	"net/http"
+)
+
+// Framing is how a response states where its body ends (RFC 9112, section 6.3).
+type Framing string
+
+// Values of Framing.
+const (
+	FramedByLength Framing = "length" // also a response that has no body
+	FramedByChunks Framing = "chunked"
+	FramedByClose  Framing = "close" // the body ends with its connection
+)
+
+// Ending is the verdict on how a response ended. Whoever has to know whether a response is whole asks for it, as the
+// end of a body alone does not say so. Its text is a label of metrics and logs.
+type Ending string
+
+// Values of Ending.
+const (
+	EndedWhole       Ending = "whole"        // the framing states the end, and no event is incomplete
+	EndedClosed      Ending = "closed"       // closed in order between two events, and the upstream still runs; the framing states no end
+	EndedUnproven    Ending = "unproven"     // the same, but it is unknown whether the upstream still runs
+	EndedCrashed     Ending = "crashed"      // the same, and the upstream's process is gone
+	EndedInsideEvent Ending = "inside-event" // the body ends within an event, whatever the framing says
+	EndedCut         Ending = "cut"          // the connection broke before the end that the framing states, or was reset
+	EndedTooLarge    Ending = "too-large"    // this process stopped reading at a limit
+	EndedAbandoned   Ending = "abandoned"    // the caller left, or the deadline passed, before the end
+)
+
+// Complete reports whether the caller may get the response as a whole one.
+func (e Ending) Complete() bool {
+	return e == EndedWhole || e == EndedClosed || e == EndedUnproven
+}
+
+// BrokenOff reports whether the upstream failed to complete the response.
+func (e Ending) BrokenOff() bool {
+	return e == EndedCrashed || e == EndedInsideEvent || e == EndedCut
+}
+
+// Survived reports whether the upstream's process is known to have outlived the call.
+func (e Ending) Survived() bool { return e == EndedWhole || e == EndedClosed }
+
+// ProcessState is what is known of an upstream's process.
+type ProcessState int
+
+// Values of ProcessState.
+const (
+	ProcessUnknown ProcessState = iota
+	ProcessListens
+	ProcessGone // nothing listens at its address
+)
+
+// BodyEnd describes the end of a response's body, as its reader saw it.
+type BodyEnd struct {
+	Err         error // with which reading ended; io.EOF or nil at the end of the body
+	Abandoned   bool  // the caller left or the deadline passed
+	TooLarge    bool
+	InsideEvent bool // of a stream: it ended within an event
+	NoEvent     bool // of a stream: it had no event at all
+}
+
+// Ending returns the verdict on a response that ended as b says. process is called only if nothing else tells whether
+// the response is complete.
+func (r *Response) Ending(b BodyEnd, process func() ProcessState) Ending {
+	framing := r.Framing()
+	switch {
+	case b.TooLarge:
+		return EndedTooLarge
+	case b.Err != nil && b.Err != io.EOF && b.Abandoned:
+		return EndedAbandoned
+	case b.Err != nil && b.Err != io.EOF:
+		return EndedCut
+	case b.InsideEvent:
+		return EndedInsideEvent
+	case framing != FramedByClose:
+		return EndedWhole
+	case b.NoEvent:
+		return EndedCut // a stream has at least one event
+	}
+	switch process() {
+	case ProcessListens:
+		return EndedClosed
+	case ProcessGone:
+		return EndedCrashed
+	default:
+		return EndedUnproven
+	}
+}
+
+// Framing returns how the response states where its body ends.
+func (r *Response) Framing() Framing {
+	switch {
+	case len(r.resp.TransferEncoding) > 0:
+		return FramedByChunks
+	case r.resp.ContentLength >= 0 || r.resp.Body == http.NoBody:
+		return FramedByLength
+	default:
+		return FramedByClose
+	}
+}
