proxy: one verdict decides whether an answer is whole, and a stream that ends inside an event is not

Cause: io.EOF of the body was the only sign of a whole answer. For a body that ends with its connection it says that the connection was closed in order, no more; for one with chunks or a length it does not say that the last event is complete. relay and streamWriter.finish passed the bytes after the last event on and ended the caller's chunks. Everything behind them learned a success: the upstream was released as answered, no probe looked for a crash, rollouts counted an answer, the quarantine cleared the call, and resumable streams did not go on.

Now upstream.Response.Ending is asked once, in exchange.end, and its verdict decides what the caller gets, the outcome of the upstream, the crash detector, the counts of a rollout, the reuse of the connection, logs, counters and what clears a suspect. A stream that ends within an event has been broken off, whatever its framing says; without a length or chunks also one without any event. It goes on at another upstream after its last whole event, or is aborted; the part of an event is not sent. Answers on streaming routes that state another type than events are passed on as before. The splitter knows all three ends of a line: with CR alone a whole stream would now count as broken off, and was buffered to its end before.

--- a/node/proxy/plain.go
+++ b/node/proxy/plain.go
@@ -61,21 +61,13 @@
 		return nil, a.err
 	}
 	body, err := io.ReadAll(&responseReader{ctx: ctx, r: io.LimitReader(a.response.Body, maxPlainResponseBytes+1), memory: &x.memory, uncounted: uncountedBytes})
-	ending := x.ending(a, upstream.BodyEnd{Err: err, Abandoned: ctx.Err() != nil, TooLarge: len(body) > maxPlainResponseBytes})
-	outcome := callFailed
+	ending := x.end(a, upstream.BodyEnd{Err: err, Abandoned: ctx.Err() != nil, TooLarge: len(body) > maxPlainResponseBytes})
 	switch {
-	case err != nil && ctx.Err() != nil:
-		outcome = callUnknown
-	case err != nil:
-		x.investigateBreak(a.member)
-	case len(body) > maxPlainResponseBytes:
-		err = errors.Errorf("the answer is above %d bytes", maxPlainResponseBytes)
-	}
-	if err != nil {
-		x.discard(a, outcome)
+	case ending == upstream.EndedTooLarge:
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeAnswerCut, "the answer of %s is above %d bytes", a.member.ID, maxPlainResponseBytes)
+	case !ending.Complete():
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeAnswerCut, "the answer of %s was cut (%s, framing %s): %v", a.member.ID, ending, a.response.Framing(), err)
 	}
-	x.discard(a, callAnswered)
 	return &plainAnswer{from: a, body: body, ending: ending}, nil
 }
 
@@ -156,7 +148,7 @@
 func (x *exchange) recordResponse(a *attempt, ending upstream.Ending, lastEvent string) {
 	took := time.Since(x.began)
 	observe(x.route, took)
-	x.reportAnswered(a)
+	x.reportAnswered(a, ending)
 	x.s.log.V(logging.Routine).Info("call answered", "request", x.call.ID, "route", x.route.Name, "upstream", a.member.ID, "version", a.member.Version, "status", a.response.Status,
 		"sends", x.sends, "first_byte", x.firstByte, "took", took, "goal", x.route.Goal, "late", x.firstByte > x.route.Goal, "last_event", lastEvent,
 		"framing", a.response.Framing(), "ended", ending)
--- a/node/proxy/quarantine.go
+++ b/node/proxy/quarantine.go
@@ -81,9 +81,9 @@
 }
 
 // reportAnswered records that an upstream answered the call, and reports it if the call is a suspect.
-func (x *exchange) reportAnswered(a *attempt) {
-	if a.response.Status/100 != http.StatusOK/100 || a.response.Framing() == upstream.FramedByClose {
-		return // a response delimited by the end of its connection may be incomplete
+func (x *exchange) reportAnswered(a *attempt, ending upstream.Ending) {
+	if a.response.Status/100 != http.StatusOK/100 || !ending.Survived() {
+		return
 	}
 	x.s.answers.Add(x.quarantineCall())
 	standing, fingerprint := x.s.guard.Check(x.quarantineCall(), true)
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -95,18 +95,11 @@
 	x.setEngineOutcome(a.member, stagework.EngineStarted)
 	x.releaseStages()
 	err := out.copy(ctx, a)
-	ending := x.ending(a, upstream.BodyEnd{Err: err, Abandoned: ctx.Err() != nil || x.callerGone, InsideEvent: len(out.events.pending) > 0})
-	switch {
-	case err == io.EOF:
-		x.discard(a, callAnswered)
+	ending := x.end(a, out.bodyEnd(ctx, a, err))
+	if ending.Complete() {
 		out.finish()
 		x.recordResponse(a, ending, out.events.lastID)
 		return true, nil
-	case ctx.Err() != nil, x.callerGone:
-		x.discard(a, callUnknown)
-	default:
-		x.investigateBreak(a.member)
-		x.discard(a, callFailed)
 	}
 	return false, verdict.New(verdict.MayHaveRun, verdict.CodeAnswerCut, "the stream of %s broke off (%s, framing %s): %v", a.member.ID, ending, a.response.Framing(), err)
 }
@@ -120,8 +113,8 @@
 
 // begin sends the headers of the first upstream; those of later ones are not passed on.
 func (o *streamWriter) begin(a *attempt) {
+	o.events.reset()
 	if o.started {
-		o.events.pending = nil
 		return
 	}
 	o.started = true
@@ -131,7 +124,7 @@
 	http.NewResponseController(o.x.w).Flush()
 }
 
-// copy passes complete events on as they arrive. It returns io.EOF at the end of a complete stream.
+// copy passes complete events on as they arrive. It returns io.EOF at the end of the response's body.
 func (o *streamWriter) copy(ctx context.Context, a *attempt) error {
 	defer o.x.setWriteDeadline(time.Now())()
 	buffer := newStreamBuffer(ctx, a.response.Body, o.x.s.memory)
@@ -162,6 +155,17 @@
 	}
 }
 
+// bodyEnd describes the end of the stream's current response, whose reader got err. A response of another type than
+// events is passed on as it is.
+func (o *streamWriter) bodyEnd(ctx context.Context, a *attempt, err error) upstream.BodyEnd {
+	end := upstream.BodyEnd{Err: err, Abandoned: ctx.Err() != nil || o.x.callerGone}
+	if o.x.r.Method != http.MethodHead && (o.events.seen || statesEvents(a.response.Header)) {
+		end.InsideEvent = o.events.insideEvent(a.response.Framing() != upstream.FramedByClose)
+		end.NoEvent = !o.events.seen
+	}
+	return end
+}
+
 // finish passes on what followed the last event of a complete stream.
 func (o *streamWriter) finish() {
 	if len(o.events.pending) > 0 {
--- a/node/upstream/ending.go
+++ b/node/upstream/ending.go
@@ -64,9 +64,14 @@
 }
 
 // Ending returns the verdict on a response that ended as b says. process is called only if nothing else tells whether
-// the response is complete.
+// the response is complete. The connection of a response that was broken off is not used again.
 func (r *Response) Ending(b BodyEnd, process func() ProcessState) Ending {
-	framing := r.Framing()
+	e := b.verdict(r.Framing(), process)
+	r.noReuse = r.noReuse || e.BrokenOff()
+	return e
+}
+
+func (b BodyEnd) verdict(framing Framing, process func() ProcessState) Ending {
 	switch {
 	case b.TooLarge:
 		return EndedTooLarge
