proxy: an aborted stream is reset for callers of HTTP/1.0

Callers of HTTP/1.0 saw every aborted stream end as a complete one: they know no chunks and take the end of the connection for the end of the answer, and http.ErrAbortHandler closes it in order. The same when the process is killed.

From its first byte until a stream is complete, such a connection now lingers for zero seconds, so that whatever closes it, the kernel's exit included, resets it. An abort closes below TLS, whose own close would say that the stream is complete. Weighed: a length for HTTP/1.0, which would hold events back until the last one.

Whole streams still arrive whole at such callers (TestWholeAnswerWithoutALengthIsDelivered).

--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -156,7 +156,7 @@
 	s.guard, s.answers, s.reporter = quarantine.NewGuard(), quarantine.NewAnsweredCalls(), quarantine.NewReporter(noReports)
 	s.crashDetector = quarantine.NewCrashDetector(s.pool.Probe, s.upstreamCrashed, boottime.System())
 	s.callsContext, s.cancelCalls = context.WithCancel(context.Background())
-	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: withConnection}
 	s.readyServer = &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerTimeout}
 	return s
 }
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -199,7 +199,9 @@
 	f.service = newService(&settings.Settings{Proxy: settings.ProxyRole{KeyAge: 4 * time.Second, RepeatRatio: 0.2, RepeatFixed: 50, RepeatWindow: 10 * time.Second}}, logr.Discard(), upstream.Native{}, noNotices(), f.views, f.stages, f.origins)
 	f.clock = clockwork.NewFakeClock()
 	f.service.initQuota(f.clock)
-	f.server = httptest.NewServer(f.service)
+	f.server = httptest.NewUnstartedServer(f.service)
+	f.server.Config.ConnContext = f.service.server.ConnContext
+	f.server.Start()
 	t.Cleanup(func() {
 		f.server.Close()
 		f.service.pool.Close()
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -109,6 +109,7 @@
 	x       *exchange
 	started bool
 	events  eventSplitter
+	openEnd *openEnd // nil unless the caller speaks HTTP/1.0
 }
 
 // begin sends the headers of the first upstream; those of later ones are not passed on.
@@ -117,7 +118,7 @@
 	if o.started {
 		return
 	}
-	o.started = true
+	o.started, o.openEnd = true, beginOpenEnd(o.x.r)
 	o.x.firstByte = time.Since(o.x.began)
 	o.x.copyHeader(a)
 	o.x.w.WriteHeader(http.StatusOK)
@@ -170,7 +171,9 @@
 func (o *streamWriter) finish() {
 	if len(o.events.pending) > 0 {
 		o.x.write(o.events.pending)
+		http.NewResponseController(o.x.w).Flush()
 	}
+	o.openEnd.complete()
 }
 
 // fail ends a stream that cannot continue. Before it began, it returns err for the refusal; later it aborts the
@@ -182,6 +185,7 @@
 	streamsBrokenVar.Add(1)
 	o.x.s.log.Info("stream aborted", "request", o.x.call.ID, "route", o.x.route.Name, "last_event", o.events.lastID, "reason", err.Message,
 		"sends", o.x.sends, "after", time.Since(o.x.began), "caller_left", o.x.r.Context().Err() != nil)
+	o.openEnd.abort()
 	panic(http.ErrAbortHandler)
 }
 
