proxy: what a crashed upstream sent without a length is not passed on as whole

The kernel closes the connections of a process that has crashed in order. Of an answer without a length or chunks that says nothing: a plain answer of any length, and a stream that was cut between two events, reached callers as whole.

At the end of such an answer the process now connects to the upstream's address once. Refused, or the member list has a later start: broken off, so that a call that may be repeated is, and any other gets 502. An upstream that leaves or has left may end once its answers are written; there, and where the VM does not answer, the answer counts as whole and is counted as unproven. Events were passed on before that; only the end of the stream waits. Answers that state their end cost nothing.

Ruled out as evidence: Connection: close is on every such answer; a reset is seen already; idle connections to the same start are often none; a heartbeat that stops takes seconds. What stays unknown: an upstream that still runs and closes between two events cannot be told from one that is done.

--- a/node/proxy/ending.go
+++ b/node/proxy/ending.go
@@ -1,13 +1,15 @@
 package proxy
 
 import (
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/quarantine"
 	"caperdrum.org/node/upstream"
 )
 
 // end ends the attempt, the body of whose response has ended as b says. The verdict that it returns decides what the caller
 // gets, and what is learned of the upstream.
 func (x *exchange) end(a *attempt, b upstream.BodyEnd) upstream.Ending {
-	ending := a.response.Ending(b, func() upstream.ProcessState { return upstream.ProcessUnknown })
+	ending := a.response.Ending(b, func() upstream.ProcessState { return x.s.processState(a.member) })
 	answersEndedVar.Add(x.service.Name+"/"+string(a.response.Framing())+"/"+string(ending), 1)
 	if ending.BrokenOff() {
 		x.investigateBreak(a.member)
@@ -26,3 +28,24 @@
 		return callFailed
 	}
 }
+
+// processState returns whether the upstream's process still runs: the kernel closes the connections of one that has
+// crashed in order. It may take as long as the connection to an unreachable VM. An upstream that leaves, or has left,
+// may end once its answers are written.
+func (s *Service) processState(m wire.Member) upstream.ProcessState {
+	current, known := s.table.Load().members.Get(m.ID)
+	switch {
+	case !known, current.Start() == m.Start() && current.Leaving:
+		return upstream.ProcessUnknown
+	case current.Start() != m.Start():
+		return upstream.ProcessGone
+	}
+	switch err := s.pool.Probe(m.Direct); {
+	case err == nil:
+		return upstream.ProcessListens
+	case quarantine.IsConnRefused(err):
+		return upstream.ProcessGone
+	default:
+		return upstream.ProcessUnknown
+	}
+}
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -229,10 +229,20 @@
 	}
 	next.Announced[service] = list
 	next.AllVersions = next.Announced
+	for _, m := range list {
+		next.Members = next.Members.With(m)
+	}
 	f.view = next
 	f.service.applyView(&next)
 }
 
+// removeMember ends the membership of an upstream while calls are at it.
+func (f *fixture) removeMember(id wire.MemberID) {
+	f.view.Members = f.view.Members.Without(id)
+	next := f.view
+	f.service.applyView(&next)
+}
+
 func (f *fixture) send(method, path string, header map[string]string) (*http.Response, string, error) {
 	f.t.Helper()
 	r, err := http.NewRequest(method, f.server.URL+path, strings.NewReader("body"))
