gate: a part of an answer without a length is not recorded as a whole confirmation

The same cause as at the proxy, found by reading: the agent took io.EOF of the upstream's body for a whole answer. An upstream that answers without a length and crashes left a part of a confirmation in the ledger as the answer, verdict ran.

The gate asks for the same verdict as the proxy (upstream.EndingOf), with a connection to its upstream where the framing says nothing; the answer is cut, and says how. Event streams there need their final event as before.

--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -54,11 +54,12 @@
 }
 
 var (
-	ranVar      = expvar.NewInt("gate_attempts_ran")
-	refusedVar  = expvar.NewInt("gate_attempts_refused")
-	busyVar     = expvar.NewFloat("gate_busy_seconds")
-	queueVar    = expvar.NewInt("gate_queued")
-	inFlightVar = expvar.NewInt("gate_running")
+	ranVar          = expvar.NewInt("gate_attempts_ran")
+	refusedVar      = expvar.NewInt("gate_attempts_refused")
+	busyVar         = expvar.NewFloat("gate_busy_seconds")
+	answersEndedVar = expvar.NewMap("gate_answers_ended") // responses of the upstream, by framing/ending
+	queueVar        = expvar.NewInt("gate_queued")
+	inFlightVar     = expvar.NewInt("gate_running")
 )
 
 const (
--- a/node/gate/run.go
+++ b/node/gate/run.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -97,11 +96,8 @@
 			length = a.response.append(buf[:n])
 			tail = lastBytes(tail, buf[:n])
 		}
-		if err == io.EOF {
-			return checkComplete(resp, tail)
-		}
 		if err != nil {
-			return verdict.New(verdict.Ran, verdict.CodeAnswerCut, "the upstream's answer was cut: %v", err)
+			return s.checkEnd(resp, err, tail)
 		}
 	}
 }
@@ -119,6 +115,16 @@
 	return append(tail, p...)
 }
 
+// checkEnd returns an error unless the response, whose body ended with err, is complete.
+func (s *Service) checkEnd(resp *http.Response, err error, tail []byte) *verdict.Error {
+	ending := upstream.EndingOf(resp, upstream.BodyEnd{Err: err}, func() upstream.ProcessState { return upstream.Probe(s.set.Upstream) })
+	answersEndedVar.Add(string(upstream.FramingOf(resp))+"/"+string(ending), 1)
+	if !ending.Complete() {
+		return verdict.New(verdict.Ran, verdict.CodeAnswerCut, "the upstream's answer was cut (%s, framing %s): %v", ending, upstream.FramingOf(resp), err)
+	}
+	return checkComplete(resp, tail)
+}
+
 // checkComplete detects an event stream that ended cleanly but without its final event.
 func checkComplete(resp *http.Response, tail []byte) *verdict.Error {
 	if !strings.HasPrefix(resp.Header.Get("Content-Type"), wire.ContentEventStream) || resp.StatusCode != http.StatusOK {
--- a/node/proxy/ending.go
+++ b/node/proxy/ending.go
@@ -2,7 +2,6 @@
 
 import (
 	"caperdrum.org/api/wire"
-	"caperdrum.org/node/quarantine"
 	"caperdrum.org/node/upstream"
 )
 
@@ -40,12 +39,5 @@
 	case current.Start() != m.Start():
 		return upstream.ProcessGone
 	}
-	switch err := s.pool.Probe(m.Direct); {
-	case err == nil:
-		return upstream.ProcessListens
-	case quarantine.IsConnRefused(err):
-		return upstream.ProcessGone
-	default:
-		return upstream.ProcessUnknown
-	}
+	return upstream.Probe(m.Direct)
 }
--- a/node/upstream/ending.go
+++ b/node/upstream/ending.go
@@ -3,6 +3,9 @@
 import (
 	"io"
 	"net/http"
+	"syscall"
+
+	"github.com/juju/errors"
 )
 
 // Framing is how a response states where its body ends (RFC 9112, section 6.3).
@@ -54,6 +57,21 @@
 	ProcessGone // nothing listens at its address
 )
 
+// Probe connects to an address and closes the connection at once, which tells whether a process listens there. It takes
+// at most dialTimeout.
+func Probe(address string) ProcessState { return processState(dialOnce(address)) }
+
+func processState(err error) ProcessState {
+	switch {
+	case err == nil:
+		return ProcessListens
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return ProcessGone
+	default:
+		return ProcessUnknown
+	}
+}
+
 // BodyEnd describes the end of a response's body, as its reader saw it.
 type BodyEnd struct {
 	Err         error // with which reading ended; io.EOF or nil at the end of the body
@@ -63,15 +81,17 @@
 	NoEvent     bool // of a stream: it had no event at all
 }
 
-// Ending returns the verdict on a response that ended as b says. process is called only if nothing else tells whether
-// the response is complete. The connection of a response that was broken off is not used again.
+// Ending returns the verdict on a response that ended as b says; see EndingOf. The connection of a response that was
+// broken off is not used again.
 func (r *Response) Ending(b BodyEnd, process func() ProcessState) Ending {
-	e := b.verdict(r.Framing(), process)
+	e := EndingOf(r.resp, b, process)
 	r.noReuse = r.noReuse || e.BrokenOff()
 	return e
 }
 
-func (b BodyEnd) verdict(framing Framing, process func() ProcessState) Ending {
+// EndingOf returns the verdict on a response that ended as b says. process is called only if nothing else tells whether
+// the response is complete.
+func EndingOf(resp *http.Response, b BodyEnd, process func() ProcessState) Ending {
 	switch {
 	case b.TooLarge:
 		return EndedTooLarge
@@ -81,7 +101,7 @@
 		return EndedCut
 	case b.InsideEvent:
 		return EndedInsideEvent
-	case framing != FramedByClose:
+	case FramingOf(resp) != FramedByClose:
 		return EndedWhole
 	case b.NoEvent:
 		return EndedCut // a stream has at least one event
@@ -97,11 +117,14 @@
 }
 
 // Framing returns how the response states where its body ends.
-func (r *Response) Framing() Framing {
+func (r *Response) Framing() Framing { return FramingOf(r.resp) }
+
+// FramingOf returns how the response states where its body ends.
+func FramingOf(resp *http.Response) Framing {
 	switch {
-	case len(r.resp.TransferEncoding) > 0:
+	case len(resp.TransferEncoding) > 0:
 		return FramedByChunks
-	case r.resp.ContentLength >= 0 || r.resp.Body == http.NoBody:
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
 		return FramedByLength
 	default:
 		return FramedByClose
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -139,7 +139,9 @@
 
 // Probe connects to an address and closes the connection at once. A nil error means that a process listens
 // there.
-func (p *Pool) Probe(address string) error {
+func (p *Pool) Probe(address string) error { return dialOnce(address) }
+
+func dialOnce(address string) error {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	c, err := d.Dial("tcp", address)
 	if err != nil {
