--- a/node/proxy/quarantine.go
+++ b/node/proxy/quarantine.go
@@ -35,7 +35,16 @@
 
 // investigateBreak starts a check of why the call's connection to the upstream broke.
 func (x *exchange) investigateBreak(m wire.Member) {
-	x.s.crashDetector.Check(quarantine.InterruptedCall{Call: x.quarantineCall(), Request: x.call.ID, Route: x.route.Name, Upstream: m})
+	x.s.crashDetector.Check(quarantine.InterruptedCall{Call: x.quarantineCall(), Request: x.call.ID, Route: x.route.Name, Upstream: m,
+		Parts: x.sharedParts(), Begun: !x.firstEventAt.IsZero()})
+}
+
+// sharedParts returns the parts of the call's prompt that other calls may share: all but the last one.
+func (x *exchange) sharedParts() (out []string) {
+	for i := range max(0, len(x.call.Prefix)-1) {
+		out = append(out, x.call.Prefix[i].ID)
+	}
+	return out
 }
 
 // upstreamCrashed reports that an upstream's process ended while it had a call. An upstream that announced that it
@@ -47,7 +56,7 @@
 	upstreamCrashesVar.Add(b.Upstream.Service, 1)
 	sketch := b.Call.Sketch(b.Route)
 	s.log.Info("upstream crashed during a call", "request", b.Request, "route", b.Route, "customer", b.Call.Customer, "fingerprint", sketch.Fingerprint,
-		"upstream", b.Upstream.ID, "address", b.Upstream.Direct, "service", b.Upstream.Service)
+		"upstream", b.Upstream.ID, "address", b.Upstream.Direct, "service", b.Upstream.Service, "parts", b.Parts, "begun", b.Begun)
 	if s.answers.Take(b.Call) {
 		s.reportCrash(&wire.CrashReport{Answered: []wire.CallSummary{sketch}})
 		return
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -145,6 +145,7 @@
 			return err
 		}
 		if whole := o.events.feed(data); len(whole) > 0 {
+			o.x.noteFirstEvent()
 			o.x.recordOrigin(ctx, from)
 			if err := o.x.write(whole); err != nil {
 				return err
@@ -156,6 +157,13 @@
 	}
 }
 
+// noteFirstEvent records when the first event of the attempt in progress arrived.
+func (x *exchange) noteFirstEvent() {
+	if x.firstEventAt.IsZero() {
+		x.firstEventAt = time.Now()
+	}
+}
+
 // bodyEnd describes the end of the stream's current response, whose reader got err. A response of another type than
 // events is passed on as it is.
 func (o *streamWriter) bodyEnd(ctx context.Context, a *attempt, err error) upstream.BodyEnd {
--- a/node/quarantine/crash_detector.go
+++ b/node/quarantine/crash_detector.go
@@ -26,6 +26,8 @@
 	Request  string // ID of the attempt, for logs
 	Route    string
 	Upstream wire.Member
+	Parts    []string // of its prompt, which other calls may share
+	Begun    bool     // an event of the answer had arrived
 }
 
 // CrashDetector finds out whether an interrupted call lost its upstream's process or only its connection. If the
