--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -263,7 +263,7 @@
 
 	savedFailure   *plainAnswer  // nil if no upstream has answered with a failure
 	firstByte      time.Duration // time until the response began
-	firstEventAt   time.Time // first event of the attempt in progress; zero if none has arrived
+	firstEventAt   time.Time     // first event of the attempt in progress; zero if none has arrived
 	stagesDone     bool          // the results of the stages are available
 	inputs         []string      // handles of these results
 	releaseResults stagework.Release
