quarantine: parts of prompts are suspects beside calls, by the same evidence

Cause: the quarantine knew a call by its body, so each was new to it, and nothing else was remembered of a crash. Class: the identity under which evidence is kept is not that of the cause.

A record is now of a call or of a part that other calls may share (all but the last), in one ledger, with one kind of report:

- A crash accuses the parts of each call that it interrupted less than 250 ms after its first event.
A whole answer, or one that runs for longer, clears its parts; one that this process saw in the last 2 s keeps it from accusing them at all.
- Copies of one call count twice at most against a part.
- A part is barred once three crashes are explained by no other uncleared part, five if it was answered before, and not before it was a suspect for 500 ms, in which all processes report answers to other calls with it.
One that was never in flight without another such part is *joint*: calls with two joint parts are refused, and those with one are served, which tells which part is the cause.
- Uncleared parts explain crashes of calls, so that sound calls beside a fatal part are not barred as calls.
- 512 records of each kind.
Identity: service and part id.
Parts are hashed only while one is a suspect.

TestPoisonCalls is unchanged and passes.

--- a/api/wire/quarantine.go
+++ b/api/wire/quarantine.go
@@ -4,8 +4,30 @@
 // calls with the same fingerprint are copies of each other. It does not reveal the body.
 type Fingerprint string
 
-// CallSummary is the summary of a call that processes exchange and operators see.
+// SuspectKind says what a suspect is.
+type SuspectKind string
+
+// Kinds of suspects.
+const (
+	SuspectCall SuspectKind = ""     // a call and its copies
+	SuspectPart SuspectKind = "part" // a part of prompts that calls share
+)
+
+// Name returns the kind as operators read it.
+func (k SuspectKind) Name() string {
+	if k == SuspectCall {
+		return "call"
+	}
+	return string(k)
+}
+
+// CallSummary is the summary of a call, or of a part of prompts, that processes exchange and operators see.
 type CallSummary struct {
+	Kind    SuspectKind `json:"kind,omitempty"`
+	Service string      `json:"service,omitempty"` // of a part: to whose upstreams prompts with it are sent
+	Part    string      `json:"part,omitempty"`    // ID of a part
+	Accuser Fingerprint `json:"accuser,omitempty"` // of a part: the call with it that was in flight
+
 	Fingerprint Fingerprint `json:"fingerprint"`
 	// Shape is a cheap hash of everything but the bytes of the body. Calls with different
 	// shapes have different fingerprints.
@@ -30,11 +52,13 @@
 	Answered []CallSummary `json:"answered,omitempty"`
 }
 
-// Suspect is a call that was in flight in the crashes of several upstreams.
+// Suspect is a call, or a part of prompts, that was in flight in the crashes of several upstreams.
 type Suspect struct {
+	Kind        SuspectKind `json:"kind,omitempty"`
 	Fingerprint Fingerprint `json:"fingerprint"`
 	Shape       uint64      `json:"shape"`
 	Barred      bool        `json:"barred,omitempty"` // not sent to upstreams any more
+	Joint       bool        `json:"joint,omitempty"`  // of a part: calls with two such parts are not sent to upstreams any more
 }
 
 // Suspects are the replicated list that all processes know.
@@ -60,6 +84,7 @@
 // States of calls in quarantine.
 const (
 	QuarantineSuspected QuarantineState = "suspected" // in flight in crashes, still sent to upstreams
+	QuarantineJoint     QuarantineState = "joint"     // a part: calls with two such parts are not sent to upstreams any more
 	QuarantineBarred    QuarantineState = "barred"    // not sent to upstreams any more
 	QuarantineCleared   QuarantineState = "cleared"   // answered by an upstream, so it does not crash them
 )
--- a/ctl/commands/quarantine.go
+++ b/ctl/commands/quarantine.go
@@ -48,13 +48,21 @@
 		return err
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "FINGERPRINT\tSTATE\tSINCE\tCUSTOMER\tROUTE\tBYTES\tUPSTREAMS")
+	fmt.Fprintln(w, "FINGERPRINT\tKIND\tSTATE\tSINCE\tCUSTOMER\tROUTE\tBYTES\tPART\tUPSTREAMS")
 	for _, e := range list {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n", e.Call.Fingerprint, e.State, time.UnixMilli(e.Since).Format(time.RFC3339), e.Call.Customer, e.Call.Route, e.Call.Bytes, startNames(e.Upstreams))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\n", e.Call.Fingerprint, e.Call.Kind.Name(), e.State, time.UnixMilli(e.Since).Format(time.RFC3339), e.Call.Customer, e.Call.Route, e.Call.Bytes, partName(e.Call), startNames(e.Upstreams))
 	}
 	return w.Flush()
 }
 
+// partName names a part and the service to whose upstreams prompts with it are sent; it is empty for calls.
+func partName(c wire.CallSummary) string {
+	if c.Kind != wire.SuspectPart {
+		return ""
+	}
+	return c.Service + "/" + c.Part
+}
+
 func startNames(starts []wire.Start) string {
 	var ids []string
 	for _, s := range starts {
--- a/node/control/quarantine.go
+++ b/node/control/quarantine.go
@@ -29,8 +29,8 @@
 
 func (s *Service) logQuarantine(c *wire.QuarantineChange) {
 	for _, e := range c.Barred {
-		s.log.Info("call barred", "fingerprint", e.Call.Fingerprint, "customer", e.Call.Customer, "route", e.Call.Route, "bytes", e.Call.Bytes, "upstreams", e.Upstreams)
-		s.ring.Record(timeline.Event{Kind: "call-barred", Detail: string(e.Call.Fingerprint) + " of " + e.Call.Customer + " on " + e.Call.Route})
+		s.log.Info("call barred", "kind", e.Call.Kind.Name(), "part", e.Call.Part, "service", e.Call.Service, "fingerprint", e.Call.Fingerprint, "customer", e.Call.Customer, "route", e.Call.Route, "bytes", e.Call.Bytes, "upstreams", e.Upstreams)
+		s.ring.Record(timeline.Event{Kind: "call-barred", Detail: e.Call.Kind.Name() + " " + string(e.Call.Fingerprint) + " of " + e.Call.Customer + " on " + e.Call.Route})
 	}
 	for _, f := range c.Cleared {
 		s.log.Info("call cleared", "fingerprint", f)
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -126,7 +126,7 @@
 	crashDetector  *quarantine.CrashDetector
 	reporter       *quarantine.Reporter
 	guard          *quarantine.Guard
-	answers        *quarantine.AnsweredCalls
+	evidence       *quarantine.Evidence
 	running        *running
 	memory         *memoryBudget
 	counter        *rollout.Counter  // of responses per version during a rollout
@@ -153,7 +153,8 @@
 	s.initQuota(boottime.System())
 	s.running, s.counter = newRunning(), rollout.NewCounter()
 	s.memory = newMemoryBudget(set.Node.MemoryMB)
-	s.guard, s.answers, s.reporter = quarantine.NewGuard(), quarantine.NewAnsweredCalls(), quarantine.NewReporter(noReports)
+	s.guard, s.reporter = quarantine.NewGuard(), quarantine.NewReporter(noReports)
+	s.evidence = quarantine.NewEvidence(s.guard)
 	s.crashDetector = quarantine.NewCrashDetector(s.pool.Probe, s.upstreamCrashed, boottime.System())
 	s.callsContext, s.cancelCalls = context.WithCancel(context.Background())
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: withConnection}
@@ -264,6 +265,7 @@
 	savedFailure   *plainAnswer  // nil if no upstream has answered with a failure
 	firstByte      time.Duration // time until the response began
 	firstEventAt   time.Time     // first event of the attempt in progress; zero if none has arrived
+	begunReported  bool          // of the attempt in progress; see reportBegun
 	stagesDone     bool          // the results of the stages are available
 	inputs         []string      // handles of these results
 	releaseResults stagework.Release
--- a/node/proxy/quarantine.go
+++ b/node/proxy/quarantine.go
@@ -30,13 +30,20 @@
 
 // quarantineCall returns the part of the call that is the same in all its copies.
 func (x *exchange) quarantineCall() quarantine.Call {
-	return quarantine.Call{Customer: x.customerName(), Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Body: x.body}
+	return quarantine.Call{Customer: x.customerName(), Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Body: x.body, Service: x.service.Name, Parts: x.sharedParts()}
 }
 
 // investigateBreak starts a check of why the call's connection to the upstream broke.
 func (x *exchange) investigateBreak(m wire.Member) {
-	x.s.crashDetector.Check(quarantine.InterruptedCall{Call: x.quarantineCall(), Request: x.call.ID, Route: x.route.Name, Upstream: m,
-		Parts: x.sharedParts(), Begun: !x.firstEventAt.IsZero()})
+	x.s.crashDetector.Check(quarantine.InterruptedCall{Call: x.quarantineCall(), Request: x.call.ID, Route: x.route.Name, Upstream: m, Running: x.runningFor()})
+}
+
+// runningFor returns the time since the first event of the attempt in progress; zero if none has arrived.
+func (x *exchange) runningFor() time.Duration {
+	if x.firstEventAt.IsZero() {
+		return 0
+	}
+	return time.Since(x.firstEventAt)
 }
 
 // sharedParts returns the parts of the call's prompt that other calls may share: all but the last one.
@@ -54,14 +61,9 @@
 		return
 	}
 	upstreamCrashesVar.Add(b.Upstream.Service, 1)
-	sketch := b.Call.Sketch(b.Route)
-	s.log.Info("upstream crashed during a call", "request", b.Request, "route", b.Route, "customer", b.Call.Customer, "fingerprint", sketch.Fingerprint,
-		"upstream", b.Upstream.ID, "address", b.Upstream.Direct, "service", b.Upstream.Service, "parts", b.Parts, "begun", b.Begun)
-	if s.answers.Take(b.Call) {
-		s.reportCrash(&wire.CrashReport{Answered: []wire.CallSummary{sketch}})
-		return
-	}
-	s.reportCrash(&wire.CrashReport{Crashes: []wire.Crash{{Upstream: b.Upstream.Start(), Calls: []wire.CallSummary{sketch}}}})
+	s.log.Info("upstream crashed during a call", "request", b.Request, "route", b.Route, "customer", b.Call.Customer, "fingerprint", b.Call.Fingerprint(),
+		"upstream", b.Upstream.ID, "address", b.Upstream.Direct, "service", b.Upstream.Service, "parts", b.Call.Parts, "running", b.Running)
+	s.reportCrash(s.evidence.Crashed(b, time.Now()))
 }
 
 func (s *Service) reportCrash(r *wire.CrashReport) {
@@ -79,11 +81,11 @@
 		return nil
 	}
 	barredVar.Add(x.route.Name, 1)
-	return verdict.New(verdict.NotRun, verdict.CodeQuarantined, "several upstreams have ended while they ran this call; it is in quarantine as %s", fingerprint).WithRetryAfter(barredRetryAfter)
+	return verdict.New(verdict.NotRun, verdict.CodeQuarantined, "several upstreams have ended while they ran this call, or calls that share a part of its prompt; in quarantine as %s", fingerprint).WithRetryAfter(barredRetryAfter)
 }
 
-// isSuspect reports whether several upstreams crashed during the call. It is then sent to at most one upstream each
-// time that its caller sends it, as it may crash every one.
+// isSuspect reports whether several upstreams crashed during the call, or during calls that share a part of its prompt.
+// It is then sent to at most one upstream each time that its caller sends it, as it may crash every one.
 func (x *exchange) isSuspect() bool {
 	standing, _ := x.s.guard.Check(x.quarantineCall(), true)
 	return standing != quarantine.Unsuspected
@@ -94,11 +96,25 @@
 	if a.response.Status/100 != http.StatusOK/100 || !ending.Survived() {
 		return
 	}
-	x.s.answers.Add(x.quarantineCall())
-	standing, fingerprint := x.s.guard.Check(x.quarantineCall(), true)
-	if standing == quarantine.Unsuspected {
+	x.reportEvidence(x.s.evidence.Answered(x.quarantineCall(), x.route.Name, time.Now()), a.member)
+}
+
+// reportBegun records, once an attempt, that an upstream answers the call and has not crashed.
+func (x *exchange) reportBegun(m wire.Member) {
+	if x.begunReported || !quarantine.HasBegun(x.runningFor()) {
+		return
+	}
+	x.begunReported = true
+	x.reportEvidence(x.s.evidence.Begun(x.quarantineCall(), x.route.Name, time.Now()), m)
+}
+
+// reportEvidence reports that the upstream did not crash under suspects; r is nil if there are none.
+func (x *exchange) reportEvidence(r *wire.CrashReport, m wire.Member) {
+	if r == nil {
 		return
 	}
-	x.s.log.Info("suspect call answered", "request", x.call.ID, "route", x.route.Name, "customer", x.customerName(), "fingerprint", fingerprint, "upstream", a.member.ID)
-	x.s.reportCrash(&wire.CrashReport{Answered: []wire.CallSummary{x.quarantineCall().Sketch(x.route.Name)}})
+	for _, suspect := range r.Answered {
+		x.s.log.Info("suspect call answered", "request", x.call.ID, "route", x.route.Name, "customer", x.customerName(), "fingerprint", suspect.Fingerprint, "part", suspect.Part, "upstream", m.ID)
+	}
+	x.s.reportCrash(r)
 }
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -81,7 +81,7 @@
 	}
 	x.s.protocol.SetHeaders(header, metadata)
 	began := time.Now()
-	x.firstEventAt = time.Time{}
+	x.firstEventAt, x.begunReported = time.Time{}, false
 	x.s.log.V(logging.Routine).Info("attempt sent", "request", x.call.ID, "upstream", m.ID, "address", m.Direct, "version", m.Version, "data_center", m.DataCenter, "candidates", candidates,
 		"in_flight", x.s.endpoints.callsInFlight(m.Start()), "tried", x.sends, "again", x.repeatReason, "last_event", lastEvent, "inputs", len(x.inputs), "fetch_from", metadata.FetchFrom, "left", metadata.Remaining, "members_seq", x.s.table.Load().membersSeq)
 	resp, err := x.s.pool.Do(ctx, &upstream.Request{Upstream: m.Start(), Address: m.Direct, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -146,6 +146,7 @@
 		}
 		if whole := o.events.feed(data); len(whole) > 0 {
 			o.x.noteFirstEvent()
+			o.x.reportBegun(from)
 			o.x.recordOrigin(ctx, from)
 			if err := o.x.write(whole); err != nil {
 				return err
--- a/node/quarantine/crash_detector.go
+++ b/node/quarantine/crash_detector.go
@@ -26,8 +26,8 @@
 	Request  string // ID of the attempt, for logs
 	Route    string
 	Upstream wire.Member
-	Parts    []string // of its prompt, which other calls may share
-	Begun    bool     // an event of the answer had arrived
+	// Running is the time from the first event of the answer to the interruption; zero if no event had arrived.
+	Running time.Duration
 }
 
 // CrashDetector finds out whether an interrupted call lost its upstream's process or only its connection. If the
--- a/node/quarantine/guard.go
+++ b/node/quarantine/guard.go
@@ -15,8 +15,9 @@
 
 // Values of Status, in order of increasing severity.
 const (
-	Unsuspected Status = iota
-	Suspected          // in flight at several upstreams when they crashed
+	Unsuspected   Status = iota
+	Suspected            // in flight at several upstreams when they crashed
+	jointlyBarred        // a part: calls with two of them are barred
 	Barred
 )
 
@@ -46,20 +47,29 @@
 	ledger Ledger // built from this process's own reports
 }
 
-// index looks up suspects. A call's body is hashed only if the call's shape is listed.
+// index looks up suspects. A call's body is hashed only if the call's shape is listed, and the parts of its prompt only
+// if a part is.
 type index struct {
 	revision uint64
 	shapes   map[uint64]bool
+	parts    bool
 	statuses map[wire.Fingerprint]Status
 }
 
 func newIndex(s wire.Suspects) *index {
 	x := &index{revision: s.Revision, shapes: map[uint64]bool{}, statuses: map[wire.Fingerprint]Status{}}
 	for _, suspect := range s.List {
-		x.shapes[suspect.Shape] = true
+		if suspect.Kind == wire.SuspectPart {
+			x.parts = true
+		} else {
+			x.shapes[suspect.Shape] = true
+		}
 		x.statuses[suspect.Fingerprint] = Suspected
-		if suspect.Barred {
+		switch {
+		case suspect.Barred:
 			x.statuses[suspect.Fingerprint] = Barred
+		case suspect.Joint:
+			x.statuses[suspect.Fingerprint] = jointlyBarred
 		}
 	}
 	return x
@@ -93,12 +103,31 @@
 
 // Empty reports whether there are no suspects at all, which is the usual case.
 func (g *Guard) Empty() bool {
-	return len(g.replicated.Load().shapes) == 0 && len(g.local.Load().shapes) == 0
+	return len(g.replicated.Load().statuses) == 0 && len(g.local.Load().statuses) == 0
 }
 
-// Check returns the status of the call, and its fingerprint if its shape is listed. With includeLocal, the local
-// suspects count as well as the replicated ones.
+// Check returns the status of the call, and the fingerprint of the suspect that decides it: the call itself, or a part of
+// its prompt. With includeLocal, the local suspects count as well as the replicated ones.
 func (g *Guard) Check(c Call, includeLocal bool) (Status, wire.Fingerprint) {
+	status, f := g.checkCall(c, includeLocal)
+	joint := 0
+	g.eachPart(c, includeLocal, func(_ string, part wire.Fingerprint, s Status) {
+		if s == jointlyBarred {
+			joint++
+			s = Suspected
+		}
+		if joint > 1 {
+			s = Barred
+		}
+		if s > status {
+			status, f = s, part
+		}
+	})
+	return status, f
+}
+
+// checkCall returns the status of the call itself, whatever its prompt.
+func (g *Guard) checkCall(c Call, includeLocal bool) (Status, wire.Fingerprint) {
 	replicated, local := g.replicated.Load(), g.local.Load()
 	if len(replicated.shapes) == 0 && (!includeLocal || len(local.shapes) == 0) {
 		return Unsuspected, ""
@@ -107,9 +136,24 @@
 		return Unsuspected, ""
 	}
 	f := c.Fingerprint()
-	status := replicated.statuses[f]
+	return g.status(f, includeLocal), f
+}
+
+// eachPart calls f with the status of each part of the call's prompt, if any part is a suspect.
+func (g *Guard) eachPart(c Call, includeLocal bool, f func(id string, part wire.Fingerprint, s Status)) {
+	if !g.replicated.Load().parts && (!includeLocal || !g.local.Load().parts) {
+		return
+	}
+	for _, id := range c.parts() {
+		part := partFingerprint(c.Service, id)
+		f(id, part, g.status(part, includeLocal))
+	}
+}
+
+func (g *Guard) status(f wire.Fingerprint, includeLocal bool) Status {
+	status := g.replicated.Load().statuses[f]
 	if includeLocal {
-		status = max(status, local.statuses[f])
+		status = max(status, g.local.Load().statuses[f])
 	}
-	return status, f
+	return status
 }
--- a/node/quarantine/ledger.go
+++ b/node/quarantine/ledger.go
@@ -22,12 +22,15 @@
 	// recordTTL is how long a call is remembered after its last crash. A barred call may then run once more,
 	// as the upstreams may have been fixed.
 	recordTTL = 24 * time.Hour
-	// maxRecords and maxStartsPerRecord bound the memory that callers can make the replicas use.
+	// maxRecords, of each kind, and maxStartsPerRecord bound the memory that callers can make the replicas use.
 	maxRecords         = 512
 	maxStartsPerRecord = 16
+	// probation is how long a part is a suspect before it may be barred, so that all processes can report answers
+	// to other calls with it: most parts of a prompt under which an upstream crashes belong to sound calls too.
+	probation = 500 * time.Millisecond
 )
 
-// Record holds the crashes and the state of one call. Its slices are replaced, never modified.
+// Record holds the crashes and the state of one suspect. Its slices are replaced, never modified.
 type Record struct {
 	Call    wire.CallSummary `cbor:"1,keyasint"`
 	Starts  []wire.Start     `cbor:"2,keyasint"` // upstreams that crashed with the call in flight, oldest first
@@ -35,12 +38,50 @@
 	Cleared bool             `cbor:"4,keyasint,omitempty"` // it was answered at least once; Starts are the crashes since the last answer
 	Since   int64            `cbor:"5,keyasint"`           // when Barred or Cleared last changed, in milliseconds since the Unix epoch
 	At      int64            `cbor:"6,keyasint"`           // last change of the record, in milliseconds since the Unix epoch
+	Suspect int64            `cbor:"7,keyasint,omitempty"` // when it became a suspect, in milliseconds since the Unix epoch
+
+	// Joint is set for a part that calls are refused for only if they have another such part; see isJoint.
+	Joint    bool               `cbor:"9,keyasint,omitempty"`
+	Accusers []wire.Fingerprint `cbor:"8,keyasint,omitempty"` // of a part: for each of Starts a call with the part that was in flight
+}
+
+// crashesPerAccuser is how many crashes under copies of one call count against a part of its prompt. One call that is
+// sent again and again says little about a part that it does not say about itself.
+const crashesPerAccuser = 2
+
+// weight returns how many of the recorded crashes that counts selects say something against the suspect.
+func (r Record) weight(counts func(start wire.Start) bool) int {
+	n, accusers := 0, map[wire.Fingerprint]bool{}
+	for i, start := range r.Starts {
+		if !counts(start) {
+			continue
+		}
+		n++
+		if i < len(r.Accusers) {
+			accusers[r.Accusers[i]] = true
+		}
+	}
+	if r.Call.Kind == wire.SuspectPart {
+		return min(n, crashesPerAccuser*len(accusers))
+	}
+	return n
+}
+
+// crashes returns the weight of all recorded crashes.
+func (r Record) crashes() int { return r.weight(func(wire.Start) bool { return true }) }
+
+// limitStarts drops the oldest crashes beyond n.
+func (r *Record) limitStarts(n int) {
+	r.Starts = slices.Clone(r.Starts[max(0, len(r.Starts)-n):])
+	r.Accusers = slices.Clone(r.Accusers[max(0, len(r.Accusers)-n):])
 }
 
-// Ledger decides which calls crash upstreams. A crash is recorded for all calls that were in
-// flight at the upstream. The call that causes it is in flight at every upstream that crashes;
-// unrelated calls are in flight at some of them and are answered elsewhere. An answer clears only
-// the crashes before it: a later version of the upstream may crash under the same call.
+// Ledger decides which calls, and which parts of prompts, crash upstreams. A crash is recorded for
+// all calls that were in flight at the upstream, and for the parts of their prompts. The one that
+// causes it is in flight at every upstream that crashes; unrelated ones are in flight at some of them
+// and are answered elsewhere. An answer clears only the crashes before it: a later version of the
+// upstream may crash under the same call. Where a call explains the same crashes as a part of its
+// prompt, the call is barred, which refuses fewer others.
 //
 // A Ledger is deterministic, reads no clock, and can be encoded. It is not safe for concurrent
 // use; the Suspects that it returns are immutable.
@@ -120,7 +161,7 @@
 		return
 	}
 	r.Barred, r.Since, r.At = false, now, now
-	r.Starts = slices.Clone(r.Starts[max(0, len(r.Starts)-suspectAfter):])
+	r.limitStarts(suspectAfter)
 	l.Records[r.Call.Fingerprint] = r
 }
 
@@ -132,7 +173,13 @@
 	}
 	r.At = now
 	r.Starts = append(slices.Clone(r.Starts), start)
-	r.Starts = r.Starts[max(0, len(r.Starts)-maxStartsPerRecord):]
+	if call.Kind == wire.SuspectPart {
+		r.Accusers = append(slices.Clone(r.Accusers), call.Accuser)
+	}
+	r.limitStarts(maxStartsPerRecord)
+	if r.Suspect == 0 && r.crashes() >= suspectAfter {
+		r.Suspect = now
+	}
 	l.Records[call.Fingerprint] = r
 }
 
@@ -144,86 +191,133 @@
 	if l.Records == nil {
 		l.Records = map[wire.Fingerprint]Record{}
 	}
-	l.evict()
+	l.evict(call.Kind)
 	return Record{Call: call, Since: now}
 }
 
 // updateBars bars the calls with enough crashes that no other call explains. It also lifts bars: reports
 // arrive one after the other, so a late one may show that a barred call merely ran beside another one.
 func (l *Ledger) updateBars(now int64, change *wire.QuarantineChange) {
-	suspects, byStart := l.barCandidates()
-	for _, r := range suspects {
-		if r.Barred && len(r.Starts) < barAfterAmbiguous && l.ambiguous(r, byStart) {
+	c := l.candidates()
+	for _, r := range c.list {
+		if r.Barred && l.isExplained(r, c) {
 			r.Barred, r.Since = false, now
 			l.Records[r.Call.Fingerprint] = r
 			change.Lifted = append(change.Lifted, r.Call.Fingerprint)
 		}
 	}
-	for _, r := range suspects {
-		if l.Records[r.Call.Fingerprint].Barred || !l.shouldBar(r, byStart) {
+	for _, r := range c.list {
+		if l.Records[r.Call.Fingerprint].Barred || !l.shouldBar(r, c, now) {
 			continue
 		}
 		r.Barred, r.Since = true, now
 		l.Records[r.Call.Fingerprint] = r
 		change.Barred = append(change.Barred, r.entry())
 	}
+	for _, r := range c.list {
+		if r = l.Records[r.Call.Fingerprint]; r.Joint != l.isJoint(r, now) {
+			r.Joint = !r.Joint
+			l.Records[r.Call.Fingerprint] = r
+		}
+	}
 }
 
-// callsByStart lists the calls that were in flight at an upstream when it crashed.
-type callsByStart map[wire.Start][]wire.Fingerprint
+// candidates are the records that may be barred, and those that may explain their crashes.
+type candidates struct {
+	list    []Record // with enough crashes for a bar, most crashes first: once these are barred, they explain crashes
+	byStart map[wire.Start][]wire.Fingerprint
+	weights map[wire.Fingerprint]int // see Record.crashes
+}
 
-// barCandidates returns the records with enough crashes for a bar, most crashes first: once these are barred,
-// they explain the crashes of the others.
-func (l *Ledger) barCandidates() ([]Record, callsByStart) {
-	var out []Record
-	byStart := callsByStart{}
+// candidates returns the current candidates. A part explains crashes from its second one on.
+func (l *Ledger) candidates() candidates {
+	c := candidates{byStart: map[wire.Start][]wire.Fingerprint{}, weights: map[wire.Fingerprint]int{}}
 	for f, r := range l.Records {
-		if len(r.Starts) < barAfter {
+		weight := r.crashes()
+		if weight < barAfter && !(r.isUnclearedPart() && weight >= suspectAfter) {
 			continue
 		}
-		out = append(out, r)
+		if weight >= barAfter {
+			c.list = append(c.list, r)
+		}
+		c.weights[f] = weight
 		for _, start := range r.Starts {
-			byStart[start] = append(byStart[start], f)
+			c.byStart[start] = append(c.byStart[start], f)
 		}
 	}
-	slices.SortFunc(out, func(a, b Record) int {
-		return cmp.Or(cmp.Compare(len(b.Starts), len(a.Starts)), cmp.Compare(a.Call.Fingerprint, b.Call.Fingerprint))
+	slices.SortFunc(c.list, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(c.weights[b.Call.Fingerprint], c.weights[a.Call.Fingerprint]), cmp.Compare(a.Call.Fingerprint, b.Call.Fingerprint))
 	})
-	return out, byStart
+	return c
 }
 
-// shouldBar reports whether the call is considered the cause of crashes.
-func (l *Ledger) shouldBar(r Record, byStart callsByStart) bool {
-	if len(r.Starts) >= barAfterAmbiguous {
+// shouldBar reports whether the call or part is considered the cause of crashes.
+func (l *Ledger) shouldBar(r Record, c candidates, now int64) bool {
+	switch {
+	case r.Call.Kind == wire.SuspectPart && r.Cleared:
+		return r.onProbationUntil() <= now && l.unexplained(r, c, Record.isUnclearedPart) >= barAfterAmbiguous
+	case r.Call.Kind == wire.SuspectPart:
+		return r.onProbationUntil() <= now && l.unexplained(r, c, Record.isUnclearedPart) >= barAfter
+	case l.unexplained(r, c, Record.isUnclearedPart) >= barAfterAmbiguous:
 		return true
-	}
-	if r.Cleared || l.ambiguous(r, byStart) {
+	case r.Cleared, l.ambiguous(r, c):
 		return false // another call was in flight at all of these upstreams; the next crash distinguishes them
+	default:
+		return l.unexplained(r, c, Record.explainsCalls) >= barAfter
 	}
-	unexplained := 0
-	for _, start := range r.Starts {
-		if !l.hasBarredCall(r, byStart[start]) {
-			unexplained++
-		}
-	}
-	return unexplained >= barAfter
 }
 
-// hasBarredCall reports whether one of the calls, other than that of r, is barred.
-func (l *Ledger) hasBarredCall(r Record, calls []wire.Fingerprint) bool {
-	for _, f := range calls {
-		if f != r.Call.Fingerprint && l.Records[f].Barred {
-			return true
-		}
+// isExplained reports whether a barred suspect merely was beside others.
+func (l *Ledger) isExplained(r Record, c candidates) bool {
+	unexplained := l.unexplained(r, c, Record.isUnclearedPart)
+	switch {
+	case r.Call.Kind == wire.SuspectPart && r.Cleared:
+		return unexplained < barAfterAmbiguous
+	case unexplained < barAfter:
+		return true
+	default:
+		return r.Call.Kind == wire.SuspectCall && len(r.Starts) < barAfterAmbiguous && l.ambiguous(r, c)
 	}
-	return false
 }
 
-// ambiguous reports whether another candidate, which no answer has cleared, was in flight at all crashes of
-// r.
-func (l *Ledger) ambiguous(r Record, byStart callsByStart) bool {
-	for _, f := range byStart[r.Starts[0]] {
+// isJoint reports whether the part was in flight in as many crashes as bar a part, but never without another such part.
+// Calls with two such parts are refused; one with a single one is served, which tells which part is the cause.
+func (l *Ledger) isJoint(r Record, now int64) bool {
+	return r.isUnclearedPart() && !r.Barred && r.crashes() >= barAfter && r.onProbationUntil() <= now
+}
+
+// onProbationUntil returns when a part may be barred; see probation.
+func (r Record) onProbationUntil() int64 { return r.Suspect + probation.Milliseconds() }
+
+// isUnclearedPart reports whether the record is a part that no answer has cleared. A candidate of that kind explains
+// crashes of the calls and other parts that were in flight with it.
+func (r Record) isUnclearedPart() bool { return r.Call.Kind == wire.SuspectPart && !r.Cleared }
+
+// explainsCalls reports whether the record explains crashes of a call.
+func (r Record) explainsCalls() bool { return r.Barred || r.isUnclearedPart() }
+
+// explainingShare bounds how much weaker a suspect may be than another one whose crashes it explains, so that the many
+// parts that were in flight in a few crashes do not hide the one that was in flight in all of them.
+const explainingShare = 4
+
+// unexplained returns the weight of the crashes of r at which no other candidate was that explains them.
+func (l *Ledger) unexplained(r Record, c candidates, explains func(Record) bool) int {
+	weight := c.weights[r.Call.Fingerprint]
+	return r.weight(func(start wire.Start) bool {
+		return !slices.ContainsFunc(c.byStart[start], func(f wire.Fingerprint) bool {
+			return f != r.Call.Fingerprint && explains(l.Records[f]) && c.weights[f]*explainingShare >= weight
+		})
+	})
+}
+
+// ambiguous reports whether another candidate call, which no answer has cleared, was in flight at all crashes of
+// the call r.
+func (l *Ledger) ambiguous(r Record, c candidates) bool {
+	for _, f := range c.byStart[r.Starts[0]] {
 		other := l.Records[f]
+		if other.Call.Kind == wire.SuspectPart {
+			continue
+		}
 		if f != r.Call.Fingerprint && !other.Cleared && isSubset(r.Starts, other.Starts) {
 			return true
 		}
@@ -247,23 +341,27 @@
 	if r.Cleared && len(r.Starts) == 0 {
 		return false
 	}
-	r.Cleared, r.Barred, r.Starts, r.Since, r.At = true, false, nil, now, now
+	r.Cleared, r.Barred, r.Joint, r.Since, r.At, r.Suspect = true, false, false, now, now, 0
+	r.Starts, r.Accusers = nil, nil
 	l.Records[call.Fingerprint] = r
 	return true
 }
 
-// evict drops one record if the ledger is full: of the calls that are not barred one with the fewest crashes,
-// or, if all are barred, one of the customer with the most records. So one customer cannot displace the
-// others' records.
-func (l *Ledger) evict() {
-	if len(l.Records) < maxRecords {
-		return
-	}
+// evict drops one record if the ledger is full of its kind: of those that are not barred one with the fewest crashes,
+// of the customer with the most records, or, if all are barred, one of that customer. So one customer cannot
+// displace the others' records, nor parts those of calls.
+func (l *Ledger) evict(kind wire.SuspectKind) {
 	perCustomer := map[string]int{}
+	var records []Record
 	for _, r := range l.Records {
-		perCustomer[r.Call.Customer]++
+		if r.Call.Kind == kind {
+			records = append(records, r)
+			perCustomer[r.Call.Customer]++
+		}
+	}
+	if len(records) < maxRecords {
+		return
 	}
-	records := slices.Collect(maps.Values(l.Records))
 	victim := slices.MinFunc(records, func(a, b Record) int {
 		byCustomer := cmp.Compare(perCustomer[b.Call.Customer], perCustomer[a.Call.Customer])
 		byAge := cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Call.Fingerprint, b.Call.Fingerprint))
@@ -275,7 +373,7 @@
 		case b.Barred:
 			return -1
 		}
-		return cmp.Or(cmp.Compare(len(a.Starts), len(b.Starts)), byCustomer, byAge)
+		return cmp.Or(cmp.Compare(a.crashes(), b.crashes()), byCustomer, byAge)
 	})
 	delete(l.Records, victim.Call.Fingerprint)
 }
@@ -284,8 +382,8 @@
 func (l *Ledger) suspectList() []wire.Suspect {
 	var out []wire.Suspect
 	for f, r := range l.Records {
-		if r.Barred || len(r.Starts) >= suspectAfter {
-			out = append(out, wire.Suspect{Fingerprint: f, Shape: r.Call.Shape, Barred: r.Barred})
+		if r.Barred || r.Joint || r.crashes() >= suspectAfter {
+			out = append(out, wire.Suspect{Kind: r.Call.Kind, Fingerprint: f, Shape: r.Call.Shape, Barred: r.Barred, Joint: r.Joint})
 		}
 	}
 	slices.SortFunc(out, func(a, b wire.Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
@@ -304,7 +402,9 @@
 func (l *Ledger) unambiguousSuspects() wire.Suspects {
 	out := wire.Suspects{Revision: l.Revision}
 	for _, s := range l.suspectList() {
-		s.Barred = len(l.Records[s.Fingerprint].Starts) >= barAfterAmbiguous
+		r := l.Records[s.Fingerprint]
+		s.Barred = r.crashes() >= barAfterAmbiguous && (r.Barred || r.Call.Kind == wire.SuspectCall)
+		s.Joint = s.Joint && r.crashes() >= barAfterAmbiguous
 		out.List = append(out.List, s)
 	}
 	return out
@@ -329,6 +429,8 @@
 	switch {
 	case r.Barred:
 		e.State = wire.QuarantineBarred
+	case r.Joint:
+		e.State = wire.QuarantineJoint
 	case r.Cleared:
 		e.State = wire.QuarantineCleared
 	}
--- a/node/quarantine/simulation_test.go
+++ b/node/quarantine/simulation_test.go
@@ -40,8 +40,11 @@
 	upstreams []*simUpstream
 
 	poisonCalls map[string]*poisonCall // by body
+	poisonParts map[string]*poisonCall // by part of the prompt
 	served      int
 	refused     int // innocent calls that a process barred
+
+	refusedParts []string // when, their bodies, and the parts of their prompts
 }
 
 // poisonCall records the effects of a call that crashes upstreams.
@@ -52,7 +55,7 @@
 
 type simProcess struct {
 	guard        *Guard
-	answers      *AnsweredCalls
+	evidence     *Evidence
 	up           bool
 	disconnected bool // from control
 	undelivered  []func()
@@ -66,6 +69,8 @@
 
 type simCall struct {
 	body    string
+	parts   []string      // of its prompt, which other calls share
+	begun   time.Duration // first event of the answer; zero if none has arrived
 	process *simProcess
 	tries   int // retries left to the caller
 	repeats int // repeats left to the process
@@ -92,12 +97,16 @@
 	return last
 }
 
-func newModel(seed uint64) *simulation {
-	m := &simulation{random: rand.New(rand.NewPCG(seed, 1)), poisonCalls: map[string]*poisonCall{}}
-	for range simProcesses {
-		m.processes = append(m.processes, &simProcess{guard: NewGuard(), answers: NewAnsweredCalls(), up: true})
+func newModel(seed uint64) *simulation { return newModelOf(seed, simProcesses, simUpstreams) }
+
+func newModelOf(seed uint64, processes, upstreams int) *simulation {
+	m := &simulation{random: rand.New(rand.NewPCG(seed, 1)), poisonCalls: map[string]*poisonCall{}, poisonParts: map[string]*poisonCall{}}
+	for range processes {
+		p := &simProcess{}
+		p.start()
+		m.processes = append(m.processes, p)
 	}
-	for range simUpstreams {
+	for range upstreams {
 		u := &simUpstream{}
 		m.upstreams = append(m.upstreams, u)
 		m.startUpstream(u)
@@ -105,6 +114,12 @@
 	return m
 }
 
+// start starts the process without any knowledge.
+func (p *simProcess) start() {
+	p.up, p.guard = true, NewGuard()
+	p.evidence = NewEvidence(p.guard)
+}
+
 func (m *simulation) schedule(d time.Duration, run func()) {
 	m.serial++
 	heap.Push(&m.events, event{m.now + d, m.serial, run})
@@ -130,19 +145,27 @@
 }
 
 func (c *simCall) call() Call {
-	return Call{Customer: "foundry", Method: "POST", Host: "h", Target: "/x", Body: []byte(c.body)}
+	return Call{Customer: "foundry", Method: "POST", Host: "h", Target: "/x", Body: []byte(c.body), Service: "llm", Parts: c.parts}
 }
 
 // startCallers sends perSecond calls with bodies from body, for the duration d.
 func (m *simulation) startCallers(perSecond int, d time.Duration, tries int, body func() string) {
+	m.startPrompts(perSecond, d, tries, func() (string, []string) { return body(), nil })
+}
+
+// startPrompts is the same for calls with prompts of parts.
+func (m *simulation) startPrompts(perSecond int, d time.Duration, tries int, call func() (body string, parts []string)) {
 	for at := time.Duration(0); at < d; at += time.Second / time.Duration(perSecond) {
-		m.schedule(at, func() { m.send(body(), tries) })
+		m.schedule(at, func() {
+			body, parts := call()
+			m.send(body, parts, tries)
+		})
 	}
 }
 
 // send sends a call to a random process.
-func (m *simulation) send(body string, tries int) {
-	c := &simCall{body: body, process: m.processes[m.random.IntN(len(m.processes))], tries: tries, repeats: 1}
+func (m *simulation) send(body string, parts []string, tries int) {
+	c := &simCall{body: body, parts: parts, process: m.processes[m.random.IntN(len(m.processes))], tries: tries, repeats: 1}
 	if !c.process.up {
 		m.retry(c)
 		return
@@ -154,19 +177,30 @@
 
 func (m *simulation) retry(c *simCall) {
 	if c.tries > 0 {
-		m.schedule(m.randomDuration(50, 300), func() { m.send(c.body, c.tries-1) })
+		m.schedule(m.randomDuration(50, 300), func() { m.send(c.body, c.parts, c.tries-1) })
 	}
 }
 
 // check reports whether the call may reach an upstream.
 func (m *simulation) check(c *simCall) bool {
 	status, _ := c.process.guard.Check(c.call(), c.process.disconnected)
-	if status == Barred && m.poisonCalls[c.body] == nil {
+	if status == Barred && m.poison(c) == nil {
 		m.refused++
+		m.refusedParts = append(m.refusedParts, fmt.Sprint(m.now, c.body, c.parts))
 	}
 	return status != Barred
 }
 
+// poison returns the record of what makes the call crash upstreams, or nil.
+func (m *simulation) poison(c *simCall) *poisonCall {
+	for _, part := range c.parts {
+		if g := m.poisonParts[part]; g != nil {
+			return g
+		}
+	}
+	return m.poisonCalls[c.body]
+}
+
 // dispatch sends the call to a random upstream.
 func (m *simulation) dispatch(c *simCall) {
 	u := m.upstreams[m.random.IntN(len(m.upstreams))]
@@ -177,7 +211,8 @@
 		m.schedule(time.Millisecond, func() { m.dispatch(c) })
 		return
 	}
-	g := m.poisonCalls[c.body]
+	g := m.poison(c)
+	c.begun = 0
 	if g != nil && !c.process.disconnected {
 		g.arrived = append(g.arrived, m.now)
 	}
@@ -197,6 +232,9 @@
 		})
 		return
 	}
+	if len(c.parts) > 0 {
+		m.begin(u, c)
+	}
 	m.schedule(m.randomDuration(200, 2000), func() {
 		if u.serial == serial {
 			u.calls = slices.DeleteFunc(u.calls, func(other *simCall) bool { return other == c })
@@ -205,37 +243,60 @@
 	})
 }
 
+// begin has the upstream send the first event of its answer some time later.
+func (m *simulation) begin(u *simUpstream, c *simCall) {
+	serial, first := u.serial, m.randomDuration(60, 200)
+	m.schedule(first, func() {
+		if u.serial == serial {
+			c.begun = m.now
+		}
+	})
+	m.schedule(first+answerStart, func() {
+		if u.serial == serial && c.process.up {
+			m.reportAny(c.process, c.process.evidence.Begun(c.call(), "chat", m.wallClock()))
+		}
+	})
+}
+
 func (m *simulation) answered(c *simCall) {
 	m.served++
-	c.process.answers.Add(c.call())
-	if status, _ := c.process.guard.Check(c.call(), true); status != Unsuspected && c.process.up {
-		m.report(c.process, &wire.CrashReport{Answered: []wire.CallSummary{c.call().Sketch("chat")}})
+	if report := c.process.evidence.Answered(c.call(), "chat", m.wallClock()); c.process.up {
+		m.reportAny(c.process, report)
+	}
+}
+
+// wallClock returns the time of day.
+func (m *simulation) wallClock() time.Time { return time.Unix(1000, 0).Add(m.now) }
+
+func (m *simulation) reportAny(p *simProcess, r *wire.CrashReport) {
+	if r != nil {
+		m.report(p, r)
 	}
 }
 
 // crash interrupts all calls of an upstream and restarts it some time later.
 func (m *simulation) crash(u *simUpstream) {
+	crashedAt := m.now
 	calls, start := u.calls, wire.Start{ID: wire.MemberID(fmt.Sprint("i-", u.serial)), Incarnation: 1}
 	u.up, u.calls = false, nil
 	m.serial++
 	u.serial = m.serial
 	for _, c := range calls {
-		m.schedule(m.randomDuration(1, 15), func() { m.interrupted(c, start) })
+		m.schedule(m.randomDuration(1, 15), func() { m.interrupted(c, start, crashedAt) })
 	}
 	m.schedule(m.randomDuration(700, 2000), func() { m.startUpstream(u) })
 }
 
-func (m *simulation) interrupted(c *simCall, start wire.Start) {
+func (m *simulation) interrupted(c *simCall, start wire.Start, crashedAt time.Duration) {
 	if !c.process.up {
 		m.retry(c)
 		return
 	}
-	sketch := c.call().Sketch("chat")
-	r := &wire.CrashReport{Crashes: []wire.Crash{{Upstream: start, Calls: []wire.CallSummary{sketch}}}}
-	if c.process.answers.Take(c.call()) {
-		r = &wire.CrashReport{Answered: []wire.CallSummary{sketch}}
+	b := InterruptedCall{Call: c.call(), Route: "chat", Upstream: wire.Member{ID: start.ID, Incarnation: start.Incarnation}}
+	if c.begun > 0 {
+		b.Running = crashedAt - c.begun
 	}
-	m.report(c.process, r)
+	m.report(c.process, c.process.evidence.Crashed(b, m.wallClock()))
 	if status, _ := c.process.guard.Check(c.call(), true); status == Unsuspected && c.repeats > 0 {
 		c.repeats--
 		m.dispatch(c)
@@ -247,7 +308,7 @@
 // report sends a report to the ledger and publishes the suspects to all processes. Messages to and from
 // disconnected processes are held back.
 func (m *simulation) report(p *simProcess, r *wire.CrashReport) {
-	p.guard.RecordLocal(r, time.Unix(1000, 0).Add(m.now))
+	p.guard.RecordLocal(r, m.wallClock())
 	m.deliver(p, func() {
 		m.ledger.Apply(r, m.now.Milliseconds())
 		for _, other := range m.processes {
@@ -281,7 +342,7 @@
 	for _, p := range m.processes {
 		p.up = false
 		m.schedule(m.randomDuration(500, 1500), func() {
-			p.up, p.guard, p.answers = true, NewGuard(), NewAnsweredCalls()
+			p.start()
 			p.guard.Update(m.ledger.Suspects())
 		})
 	}
