--- a/node/quarantine/ledger.go
+++ b/node/quarantine/ledger.go
@@ -22,8 +22,10 @@
 	// recordTTL is how long a call is remembered after its last crash. A barred call may then run once more,
 	// as the upstreams may have been fixed.
 	recordTTL = 24 * time.Hour
-	// maxRecords, of each kind, and maxStartsPerRecord bound the memory that callers can make the replicas use.
+	// maxRecords of calls, maxPartRecords and maxStartsPerRecord bound the memory that callers can make the replicas use.
+	// A crash accuses one call, but up to maxParts parts, for each call that it interrupts.
 	maxRecords         = 512
+	maxPartRecords     = 2048
 	maxStartsPerRecord = 16
 	// probation is how long a part is a suspect before it may be barred, so that all processes can report answers
 	// to other calls with it: most parts of a prompt under which an upstream crashes belong to sound calls too.
@@ -68,7 +70,23 @@
 }
 
 // crashes returns the weight of all recorded crashes.
-func (r Record) crashes() int { return r.weight(func(wire.Start) bool { return true }) }
+func (r Record) crashes() int {
+	if r.Call.Kind == wire.SuspectCall || len(r.Starts) <= crashesPerAccuser {
+		return len(r.Starts)
+	}
+	return r.weight(func(wire.Start) bool { return true })
+}
+
+// accusedOnlyBy reports whether the record is of a part that fewer than suspectAfter other calls than the given one accuse.
+func (r Record) accusedOnlyBy(call wire.Fingerprint) bool {
+	others := map[wire.Fingerprint]bool{}
+	for _, accuser := range r.Accusers {
+		if accuser != call {
+			others[accuser] = true
+		}
+	}
+	return r.Call.Kind == wire.SuspectPart && len(others) < suspectAfter
+}
 
 // limitStarts drops the oldest crashes beyond n.
 func (r *Record) limitStarts(n int) {
@@ -161,7 +179,7 @@
 		return
 	}
 	r.Barred, r.Since, r.At = false, now, now
-	r.limitStarts(suspectAfter)
+	r.limitStarts(barAfter - 1) // one more crash bars it again
 	l.Records[r.Call.Fingerprint] = r
 }
 
@@ -305,7 +323,8 @@
 	weight := c.weights[r.Call.Fingerprint]
 	return r.weight(func(start wire.Start) bool {
 		return !slices.ContainsFunc(c.byStart[start], func(f wire.Fingerprint) bool {
-			return f != r.Call.Fingerprint && explains(l.Records[f]) && c.weights[f]*explainingShare >= weight
+			other := l.Records[f]
+			return f != r.Call.Fingerprint && explains(other) && c.weights[f]*explainingShare >= weight && !other.accusedOnlyBy(r.Call.Fingerprint)
 		})
 	})
 }
@@ -359,7 +378,11 @@
 			perCustomer[r.Call.Customer]++
 		}
 	}
-	if len(records) < maxRecords {
+	limit := maxRecords
+	if kind == wire.SuspectPart {
+		limit = maxPartRecords
+	}
+	if len(records) < limit {
 		return
 	}
 	victim := slices.MinFunc(records, func(a, b Record) int {
