quarantine: a common part that is barred is tried again

One call is sent all the same 1 to 6 s after the bar, and one 10 to 40 s after it, if the part is in a quarter of the last 64 calls at the process; an answer lifts the bar everywhere. The process is elected by a hash of part, trial and member, without a message, so that all processes together send two (TestTrialsOfBarredParts: 1, 8 and 360 processes with clocks that differ). Rare parts are not tried: their bars refuse few sound calls, and a fatal one would crash an upstream more.

--- a/api/wire/quarantine.go
+++ b/api/wire/quarantine.go
@@ -59,6 +59,7 @@
 	Shape       uint64      `json:"shape"`
 	Barred      bool        `json:"barred,omitempty"` // not sent to upstreams any more
 	Joint       bool        `json:"joint,omitempty"`  // of a part: calls with two such parts are not sent to upstreams any more
+	Since       int64       `json:"since,omitempty"`  // of a barred part: start of the bar, in milliseconds since the Unix epoch
 }
 
 // Suspects are the replicated list that all processes know.
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -126,6 +126,7 @@
 	crashDetector  *quarantine.CrashDetector
 	reporter       *quarantine.Reporter
 	guard          *quarantine.Guard
+	trials         *quarantine.Trials
 	evidence       *quarantine.Evidence
 	running        *running
 	memory         *memoryBudget
@@ -154,7 +155,7 @@
 	s.running, s.counter = newRunning(), rollout.NewCounter()
 	s.memory = newMemoryBudget(set.Node.MemoryMB)
 	s.guard, s.reporter = quarantine.NewGuard(), quarantine.NewReporter(noReports)
-	s.evidence = quarantine.NewEvidence(s.guard)
+	s.evidence, s.trials = quarantine.NewEvidence(s.guard), quarantine.NewTrials()
 	s.crashDetector = quarantine.NewCrashDetector(s.pool.Probe, s.upstreamCrashed, boottime.System())
 	s.callsContext, s.cancelCalls = context.WithCancel(context.Background())
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: withConnection}
@@ -260,7 +261,8 @@
 	mayHaveRun   bool   // an attempt has run or may have run
 	resumed      bool   // the next attempt goes on with a stream that has begun
 
-	answering atomic.Bool // an upstream has begun to answer
+	answering atomic.Bool                      // an upstream has begun to answer
+	trial     atomic.Pointer[wire.Fingerprint] // the barred part with which it is sent all the same; nil for none
 
 	savedFailure   *plainAnswer  // nil if no upstream has answered with a failure
 	firstByte      time.Duration // time until the response began
@@ -295,6 +297,7 @@
 		x.refuse(err)
 		return
 	}
+	s.evidence.Seen(x.quarantineCall())
 	if err := x.checkServable(); err != nil {
 		x.refuse(err)
 		return
--- a/node/proxy/quarantine.go
+++ b/node/proxy/quarantine.go
@@ -76,12 +76,31 @@
 	if x.s.guard.Empty() {
 		return nil
 	}
-	standing, fingerprint := x.s.guard.Check(x.quarantineCall(), x.s.stale())
-	if standing != quarantine.Barred {
+	call := x.quarantineCall()
+	standing, fingerprint := x.s.guard.Check(call, x.s.stale())
+	if standing != quarantine.Barred || x.isTrial() {
 		return nil
 	}
 	barredVar.Add(x.route.Name, 1)
-	return verdict.New(verdict.NotRun, verdict.CodeQuarantined, "several upstreams have ended while they ran this call, or calls that share a part of its prompt; in quarantine as %s", fingerprint).WithRetryAfter(barredRetryAfter)
+	reason := "several upstreams have ended while they ran this call; it is in quarantine as %s"
+	if call.HasPart(fingerprint) {
+		reason = "several upstreams have ended while they ran calls that share a part of its prompt, which is in quarantine as %s"
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeQuarantined, reason, fingerprint).WithRetryAfter(barredRetryAfter)
+}
+
+// isTrial reports whether the call is sent although a common part of its prompt is barred; see quarantine.Trials.
+func (x *exchange) isTrial() bool {
+	part, since, found := x.s.guard.OnlyBarredPart(x.quarantineCall())
+	if !found {
+		return false
+	}
+	if x.trial.Load() == nil && x.s.evidence.IsCommon(part) && x.s.trials.Take(part, since, time.Now(), string(x.s.views.Self().ID), x.s.table.Load().proxies()) {
+		x.s.log.Info("barred part tried", "request", x.call.ID, "route", x.route.Name, "customer", x.customerName(), "fingerprint", part)
+		x.trial.Store(&part)
+	}
+	tried := x.trial.Load()
+	return tried != nil && *tried == part
 }
 
 // isSuspect reports whether several upstreams crashed during the call, or during calls that share a part of its prompt.
--- a/node/proxy/table.go
+++ b/node/proxy/table.go
@@ -69,6 +69,14 @@
 	t.proxyCount = max(len(peers), 1)
 }
 
+// proxies returns the ids of all proxy processes.
+func (t *table) proxies() (out []string) {
+	for _, ids := range t.proxiesByDataCenter {
+		out = append(out, ids...)
+	}
+	return out
+}
+
 // configured reports whether this process has a configuration. The table may be nil.
 func (t *table) configured() bool { return t != nil && t.version > 0 }
 
--- a/node/quarantine/evidence.go
+++ b/node/quarantine/evidence.go
@@ -23,11 +23,12 @@
 	guard   *Guard
 	answers *AnsweredCalls
 	parts   *answeredParts
+	recent  *recentParts
 }
 
 // NewEvidence returns an Evidence without any knowledge.
 func NewEvidence(guard *Guard) *Evidence {
-	return &Evidence{guard: guard, answers: NewAnsweredCalls(), parts: newAnsweredParts()}
+	return &Evidence{guard: guard, answers: NewAnsweredCalls(), parts: newAnsweredParts(), recent: &recentParts{counts: map[partKey]int{}}}
 }
 
 // Crashed returns the report of an upstream that crashed under the call. A part of its prompt is accused only if the
@@ -93,6 +94,13 @@
 	return report
 }
 
+// Seen records that the call arrived at this process, whether or not it is refused.
+func (e *Evidence) Seen(c Call) { e.recent.add(c) }
+
+// IsCommon reports whether many of the calls that arrived lately have the part, so that a bar refuses many sound calls if
+// the part is not the cause of crashes.
+func (e *Evidence) IsCommon(part wire.Fingerprint) bool { return e.recent.isCommon(part) }
+
 // HasBegun reports whether an answer whose first event is this old counts as begun; see Begun.
 func HasBegun(sinceFirstEvent time.Duration) bool { return sinceFirstEvent >= answerStart }
 
--- a/node/quarantine/fingerprint.go
+++ b/node/quarantine/fingerprint.go
@@ -10,6 +10,7 @@
 	"encoding/binary"
 	"hash"
 	"io"
+	"slices"
 
 	"caperdrum.org/api/wire"
 )
@@ -32,6 +33,11 @@
 // parts returns the parts of the call's prompt that are looked at.
 func (c Call) parts() []string { return c.Parts[:min(len(c.Parts), maxParts)] }
 
+// HasPart reports whether the suspect is a part of the call's prompt.
+func (c Call) HasPart(suspect wire.Fingerprint) bool {
+	return slices.ContainsFunc(c.parts(), func(id string) bool { return partFingerprint(c.Service, id) == suspect })
+}
+
 // partSummary returns the summary of a part of the call's prompt. The customer is the one whose call was seen first;
 // the part is the same one in calls of others.
 func (c Call) partSummary(id, route string) wire.CallSummary {
--- a/node/quarantine/guard.go
+++ b/node/quarantine/guard.go
@@ -54,10 +54,11 @@
 	shapes   map[uint64]bool
 	parts    bool
 	statuses map[wire.Fingerprint]Status
+	since    map[wire.Fingerprint]int64 // start of the bar of a part, in milliseconds since the Unix epoch
 }
 
 func newIndex(s wire.Suspects) *index {
-	x := &index{revision: s.Revision, shapes: map[uint64]bool{}, statuses: map[wire.Fingerprint]Status{}}
+	x := &index{revision: s.Revision, shapes: map[uint64]bool{}, statuses: map[wire.Fingerprint]Status{}, since: map[wire.Fingerprint]int64{}}
 	for _, suspect := range s.List {
 		if suspect.Kind == wire.SuspectPart {
 			x.parts = true
@@ -67,7 +68,7 @@
 		x.statuses[suspect.Fingerprint] = Suspected
 		switch {
 		case suspect.Barred:
-			x.statuses[suspect.Fingerprint] = Barred
+			x.statuses[suspect.Fingerprint], x.since[suspect.Fingerprint] = Barred, suspect.Since
 		case suspect.Joint:
 			x.statuses[suspect.Fingerprint] = jointlyBarred
 		}
@@ -126,6 +127,24 @@
 	return status, f
 }
 
+// OnlyBarredPart returns the part for which alone the call is barred by the replicated suspects, and since when. found is
+// false if it is not barred, or for other reasons as well.
+func (g *Guard) OnlyBarredPart(c Call) (part wire.Fingerprint, since time.Time, found bool) {
+	suspects := 0
+	g.eachPart(c, false, func(_ string, f wire.Fingerprint, s Status) {
+		if s != Unsuspected {
+			suspects++
+		}
+		if s == Barred {
+			part, found = f, true
+		}
+	})
+	if status, _ := g.checkCall(c, true); suspects != 1 || status != Unsuspected {
+		return "", time.Time{}, false
+	}
+	return part, time.UnixMilli(g.replicated.Load().since[part]), found
+}
+
 // checkCall returns the status of the call itself, whatever its prompt.
 func (g *Guard) checkCall(c Call, includeLocal bool) (Status, wire.Fingerprint) {
 	replicated, local := g.replicated.Load(), g.local.Load()
--- a/node/quarantine/ledger.go
+++ b/node/quarantine/ledger.go
@@ -77,6 +77,14 @@
 	return r.weight(func(wire.Start) bool { return true })
 }
 
+// barredSince returns when a part was barred, in milliseconds since the Unix epoch; zero for others.
+func (r Record) barredSince() int64 {
+	if r.Call.Kind != wire.SuspectPart || !r.Barred {
+		return 0
+	}
+	return r.Since
+}
+
 // accusedOnlyBy reports whether the record is of a part that fewer than suspectAfter other calls than the given one accuse.
 func (r Record) accusedOnlyBy(call wire.Fingerprint) bool {
 	others := map[wire.Fingerprint]bool{}
@@ -406,7 +414,7 @@
 	var out []wire.Suspect
 	for f, r := range l.Records {
 		if r.Barred || r.Joint || r.crashes() >= suspectAfter {
-			out = append(out, wire.Suspect{Kind: r.Call.Kind, Fingerprint: f, Shape: r.Call.Shape, Barred: r.Barred, Joint: r.Joint})
+			out = append(out, wire.Suspect{Kind: r.Call.Kind, Fingerprint: f, Shape: r.Call.Shape, Barred: r.Barred, Joint: r.Joint, Since: r.barredSince()})
 		}
 	}
 	slices.SortFunc(out, func(a, b wire.Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
--- a/node/quarantine/parts_test.go
+++ b/node/quarantine/parts_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -275,3 +276,71 @@
 		t.Error("a guard of parts is empty")
 	}
 }
+
+// TestTrialsOfBarredParts offers calls with a barred part to every process all the time, with clocks that differ: each
+// trial is taken once over all processes.
+func TestTrialsOfBarredParts(t *testing.T) {
+	since := time.Unix(1000, 0)
+	for _, n := range []int{1, 8, 360} {
+		var ids []string
+		processes := map[string]*Trials{}
+		for i := range n {
+			id := fmt.Sprint("p", i)
+			ids, processes[id] = append(ids, id), NewTrials()
+		}
+		taken := 0
+		for at := time.Duration(0); at < time.Minute; at += 100 * time.Millisecond {
+			for i, id := range ids {
+				now := since.Add(at + time.Duration(i%7-3)*time.Second)
+				if processes[id].Take("p", since, now, id, ids) {
+					taken++
+					if at == 0 && now.Before(since.Add(trialTimes[0].from)) {
+						t.Errorf("a trial right after the bar")
+					}
+				}
+			}
+		}
+		if taken != len(trialTimes) {
+			t.Errorf("%d processes: %d trials, want %d", n, taken, len(trialTimes))
+		}
+	}
+}
+
+// TestOnlyBarredPart checks for which calls a barred part may be tried.
+func TestOnlyBarredPart(t *testing.T) {
+	g := NewGuard()
+	g.Update(wire.Suspects{Revision: 1, List: []wire.Suspect{{Kind: wire.SuspectPart, Fingerprint: partFingerprint("llm", "barred"), Barred: true, Since: 5000},
+		{Kind: wire.SuspectPart, Fingerprint: partFingerprint("llm", "suspected")}, {Kind: wire.SuspectPart, Fingerprint: partFingerprint("llm", "other"), Barred: true}}})
+	for parts, want := range map[string]bool{"sound barred": true, "barred suspected": false, "barred other": false, "suspected": false, "sound": false} {
+		part, since, found := g.OnlyBarredPart(Call{Service: "llm", Parts: strings.Fields(parts)})
+		if found != want || found && (part != partFingerprint("llm", "barred") || since != time.UnixMilli(5000)) {
+			t.Errorf("%q: %q since %v, %v", parts, part, since, found)
+		}
+	}
+}
+
+// TestOnlyCommonPartsAreTried checks that a barred part is tried only if many calls have it: a bar of any other refuses
+// few sound calls, and a trial may crash an upstream.
+func TestOnlyCommonPartsAreTried(t *testing.T) {
+	e := NewEvidence(NewGuard())
+	for i := range 2 * recentCalls {
+		parts := []string{"shared"}
+		if i%8 == 0 {
+			parts = append(parts, "rare")
+		}
+		e.Seen(Call{Service: "llm", Parts: parts})
+		if early := e.IsCommon(partFingerprint("llm", "shared")); early != (i+1 >= minRecentCalls) {
+			t.Fatalf("common after %d calls: %v", i+1, early)
+		}
+	}
+	e.Seen(Call{Service: "llm"})
+	if e.IsCommon(partFingerprint("llm", "rare")) || e.IsCommon(partFingerprint("other", "shared")) || !e.IsCommon(partFingerprint("llm", "shared")) {
+		t.Error("one call in eight makes a part common, or another service does, or all calls do not")
+	}
+	for range recentCalls {
+		e.Seen(Call{Service: "llm", Parts: []string{"new"}})
+	}
+	if e.IsCommon(partFingerprint("llm", "shared")) {
+		t.Error("a part is common that no recent call has")
+	}
+}
