--- a/node/quarantine/ledger.go
+++ b/node/quarantine/ledger.go
@@ -26,6 +26,7 @@
 	// A crash accuses one call, but up to maxParts parts, for each call that it interrupts.
 	maxRecords         = 512
 	maxPartRecords     = 2048
+	evictedParts       = maxPartRecords / 8 // at once, as one crash may accuse hundreds
 	maxStartsPerRecord = 16
 	// probation is how long a part is a suspect before it may be barred, so that all processes can report answers
 	// to other calls with it: most parts of a prompt under which an upstream crashes belong to sound calls too.
@@ -374,10 +375,17 @@
 	return true
 }
 
-// evict drops one record if the ledger is full of its kind: of those that are not barred one with the fewest crashes,
-// of the customer with the most records, or, if all are barred, one of that customer. So one customer cannot
+// evict drops records if the ledger is full of their kind: of those that are not barred the ones with the fewest
+// crashes, of the customer with the most records, or, if all are barred, of that customer. So one customer cannot
 // displace the others' records, nor parts those of calls.
 func (l *Ledger) evict(kind wire.SuspectKind) {
+	limit, batch := maxRecords, 1
+	if kind == wire.SuspectPart {
+		limit, batch = maxPartRecords, evictedParts
+	}
+	if len(l.Records) < limit {
+		return
+	}
 	perCustomer := map[string]int{}
 	var records []Record
 	for _, r := range l.Records {
@@ -386,14 +394,10 @@
 			perCustomer[r.Call.Customer]++
 		}
 	}
-	limit := maxRecords
-	if kind == wire.SuspectPart {
-		limit = maxPartRecords
-	}
 	if len(records) < limit {
 		return
 	}
-	victim := slices.MinFunc(records, func(a, b Record) int {
+	slices.SortFunc(records, func(a, b Record) int {
 		byCustomer := cmp.Compare(perCustomer[b.Call.Customer], perCustomer[a.Call.Customer])
 		byAge := cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Call.Fingerprint, b.Call.Fingerprint))
 		switch {
@@ -404,9 +408,11 @@
 		case b.Barred:
 			return -1
 		}
-		return cmp.Or(cmp.Compare(a.crashes(), b.crashes()), byCustomer, byAge)
+		return cmp.Or(cmp.Compare(len(a.Starts), len(b.Starts)), byCustomer, byAge)
 	})
-	delete(l.Records, victim.Call.Fingerprint)
+	for _, victim := range records[:batch] {
+		delete(l.Records, victim.Call.Fingerprint)
+	}
 }
 
 // suspectList returns the suspects that are published to all processes, sorted by fingerprint.
