--- a/node/quarantine/parts_test.go
+++ b/node/quarantine/parts_test.go
@@ -56,8 +56,8 @@
 		"answered, beside one that was not":  {[]wire.CrashReport{partsAnswered("p"), report(different(1, 9, "p", "q")...), again(90)}, []wire.Fingerprint{"q"}, nil},
 		"two, each beside a third one": {[]wire.CrashReport{report(different(1, 4, "p", "x")...), report(different(11, 4, "q", "x")...), partsAnswered("x"), again(90)},
 			[]wire.Fingerprint{"p", "q"}, nil},
-		"many weak ones beside it": {[]wire.CrashReport{report(partCrash(1, "a", "p", "s1"), partCrash(2, "b", "p", "s1", "s2"), partCrash(3, "c", "p", "s2", "s3"), partCrash(4, "d", "p", "s3"),
-			partCrash(5, "e", "p"), partCrash(6, "f", "p"), partCrash(7, "g", "p"), partCrash(8, "h", "p")), again(90)}, []wire.Fingerprint{"p"}, nil},
+		"many weak ones beside it": {[]wire.CrashReport{report(slices.Concat(different(1, 2, "p", "s1"), different(3, 2, "p", "s2"), different(5, 2, "p", "s3"), different(7, 2, "p", "s4"),
+			different(9, 2, "p", "s5"))...), again(90)}, []wire.Fingerprint{"p"}, nil},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -140,7 +140,7 @@
 func TestManyPartsDisplaceNoSuspect(t *testing.T) {
 	for _, customer := range []string{"harbour", "foundry"} {
 		var l Ledger
-		l.Apply(&wire.CrashReport{Crashes: []wire.Crash{crashOf(-1, "f"), crashOf(-2, "f"), crashOf(-3, "f")}}, 0)
+		l.Apply(&wire.CrashReport{Crashes: []wire.Crash{crashOf(-1, "f"), crashOf(-2, "f"), crashOf(-3, "f"), crashOf(-4, "g")}}, 0)
 		for crash := range 5 {
 			c := partCrash(crash, fmt.Sprint(crash), "p")
 			for i := range 1000 {
@@ -148,8 +148,8 @@
 			}
 			l.Apply(&wire.CrashReport{Crashes: []wire.Crash{c}}, int64(crash)*afterProbation)
 		}
-		if s := states(&l); s["p"] != wire.QuarantineBarred || s["f"] != wire.QuarantineBarred {
-			t.Errorf("%s: state of the part %q, of the call %q", customer, s["p"], s["f"])
+		if s := states(&l); s["p"] != wire.QuarantineBarred || s["f"] != wire.QuarantineBarred || s["g"] != wire.QuarantineSuspected {
+			t.Errorf("%s: state of the part %q, of the calls %q and %q", customer, s["p"], s["f"], s["g"])
 		}
 		if n := len(l.Records); n > maxRecords+maxPartRecords {
 			t.Errorf("%s: %d records", customer, n)
