--- a/node/quarantine/parts_test.go
+++ b/node/quarantine/parts_test.go
@@ -344,3 +344,23 @@
 		t.Error("a part is common that no recent call has")
 	}
 }
+
+// BenchmarkUsualCall measures what a call with a prompt of four parts costs while nothing is suspected.
+func BenchmarkUsualCall(b *testing.B) {
+	g := NewGuard()
+	e := NewEvidence(g)
+	now := time.Unix(1000, 0)
+	calls := make([]Call, 64)
+	for i := range calls {
+		calls[i] = Call{Customer: "foundry", Method: "POST", Host: "h", Target: "/x", Body: make([]byte, 1000), Service: "llm",
+			Parts: []string{"shared", fmt.Sprint("route ", i%4), fmt.Sprint("session ", i%32)}}
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		c := calls[i%len(calls)]
+		e.Seen(c)
+		g.Check(c, true)
+		e.Begun(c, "chat", now)
+		e.Answered(c, "chat", now)
+	}
+}
