quarantine: the leader logs parts that have become joint

Last read of the change: a call with two joint parts is refused, and no log line at the leader said since when and because of which upstreams; "call barred" does for the other suspects. TestBarredParts also checks what a report says has changed. No decision changes.

--- a/api/wire/quarantine.go
+++ b/api/wire/quarantine.go
@@ -101,6 +101,7 @@
 // QuarantineChange lists the changes that a report or an operator's order made.
 type QuarantineChange struct {
 	Barred  []QuarantineEntry `json:"barred,omitempty"`
+	Joint   []QuarantineEntry `json:"joint,omitempty"` // parts that have become joint
 	Cleared []Fingerprint     `json:"cleared,omitempty"`
 	// Lifted are bars that ended: by an operator, or because another call explains each of the crashes.
 	Lifted []Fingerprint `json:"lifted,omitempty"`
--- a/node/control/quarantine.go
+++ b/node/control/quarantine.go
@@ -32,6 +32,9 @@
 		s.log.Info("call barred", "kind", e.Call.Kind.Name(), "part", e.Call.Part, "service", e.Call.Service, "fingerprint", e.Call.Fingerprint, "customer", e.Call.Customer, "route", e.Call.Route, "bytes", e.Call.Bytes, "upstreams", e.Upstreams)
 		s.ring.Record(timeline.Event{Kind: "call-barred", Detail: e.Call.Kind.Name() + " " + string(e.Call.Fingerprint) + " of " + e.Call.Customer + " on " + e.Call.Route})
 	}
+	for _, e := range c.Joint {
+		s.log.Info("part joint with others", "part", e.Call.Part, "service", e.Call.Service, "fingerprint", e.Call.Fingerprint, "customer", e.Call.Customer, "route", e.Call.Route, "upstreams", e.Upstreams)
+	}
 	for _, f := range c.Cleared {
 		s.log.Info("call cleared", "fingerprint", f)
 	}
--- a/node/quarantine/ledger.go
+++ b/node/quarantine/ledger.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// barAfter is how many upstreams must crash under a call before it is barred.
+	// barAfter is how many upstreams must crash under a call, or under calls with a part, before it is barred.
 	barAfter = 3
-	// barAfterAmbiguous is the same for a call that was answered before, or whose crashes another call may
-	// explain.
+	// barAfterAmbiguous is the same for one that was answered before, or for a call whose crashes another call
+	// may explain.
 	barAfterAmbiguous = 5
-	// suspectAfter is how many crashes make a call a suspect. Suspects are published to all processes, which
+	// suspectAfter is how many crashes make a call or part a suspect. Suspects are published to all processes, which
 	// then report it when such a call is answered.
 	suspectAfter = 2
 	// recordTTL is how long a call is remembered after its last crash. A barred call may then run once more,
@@ -52,8 +52,9 @@
 // all calls that were in flight at the upstream, and for the parts of their prompts. The one that
 // causes it is in flight at every upstream that crashes; unrelated ones are in flight at some of them
 // and are answered elsewhere. An answer clears only the crashes before it: a later version of the
-// upstream may crash under the same call. Where a call explains the same crashes as a part of its
-// prompt, the call is barred, which refuses fewer others.
+// upstream may crash under the same call. A part that several calls share explains the crashes of
+// each of them; a part that only one call accuses does not, so that the call is barred, which
+// refuses fewer others.
 //
 // A Ledger is deterministic, reads no clock, and can be encoded. It is not safe for concurrent
 // use; the Suspects that it returns are immutable.
--- a/node/quarantine/parts_test.go
+++ b/node/quarantine/parts_test.go
@@ -62,12 +62,16 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			var l Ledger
+			var change wire.QuarantineChange
 			for i, r := range c.reports {
 				now := int64(0)
 				if i == len(c.reports)-1 {
 					now = afterProbation
 				}
-				l.Apply(&r, now)
+				change = l.Apply(&r, now)
+			}
+			if len(change.Barred) != len(c.barred) || len(change.Joint) != len(c.joint) {
+				t.Errorf("the last report says %d barred and %d joint", len(change.Barred), len(change.Joint))
 			}
 			var barred, joint []wire.Fingerprint
 			for _, s := range l.Suspects().List {
--- a/node/quarantine/rules.go
+++ b/node/quarantine/rules.go
@@ -85,6 +85,9 @@
 		if r = l.Records[r.Call.Fingerprint]; r.Joint != l.isJoint(r, now) {
 			r.Joint = !r.Joint
 			l.Records[r.Call.Fingerprint] = r
+			if r.Joint {
+				change.Joint = append(change.Joint, r.entry())
+			}
 		}
 	}
 }
