settings: the CPU share of a process, in its member record

Placement of the stage owner needs to know which VMs can handle its load.

[node] cpu is the share of a core that the process may use; 0 or absent means unknown, and a value that is negative, infinite or not a number is refused. The member record carries it as millicores.

--- a/api/wire/members.go
+++ b/api/wire/members.go
@@ -77,7 +77,9 @@
 	return err
 }
 
-// memberRow is a Member in a compressed list, encoded as an array without field names. Add new fields at the end.
+// memberRow is a Member in a compressed list, encoded as an array without field names. Processes reject rows of another
+// length, so a new field must wait until all processes accept it. Millicores is left out: only control processes use it,
+// and they read it in the replicated state.
 type memberRow struct {
 	_           struct{} `cbor:",toarray"`
 	ID          MemberID
--- a/api/wire/messages.go
+++ b/api/wire/messages.go
@@ -32,6 +32,9 @@
 	Revision    uint64   `json:"revision,omitempty"` // grows with each change of the record within an incarnation
 	Version     string   `json:"version,omitempty"`  // announced upstreams only: software version; empty if not reported
 	Cold        bool     `json:"cold,omitempty"`     // announced upstreams only: has just started or returned, and can take few calls per second
+	// Millicores is the share of a core that the process may use, 1000 for a whole one; 0 if unknown. Compressed
+	// member lists leave it out.
+	Millicores int `json:"millicores,omitempty"`
 }
 
 // Start identifies one start of a process. State kept about a process is valid for one
--- a/ctl/commands/status.go
+++ b/ctl/commands/status.go
@@ -154,13 +154,21 @@
 
 func printMembers(rows []wire.MemberStatus) {
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "MEMBER\tROLE\tVM\tDATA CENTRE\tSERVICE\tVERSION\tLAST SEEN\tLEAVING")
+	fmt.Fprintln(w, "MEMBER\tROLE\tVM\tDATA CENTRE\tSERVICE\tVERSION\tLAST SEEN\tLEAVING\tMILLICORES")
 	for _, m := range rows {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%v\n", m.ID, m.Role, m.VM, m.DataCenter, m.Service, m.ConfigVersion, lastSeen(m.LastSeen), m.Leaving)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%v\t%s\n", m.ID, m.Role, m.VM, m.DataCenter, m.Service, m.ConfigVersion, lastSeen(m.LastSeen), m.Leaving, millicores(m.Millicores))
 	}
 	w.Flush()
 }
 
+// millicores formats a member's share of a core; an unknown one is empty.
+func millicores(n int) string {
+	if n == 0 {
+		return ""
+	}
+	return fmt.Sprint(n)
+}
+
 func lastSeen(age time.Duration) string {
 	if age < 0 {
 		return "not yet"
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"slices"
@@ -51,6 +52,20 @@
 	// MemoryMB is the memory limit at which the platform kills the process, in MB of 2^20 bytes; 0 means no
 	// limit.
 	MemoryMB int `ini:"memory"`
+	// CPU is the share of a core that the process may use; 0 means unknown.
+	CPU float64 `ini:"cpu"`
+}
+
+// maxCPU is above the number of cores of any VM. It refuses an infinite value and one that has no whole number of
+// millicores.
+const maxCPU = 10000
+
+// millicores returns CPU in thousandths of a core, and at least 1 for a known share.
+func (n Node) millicores() int {
+	if n.CPU == 0 {
+		return 0
+	}
+	return max(1, int(math.Round(1000*n.CPU)))
 }
 
 // killMargin is the part of KillAfter left after draining, for sending the last answers and
@@ -142,7 +157,7 @@
 // Member returns this process's member record without an incarnation.
 func (s *Settings) Member() wire.Member {
 	m := wire.Member{ID: wire.MemberID(s.Node.Name), Role: strings.Join(s.Node.Roles, "+"), VM: s.Node.VM,
-		DataCenter: s.Node.DataCenter, Debug: s.Debug.Listen}
+		DataCenter: s.Node.DataCenter, Debug: s.Debug.Listen, Millicores: s.Node.millicores()}
 	if s.HasRole(Agent) {
 		m.Service, m.Gate = s.Agent.Service, s.Agent.Advertise
 	}
@@ -241,6 +256,9 @@
 	if s.Node.MemoryMB < 0 {
 		f.Fail("node", "memory", "memory is negative", "use MB, or 0 for no limit")
 	}
+	if s.Node.CPU > maxCPU {
+		f.Fail("node", "cpu", fmt.Sprintf("cpu = %v is not a number of cores", s.Node.CPU), "write the share of a core, such as 0.5, or 0 if it is unknown")
+	}
 	for _, pair := range s.Node.Regions {
 		if dataCenter, region, _ := strings.Cut(pair, ":"); dataCenter == "" || region == "" {
 			f.Fail("node", "regions", fmt.Sprintf("%q is not a data centre with its region", pair), "write regions = north:east, south:west")
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -59,6 +59,10 @@
 		Entry("unknown key", entryFile+"colour = red\n", `s.ini:12: unknown key "colour" in [debug]; remove it`),
 		Entry("bad address", entryFile[:len(entryFile)-len("127.0.0.1:7102\n")]+"localhost\n", `s.ini:11: "localhost" is not an address; write IP:PORT`),
 		Entry("negative memory", strings.Replace(entryFile, "roles", "memory = -1\nroles", 1), `use MB, or 0 for no limit`),
+		Entry("negative cpu", strings.Replace(entryFile, "roles", "cpu = -0.5\nroles", 1), "s.ini:5: cpu = -0.5: not a number of zero or more; write a number of zero or more"),
+		Entry("cpu that is not a number", strings.Replace(entryFile, "roles", "cpu = NaN\nroles", 1), "s.ini:5: cpu = NaN: not a number of zero or more; write a number of zero or more"),
+		Entry("cpu with a unit", strings.Replace(entryFile, "roles", "cpu = 352m\nroles", 1), "s.ini:5: cpu = 352m: "),
+		Entry("infinite cpu", strings.Replace(entryFile, "roles", "cpu = inf\nroles", 1), "s.ini:5: cpu = +Inf is not a number of cores; write the share of a core, such as 0.5, or 0 if it is unknown"),
 		Entry("unknown section", entryFile+"[poem]\n", "s.ini:12: unknown section [poem]"),
 		Entry("control without a data folder", "[node]\nname = c\nvm = v\ndata_center = d\nroles = control\n[peers]\ncontrol = 127.0.0.1:1\n[control]\nlisten = 127.0.0.1:1\nadmin = 127.0.0.1:2\n[debug]\nlisten = 127.0.0.1:3\n", "a control process needs a data folder"),
 		Entry("missing section", "[node]\nname = c\nvm = v\ndata_center = d\nroles = entry\n", "section [peers] is missing"),
@@ -108,3 +112,17 @@
 		t.Fatalf("%+v", s.Peers)
 	}
 }
+
+// TestCPUShareInTheMemberRecord guards against a share that is lost or changed between the settings and the member record. A
+// known share must not be rounded to an unknown one.
+func TestCPUShareInTheMemberRecord(t *testing.T) {
+	for line, want := range map[string]int{"": 0, "cpu = 0\n": 0, "cpu =\n": 0, "cpu = 0.352\n": 352, "cpu = 0.1445\n": 145, "cpu = 2\n": 2000, "cpu = 0.0001\n": 1, "cpu = 5e-01\n": 500} {
+		s, err := settings.Parse("s.ini", []byte(strings.Replace(entryFile, "roles", line+"roles", 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := s.Member().Millicores; got != want {
+			t.Errorf("%q: %d millicores, want %d", line, got, want)
+		}
+	}
+}
