control: the stage owner is placed outside control where a VM can handle it

All control processes lose power together, and the owner with them, since it was always a control process where there was one. Nobody can assign the next owner then.

The rule prefers, after one that has not failed recently, a process that can handle the load (control role, or half of the largest reported share), and among these one without the control role. Where no process reports its share the order is as before: TestNextOwner is unchanged. The log line `stage owner assigned` has millicores and with_control, and so have the metrics of control. A running owner is not moved.

--- a/node/control/metrics.go
+++ b/node/control/metrics.go
@@ -39,18 +39,21 @@
 	SnapshotIndex uint64         `json:"snapshot_index"`
 	Owner         string         `json:"owner"` // process that owns the stage queues
 	OwnerEpoch    uint64         `json:"owner_epoch"`
-	Members       map[string]int `json:"members"` // counts by service (or role) and state
-	Waits         string         `json:"waits"`   // what the repair of the voter set is waiting for
+	OwnerCPU      int            `json:"owner_millicores"`   // CPU share of the owner; 0 if unknown
+	OwnerControl  bool           `json:"owner_with_control"` // the owner has the control role
+	Members       map[string]int `json:"members"`            // counts by service (or role) and state
+	Waits         string         `json:"waits"`              // what the repair of the voter set is waiting for
 
 	Rollouts map[string]rolloutMetrics `json:"rollouts,omitempty"` // by service
 }
 
 func (s *Service) metrics() metrics {
 	st, v := s.cluster.Status(), s.cluster.View()
+	owner := v.Members[v.Owner.ID]
 	out := metrics{Leads: st.Role == consensus.Leader, Leader: string(st.Leader), Term: st.Term, Last: st.LastIndex, Committed: st.Committed, Applied: st.Applied,
 		Version: v.Config.Version, StampAgeMs: s.cluster.StampAge().Milliseconds(), Voters: len(st.Membership.Voters), Learners: len(st.Membership.Learners),
 		Votes: st.Membership.IsVoter(st.ID), Joined: s.joined(), Suspended: s.cluster.Outage() != nil, SnapshotIndex: st.SnapshotIndex,
-		Owner: string(v.Owner.ID), OwnerEpoch: v.Owner.Epoch, Members: map[string]int{}, Waits: s.repair.Report()}
+		Owner: string(v.Owner.ID), OwnerEpoch: v.Owner.Epoch, OwnerCPU: owner.Millicores, OwnerControl: hasControlRole(owner), Members: map[string]int{}, Waits: s.repair.Report()}
 	for _, m := range v.Members {
 		kind := m.Service
 		if kind == "" {
--- a/node/control/stageowner.go
+++ b/node/control/stageowner.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/peer"
-	"caperdrum.org/node/settings"
 	"caperdrum.org/node/state"
 )
 
@@ -101,7 +97,7 @@
 		o.s.log.Info("stage owner not assigned", "owner", next.ID, "error", err.Error())
 		return
 	}
-	o.s.log.Info("stage owner assigned", "owner", next.ID, "epoch", owner.Epoch, "before", view.Owner.ID, "before_leaving", m.Leaving, "before_member", member, "before_started_again", o.lastStart(m).incarnation > view.Owner.Incarnation)
+	o.s.log.Info("stage owner assigned", "owner", next.ID, "epoch", owner.Epoch, "millicores", next.Millicores, "with_control", hasControlRole(next), "before", view.Owner.ID, "before_leaving", m.Leaving, "before_member", member, "before_started_again", o.lastStart(m).incarnation > view.Owner.Incarnation)
 }
 
 // transferLeadership transfers leadership after the owner was elected leader. The loss of a process that is
@@ -165,33 +161,3 @@
 }
 
 func (o *ownerAssigner) heardFrom(m wire.Member) bool { return o.lastStart(m).heard }
-
-// nextOwner chooses the owner among the proxies that are not leaving. In this order, it prefers processes
-// that have not failed as owner recently, those with the control role (which have larger VMs), those other
-// than the leader (so that one loss does not take both), and those from which a renewal was received.
-func nextOwner(members map[wire.MemberID]wire.Member, leader wire.MemberID, avoided func(wire.MemberID) bool, heard func(wire.Member) bool) (wire.Member, bool) {
-	var best wire.Member
-	bestRank, found := uint64(0), false
-	for id, m := range members {
-		if m.Peer == "" || m.Leaving {
-			continue
-		}
-		rank := xxhash.Sum64String(string(id)) >> 4
-		if !avoided(id) {
-			rank |= 1 << 63
-		}
-		if strings.Contains(m.Role, string(settings.Control)) {
-			rank |= 1 << 62
-		}
-		if id != leader {
-			rank |= 1 << 61
-		}
-		if heard(m) {
-			rank |= 1 << 60
-		}
-		if !found || rank > bestRank {
-			best, bestRank, found = m, rank, true
-		}
-	}
-	return best, found
-}
--- a/node/control/stageowner_test.go
+++ b/node/control/stageowner_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/jonboulle/clockwork"
 
 	"caperdrum.org/api/wire"
@@ -143,3 +145,100 @@
 		t.Fatalf("%q is assigned", got)
 	}
 }
+
+// TestOwnerOutsideControlOutlivesControl restarts all control processes while the owner, which has no control role,
+// runs on. The new leader must keep the owner: before any renewal, after the time in which it waits for renewals, and once the
+// control processes have joined again. Then the owner fails: the next one must again be outside control.
+func TestOwnerOutsideControlOutlivesControl(t *testing.T) {
+	l, clock := &leaderCluster{machine: state.New()}, clockwork.NewFakeClock()
+	set := &settings.Settings{}
+	set.Node.Name = "c0"
+	assigner := func() (*ownerAssigner, *leases) {
+		lease := newLeases(l, clock, time.Second, nil)
+		o := newOwnerAssigner(&Service{cluster: l, set: set, log: logr.Discard(), clock: clock, leases: lease})
+		o.leaderSince = clock.Now()
+		lease.grantFullLeases(clock.Now())
+		return o, lease
+	}
+	controls := func(incarnation uint64) []wire.Member {
+		var out []wire.Member
+		for _, id := range []wire.MemberID{"c0", "c1", "c2"} {
+			m := candidate(id, both, 512)
+			m.Incarnation = incarnation
+			out = append(out, m)
+		}
+		return out
+	}
+	outside := []wire.Member{candidate("e0", "proxy", 352), candidate("e1", "proxy", 352), candidate("small", "proxy", 109)}
+	l.mustPropose(t, state.Command{Join: append(controls(1), outside...), Put: &wire.PutRequest{Version: 1}})
+	o, _ := assigner()
+	clock.Advance(newLeaderGrace)
+	o.step(t.Context())
+	owner := l.View().Owner
+	if owner.ID != "e0" && owner.ID != "e1" {
+		t.Fatalf("%+v is assigned, want e0 or e1", owner)
+	}
+
+	o, lease := assigner() // the leader after the restart
+	expectKept := func(when string) {
+		t.Helper()
+		o.probe = newLivenessProbe(clock, "127.0.0.1:1", func() probeClient { return aliveClient{} })
+		o.step(t.Context())
+		if got := l.View().Owner; got != owner {
+			t.Fatalf("%s: %+v is assigned in place of %+v", when, got, owner)
+		}
+	}
+	expectKept("before any renewal")
+	clock.Advance(newLeaderGrace)
+	expectKept("after the wait for renewals")
+	for _, m := range controls(2) {
+		lease.record([]Renewal{{Member: m}})
+	}
+	l.mustPropose(t, state.Command{Join: controls(2)})
+	expectKept("after the control processes have joined again")
+	for _, m := range outside {
+		lease.record([]Renewal{{Member: m}})
+	}
+	expectKept("after all renewals")
+
+	lost := owner.ID
+	l.mustPropose(t, state.Command{Remove: []state.Removal{{ID: lost, Incarnation: 1}}})
+	o.step(t.Context())
+	if got := l.View().Owner; got.ID == lost || got.ID != "e0" && got.ID != "e1" || got.Epoch != owner.Epoch+1 {
+		t.Fatalf("%+v is assigned after the loss of %s, want the other one outside control", got, lost)
+	}
+}
+
+// TestBetterProcessDoesNotTakeOver guards against moving a running owner: a move costs the jobs under way.
+func TestBetterProcessDoesNotTakeOver(t *testing.T) {
+	l, clock := &leaderCluster{machine: state.New()}, clockwork.NewFakeClock()
+	set := &settings.Settings{}
+	set.Node.Name = "c0"
+	o := newOwnerAssigner(&Service{cluster: l, set: set, log: logr.Discard(), clock: clock, leases: newLeases(l, clock, time.Second, nil)})
+	o.probe = newLivenessProbe(clock, "127.0.0.1:1", func() probeClient { return aliveClient{} })
+	l.mustPropose(t, state.Command{Join: []wire.Member{candidate("c0", both, 512), candidate("c1", both, 512)},
+		Put: &wire.PutRequest{Version: 1}, Owner: &wire.StageOwner{ID: "c1", Incarnation: 1, Peer: "127.0.0.1:1", Epoch: 1}})
+	l.mustPropose(t, state.Command{Join: []wire.Member{candidate("e", "proxy", 512)}})
+	o.step(t.Context())
+	if got := l.View().Owner; got.ID != "c1" || got.Epoch != 1 {
+		t.Fatalf("%+v is assigned", got)
+	}
+}
+
+// TestAssignmentIsLogged guards against a log line that does not say what the owner was chosen by.
+func TestAssignmentIsLogged(t *testing.T) {
+	l := &leaderCluster{machine: state.New()}
+	set := &settings.Settings{}
+	set.Node.Name = "c0"
+	var lines []string
+	log := funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
+	o := newOwnerAssigner(&Service{cluster: l, set: set, log: log, clock: clockwork.NewFakeClock(), leases: &leases{}})
+	l.mustPropose(t, state.Command{Join: []wire.Member{candidate("c0", both, 512), candidate("e", "proxy", 352)}, Put: &wire.PutRequest{Version: 1}})
+	o.step(t.Context())
+	l.mustPropose(t, state.Command{Remove: []state.Removal{{ID: "e", Incarnation: 1}}})
+	o.step(t.Context())
+	want := []string{`"owner"="e" "epoch"=1 "millicores"=352 "with_control"=false`, `"owner"="c0" "epoch"=2 "millicores"=512 "with_control"=true`}
+	if len(lines) != 2 || !strings.Contains(lines[0], want[0]) || !strings.Contains(lines[1], want[1]) {
+		t.Fatalf("logged %q, want %q", lines, want)
+	}
+}
