control: the placement of the owner uses the shares of renewals too

A leader of the previous version proposes member records without their CPU shares, and these records stay until their processes start again. After such an upgrade the share of a small VM could be the largest known one, and the owner was placed there (the first case of TestSharesOfRenewalsCount chose the VM with 0.144 of a core beside a control process with 0.512).

The leader now takes the share of the latest start from the renewal if the record lacks it, as it does with the incarnation.

--- a/node/control/leases.go
+++ b/node/control/leases.go
@@ -41,6 +41,7 @@
 	incarnation uint64
 	version     uint64
 	fault       string
+	millicores  int
 	implicit    bool // the lease was granted by the leader; the member has not renewed it since
 }
 
@@ -62,7 +63,7 @@
 		if valid && max(old.incarnation, known.Incarnation) > r.Member.Incarnation {
 			continue // a delayed message of an earlier incarnation, or the VM's clock was set back
 		}
-		l.renewals[r.Member.ID] = lastRenewal{at: now, incarnation: r.Member.Incarnation, version: r.ConfigVersion, fault: r.Fault}
+		l.renewals[r.Member.ID] = lastRenewal{at: now, incarnation: r.Member.Incarnation, version: r.ConfigVersion, fault: r.Fault, millicores: r.Member.Millicores}
 		pendingMember, queued := l.pending[r.Member.ID]
 		if queued && !r.Member.NewerThan(pendingMember) {
 			continue
@@ -83,6 +84,7 @@
 type lastStart struct {
 	incarnation uint64 // may be newer than the one in the member list
 	heard       bool   // whether the member has renewed its lease since this process became the leader
+	millicores  int    // CPU share; 0 if unknown
 }
 
 // lastStart returns the latest known start of the member with the given record.
@@ -90,7 +92,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, known := l.renewals[m.ID]
-	return lastStart{incarnation: max(m.Incarnation, s.incarnation), heard: known && !s.implicit}
+	out := lastStart{incarnation: max(m.Incarnation, s.incarnation), heard: known && !s.implicit, millicores: m.Millicores}
+	switch {
+	case !out.heard || s.incarnation < m.Incarnation:
+	case s.incarnation > m.Incarnation:
+		out.millicores = s.millicores
+	default: // either may lack the share: a process of the previous version proposed the record, or forwarded the renewal
+		out.millicores = max(m.Millicores, s.millicores)
+	}
+	return out
 }
 
 // leavingRecords returns the record that marks an announced upstream as leaving. There is none if the
--- a/node/control/stageowner.go
+++ b/node/control/stageowner.go
@@ -82,11 +82,10 @@
 	if member {
 		o.failedAt[m.ID] = o.s.clock.Now()
 	}
-	next, ok := nextOwner(view.Members, wire.MemberID(o.s.set.Node.Name), o.recentlyFailed, o.heardFrom)
+	next, ok := nextOwner(o.latestStarts(view.Members), wire.MemberID(o.s.set.Node.Name), o.recentlyFailed, o.heardFrom)
 	if !ok || !o.heardFrom(next) && o.s.clock.Since(o.leaderSince) < newLeaderGrace {
 		return
 	}
-	next.Incarnation = o.lastStart(next).incarnation
 	if next.ID == view.Owner.ID && next.Incarnation == view.Owner.Incarnation {
 		return
 	}
@@ -160,4 +159,15 @@
 	return known && o.s.clock.Since(at) < failedOwnerPenalty
 }
 
+// latestStarts returns the member records with the latest known start of each process and its CPU share.
+func (o *ownerAssigner) latestStarts(members map[wire.MemberID]wire.Member) map[wire.MemberID]wire.Member {
+	out := make(map[wire.MemberID]wire.Member, len(members))
+	for id, m := range members {
+		s := o.lastStart(m)
+		m.Incarnation, m.Millicores = s.incarnation, s.millicores
+		out[id] = m
+	}
+	return out
+}
+
 func (o *ownerAssigner) heardFrom(m wire.Member) bool { return o.lastStart(m).heard }
--- a/node/control/stageowner_test.go
+++ b/node/control/stageowner_test.go
@@ -242,3 +242,41 @@
 		t.Fatalf("logged %q, want %q", lines, want)
 	}
 }
+
+// TestSharesOfRenewalsCount guards against an owner on a VM that is too small after an upgrade: the shares of processes that
+// joined while the leader was of the previous version are not in the member list, and the share of a small VM would
+// be the largest. Renewals forwarded by a process of the previous version have no share; then the one in the list counts.
+func TestSharesOfRenewalsCount(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		listed, renewed  int // share of the process outside control
+		incarnation      uint64
+		control, renewal int // shares of the control process that is not the leader
+		want             wire.MemberID
+	}{
+		{"the control process's share only in its renewal", 144, 144, 1, 0, 512, "c"},
+		{"a sufficient share only in the renewal", 0, 352, 1, 512, 512, "e"},
+		{"a sufficient share only in the list", 352, 0, 1, 512, 512, "e"},
+		{"started again with a smaller share", 352, 144, 2, 512, 512, "c"},
+		{"started again with an unknown share", 352, 0, 2, 512, 512, "c"},
+		{"in no place", 0, 0, 1, 0, 0, "c"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, clock := &leaderCluster{machine: state.New()}, clockwork.NewFakeClock()
+			set := &settings.Settings{}
+			set.Node.Name = "lead"
+			lease := newLeases(l, clock, time.Second, nil)
+			o := newOwnerAssigner(&Service{cluster: l, set: set, log: logr.Discard(), clock: clock, leases: lease})
+			l.mustPropose(t, state.Command{Put: &wire.PutRequest{Version: 1},
+				Join: []wire.Member{candidate("lead", both, c.control), candidate("c", both, c.control), candidate("e", "proxy", c.listed)}})
+			lease.grantFullLeases(clock.Now())
+			e := candidate("e", "proxy", c.renewed)
+			e.Incarnation = c.incarnation
+			lease.record([]Renewal{{Member: candidate("c", both, c.renewal)}, {Member: e}})
+			o.step(t.Context())
+			if got := l.View().Owner.ID; got != c.want {
+				t.Fatalf("%q is assigned, want %q", got, c.want)
+			}
+		})
+	}
+}
