stagework: estimates use the measured throughput of a service

Cause: the owner assumed 0.75 of the nominal throughput, corrected only by how full calls were. A service whose upstreams had no room processed 428 of 807 pieces a second (docs/design/hard-load.md), and jobs were admitted that could only be late.

Change: each service has a meter (throughput.go) in place of efficiency. It divides the pieces of successful calls by those that the healthy upstreams would have made in full calls, with a decay of 2 s, and only while a whole batch waits. A period counts as busy by the state after the last calls were started: by the state at its end, the minute before a burst counted as a busy minute without results. Stalls, the wait for confirmation after them and calls that began before them are left out.

Beyond the design page: in time that is not busy the sums decay too, and the share returns to 0.75. The share is bounded by 2, which calls of upstreams that are not healthy exceed.

The load model's upstreams that do not answer kept their results for good; they expire now as others do.

--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -8,12 +8,6 @@
 )
 
 const (
-	// initialEfficiency is the assumed share of its nominal throughput that a service reaches
-	// until it has been seen under load: that of calls filled to three quarters.
-	initialEfficiency = 0.75
-	// efficiencyWeight is the weight of one call in the average efficiency: the last dozen
-	// calls, about a second of five upstreams, determine most of it.
-	efficiencyWeight = 0.1
 	// resultHoldTime is how long a result occupies its upstream while room (result memory, see
 	// room.go) is short: until the next upstream or the engine starts and has fetched it.
 	resultHoldTime = 200 * time.Millisecond
@@ -164,28 +158,19 @@
 	return sum
 }
 
-// updateEfficiency records how full a call is that was made while at least another batch waited.
-func (q *serviceQueue) updateEfficiency(c *call) {
-	if c.leftWaiting < q.spec.Batch {
-		return
-	}
-	nominal := float64(q.spec.Batch) / fullCall(q.spec).Seconds()
-	q.efficiency += efficiencyWeight * (float64(len(c.pieces))/c.expected.Seconds()/nominal - q.efficiency)
-}
-
 func shortestCall(spec *optext.Service) time.Duration { return spec.CallTime + spec.PieceTime }
 
 func fullCall(spec *optext.Service) time.Duration {
 	return spec.CallTime + time.Duration(spec.Batch)*spec.PieceTime
 }
 
-// throughput is the number of pieces a second that the service can process, bounded by the time
-// of its upstreams and by the room for results, which are kept for the time hold.
+// throughput is the number of pieces a second that the service is expected to process: the measured share of
+// its nominal throughput, bounded by the room for results, which are kept for the time hold.
 func (q *serviceQueue) throughput(bytes int64, hold time.Duration) float64 {
-	call := fullCall(q.spec)
-	rate := q.callRate(call) * float64(q.spec.Batch) * q.efficiency
+	nominal := q.nominalThroughput()
+	rate := nominal * q.meter.share(nominal)
 	if q.spec.ResultRoom > 0 && bytes > 0 {
-		rate = min(rate, float64(q.ownRoom())/float64(bytes)/(call+hold).Seconds())
+		rate = min(rate, float64(q.ownRoom())/float64(bytes)/(fullCall(q.spec)+hold).Seconds())
 	}
 	return rate
 }
--- a/node/stagework/loadmodel_test.go
+++ b/node/stagework/loadmodel_test.go
@@ -43,6 +43,8 @@
 	queue            []func()                  // events waiting for the owner
 	busy             bool                      // the owner is in a round
 	check            func()                    // called after each event; may be nil
+	members          map[string][]wire.Member  // nil: modelMembers
+	outage           *modelOutage              // nil: processes wait for an owner without a limit
 	lightPieces      bool                      // pieces with results of lightBytes take less time
 
 	waiting    map[string]*modelCall // calls with stages in progress, by submission
@@ -67,6 +69,7 @@
 	job          Job
 	retriedAt    time.Time // time of the caller's retry; zero before
 	refusedEarly bool      // it was refused within a quarter of its goal
+	ownerless    time.Time // since when its process has found no owner; zero while there is one
 }
 
 // modelKind is a kind of call.
@@ -86,12 +89,14 @@
 }
 
 type modelEnd struct {
-	kind    string
-	arrived time.Time
-	inTime  bool
-	refused bool
-	credit  float64       // earned part of its worth
-	first   time.Duration // from the end of the stages to the first event
+	kind          string
+	arrived       time.Time
+	sent          time.Time // the last time that the caller sent it
+	inTime        bool
+	refused       bool
+	inTimeOfRetry bool          // within its goal from the last time that it was sent
+	credit        float64       // earned part of its worth
+	first         time.Duration // from the end of the stages to the first event
 }
 
 type event struct {
@@ -164,8 +169,12 @@
 
 // replaceOwner makes another process the stage owner.
 func (m *loadModel) replaceOwner(after bool) {
+	members := m.members
+	if members == nil {
+		members = modelMembers()
+	}
 	m.owner = newScheduler()
-	m.owner.setServices(m.specs, modelMembers())
+	m.owner.setServices(m.specs, members)
 	m.owner.setOwner(m.now, true, after)
 }
 
@@ -211,9 +220,14 @@
 
 func (m *loadModel) submit(c *modelCall) {
 	if m.owner == nil {
+		if m.outage != nil {
+			m.outage.wait(c)
+			return
+		}
 		m.after(50*time.Millisecond, func() { m.submit(c) })
 		return
 	}
+	c.ownerless = time.Time{}
 	m.serial++
 	c.job.SubmissionID = fmt.Sprint(c.id, "/", m.serial)
 	began := c.arrived
@@ -245,7 +259,7 @@
 		if m.retryLater(c, err) {
 			return
 		}
-		m.ended = append(m.ended, modelEnd{kind: c.kind.name, arrived: c.arrived, refused: verdict.Of(err) == verdict.NotRun})
+		m.ended = append(m.ended, modelEnd{kind: c.kind.name, arrived: c.arrived, sent: c.sent(), refused: verdict.Of(err) == verdict.NotRun})
 		return
 	}
 	engine := r.Engine
@@ -255,7 +269,7 @@
 	first := m.timeToFirstEvent(engine, c.prompt)
 	m.after(first, func() {
 		m.ownerEvent(owner, func() { m.free(owner, owner.handleDone(m.now, Done{SubmissionID: handed, Engine: EngineStarted})) })
-		m.ended = append(m.ended, modelEnd{kind: c.kind.name, arrived: c.arrived, inTime: m.now.Sub(c.arrived) <= c.kind.goal, credit: m.credit(c), first: first})
+		m.ended = append(m.ended, modelEnd{kind: c.kind.name, arrived: c.arrived, sent: c.sent(), inTime: m.now.Sub(c.arrived) <= c.kind.goal, inTimeOfRetry: m.now.Sub(c.sent()) <= c.kind.goal, credit: m.credit(c), first: first})
 	})
 }
 
@@ -400,6 +414,9 @@
 		}
 		took = time.Duration(float64(took) * max(1, m.slow[c.worker.member.ID]))
 	}
+	for _, r := range o.results {
+		m.after(took+spec.ResultTTL, func() { m.expireResult(room, r.Handle) })
+	}
 	if took > c.timeout || m.unresponsive[c.worker.member.ID] {
 		m.after(min(took, c.timeout), func() {
 			m.ownerEvent(s, func() { m.free(s, s.finishCall(m.now, c, outcome{err: "no answer"})) })
@@ -407,9 +424,6 @@
 		return
 	}
 	m.after(took, func() {
-		for _, r := range o.results {
-			m.after(spec.ResultTTL, func() { m.expireResult(room, r.Handle) })
-		}
 		m.ownerEvent(s, func() { m.free(s, s.finishCall(m.now, c, o)) })
 	})
 }
--- a/node/stagework/outcome.go
+++ b/node/stagework/outcome.go
@@ -45,6 +45,7 @@
 	c.ended = true
 	w.runningCalls--
 	w.addOwn(-c.bytes)
+	s.measureCall(now, c, o)
 	s.updateWorker(now, c, o)
 	s.countRolloutCall(now, c, o)
 	var free []storedResult
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -42,7 +42,7 @@
 	strandedDataCenters []string          // unreachable data centres that stranded pieces may try
 	rollout             wire.Rollout      // the service's last one
 
-	efficiency float64 // share of the nominal throughput reached while pieces wait, as a moving average
+	meter throughputMeter // of the throughput reached while pieces wait
 }
 
 // piece is a unit of work of a stage, which an upstream processes in a batch call.
@@ -259,7 +259,6 @@
 	c.leftWaiting = len(q.waiting)
 	w.runningCalls++
 	w.lastCall = c
-	q.updateEfficiency(c)
 	q.split.RecordSent(q.name, w.member.Version)
 	w.addOwn(c.bytes)
 	w.lastCallAt = now
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -154,6 +154,7 @@
 	if owner && !s.owner {
 		s.reachability.reset() // knowledge from an earlier ownership is out of date
 		s.permits.reset(now, after)
+		s.resetMeters()
 	}
 	s.owner, s.unconfirmed = owner, false
 	if owner {
@@ -371,6 +372,7 @@
 	for _, name := range slices.Sorted(maps.Keys(s.services)) { // fixed order, so that tests are reproducible
 		q := s.services[name]
 		q.sortedAt = time.Time{}
+		q.advanceMeter(now)
 		for len(q.waiting) > 0 {
 			c := q.nextCall(now)
 			if c == nil {
@@ -382,6 +384,7 @@
 			q.countCall(c)
 			out = append(out, c)
 		}
+		q.updateBusy()
 	}
 	return out
 }
--- a/node/stagework/stall.go
+++ b/node/stagework/stall.go
@@ -46,14 +46,15 @@
 // endedBefore reports whether the stall had ended at that time.
 func (s *stall) endedBefore(at time.Time) bool { return !at.Before(s.ended) }
 
-// recordStall records that the process was stalled until now. The durations of calls in progress are
-// then ignored: counted against the upstreams, they would make all of them seem slow for the next ten
+// recordStall records that the process was stalled until now. That time and the durations of calls in progress
+// are then ignored: counted against the upstreams, they would make all of them seem slow for the next ten
 // seconds, and nearly every job would be refused. Another owner has most likely been named meanwhile,
 // so this one starts no calls until it is confirmed: the new owner's upstreams would work for jobs that
 // have moved there.
 func (s *scheduler) recordStall(now time.Time) {
 	s.lastStall.ended = now
 	s.unconfirmed = s.owner
+	s.skipMeters(now)
 }
 
 // confirm records that this process is still the owner after a stall.
