--- a/node/stagework/ownerloss_test.go
+++ b/node/stagework/ownerloss_test.go
@@ -15,8 +15,9 @@
 
 // burstWithoutOwner plays deployment B with a burst of 4 s to 10 s, in which the owner and the control
 // processes are lost for 1.7 s.
-func burstWithoutOwner(seed uint64, usual, burst float64) *loadModel {
+func burstWithoutOwner(seed uint64, usual, burst float64, noShares bool) *loadModel {
 	m := newHardLoadModel(seed)
+	m.outage.noShares = noShares
 	for _, part := range []struct {
 		kind  modelKind
 		share float64
@@ -53,7 +54,7 @@
 	g := gomega.NewWithT(t)
 	sent, inTime, sentAll, inTimeAll, refused := 0, 0, 0, 0, 0
 	for _, seed := range loadSeeds {
-		m := burstWithoutOwner(seed, 160, 260)
+		m := burstWithoutOwner(seed, 160, 260, false)
 		a, b := m.sentInTime(returnedAt, returnedAt+2*time.Second)
 		sent, inTime = sent+a, inTime+b
 		a, b = m.sentInTime(lossAt, lossAt+8*time.Second)
--- a/node/stagework/throughput.go
+++ b/node/stagework/throughput.go
@@ -119,8 +119,9 @@
 	}
 }
 
-// resetMeters drops what was measured under an earlier ownership.
+// resetMeters drops what was measured, or taken over, under an earlier ownership.
 func (s *scheduler) resetMeters() {
+	s.sharesTaken = false
 	for _, q := range s.services {
 		q.meter = newThroughputMeter()
 	}
--- a/node/stagework/throughput_test.go
+++ b/node/stagework/throughput_test.go
@@ -194,3 +194,33 @@
 		t.Errorf("%.0f pieces a second with 5 of 15 upstreams, %.0f before", got, before)
 	}
 }
+
+// TestThroughputIsShown checks the metric of the expected throughput.
+func TestThroughputIsShown(t *testing.T) {
+	s, now := fleetOwner(90)
+	q := s.services["catalog"]
+	q.meter.play(now, repeated(100, meterStep{100 * time.Millisecond, true, q.nominalThroughput(), int(q.nominalThroughput() / 20)}))
+	s.setGauges(now.Add(time.Hour))
+	if got, want := mapValue(throughputVar, "catalog"), q.nominalThroughput()/2; math.Abs(float64(got)-want) > 0.1*want {
+		t.Errorf("%d pieces a second, want about %.0f", got, want)
+	}
+}
+
+// TestRefusalNamesTheBottleneck checks the service that the log line of a refused job names: the one with the longest
+// time, and none if nothing was estimated.
+func TestRefusalNamesTheBottleneck(t *testing.T) {
+	s, now := fleetOwner(90)
+	q := s.services["catalog"]
+	q.setWorkers(q.members[:1])
+	refused := false
+	for i := range 200 {
+		s.submit(now, fleetJob(i), func(_ Result, err error) { refused = refused || err != nil })
+	}
+	if !refused || s.lastService != "catalog" {
+		t.Errorf("refused %v because of %q", refused, s.lastService)
+	}
+	s.submit(now, Job{SubmissionID: "x", TimeLeft: time.Second, Stages: []Stage{{Service: "unknown", Pieces: 1}}}, func(Result, error) {})
+	if s.lastService != "" {
+		t.Errorf("without an estimate: %q", s.lastService)
+	}
+}
