--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -1,19 +1,12 @@
 package stagework
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"caperdrum.org/api/optext"
 )
 
 const (
-	// initialEfficiency is the assumed share of its nominal throughput that a service reaches
-	// until it has been seen under load: that of calls filled to three quarters.
-	initialEfficiency = 0.75
-	// efficiencyWeight is the weight of one call in the average efficiency: the last dozen
-	// calls, about a second of five upstreams, determine most of it.
-	efficiencyWeight = 0.1
 	// resultHoldTime is how long a result occupies its upstream while room (result memory, see
 	// room.go) is short: until the next upstream or the engine starts and has fetched it.
 	resultHoldTime = 200 * time.Millisecond
@@ -36,8 +29,9 @@
 // shouldRefuse reports whether to refuse a job, and when its caller should retry. A job is refused
 // if it would miss its goal behind the jobs in progress, as work on a late call makes others late
 // too, or if it would be admitted ahead of more urgent classes. A limited number of deferred jobs
-// is admitted behind all first attempts, late or not: jobs of callers that retry, and jobs that
-// would miss their goal even on idle upstreams, as retrying would only make those later.
+// is admitted behind all first attempts, late or not: jobs of callers that retry, late jobs that a
+// previous owner may have taken, as their callers have already waited, and jobs that would miss their
+// goal even on idle upstreams, as retrying would only make those later.
 func (s *scheduler) shouldRefuse(now time.Time, j *job) (comeBack time.Duration, refused bool) {
 	if pause := s.upstreamPause(now, j); pause > 0 && now.Add(pause+s.unloadedTime(j)).After(j.deadline) {
 		return pause, true
@@ -48,9 +42,9 @@
 	j.retry = s.refusedCallers.has(j.Key, now)
 	estimate, bottleneck := s.estimate(now, j)
 	j.estimate = estimate
-	s.lastEstimate, s.lastRetry = estimate, j.retry
+	s.lastEstimate, s.lastRetry, s.lastService = estimate, j.retry, bottleneck
 	late := now.Add(estimate).After(j.goal)
-	if j.retry || now.Add(s.unloadedTime(j)).After(j.goal) {
+	if j.retry || j.Resubmitted && late || now.Add(s.unloadedTime(j)).After(j.goal) {
 		if s.backlog.deferred < s.maxDeferred(now) && now.Add(estimate).Before(j.deadline) {
 			j.late = late
 			return 0, false
@@ -94,7 +88,7 @@
 	s.refusedCallers.add(j.Key, now, j.deadline)
 	longest := j.TimeLeft / retryAfterDivisor
 	shortest := time.Duration(minRetryAfterShare * float64(longest))
-	return shortest + time.Duration(rand.Float64()*float64(longest-shortest))
+	return shortest + time.Duration(s.random()*float64(longest-shortest))
 }
 
 // estimate predicts how long the stages of a new job take behind the jobs whose goals are
@@ -164,28 +158,19 @@
 	return sum
 }
 
-// updateEfficiency records how full a call is that was made while at least another batch waited.
-func (q *serviceQueue) updateEfficiency(c *call) {
-	if c.leftWaiting < q.spec.Batch {
-		return
-	}
-	nominal := float64(q.spec.Batch) / fullCall(q.spec).Seconds()
-	q.efficiency += efficiencyWeight * (float64(len(c.pieces))/c.expected.Seconds()/nominal - q.efficiency)
-}
-
 func shortestCall(spec *optext.Service) time.Duration { return spec.CallTime + spec.PieceTime }
 
 func fullCall(spec *optext.Service) time.Duration {
 	return spec.CallTime + time.Duration(spec.Batch)*spec.PieceTime
 }
 
-// throughput is the number of pieces a second that the service can process, bounded by the time
-// of its upstreams and by the room for results, which are kept for the time hold.
+// throughput is the number of pieces a second that the service is expected to process: the measured share of
+// its nominal throughput, bounded by the room for results, which are kept for the time hold.
 func (q *serviceQueue) throughput(bytes int64, hold time.Duration) float64 {
-	call := fullCall(q.spec)
-	rate := q.callRate(call) * float64(q.spec.Batch) * q.efficiency
+	nominal := q.nominalThroughput()
+	rate := nominal * q.meter.share(nominal)
 	if q.spec.ResultRoom > 0 && bytes > 0 {
-		rate = min(rate, float64(q.ownRoom())/float64(bytes)/(call+hold).Seconds())
+		rate = min(rate, float64(q.ownRoom())/float64(bytes)/(fullCall(q.spec)+hold).Seconds())
 	}
 	return rate
 }
--- a/node/stagework/job.go
+++ b/node/stagework/job.go
@@ -28,11 +28,13 @@
 	Within          residency.AllowedDataCenters `json:"within,omitzero"`
 	Caller          string                       `json:"caller,omitempty"` // peer address of the submitting process; empty: it wants no progress updates
 	CompletedStages []CompletedStage             `json:"made,omitempty"`   // stages completed under previous owners
-	Resubmitted     bool                         `json:"again,omitempty"`  // submitted before, to an owner that did not finish it
+	Resubmitted     bool                         `json:"again,omitempty"`  // a previous owner may have taken it, and did not finish it
 	// Owner is the process that the caller believes to be the owner. A newly named owner
 	// may learn of its role from this field first.
 	Owner  wire.StageOwner `json:"owner"`
 	Prompt *Prompt         `json:"prompt,omitempty"` // nil: no engine is to be chosen
+	// Throughput is the share of its nominal throughput that each service reached under the previous owner.
+	Throughput shares `json:"throughput,omitempty"`
 }
 
 // Stage is one stage of a job.
@@ -59,6 +61,9 @@
 	// UnreachableDataCenters lists the data centres whose upstreams the owner cannot reach, for calls whose
 	// upstream the owner does not choose.
 	UnreachableDataCenters []string `json:"dark,omitempty"`
+	// Throughput is the share of its nominal throughput that each service reaches, for those that have been busy
+	// lately.
+	Throughput shares `json:"throughput,omitempty"`
 }
 
 // Done tells the owner that a submission is over.
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -61,6 +61,7 @@
 	ownership   func() knownOwner
 	dial        peer.Dialer
 	submissions *submissions
+	shares      knownShares
 
 	notices      *upstream.Notices
 	limitReports *limitReports
@@ -245,14 +246,18 @@
 	answered := make(chan answer, 1)
 	s.post(func(now time.Time) {
 		s.learnOwnership(now, j.Owner)
+		if used := s.scheduler.takeOverShares(now, j.Throughput); used != nil {
+			s.log.Info("throughput taken over", "epoch", s.epoch, "shares", used, "from", j.Caller)
+		}
 		s.scheduleFree(s.scheduler.submit(now, *j, func(r Result, err error) {
 			r.UnreachableDataCenters = s.scheduler.reachability.unreachableDataCenters()
+			r.Throughput = s.scheduler.measuredShares()
 			s.logJobEnd(j, r, err)
 			answered <- answer{r, err}
 		}))
 		if _, taken := s.scheduler.jobs[j.SubmissionID]; !taken {
 			jobsVar.Add(jobRefused, 1)
-			s.log.Info("job refused", "request", j.ID, "jobs", len(s.scheduler.jobs), "estimate", s.scheduler.lastEstimate, "goal", j.Goal, "sent_away_before", s.scheduler.lastRetry, "owner", s.scheduler.owner)
+			s.log.Info("job refused", "request", j.ID, "jobs", len(s.scheduler.jobs), "estimate", s.scheduler.lastEstimate, "service", s.scheduler.lastService, "goal", j.Goal, "sent_away_before", s.scheduler.lastRetry, "owner", s.scheduler.owner)
 		}
 	})
 	select {
