stagework: hedged stage calls

Cause: an upstream that becomes slow keeps the pieces of its call until the call ends, while other upstreams are idle (docs/design/hard-load.md, part 4).

With [proxy] hedge_stages, off by default, the upstream of a call that runs for 1.5 times its expected duration counts as slow until the call ends, and the pieces that can still be in time are sent once more where no piece waits and an idle healthy upstream has room. One call in ten is a hedge at most. The first result of a piece counts, later ones are freed, and a failure does not count while the other call is under way. Inputs are kept until both calls have fetched them or ended.

The rapid machine plays hedged calls too, and checks more: the calls that a job counts, that no piece waits while it is in a call, and that inputs of hedged pieces are kept.

--- a/node/settings/proxy.go
+++ b/node/settings/proxy.go
@@ -29,6 +29,9 @@
 	// upstream in a second: ColdExcess times its cold_rate, plus ColdSlack.
 	ColdExcess float64 `ini:"cold_excess"`
 	ColdSlack  int     `ini:"cold_slack"`
+	// HedgeStages allows the stage owner to send the pieces of a call that takes far longer than
+	// expected to a second upstream.
+	HedgeStages bool `ini:"hedge_stages"`
 	// Rotation is how long a stopping process still accepts connections, so that the
 	// load balancer has time to notice that it is not ready.
 	Rotation time.Duration `ini:"rotation"`
--- a/node/stagework/inputs.go
+++ b/node/stagework/inputs.go
@@ -36,7 +36,10 @@
 func (s *scheduler) markInputsFetched(c *call) []storedResult {
 	c.inputsFetched = true
 	for _, p := range c.pieces {
-		if p.epoch == p.job.restarts {
+		if p.epoch != p.job.restarts {
+			continue
+		}
+		if p.fetches++; p.fetches == 1 {
 			p.job.inputsFetched[p.stage]++
 		}
 	}
@@ -61,7 +64,10 @@
 
 // undoInputsFetched reverts the mark for a piece that failed.
 func (p *piece) undoInputsFetched(c *call) {
-	if c.inputsFetched {
+	if !c.inputsFetched {
+		return
+	}
+	if p.fetches--; p.fetches == 0 {
 		p.job.inputsFetched[p.stage]--
 	}
 }
@@ -77,13 +83,20 @@
 }
 
 // resultsNeeded reports whether the results of a stage are still needed: by the engine, or by a
-// stage that is not completed and, while room is short, has not fetched them.
+// stage that is not completed and, while room is short, has not fetched them, or by either call of a
+// hedged piece that is still to fetch them.
 func (s *scheduler) resultsNeeded(j *job, stage int) bool {
 	if j.finalStages()[stage] {
 		return true
 	}
 	for i, st := range j.Stages {
-		if j.missing[i] == 0 || !slices.Contains(st.DependsOn, stage) {
+		if !slices.Contains(st.DependsOn, stage) {
+			continue
+		}
+		if j.hedgeFetchesInputs(i) {
+			return true
+		}
+		if j.missing[i] == 0 {
 			continue
 		}
 		if j.inputsFetched[i] < st.Pieces || !s.services[j.Stages[stage].Service].shortOfRoom() {
--- a/node/stagework/metrics.go
+++ b/node/stagework/metrics.go
@@ -14,6 +14,9 @@
 	callsVar             = expvar.NewMap("stagework_calls")              // of upstreams, by service
 	piecesVar            = expvar.NewMap("stagework_pieces")             // in those calls, by service
 	retriedVar           = expvar.NewMap("stagework_pieces_again")       // pieces tried again, by service/reason
+	hedgesVar            = expvar.NewMap("stagework_hedges")             // hedges started, by service
+	hedgesWonVar         = expvar.NewMap("stagework_hedges_won")         // hedges that brought the first result of a piece, by service
+	hedgesWastedVar      = expvar.NewMap("stagework_hedges_wasted")      // hedges that brought none, by service
 	batchSlotsVar        = expvar.NewMap("stagework_places")             // batch slots of calls made while another batch waited, by service
 	batchSlotsUsedVar    = expvar.NewMap("stagework_taken")              // used ones of those slots, by service
 	noRoomVar            = expvar.NewMap("stagework_no_room")            // pieces rejected for want of room, by service
--- a/node/stagework/outcome.go
+++ b/node/stagework/outcome.go
@@ -49,7 +49,7 @@
 	s.countRolloutCall(now, c, o)
 	var free []storedResult
 	for i, p := range c.pieces {
-		p.job.calls--
+		p.endCall()
 		r := upstream.PieceResult{Failure: upstream.Failed}
 		if o.results != nil {
 			r = o.results[i]
@@ -63,12 +63,14 @@
 		}
 		m := storedResult{worker: w, handle: r.Handle, bytes: p.bytes(), stage: p.stage, number: p.number}
 		w.addOwn(m.bytes)
-		if p.job.answer == nil || p.epoch != p.job.restarts {
+		if p.done || p.job.answer == nil || p.epoch != p.job.restarts {
 			free = append(free, m)
 			continue
 		}
+		c.recordFirstResult(p)
 		free = append(free, s.storeResult(now, p, m)...)
 	}
+	free = append(free, s.finishHedged(now, c)...)
 	for _, p := range c.pieces {
 		free = append(free, s.moveJob(p.job)...)
 	}
@@ -125,16 +127,21 @@
 // an attempt.
 func (s *scheduler) pieceFailed(now time.Time, c *call, p *piece, why upstream.Failure, exempt bool) []storedResult {
 	j := p.job
-	if j.answer == nil || p.epoch != j.restarts {
+	if p.done || j.answer == nil || p.epoch != j.restarts {
 		return nil
 	}
 	p.undoInputsFetched(c)
-	switch {
-	case why == upstream.NoRoom:
+	if why == upstream.NoRoom {
 		noRoomVar.Add(c.service, 1)
 		c.worker.backoffUntil = now.Add(fullBackoff)
 		spec := s.services[c.service].spec
 		c.worker.recordNoRoom(now, spec.ResultRoom, p.bytes(), spec.ResultTTL)
+	}
+	if p.running > 0 {
+		return nil // the other call of a hedged piece decides
+	}
+	switch {
+	case why == upstream.NoRoom:
 	case why == upstream.InputGone && j.restarts < maxRestarts:
 		return s.restartJob(now, j)
 	case why == upstream.InputGone, why == upstream.Late:
--- a/node/stagework/progress.go
+++ b/node/stagework/progress.go
@@ -26,6 +26,7 @@
 	released      []bool       // by stage: whether any of its results were
 	times         []stageTimes // by stage
 	results       []storedResult
+	hedgedCalls   []*call // with hedged pieces of it
 	restarts      int
 	retry         bool                // its caller was refused before
 	moving        bool                // it moves to another owner once its calls have ended
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -42,6 +42,8 @@
 	strandedDataCenters []string          // unreachable data centres that stranded pieces may try
 	rollout             wire.Rollout      // the service's last one
 
+	hedgeBudget hedgeBudget
+
 	efficiency float64 // share of the nominal throughput reached while pieces wait, as a moving average
 }
 
@@ -58,6 +60,8 @@
 	predictedWait time.Duration // predicted time until a worker there starts it
 	stranded      bool          // may run in unreachable data centres only
 	noLocalWorker bool          // the preferred data centre has no healthy worker
+
+	pieceCalls
 }
 
 // call is a batch call of an upstream, to be made or in progress.
@@ -74,6 +78,7 @@
 	leftWaiting   int           // pieces still in the queue after it was filled
 	inputsFetched bool          // the upstream has fetched the inputs
 	ended         bool
+	hedgeState
 }
 
 // nextCall takes the pieces of the next call out of the queue, or returns nil when no
@@ -158,7 +163,7 @@
 		return 0
 	case w.unreachable():
 		return 1 // probes whether the data centre is reachable again
-	case w.slowdown <= maxHealthySlowdown, healthy == 0, fit > healthy*q.spec.Batch:
+	case !w.slow(), healthy == 0, fit > healthy*q.spec.Batch:
 		return q.spec.Batch
 	case now.Sub(w.lastCallAt) > slowProbeInterval:
 		return 1
@@ -245,7 +250,7 @@
 		c.expected += time.Duration(len(group)) * q.spec.PieceTime
 		for _, p := range group {
 			taken[p] = true
-			p.job.calls++
+			p.beginCall()
 			p.job.recordStart(p.stage, now)
 			c.longestWait = max(c.longestWait, now.Sub(p.queued))
 			c.pieces = append(c.pieces, p)
@@ -257,6 +262,13 @@
 	}
 	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool { return taken[p] })
 	c.leftWaiting = len(q.waiting)
+	q.beginCall(c, now)
+	return c
+}
+
+// beginCall records that a call starts at its upstream.
+func (q *serviceQueue) beginCall(c *call, now time.Time) {
+	w := c.worker
 	w.runningCalls++
 	w.lastCall = c
 	q.updateEfficiency(c)
@@ -266,7 +278,6 @@
 	q.permits.take(now, w.member)
 	w.freeAt = now.Add(max(time.Duration(float64(c.expected)*max(1, w.slowdown)), q.permits.wait(now, w.member)))
 	c.timeout = callLimit(c.expected, w.slowdown)
-	return c
 }
 
 // groupOf returns the leading pieces that belong to the same stage of the same job.
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -38,6 +38,7 @@
 	gaugesSet      time.Time
 	reachability   *reachability
 	permits        *permits
+	hedging        hedging
 	lastStall      *stall
 	unconfirmed    bool // was the owner before the last stall, and is not confirmed since
 
@@ -328,6 +329,7 @@
 func (s *scheduler) expireJobs(now time.Time) []storedResult {
 	s.startPending = true // pauses of upstreams end without an event
 	s.reachability.expireFailures(now)
+	s.markOverdue(now)
 	s.advanceBacklog(now)
 	out := s.collectFetchedInputs(now)
 	for _, j := range s.jobs {
@@ -377,11 +379,17 @@
 				break
 			}
 			c.service = name
-			s.reachability.recordCall(now, c.worker.member.DataCenter)
-			s.trackInputs(c)
-			q.countCall(c)
+			s.trackCall(now, q, c)
 			out = append(out, c)
 		}
 	}
-	return out
+	return append(out, s.hedgeOverdueCalls(now)...)
+}
+
+// trackCall records a call that was started.
+func (s *scheduler) trackCall(now time.Time, q *serviceQueue, c *call) {
+	s.reachability.recordCall(now, c.worker.member.DataCenter)
+	s.trackInputs(c)
+	s.trackDuration(q, c)
+	q.countCall(c)
 }
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -83,6 +83,7 @@
 	s.scheduler.permits.notices = p.Notices
 	p.Notices.OnLimitChanged(func(start wire.Start) { s.limitReports.add(start) })
 	s.scheduler.engines.cold = p.Settings.Proxy.ColdLimit()
+	s.scheduler.hedging.enabled = p.Settings.Proxy.HedgeStages
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.link = newOwnerLink(p.Dial, p.Log)
 	s.link.reportSuspect, s.link.control = p.ConfigSync.ReportUnresponsive, p.ConfigSync.ControlUnreachableFor
@@ -193,6 +194,9 @@
 		case <-timer.C:
 			armed = false
 			s.confirmPermits(time.Now())
+			if s.scheduler.hedging.enabled {
+				s.drainEvents() // a call whose outcome is queued is not overdue
+			}
 			s.scheduleFree(s.scheduler.expireJobs(s.now()))
 		}
 		s.confirmOwnership(time.Now())
@@ -203,6 +207,7 @@
 		}
 		s.scheduler.setGauges(time.Now())
 		for _, c := range s.scheduler.startCalls(time.Now()) {
+			s.logHedge(c)
 			go s.runCall(c)
 		}
 		if !armed && len(s.scheduler.jobs) > 0 {
--- a/node/stagework/workers.go
+++ b/node/stagework/workers.go
@@ -30,6 +30,7 @@
 	restarted           bool      // it restarted: its results are lost
 	lastCallSucceeded   bool
 	incarnationReported bool          // its incarnation was learned from a report, before the member list has it
+	overdueCalls        int           // calls in progress that are overdue
 	canary              bool          // runs the target version of the service's current rollout
 	reachability        *reachability // of its data centre and the others
 }
@@ -102,7 +103,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(a.slowdown, b.slowdown), cmp.Compare(a.member.ID, b.member.ID))
+		return cmp.Or(compareBool(a.overdueCalls > 0, b.overdueCalls > 0), cmp.Compare(a.slowdown, b.slowdown), cmp.Compare(a.member.ID, b.member.ID))
 	})
 	return out
 }
@@ -150,9 +151,12 @@
 // healthy reports whether the upstream is neither slow, failing, leaving, unreachable nor a canary:
 // the throughput of the service is predicted from the healthy ones only.
 func (w *worker) healthy() bool {
-	return !w.canary && !w.unreachable() && w.slowdown <= maxHealthySlowdown && w.failures == 0 && !w.leaving
+	return !w.canary && !w.unreachable() && !w.slow() && w.failures == 0 && !w.leaving
 }
 
+// slow reports whether the upstream's calls took too long, or one in progress does.
+func (w *worker) slow() bool { return w.slowdown > maxHealthySlowdown || w.overdueCalls > 0 }
+
 func (w *worker) unreachable() bool { return w.reachability.unreachable(w.member.DataCenter) }
 
 // shortestPause is how long until any upstream of the service accepts calls again; zero if one
