--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -31,6 +31,19 @@
 listen = 127.0.0.1:7102
 `
 
+const proxyFile = `[node]
+name = p
+vm = v
+data_center = d
+roles = proxy
+[debug]
+listen = 127.0.0.1:7102
+[proxy]
+listen = 127.0.0.1:8080
+ready = 127.0.0.1:8081
+rotation = 1s
+`
+
 var _ = Describe("Parse", func() {
 	It("accepts the files of the demo", func() {
 		files, err := filepath.Glob(absolute("../../examples/demo/*.ini"))
@@ -59,6 +72,7 @@
 		Entry("unknown key", entryFile+"colour = red\n", `s.ini:12: unknown key "colour" in [debug]; remove it`),
 		Entry("bad address", entryFile[:len(entryFile)-len("127.0.0.1:7102\n")]+"localhost\n", `s.ini:11: "localhost" is not an address; write IP:PORT`),
 		Entry("negative memory", strings.Replace(entryFile, "roles", "memory = -1\nroles", 1), `use MB, or 0 for no limit`),
+		Entry("hedge_stages that is no truth value", proxyFile+"hedge_stages = often\n", "s.ini:12: hedge_stages"),
 		Entry("unknown section", entryFile+"[poem]\n", "s.ini:12: unknown section [poem]"),
 		Entry("control without a data folder", "[node]\nname = c\nvm = v\ndata_center = d\nroles = control\n[peers]\ncontrol = 127.0.0.1:1\n[control]\nlisten = 127.0.0.1:1\nadmin = 127.0.0.1:2\n[debug]\nlisten = 127.0.0.1:3\n", "a control process needs a data folder"),
 		Entry("missing section", "[node]\nname = c\nvm = v\ndata_center = d\nroles = entry\n", "section [peers] is missing"),
@@ -94,7 +108,10 @@
 repeat_fixed = 58
 repeat_window = 5s
 `
-	s, err := settings.Parse("proxy.ini", []byte(text))
+	if s, err := settings.Parse("proxy.ini", []byte(text)); err != nil || s.Proxy.HedgeStages {
+		t.Fatalf("hedge_stages is %v without a line, %v", s.Proxy.HedgeStages, err)
+	}
+	s, err := settings.Parse("proxy.ini", []byte(text+"hedge_stages = true\n"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -104,6 +121,9 @@
 	if s.Proxy.RepeatRatio != 0.1 || s.Proxy.RepeatFixed != 58 || s.Proxy.RepeatWindow != 5*time.Second {
 		t.Fatalf("%+v", s.Proxy)
 	}
+	if !s.Proxy.HedgeStages {
+		t.Fatal("hedge_stages is not read")
+	}
 	if s.Peers.Control[1] != "127.0.0.2:7100" || s.PeerAddress() != "127.0.0.3:7100" {
 		t.Fatalf("%+v", s.Peers)
 	}
