stagework: further tests of hedged calls

Breaking one rule at a time (overlays, 20 of them) showed rules that no test held: pieces counted as fetched twice, time in a stall, inputs freed at the end of a late call, a second hedge of a piece. Each has a test now that fails without the rule. The rapid machine also checks the counts of fetched pieces.

--- a/node/stagework/hedge_test.go
+++ b/node/stagework/hedge_test.go
@@ -289,7 +289,9 @@
 	f.Expect(f.s.services["a"].waiting).To(gomega.ConsistOf(slow.pieces[0], slow.pieces[1]))
 	f.Expect(slow.pieces[0].attempts).To(gomega.Equal(1))
 	again := f.startOne()
+	slow.worker.failures, hedge.worker.failures = 0, 0
 	f.advance(2 * overdueAt)
+	f.Expect(again.overdue).To(gomega.BeTrue())
 	f.Expect(f.start()).To(gomega.BeEmpty())
 	f.succeed(again)
 	f.Expect(f.startOne().service).To(gomega.Equal("b"))
@@ -399,6 +401,7 @@
 	f.Expect(f.freed).To(gomega.BeEmpty())
 	f.advance(time.Millisecond)
 	f.Expect(f.freed).To(gomega.HaveLen(2), "inputs after both calls have fetched them")
+	f.Expect(f.s.jobs["j"].inputsFetched[1]).To(gomega.Equal(2), "each piece counts once")
 	f.succeed(hedge)
 	f.Expect(f.errs).To(gomega.HaveKeyWithValue("j", gomega.BeNil()))
 
@@ -413,6 +416,62 @@
 	f.Expect(f.freed).To(gomega.HaveLen(6))
 }
 
+// TestFailureOfOneOfTwoFetchedCalls fails one of two calls that have fetched the inputs of their pieces: they still count
+// as fetched by the other one, and no longer once that has failed too.
+func TestFailureOfOneOfTwoFetchedCalls(t *testing.T) {
+	f := newHedgeFixture(t)
+	f.submit(f.job("j"))
+	f.succeed(f.startOne())
+	slow := f.startOne()
+	f.advance(overdueAt)
+	hedge := f.startOne()
+	f.advance(inputFetchTime)
+	f.fail(slow)
+	f.Expect(f.s.jobs["j"].inputsFetched[1]).To(gomega.Equal(2))
+	f.fail(hedge)
+	f.Expect(f.s.jobs["j"].inputsFetched[1]).To(gomega.BeZero())
+}
+
+// TestInputsAreFreedWhenTheLateCallEnds completes a stage by a hedge while the overdue call may still have to fetch the
+// inputs: they are freed when that call ends, once the submitting process knows that the stage is completed.
+func TestInputsAreFreedWhenTheLateCallEnds(t *testing.T) {
+	for _, c := range []struct {
+		caller string
+		after  time.Duration
+		freed  bool
+	}{{"", 0, true}, {"process", 0, false}, {"process", pingTimeout + time.Millisecond, true}} {
+		f := newHedgeFixture(t)
+		j := f.job("j")
+		j.Caller = c.caller
+		j.Stages = append(j.Stages, Stage{Service: "a", DependsOn: []int{1}, Pieces: 1, ResultBytes: 10})
+		f.submit(j)
+		f.succeed(f.startOne())
+		f.free(f.s.updatesDelivered([]ProgressUpdate{{SubmissionID: "j"}}))
+		for _, w := range f.s.services["b"].list {
+			w.lastCallSucceeded = false
+		}
+		slow := f.startOne()
+		f.advance(overdueAt)
+		f.succeed(f.startOne())
+		f.free(f.s.updatesDelivered([]ProgressUpdate{{SubmissionID: "j"}}))
+		f.Expect(f.freed).To(gomega.BeEmpty())
+		f.advance(c.after)
+		f.fail(slow)
+		f.Expect(f.freed).To(gomega.HaveLen(map[bool]int{true: 2}[c.freed]))
+	}
+}
+
+// TestStallMakesNoCallOverdue stalls the owner for longer than a call takes: the upstream of the call stays healthy.
+func TestStallMakesNoCallOverdue(t *testing.T) {
+	f := newHedgeFixture(t)
+	f.submit(f.job("j"))
+	c := f.startOne()
+	f.now = f.now.Add(time.Second)
+	f.s.recordStall(f.now)
+	f.free(f.s.expireJobs(f.now))
+	f.Expect(c.worker.healthy()).To(gomega.BeTrue())
+}
+
 // TestHedgeBudget has every call of a service overdue: one in ten is hedged, and at most five hedges are saved up.
 func TestHedgeBudget(t *testing.T) {
 	f := newHedgeFixture(t)
--- a/node/stagework/machine_test.go
+++ b/node/stagework/machine_test.go
@@ -269,6 +269,11 @@
 			}
 		}
 	}
+	for i, n := range j.inputsFetched {
+		if n < 0 || n > j.Stages[i].Pieces {
+			w.t.Fatalf("the inputs of %d of %d pieces of stage %d of %s are fetched", n, j.Stages[i].Pieces, i, j.ID)
+		}
+	}
 	if j.calls != calls {
 		w.t.Fatalf("%s counts %d calls, %d are in progress", j.ID, j.calls, calls)
 	}
