--- a/node/stagework/machine_test.go
+++ b/node/stagework/machine_test.go
@@ -27,6 +27,7 @@
 	contents map[string]string // what each handle holds, as "job/stage/piece"
 	stored   map[string]bool   // handles that were not freed
 	members  map[string][]wire.Member
+	hedges   int // calls that repeat pieces
 }
 
 type tracked struct {
@@ -57,6 +58,9 @@
 	w.serial++
 	j := Job{ID: fmt.Sprint("job", w.serial), SubmissionID: fmt.Sprint("job", w.serial), Key: fmt.Sprint("k", rapid.IntRange(0, 9).Draw(w.t, "key")), DataCenter: "dc0", TimeLeft: time.Duration(rapid.IntRange(200, 4000).Draw(w.t, "left")) * time.Millisecond}
 	j.Goal = j.TimeLeft / 2
+	if w.s.hedging.enabled {
+		j.Goal = j.TimeLeft // pieces of overdue calls can still be in time
+	}
 	j.Stages = []Stage{
 		{Service: "a", Pieces: rapid.IntRange(0, 3).Draw(w.t, "p0"), ResultBytes: 500},
 		{Service: "a", Pieces: rapid.IntRange(0, 6).Draw(w.t, "p1"), ResultBytes: 100},
@@ -84,6 +88,10 @@
 		if c.worker.ownBytes > spec.ResultRoom {
 			w.t.Fatalf("%s holds %d of %d bytes", c.worker.member.ID, c.worker.ownBytes, spec.ResultRoom)
 		}
+		if c.hedgeOf != nil {
+			w.hedges++
+			w.checkHedge(c)
+		}
 		if !w.s.owner {
 			w.t.Fatal("a call by a process that does not own the queues")
 		}
@@ -204,6 +212,9 @@
 
 // check runs after every step.
 func (w *schedulerSimulation) check() {
+	for _, j := range w.s.jobs {
+		w.checkCalls(j)
+	}
 	for id, tr := range w.jobs {
 		if tr.answered > 1 {
 			w.t.Fatalf("%s is answered %d times", id, tr.answered)
@@ -239,10 +250,16 @@
 }
 
 // TestSchedulerNeverMixesUpResults plays random events of links and upstreams, and then lets all jobs end.
-func TestSchedulerNeverMixesUpResults(t *testing.T) {
+func TestSchedulerNeverMixesUpResults(t *testing.T) { playRandomEvents(t, false) }
+
+// playRandomEvents checks the scheduler's invariants, and returns the number of hedges.
+func playRandomEvents(t *testing.T, hedging bool) (hedges int) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newSchedulerSimulation(t)
-		t.Repeat(map[string]func(*rapid.T){
+		if hedging {
+			w.hedge()
+		}
+		actions := map[string]func(*rapid.T){
 			"job":     func(*rapid.T) { w.addJob() },
 			"finish":  func(*rapid.T) { w.finish() },
 			"release": func(*rapid.T) { w.release() },
@@ -257,12 +274,20 @@
 				w.start()
 				w.check()
 			},
-		})
+		}
+		if hedging {
+			actions["overdue"] = func(*rapid.T) { // in one step, as few jobs stay in time for longer
+				w.now = w.now.Add(350 * time.Millisecond)
+				w.free(w.s.expireJobs(w.now))
+			}
+		}
+		t.Repeat(actions)
 		w.now = w.now.Add(10 * time.Second)
 		w.free(w.s.expireJobs(w.now))
 		for len(w.running) > 0 {
 			w.finish()
 		}
+		hedges += w.hedges
 		for id, tr := range w.jobs {
 			if tr.answered != 1 {
 				t.Fatalf("%s is answered %d times", id, tr.answered)
@@ -277,12 +302,13 @@
 				t.Fatalf("%d pieces of ended jobs wait at %s", len(q.waiting), name)
 			}
 			for id, worker := range q.workers {
-				if worker.ownBytes < 0 || worker.runningCalls != 0 {
-					t.Fatalf("%s: %d own bytes, %d calls", id, worker.ownBytes, worker.runningCalls)
+				if worker.ownBytes < 0 || worker.runningCalls != 0 || worker.overdueCalls != 0 {
+					t.Fatalf("%s: %d own bytes, %d calls, %d overdue", id, worker.ownBytes, worker.runningCalls, worker.overdueCalls)
 				}
 			}
 		}
 	})
+	return hedges
 }
 
 // TestGroupsStayTogether gives two upstreams five groups of two pieces: no group is split over two calls.
