proxy: jobs of stages name their customer where [proxy] fair_stages is on

Cause: the stage owner does not know whose jobs it refuses.

Change: Job gains customer and weight, the customer's share. With the setting on the submitting process sets both, and the customer's priority precedes that of the route; with it off (the default) jobs are the same bytes as before.

Result: the tests of settings and of calls with stages pass.

--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -550,6 +550,34 @@
 			t.Fatalf("job %+v", j)
 		}
 	})
+	t.Run("jobs name their customer only with fair_stages", func(t *testing.T) {
+		for _, fair := range []bool{false, true} {
+			f := newFixture(t)
+			f.service.set.Proxy.FairStages = fair
+			f.upstream("llm", "e1", events(1, 0))
+			f.wantStatus(http.StatusOK, http.MethodPost, "/quote/", pieces)
+			foundry := *f.view.Config.Customers["foundry"]
+			foundry.Share, foundry.Priority = 2.5, 3
+			config := *f.view.Config
+			config.Customers = map[string]*optext.Customer{"foundry": &foundry}
+			f.view.Config, f.view.Version = &config, 8
+			next := f.view
+			f.service.applyView(&next)
+			f.wantStatus(http.StatusOK, http.MethodPost, "/quote/", pieces)
+			want := []stagework.Job{{}, {}}
+			if fair {
+				want = []stagework.Job{{Customer: "foundry", Weight: 1}, {Customer: "foundry", Weight: 2.5, Priority: 3}}
+			}
+			for i, j := range f.stages.jobs {
+				if j.Customer != want[i].Customer || j.Weight != want[i].Weight || j.Priority != want[i].Priority {
+					t.Errorf("fair_stages %v: job %+v, want the customer of %+v", fair, j, want[i])
+				}
+			}
+			if len(f.stages.jobs) != 2 {
+				t.Errorf("%d jobs", len(f.stages.jobs))
+			}
+		}
+	})
 	t.Run("no stages are requested", func(t *testing.T) {
 		f := newFixture(t)
 		f.upstream("llm", "e1", events(1, 0))
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"caperdrum.org/api/optext"
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/logging"
@@ -239,6 +240,9 @@
 func (x *exchange) job() (job stagework.Job, pieces int) {
 	job = stagework.Job{ID: x.call.ID, Key: x.call.PieceKey, TimeLeft: time.Until(x.deadline),
 		Goal: time.Until(x.began.Add(x.route.Goal - engineTime(x.call.Prefix))), DataCenter: x.engineDataCenter(), Priority: x.route.Priority, Within: x.allowed}
+	if x.s.set.Proxy.FairStages {
+		x.setCustomer(&job)
+	}
 	if len(x.call.Prefix) > 0 {
 		job.FirstEvent = time.Until(x.began.Add(x.route.Goal))
 		job.Prompt = &stagework.Prompt{Service: x.service.Name, Parts: x.call.Prefix, Constraint: x.constraint()}
@@ -254,6 +258,18 @@
 	return job, pieces
 }
 
+// setCustomer sets what the stage owner needs to share capacity between customers. Jobs of public routes have no
+// customer.
+func (x *exchange) setCustomer(job *stagework.Job) {
+	if x.customer == nil {
+		return
+	}
+	job.Customer, job.Weight = x.customer.Name, x.customer.Share
+	if x.customer.Priority != optext.NoPriority {
+		job.Priority = x.customer.Priority
+	}
+}
+
 // engineDataCenter returns the data centre of the engine to which the call would go now, where large results are best
 // computed.
 func (x *exchange) engineDataCenter() string {
--- a/node/settings/proxy.go
+++ b/node/settings/proxy.go
@@ -29,6 +29,9 @@
 	// upstream in a second: ColdExcess times its cold_rate, plus ColdSlack.
 	ColdExcess float64 `ini:"cold_excess"`
 	ColdSlack  int     `ini:"cold_slack"`
+	// FairStages shares the capacity of the stages' services between customers under overload: the stage owner refuses
+	// customers that have more than their share while others are refused.
+	FairStages bool `ini:"fair_stages"`
 	// Rotation is how long a stopping process still accepts connections, so that the
 	// load balancer has time to notice that it is not ready.
 	Rotation time.Duration `ini:"rotation"`
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -108,3 +108,19 @@
 		t.Fatalf("%+v", s.Peers)
 	}
 }
+
+// TestFairStages checks that the rule is off unless the setting is on, and that a fault of its value is named with the
+// remedy.
+func TestFairStages(t *testing.T) {
+	const text = "[node]\nname = p\nvm = v\ndata_center = d\nroles = proxy\n[peers]\ncontrol = 127.0.0.1:80\nlisten = 127.0.0.3:7100\n[debug]\nlisten = 127.0.0.3:7200\n[proxy]\nlisten = 127.0.0.3:8080\nready = 127.0.0.3:8081\n"
+	for value, want := range map[string]bool{"": false, "fair_stages = false\n": false, "fair_stages = true\n": true} {
+		s, err := settings.Parse("proxy.ini", []byte(text+value))
+		if err != nil || s.Proxy.FairStages != want {
+			t.Errorf("%q: %v, %v", value, s, err)
+		}
+	}
+	_, err := settings.Parse("proxy.ini", []byte(text+"fair_stages = often\n"))
+	if err == nil || !strings.Contains(err.Error(), "fair_stages") || !strings.Contains(err.Error(), "true or false") {
+		t.Errorf("got %v", err)
+	}
+}
--- a/node/stagework/job.go
+++ b/node/stagework/job.go
@@ -24,6 +24,8 @@
 	FirstEvent   time.Duration `json:"first_event,omitempty"` // until the first event of the call's answer is due
 	DataCenter   string        `json:"data_center"`
 	Priority     int           `json:"priority,omitempty"` // 0 is the most urgent
+	Customer     string        `json:"customer,omitempty"` // empty: unknown, or a public route; all such jobs count as one customer
+	Weight       float64       `json:"weight,omitempty"`   // of the customer's share; 0 counts as 1
 	// Within lists the data centres in which the pieces and the call itself may run.
 	Within          residency.AllowedDataCenters `json:"within,omitzero"`
 	Caller          string                       `json:"caller,omitempty"` // peer address of the submitting process; empty: it wants no progress updates
