stagework: refuse customers over their fair share of a service

Cause: in a burst of one customer the stage owner refuses all customers alike.

Change: with [proxy] fair_stages the owner counts the first attempts at each service by customer and refuses those of a customer that is admitted more than 1.1 times its max-min fair allocation while others are refused below theirs. At most 256 customers are tracked for each service: a new one replaces the one with the smallest demand for its weight, whose sums go to a shared entry. Refusals by this rule do not count as refusals of the class: otherwise a burst of urgent calls would hold back the less urgent ones of other customers. Refusals below the allocation are counted in jobs, as their threshold is, and over all customers but the job's own.

The capacity is what was admitted, so that each refusal by the rule lowers the next allocation.

--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -35,7 +35,8 @@
 
 // shouldRefuse reports whether to refuse a job, and when its caller should retry. A job is refused
 // if it would miss its goal behind the jobs in progress, as work on a late call makes others late
-// too, or if it would be admitted ahead of more urgent classes. A limited number of deferred jobs
+// too, if it would be admitted ahead of more urgent classes, or if its customer is over its share
+// while others are refused (fairness.go). A limited number of deferred jobs
 // is admitted behind all first attempts, late or not: jobs of callers that retry, and jobs that
 // would miss their goal even on idle upstreams, as retrying would only make those later.
 func (s *scheduler) shouldRefuse(now time.Time, j *job) (comeBack time.Duration, refused bool) {
@@ -60,6 +61,9 @@
 	if !late {
 		bottleneck = s.unfairService(now, j)
 	}
+	if s.fairness.judge(now, j, bottleneck) != "" {
+		return s.refuseCaller(now, j), true
+	}
 	s.countAdmission(now, j, bottleneck)
 	if bottleneck == "" {
 		return 0, false
--- a/node/stagework/loadmodel_test.go
+++ b/node/stagework/loadmodel_test.go
@@ -82,16 +82,18 @@
 	late          float64
 	retries       bool // callers retry once after a refusal
 	priority      int
+	customer      string
 	stages        func(r *rand.Rand) []Stage
 }
 
 type modelEnd struct {
-	kind    string
-	arrived time.Time
-	inTime  bool
-	refused bool
-	credit  float64       // earned part of its worth
-	first   time.Duration // from the end of the stages to the first event
+	kind     string
+	customer string
+	arrived  time.Time
+	inTime   bool
+	refused  bool
+	credit   float64       // earned part of its worth
+	first    time.Duration // from the end of the stages to the first event
 }
 
 type event struct {
@@ -194,7 +196,7 @@
 	c := &modelCall{kind: k, id: fmt.Sprint("call", m.serial), arrived: m.now}
 	own := int64(min(math.Exp(m.rand.NormFloat64()-0.5)*float64(k.own), longestPrompt))
 	c.prompt = &Prompt{Service: "llm", Parts: []upstream.PromptPart{{ID: fmt.Sprint(k.name, m.rand.IntN(k.distinctParts)), Tokens: k.shared}, {ID: c.id, Tokens: own}}}
-	c.job = Job{ID: c.id, Key: c.id, Caller: "process", Stages: k.stages(m.rand), Priority: k.priority, DataCenter: m.hashedEngine(c).DataCenter}
+	c.job = Job{ID: c.id, Key: c.id, Caller: "process", Stages: k.stages(m.rand), Priority: k.priority, Customer: k.customer, DataCenter: m.hashedEngine(c).DataCenter}
 	if m.noUpdates {
 		c.job.Caller = ""
 	}
@@ -245,7 +247,7 @@
 		if m.retryLater(c, err) {
 			return
 		}
-		m.ended = append(m.ended, modelEnd{kind: c.kind.name, arrived: c.arrived, refused: verdict.Of(err) == verdict.NotRun})
+		m.ended = append(m.ended, modelEnd{kind: c.kind.name, customer: c.kind.customer, arrived: c.arrived, refused: verdict.Of(err) == verdict.NotRun})
 		return
 	}
 	engine := r.Engine
@@ -255,7 +257,7 @@
 	first := m.timeToFirstEvent(engine, c.prompt)
 	m.after(first, func() {
 		m.ownerEvent(owner, func() { m.free(owner, owner.handleDone(m.now, Done{SubmissionID: handed, Engine: EngineStarted})) })
-		m.ended = append(m.ended, modelEnd{kind: c.kind.name, arrived: c.arrived, inTime: m.now.Sub(c.arrived) <= c.kind.goal, credit: m.credit(c), first: first})
+		m.ended = append(m.ended, modelEnd{kind: c.kind.name, customer: c.kind.customer, arrived: c.arrived, inTime: m.now.Sub(c.arrived) <= c.kind.goal, credit: m.credit(c), first: first})
 	})
 }
 
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -41,6 +41,8 @@
 	lastStall      *stall
 	unconfirmed    bool // was the owner before the last stall, and is not confirmed since
 
+	fairness *fairness // nil: customers are not told apart
+
 	lastEstimate time.Duration // of the last job submitted
 	lastRetry    bool          // whether its caller was refused before
 }
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -83,6 +83,9 @@
 	s.scheduler.permits.notices = p.Notices
 	p.Notices.OnLimitChanged(func(start wire.Start) { s.limitReports.add(start) })
 	s.scheduler.engines.cold = p.Settings.Proxy.ColdLimit()
+	if p.Settings.Proxy.FairStages {
+		s.scheduler.fairness = newFairness()
+	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.link = newOwnerLink(p.Dial, p.Log)
 	s.link.reportSuspect, s.link.control = p.ConfigSync.ReportUnresponsive, p.ConfigSync.ControlUnreachableFor
@@ -252,7 +255,8 @@
 		}))
 		if _, taken := s.scheduler.jobs[j.SubmissionID]; !taken {
 			jobsVar.Add(jobRefused, 1)
-			s.log.Info("job refused", "request", j.ID, "jobs", len(s.scheduler.jobs), "estimate", s.scheduler.lastEstimate, "goal", j.Goal, "sent_away_before", s.scheduler.lastRetry, "owner", s.scheduler.owner)
+			s.log.Info("job refused", "request", j.ID, "jobs", len(s.scheduler.jobs), "estimate", s.scheduler.lastEstimate, "goal", j.Goal, "sent_away_before", s.scheduler.lastRetry, "owner", s.scheduler.owner,
+				"customer", j.Customer, "over_share", s.scheduler.fairness.takeLastOver())
 		}
 	})
 	select {
