stagework: shares below one job refuse nobody

Cause: where the shares of thousands of customers are smaller than one job, each customer is above 1.1 times its allocation with its first job.

Change: a customer that was recently admitted less than the job asks for is not refused by the rule. The test fails without the exception.

TestRefusalsNameTheCustomer added jobs before the backlog was advanced; once it walked over all steps since 1970 and took 320 s.

--- a/node/stagework/fairness.go
+++ b/node/stagework/fairness.go
@@ -235,9 +235,10 @@
 }
 
 // over reports whether a customer would have more than its share with a job, while others that have less than theirs
-// are refused.
+// are refused. A customer that was recently admitted less than this job asks for is never over its share: where the
+// shares of thousands of customers are smaller than one job, all of them would be refused.
 func (s *serviceShares) over(now time.Time, c *customerSums, amount, unit float64) bool {
-	if s.refused-c.refused < minUnderShareRefusals*unit {
+	if c.admitted < amount || s.refused-c.refused < minUnderShareRefusals*unit {
 		return false
 	}
 	s.allocate(now)
--- a/node/stagework/fairness_test.go
+++ b/node/stagework/fairness_test.go
@@ -167,6 +167,21 @@
 	g.Expect(refusedOverShare()).To(gomega.Equal(before))
 }
 
+// TestSharesBelowOneJobRefuseNobody guards against a rule that refuses nearly all customers where there are so many that
+// the share of each is smaller than one job. Without its exception for them, calls in time fell from 0.83 to 0.73 and
+// pieces of the last service by 39 % here.
+func TestSharesBelowOneJobRefuseNobody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, random := newShareTable(), rand.New(rand.NewPCG(1, 1))
+	for i := range 4000 {
+		s.now = s.now.Add(time.Millisecond)
+		g.Expect(s.judge(fmt.Sprint("small-", i), 0, 1+random.IntN(8), random.IntN(3) == 0)).To(gomega.BeFalse())
+	}
+	shares := s.f.services["a"]
+	g.Expect(shares.refused / shares.at(s.now)).To(gomega.BeNumerically(">", minUnderShareRefusals))
+	g.Expect(shares.allocation.Level / shares.at(s.now)).To(gomega.BeNumerically("<", 8))
+}
+
 // shareTable drives the counts of one service.
 type shareTable struct {
 	f   *fairness
@@ -415,6 +430,7 @@
 		s.log = funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
 		s.scheduler.setServices(services, map[string][]wire.Member{"a": {{ID: "a1"}}})
 		s.setOwnership(now, owner, true, "view")
+		s.scheduler.advanceBacklog(now) // with jobs it would walk over all steps since 1970
 		for i := range minJobsForEstimates {
 			s.scheduler.jobs[fmt.Sprint("answered-", i)] = &job{}
 		}
