--- a/node/settings/proxy.go
+++ b/node/settings/proxy.go
@@ -32,6 +32,9 @@
 	// HedgeStages allows the stage owner to send the pieces of a call that takes far longer than
 	// expected to a second upstream.
 	HedgeStages bool `ini:"hedge_stages"`
+	// FairStages shares the capacity of the stages' services between customers under overload: the stage owner refuses
+	// customers that have more than their share while others are refused.
+	FairStages bool `ini:"fair_stages"`
 	// Rotation is how long a stopping process still accepts connections, so that the
 	// load balancer has time to notice that it is not ready.
 	Rotation time.Duration `ini:"rotation"`
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -43,6 +43,8 @@
 	lastStall      *stall
 	unconfirmed    bool // was the owner before the last stall, and is not confirmed since
 
+	fairness *fairness // nil: customers are not told apart
+
 	random       func() float64 // uniform in [0, 1), for retry-after times
 	lastEstimate time.Duration  // of the last job submitted
 	lastRetry    bool           // whether its caller was refused before
