--- a/node/stagework/fairness.go
+++ b/node/stagework/fairness.go
@@ -32,16 +32,26 @@
 // fairness decides which first attempts to refuse because their customers have more than their fair share of a service
 // while others are refused. A nil *fairness refuses nothing and counts nothing.
 type fairness struct {
-	services map[string]*serviceShares
-	lastOver bool // the last job judged was refused because its customer is over its share
+	services   map[string]*serviceShares
+	throughput func(service string) float64 // in pieces a second, of the service under load
+	lastOver   bool                         // the last job judged was refused because its customer is over its share
 }
 
-func newFairness() *fairness { return &fairness{services: map[string]*serviceShares{}} }
+func newFairness(throughput func(service string) float64) *fairness {
+	return &fairness{services: map[string]*serviceShares{}, throughput: throughput}
+}
+
+// loadedThroughput is the number of pieces a second that a service makes while pieces wait. Room for results does not
+// bound it: that depends on the kind of call.
+func (s *scheduler) loadedThroughput(service string) float64 {
+	return s.services[service].throughput(0, 0)
+}
 
 // serviceShares counts the first attempts at one service by customer. All sums decay with rateWindow. They are kept in
 // units of the reference time, in which older events keep their value and newer ones count e^(age/rateWindow), so that
 // no sum changes while nothing is counted. at must be called first to get the unit of the present.
 type serviceShares struct {
+	throughput func() float64 // in pieces a second
 	reference  time.Time
 	customers  map[string]int // index in sums
 	sums       []customerSums // at most maxTrackedCustomers
@@ -146,7 +156,7 @@
 func (f *fairness) shares(service string) *serviceShares {
 	s := f.services[service]
 	if s == nil {
-		s = &serviceShares{customers: map[string]int{}}
+		s = &serviceShares{customers: map[string]int{}, throughput: func() float64 { return f.throughput(service) }}
 		f.services[service] = s
 	}
 	return s
@@ -246,7 +256,8 @@
 }
 
 // allocate computes the allocation, unless that was done less than allocationInterval ago. The capacity is what was
-// admitted.
+// admitted, or what the service makes under load if that is more: with the former alone each refusal by the rule lowers
+// the next allocation, and the customer that bursts is refused until the refusals of others have decayed.
 func (s *serviceShares) allocate(now time.Time) {
 	if !s.allocated.IsZero() && now.Sub(s.allocated) < allocationInterval {
 		return
@@ -263,5 +274,5 @@
 		// The untracked customers count as so many that each asks for as much as the smallest tracked one.
 		s.demands = append(s.demands, fairshare.Demand{Weight: u / max(least, u/maxUntrackedWeight), Amount: u})
 	}
-	s.allocation = fairshare.MaxMin(s.admitted, s.demands)
+	s.allocation = fairshare.MaxMin(max(s.admitted, s.throughput()*rateWindow.Seconds()*s.at(now)), s.demands)
 }
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -86,7 +86,7 @@
 	s.scheduler.engines.cold = p.Settings.Proxy.ColdLimit()
 	s.scheduler.hedging.enabled = p.Settings.Proxy.HedgeStages
 	if p.Settings.Proxy.FairStages {
-		s.scheduler.fairness = newFairness()
+		s.scheduler.fairness = newFairness(s.scheduler.loadedThroughput)
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.link = newOwnerLink(p.Dial, p.Log)
