stagework: tests that play the load model for seconds are left out of the race run

The race run of node/stagework took 625 s beside other load before, and the new tests would have doubled it: they play one goroutine on a virtual clock, in which the race detector finds nothing. make test runs them as before.

--- a/node/stagework/fairness_test.go
+++ b/node/stagework/fairness_test.go
@@ -119,6 +119,9 @@
 // TestOthersAreServedInACustomersBurst guards against a customer whose burst displaces the others: with the rule more
 // of the others' calls are in time, and no service makes fewer pieces than the bound allows.
 func TestOthersAreServedInACustomersBurst(t *testing.T) {
+	if testing.Short() { // one goroutine: the race detector finds nothing here, and takes minutes
+		t.Skip("the load model is played without the race detector only")
+	}
 	g := gomega.NewWithT(t)
 	kinds := []kindRate{{notes, 1.15 * 8.4}, {returns, 1.15 * 26}}
 	off, on := playCustomerBurst(newLoadModel, kinds, loadSeeds, false), playCustomerBurst(newLoadModel, kinds, loadSeeds, true)
@@ -133,6 +136,9 @@
 // TestOthersAreServedInACustomersBurstOnALargeSite guards against a rule that leaves a service idle: a capacity of what
 // was admitted loses 10 % of the pieces of the first service here.
 func TestOthersAreServedInACustomersBurstOnALargeSite(t *testing.T) {
+	if testing.Short() { // one goroutine: the race detector finds nothing here, and takes minutes
+		t.Skip("the load model is played without the race detector only")
+	}
 	g := gomega.NewWithT(t)
 	var kinds []kindRate
 	for _, k := range []kindRate{{chainDrafts, 1.5 * 45}, {chainChats, 1.5 * 121}, {chainChecks, 1.5 * 75}} {
--- a/node/stagework/hedge_load_test.go
+++ b/node/stagework/hedge_load_test.go
@@ -37,6 +37,9 @@
 // TestHedgesServeCallsInTime makes 30% of the upstreams of a service slow in a burst: with hedging at most half as many
 // calls are late or refused as without it, and no call finds an input gone.
 func TestHedgesServeCallsInTime(t *testing.T) {
+	if testing.Short() { // one goroutine: the race detector finds nothing here, and takes minutes
+		t.Skip("the load model is played without the race detector only")
+	}
 	g := gomega.NewWithT(t)
 	const slow = 5 // of 15: 30%, rounded up
 	gone := 0
@@ -59,6 +62,9 @@
 
 // TestNothingSlowNothingHedged plays the same burst with all upstreams at their pace: no call is hedged.
 func TestNothingSlowNothingHedged(t *testing.T) {
+	if testing.Short() { // one goroutine: the race detector finds nothing here, and takes minutes
+		t.Skip("the load model is played without the race detector only")
+	}
 	g := gomega.NewWithT(t)
 	hedges := func() (sum int64) {
 		for service := range chainServices {
--- a/node/stagework/ownerloss_test.go
+++ b/node/stagework/ownerloss_test.go
@@ -50,6 +50,9 @@
 // owner with the code before, in which 80 of 474 were served in time: the next owner admitted by an assumed
 // throughput, let all calls pass that had found no owner, and all callers returned together.
 func TestLossOfOwnerAndControlInABurst(t *testing.T) {
+	if testing.Short() { // one goroutine: the race detector finds nothing here, and takes minutes
+		t.Skip("the load model is played without the race detector only")
+	}
 	g := gomega.NewWithT(t)
 	sent, inTime, sentAll, inTimeAll, refused := 0, 0, 0, 0, 0
 	for _, seed := range loadSeeds {
--- a/node/stagework/throughput_test.go
+++ b/node/stagework/throughput_test.go
@@ -157,6 +157,9 @@
 // while: some seconds later all calls of the usual load are in time. A share that stays low while the service is not
 // busy would let so few calls in that it never becomes busy, and so is never measured again.
 func TestLowShareDoesNotOutlastItsCause(t *testing.T) {
+	if testing.Short() { // one goroutine: the race detector finds nothing here, and takes minutes
+		t.Skip("the load model is played without the race detector only")
+	}
 	play := func(low bool) float64 {
 		return meanInTime(func(seed uint64) float64 {
 			m := newHardLoadModel(seed)
