stagework: measured throughput is off unless a setting turns it on

Change: [proxy] measured_throughput (default false) switches both; without it estimates go by how full calls are, and resubmitted jobs are admitted, as before. Callers without an owner are told 0.5 s to 1.5 s: with up to a third of the time that they have left, they came back seconds after there was an owner.

--- a/node/settings/proxy.go
+++ b/node/settings/proxy.go
@@ -29,6 +29,9 @@
 	// upstream in a second: ColdExcess times its cold_rate, plus ColdSlack.
 	ColdExcess float64 `ini:"cold_excess"`
 	ColdSlack  int     `ini:"cold_slack"`
+	// MeasuredThroughput has the stage owner admit jobs by the throughput that it measures, and judge resubmitted jobs
+	// without a completed stage like first attempts.
+	MeasuredThroughput bool `ini:"measured_throughput"`
 	// HedgeStages allows the stage owner to send the pieces of a call that takes far longer than
 	// expected to a second upstream.
 	HedgeStages bool `ini:"hedge_stages"`
--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// efficiencyWeight is the weight of one call in the average efficiency: the last dozen
+	// calls, about a second of five upstreams, determine most of it.
+	efficiencyWeight = 0.1
 	// resultHoldTime is how long a result occupies its upstream while room (result memory, see
 	// room.go) is short: until the next upstream or the engine starts and has fetched it.
 	resultHoldTime = 200 * time.Millisecond
@@ -45,7 +48,7 @@
 	j.estimate = estimate
 	s.lastEstimate, s.lastRetry, s.lastService = estimate, j.retry, bottleneck
 	late := now.Add(estimate).After(j.goal)
-	if j.retry || j.Resubmitted && late || now.Add(s.unloadedTime(j)).After(j.goal) {
+	if j.retry || s.measured && j.Resubmitted && late || now.Add(s.unloadedTime(j)).After(j.goal) {
 		if s.backlog.deferred < s.maxDeferred(now) && now.Add(estimate).Before(j.deadline) {
 			j.late = late
 			return 0, false
@@ -162,17 +165,34 @@
 	return sum
 }
 
+// updateEfficiency records how full a call is that was made while at least another batch waited.
+func (q *serviceQueue) updateEfficiency(c *call) {
+	if c.leftWaiting < q.spec.Batch {
+		return
+	}
+	nominal := float64(q.spec.Batch) / fullCall(q.spec).Seconds()
+	q.efficiency += efficiencyWeight * (float64(len(c.pieces))/c.expected.Seconds()/nominal - q.efficiency)
+}
+
 func shortestCall(spec *optext.Service) time.Duration { return spec.CallTime + spec.PieceTime }
 
 func fullCall(spec *optext.Service) time.Duration {
 	return spec.CallTime + time.Duration(spec.Batch)*spec.PieceTime
 }
 
-// throughput is the number of pieces a second that the service is expected to process: the measured share of
-// its nominal throughput, bounded by the room for results, which are kept for the time hold.
-func (q *serviceQueue) throughput(bytes int64, hold time.Duration) float64 {
+// expectedThroughput is throughput without the bound by the room for results.
+func (q *serviceQueue) expectedThroughput() float64 {
 	nominal := q.nominalThroughput()
-	rate := nominal * q.meter.share(nominal)
+	if q.scheduler.measured {
+		return nominal * q.meter.share(nominal)
+	}
+	return nominal * q.efficiency
+}
+
+// throughput is the number of pieces a second that the service is expected to process: a share of its nominal
+// throughput, measured or by how full its calls are, bounded by the room for results, which are kept for the time hold.
+func (q *serviceQueue) throughput(bytes int64, hold time.Duration) float64 {
+	rate := q.expectedThroughput()
 	if q.spec.ResultRoom > 0 && bytes > 0 {
 		rate = min(rate, float64(q.ownRoom())/float64(bytes)/(fullCall(q.spec)+hold).Seconds())
 	}
--- a/node/stagework/ownerlink.go
+++ b/node/stagework/ownerlink.go
@@ -242,18 +242,17 @@
 	}
 }
 
-// errNoOwner refuses a call that has the given time left.
-func errNoOwner(left time.Duration) error {
-	return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "no process that owns the stages can be reached").WithRetryAfter(spreadRetryAfter(left, rand.Float64()))
+// errNoOwner refuses a call that found no owner.
+func errNoOwner() error {
+	return verdict.New(verdict.NotRun, verdict.CodeNoEndpoint, "no process that owns the stages can be reached").WithRetryAfter(spreadRetryAfter(rand.Float64()))
 }
 
-// spreadRetryAfter is when a caller that found no owner should retry, from half of noOwnerRetryAfter up to the
-// time that callers honour. random is uniform in [0, 1): with the same time for all, 322 callers that were refused
-// within 0.3 s came back within 0.3 s, and none of the calls of the next two seconds was served in time.
-func spreadRetryAfter(left time.Duration, random float64) time.Duration {
-	const shortest = noOwnerRetryAfter / 2
-	longest := max(noOwnerRetryAfter, left/retryAfterDivisor)
-	return shortest + time.Duration(random*float64(longest-shortest))
+// spreadRetryAfter is when a caller that found no owner should retry: noOwnerRetryAfter on average, from half of it to
+// one and a half. random is uniform in [0, 1). With the same time for all, 322 callers that were refused within 0.3 s
+// came back within 0.3 s, and none of the calls of the next two seconds was served in time. With up to a third of the
+// time that callers have left, they came back seconds after there was an owner.
+func spreadRetryAfter(random float64) time.Duration {
+	return noOwnerRetryAfter/2 + time.Duration(random*float64(noOwnerRetryAfter))
 }
 
 // Release frees what the owner holds for a call, once the call's engine has started to answer or
@@ -317,7 +316,7 @@
 		}
 		if now.Sub(since) > newOwnerTimeout || s.Silent() > newOwnerTimeout {
 			s.log.Info("no stage owner found", "request", j.ID, "waited", now.Sub(since), "taken_before", j.Resubmitted)
-			return Result{}, nil, errNoOwner(time.Until(deadline))
+			return Result{}, nil, errNoOwner()
 		}
 		select {
 		case <-changed:
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -43,6 +43,8 @@
 	rollout             wire.Rollout      // the service's last one
 
 	meter       throughputMeter // of the throughput reached while pieces wait
+	scheduler   *scheduler
+	efficiency  float64 // share of the nominal throughput by how full calls are, as a moving average
 	hedgeBudget hedgeBudget
 }
 
@@ -261,6 +263,7 @@
 	}
 	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool { return taken[p] })
 	c.leftWaiting = len(q.waiting)
+	q.updateEfficiency(c)
 	q.beginCall(c, now)
 	return c
 }
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -44,6 +44,7 @@
 	unconfirmed    bool // was the owner before the last stall, and is not confirmed since
 
 	fairness *fairness // nil: customers are not told apart
+	measured bool      // admission uses measured throughput, see throughput.go
 
 	random       func() float64 // uniform in [0, 1), for retry-after times
 	lastEstimate time.Duration  // of the last job submitted
@@ -53,7 +54,7 @@
 
 func newScheduler() *scheduler {
 	e := newEngines()
-	return &scheduler{services: map[string]*serviceQueue{}, jobs: map[string]*job{}, engines: e, split: e.split, reachability: e.reachability, permits: e.permits, lastStall: e.lastStall, counter: rollout.NewCounter(), refusedCallers: refusedCallers{}, random: rand.Float64}
+	return &scheduler{services: map[string]*serviceQueue{}, jobs: map[string]*job{}, engines: e, split: e.split, reachability: e.reachability, permits: e.permits, lastStall: e.lastStall, counter: rollout.NewCounter(), refusedCallers: refusedCallers{}, random: rand.Float64, measured: true}
 }
 
 // restartLostJobs restarts jobs with results at upstreams that restarted, and returns their other
@@ -104,7 +105,7 @@
 	}
 	s.reset(n)
 	s.predictEngine(now, n)
-	if !s.resumeStages(now, n) && n.pieces() > 0 {
+	if !s.resumeStages(now, n) && n.pieces() > 0 && !s.admitResubmitted(now, n) {
 		if wait, refused := s.shouldRefuse(now, n); refused {
 			answer(Result{}, errOverloaded(wait))
 			return nil
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -83,6 +83,7 @@
 	s.scheduler.permits.notices = p.Notices
 	p.Notices.OnLimitChanged(func(start wire.Start) { s.limitReports.add(start) })
 	s.scheduler.engines.cold = p.Settings.Proxy.ColdLimit()
+	s.scheduler.measured = p.Settings.Proxy.MeasuredThroughput
 	s.scheduler.hedging.enabled = p.Settings.Proxy.HedgeStages
 	if p.Settings.Proxy.FairStages {
 		s.scheduler.fairness = newFairness(s.scheduler.loadedThroughput)
