ingress: a process measures whether its messages wait for its link or its processor

Three hypotheses (docs/incidents/most-new-connections-at-few-processes.md) could not be told apart: nothing said whether a process that answers late is short of processor time, of its link or of connections to an upstream.

Change, for operators: while calls arrive, a process probes up to five others of its data centre (at most two a second in calm, ten when delayed) and takes the shortest round trip in excess of the shortest ever, and it measures how long a goroutine waits after its input has arrived (a byte through a pipe, at most 50 a second). Metrics ingress_round_trip_us, ingress_processor_wait_us, ingress_calls_in_progress, ingress_connections, ingress_probes; a line when a process would begin or end to limit connections. Connections beyond half of the process's descriptors, or while bodies have no memory left, are closed unread, counted by reason (ingress_connections_refused) and logged at most once a second. The limit that the readings give is computed and logged, not yet applied.

Tried first and not kept: the runtime's histogram of scheduling latencies. In the same overload its median stays at 16 us and its ninth decile at 1 ms to 10 ms, as it does not include the time until the runtime learns of the input.

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"caperdrum.org/node/dispatch"
 	"caperdrum.org/node/gate"
 	"caperdrum.org/node/gateway"
+	"caperdrum.org/node/ingress"
 	"caperdrum.org/node/internal/boottime"
 	"caperdrum.org/node/kernel"
 	"caperdrum.org/node/ledger"
@@ -155,6 +156,7 @@
 			kernel.Module{Name: "controlclient", New: controlclient.New},
 			kernel.Module{Name: "stagework", New: stagework.New},
 			kernel.Module{Name: "streamorigin", New: streamorigin.New},
+			kernel.Module{Name: "ingress", New: ingress.New},
 			kernel.Module{Name: "proxy", New: proxy.New})
 	}
 	return modules
--- /dev/null
+++ b/node/ingress/connections.go
@@ -0,0 +1,98 @@
+package ingress
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+)
+
+// counts are the connections of callers by state.
+type counts struct {
+	states map[net.Conn]http.ConnState
+	byKind [http.StateClosed + 1]int
+}
+
+func newCounts() counts { return counts{states: map[net.Conn]http.ConnState{}} }
+
+// opened counts a new connection.
+func (c *counts) opened(conn net.Conn) { c.set(conn, http.StateNew) }
+
+func (c *counts) set(conn net.Conn, state http.ConnState) {
+	if old, known := c.states[conn]; known {
+		c.byKind[old]--
+	} else if state != http.StateNew {
+		return // not taken here, or closed already
+	}
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(c.states, conn)
+		return
+	}
+	c.states[conn] = state
+	c.byKind[state]++
+}
+
+// open returns the number of connections.
+func (c *counts) open() int { return len(c.states) }
+
+// inProgress returns the number of calls in progress, with the connections that are new: their calls are on the way.
+func (c *counts) inProgress() int { return c.byKind[http.StateNew] + c.byKind[http.StateActive] }
+
+// ConnState is the hook of the server for callers whose listener is from Listen.
+func (s *Service) ConnState(conn net.Conn, state http.ConnState) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	s.counts.set(conn, state)
+	inProgressVar.Set(int64(s.counts.inProgress()))
+	if state == http.StateActive {
+		s.measure(now)
+	}
+	s.mu.Unlock()
+	if state == http.StateActive {
+		s.requestProbe()
+	}
+}
+
+// Listen returns a listener that takes connections from l within the limits of this process and closes the others at once,
+// unread. MemoryFull reports whether there is no memory for further bodies.
+func (s *Service) Listen(l net.Listener, memoryFull func() bool) net.Listener {
+	return &listener{Listener: l, s: s, memoryFull: memoryFull}
+}
+
+type listener struct {
+	net.Listener
+	s          *Service
+	memoryFull func() bool
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil || l.s.take(c, l.memoryFull()) {
+			return c, err
+		}
+		closeUnread(c)
+	}
+}
+
+// closeUnread resets a connection, so that its caller knows at once that nothing was read.
+func closeUnread(c net.Conn) {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		t.SetLinger(0) // an error means that the connection is closed already
+	}
+	c.Close()
+}
+
+// descriptorLimit returns how many descriptors this process may have, or zero if that is not known.
+var descriptorLimit = sync.OnceValue(func() int {
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil || limit.Cur > 1<<30 {
+		return 0
+	}
+	return int(limit.Cur)
+})
--- a/node/proxy/memory.go
+++ b/node/proxy/memory.go
@@ -81,6 +81,9 @@
 	b.add(n)
 }
 
+// full reports whether no further bytes fit.
+func (b *memoryBudget) full() bool { return b.inUse() >= b.limit }
+
 // inUse returns the number of reserved bytes.
 func (b *memoryBudget) inUse() int64 {
 	b.mu.Lock()
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -20,6 +20,7 @@
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/configsync"
 	"caperdrum.org/node/controlclient"
+	"caperdrum.org/node/ingress"
 	"caperdrum.org/node/internal/boottime"
 	"caperdrum.org/node/logging"
 	"caperdrum.org/node/quarantine"
@@ -67,6 +68,7 @@
 	Control    *controlclient.Service `name:"controlclient"`
 	Stages     *stagework.Service     `name:"stagework"`
 	Origins    *streamorigin.Service  `name:"streamorigin"`
+	Ingress    *ingress.Service       `name:"ingress"`
 	Notices    *upstream.Notices
 	Counter    *rollout.Counter
 	Security   *security.Store `optional:"true"`
@@ -99,6 +101,15 @@
 	Find(ctx context.Context, key streamorigin.Key) (origin streamorigin.Origin, known bool)
 }
 
+// ingressLimits is the part of ingress.Service that the proxy uses.
+type ingressLimits interface {
+	// Listen returns a listener that takes connections from l within the limits of this process.
+	Listen(l net.Listener, memoryFull func() bool) net.Listener
+	ConnState(c net.Conn, state http.ConnState)
+	// Limited reports whether this process turns away callers.
+	Limited() bool
+}
+
 // Service is the HTTP server for callers.
 type Service struct {
 	set            *settings.Settings
@@ -107,6 +118,7 @@
 	views          viewSource
 	stages         stages
 	origins        streamOrigins
+	ingress        ingressLimits                                                       // nil: no limits
 	soleVersion    func(ctx context.Context, service string) (version string, ok bool) // see controlclient.Service
 	secure         *security.Store
 	pool           *upstream.Pool
@@ -141,6 +153,8 @@
 	s.counter = p.Counter
 	s.rollouts = &rollout.Reporter{Counter: p.Counter, Clock: clockwork.NewRealClock(), Self: p.ConfigSync.Self, Processes: s.processCount, Send: p.Control.ReportRollouts,
 		OnError: func(err error) { s.log.Info("rollout counts not acknowledged", "error", err.Error()) }}
+	s.ingress = p.Ingress
+	s.server.ConnState = p.Ingress.ConnState
 	s.secure = p.Security
 	s.soleVersion = p.Control.SoleVersion
 	p.ConfigSync.OnChange(s.applyView)
@@ -209,6 +223,9 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if s.ingress != nil {
+		callers = s.ingress.Listen(callers, s.memory.full)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stopBackground = cancel
 	go s.server.Serve(callers)
