ingress: connections beyond what a process can serve are closed unread

What callers saw: with most new connections at few processes, calls that those had read were not served. A process took every connection; once its link (here) or its processor (in the test) was full, each call got slower, those that were read missed their deadlines, and the other processes were idle.

Cause: nothing limited what a process takes by what it can carry. Class: no admission control before work is accepted (load shedding, bulkhead); a process judged its health by its control plane only.

Callers on open connections are told to close them. There is no limit unless at least half of the probed processes of the data centre answer and are not congested themselves.

Why it works at any size: no number of calls, cores or bits is assumed; the delay is what the callers feel.

Tried: lowering to a quarter at once (the VM's link was then used by half for 2 s); probes of all chosen processes in turn (with three of five dark there were too few answers for a reading).

--- a/node/ingress/congestion.go
+++ b/node/ingress/congestion.go
@@ -9,8 +9,7 @@
 const (
 	// probeMemory is how long a round trip counts.
 	probeMemory = 700 * time.Millisecond
-	// minProbes is the number of round trips below which nothing is concluded from them, and the number of processes of the
-	// same data centre below which processes of others are probed as well.
+	// minProbes is the number of round trips below which nothing is concluded from them.
 	minProbes = 3
 	// answerMemory is how long the last answer of another process counts. A process that is so congested that it gets no
 	// answers any more decides by earlier ones.
@@ -34,6 +33,7 @@
 
 // otherProcess is what is known about a process that is probed.
 type otherProcess struct {
+	near       bool          // in the same data centre
 	shortest   time.Duration // round trip; zero before the second answer, as the first one includes the time to connect
 	connected  bool
 	answeredAt time.Time // zero if it has not answered, or is out of reach
@@ -42,14 +42,14 @@
 
 func newCongestion() *congestion { return &congestion{others: map[wire.MemberID]*otherProcess{}} }
 
-// setTargets sets the processes that are probed.
-func (c *congestion) setTargets(targets []wire.Member) {
+// setTargets sets the processes that are probed by one of the given data centre.
+func (c *congestion) setTargets(dataCenter string, targets []wire.Member) {
 	before := c.others
 	c.others = make(map[wire.MemberID]*otherProcess, len(targets))
 	for _, m := range targets {
 		c.others[m.ID] = before[m.ID]
 		if c.others[m.ID] == nil {
-			c.others[m.ID] = &otherProcess{}
+			c.others[m.ID] = &otherProcess{near: m.DataCenter == dataCenter}
 		}
 	}
 }
@@ -78,6 +78,12 @@
 	}
 }
 
+// delayed reports whether the last round trip took longer than usual by more than the given time.
+func (c *congestion) delayed(by time.Duration) bool {
+	n := len(c.roundTrips)
+	return n > 0 && c.roundTrips[n-1].excess > by
+}
+
 // known reports whether the process has answered recently.
 func (c *congestion) known(now time.Time, id wire.MemberID) bool {
 	o := c.others[id]
@@ -90,7 +96,8 @@
 	roundTrip time.Duration // shortest one in excess: waits for the link and the processor, on both ways
 	wait      time.Duration // for the processor alone
 	// roomElsewhere says that at least half of the processes that are probed are not congested, so that callers that are
-	// turned away here will most likely be served there.
+	// turned away here will most likely be served there. Those of the same data centre count, and the others only if there
+	// are none.
 	roomElsewhere bool
 }
 
@@ -112,13 +119,23 @@
 	if l.known = recent >= minProbes; !l.known {
 		l.roundTrip = 0
 	}
-	free := 0
+	near, nearFree, all, free := 0, 0, 0, 0
 	for id, o := range c.others {
+		all++
+		if o.near {
+			near++
+		}
 		if c.known(now, id) && !o.congested {
 			free++
+			if o.near {
+				nearFree++
+			}
 		}
 	}
-	l.roomElsewhere = free > 0 && 2*free >= len(c.others)
+	if near > 0 {
+		all, free = near, nearFree
+	}
+	l.roomElsewhere = free > 0 && 2*free >= all
 	return l
 }
 
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -29,14 +29,18 @@
 const methodProbe = "ingress.probe"
 
 const (
-	// calmInterval and busyInterval are the times between probes, while the delay is below or above probeFasterFrom. There
-	// are none while no calls arrive.
+	// calmInterval and busyInterval are the times between probes, while round trips take up to probeFasterFrom longer than
+	// usual and while they take more. There are none while no calls arrive.
 	calmInterval    = 500 * time.Millisecond
 	busyInterval    = 100 * time.Millisecond
 	probeFasterFrom = 8 * time.Millisecond
 	probeTimeout    = time.Second
-	// maxTargets bounds the processes that are probed, and with them the connections between processes.
-	maxTargets = 5
+	// maxNearTargets and maxFarTargets bound the processes of the same and of other data centres that are probed, and with
+	// them the connections between processes.
+	maxNearTargets = 5
+	maxFarTargets  = 3
+	// retryInterval is the time between two probes of a process that does not answer.
+	retryInterval = time.Second
 	// evaluateInterval is the shortest time between two readings of the load.
 	evaluateInterval = 50 * time.Millisecond
 	// reportInterval is the time between two log lines on refused connections.
@@ -57,6 +61,7 @@
 type reason string
 
 const (
+	reasonCongested   reason = "congested"   // this process cannot serve more calls; see limiter
 	reasonMemory      reason = "memory"      // the calls in progress take all memory that bodies may use
 	reasonDescriptors reason = "descriptors" // callers have as many connections as this process may have for them
 )
@@ -74,8 +79,8 @@
 
 	mu         sync.Mutex
 	processes  []wire.Member
-	targets    []target
-	next       int // index of the target of the next probe
+	targets    []*target
+	next       int // counts the probes of targets that answer
 	congestion *congestion
 	last       load // reading
 	limiter    limiter
@@ -88,8 +93,9 @@
 
 // target is a process that is probed.
 type target struct {
-	member wire.Member
-	client *peer.Client
+	member   wire.Member
+	client   *peer.Client
+	probedAt time.Time
 }
 
 // probeReply is the answer to a probe.
@@ -175,23 +181,23 @@
 	previous := s.targets
 	s.targets = nil
 	for _, m := range chosen {
-		i := slices.IndexFunc(previous, func(t target) bool { return t.member.Start() == m.Start() })
+		i := slices.IndexFunc(previous, func(t *target) bool { return t.member.Start() == m.Start() })
 		if i >= 0 {
-			s.targets = append(s.targets, target{m, previous[i].client})
+			s.targets = append(s.targets, previous[i])
 			previous = slices.Delete(slices.Clone(previous), i, i+1)
 			continue
 		}
-		s.targets = append(s.targets, target{m, peer.NewClient(m.Peer, s.dial)})
+		s.targets = append(s.targets, &target{member: m, client: peer.NewClient(m.Peer, s.dial)})
 	}
 	for _, t := range previous {
 		t.client.Close()
 	}
-	s.congestion.setTargets(chosen)
+	s.congestion.setTargets(self.DataCenter, chosen)
 }
 
-// chooseTargets returns the processes to probe: other ones of the same data centre, to which the load balancer sends the
-// callers that are turned away here, and ones of other data centres only if there are too few. Different processes probe
-// different ones.
+// chooseTargets returns the processes to probe: ones of the same data centre, to which the load balancer sends the callers
+// that are turned away here, and some of other data centres, in case those are lost. Different processes probe different
+// ones.
 func chooseTargets(self wire.Member, processes []wire.Member) []wire.Member {
 	var near, far []wire.Member
 	for _, m := range processes {
@@ -213,11 +219,8 @@
 		})
 		return list
 	}
-	out := byHash(near)
-	if len(out) < minProbes {
-		out = append(out, byHash(far)...)
-	}
-	return out[:min(len(out), maxTargets)]
+	near, far = byHash(near), byHash(far)
+	return append(near[:min(len(near), maxNearTargets)], far[:min(len(far), maxFarTargets)]...)
 }
 
 // run probes other processes while calls arrive.
@@ -247,23 +250,31 @@
 	}
 }
 
-// nextTargets returns the processes to probe now: those of which nothing is known, and one of the others in turn.
-func (s *Service) nextTargets() []target {
+// nextTargets returns the processes to probe now: one in turn of those that answer, and those of which nothing is known.
+func (s *Service) nextTargets() []*target {
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []target
-	s.next++
-	for i, t := range s.targets {
-		if i == s.next%len(s.targets) || !s.congestion.known(now, t.member.ID) {
+	var out, answering []*target
+	for _, t := range s.targets {
+		if s.congestion.known(now, t.member.ID) {
+			answering = append(answering, t)
+		} else if now.Sub(t.probedAt) >= retryInterval {
 			out = append(out, t)
 		}
 	}
+	if len(answering) > 0 {
+		s.next++
+		out = append(out, answering[s.next%len(answering)])
+	}
+	for _, t := range out {
+		t.probedAt = now
+	}
 	return out
 }
 
 // probe asks a process for an answer and records how long it took.
-func (s *Service) probe(t target) {
+func (s *Service) probe(t *target) {
 	ctx, cancel := context.WithTimeout(s.ctx, probeTimeout)
 	defer cancel()
 	var reply probeReply
@@ -315,7 +326,7 @@
 func (s *Service) probeInterval() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.limiter.limited() || s.last.delay() > probeFasterFrom {
+	if s.limiter.limited() || s.congestion.delayed(probeFasterFrom) {
 		return busyInterval
 	}
 	return calmInterval
@@ -349,6 +360,8 @@
 		why = reasonDescriptors
 	case memoryFull && now.Sub(s.limiter.lastTaken) < minInterval:
 		why = reasonMemory
+	case !s.limiter.admits(now, s.counts.inProgress()):
+		why = reasonCongested
 	default:
 		s.limiter.lastTaken = now
 		takenVar.Add(1)
--- a/node/ingress/limiter.go
+++ b/node/ingress/limiter.go
@@ -9,12 +9,12 @@
 	// recoveredDelay is the delay below which a congested process may take more calls again.
 	recoveredDelay = maxDelay / 2
 	// minDecrease and maxDecrease bound the factor by which the limit is lowered: the delay in excess tells how far.
-	minDecrease = 0.25
+	minDecrease = 0.6
 	maxDecrease = 0.9
 	// increase is the factor by which the limit grows with each reading below recoveredDelay.
 	increase = 1.04
 	// minCalls is the lowest limit of calls in progress.
-	minCalls = 8
+	minCalls = 2
 	// minInterval is the longest time for which all new connections are refused. A process that is ready takes some at any
 	// time.
 	minInterval = 250 * time.Millisecond
--- a/node/ingress/refusals.go
+++ b/node/ingress/refusals.go
@@ -28,7 +28,7 @@
 	if s.refused.total == 0 || now.Sub(s.refused.since) < reportInterval {
 		return
 	}
-	s.log.Info("connections refused", "count", s.refused.total, "memory", s.refused.byReason[reasonMemory], "descriptors", s.refused.byReason[reasonDescriptors],
+	s.log.Info("connections refused", "count", s.refused.total, "congested", s.refused.byReason[reasonCongested], "memory", s.refused.byReason[reasonMemory], "descriptors", s.refused.byReason[reasonDescriptors],
 		"round_trip", s.last.roundTrip, "processor_wait", s.last.wait, "room_elsewhere", s.last.roomElsewhere, "calls_in_progress", s.counts.inProgress(), "limit", int(s.limiter.limit), "connections", s.counts.open())
 	s.refused = refusals{since: now}
 }
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -299,7 +299,7 @@
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{s: s, w: w, r: r, began: time.Now(), table: s.table.Load(), memory: callMemory{budget: s.memory}}
 	defer x.memory.release()
-	if s.stopping.Load() {
+	if s.stopping.Load() || s.ingress != nil && s.ingress.Limited() {
 		w.Header().Set("Connection", "close") // sends the caller's next call to another process
 	}
 	if err := x.admit(); err != nil {
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -800,3 +801,24 @@
 		mu.Unlock()
 	}
 }
+
+// limitedIngress is a process that turns away new connections, or does not.
+type limitedIngress bool
+
+func (limitedIngress) Listen(l net.Listener, _ func() bool) net.Listener { return l }
+func (limitedIngress) ConnState(net.Conn, http.ConnState)                {}
+func (l limitedIngress) Limited() bool                                   { return bool(l) }
+
+// TestLimitedProcessClosesConnections guards against callers that stay, on open connections, at a process that cannot serve
+// them.
+func TestLimitedProcessClosesConnections(t *testing.T) {
+	for _, limited := range []limitedIngress{false, true} {
+		f := newFixture(t)
+		f.upstream("llm", "e1", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "id: 1\n\n") })
+		f.service.ingress = limited
+		resp, _, err := f.send(http.MethodPost, "/chat/", nil)
+		if err != nil || resp.StatusCode != http.StatusOK || resp.Close != bool(limited) {
+			t.Errorf("limited %v: %v, %v", limited, resp, err)
+		}
+	}
+}
