proxy: calls wait for a connection to an upstream, and such waits limit new connections

Cause: a process may have as many connections to an upstream as the limit divided by the processes, whatever part of the callers it gets; a call that found its upstreams' connections in use was refused at once, even if one was free milliseconds later, and the process went on taking calls.

Change: an upstream at which this process has as many calls as connections is not chosen. If that leaves none, the call waits for its turn, at most half of the goal, and as many calls as are served within half of one; others are refused at once. The waits of a service's calls count as delay of the process (ingress), so new connections beyond what its share serves are closed unread and their callers use the shares of the other processes. Nothing is exchanged between processes, and the sum of the connections stays what it was. Metric proxy_connection_waits, ingress_connection_wait_us; the refusal names the share and the processes.

Weighed: shares that are leased by demand, from an owner or from one process to another. They move connections to the callers; this moves the callers to the connections, needs no agreement, and holds while processes are cut off.

--- a/node/ingress/canary.go
+++ b/node/ingress/canary.go
@@ -10,14 +10,8 @@
 	"github.com/juju/errors"
 )
 
-const (
-	// canaryInterval is the shortest time between two bytes.
-	canaryInterval = 20 * time.Millisecond
-	// canaryMemory is how long a measured wait counts.
-	canaryMemory = 700 * time.Millisecond
-	// minWaits is the number of waits below which nothing is concluded from them.
-	minWaits = 3
-)
+// canaryInterval is the shortest time between two bytes.
+const canaryInterval = 20 * time.Millisecond
 
 // canary measures how long a goroutine of this process waits after its input has arrived, as the goroutines of calls do: it
 // writes bytes to a pipe that another goroutine reads. The runtime's histogram of scheduling latencies does not include the
@@ -29,12 +23,7 @@
 	mu      sync.Mutex
 	written []time.Time // of bytes that have not been read, oldest first
 	last    time.Time   // when the last byte was written
-	waits   []wait      // oldest first
-}
-
-type wait struct {
-	at   time.Time // when it ended
-	took time.Duration
+	waits   waits
 }
 
 func newCanary(clock clockwork.Clock) (*canary, error) {
@@ -76,35 +65,22 @@
 		now := c.clock.Now()
 		c.mu.Lock()
 		for _, at := range c.written[:n] {
-			c.waits = append(c.waits, wait{now, now.Sub(at)})
+			c.waits.add(now, now.Sub(at))
 		}
 		c.written = slices.Delete(c.written, 0, n)
 		c.mu.Unlock()
 	}
 }
 
-// median returns the median of the recent waits, or zero if there are too few. Those that began before since do not count.
-// A wait that goes on counts with its time so far if that is long.
+// median returns the median of the recent waits, see waits. A wait that goes on counts with its time so far if that is long.
 func (c *canary) median(now, since time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.waits) > 0 && now.Sub(c.waits[0].at) > canaryMemory {
-		c.waits = c.waits[1:]
-	}
-	var recent []time.Duration
-	for _, x := range c.waits {
-		if !x.at.Add(-x.took).Before(since) {
-			recent = append(recent, x.took)
-		}
-	}
+	var pending []time.Duration
 	for _, at := range c.written {
 		if took := now.Sub(at); took > maxDelay && !at.Before(since) {
-			recent = append(recent, took)
+			pending = append(pending, took)
 		}
 	}
-	if len(recent) < minWaits {
-		return 0
-	}
-	slices.Sort(recent)
-	return recent[len(recent)/2]
+	return c.waits.median(now, since, pending...)
 }
--- a/node/ingress/congestion.go
+++ b/node/ingress/congestion.go
@@ -92,9 +92,10 @@
 
 // load is a reading of how loaded this process is.
 type load struct {
-	known     bool
-	roundTrip time.Duration // shortest one in excess: waits for the link and the processor, on both ways
-	wait      time.Duration // for the processor alone
+	known       bool
+	roundTrip   time.Duration // shortest one in excess: waits for the link and the processor, on both ways
+	processor   time.Duration // waits for the processor alone
+	connections time.Duration // waits of calls for a connection to an upstream, of the service where they are longest
 	// roomElsewhere says that at least half of the processes that are probed are not congested, so that callers that are
 	// turned away here will most likely be served there. Those of the same data centre count, and the others only if there
 	// are none.
@@ -139,5 +140,5 @@
 	return l
 }
 
-// delay returns how long messages of this process wait.
-func (l load) delay() time.Duration { return max(l.roundTrip, l.wait) }
+// delay returns how long calls wait for what this process has too little of.
+func (l load) delay() time.Duration { return max(l.roundTrip, l.processor, l.connections) }
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -77,18 +77,19 @@
 	ctx            context.Context
 	cancel         context.CancelFunc
 
-	mu         sync.Mutex
-	processes  []wire.Member
-	targets    []*target
-	next       int // counts the probes of targets that answer
-	congestion *congestion
-	last       load // reading
-	limiter    limiter
-	canary     *canary   // nil before Start
-	evaluated  time.Time // last time
-	loweredAt  time.Time // when the limit was lowered last; what was measured before does not count
-	counts     counts
-	refused    refusals
+	mu          sync.Mutex
+	processes   []wire.Member
+	targets     []*target
+	next        int // counts the probes of targets that answer
+	congestion  *congestion
+	last        load // reading
+	limiter     limiter
+	canary      *canary           // nil before Start
+	connections map[string]*waits // of calls for connections to upstreams, by service
+	evaluated   time.Time         // last time
+	loweredAt   time.Time         // when the limit was lowered last; what was measured before does not count
+	counts      counts
+	refused     refusals
 }
 
 // target is a process that is probed.
@@ -116,7 +117,7 @@
 }
 
 func newService(log logr.Logger, dial peer.Dialer, clock clockwork.Clock, maxConnections int) *Service {
-	s := &Service{log: log, dial: dial, clock: clock, maxConnections: maxConnections, wake: make(chan struct{}, 1), congestion: newCongestion(), counts: newCounts()}
+	s := &Service{log: log, dial: dial, clock: clock, maxConnections: maxConnections, wake: make(chan struct{}, 1), congestion: newCongestion(), counts: newCounts(), connections: map[string]*waits{}}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
@@ -169,6 +170,20 @@
 	return s.limiter.limited()
 }
 
+// NoteConnectionWait records how long a call waited for one of the connections that this process may have to the upstreams
+// of a service.
+func (s *Service) NoteConnectionWait(service string, took time.Duration) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.connections[service]
+	if w == nil {
+		w = new(waits)
+		s.connections[service] = w
+	}
+	w.add(now, took)
+}
+
 // setProcesses applies a member list of the processes.
 func (s *Service) setProcesses(self wire.Member, processes []wire.Member) {
 	s.mu.Lock()
@@ -304,9 +319,15 @@
 	s.evaluated = now
 	l := s.congestion.load(now, s.loweredAt)
 	if s.canary != nil {
-		l.wait = s.canary.median(now, s.loweredAt)
-		l.known = l.known || l.wait > 0
+		l.processor = s.canary.median(now, s.loweredAt)
+	}
+	for service, w := range s.connections {
+		l.connections = max(l.connections, w.median(now, s.loweredAt))
+		if len(*w) == 0 {
+			delete(s.connections, service)
+		}
 	}
+	l.known = l.known || l.processor > 0 || l.connections > 0
 	s.last = l
 	s.last = l
 	was, inProgress := s.limiter.limited(), s.counts.inProgress()
@@ -314,10 +335,11 @@
 		s.loweredAt = now
 	}
 	roundTripVar.Set(l.roundTrip.Microseconds())
-	waitVar.Set(l.wait.Microseconds())
+	processorVar.Set(l.processor.Microseconds())
+	connectionsVar.Set(l.connections.Microseconds())
 	limitVar.Set(int64(s.limiter.limit))
 	if limited := s.limiter.limited(); limited != was {
-		s.log.Info("connections limited", "limited", limited, "round_trip", l.roundTrip, "processor_wait", l.wait, "room_elsewhere", l.roomElsewhere, "calls_in_progress", inProgress, "limit", int(s.limiter.limit))
+		s.log.Info("connections limited", "limited", limited, "round_trip", l.roundTrip, "processor_wait", l.processor, "connection_wait", l.connections, "room_elsewhere", l.roomElsewhere, "calls_in_progress", inProgress, "limit", int(s.limiter.limit))
 	}
 	s.reportRefused(now)
 }
--- a/node/ingress/ingress_test.go
+++ b/node/ingress/ingress_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -28,7 +29,7 @@
 	clock   *clockwork.FakeClock
 	address string
 	release chan struct{} // each call waits for a value
-	full    bool          // there is no memory for bodies
+	full    atomic.Bool   // there is no memory for bodies
 }
 
 func startServer(t *testing.T, maxConnections int) *server {
@@ -46,7 +47,7 @@
 		case <-r.Context().Done():
 		}
 	})}
-	go h.Serve(s.Listen(l, func() bool { return s.full }))
+	go h.Serve(s.Listen(l, s.full.Load))
 	t.Cleanup(func() { h.Close(); s.Stop(context.Background()) })
 	return s
 }
@@ -57,7 +58,7 @@
 	inProgress := s.inProgress()
 	c, err := net.Dial("tcp", s.address)
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
 	t.Cleanup(func() { c.Close() })
 	if _, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
@@ -129,14 +130,14 @@
 // and against callers that use up the descriptors that calls to upstreams and to other processes need.
 func TestMemoryAndDescriptorsLimitConnections(t *testing.T) {
 	s := startServer(t, 2)
-	s.full = true
+	s.full.Store(true)
 	if _, err := s.call(t); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := s.call(t); !isReset(err) {
 		t.Errorf("without memory: got error %v, want a reset", err)
 	}
-	s.full = false
+	s.full.Store(false)
 	if _, err := s.call(t); err != nil {
 		t.Fatal(err)
 	}
@@ -149,6 +150,33 @@
 	}
 }
 
+// TestWaitsForConnectionsLimitCalls guards against a process that takes more calls than it may have connections to the
+// upstreams of a service, also if calls of other services do not wait.
+func TestWaitsForConnectionsLimitCalls(t *testing.T) {
+	s := newService(logr.Discard(), peer.DialTCP, clockwork.NewFakeClock(), 0)
+	defer s.Stop(context.Background())
+	read := func() load {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.evaluated = time.Time{}
+		s.evaluate(s.clock.Now())
+		return s.last
+	}
+	for range 2 * minWaits {
+		s.NoteConnectionWait("other", 0)
+		s.NoteConnectionWait("desk", 4*maxDelay)
+	}
+	if l := read(); l.delay() != 4*maxDelay {
+		t.Errorf("got %+v", l)
+	}
+	for range 3 * minWaits {
+		s.NoteConnectionWait("desk", 0)
+	}
+	if l := read(); l.delay() != 0 {
+		t.Errorf("most calls no longer wait: got %+v", l)
+	}
+}
+
 // TestProbeTellsOfCongestion guards against callers that are sent from one congested process to the next.
 func TestProbeTellsOfCongestion(t *testing.T) {
 	other := startServer(t, 0)
@@ -228,7 +256,7 @@
 	if got := c.median(clock.Now(), clock.Now().Add(time.Millisecond)); got != 0 {
 		t.Errorf("waits that began before: got %v", got)
 	}
-	if got := c.median(clock.Now().Add(canaryMemory+time.Millisecond), time.Time{}); got != 0 {
+	if got := c.median(clock.Now().Add(waitMemory+time.Millisecond), time.Time{}); got != 0 {
 		t.Errorf("old waits: got %v", got)
 	}
 }
--- a/node/proxy/endpoints.go
+++ b/node/proxy/endpoints.go
@@ -42,10 +42,12 @@
 	denials          requestlimit.Denials // of permits for upstreams that limit their requests
 	refused          map[string]int       // callers refused for want of a permit since the last request for one, by service
 	split            *rollout.Splitter
-	unreachableUntil map[string]time.Time // by data centre: its upstreams are avoided until then
+	unreachableUntil map[string]time.Time        // by data centre: its upstreams are avoided until then
+	queues           map[string]*connectionQueue // by service
 }
 
 type endpoint struct {
+	service      string
 	inFlight     int
 	failures     int
 	avoidUntil   time.Time // avoided until then after failures and refusals
@@ -55,7 +57,7 @@
 }
 
 func newEndpoints(n *upstream.Notices) *endpoints {
-	return &endpoints{notices: n, byStart: map[wire.Start]*endpoint{}, refused: map[string]int{}, split: rollout.NewSplitter(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
+	return &endpoints{notices: n, byStart: map[wire.Start]*endpoint{}, queues: map[string]*connectionQueue{}, refused: map[string]int{}, split: rollout.NewSplitter(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
 }
 
 // update applies the announced upstreams of a view and deletes the state of removed ones. It returns the
@@ -113,6 +115,7 @@
 	chosen     wire.MemberID // by the stage owner; taken unless it is avoided; empty if none
 	permitted  wire.MemberID // upstream for which the call has a permit; empty if none
 	pinned     bool          // all upstreams are of the version at which the call's stream began; rollouts do not count it
+	maxCalls   int           // of this process at one upstream, as each takes a connection; zero: no limit
 	cold       coldPolicy
 }
 
@@ -146,7 +149,9 @@
 		e.direct.Count(now, string(m.ID))
 	}
 	ep := e.get(m.Start())
+	ep.service = m.Service
 	ep.inFlight++
+	e.queue(m.Service).inUse++
 	if ep.silentSince.IsZero() {
 		ep.silentSince = now
 	}
@@ -210,6 +215,9 @@
 	var bestRank rank
 	for i, m := range list {
 		ep := e.get(m.Start())
+		if c.maxCalls > 0 && ep.inFlight >= c.maxCalls {
+			continue
+		}
 		if ep.addressTaken || slices.Contains(c.tried, m.Start()) || !e.allowsCold(m, c, now) || !e.notices.Accepts(m.Start()) {
 			continue
 		}
@@ -307,6 +315,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	ep := e.get(start)
+	e.queue(ep.service).release()
 	if ep.inFlight--; ep.inFlight == 0 {
 		ep.silentSince = time.Time{}
 		if ep.removed {
--- a/node/proxy/metrics.go
+++ b/node/proxy/metrics.go
@@ -14,12 +14,13 @@
 // Counters since the start of the process. Labels are configured routes and services, and codes of package
 // verdict, so their number is bounded.
 var (
-	callsVar            = expvar.NewMap("proxy_calls")          // admitted calls, by route
-	sendsVar            = expvar.NewMap("proxy_sends")          // attempts sent to upstreams, by service
-	failedSendsVar      = expvar.NewMap("proxy_failed_sends")   // attempts without a response, by service
-	repeatsVar          = expvar.NewMap("proxy_repeats")        // attempts after the first of a call, by service/reason
-	deniedVar           = expvar.NewMap("proxy_repeats_denied") // repeats denied by the quota, by service/reason
-	refusedVar          = expvar.NewMap("proxy_refused")        // refused calls, by code/verdict
+	callsVar            = expvar.NewMap("proxy_calls")            // admitted calls, by route
+	sendsVar            = expvar.NewMap("proxy_sends")            // attempts sent to upstreams, by service
+	failedSendsVar      = expvar.NewMap("proxy_failed_sends")     // attempts without a response, by service
+	repeatsVar          = expvar.NewMap("proxy_repeats")          // attempts after the first of a call, by service/reason
+	deniedVar           = expvar.NewMap("proxy_repeats_denied")   // repeats denied by the quota, by service/reason
+	refusedVar          = expvar.NewMap("proxy_refused")          // refused calls, by code/verdict
+	connectionWaitsVar  = expvar.NewMap("proxy_connection_waits") // calls that found all connections to upstreams in use, by service/result
 	callersLeftVar      = expvar.NewInt("proxy_callers_left")
 	upstreamCrashesVar  = expvar.NewMap("proxy_upstreams_ended_under_calls") // calls that broke because their upstream's process ended, by service
 	barredVar           = expvar.NewMap("proxy_barred")                      // calls refused because upstreams crashed on them, by route
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -108,6 +108,8 @@
 	ConnState(c net.Conn, state http.ConnState)
 	// Limited reports whether this process turns away callers.
 	Limited() bool
+	// NoteConnectionWait records how long a call waited for a connection to an upstream of a service.
+	NoteConnectionWait(service string, took time.Duration)
 }
 
 // Service is the HTTP server for callers.
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -808,6 +808,7 @@
 func (limitedIngress) Listen(l net.Listener, _ func() bool) net.Listener { return l }
 func (limitedIngress) ConnState(net.Conn, http.ConnState)                {}
 func (l limitedIngress) Limited() bool                                   { return bool(l) }
+func (limitedIngress) NoteConnectionWait(string, time.Duration)          {}
 
 // TestLimitedProcessClosesConnections guards against callers that stay, on open connections, at a process that cannot serve
 // them.
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -40,6 +40,7 @@
 // send sends the call to an upstream. If the upstream cannot be reached, another one is tried. If another upstream
 // answers at its address, which has then received the call, another one is tried as far as the repeat quota allows.
 func (x *exchange) send(ctx context.Context, tried *[]wire.Start, c criteria, lastEvent string) *attempt {
+	var waited time.Duration
 	for unsent := 0; ; unsent++ {
 		if err := x.checkBarred(); err != nil {
 			return &attempt{err: err}
@@ -48,9 +49,15 @@
 		// Read again each time: upstreams may have left during the stages, which can take seconds.
 		list := x.eligibleUpstreams()
 		m, ok := x.acquire(ctx, list, c)
-		if !ok {
-			return &attempt{err: x.noUpstreamError()}
+		for !ok {
+			again, err := x.awaitConnection(ctx, list, c, &waited)
+			if !again {
+				return &attempt{err: err}
+			}
+			list = x.eligibleUpstreams()
+			m, ok = x.acquire(ctx, list, c)
 		}
+		x.s.noteConnectionWait(x.service.Name, waited)
 		*tried = append(*tried, m.Start())
 		a := x.sendTo(ctx, m, len(list), lastEvent)
 		if a.moved() {
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -282,7 +282,7 @@
 
 // selectionCriteria returns the criteria for choosing the call's upstream.
 func (x *exchange) selectionCriteria() criteria {
-	return criteria{dataCenter: x.s.set.Node.DataCenter, affinity: upstream.PrefixHash(x.call.Prefix),
+	return criteria{dataCenter: x.s.set.Node.DataCenter, affinity: upstream.PrefixHash(x.call.Prefix), maxCalls: x.maxConnections(),
 		cold: coldPolicy{limit: x.s.set.Proxy.ColdLimit(), rate: x.service.ColdRate, self: x.s.views.Self().ID, nearby: x.s.table.Load().proxiesByDataCenter[x.s.set.Node.DataCenter]}}
 }
 
