--- a/node/ingress/canary.go
+++ b/node/ingress/canary.go
@@ -73,7 +73,7 @@
 }
 
 // median returns the median of the recent waits, see waits. A wait that goes on counts with its time so far if that is long.
-func (c *canary) median(now, since time.Time) time.Duration {
+func (c *canary) median(now, since time.Time) (m time.Duration, known bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var pending []time.Duration
--- a/node/ingress/congestion.go
+++ b/node/ingress/congestion.go
@@ -6,31 +6,19 @@
 	"caperdrum.org/api/wire"
 )
 
-const (
-	// probeMemory is how long a round trip counts.
-	probeMemory = 700 * time.Millisecond
-	// minProbes is the number of round trips below which nothing is concluded from them.
-	minProbes = 3
-	// answerMemory is how long the last answer of another process counts. A process that is so congested that it gets no
-	// answers any more decides by earlier ones.
-	answerMemory = 5 * time.Second
-)
+// answerMemory is how long the last answer of another process counts. A process that is so congested that it gets no answers
+// any more decides by earlier ones.
+const answerMemory = 5 * time.Second
 
 // congestion tells whether this process is congested: its messages wait for its link or for its processor, on the way out
-// or on the way in. It compares round trips to other processes: a single one that answers late may be congested itself, but
-// not all of them at once.
+// or on the way in. It compares round trips to other processes: some that answer late may be congested themselves, but not
+// most of them at once.
 type congestion struct {
-	roundTrips []roundTrip // oldest first
+	roundTrips waits // of probes, in excess of the shortest one to that process
+	latest     time.Duration
 	others     map[wire.MemberID]*otherProcess
 }
 
-// roundTrip is the duration of a probe.
-type roundTrip struct {
-	began  time.Time
-	at     time.Time     // when it ended
-	excess time.Duration // over the shortest one to that process
-}
-
 // otherProcess is what is known about a process that is probed.
 type otherProcess struct {
 	near       bool          // in the same data centre
@@ -68,7 +56,8 @@
 	if o.shortest == 0 || took < o.shortest {
 		o.shortest = took
 	}
-	c.roundTrips = append(c.roundTrips, roundTrip{now.Add(-took), now, took - o.shortest})
+	c.latest = took - o.shortest
+	c.roundTrips.add(now, c.latest)
 }
 
 // outOfReach records that a process cannot be connected to.
@@ -78,12 +67,6 @@
 	}
 }
 
-// delayed reports whether the last round trip took longer than usual by more than the given time.
-func (c *congestion) delayed(by time.Duration) bool {
-	n := len(c.roundTrips)
-	return n > 0 && c.roundTrips[n-1].excess > by
-}
-
 // known reports whether the process has answered recently.
 func (c *congestion) known(now time.Time, id wire.MemberID) bool {
 	o := c.others[id]
@@ -92,8 +75,8 @@
 
 // load is a reading of how loaded this process is.
 type load struct {
-	known       bool
-	roundTrip   time.Duration // shortest one in excess: waits for the link and the processor, on both ways
+	known       bool          // at least one of the delays is
+	roundTrip   time.Duration // in excess of the shortest: waits for the link and the processor, on both ways
 	processor   time.Duration // waits for the processor alone
 	connections time.Duration // waits of calls for a connection to an upstream, of the service where they are longest
 	// roomElsewhere says that at least half of the processes that are probed are not congested, so that callers that are
@@ -104,22 +87,8 @@
 
 // load returns the load by the probes that began after since.
 func (c *congestion) load(now, since time.Time) load {
-	for len(c.roundTrips) > 0 && now.Sub(c.roundTrips[0].at) > probeMemory {
-		c.roundTrips = c.roundTrips[1:]
-	}
 	var l load
-	recent := 0
-	for _, r := range c.roundTrips {
-		if r.began.Before(since) {
-			continue
-		}
-		if recent++; recent == 1 || r.excess < l.roundTrip {
-			l.roundTrip = r.excess
-		}
-	}
-	if l.known = recent >= minProbes; !l.known {
-		l.roundTrip = 0
-	}
+	l.roundTrip, l.known = c.roundTrips.median(now, since)
 	near, nearFree, all, free := 0, 0, 0, 0
 	for id, o := range c.others {
 		all++
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -319,15 +319,16 @@
 	s.evaluated = now
 	l := s.congestion.load(now, s.loweredAt)
 	if s.canary != nil {
-		l.processor = s.canary.median(now, s.loweredAt)
+		processor, known := s.canary.median(now, s.loweredAt)
+		l.processor, l.known = processor, l.known || known
 	}
 	for service, w := range s.connections {
-		l.connections = max(l.connections, w.median(now, s.loweredAt))
+		connections, known := w.median(now, s.loweredAt)
+		l.connections, l.known = max(l.connections, connections), l.known || known
 		if len(*w) == 0 {
 			delete(s.connections, service)
 		}
 	}
-	l.known = l.known || l.processor > 0 || l.connections > 0
 	s.last = l
 	s.last = l
 	was, inProgress := s.limiter.limited(), s.counts.inProgress()
@@ -348,7 +349,7 @@
 func (s *Service) probeInterval() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.limiter.limited() || s.congestion.delayed(probeFasterFrom) {
+	if s.limiter.limited() || s.congestion.latest > probeFasterFrom {
 		return busyInterval
 	}
 	return calmInterval
--- a/node/ingress/ingress_test.go
+++ b/node/ingress/ingress_test.go
@@ -250,13 +250,13 @@
 		c.waits[i].took = time.Duration(i+1) * time.Millisecond
 	}
 	c.mu.Unlock()
-	if got := c.median(clock.Now(), time.Time{}); got != 2*time.Millisecond {
+	if got, _ := c.median(clock.Now(), time.Time{}); got != 2*time.Millisecond {
 		t.Errorf("median of 1, 2 and 3 ms: got %v", got)
 	}
-	if got := c.median(clock.Now(), clock.Now().Add(time.Millisecond)); got != 0 {
+	if got, known := c.median(clock.Now(), clock.Now().Add(time.Millisecond)); known {
 		t.Errorf("waits that began before: got %v", got)
 	}
-	if got := c.median(clock.Now().Add(waitMemory+time.Millisecond), time.Time{}); got != 0 {
+	if got, known := c.median(clock.Now().Add(waitMemory+time.Millisecond), time.Time{}); known {
 		t.Errorf("old waits: got %v", got)
 	}
 }
--- a/node/ingress/waits.go
+++ b/node/ingress/waits.go
@@ -36,9 +36,9 @@
 	}
 }
 
-// median returns the median of the waits and of further ones, or zero if there are too few. Those that began before since
-// do not count.
-func (w *waits) median(now, since time.Time, further ...time.Duration) time.Duration {
+// median returns the median of the waits and of further ones. It is not known if there are too few. Those that began before
+// since do not count.
+func (w *waits) median(now, since time.Time, further ...time.Duration) (m time.Duration, known bool) {
 	w.prune(now)
 	recent := further
 	for _, x := range *w {
@@ -47,8 +47,8 @@
 		}
 	}
 	if len(recent) < minWaits {
-		return 0
+		return 0, false
 	}
 	slices.Sort(recent)
-	return recent[len(recent)/2]
+	return recent[len(recent)/2], true
 }
