--- a/node/ingress/connections.go
+++ b/node/ingress/connections.go
@@ -2,9 +2,9 @@
 
 import (
 	"crypto/tls"
+	"math"
 	"net"
 	"net/http"
-	"sync"
 	"syscall"
 )
 
@@ -88,11 +88,12 @@
 	c.Close()
 }
 
-// descriptorLimit returns how many descriptors this process may have, or zero if that is not known.
-var descriptorLimit = sync.OnceValue(func() int {
+// maxCallerConnections returns how many connections callers may have: half of this process's descriptors, as most calls
+// need another one for their upstream. Zero means no limit.
+func maxCallerConnections() int {
 	var limit syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil || limit.Cur > 1<<30 {
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil || limit.Cur > math.MaxInt32 {
 		return 0
 	}
-	return int(limit.Cur)
-})
+	return int(limit.Cur / 2)
+}
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -82,12 +82,12 @@
 	targets     []*target
 	next        int // counts the probes of targets that answer
 	congestion  *congestion
-	last        load // reading
+	last        load // last reading, at evaluated
 	limiter     limiter
 	canary      *canary           // nil before Start
 	connections map[string]*waits // of calls for connections to upstreams, by service
-	evaluated   time.Time         // last time
-	loweredAt   time.Time         // when the limit was lowered last; what was measured before does not count
+	evaluated   time.Time
+	loweredAt   time.Time // when the limit was lowered last; what was measured before does not count
 	counts      counts
 	refused     refusals
 }
@@ -156,11 +156,12 @@
 	return nil
 }
 
-// Congested reports whether messages of this process are delayed too much to take more calls.
+// Congested reports whether calls wait too long here for this process to take more of them. A process to which no calls
+// come is not congested, whatever its last reading was.
 func (s *Service) Congested() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.limiter.limited() || s.last.delay() > maxDelay
+	return s.clock.Since(s.evaluated) <= unlimitedAfter && (s.limiter.limited() || s.last.delay() > maxDelay)
 }
 
 // Limited reports whether this process turns away callers, so that those with open connections should leave too.
@@ -355,13 +356,6 @@
 	return calmInterval
 }
 
-// maxCallerConnections returns how many connections callers may have: half of this process's descriptors, as most calls
-// need another one for their upstream. Zero means no limit.
-func maxCallerConnections() int {
-	limit := descriptorLimit()
-	return limit / 2
-}
-
 // measure begins a measurement of the processor and evaluates those that have ended. The caller must hold the lock.
 func (s *Service) measure(now time.Time) {
 	if s.canary != nil {
--- a/node/ingress/ingress_test.go
+++ b/node/ingress/ingress_test.go
@@ -203,10 +203,15 @@
 		t.Error("the other process is free")
 	}
 	other.limit(5)
+	other.evaluated = other.clock.Now()
 	s.clock.Advance(retryInterval)
 	if room() {
 		t.Error("the other process limits its connections")
 	}
+	other.clock.Advance(unlimitedAfter + time.Millisecond)
+	if !room() {
+		t.Error("no calls have come to the other process since it limited its connections")
+	}
 	other.limit(0)
 	if !room() {
 		t.Error("the other process is free again")
--- a/node/proxy/connections.go
+++ b/node/proxy/connections.go
@@ -73,8 +73,8 @@
 	q.waiting = slices.Delete(q.waiting, i, i+1)
 }
 
-// joinQueue has a call wait if upstreams could take it but for the connections that this process may have. Free says that
-// one can take it now, or that none could in any case.
+// joinQueue has a call wait for its turn if upstreams could take it but for the connections that this process may have:
+// short says so. Turn is nil if too many calls wait.
 func (e *endpoints) joinQueue(service string, list []wire.Member, c criteria, waited bool, now time.Time) (turn chan struct{}, short bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
