--- a/node/proxy/connections_test.go
+++ b/node/proxy/connections_test.go
@@ -18,12 +18,12 @@
 
 func newHeldCalls(t *testing.T, maxConnections int) *heldCalls {
 	h := &heldCalls{fixture: newFixture(t), arrived: make(chan struct{}, 100), release: make(chan struct{}, 100)}
-	t.Cleanup(func() { close(h.release) })
 	h.upstream("llm", "e1", func(w http.ResponseWriter, _ *http.Request) {
 		h.arrived <- struct{}{}
 		<-h.release
 		fmt.Fprint(w, "id: 1\n\n")
 	})
+	t.Cleanup(func() { close(h.release) }) // before the upstream closes, which waits for its calls
 	h.view.Config.Services["llm"].MaxConnections = maxConnections
 	for i := range h.view.Config.Routes {
 		h.view.Config.Routes[i].Timeout, h.view.Config.Routes[i].Goal = time.Hour, time.Hour
@@ -45,6 +45,18 @@
 	return out
 }
 
+// answer returns what a call got. It fails if the call is still held.
+func (h *heldCalls) answer(c <-chan string) string {
+	h.t.Helper()
+	select {
+	case got := <-c:
+		return got
+	case <-time.After(10 * time.Second):
+		h.t.Fatal("the call is still held")
+		return ""
+	}
+}
+
 func (h *heldCalls) waiting() int {
 	e := h.service.endpoints
 	e.mu.Lock()
@@ -70,7 +82,7 @@
 	<-h.arrived
 	second := h.call()
 	h.awaitWaiting(1)
-	third := <-h.call() // as many wait as are served within half of a call
+	third := h.answer(h.call()) // as many wait as are served within half of a call
 	if !strings.HasPrefix(third, "503") || !strings.Contains(third, "2 to each, 4 in all over 1 processes") {
 		t.Errorf("a call that finds too many waiting: %s", third)
 	}
@@ -79,7 +91,7 @@
 	h.release <- struct{}{}
 	h.release <- struct{}{}
 	for _, c := range append(first, second) {
-		if got := <-c; !strings.HasPrefix(got, "200") {
+		if got := h.answer(c); !strings.HasPrefix(got, "200") {
 			t.Errorf("got %s", got)
 		}
 	}
@@ -99,7 +111,7 @@
 	first := []<-chan string{h.call(), h.call()}
 	<-h.arrived
 	<-h.arrived
-	if got := <-h.call(); !strings.HasPrefix(got, "503") {
+	if got := h.answer(h.call()); !strings.HasPrefix(got, "503") {
 		t.Errorf("got %s", got)
 	}
 	if h.waiting() != 0 {
@@ -108,7 +120,7 @@
 	h.release <- struct{}{}
 	h.release <- struct{}{}
 	for _, c := range first {
-		if got := <-c; !strings.HasPrefix(got, "200") {
+		if got := h.answer(c); !strings.HasPrefix(got, "200") {
 			t.Errorf("got %s", got)
 		}
 	}
