proxy: a call waits only while connections are what it lacks, and no turn is lost

What callers would have seen: a call refused as 'all connections are in use' that was not short of one, or held for up to half of its goal while a connection was free.

Cause, three faults of the queue that this change had added: (1) a call that lacked a permit joined the queue, since the check for upstreams without the bound on calls found one; (2) the attempt and the wait took the lock one after the other, so a release between the two woke nobody; (3) a turn ended with a call that could not use the connection that was released (another upstream, version or region), while those behind it waited for the next release.

Change: the queue is joined under the lock that also repeats the choice; only upstreams that were passed over for nothing but their number of calls count; a call that tried in vain passes its turn on to the first one that has not tried since that release, which ends, as each tries once for each release.

The three tests failed before (TestReleaseBeforeTheWaitIsNoticed, TestTurnIsPassedOn, TestMissingPermitIsNoLackOfConnections) and have mutations. TestWaitForAConnectionEnds checks what it did, on the changed queue.

--- a/node/proxy/connections.go
+++ b/node/proxy/connections.go
@@ -12,7 +12,8 @@
 const (
 	// maxConnectionWait bounds how long a call of a route without a goal waits for a connection to an upstream.
 	maxConnectionWait = time.Second
-	// refusedWait is recorded for a call that finds too many others waiting.
+	// refusedWait is the wait that counts for a call that finds too many others waiting. It is clearly above the delay from
+	// which on a process is congested.
 	refusedWait = 100 * time.Millisecond
 )
 
@@ -20,8 +21,15 @@
 // service. Its share of an upstream's connections is small in a large fleet, and calls are often much shorter than the time
 // that their callers have.
 type connectionQueue struct {
-	inUse   int             // calls in flight
-	waiting []chan struct{} // closed when a call may try again; the first one is next
+	inUse    int // calls in flight
+	releases int // calls that have ended
+	waiting  []waitingCall
+}
+
+// waitingCall is a call that waits for its turn.
+type waitingCall struct {
+	turn  chan struct{} // closed when the call may try again
+	tried int           // releases when it tried last
 }
 
 func (e *endpoints) queue(service string) *connectionQueue {
@@ -36,54 +44,71 @@
 // release ends a call and lets the first waiting one try.
 func (q *connectionQueue) release() {
 	q.inUse--
-	q.wakeFirst()
+	q.releases++
+	q.wakeNext()
 }
 
-func (q *connectionQueue) wakeFirst() {
-	if len(q.waiting) > 0 {
-		close(q.waiting[0])
-		q.waiting = q.waiting[1:]
+// wakeNext lets the first call try that has not tried since the last release. Calls differ in the upstreams that they may
+// use, so a call behind one that tried in vain may succeed.
+func (q *connectionQueue) wakeNext() {
+	i := slices.IndexFunc(q.waiting, func(w waitingCall) bool { return w.tried < q.releases })
+	if i >= 0 {
+		close(q.waiting[i].turn)
+		q.waiting = slices.Delete(q.waiting, i, i+1)
 	}
 }
 
 // maxWaiting is how many calls may wait: as many as are served within half of the time that a call takes.
 func (q *connectionQueue) maxWaiting() int { return max(1, q.inUse/2) }
 
-// join adds a call, before the others if it has waited already. It returns nil if too many wait.
-func (q *connectionQueue) join(first bool) chan struct{} {
-	turn := make(chan struct{})
+// join adds a call that has just tried in vain. It returns nil if too many wait. A call that had its turn goes before the
+// others, and its turn goes to the next one.
+func (q *connectionQueue) join(hadTurn bool) chan struct{} {
+	w := waitingCall{turn: make(chan struct{}), tried: q.releases}
 	switch {
-	case first:
-		q.waiting = slices.Insert(q.waiting, 0, turn)
+	case hadTurn:
+		q.waiting = slices.Insert(q.waiting, 0, w)
+		q.wakeNext()
 	case len(q.waiting) >= q.maxWaiting():
 		return nil
 	default:
-		q.waiting = append(q.waiting, turn)
+		q.waiting = append(q.waiting, w)
 	}
-	return turn
+	return w.turn
 }
 
-// leave removes a call that no longer waits. If it was its turn, the next one may try.
+// leave removes a call that no longer waits. If it had its turn, the next one may try.
 func (q *connectionQueue) leave(turn chan struct{}) {
-	i := slices.Index(q.waiting, turn)
+	i := slices.IndexFunc(q.waiting, func(w waitingCall) bool { return w.turn == turn })
 	if i < 0 {
-		q.wakeFirst()
+		q.wakeNext()
 		return
 	}
 	q.waiting = slices.Delete(q.waiting, i, i+1)
 }
 
-// joinQueue has a call wait for its turn if upstreams could take it but for the connections that this process may have:
-// short says so. Turn is nil if too many calls wait.
-func (e *endpoints) joinQueue(service string, list []wire.Member, c criteria, waited bool, now time.Time) (turn chan struct{}, short bool) {
+// alwaysTurn is the turn of a call that may try at once.
+var alwaysTurn = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// joinQueue has a call wait for its turn if connections are all that it lacks: short says so. Turn is nil if too many calls
+// wait.
+func (e *endpoints) joinQueue(service string, list []wire.Member, c criteria, hadTurn bool, now time.Time) (turn chan struct{}, short bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	unlimited := c
-	unlimited.maxCalls = 0
-	if _, found := e.pickBest(list, unlimited, now); !found {
+	m, found := e.pick(list, c, now)
+	switch {
+	case found && e.needsPermit(m, c):
+		return nil, false
+	case found: // released since the call tried
+		return alwaysTurn, true
+	case !e.skippedFull:
 		return nil, false
 	}
-	return e.queue(service).join(waited), true
+	return e.queue(service).join(hadTurn), true
 }
 
 func (e *endpoints) leaveQueue(service string, turn chan struct{}) {
--- a/node/proxy/connections_test.go
+++ b/node/proxy/connections_test.go
@@ -7,6 +7,10 @@
 	"sync"
 	"testing"
 	"time"
+
+	"caperdrum.org/api/wire"
+	"caperdrum.org/node/memberset"
+	"caperdrum.org/node/upstream"
 )
 
 // heldCalls is a fixture whose upstream holds each call until a value is sent to release.
@@ -127,16 +131,21 @@
 	h.wg.Wait()
 
 	q := &connectionQueue{inUse: 10}
-	a, b, c := q.join(false), q.join(false), q.join(true)
+	a := q.join(false)
+	q.release()
+	if !isClosedChannel(a) {
+		t.Error("the only call has its turn at the release")
+	}
+	b, again := q.join(false), q.join(true)
 	q.release()
-	if !isClosedChannel(c) || isClosedChannel(a) {
+	if !isClosedChannel(again) || isClosedChannel(b) {
 		t.Error("a call that has waited before goes first")
 	}
-	q.leave(c) // it gave up in the instant of its turn
-	if !isClosedChannel(a) {
+	q.leave(again) // it gave up in the instant of its turn
+	if !isClosedChannel(b) {
 		t.Error("the turn of a call that gave up is lost")
 	}
-	q.leave(b)
+	q.leave(q.join(false))
 	if len(q.waiting) != 0 {
 		t.Errorf("%d calls wait", len(q.waiting))
 	}
@@ -150,3 +159,71 @@
 		return false
 	}
 }
+
+// deskList is two upstreams of a service, of which this process may have one connection each.
+func deskList() ([]wire.Member, criteria) {
+	return []wire.Member{wire.AnnouncedUpstream("u1", "desk", "10.0.0.1:80", "dc", false), wire.AnnouncedUpstream("u2", "desk", "10.0.0.2:80", "dc", false)}, criteria{dataCenter: "dc", maxCalls: 1}
+}
+
+// TestReleaseBeforeTheWaitIsNoticed guards against a call that waits for a connection although all were released between
+// its attempt to get one and its wait.
+func TestReleaseBeforeTheWaitIsNoticed(t *testing.T) {
+	e, now := newEndpoints(noNotices()), time.Unix(1000, 0)
+	list, c := deskList()
+	a, _, _ := e.acquire(list, c, now)
+	b, _, _ := e.acquire(list, c, now)
+	if m, _, found := e.acquire(list, c, now); found {
+		t.Fatalf("%s has two calls", m.ID)
+	}
+	e.release(a.Start(), callAnswered, now)
+	e.release(b.Start(), callAnswered, now)
+	if turn, short := e.joinQueue("desk", list, c, false, now); !short || !isClosedChannel(turn) {
+		t.Errorf("short %v, the call waits for a release that has happened", short)
+	}
+	if n := len(e.queue("desk").waiting); n != 0 {
+		t.Errorf("%d calls wait", n)
+	}
+}
+
+// TestTurnIsPassedOn guards against a call that waits while a connection is free, behind one that cannot use it.
+func TestTurnIsPassedOn(t *testing.T) {
+	e, now := newEndpoints(noNotices()), time.Unix(1000, 0)
+	list, c := deskList()
+	e.acquire(list[:1], c, now)
+	e.acquire(list[1:], c, now)
+	e.queue("desk").inUse += 10 // of other upstreams, so that several may wait
+	first, _ := e.joinQueue("desk", list[:1], c, false, now)
+	second, _ := e.joinQueue("desk", list[1:], c, false, now)
+	third, _ := e.joinQueue("desk", list[:1], c, false, now)
+	e.release(list[1].Start(), callAnswered, now)
+	if !isClosedChannel(first) || isClosedChannel(second) {
+		t.Fatal("the first call has its turn first")
+	}
+	again, _ := e.joinQueue("desk", list[:1], c, true, now)
+	if isClosedChannel(again) || !isClosedChannel(second) || isClosedChannel(third) {
+		t.Error("the turn is not passed on to the next call")
+	}
+	if _, _, found := e.acquire(list[1:], c, now); !found {
+		t.Error("the next call cannot use the connection")
+	}
+	e.release(list[0].Start(), callAnswered, now)
+	if !isClosedChannel(again) || isClosedChannel(third) {
+		t.Error("the call that passed its turn on is still the first")
+	}
+}
+
+// TestMissingPermitIsNoLackOfConnections guards against calls that wait for a connection, and are told that there is none,
+// although what they lack is a permit.
+func TestMissingPermitIsNoLackOfConnections(t *testing.T) {
+	notices, now := noNotices(), time.Now()
+	e := newEndpoints(notices)
+	list, c := deskList()
+	notices.UpdateMembers(memberset.Of(list...))
+	notices.Record(list[0].Start(), upstream.ResponseInfo{Limit: upstream.RequestLimit{Statement: upstream.LimitNamed, PerSecond: 1}})
+	if _, needsPermit, _ := e.acquire(list[:1], c, now); !needsPermit {
+		t.Fatal("the upstream does not limit its requests")
+	}
+	if _, short := e.joinQueue("desk", list[:1], c, false, now); short {
+		t.Error("the call waits for a connection")
+	}
+}
--- a/node/proxy/endpoints.go
+++ b/node/proxy/endpoints.go
@@ -44,6 +44,7 @@
 	split            *rollout.Splitter
 	unreachableUntil map[string]time.Time        // by data centre: its upstreams are avoided until then
 	queues           map[string]*connectionQueue // by service
+	skippedFull      bool                        // the last pick passed over an upstream only for its number of calls
 }
 
 type endpoint struct {
@@ -132,14 +133,11 @@
 func (e *endpoints) acquire(list []wire.Member, c criteria, now time.Time) (m wire.Member, needsPermit, found bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	m, found = e.pickPermitted(list, c, now)
-	if !found {
-		m, found = e.pickVersion(list, c, now)
-	}
+	m, found = e.pick(list, c, now)
 	if !found {
 		return m, false, false
 	}
-	if _, limited := e.notices.Limit(m.Start()); limited && m.ID != c.permitted {
+	if e.needsPermit(m, c) {
 		return m, true, true
 	}
 	if m.ID != c.chosen && !c.pinned {
@@ -158,6 +156,21 @@
 	return m, false, true
 }
 
+// pick selects an upstream without counting a call there. It sets skippedFull.
+func (e *endpoints) pick(list []wire.Member, c criteria, now time.Time) (wire.Member, bool) {
+	e.skippedFull = false
+	if m, found := e.pickPermitted(list, c, now); found {
+		return m, true
+	}
+	return e.pickVersion(list, c, now)
+}
+
+// needsPermit reports whether the upstream limits its requests and the call has no permit for it.
+func (e *endpoints) needsPermit(m wire.Member, c criteria) bool {
+	_, limited := e.notices.Limit(m.Start())
+	return limited && m.ID != c.permitted
+}
+
 // pickVersion selects an upstream among the versions that the call may use during a rollout. An upstream
 // that the stage owner chose was counted against the rollout's share there.
 func (e *endpoints) pickVersion(list []wire.Member, c criteria, now time.Time) (wire.Member, bool) {
@@ -215,15 +228,16 @@
 	var bestRank rank
 	for i, m := range list {
 		ep := e.get(m.Start())
-		if c.maxCalls > 0 && ep.inFlight >= c.maxCalls {
-			continue
-		}
 		if ep.addressTaken || slices.Contains(c.tried, m.Start()) || !e.allowsCold(m, c, now) || !e.notices.Accepts(m.Start()) {
 			continue
 		}
 		if _, denied := e.denied(m, now); denied && m.ID != c.permitted {
 			continue
 		}
+		if c.maxCalls > 0 && ep.inFlight >= c.maxCalls {
+			e.skippedFull = true
+			continue
+		}
 		r := e.rank(ep, m, c, now)
 		if m.ID == c.chosen && !r.avoided {
 			return m, true
