--- a/e2e/harness/cpushare.go
+++ b/e2e/harness/cpushare.go
@@ -53,7 +53,11 @@
 			}
 			if over := used >= allowed; over != stopped {
 				stopped = over
-				syscall.Kill(pid, map[bool]syscall.Signal{true: syscall.SIGSTOP, false: syscall.SIGCONT}[over])
+				signal := syscall.SIGCONT
+				if over {
+					signal = syscall.SIGSTOP
+				}
+				syscall.Kill(pid, signal) // an error means that it has ended
 			}
 		}
 	}
--- a/node/ingress/congestion.go
+++ b/node/ingress/congestion.go
@@ -14,8 +14,8 @@
 // or on the way in. It compares round trips to other processes: some that answer late may be congested themselves, but not
 // most of them at once.
 type congestion struct {
-	roundTrips waits // of probes, in excess of the shortest one to that process
-	latest     time.Duration
+	roundTrips waits         // of probes, in excess of the shortest one to that process
+	latest     time.Duration // of these
 	others     map[wire.MemberID]*otherProcess
 }
 
@@ -79,6 +79,7 @@
 	roundTrip   time.Duration // in excess of the shortest: waits for the link and the processor, on both ways
 	processor   time.Duration // waits for the processor alone
 	connections time.Duration // waits of calls for a connection to an upstream, of the service where they are longest
+	service     string        // that service; empty if no calls wait
 	// roomElsewhere says that at least half of the processes that are probed are not congested, so that callers that are
 	// turned away here will most likely be served there. Those of the same data centre count, and the others only if there
 	// are none.
--- a/node/ingress/refusals.go
+++ b/node/ingress/refusals.go
@@ -29,7 +29,7 @@
 		return
 	}
 	s.log.Info("connections refused", "count", s.refused.total, "congested", s.refused.byReason[reasonCongested], "memory", s.refused.byReason[reasonMemory], "descriptors", s.refused.byReason[reasonDescriptors],
-		"round_trip", s.last.roundTrip, "processor_wait", s.last.processor, "connection_wait", s.last.connections, "room_elsewhere", s.last.roomElsewhere, "calls_in_progress", s.counts.inProgress(), "limit", int(s.limiter.limit), "connections", s.counts.open())
+		"round_trip", s.last.roundTrip, "processor_wait", s.last.processor, "connection_wait", s.last.connections, "service", s.last.service, "room_elsewhere", s.last.roomElsewhere, "calls_in_progress", s.counts.inProgress(), "limit", int(s.limiter.limit), "connections", s.counts.open())
 	s.refused = refusals{since: now}
 }
 
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -91,10 +91,7 @@
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.link = newOwnerLink(p.Dial, p.Log)
 	s.link.reportSuspect, s.link.control = p.ConfigSync.ReportUnresponsive, p.ConfigSync.ControlUnreachableFor
-	server := p.Discovery.Server()
-	if server == nil {
-		server = p.Control.Server()
-	}
+	server := control.PeerServer(p.Discovery, p.Control)
 	peer.Handle(server, methodRun, s.handleRun)
 	peer.Handle(server, methodDone, s.handleDone)
 	peer.Handle(server, methodProgress, s.handleProgress)
--- a/node/streamorigin/service.go
+++ b/node/streamorigin/service.go
@@ -85,11 +85,7 @@
 // New returns the service and registers its methods with the process's peer server.
 func New(p Params) *Service {
 	s := newService(p.Log, p.Dial, boottime.System())
-	server := p.Discovery.Server()
-	if server == nil {
-		server = p.Control.Server()
-	}
-	s.register(server)
+	s.register(control.PeerServer(p.Discovery, p.Control))
 	p.ConfigSync.OnChange(func(v *configsync.View) { s.SetProcesses(p.ConfigSync.Self().ID, v.Proxies) })
 	return s
 }
