ingress: an idle connection is closed for a new one at the bound on descriptors

What callers would have seen: a process that is ready and takes no new connection for as long as callers keep half of its descriptors in idle connections, which they may do for a minute. Change: a connection that has been idle for a second is closed for a new one (a call may be on its way on one that has just become idle); only where none is, new ones are refused. TestIdleConnectionsMakeRoom failed before ('an idle connection does not make room').

--- a/node/ingress/connections.go
+++ b/node/ingress/connections.go
@@ -6,22 +6,33 @@
 	"net"
 	"net/http"
 	"syscall"
+	"time"
 )
 
+// minIdle is how long a connection must have been idle to be closed for another one: a call may be on its way on one that
+// has just become idle.
+const minIdle = time.Second
+
 // counts are the connections of callers by state.
 type counts struct {
-	states map[net.Conn]http.ConnState
+	states map[net.Conn]connState
 	byKind [http.StateClosed + 1]int
 }
 
-func newCounts() counts { return counts{states: map[net.Conn]http.ConnState{}} }
+// connState is the state of a connection and when it began.
+type connState struct {
+	http.ConnState
+	since time.Time
+}
+
+func newCounts() counts { return counts{states: map[net.Conn]connState{}} }
 
 // opened counts a new connection.
-func (c *counts) opened(conn net.Conn) { c.set(conn, http.StateNew) }
+func (c *counts) opened(conn net.Conn, now time.Time) { c.set(conn, http.StateNew, now) }
 
-func (c *counts) set(conn net.Conn, state http.ConnState) {
+func (c *counts) set(conn net.Conn, state http.ConnState, now time.Time) {
 	if old, known := c.states[conn]; known {
-		c.byKind[old]--
+		c.byKind[old.ConnState]--
 	} else if state != http.StateNew {
 		return // not taken here, or closed already
 	}
@@ -29,10 +40,24 @@
 		delete(c.states, conn)
 		return
 	}
-	c.states[conn] = state
+	c.states[conn] = connState{state, now}
 	c.byKind[state]++
 }
 
+// takeIdle removes an idle connection, which the caller must close. It returns nil if none has been idle for minIdle.
+func (c *counts) takeIdle(now time.Time) net.Conn {
+	if c.byKind[http.StateIdle] == 0 {
+		return nil
+	}
+	for conn, s := range c.states {
+		if s.ConnState == http.StateIdle && now.Sub(s.since) >= minIdle {
+			c.set(conn, http.StateClosed, now)
+			return conn
+		}
+	}
+	return nil
+}
+
 // open returns the number of connections.
 func (c *counts) open() int { return len(c.states) }
 
@@ -43,7 +68,7 @@
 func (s *Service) ConnState(conn net.Conn, state http.ConnState) {
 	now := s.clock.Now()
 	s.mu.Lock()
-	s.counts.set(conn, state)
+	s.counts.set(conn, state, now)
 	inProgressVar.Set(int64(s.counts.inProgress()))
 	if state == http.StateActive {
 		s.measure(now)
@@ -79,15 +104,21 @@
 
 // closeUnread resets a connection, so that its caller knows at once that nothing was read.
 func closeUnread(c net.Conn) {
-	if t, ok := c.(*tls.Conn); ok {
-		c = t.NetConn()
-	}
+	c = withoutTLS(c)
 	if t, ok := c.(*net.TCPConn); ok {
 		t.SetLinger(0) // an error means that the connection is closed already
 	}
 	c.Close()
 }
 
+// withoutTLS returns the connection below TLS, whose own close may wait for its caller.
+func withoutTLS(c net.Conn) net.Conn {
+	if t, ok := c.(*tls.Conn); ok {
+		return t.NetConn()
+	}
+	return c
+}
+
 // maxCallerConnections returns how many connections callers may have: half of this process's descriptors, as most calls
 // need another one for their upstream. Zero means no limit.
 func maxCallerConnections() int {
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -200,7 +200,7 @@
 	s.measure(now)
 	var why reason
 	switch {
-	case s.maxConnections > 0 && s.counts.open() >= s.maxConnections:
+	case !s.makeRoom(now):
 		why = reasonDescriptors
 	case memoryFull && now.Sub(s.limiter.lastTaken) < minInterval:
 		why = reasonMemory
@@ -208,7 +208,7 @@
 		why = reasonCongested
 	default:
 		takenVar.Add(1)
-		s.counts.opened(c)
+		s.counts.opened(c, now)
 		return true
 	}
 	refusedVar.Add(string(why), 1)
@@ -217,3 +217,18 @@
 	s.reportRefused(now)
 	return false
 }
+
+// makeRoom reports whether callers may have one more connection. If they have all, an idle one is closed for it. The caller
+// must hold the lock.
+func (s *Service) makeRoom(now time.Time) bool {
+	if s.maxConnections <= 0 || s.counts.open() < s.maxConnections {
+		return true
+	}
+	idle := s.counts.takeIdle(now)
+	if idle == nil {
+		return false
+	}
+	idleClosedVar.Add(1)
+	withoutTLS(idle).Close()
+	return true
+}
--- a/node/ingress/ingress_test.go
+++ b/node/ingress/ingress_test.go
@@ -177,6 +177,37 @@
 	}
 }
 
+// TestIdleConnectionsMakeRoom guards against a process that is ready and takes no connection any more, since callers keep as
+// many idle ones as it may have.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	s := startServer(t, 2)
+	first, err := s.call(t)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.call(t); err != nil {
+		t.Fatal(err)
+	}
+	s.release <- struct{}{} // ends one of the two calls
+	for deadline := time.Now().Add(30 * time.Second); s.inProgress() > 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no connection becomes idle")
+		}
+	}
+	if _, err := s.call(t); !isReset(err) {
+		t.Errorf("a call may be on its way on a connection that has just become idle: got error %v, want a reset", err)
+	}
+	s.clock.Advance(minIdle)
+	if _, err := s.call(t); err != nil {
+		t.Errorf("an idle connection does not make room: %v", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := s.counts.open(); n != 2 {
+		t.Errorf("%d connections are open, %v among them", n, first.LocalAddr())
+	}
+}
+
 // TestProbeTellsOfCongestion guards against callers that are sent from one congested process to the next.
 func TestProbeTellsOfCongestion(t *testing.T) {
 	other := startServer(t, 0)
