--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -61,7 +61,7 @@
 func (w *Worker) beat() {
 	for i := 0; ; i++ {
 		n := w.l.Nodes[i%len(w.l.Nodes)]
-		body := Name("beat-body", "service", w.Service, "address", w.Address(), "zone", w.Zone, "state", "ready", "seq", fmt.Sprint(w.seq.Add(1)))
+		body := w.Beat()
 		resp, err := operator.Post("http://"+n.Control+Name("beat", "id", w.ID), "application/json", strings.NewReader(body))
 		if err == nil {
 			resp.Body.Close()
@@ -78,6 +78,11 @@
 	}
 }
 
+// Beat returns the body of the worker's next heartbeat.
+func (w *Worker) Beat() string {
+	return Name("beat-body", "service", w.Service, "address", w.Address(), "zone", w.Zone, "state", "ready", "seq", fmt.Sprint(w.seq.Add(1)))
+}
+
 func (w *Worker) handle(rw http.ResponseWriter, r *http.Request) {
 	rw.Header().Set(Name("instance"), w.ID)
 	if want := r.Header.Get(Name("expect")); want != "" && want != w.ID {
