review: case 3 is now the entry on a late heartbeat after leaving

Broken: an upstream that the leader does not know is told that its leaving is noted, and nothing is recorded. A heartbeat of it that a cut has held up then adds it as ready, and it gets its share of the requests until it ends.

The disruption is a cut of one of five workers from control for 5 s (srv_cut); the heartbeat comes 3 s after its end, as one may arrive seconds late.

Code: leavingRecords in node/control/leases.go and leave in node/control/admin.go.

It takes the place of the key that runs as a cut ends: the requests there run within milliseconds, here for seconds, and are cut off when the worker ends. That program stays as cut-revoke.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 PROJECT=$(cd ../.. && pwd) || exit 2
 export PROJECT
 [ -x "$PROJECT/target/caperdrum" ] && [ -x "$PROJECT/target/review-cases" ] || { echo "build first" >&2; exit 2; }
-exec "$PROJECT/target/review-cases" cut-revoke "$PWD"
+exec "$PROJECT/target/review-cases" late-beat "$PWD"
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -24,6 +24,7 @@
 	ID, Service, Zone string
 	OnRun             func(Run)
 	Serve             func(w http.ResponseWriter, r *http.Request) // nil: a short answer
+	Silent            bool                                         // it sends no heartbeats by itself
 
 	l        *Lab
 	listener net.Listener
@@ -42,7 +43,9 @@
 	}
 	w.server = &http.Server{Handler: http.HandlerFunc(w.handle)}
 	go w.server.Serve(w.listener)
-	go w.beat()
+	if !w.Silent {
+		go w.beat()
+	}
 	l.OnClose(w.Stop)
 	return w, nil
 }
