config: whether callers need a key is a fact of the text, not of how many keys there are

Cause: authenticate (node/proxy/admit.go) admitted all calls while the table had no keys; its map has an entry for each key, so "no key is valid" looked like "no customers".

Change: optext.Config.KeysRequired. A text with customers, or with [authentication:callers] required = true, requires keys.

Why it works: the fact no longer depends on the number of keys, survives the text, deltas, restarts and incremental parsing.

--- a/api/optext/optext.go
+++ b/api/optext/optext.go
@@ -108,6 +108,10 @@
 	Routes      []*Route     // in the order of the text
 	Limits      Limits       // for callers on routes
 
+	// KeysRequired says that calls on routes that are not public need a key of a customer. It does not depend
+	// on whether any customer has one: without keys no such call is admitted.
+	KeysRequired bool
+
 	// Extension carries document-level fields of another front end that
 	// caperdrum does not use.
 	Extension string
--- a/api/optext/parser.go
+++ b/api/optext/parser.go
@@ -94,12 +94,14 @@
 		return p.parseRouteStage(section, name)
 	case "limits":
 		p.f.Decode(section, &p.c.Limits)
+	case "authentication":
+		p.parseAuthentication(section)
 	case "document":
 		p.parseDocument(section)
 	case "weight_store":
 		p.parseWeightStore(section, name)
 	default:
-		p.f.Fail(section, "", "unknown section kind "+kind, "use service, pipeline, stage, route, route_stage, customer, limits, document, data_center or weight_store")
+		p.f.Fail(section, "", "unknown section kind "+kind, "use service, pipeline, stage, route, route_stage, customer, limits, authentication, document, data_center or weight_store")
 	}
 	return nil
 }
@@ -136,6 +138,18 @@
 	p.c.Extension = d.Extension
 }
 
+// parseAuthentication parses the section of a text that requires keys although it has no customers.
+func (p *parser) parseAuthentication(section string) {
+	var a struct {
+		Required bool `ini:"required" required:"true"`
+	}
+	p.f.Decode(section, &a)
+	if !a.Required {
+		p.f.Fail(section, "required", "required = false has no effect", "write required = true, or leave the section out; mark routes without keys as public")
+	}
+	p.c.KeysRequired = true
+}
+
 func (p *parser) parseService(section, name string) *Service {
 	s := &Service{Name: name, Concurrency: defaultConcurrency, QueueLength: defaultQueueLength,
 		RoutingPolicy: RoutingPolicies[0], HedgePercent: defaultHedgePercent, RetryPercent: defaultRetryPercent, QueueDiscipline: "fair", Ejection: true, Shed: true, Limiter: "fixed"}
@@ -187,6 +201,7 @@
 	}
 	p.checkWeightBytes()
 	p.checkRoutes()
+	p.c.KeysRequired = p.c.KeysRequired || len(p.customers) > 0
 	for _, name := range sortedKeys(p.c.Pipelines) {
 		p.checkPipeline(p.c.Pipelines[name])
 	}
--- a/node/proxy/admit.go
+++ b/node/proxy/admit.go
@@ -66,7 +66,7 @@
 // authenticate finds the customer by the call's key. Keys count only while a recent confirmation by a
 // quorum excludes that they were withdrawn.
 func (x *exchange) authenticate() error {
-	if x.route.Public || len(x.table.customers) == 0 {
+	if x.route.Public || !x.table.config.KeysRequired {
 		return nil
 	}
 	if x.s.views.StampAge() > x.s.set.Proxy.KeyAge {
