control: the leaving of an upstream that is not known is recorded before it is acknowledged

Cause: leases.leavingRecords made no record for an unknown upstream, and leave acknowledged all the same. The record is what keeps a delayed heartbeat out.

Change: a member record without service and address, leaving, with the highest revision of its start. It is committed before the acknowledgement, kept for 30 s as for any upstream that leaves, and there are 2,048 at most; beyond them nothing is acknowledged.

Why it works: every leader adds upstreams through the replicated list only, and a record of the same start with a lower revision never replaces this one; a later start does.

--- a/api/wire/announce.go
+++ b/api/wire/announce.go
@@ -14,6 +14,13 @@
 	return m
 }
 
+// DepartedUpstream returns the record of an upstream that left before it was known. It has no
+// service and no address, so it gets no calls.
+func DepartedUpstream(id MemberID) Member { return AnnouncedUpstream(id, "", "", "", true) }
+
+// Departed reports whether the record is one of DepartedUpstream.
+func (m Member) Departed() bool { return m.Role == AnnouncedRole && m.Leaving && m.Service == "" }
+
 // leavingRevision is above the number of any heartbeat of one start.
 const leavingRevision = 1 << 62
 
@@ -42,7 +49,8 @@
 }
 
 // LeaveRequest tells the leader that an announced upstream is leaving. The leader answers
-// once the replicated member list has the mark, or no longer has the upstream.
+// once the replicated member list has the mark. An upstream that is not in the list gets
+// one too, so that a delayed heartbeat does not add it.
 type LeaveRequest struct {
 	ID MemberID `json:"id"`
 	// Incarnation is the start that is leaving; zero if the upstream does not report it.
--- a/node/control/admin.go
+++ b/node/control/admin.go
@@ -39,15 +39,21 @@
 	return s.renewAndWait(ctx, req.Upstreams)
 }
 
-// leave marks an upstream as leaving and returns once the member list contains the mark. The read barrier
-// ensures that an upstream counts as unknown, and needs no mark, only if a quorum agrees.
+// leave marks an upstream as leaving and returns once the member list contains the mark, also if the upstream is not
+// known. The read barrier ensures that the decision is based on all records that a quorum has committed.
 func (s *Service) leave(ctx context.Context, req *wire.LeaveRequest) (*Empty, error) {
 	if err := s.replica.ReadBarrier(ctx); err != nil {
 		return nil, s.leaderError(err)
 	}
-	records := s.leases.leavingRecords(req)
-	if len(records) == 0 {
-		s.log.Info("an upstream that is not known leaves", "upstream", req.ID, "incarnation", req.Incarnation)
+	records, err := s.leases.leavingRecords(req)
+	if err != nil {
+		s.log.Info("leaving of an upstream not recorded", "upstream", req.ID, "incarnation", req.Incarnation, "error", err.Error())
+		return nil, err
+	}
+	for _, m := range records {
+		if m.Departed() {
+			s.log.Info("an upstream that is not known leaves", "upstream", req.ID, "incarnation", req.Incarnation)
+		}
 	}
 	return s.renewAndWait(ctx, records)
 }
--- a/node/control/leases.go
+++ b/node/control/leases.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
 
 	"caperdrum.org/api/timeline"
 	"caperdrum.org/api/wire"
@@ -103,21 +104,56 @@
 	return out
 }
 
-// leavingRecords returns the record that marks an announced upstream as leaving. There is none if the
-// upstream is neither in the member list nor about to join, or if the request belongs to an earlier incarnation.
-func (l *leases) leavingRecords(req *wire.LeaveRequest) []wire.Member {
+// maxDepartedUpstreams bounds the records of upstreams that left before they were known, since anyone who reaches
+// the front end can send such a message for any id.
+const maxDepartedUpstreams = 2048
+
+// Reasons not to acknowledge that an upstream leaves.
+var (
+	errTooManyDeparted = errors.Errorf("control: %d upstreams that were not known have left within %v; send it again later", maxDepartedUpstreams, leavingLease)
+	errNoUpstream      = errors.New("control: the id belongs to a process of caperdrum, not to an upstream")
+)
+
+// leavingRecords returns the record that marks an announced upstream as leaving. An upstream that is neither in the
+// member list nor about to join gets one as well, as a heartbeat that was delayed would otherwise add it. There is
+// none if the request belongs to an earlier incarnation than the one that is known.
+func (l *leases) leavingRecords(req *wire.LeaveRequest) ([]wire.Member, error) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
+	members := l.cluster.View().Members
 	m, known := l.pending[req.ID]
-	l.mu.Unlock()
 	if !known {
-		m, known = l.cluster.View().Members[req.ID]
+		m, known = members[req.ID]
 	}
-	if !known || m.Role != wire.AnnouncedRole || req.Incarnation != 0 && req.Incarnation < m.Incarnation {
-		return nil
+	switch {
+	case !known:
+		if l.countDeparted(members) >= maxDepartedUpstreams {
+			return nil, errTooManyDeparted
+		}
+		return []wire.Member{wire.DepartedUpstream(req.ID).WithStartTime(req.Incarnation)}, nil
+	case m.Role != wire.AnnouncedRole:
+		return nil, errNoUpstream
+	case req.Incarnation != 0 && req.Incarnation < m.Incarnation:
+		return nil, nil
 	}
 	left := wire.AnnouncedUpstream(req.ID, m.Service, m.Direct, m.DataCenter, true)
 	left.Version = m.Version
-	return []wire.Member{left.WithStartTime(max(req.Incarnation, m.Incarnation))}
+	return []wire.Member{left.WithStartTime(max(req.Incarnation, m.Incarnation))}, nil
+}
+
+// countDeparted returns the number of records of upstreams that left before they were known. The caller holds the lock.
+func (l *leases) countDeparted(members map[wire.MemberID]wire.Member) (n int) {
+	for _, m := range members {
+		if m.Departed() {
+			n++
+		}
+	}
+	for id, m := range l.pending {
+		if _, listed := members[id]; !listed && m.Departed() {
+			n++
+		}
+	}
+	return n
 }
 
 const (
@@ -217,7 +253,7 @@
 // ttlOf returns the lease duration of the member.
 func (l *leases) ttlOf(m wire.Member) time.Duration {
 	switch {
-	case m.Direct == "":
+	case m.Role != wire.AnnouncedRole:
 		return l.ttl
 	case m.Leaving:
 		return leavingLease
--- a/node/controlclient/controlclient.go
+++ b/node/controlclient/controlclient.go
@@ -116,8 +116,8 @@
 	close(b.done)
 }
 
-// Leave tells the leader that an upstream leaves. It returns once the upstream is marked as leaving, or is
-// known not to be a member. started is the incarnation that leaves; zero means the one in the membership.
+// Leave tells the leader that an upstream leaves. It returns once the upstream is marked as leaving, whether
+// it was a member or not. started is the incarnation that leaves; zero means the one in the membership.
 func (s *Service) Leave(ctx context.Context, id wire.MemberID, started uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
