upstream, proxy: what is read of an answer that never ends is bounded

What callers saw: one faulty upstream that answers with bytes without end takes all memory of a process, and so each caller's connection there; where the call may be repeated, the next process after it.

Cause: http.ReadResponse reads a head of any size and nothing bounded it, nor interim answers, nor the body of an answer to another call that is skipped; the splitter of events kept whatever came since the last event, beside the memory budget, and searched it again from its beginning at each read. net/http clients read 10 MiB of head, listeners 1 MiB.

Change: a head has 32 KiB and 256 lines, 16 interim answers, 8 MiB of a skipped body; an event 64 KiB, above 16 KiB against the budget; another answer on a route for streams 8 MiB against it; one JSON-RPC object 64 MiB. Beyond a bound the call may have run, the connection is closed, the attempt counts as failed at the upstream, and the call is not suspected of crashes. upstream_responses_oversized counts by part.

Why it works: the bound is checked before each further read, so at most one buffer more than the bound is held; a head that is complete in the buffer is not affected by its body (TestLargestHeadIsRead).

--- a/api/wire/headers.go
+++ b/api/wire/headers.go
@@ -44,3 +44,10 @@
 	ChatStreamEnd           = "data: [DONE]"
 	ContentEventStream      = "text/event-stream"
 )
+
+// MaxResponseHeadBytes bounds the head of a response that a client of this system reads from an upstream. It is twice what
+// the users' platform allows in the head of a request, parts of which a response repeats. A gate adds to it what it says itself.
+const MaxResponseHeadBytes = 32 << 10
+
+// MaxRequestHeadBytes bounds the head of a request to a listener of this system.
+const MaxRequestHeadBytes = 64 << 10
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -57,7 +57,7 @@
 		r.Use(s.authenticate)
 		s.routes(r)
 	})
-	s.server = &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout}
+	s.server = &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: wire.MaxRequestHeadBytes}
 	return s
 }
 
--- a/node/announce/announce.go
+++ b/node/announce/announce.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"go.uber.org/dig"
 
+	"caperdrum.org/api/wire"
 	"caperdrum.org/node/gate"
 	"caperdrum.org/node/settings"
 )
@@ -42,7 +43,7 @@
 // New returns the service. Until the first successful check the upstream counts as leaving.
 func New(p Params) *Service {
 	return &Service{url: "http://" + p.Settings.Agent.Upstream + p.Settings.Agent.HealthPath, log: p.Log, gate: p.Gate,
-		client: &http.Client{Timeout: checkTimeout}}
+		client: &http.Client{Timeout: checkTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: wire.MaxResponseHeadBytes}}}
 }
 
 // Start implements kernel.Starter.
--- a/node/debug/debug.go
+++ b/node/debug/debug.go
@@ -14,6 +14,7 @@
 	"go.uber.org/dig"
 
 	"caperdrum.org/api/timeline"
+	"caperdrum.org/api/wire"
 	"caperdrum.org/node/security"
 	"caperdrum.org/node/settings"
 )
@@ -46,7 +47,7 @@
 	r.HandleFunc("/debug/pprof/*", pprof.Index)
 	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	r.Get("/debug/timeline", func(w http.ResponseWriter, req *http.Request) { writeTimeline(w, req, p.Ring) })
-	return &Server{address: p.Settings.Debug.Listen, security: p.Security, http: &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout}}
+	return &Server{address: p.Settings.Debug.Listen, security: p.Security, http: &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: wire.MaxRequestHeadBytes}}
 }
 
 func writeTimeline(w http.ResponseWriter, req *http.Request, ring *timeline.Ring) {
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -67,11 +67,12 @@
 	maxReattach       = 3
 	idleConnections   = 256
 	idleTimeout       = 90 * time.Second // shorter than the gate's
+	maxStatusBytes    = 64 << 10         // of a gate's status or refusal
 )
 
 // New returns the service.
 func New(p Params) *Service {
-	t := &http.Transport{DialContext: p.Security.DialContext, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	t := &http.Transport{DialContext: p.Security.DialContext, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: 2 * wire.MaxResponseHeadBytes}
 	client := &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	return &Service{ring: p.Ring, sync: p.Sync, client: client}
 }
@@ -188,7 +189,7 @@
 
 func decodeRefusal(resp *http.Response) error {
 	v := &verdict.Error{}
-	if err := json.NewDecoder(resp.Body).Decode(v); err != nil || v.Code == "" || v.Status == 0 {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(v); err != nil || v.Code == "" || v.Status == 0 {
 		return errNotOurResponse
 	}
 	return v
@@ -300,7 +301,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return st, errors.Errorf("the gate answers with status %d", resp.StatusCode)
 	}
-	return st, errors.Trace(json.NewDecoder(resp.Body).Decode(&st))
+	return st, errors.Trace(json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&st))
 }
 
 // Attach reads an attempt's response from the given byte offset.
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -18,6 +18,7 @@
 
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/timeline"
+	"caperdrum.org/api/wire"
 	"caperdrum.org/node/configsync"
 	"caperdrum.org/node/security"
 	"caperdrum.org/node/settings"
@@ -82,7 +83,7 @@
 	r.Post("/v1/attempts/{id}/cancel", s.handleCancel)
 	r.Get("/v1/attempts/{id}/answer", s.handleAttach)
 	r.Post("/v1/leave", s.handleLeave)
-	s.server = &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	s.server = &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: wire.MaxRequestHeadBytes}
 	return s
 }
 
--- a/node/gate/upstream.go
+++ b/node/gate/upstream.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"caperdrum.org/api/wire"
 )
 
 const (
@@ -23,9 +25,9 @@
 
 func newUpstreamClients() upstreamClients {
 	return upstreamClients{
-		repeatable: upstreamClient(&http.Transport{MaxIdleConnsPerHost: idleConns, IdleConnTimeout: upstreamIdle, DisableCompression: true}),
-		noRetry:    upstreamClient(&http.Transport{MaxIdleConnsPerHost: idleConns, IdleConnTimeout: noRetryIdle, DisableCompression: true}),
-		noReuse:    upstreamClient(&http.Transport{DisableKeepAlives: true, DisableCompression: true}),
+		repeatable: upstreamClient(&http.Transport{MaxIdleConnsPerHost: idleConns, IdleConnTimeout: upstreamIdle, DisableCompression: true, MaxResponseHeaderBytes: wire.MaxResponseHeadBytes}),
+		noRetry:    upstreamClient(&http.Transport{MaxIdleConnsPerHost: idleConns, IdleConnTimeout: noRetryIdle, DisableCompression: true, MaxResponseHeaderBytes: wire.MaxResponseHeadBytes}),
+		noReuse:    upstreamClient(&http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: wire.MaxResponseHeadBytes}),
 	}
 }
 
--- a/node/peer/stream.go
+++ b/node/peer/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -11,20 +12,49 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
+// maxObjectBytes bounds one JSON object. The largest sound one holds an operators' text of 32 MiB, half of whose bytes are
+// escaped.
+const maxObjectBytes = 64 << 20
+
+// errObjectTooLarge says that a peer sends an object that is above the bound, or never ends.
+var errObjectTooLarge = errors.Errorf("peer: a message is above %d bytes", maxObjectBytes)
+
 // stream reads and writes the JSON objects of one connection.
 type stream struct {
 	conn    progressConn
+	bounded *objectReader
 	decoder *json.Decoder
 	writeMu sync.Mutex
 }
 
 func newStream(c net.Conn) *stream {
 	conn := progressConn{c}
-	return &stream{conn: conn, decoder: json.NewDecoder(conn)}
+	bounded := &objectReader{r: conn, limit: maxObjectBytes}
+	return &stream{conn: conn, bounded: bounded, decoder: json.NewDecoder(bounded)}
 }
 
 // ReadObject implements jsonrpc2.ObjectStream.
-func (s *stream) ReadObject(v any) error { return s.decoder.Decode(v) }
+func (s *stream) ReadObject(v any) error {
+	s.bounded.read = 0
+	return s.decoder.Decode(v)
+}
+
+// objectReader bounds the bytes that are read for one object.
+type objectReader struct {
+	r     io.Reader
+	limit int64
+	read  int64 // for the current object
+}
+
+// Read implements io.Reader.
+func (o *objectReader) Read(p []byte) (int, error) {
+	if o.read >= o.limit {
+		return 0, errObjectTooLarge
+	}
+	n, err := o.r.Read(p)
+	o.read += int64(n)
+	return n, err
+}
 
 // WriteObject implements jsonrpc2.ObjectStream. The output of a json.Marshaler is not validated and compacted
 // again.
--- a/node/proxy/events.go
+++ b/node/proxy/events.go
@@ -13,9 +13,10 @@
 	lastID  string // ID of the last complete event that has one
 	seen    bool   // an event was complete since the last reset
 
-	lines int    // bytes of pending that are complete lines
-	field bool   // one of these lines is a field, not a comment
-	id    []byte // ID of the incomplete event; nil if it has none yet
+	lines   int    // bytes of pending that are complete lines
+	scanned int    // bytes of pending that are known to hold no further line end
+	field   bool   // one of these lines is a field, not a comment
+	id      []byte // ID of the incomplete event; nil if it has none yet
 }
 
 // reset drops an incomplete event: the stream goes on at another upstream.
@@ -28,8 +29,9 @@
 	e.pending = append(e.pending, p...)
 	end := 0
 	for {
-		line, size := firstLine(e.pending[e.lines:])
+		line, size := firstLine(e.pending[e.lines:], max(0, e.scanned-e.lines))
 		if size == 0 {
+			e.scanned = max(e.lines, len(e.pending)-1) // a CR at the end is looked at again
 			break
 		}
 		e.lines += size
@@ -46,16 +48,20 @@
 	whole := e.pending[:end:end]
 	e.pending = append([]byte(nil), e.pending[end:]...)
 	e.lines -= end
+	e.scanned = max(0, e.scanned-end)
 	return whole
 }
 
 // firstLine returns the first complete line of p without its end, and its size with it. Without one, size is zero. A CR
-// at the end of p may be half of the end of a line; a blank line ends an event all the same.
-func firstLine(p []byte) (line []byte, size int) {
-	i := bytes.IndexAny(p, "\r\n")
-	switch {
-	case i < 0:
+// at the end of p may be half of the end of a line; a blank line ends an event all the same. There is no line end in the
+// first scanned bytes.
+func firstLine(p []byte, scanned int) (line []byte, size int) {
+	i := bytes.IndexAny(p[scanned:], "\r\n")
+	if i < 0 {
 		return nil, 0
+	}
+	i += scanned
+	switch {
 	case p[i] == '\n', i+1 < len(p) && p[i+1] != '\n':
 		return p[:i], i + 1
 	case i+1 < len(p):
--- a/node/proxy/plain.go
+++ b/node/proxy/plain.go
@@ -64,6 +64,7 @@
 	ending := x.end(a, upstream.BodyEnd{Err: err, Abandoned: ctx.Err() != nil, TooLarge: len(body) > maxPlainResponseBytes})
 	switch {
 	case ending == upstream.EndedTooLarge:
+		upstream.CountOversized("body")
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeAnswerCut, "the answer of %s is above %d bytes", a.member.ID, maxPlainResponseBytes)
 	case !ending.Complete():
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeAnswerCut, "the answer of %s was cut (%s, framing %s): %v", a.member.ID, ending, a.response.Framing(), err)
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -39,7 +39,6 @@
 	// may set, which change while the listener is open.
 	headerTimeout       = 10 * time.Second
 	idleTimeout         = 60 * time.Second
-	maxHeaderBytes      = 64 << 10
 	defaultMaxBodyBytes = 4 << 20
 	// defaultRetryAfter is the Retry-After of calls that were not run for lack of an upstream or of memory.
 	defaultRetryAfter = 200 * time.Millisecond
@@ -174,8 +173,8 @@
 	s.evidence, s.trials = quarantine.NewEvidence(s.guard), quarantine.NewTrials()
 	s.crashDetector = quarantine.NewCrashDetector(s.pool.Probe, s.upstreamCrashed, boottime.System())
 	s.callsContext, s.cancelCalls = context.WithCancel(context.Background())
-	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: withConnection}
-	s.readyServer = &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerTimeout}
+	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: wire.MaxRequestHeadBytes, ConnContext: withConnection}
+	s.readyServer = &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: wire.MaxRequestHeadBytes}
 	return s
 }
 
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/juju/errors"
+
 	"caperdrum.org/api/optext"
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
@@ -14,7 +16,15 @@
 	"caperdrum.org/node/upstream"
 )
 
-const readChunkBytes = 16 << 10
+const (
+	readChunkBytes = 16 << 10
+	// maxEventBytes bounds an event of a stream, which is buffered until it is complete. An event of the users' engines
+	// holds a few tokens.
+	maxEventBytes = 64 << 10
+)
+
+// errEventTooLarge says that an upstream sends more without the end of an event than is buffered.
+const errEventTooLarge = errors.ConstError("proxy: more was sent without the end of an event than is buffered")
 
 // serveStream serves a call whose response is a stream of server-sent events.
 func (x *exchange) serveStream(ctx context.Context) error {
@@ -110,6 +120,7 @@
 	x       *exchange
 	started bool
 	events  eventSplitter
+	counted int64    // bytes of events.pending that count against the memory budget
 	openEnd *openEnd // nil unless the caller speaks HTTP/1.0
 }
 
@@ -130,7 +141,7 @@
 func (o *streamWriter) copy(ctx context.Context, a *attempt) error {
 	defer o.x.setWriteDeadline(time.Now())()
 	buffer := newStreamBuffer(ctx, a.response.Body, o.x.s.memory)
-	err := o.copyFrom(ctx, buffer, a.member)
+	err := o.copyFrom(ctx, buffer, a)
 	if err != io.EOF {
 		a.response.Abort() // unblocks a pending read
 	}
@@ -138,8 +149,8 @@
 	return err
 }
 
-func (o *streamWriter) copyFrom(ctx context.Context, buffer *streamBuffer, from wire.Member) error {
-	flush := http.NewResponseController(o.x.w)
+func (o *streamWriter) copyFrom(ctx context.Context, buffer *streamBuffer, a *attempt) error {
+	flush, from, limit := http.NewResponseController(o.x.w), a.member, maxPendingBytes(a.response.Header)
 	for {
 		data, err := buffer.next()
 		if err != nil {
@@ -156,7 +167,39 @@
 				return err
 			}
 		}
+		if err := o.countPending(ctx, limit); err != nil {
+			return err
+		}
+	}
+}
+
+// maxPendingBytes returns how much of a response may be buffered before it is passed on. One that is no stream of events is
+// passed on once it is complete.
+func maxPendingBytes(h http.Header) int {
+	if statesEvents(h) {
+		return maxEventBytes
+	}
+	return maxPlainResponseBytes
+}
+
+// countPending counts an incomplete event against the memory budget, and waits while that is exhausted.
+func (o *streamWriter) countPending(ctx context.Context, limit int) error {
+	pending := len(o.events.pending)
+	if pending > limit {
+		upstream.CountOversized("event")
+		return errEventTooLarge
+	}
+	memory, more := &o.x.memory, max(0, int64(pending)-uncountedBytes)-o.counted
+	if more > 0 {
+		if err := memory.budget.reserve(ctx, memory, more); err != nil {
+			return err
+		}
+	} else {
+		memory.budget.free(-more)
 	}
+	memory.reserved += more
+	o.counted += more
+	return nil
 }
 
 // noteFirstEvent records when the first event of the attempt in progress arrived.
@@ -169,7 +212,7 @@
 // bodyEnd describes the end of the stream's current response, whose reader got err. A response of another type than
 // events is passed on as it is.
 func (o *streamWriter) bodyEnd(ctx context.Context, a *attempt, err error) upstream.BodyEnd {
-	end := upstream.BodyEnd{Err: err, Abandoned: ctx.Err() != nil || o.x.callerGone}
+	end := upstream.BodyEnd{Err: err, Abandoned: ctx.Err() != nil || o.x.callerGone, TooLarge: err == errEventTooLarge}
 	if o.x.r.Method != http.MethodHead && (o.events.seen || statesEvents(a.response.Header)) {
 		end.InsideEvent = o.events.insideEvent(a.response.Framing() != upstream.FramedByClose)
 		end.NoEvent = !o.events.seen
--- a/node/stagework/calls.go
+++ b/node/stagework/calls.go
@@ -157,7 +157,7 @@
 		return
 	}
 	defer resp.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes)); err != nil {
 		s.log.V(logging.Detail).Info("response to freeing results not read", "upstream", m.ID, "error", err.Error())
 	}
 }
--- a/node/upstream/call.go
+++ b/node/upstream/call.go
@@ -73,6 +73,7 @@
 	if err := r.readHead(p.protocol, req); err != nil {
 		detach()
 		c.Close()
+		countOversized(err)
 		if ctx.Err() != nil {
 			return nil, verdict.New(verdict.MayHaveRun, verdict.CodeDeadlineExceeded, "no answer of %s in time", req.Address)
 		}
@@ -129,12 +130,17 @@
 // readHead reads until the response to this call begins. It skips informational responses and those to
 // earlier calls.
 func (r *Response) readHead(protocol Protocol, req *Request) error {
-	for stray := 0; stray <= maxStrayResponses; {
+	for stray, interim := 0, 0; stray <= maxStrayResponses; {
+		r.conn.head.begin()
 		resp, err := http.ReadResponse(r.conn.br, &http.Request{Method: req.Method})
+		r.conn.head.end()
 		if err != nil {
 			return err
 		}
 		if resp.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterimResponses {
+				return errTooManyInterim
+			}
 			continue
 		}
 		info := protocol.ParseResponse(resp.StatusCode, resp.Header)
@@ -144,7 +150,7 @@
 			return nil
 		}
 		stray++
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := discardStray(resp.Body); err != nil {
 			return err
 		}
 	}
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -56,8 +56,9 @@
 	net.Conn
 	pool    *Pool
 	address string
-	br      *bufio.Reader
-	expires time.Time // when it must no longer be used
+	head    headReader    // reads from Conn
+	br      *bufio.Reader // reads from head
+	expires time.Time     // when it must no longer be used
 	once    sync.Once
 }
 
@@ -133,7 +134,8 @@
 		c.Close()
 		return nil, connectError(ctx, address, err)
 	}
-	c.br = bufio.NewReaderSize(raw, readBuffer)
+	c.head.r = raw
+	c.br = bufio.NewReaderSize(&c.head, readBuffer)
 	return c, nil
 }
 
