configsync, proxy: a view is published before its confirmation counts, and read after it

Cause: Holder.Apply recorded the confirmation before the listeners had the view, one of which builds the proxy's table; and a call read its table before the age of the confirmation. In both windows the old table counted as confirmed a moment ago.

Change: ApplyAndPublish calls the listeners between the two; a call reads the age first and judges keys and unknown routes by that age.

Why it works: whoever reads a recent confirmation finds the view that it confirms in whatever the listeners derive from it.

Failed before: TestKeyRevokedDuringAnOutage, 200 for the revoked key with the two reads in the earlier order; TestViewIsPublishedBeforeItsConfirmationCounts tests an order that could not be expressed before. The gateway's spec "is not ready before its services have applied the first view" waited for a confirmation while a listener was blocked, which relied on the wrong order; it now waits for the view and asserts besides that it does not count as confirmed.

--- a/node/configsync/confirmation_test.go
+++ b/node/configsync/confirmation_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"caperdrum.org/api/wire"
 )
 
@@ -41,3 +43,32 @@
 		})
 	}
 }
+
+// TestViewIsPublishedBeforeItsConfirmationCounts checks that whoever reads a recent confirmation finds the view that it confirms
+// published, so that a key which that view revokes is not accepted as recently confirmed.
+func TestViewIsPublishedBeforeItsConfirmationCounts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := NewHolder(wire.Member{ID: "m"})
+	apply := func(version uint64) (published uint64) {
+		t.Helper()
+		reply := &wire.SyncReply{StampAge: 0, Version: version, Config: &wire.ConfigText{Version: version, Text: "", Hash: xxhash.Sum64String("")}}
+		_, err := h.ApplyAndPublish(reply, now, func(v *View) {
+			published = v.Version
+			if version > 1 && h.StampAge(now) < time.Minute {
+				t.Errorf("version %d counts as confirmed %v ago before it is published", version, h.StampAge(now))
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return published
+	}
+	apply(1)
+	now = now.Add(time.Minute) // cut off
+	if got := apply(2); got != 2 {
+		t.Fatalf("version %d was published", got)
+	}
+	if age := h.StampAge(now); age != 0 {
+		t.Fatalf("confirmed %v ago", age)
+	}
+}
--- a/node/configsync/holder.go
+++ b/node/configsync/holder.go
@@ -128,6 +128,12 @@
 // The confirmation's age was measured after the request was made, so asked minus the age is no later than the
 // confirmation.
 func (h *Holder) Apply(reply *wire.SyncReply, asked time.Time) (*View, error) {
+	return h.ApplyAndPublish(reply, asked, func(*View) {})
+}
+
+// ApplyAndPublish is Apply, and calls publish with a new view before its confirmation counts. What is derived from views by
+// publish is thus never older than a confirmation that was read before it.
+func (h *Holder) ApplyAndPublish(reply *wire.SyncReply, asked time.Time, publish func(*View)) (*View, error) {
 	confirmed := reply.StampAge >= 0 && reply.StampAge <= maxConfirmationAge
 	old := h.View()
 	if !confirmed && old == nil {
@@ -159,6 +165,7 @@
 	if old == nil || next.differs(old) {
 		h.view.Store(&next)
 		changed = &next
+		publish(changed)
 	}
 	if !confirmed {
 		return changed, errStale
--- a/node/configsync/loop.go
+++ b/node/configsync/loop.go
@@ -214,11 +214,10 @@
 		s.directory.Learn(reply.Control)
 	}
 	timing := updateTiming{whole: reply.Config != nil, arrived: s.clock.Since(asked)}
-	changed, err := s.holder.Apply(reply, asked)
-	timing.parsed = s.clock.Since(asked) - timing.arrived
-	if changed != nil {
+	_, err := s.holder.ApplyAndPublish(reply, asked, func(changed *View) {
+		timing.parsed = s.clock.Since(asked) - timing.arrived
 		s.publish(changed, before, timing)
-	}
+	})
 	if err == nil && !reply.Renewed {
 		return errNotRenewed
 	}
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -296,9 +296,10 @@
 		release := sync.OnceFunc(func() { close(proceed) })
 		s = newSystem(true, func(*configsync.View) { <-proceed })
 		DeferCleanup(s.close)
-		DeferCleanup(release)                                                    // before close, which waits for the blocked callback
-		Eventually(s.sync.StampAge, "30s").Should(BeNumerically("<", time.Hour)) // the view has arrived and is confirmed
+		DeferCleanup(release)                             // before close, which waits for the blocked callback
+		Eventually(s.sync.View, "30s").ShouldNot(BeNil()) // the view has arrived
 		Expect(s.service.notReady()).To(Equal("no configuration yet"))
+		Expect(s.sync.StampAge()).To(BeNumerically(">", time.Hour), "a view counts as confirmed before it is applied")
 		release()
 		Eventually(s.service.notReady, "30s").Should(BeEmpty())
 		resp, data := s.do("POST", "/v1/services/price-list/p", "foundry", "{}")
--- a/node/proxy/admit.go
+++ b/node/proxy/admit.go
@@ -22,7 +22,7 @@
 		return verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "%s", invalid)
 	}
 	if x.route = x.table.route(x.r.Host, x.r.URL.EscapedPath()); x.route == nil {
-		if s.stale() {
+		if x.stale() {
 			return verdict.New(verdict.NotRun, verdict.CodeConfigStale, "no such route as far as is known here").WithRetryAfter(outageRetryAfter())
 		}
 		return verdict.New(verdict.NotRun, verdict.CodeNotFound, "no such route")
@@ -46,7 +46,7 @@
 		return nil
 	}
 	tooLate := x.s.startup.wait(x.r.Context(), x.call.Timeout)
-	x.table = x.s.table.Load()
+	x.loadTable()
 	switch {
 	case tooLate:
 		return verdict.New(verdict.NotRun, verdict.CodeDeadlineUnreachable, "the deadline passed before there was a configuration")
@@ -69,13 +69,13 @@
 	if x.route.Public || !x.table.config.KeysRequired {
 		return nil
 	}
-	if x.s.views.StampAge() > x.s.set.Proxy.KeyAge {
+	if x.stampAge > x.s.set.Proxy.KeyAge {
 		return verdict.New(verdict.NotRun, verdict.CodeConfigStale, "keys cannot be checked here now").WithRetryAfter(outageRetryAfter())
 	}
 	if x.customer = x.table.customer(x.call.BearerKey); x.customer != nil {
 		return nil
 	}
-	if x.s.stale() {
+	if x.stale() {
 		return verdict.New(verdict.NotRun, verdict.CodeConfigStale, "no such key as far as is known here").WithRetryAfter(outageRetryAfter())
 	}
 	e := verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "unknown key")
--- a/node/proxy/keys_test.go
+++ b/node/proxy/keys_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"caperdrum.org/api/optext"
 )
@@ -35,3 +36,23 @@
 		})
 	}
 }
+
+// TestKeyRevokedDuringAnOutage lets a process get a new view without a key, and its confirmation, at the moment at which it
+// reads the age of its last confirmation. The key must be checked against that view, not against the one before.
+func TestKeyRevokedDuringAnOutage(t *testing.T) {
+	f := newFixture(t)
+	f.upstream("desk", "d1", answerOK)
+	c, err := optext.Parse("t", []byte(strings.Replace(testConfig, "keys = secret, older", "keys = older", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.views.age = time.Hour
+	f.wantStatus(http.StatusServiceUnavailable, http.MethodPost, "/confirm/x", nil)
+	f.views.onRead = func() {
+		next := f.view
+		next.Config, next.Version = c, f.view.Version+1
+		f.service.applyView(&next)
+		f.views.age = 0
+	}
+	f.wantStatus(http.StatusUnauthorized, http.MethodPost, "/confirm/x", nil)
+}
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -128,6 +128,7 @@
 	table          atomic.Pointer[table]
 	startup        *startupWait
 	stopping       atomic.Bool
+	rotated        <-chan time.Time       // when the load balancer has noticed that the process is not ready; set by BeginStop
 	notReadyReason atomic.Pointer[string] // last reported state: why this process is not ready, empty if it is; nil before the first report
 	callsContext   context.Context        // cancelled when calls must get their final response
 	cancelCalls    context.CancelFunc
@@ -264,6 +265,7 @@
 	r            *http.Request
 	call         upstream.Call
 	table        *table
+	stampAge     time.Duration // age of the last confirmation; the table is as new as this or newer
 	route        *optext.Route
 	service      *optext.Service
 	customer     *optext.Customer
@@ -298,7 +300,8 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{s: s, w: w, r: r, began: time.Now(), table: s.table.Load(), memory: callMemory{budget: s.memory}}
+	x := &exchange{s: s, w: w, r: r, began: time.Now(), memory: callMemory{budget: s.memory}}
+	x.loadTable()
 	defer x.memory.release()
 	if s.stopping.Load() || s.ingress != nil && s.ingress.Limited() {
 		w.Header().Set("Connection", "close") // sends the caller's next call to another process
@@ -346,9 +349,19 @@
 // all retry at the same time.
 func outageRetryAfter() time.Duration { return minOutageWait + rand.N(maxOutageWait-minOutageWait) }
 
-// stale reports whether a route or key that is unknown to this process may be known to others.
+// stale reports whether what this process does not know may be known to others.
 func (s *Service) stale() bool { return s.views.StampAge() > staleAfter }
 
+// loadTable loads the table by which the call is admitted. The age of the confirmation is read first: a view is in the table
+// before its confirmation counts, so the table is as new as this age or newer.
+func (x *exchange) loadTable() {
+	x.stampAge = x.s.views.StampAge()
+	x.table = x.s.table.Load()
+}
+
+// stale reports whether a route or key that is not in the call's table may be known to others.
+func (x *exchange) stale() bool { return x.stampAge > staleAfter }
+
 // hopByHop are headers that apply to a single connection (RFC 9110, section 7.6.1).
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
 
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -83,9 +83,17 @@
 `
 
 // fixedViews is a viewSource whose last confirmation has a fixed age.
-type fixedViews struct{ age time.Duration }
+type fixedViews struct {
+	age    time.Duration
+	onRead func() // called when the age is read; may be nil
+}
 
-func (v *fixedViews) StampAge() time.Duration     { return v.age }
+func (v *fixedViews) StampAge() time.Duration {
+	if v.onRead != nil {
+		v.onRead()
+	}
+	return v.age
+}
 func (v *fixedViews) ConfirmedFor() time.Duration { return time.Hour }
 func (v *fixedViews) Self() wire.Member {
 	return wire.Member{ID: "proxy-1", Peer: "127.0.0.1:1", Incarnation: 1}
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -279,7 +279,7 @@
 	}
 	refusedVar.Add(string(e.Code)+"/"+e.Verdict.String(), 1)
 	x.s.log.Info("call refused", "request", x.call.ID, "route", x.routeName(), "status", e.Status, "code", e.Code, "verdict", e.Verdict,
-		"reason", e.Message, "sends", x.sends, "after", time.Since(x.began), "left", time.Until(x.deadline), "config_version", x.configVersion(), "stamp_age", logging.Age(x.s.views.StampAge()))
+		"reason", e.Message, "sends", x.sends, "after", time.Since(x.began), "left", time.Until(x.deadline), "config_version", x.configVersion(), "stamp_age", logging.Age(x.stampAge))
 	h := x.w.Header()
 	h.Set("Content-Type", "application/json")
 	if x.s.notReady() != "" {
