--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -21,6 +21,7 @@
 	"caperdrum.org/api/timeline"
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/control"
+	"caperdrum.org/node/httpstop"
 	"caperdrum.org/node/replica"
 	"caperdrum.org/node/security"
 	"caperdrum.org/node/settings"
@@ -45,6 +46,7 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	requestTimeout    = 5 * time.Second
+	stopGrace         = time.Second
 	maxChangeBytes    = 16 << 20
 )
 
@@ -104,7 +106,7 @@
 }
 
 // Stop implements kernel.Stopper.
-func (s *Service) Stop(ctx context.Context) error { return s.server.Shutdown(ctx) }
+func (s *Service) Stop(ctx context.Context) error { return httpstop.Stop(ctx, s.server, stopGrace) }
 
 // errResponseWritten says that the error response has already been written.
 var errResponseWritten = errors.New("admin: refused")
--- a/node/debug/debug.go
+++ b/node/debug/debug.go
@@ -15,6 +15,7 @@
 
 	"caperdrum.org/api/timeline"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/httpstop"
 	"caperdrum.org/node/security"
 	"caperdrum.org/node/settings"
 )
@@ -37,7 +38,10 @@
 // Address returns the listen address of the server.
 func (s *Server) Address() string { return s.address }
 
-const readHeaderTimeout = 5 * time.Second
+const (
+	readHeaderTimeout = 5 * time.Second
+	stopGrace         = time.Second
+)
 
 // New returns the server. Start opens its listener.
 func New(p Params) *Server {
@@ -70,4 +74,4 @@
 }
 
 // Stop implements kernel.Stopper.
-func (s *Server) Stop(ctx context.Context) error { return s.http.Shutdown(ctx) }
+func (s *Server) Stop(ctx context.Context) error { return httpstop.Stop(ctx, s.http, stopGrace) }
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -110,12 +110,15 @@
 	return nil
 }
 
+// BeginStop implements kernel.Drainer. It announces that the upstream is leaving.
+func (s *Service) BeginStop() { s.Leave(true) }
+
 // Stop implements kernel.Stopper. It admits no new work and waits for every attempt in flight. The listener
 // stays open for at least LeaveGrace and refuses new work as not run, until the entries know that the gate is
 // leaving: a submission lost on a closing connection could not be told from one that ran. When ctx ends, the
 // remaining attempts are cut off and Stop returns an error with their number.
 func (s *Service) Stop(ctx context.Context) error {
-	s.Leave(true)
+	s.BeginStop()
 	graceEnd := time.Now().Add(s.set.LeaveGrace)
 	for {
 		queued, running, _ := s.table.load()
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -44,7 +44,8 @@
 	server      *http.Server
 	viewApplied atomic.Bool // the entry's other services have applied a configuration view
 	draining    atomic.Bool
-	receiving   atomic.Int64 // requests being read, refused or served
+	rotated     <-chan time.Time // when the load balancer has noticed; set by BeginStop
+	receiving   atomic.Int64     // requests being read, refused or served
 }
 
 var (
@@ -95,12 +96,18 @@
 	return nil
 }
 
-// Stop implements kernel.Stopper. It ends readiness first, so that the load balancer sends no more requests,
-// then waits for those in flight.
+// BeginStop implements kernel.Drainer. It ends readiness, so that the load balancer sends no more requests.
+func (s *Service) BeginStop() {
+	if !s.draining.Swap(true) {
+		s.rotated = time.After(balancerGrace)
+	}
+}
+
+// Stop implements kernel.Stopper. It waits until the load balancer has noticed, and for the requests in flight.
 func (s *Service) Stop(ctx context.Context) error {
-	s.draining.Store(true)
+	s.BeginStop()
 	select {
-	case <-time.After(balancerGrace):
+	case <-s.rotated:
 	case <-ctx.Done():
 	}
 	return s.server.Shutdown(ctx)
--- a/node/kernel/kernel.go
+++ b/node/kernel/kernel.go
@@ -34,6 +34,12 @@
 	Stop(ctx context.Context) error
 }
 
+// Drainer is a service that others have to know to be stopping before its turn to stop comes, such as one that load
+// balancers send callers to. BeginStop must not block. The services that stop before it may take long.
+type Drainer interface {
+	BeginStop()
+}
+
 // Kernel holds the modules of a process.
 type Kernel struct {
 	log       logr.Logger
@@ -125,8 +131,13 @@
 	return nil
 }
 
-// Stop stops the started modules in reverse order and returns the first error.
+// Stop tells the started modules that they will be stopped, stops them in reverse order, and returns the first error.
 func (k *Kernel) Stop(ctx context.Context) error {
+	for i := len(k.started) - 1; i >= 0; i-- {
+		if d, ok := k.services[k.started[i].Name].(Drainer); ok {
+			d.BeginStop()
+		}
+	}
 	var first error
 	for i := len(k.started) - 1; i >= 0; i-- {
 		m := k.started[i]
--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -238,17 +238,25 @@
 	return nil
 }
 
-// Stop implements kernel.Stopper. The process reports at once that it is not ready, keeps serving until the load
-// balancer has noticed, and then finishes the calls in progress.
-func (s *Service) Stop(ctx context.Context) error {
-	s.stopping.Store(true)
+// BeginStop implements kernel.Drainer. The process reports from now on that it is not ready.
+func (s *Service) BeginStop() {
+	if s.stopping.Swap(true) {
+		return
+	}
+	s.rotated = time.After(s.set.Proxy.Rotation)
 	s.views.SetLeaving(true)
 	s.log.Info("readiness changed", "ready", false, "reason", "stopping")
+}
+
+// Stop implements kernel.Stopper. The process keeps serving until the load balancer has noticed that it is not ready, and
+// then finishes the calls in progress.
+func (s *Service) Stop(ctx context.Context) error {
+	s.BeginStop()
 	if deadline, ok := ctx.Deadline(); ok {
 		defer time.AfterFunc(time.Until(deadline)-finalResponseTime, s.cancelCalls).Stop()
 	}
 	select {
-	case <-time.After(s.set.Proxy.Rotation):
+	case <-s.rotated:
 	case <-ctx.Done():
 	}
 	err := s.server.Shutdown(ctx)
