proxy: a stream that is given up while its buffer is full does not wait for the deadline

What callers saw: nothing yet in production; a stream that could go on at another upstream ended at its deadline.

Cause: streamBuffer.free waits until reading has ended. Closing the connection ends a read, but a reader that waits for room in a full buffer waits for the next read of the buffer or for the call's context. The bound on events made it easy to reach; a caller that left beside a full buffer could reach it before.

Change: free says so, and the reader ends.

Failed before: TestFullStreamBufferIsFreed (timed out). It fills the buffer first, so it does not depend on load.

--- a/node/proxy/stream_buffer.go
+++ b/node/proxy/stream_buffer.go
@@ -19,6 +19,7 @@
 	mu     sync.Mutex
 	data   []byte
 	err    error         // why nothing follows data
+	freed  bool          // nothing is read from the buffer any more
 	change chan struct{} // closed at the next change; nil if nobody waits
 	done   chan struct{} // closed when reading has ended
 }
@@ -46,6 +47,10 @@
 func (s *streamBuffer) add(p []byte, err error) bool {
 	for {
 		s.mu.Lock()
+		if s.freed {
+			s.mu.Unlock()
+			return false
+		}
 		empty := len(s.data) == 0
 		if empty {
 			s.budget.forceReserve(int64(len(p)))
@@ -93,8 +98,12 @@
 	}
 }
 
-// free waits until reading has ended and frees the remaining data. The caller must make reading end.
+// free waits until reading has ended and frees the remaining data. The caller must end a read that is in progress.
 func (s *streamBuffer) free() {
+	s.mu.Lock()
+	s.freed = true
+	s.notify()
+	s.mu.Unlock()
 	<-s.done
 	s.budget.free(int64(len(s.data)))
 	s.data = nil
