--- a/node/upstream/bounds.go
+++ b/node/upstream/bounds.go
@@ -41,10 +41,11 @@
 	parsing bool
 	bytes   int // read since begin
 	lines   int
+	above   bool // the head is above the bound
 }
 
 // begin starts to bound what is read.
-func (h *headReader) begin() { h.parsing, h.bytes, h.lines = true, 0, 0 }
+func (h *headReader) begin() { h.parsing, h.bytes, h.lines, h.above = true, 0, 0, false }
 
 // end removes the bound.
 func (h *headReader) end() { h.parsing = false }
@@ -55,6 +56,7 @@
 		return h.r.Read(p)
 	}
 	if h.bytes >= maxHeadBytes || h.lines >= maxHeadLines {
+		h.above = true
 		return 0, errHeadTooLarge
 	}
 	n, err := h.r.Read(p)
--- a/node/upstream/call.go
+++ b/node/upstream/call.go
@@ -134,6 +134,9 @@
 		r.conn.head.begin()
 		resp, err := http.ReadResponse(r.conn.br, &http.Request{Method: req.Method})
 		r.conn.head.end()
+		if err != nil && r.conn.head.above {
+			return errHeadTooLarge // the parser reports the line that was cut instead
+		}
 		if err != nil {
 			return err
 		}
