--- a/review/second/cmd/review2/main.go
+++ b/review/second/cmd/review2/main.go
@@ -28,7 +28,8 @@
 }
 
 var cases = map[string]func(env) int{
-	"silent": silentCase,
+	"leaving": leavingCase,
+	"silent":  silentCase,
 }
 
 func main() {
