--- a/review/second/cmd/review2/main.go
+++ b/review/second/cmd/review2/main.go
@@ -28,8 +28,10 @@
 }
 
 var cases = map[string]func(env) int{
-	"leaving": leavingCase,
-	"silent":  silentCase,
+	"leaving":  leavingCase,
+	"founder":  founderCase,
+	"silent":   silentCase,
+	"versions": versionsCase,
 }
 
 func main() {
