--- a/review/second/cmd/review2/leaving.go
+++ b/review/second/cmd/review2/leaving.go
@@ -12,7 +12,8 @@
 // noticeToEnd is how long after its notice a reclaimed worker is gone (fleetbench kinds: scale_in, how spot, x s (2)).
 const noticeToEnd = 2 * time.Second
 
-// leavingCase: a worker says that it leaves and is gone 2 s later, while it writes streams that end with their connection.
+// leavingCase: a worker says that it leaves and is gone 2 s later, while it writes streams that end with their connection. It is one of
+// poolSize.
 func leavingCase(e env) int {
 	s, err := newSystem(e.r, []bool{true, true, true, false})
 	if err != nil {
@@ -25,16 +26,20 @@
 	if _, ok := s.put(e.ctx, document(4)); !ok {
 		return e.fail("desired state", fmt.Errorf("not acknowledged"))
 	}
-	w, err := s.startWorker("w1", "-id", "i-1", "-service", "pool", "-addr", s.net+".101:8080", "-unframed", "-events", fmt.Sprint(streamEvents))
-	if err != nil {
-		return e.fail("worker", err)
+	var workers []*process
+	for i := range poolSize {
+		w, err := s.startWorker(fmt.Sprint("w", i+1), "-id", fmt.Sprint("i-", i+1), "-service", "pool", "-addr", fmt.Sprintf("%s.%d:8080", s.net, 101+i), "-unframed", "-events", fmt.Sprint(streamEvents))
+		if err != nil {
+			return e.fail("worker", err)
+		}
+		workers = append(workers, w)
 	}
 	for _, n := range s.nodes {
 		if !await(e.ctx, n.isReady) || !await(e.ctx, func() bool { return s.begins(e, n, "warm-"+n.name, "desk.example") }) {
 			return e.fail("warm-up", fmt.Errorf("%s serves no stream", n.name))
 		}
 	}
-	results := make([]outcome, 2*len(s.nodes))
+	results := make([]outcome, poolStreams)
 	var all sync.WaitGroup
 	for i := range results {
 		all.Go(func() {
@@ -44,10 +49,10 @@
 	time.Sleep(time.Second)
 	if e.trouble {
 		e.r.add("worker w1 gets its notice")
-		w.signal(syscall.SIGUSR1)
+		workers[0].signal(syscall.SIGUSR1)
 		time.Sleep(noticeToEnd)
 		e.r.add("worker w1 is gone")
-		w.kill()
+		workers[0].kill()
 	}
 	all.Wait()
 	count := map[outcome]int{}
@@ -70,17 +75,17 @@
 // stream sends a request for a stream and checks what comes back.
 func (s *system) stream(e env, n *node, id, host string) outcome {
 	e.r.add("client: %s sent to %s", id, n.name)
-	status, h, body, err := call(e.ctx, http.MethodPost, "http://"+n.front+"/chat/x", "hello", headers(host, id, 12000))
+	status, h, body, err := call(e.ctx, http.MethodPost, "http://"+n.front+"/chat/x", "hello "+id, ownPrompt(headers(host, id, 12000), id))
 	events := strings.Count(body, "\n\n")
 	o := whole
 	switch {
-	case status != http.StatusOK || h.Get("X-Response-Seal") == "":
+	case status != http.StatusOK || h.Get(name("seal")) == "":
 		o = refused
 	case err != nil:
 		o = brokenOff
 	case events < streamEvents:
 		o = shortButComplete
 	}
-	e.r.add("client: %s from %s: status %d, seal %q, %d of %d events, end of the body: %v: %s", id, n.name, status, h.Get("X-Response-Seal"), events, streamEvents, err, o)
+	e.r.add("client: %s from %s: status %d, seal %q, %d of %d events, end of the body: %v: %s", id, n.name, status, h.Get(name("seal")), events, streamEvents, err, o)
 	return o
 }
--- a/review/second/cmd/review2/silent.go
+++ b/review/second/cmd/review2/silent.go
@@ -119,7 +119,7 @@
 			}
 			staged := fmt.Sprintf("%08x%08x", 0x57a9ed00+round, i)
 			h := headers("staged.example", staged, 6000)
-			h["X-Pieces"], h["X-Piece-Key"] = "2", "7c1e07a291bd"
+			h[name("pieces")], h[name("pieceKey")] = "2", "7c1e07a291bd"
 			withStage := s.firstEvents(e, from, staged, h) != ""
 			mu.Lock()
 			defer mu.Unlock()
--- a/review/second/cmd/review2/system.go
+++ b/review/second/cmd/review2/system.go
@@ -175,8 +175,8 @@
 	n.file, n.dataDir, n.logFile = filepath.Join(s.dir, n.name+".ini"), filepath.Join(s.dir, n.name), filepath.Join(s.dir, n.name+".log")
 	n.fields = map[string]string{
 		"node": n.name, "zone": zones[i%4], "zones": "aspropyrgos:attica,elefsina:attica,marousi:attica,koropi:attica", "ip": ip,
-		"lossCounts": fmt.Sprint(disk), "dataDir": n.dataDir, "seeds": strings.Join(seeds, ","), "portRange.0": s.ports[3], "bootstrap": fmt.Sprint(first),
-		"listen.front": n.front, "listen.readinessAddr": n.ready, "listen.control": n.control, "tolerate.machines": "1", "tolerate.zones": "0",
+		name("counted"): fmt.Sprint(disk), "dataDir": n.dataDir, "seeds": strings.Join(seeds, ","), name("port"): s.ports[3], "bootstrap": fmt.Sprint(first),
+		name("front"): n.front, name("ready"): n.ready, name("control"): n.control, "tolerate.machines": "1", "tolerate.zones": "0",
 		"limits.memoryMb": "284", "limits.cpuShare": "0.72", "bounds.graceS": "8", "bounds.revokeMs": "5000", "bounds.budgetRatio": "0.2", "bounds.budgetSlack": "58", "bounds.budgetWindowS": "10",
 	}
 	s.nodes = append(s.nodes, n)
@@ -202,7 +202,7 @@
 		return err
 	}
 	defer out.Close()
-	n.p, err = startProcess(n.name, out, []string{"CAPERDRUM_CONFIG=" + n.file, "PATH=" + os.Getenv("PATH"), "HOME=" + s.dir}, "target/caperdrum")
+	n.p, err = startProcess(n.name, out, []string{name("settingsVariable") + "=" + n.file, "PATH=" + os.Getenv("PATH"), "HOME=" + s.dir}, "target/caperdrum")
 	n.fields["bootstrap"] = "false" // from the next start on
 	return err
 }
@@ -295,7 +295,7 @@
 			continue
 		}
 		one, cancel := context.WithTimeout(ctx, time.Second)
-		status, _, got, err := call(one, http.MethodPost, "http://"+n.control+"/config/put", document, nil)
+		status, _, got, err := call(one, http.MethodPost, "http://"+n.control+name("put"), document, nil)
 		cancel()
 		s.r.add("operator: put at %s: %d %s %v", n.name, status, strings.TrimSpace(got), err)
 		if status/100 == 2 {
--- a/review/second/cmd/review2/versions.go
+++ b/review/second/cmd/review2/versions.go
@@ -44,20 +44,21 @@
 	}
 	sleep(e.ctx, trafficStart)
 	one, two := s.net+".101:8080", s.net+".102:8080"
-	first := boot("w1", "i-1", one, "v1")
+	first, second := boot("w1", "i-1", one, "v1"), boot("w2", "i-2", two, "v1")
+	for i := 2; i < poolSize; i++ {
+		boot(fmt.Sprint("w", i+1), fmt.Sprint("i-", i+1), fmt.Sprintf("%s.%d:8080", s.net, 101+i), "v2")
+	}
 	for _, n := range s.nodes {
 		if !await(e.ctx, n.isReady) || !await(e.ctx, func() bool { return s.begins(e, n, "warm-"+n.name, "resume.example") }) {
 			return e.fail("warm-up", fmt.Errorf("%s serves no stream", n.name))
 		}
 	}
-	results := make([]mix, 2*len(s.nodes))
+	results := make([]mix, poolStreams)
 	var all sync.WaitGroup
 	for i := range results {
 		all.Go(func() { results[i] = s.versionsOf(e, s.nodes[i%len(s.nodes)], fmt.Sprintf("%016x", 0xbeef00+i)) })
 	}
-	time.Sleep(300 * time.Millisecond)
-	second := boot("w2", "i-2", two, "v1")
-	time.Sleep(1200 * time.Millisecond)
+	time.Sleep(1500 * time.Millisecond)
 	began := time.Now()
 	at := func(d time.Duration) { time.Sleep(time.Until(began.Add(d))) }
 	if e.trouble {
@@ -96,7 +97,7 @@
 // versionsOf has a stream served and returns the software versions of the workers that wrote its events.
 func (s *system) versionsOf(e env, n *node, id string) mix {
 	e.r.add("client: %s sent to %s", id, n.name)
-	status, _, body, err := call(e.ctx, http.MethodPost, "http://"+n.front+"/chat/x", "hello "+id, headers("resume.example", id, 12000))
+	status, _, body, err := call(e.ctx, http.MethodPost, "http://"+n.front+"/chat/x", "hello "+id, ownPrompt(headers("resume.example", id, 12000), id))
 	m := mix{versions: map[string]bool{}, whole: err == nil && status == http.StatusOK}
 	count := 0
 	for line := range strings.Lines(body) {
--- a/review/second/cmd/review2/worker.go
+++ b/review/second/cmd/review2/worker.go
@@ -97,7 +97,7 @@
 	for i := range w.o.controls {
 		control := w.o.controls[(int(w.seq.Load())+i)%len(w.o.controls)]
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		status, _, _, _ := call(ctx, http.MethodPost, "http://"+control+"/instances/"+w.o.id+"/heartbeat", data, nil)
+		status, _, _, _ := call(ctx, http.MethodPost, "http://"+control+replaceID(name("heartbeat"), w.o.id), data, nil)
 		cancel()
 		if status/100 == 2 {
 			fmt.Printf("heartbeat acknowledged: state %s, version %s, born %d\n", state, w.o.version, w.o.born)
@@ -108,15 +108,15 @@
 
 // ServeHTTP implements http.Handler.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Attempt-Id")
-	rw.Header().Set("X-Attempt-Id", id)
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != w.o.id {
-		rw.Header().Set("X-Not-Run", "1")
+	id := r.Header.Get(name("id"))
+	rw.Header().Set(name("id"), id)
+	if expected := r.Header.Get(name("expected")); expected != "" && expected != w.o.id {
+		rw.Header().Set(name("notRun"), "1")
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if r.URL.Path == "/health" {
-		rw.Header().Set("X-Instance", w.o.id)
+		rw.Header().Set(name("instance"), w.o.id)
 		return
 	}
 	if r.URL.Path == "/report" {
@@ -126,16 +126,16 @@
 	var body bytes.Buffer
 	body.ReadFrom(r.Body)
 	switch r.URL.Path {
-	case "/stage-run":
+	case name("runPieces"):
 		w.pieces(rw, body.Bytes())
 		return
-	case "/stage-free":
+	case name("freePieces"):
 		return
 	}
 	last := 0
 	fmt.Sscan(r.Header.Get("Last-Event-Id"), &last)
-	fmt.Printf("runs %s %s %s from event %d version %s deadline %s\n", id, r.Method, r.URL.Path, last+1, w.o.version, r.Header.Get("X-Deadline-Ms"))
-	rw.Header().Set("X-Response-Seal", "seal-"+w.o.id+"-"+id)
+	fmt.Printf("runs %s %s %s from event %d version %s deadline %s\n", id, r.Method, r.URL.Path, last+1, w.o.version, r.Header.Get(name("deadline")))
+	rw.Header().Set(name("seal"), "seal-"+w.o.id+"-"+id)
 	if strings.HasPrefix(r.URL.Path, "/chat/") {
 		w.stream(rw, r, id, last)
 		return
@@ -185,7 +185,7 @@
 			return
 		}
 		defer conn.Close()
-		fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: %s\r\nX-Response-Seal: %s\r\nConnection: close\r\n\r\n", id, rw.Header().Get("X-Response-Seal"))
+		fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: %s\r\nConnection: close\r\n\r\n", name("id"), id, name("seal"), rw.Header().Get(name("seal")))
 		write = func(text string) bool {
 			_, err := buf.WriteString(text)
 			return err == nil && buf.Flush() == nil
