peer: a connection that has gone silent is found and replaced, for every caller

Cause: each caller of peer.Client decided by itself whether its connection was dead. A call whose own deadline passed closed it, with all other calls over it; callers with short deadlines (records of streams, permits, probes, pings and jobs of the stage owner) therefore turned the deadline into a cancellation, and kept a dead connection for ever. Notifications noticed nothing.

Change: the connection itself is checked while an answer is owed (node/peer/link.go): a ping after 0.15 s without a byte, silent 0.3 s later. Further calls use a new connection. Calls in progress over the silent one fail once the process has answered on the new one and 0.2 s more have passed. No deadline closes a connection any more; CallWithin is gone. Calls that may be received twice are sent again over the new connection (CallIdempotent). Lookups of streams, copies of their records and updates of jobs may take longer than the replacement.

Why it works: whoever calls, and for however short a time, what the peer owes is still owed, and the check goes on. A slow handler owes nothing, since any process that runs answers a ping; one that is stopped answers on no connection and keeps its calls.

--- a/e2e/harness/relay.go
+++ b/e2e/harness/relay.go
@@ -42,6 +42,7 @@
 	from, to string // the process that opened it, and the one behind the relay
 	ends     [2]net.Conn
 	lossy    bool // bytes were dropped
+	silent   bool // carries nothing more, for good, not even its end
 }
 
 // NewNetwork returns a network without relays. The end of the test waits for its goroutines.
@@ -86,12 +87,26 @@
 	clear(n.faults)
 	n.notifyChange()
 	for l := range n.links {
-		if l.lossy {
+		if l.lossy && !l.silent {
 			l.close()
 		}
 	}
 }
 
+// Silence makes all open connections from one process to another silent for good: they stay open and carry nothing more,
+// while new ones work. Those of a process to itself are left alone. It returns their number.
+func (n *Network) Silence(from, to string) (silenced int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for l := range n.links {
+		if l.from != l.to && !l.silent && (from == Any || l.from == from) && (to == Any || l.to == to) {
+			l.silent = true
+			silenced++
+		}
+	}
+	return silenced
+}
+
 // CloseConnections closes all connections between two processes.
 func (n *Network) CloseConnections(from, to string) {
 	n.mu.Lock()
@@ -182,7 +197,11 @@
 const chunk = 64 << 10
 
 func (l *link) pump(src, dst net.Conn, from, to string) {
-	defer l.close()
+	defer func() {
+		if !l.isSilent() {
+			l.close()
+		}
+	}()
 	buf := make([]byte, chunk)
 	for {
 		k, err := src.Read(buf)
@@ -196,10 +215,19 @@
 	}
 }
 
+func (l *link) isSilent() bool {
+	l.network.mu.Lock()
+	defer l.network.mu.Unlock()
+	return l.silent
+}
+
 // forward applies the current fault to one chunk. It returns false if the link must be closed.
 func (l *link) forward(dst net.Conn, p []byte, from, to string) bool {
 	for {
 		f, delay, changed := l.currentFault(from, to)
+		if l.isSilent() {
+			return true
+		}
 		switch f {
 		case Drop:
 			return true
@@ -226,7 +254,7 @@
 	if f == Drop {
 		l.lossy = true
 	}
-	if l.lossy && f == Pass {
+	if l.lossy && f == Pass && !l.silent {
 		l.close()
 	}
 	return f, delay, changed
--- a/node/control/follower.go
+++ b/node/control/follower.go
@@ -87,7 +87,7 @@
 				client = peer.NewClient(address, s.transport.dial)
 			}
 			var reply RenewReply
-			return &reply, client.Call(ctx, MethodRenew, req, &reply)
+			return &reply, client.CallIdempotent(ctx, MethodRenew, req, &reply)
 		}}
 }
 
--- a/node/control/transport.go
+++ b/node/control/transport.go
@@ -49,10 +49,7 @@
 	// message.
 	maxBatchBytes = 1 << 20
 	sendTimeout   = time.Second
-	// minLinkRate is the rate in bytes per second below which a call with entries or a snapshot times out: a
-	// tenth of a link of 100 Mbit/s.
-	minLinkRate = 1.25e6
-	// ackInterval plus sendTimeout is the time in which a dead connection is detected.
+	// ackInterval is the time between two batches of heartbeats that are answered.
 	ackInterval      = 500 * time.Millisecond
 	queueIdleTimeout = time.Minute // after which an idle queue is removed
 )
@@ -190,22 +187,22 @@
 }
 
 // sendBatch sends a batch and reports whether the replica answered. Consensus sends lost messages again. A
-// batch of heartbeats alone is sent as a notification, except once per ackInterval, to detect a dead
-// connection.
+// batch of heartbeats alone is sent as a notification, except once per ackInterval, to detect a replica that
+// does not answer.
 func (t *transport) sendBatch(client *peer.Client, batch MessageBatch, needAck bool) (answered bool, err error) {
 	ctx, cancel := context.WithTimeout(t.ctx, sendTimeoutFor(batch.Messages))
 	defer cancel()
 	if !needAck && heartbeatsOnly(batch.Messages) {
 		return false, client.Notify(ctx, MethodRaft, batch)
 	}
-	err = client.Call(ctx, MethodRaft, batch, nil)
+	err = client.CallIdempotent(ctx, MethodRaft, batch, nil)
 	return err == nil, err
 }
 
 // sendTimeoutFor adds the transfer time of large messages: a snapshot would never arrive within a fixed
 // timeout.
 func sendTimeoutFor(messages []consensus.Message) time.Duration {
-	return sendTimeout + time.Duration(float64(payloadBytes(messages))/minLinkRate*float64(time.Second))
+	return sendTimeout + peer.TransferTime(payloadBytes(messages))
 }
 
 func heartbeatsOnly(messages []consensus.Message) bool {
--- a/node/ingress/probe.go
+++ b/node/ingress/probe.go
@@ -155,7 +155,7 @@
 	defer cancel()
 	var reply probeReply
 	began := s.clock.Now()
-	err := t.client.CallWithin(ctx, methodProbe, struct{}{}, &reply)
+	err := t.client.Call(ctx, methodProbe, struct{}{}, &reply)
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -11,45 +11,37 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
-// Client calls one address over one connection, which it opens on demand and reopens after a failure.
+// Client calls one address over one connection, which it opens on demand and reopens after a failure. A connection that
+// falls silent is replaced for all further calls. Its calls in progress fail once the process has answered on the new
+// connection and still sends nothing on the old one; a process that is slow or stopped keeps them.
 type Client struct {
 	address string
 	dial    Dialer
 	dialing chan struct{} // semaphore: contains a token during a dial
 
 	mu       sync.Mutex
-	conn     *jsonrpc2.Conn
+	current  *link
+	replaced map[*link]struct{} // silent connections with calls in progress
+	unheard  int                // consecutive connections that fell silent before anything was received
 	received atomic.Uint64
 }
 
 // NewClient returns a client. It connects on the first call.
 func NewClient(address string, dial Dialer) *Client {
-	return &Client{address: address, dial: dial, dialing: make(chan struct{}, 1)}
+	return &Client{address: address, dial: dial, dialing: make(chan struct{}, 1), replaced: map[*link]struct{}{}}
 }
 
 // BytesReceived returns the number of bytes received from the address so far. It grows while an answer is being
 // received.
 func (c *Client) BytesReceived() uint64 { return c.received.Load() }
 
-// countingConn counts received bytes.
-type countingConn struct {
-	net.Conn
-	received *atomic.Uint64
-}
-
-// Read implements io.Reader.
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.received.Add(uint64(n))
-	return n, err
-}
-
 // Address returns the address that the client calls.
 func (c *Client) Address() string { return c.address }
 
-func (c *Client) connection(ctx context.Context) (*jsonrpc2.Conn, error) {
-	if conn := c.connected(); conn != nil {
-		return conn, nil
+// acquire returns the connection for a call, with begin applied to it: a connection in use is not closed.
+func (c *Client) acquire(ctx context.Context, begin func(*link)) (*link, error) {
+	if l := c.connected(begin); l != nil {
+		return l, nil
 	}
 	select {
 	case c.dialing <- struct{}{}:
@@ -57,21 +49,20 @@
 	case <-ctx.Done():
 		return nil, errors.WithType(errors.Trace(ctx.Err()), ErrUnreachable)
 	}
-	if conn := c.connected(); conn != nil {
-		return conn, nil
+	if l := c.connected(begin); l != nil {
+		return l, nil
 	}
 	raw, err := dialWithRetry(ctx, c.dial, c.address)
 	if err != nil {
 		return nil, errors.WithType(errors.Trace(err), ErrUnreachable)
 	}
-	refuse := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end only calls"}
-	})
-	conn := jsonrpc2.NewConn(context.Background(), newStream(countingConn{raw, &c.received}), refuse, jsonrpc2.SetLogger(discardLogger{}))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.conn = conn
-	return conn, nil
+	timeout := pingTimeout << min(c.unheard, maxTimeoutDoublings)
+	l := newLink(raw, timeout, c.replace, &c.received)
+	begin(l)
+	c.current = l
+	return l, nil
 }
 
 // firstDialTimeout limits the first attempt to connect; each further attempt has twice as long. The SYN to a
@@ -94,75 +85,127 @@
 	}
 }
 
-func (c *Client) connected() *jsonrpc2.Conn {
+// connected returns the current connection, with begin applied to it, or nil if there is none.
+func (c *Client) connected(begin func(*link)) *link {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn == nil {
+	if c.current == nil {
 		return nil
 	}
 	select {
-	case <-c.conn.DisconnectNotify():
-		c.conn = nil
+	case <-c.current.conn.DisconnectNotify():
+		c.current.close()
+		c.current = nil
+		return nil
 	default:
 	}
-	return c.conn
+	begin(c.current)
+	return c.current
 }
 
-// Call sends params and decodes the answer into result. If ctx's deadline expires, the connection is closed,
-// since it may be dead. If ctx is cancelled, it is kept for other calls. The error is ErrUnreachable if the
-// call was not sent, or *ErrNotLeader or *verdict.Error if the server returned one.
+// Call sends params, at most once, and decodes the answer into result. The connection is kept for other calls if ctx ends.
+// The error is ErrUnreachable if the call was not sent, or *ErrNotLeader or *verdict.Error if the server returned one.
 func (c *Client) Call(ctx context.Context, method string, params, result any) error {
-	conn, err := c.connection(ctx)
+	l, err := c.acquire(ctx, (*link).beginCall)
 	if err != nil {
 		return err
 	}
-	err = conn.Call(ctx, method, params, result)
-	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		c.drop(conn)
-	}
-	if err != nil {
+	defer c.endCall(l)
+	if err := l.conn.Call(ctx, method, params, result); err != nil {
 		return decodeError(err)
 	}
 	return nil
 }
 
-// CallWithin is Call, except that the connection is kept for other calls if ctx's deadline expires: the process may be
-// slow, and the call is of use only until then.
-func (c *Client) CallWithin(ctx context.Context, method string, params, result any) error {
-	call, cancel := context.WithCancel(context.WithoutCancel(ctx))
+// maxSends bounds how often CallIdempotent sends a call.
+const maxSends = 3
+
+// CallIdempotent is Call for a call that may be received several times: it is sent again, over a new connection, when the
+// one that carries it falls silent or breaks. The error is ErrUnreachable only if it was never sent.
+func (c *Client) CallIdempotent(ctx context.Context, method string, params, result any) error {
+	for sends := 1; ; sends++ {
+		l, err := c.acquire(ctx, (*link).beginCall)
+		if err != nil && sends > 1 {
+			return errors.Errorf("peer: connection lost during a call, then: %v", err)
+		}
+		if err != nil {
+			return err
+		}
+		err = c.callUntilSilent(ctx, l, method, params, result)
+		if answered(err) || ctx.Err() != nil || sends == maxSends {
+			if err != nil {
+				return decodeError(err)
+			}
+			return nil
+		}
+	}
+}
+
+// callUntilSilent calls over one connection and gives up when that falls silent.
+func (c *Client) callUntilSilent(ctx context.Context, l *link, method string, params, result any) error {
+	defer c.endCall(l)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer context.AfterFunc(ctx, cancel)()
-	return c.Call(call, method, params, result)
+	go func() {
+		select {
+		case <-l.silenced:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return l.conn.Call(ctx, method, params, result)
+}
+
+// answered reports whether a call on a connection got an answer, be it an error.
+func answered(err error) bool {
+	var rpc *jsonrpc2.Error
+	return err == nil || errors.As(err, &rpc)
 }
 
 // Notify sends params without waiting for an answer.
 func (c *Client) Notify(ctx context.Context, method string, params any) error {
-	conn, err := c.connection(ctx)
+	l, err := c.acquire(ctx, (*link).beginNotification)
 	if err != nil {
 		return err
 	}
-	if err := conn.Notify(ctx, method, params); err != nil {
-		c.drop(conn)
+	if err := l.conn.Notify(ctx, method, params); err != nil {
+		c.drop(l)
 		return errors.Trace(err)
 	}
 	return nil
 }
 
-func (c *Client) drop(conn *jsonrpc2.Conn) {
+// endCall closes a connection that is no longer used once its last call is over.
+func (c *Client) endCall(l *link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, replaced := c.replaced[l]; l.endCall() && replaced {
+		delete(c.replaced, l)
+		l.close()
+	}
+}
+
+// drop closes a connection.
+func (c *Client) drop(l *link) {
 	c.mu.Lock()
-	if c.conn == conn {
-		c.conn = nil
+	defer c.mu.Unlock()
+	if c.current == l {
+		c.current = nil
 	}
-	c.mu.Unlock()
-	conn.Close()
+	delete(c.replaced, l)
+	l.close()
 }
 
-// Close closes the connection.
+// Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != nil {
-		c.conn.Close()
-		c.conn = nil
+	if c.current != nil {
+		c.current.close()
+		c.current = nil
+	}
+	for l := range c.replaced {
+		l.close()
 	}
+	clear(c.replaced)
 }
--- a/node/peer/control.go
+++ b/node/peer/control.go
@@ -154,7 +154,7 @@
 	if s := c.currentSearch(); s != nil {
 		defer s.onExpiry(cancel)()
 	}
-	return client.Call(ctx, method, params, result)
+	return client.CallIdempotent(ctx, method, params, result)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/node/peer/metrics.go
@@ -0,0 +1,7 @@
+package peer
+
+import "expvar"
+
+// silentVar counts connections to other processes that fell silent, and of these the ones that were closed as dead with
+// calls in progress.
+var silentVar = expvar.NewMap("peer_connections_silent")
--- a/node/peer/stream.go
+++ b/node/peer/stream.go
@@ -24,6 +24,7 @@
 	conn    progressConn
 	bounded *objectReader
 	decoder *json.Decoder
+	onWrite func(n int) // called before n bytes are written or wait for others to be; may be nil
 	writeMu sync.Mutex
 }
 
@@ -70,6 +71,9 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if s.onWrite != nil {
+		s.onWrite(len(data))
+	}
 	s.writeMu.Lock()
 	defer s.writeMu.Unlock()
 	_, err = s.conn.Write(append(data, '\n'))
--- a/node/stagework/ownerlink.go
+++ b/node/stagework/ownerlink.go
@@ -24,6 +24,9 @@
 	// unreachable from this process.
 	pingInterval = 200 * time.Millisecond
 	pingTimeout  = 300 * time.Millisecond
+	// updateTimeout bounds the wait for a process to acknowledge the progress of its jobs. It allows for the replacement
+	// of a silent connection.
+	updateTimeout = 800 * time.Millisecond
 	// ownerTimeout is how long the owner may miss pings before its jobs are withdrawn. An overloaded owner
 	// answers late, and its progress on a job is lost when the job is withdrawn. An owner that the leader
 	// considers lost is replaced sooner.
@@ -185,14 +188,12 @@
 // errPingTimeout says that the owner did not answer a ping in time. It may be overloaded.
 const errPingTimeout = errors.ConstError("stagework: ping timed out")
 
-// pingOnce checks that the owner answers. On timeout the call is cancelled: an expired deadline would
-// close the connection, and with it all jobs in progress over it.
+// pingOnce checks that the owner answers.
 func pingOnce(ctx context.Context, client *peer.Client) error {
-	ping, cancel := context.WithCancel(ctx)
+	ping, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	late := time.AfterFunc(pingTimeout, cancel)
 	err := client.Call(ping, peer.MethodPing, peer.Empty{}, nil)
-	if err != nil && !late.Stop() {
+	if err != nil && ping.Err() != nil {
 		return errPingTimeout
 	}
 	return err
@@ -342,8 +343,6 @@
 		return r, true, false, errOwnerLost
 	default:
 	}
-	// The job's own deadline must not end the call: the client takes an expired deadline for a
-	// broken connection and closes it, with all other jobs.
 	call, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	done := make(chan error, 1)
--- a/node/stagework/permits.go
+++ b/node/stagework/permits.go
@@ -256,7 +256,7 @@
 		return PermitReply{Wait: noOwnerWait, RetryAfter: noOwnerRetryAfter}
 	}
 	req := PermitRequest{Service: service, Upstreams: s.notices.LimitNotices(starts(list)), Refused: refused, Owner: s.link.currentOwner()}
-	if err := client.CallWithin(ctx, methodPermit, req, &reply); err != nil {
+	if err := client.Call(ctx, methodPermit, req, &reply); err != nil {
 		permitsUnansweredVar.Add(1)
 		s.log.Info("permit request failed", "service", service, "owner", req.Owner.ID, "error", err.Error())
 		return PermitReply{Wait: noOwnerWait, RetryAfter: noOwnerRetryAfter}
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -326,9 +326,9 @@
 // sendUpdate sends updates to one process. A process that does not answer has found another owner
 // or is gone, so its jobs end here.
 func (s *Service) sendUpdate(client *peer.Client, list []ProgressUpdate) {
-	ctx, cancel := context.WithTimeout(s.ctx, pingTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, updateTimeout)
 	defer cancel()
-	err := client.Call(ctx, methodProgress, list, nil)
+	err := client.CallIdempotent(ctx, methodProgress, list, nil)
 	s.post(func(time.Time) {
 		if err == nil {
 			s.scheduleFree(s.scheduler.updatesDelivered(list))
--- a/node/streamorigin/service.go
+++ b/node/streamorigin/service.go
@@ -36,8 +36,8 @@
 	find time.Duration
 }
 
-// defaultTimeouts allow a lookup for the retransmission of a lost packet.
-var defaultTimeouts = timeouts{begin: 80 * time.Millisecond, take: 300 * time.Millisecond, find: 250 * time.Millisecond}
+// defaultTimeouts allow calls for the replacement of a silent connection, which takes about 0.45 s.
+var defaultTimeouts = timeouts{begin: 80 * time.Millisecond, take: 600 * time.Millisecond, find: time.Second}
 
 const (
 	// maxBatch bounds the records of one message.
@@ -340,5 +340,5 @@
 func call(ctx context.Context, limit time.Duration, client *peer.Client, method string, params, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return client.CallWithin(ctx, method, params, result)
+	return client.CallIdempotent(ctx, method, params, result)
 }
