upstream, proxy: a stream whose connection has gone silent goes on elsewhere

Cause: the kernel's keep-alive was off on connections to upstreams, and nothing watched the pause of a stream; TCP_USER_TIMEOUT sees only bytes of ours that are not acknowledged.

Change: keep-alive of one second and three probes. Where a relay acknowledges: a stream that may go on elsewhere is checked after a pause of twice its goal, four of its gaps or a second; it is cut if none of the upstream's connections that were open then has received anything since and the upstream answers a health check over a new one within 0.3 s.

Why it works: a slow or stopped process does not answer the health check, and one that pauses a single answer sends others; what is left is a connection that carries nothing. The stream goes on as after a reset, with the same verdict and budget.

Failed before: TestStreamGoesOnAfterItsConnectionHasGoneSilent, on the product before this commit: "unexpected EOF" after two events, 5.01 s.

--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -35,6 +35,7 @@
 [service:llm]
 kind = engine
 upstreams = announced
+health_path = /health
 [service:trace]
 kind = batch
 upstreams = announced
@@ -75,6 +76,7 @@
 attempts = 2
 timeout = 5s
 goal = 1s
+max_gap = 200ms
 [route_stage:quote/0]
 service = trace
 result_bytes = 100
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -92,7 +92,7 @@
 	x.s.log.V(logging.Routine).Info("attempt sent", "request", x.call.ID, "upstream", m.ID, "address", m.Direct, "version", m.Version, "data_center", m.DataCenter, "candidates", candidates,
 		"in_flight", x.s.endpoints.callsInFlight(m.Start()), "tried", x.sends, "again", x.repeatReason, "last_event", lastEvent, "inputs", len(x.inputs), "fetch_from", metadata.FetchFrom, "left", metadata.Remaining, "members_seq", x.s.table.Load().membersSeq)
 	resp, err := x.s.pool.Do(ctx, &upstream.Request{Upstream: m.Start(), Address: m.Direct, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
-		Header: header, Body: x.body, ID: x.call.ID, MaxConnections: x.maxConnections(), Permit: x.permit})
+		Header: header, Body: x.body, ID: x.call.ID, MaxConnections: x.maxConnections(), Permit: x.permit, Silence: x.silenceCheck()})
 	x.permit, x.permitted = upstream.Permit{}, "" // it was for one request
 	now := time.Now()
 	sendsVar.Add(x.service.Name, 1)
@@ -126,6 +126,23 @@
 	return a
 }
 
+const (
+	// minSilence is the shortest pause of a stream after which its connection is checked.
+	minSilence = time.Second
+	// maxGapsToSilence is the number of the route's longest gaps that such a pause takes at least. Callers leave after twice
+	// as long a pause.
+	maxGapsToSilence = 4
+)
+
+// silenceCheck says when the connection of a stream that may go on elsewhere is checked for silence: after a pause far above
+// what the route allows.
+func (x *exchange) silenceCheck() upstream.SilenceCheck {
+	if !x.route.Streaming || !x.route.Repeatable() || x.route.Attempts < 2 || x.route.MaxGap <= 0 {
+		return upstream.SilenceCheck{}
+	}
+	return upstream.SilenceCheck{After: max(minSilence, 2*x.route.Goal, maxGapsToSilence*x.route.MaxGap), Path: x.service.HealthPath}
+}
+
 // setEngineOutcome records what is reported to the stage owner about the engine that it chose, even if another engine
 // serves the call.
 func (x *exchange) setEngineOutcome(m wire.Member, outcome stagework.EngineOutcome) {
--- a/node/upstream/call.go
+++ b/node/upstream/call.go
@@ -27,6 +27,7 @@
 	NewConnection  bool   // use a new connection, since a response without an id may belong to another call
 	Auxiliary      bool   // a report or a release, whose response need not state what responses to calls do
 	Permit         Permit // needed if the upstream limits its requests
+	Silence        SilenceCheck
 }
 
 // Response is an upstream's response whose body is still to be read. It must be closed.
@@ -42,6 +43,7 @@
 	bodyEnded bool
 	noReuse   bool // the connection is used for this call only
 	detach    func() bool
+	unwatch   func()
 }
 
 // Do sends the request once and reads the head of the response. An error has the verdict NotRun only if no
@@ -69,9 +71,10 @@
 	} else {
 		go func() { sent <- writeAll(c, head, req.Body) }()
 	}
-	r := &Response{conn: c, sent: sent, noReuse: req.NewConnection, detach: detach}
+	r := &Response{conn: c, sent: sent, noReuse: req.NewConnection, detach: detach, unwatch: c.watchSilence(req.Silence)}
 	if err := r.readHead(p.protocol, req); err != nil {
 		detach()
+		r.unwatch()
 		c.Close()
 		countOversized(err)
 		if ctx.Err() != nil {
@@ -180,6 +183,7 @@
 
 // Close ends the call. The connection is kept if request and response are complete and nothing follows.
 func (r *Response) Close() {
+	r.unwatch()
 	if !r.detach() { // ctx ended and closed the connection
 		return
 	}
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -25,6 +25,9 @@
 	// userTimeout ends a connection whose bytes are not acknowledged: a peer behind a network partition sends
 	// nothing at all.
 	userTimeout = 3 * time.Second
+	// keepAliveInterval is the time between two probes of the kernel on a connection that carries nothing, also while it
+	// is idle.
+	keepAliveInterval = time.Second
 	// idleMargin is subtracted from the upstream's keep-alive timeout, because its close takes time to
 	// arrive.
 	idleMargin = 500 * time.Millisecond
@@ -37,19 +40,25 @@
 	trimInterval      = time.Second
 )
 
+// keepAlive ends a connection that has gone silent after about userTimeout. A process that is slow or stopped does not
+// matter: its kernel answers the probes.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: int(userTimeout / keepAliveInterval)}
+
 // Pool keeps idle connections to upstreams, by address.
 type Pool struct {
 	protocol Protocol
 	notices  *Notices
 
+	healthTimeout time.Duration // tests replace it
+
 	mu   sync.Mutex
 	idle map[string][]*conn
-	open map[string]int // connections by address, including idle ones
+	open map[string]map[*conn]struct{} // connections by address, including idle ones
 }
 
 // NewPool returns an empty pool. What responses announce is recorded in n.
 func NewPool(p Protocol, n *Notices) *Pool {
-	return &Pool{protocol: p, notices: n, idle: map[string][]*conn{}, open: map[string]int{}}
+	return &Pool{protocol: p, notices: n, healthTimeout: healthTimeout, idle: map[string][]*conn{}, open: map[string]map[*conn]struct{}{}}
 }
 
 type conn struct {
@@ -59,6 +68,7 @@
 	head    headReader    // reads from Conn
 	br      *bufio.Reader // reads from head
 	expires time.Time     // when it must no longer be used
+	reads   reads
 	once    sync.Once
 }
 
@@ -69,7 +79,8 @@
 		err = c.Conn.Close()
 		c.pool.mu.Lock()
 		defer c.pool.mu.Unlock()
-		if c.pool.open[c.address]--; c.pool.open[c.address] <= 0 {
+		delete(c.pool.open[c.address], c)
+		if len(c.pool.open[c.address]) == 0 {
 			delete(c.pool.open, c.address)
 		}
 	})
@@ -123,18 +134,19 @@
 			c.Close()
 		}
 	}
-	if !p.reserve(address, limit) {
+	c := &conn{Conn: unconnected{}, pool: p, address: address}
+	if !p.reserve(c, limit) {
 		return nil, errNoConnection(address)
 	}
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
 	raw, err := d.DialContext(ctx, "tcp", address)
-	c := &conn{Conn: raw, pool: p, address: address}
 	if err != nil {
-		c.Conn = unconnected{}
 		c.Close()
 		return nil, connectError(ctx, address, err)
 	}
-	c.head.r = raw
+	c.Conn = raw
+	c.reads.open()
+	c.head.r = c
 	c.br = bufio.NewReaderSize(&c.head, readBuffer)
 	return c, nil
 }
@@ -173,13 +185,17 @@
 	return c
 }
 
-func (p *Pool) reserve(address string, limit int) bool {
+// reserve counts a connection before it is made.
+func (p *Pool) reserve(c *conn, limit int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if limit > 0 && p.open[address] >= limit {
+	if limit > 0 && len(p.open[c.address]) >= limit {
 		return false
 	}
-	p.open[address]++
+	if p.open[c.address] == nil {
+		p.open[c.address] = map[*conn]struct{}{}
+	}
+	p.open[c.address][c] = struct{}{}
 	return true
 }
 
