proxy, upstream: an answer without a length whose leaving upstream is gone was broken off

Cause: processState did not ask for upstreams that leave or have left, and the answer counted as whole. Second: the kernel closes a process's connections before its listener and accepts new ones meanwhile, so a probe just after the end of an answer may connect, or be reset.

Change: the question is put for those upstreams too; its connection must stay open for 20 ms, 150 ms to one that leaves, and a reset one is repeated.

Why it works: PROTOCOL.md has a leaving upstream serve until it has deregistered and exits, so its answers end while it listens; and a connection to a process that is ending is reset when its listener goes.

TestWholeAnswerWithoutALengthIsDelivered is replaced in part: it had a leaving upstream that no longer listens and wanted its answer delivered, which the page does not have. The whole answers of leaving upstreams that listen are still wanted, and the new test has those that do not, at each byte.

--- a/e2e/harness/silence.go
+++ b/e2e/harness/silence.go
@@ -46,12 +46,13 @@
 	return silenced
 }
 
-// CloseSilent closes the silent connections, as the end of the process does.
-func (l *SilentListener) CloseSilent() {
+// CloseAll closes all connections in order, also those that a server no longer tracks, but for the silent ones, whose other
+// ends must not learn of it.
+func (l *SilentListener) CloseAll() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		if c.silent {
+		if !c.silent {
 			c.Conn.Close()
 			delete(l.conns, c)
 		}
--- a/node/gate/run.go
+++ b/node/gate/run.go
@@ -117,7 +117,7 @@
 
 // checkEnd returns an error unless the response, whose body ended with err, is complete.
 func (s *Service) checkEnd(resp *http.Response, err error, tail []byte) *verdict.Error {
-	ending := upstream.EndingOf(resp, upstream.BodyEnd{Err: err}, func() upstream.ProcessState { return upstream.Probe(s.set.Upstream) })
+	ending := upstream.EndingOf(resp, upstream.BodyEnd{Err: err}, func() upstream.ProcessState { return upstream.Probe(s.set.Upstream, false) })
 	answersEndedVar.Add(string(upstream.FramingOf(resp))+"/"+string(ending), 1)
 	if !ending.Complete() {
 		return verdict.New(verdict.Ran, verdict.CodeAnswerCut, "the upstream's answer was cut (%s, framing %s): %v", ending, upstream.FramingOf(resp), err)
--- a/node/proxy/ending.go
+++ b/node/proxy/ending.go
@@ -29,15 +29,12 @@
 }
 
 // processState returns whether the upstream's process still runs: the kernel closes the connections of one that has
-// crashed in order. It may take as long as the connection to an unreachable VM. An upstream that leaves, or has left,
-// may end once its answers are written.
+// crashed in order. It may take as long as the connection to an unreachable VM. An upstream that leaves ends as it says
+// so, after its answers: one that is gone as an answer ends was taken away in the middle of it.
 func (s *Service) processState(m wire.Member) upstream.ProcessState {
 	current, known := s.table.Load().members.Get(m.ID)
-	switch {
-	case !known, current.Start() == m.Start() && current.Leaving:
-		return upstream.ProcessUnknown
-	case current.Start() != m.Start():
+	if known && current.Start() != m.Start() {
 		return upstream.ProcessGone
 	}
-	return upstream.Probe(m.Direct)
+	return upstream.Probe(m.Direct, !known || current.Leaving)
 }
--- a/node/proxy/ending_test.go
+++ b/node/proxy/ending_test.go
@@ -284,8 +284,48 @@
 	}
 }
 
+// TestAnswerOfALeavingUpstreamThatIsGoneIsNotWhole guards against an upstream that is taken away while it leaves, in the
+// middle of an answer without a length or chunks, whatever is known of its leaving.
+func TestAnswerOfALeavingUpstreamThatIsGoneIsNotWhole(t *testing.T) {
+	for _, state := range []string{"leaves", "has left"} {
+		for cut := range len(wholeStream) {
+			for _, kind := range append(callersOfChunks, callersOfHTTP10...) {
+				f := newFixture(t)
+				f.rawUpstream("llm", "u1", func(string) rawAnswer {
+					f.leave("llm", state)
+					return rawAnswer{bytes: frame(upstream.FramedByClose, typeOfStream, wholeStream[:cut]), crash: true}
+				})
+				what := fmt.Sprintf("%s, gone after %d bytes, %s", state, cut, kind.name)
+				status, got, err := kind.ask(f, "/chat/")
+				if checkAnswer(t, what, status, got, wholeStream, err) {
+					t.Fatalf("%s: %q looks complete", what, got)
+				}
+			}
+		}
+		for cut := range len(wholePlainBody) {
+			f := newFixture(t)
+			f.rawUpstream("desk", "u1", func(string) rawAnswer {
+				f.leave("desk", state)
+				return rawAnswer{bytes: frame(upstream.FramedByClose, typeOfPlain, wholePlainBody[:cut]), crash: true}
+			})
+			f.wantStatus(http.StatusBadGateway, http.MethodPost, "/confirm/", nil)
+		}
+	}
+}
+
+// leave has the first upstream of the service leave while calls are at it: it is marked, or no longer a member.
+func (f *fixture) leave(service, state string) {
+	switch m := f.view.Announced[service][0]; state {
+	case "leaves":
+		m.Leaving = true
+		f.announce(service, []wire.Member{m})
+	case "has left":
+		f.removeMember(m.ID)
+	}
+}
+
 // TestWholeAnswerWithoutALengthIsDelivered guards against whole answers that end with their connection and are taken for
-// broken off, also when their upstream leaves and no longer listens.
+// broken off, also when their upstream leaves: it serves until it exits, after its answers.
 func TestWholeAnswerWithoutALengthIsDelivered(t *testing.T) {
 	for _, c := range []struct {
 		service, path, contentType, body string
@@ -294,15 +334,9 @@
 			for _, kind := range append(callersOfChunks, callersOfHTTP10...) {
 				f := newFixture(t)
 				f.rawUpstream(c.service, "u1", func(string) rawAnswer {
-					return rawAnswer{bytes: frame(upstream.FramedByClose, c.contentType, c.body), crash: state != "stays"}
+					f.leave(c.service, state)
+					return rawAnswer{bytes: frame(upstream.FramedByClose, c.contentType, c.body)}
 				})
-				switch m := f.view.Announced[c.service][0]; state {
-				case "leaves":
-					m.Leaving = true
-					f.announce(c.service, []wire.Member{m})
-				case "has left":
-					f.removeMember(m.ID)
-				}
 				if status, got, err := kind.ask(f, c.path); status != http.StatusOK || got != c.body || err != nil {
 					t.Errorf("%s, %s, %s: %d, %q, %v", c.path, state, kind.name, status, got, err)
 				}
--- a/node/upstream/ending.go
+++ b/node/upstream/ending.go
@@ -2,8 +2,11 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"syscall"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -57,9 +60,49 @@
 	ProcessGone // nothing listens at its address
 )
 
-// Probe connects to an address and closes the connection at once, which tells whether a process listens there. It takes
-// at most dialTimeout.
-func Probe(address string) ProcessState { return processState(dialOnce(address)) }
+const (
+	maxProbes     = 5
+	probeInterval = 10 * time.Millisecond
+	// probeHold is how long a probe's connection has to stay open, and leavingProbeHold that to an upstream that leaves,
+	// of which it is likely that it has just ended: the kernel takes some time from the end of a process's first connection
+	// to that of its listener.
+	probeHold        = 20 * time.Millisecond
+	leavingProbeHold = 150 * time.Millisecond
+)
+
+// Probe connects to the address of an upstream, which leaves or not, and tells whether a process listens there. It takes at most dialTimeout, besides the
+// repeats: the kernel may accept connections to a process that is ending, and resets them once it closes the listener.
+func Probe(address string, leaving bool) ProcessState {
+	hold := probeHold
+	if leaving {
+		hold = leavingProbeHold
+	}
+	return probe(func() error { return dialAndHold(address, hold) }, func() { time.Sleep(probeInterval) })
+}
+
+// dialAndHold connects to an address and returns syscall.ECONNRESET unless the connection stays open for the given time.
+func dialAndHold(address string, hold time.Duration) error {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	c, err := d.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	c.SetReadDeadline(time.Now().Add(hold))
+	if _, err := c.Read(make([]byte, 1)); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return syscall.ECONNRESET
+	}
+	return nil
+}
+
+func probe(dial func() error, pause func()) ProcessState {
+	err := dial()
+	for n := 1; n < maxProbes && errors.Is(err, syscall.ECONNRESET); n++ {
+		pause()
+		err = dial()
+	}
+	return processState(err)
+}
 
 func processState(err error) ProcessState {
 	switch {
