proxy, quarantine: a stream does not go on at an upstream that is known to have crashed

Cause: a stream that has begun goes to upstreams whose record has its version; a record is up to 6 s old. Processes that had lost calls there knew that this start had crashed, and did not use it.

Change: such a start gets no stream that goes on, for 10 s, above the lease of its record. The crash detector's question holds its connection for 20 ms, as that at the end of an answer does.

--- a/node/proxy/resume_test.go
+++ b/node/proxy/resume_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -13,6 +14,7 @@
 
 	"caperdrum.org/api/verdict"
 	"caperdrum.org/api/wire"
+	"caperdrum.org/node/quarantine"
 	"caperdrum.org/node/streamorigin"
 )
 
@@ -108,6 +110,34 @@
 	}
 }
 
+// TestStreamDoesNotGoOnAtACrashedUpstream guards against a stream that goes on at an upstream which has crashed and started
+// again with another version, before its new record arrives.
+func TestStreamDoesNotGoOnAtACrashedUpstream(t *testing.T) {
+	f := newFixture(t)
+	f.versionedEngine("e1", "v1", firstEvents(2, "v1"))
+	other := f.versionedEngine("e2", "v1", nil)
+	f.stages.engine = "e1"
+	start := f.view.Announced["llm"][1].Start()
+	f.service.crashDetector.Check(quarantine.InterruptedCall{Upstream: wire.Member{ID: start.ID, Incarnation: start.Incarnation, Direct: goneAddress(t)}})
+	for !f.service.crashDetector.Crashed(start) {
+		time.Sleep(time.Millisecond)
+	}
+	_, body, err := f.send(http.MethodPost, "/quote/", map[string]string{"Caperdrum-Prompt-Parts": "a:10"})
+	if err == nil || strings.Count(body, "data: ") != 2 || other.Load() != 0 {
+		t.Fatalf("%v, %q, %d calls of the crashed upstream", err, body, other.Load())
+	}
+}
+
+// goneAddress returns an address at which nothing listens.
+func goneAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	return l.Addr().String()
+}
+
 // TestTakenUpStreams checks the meaning of each combination of headers by which a caller takes a stream up.
 func TestTakenUpStreams(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -185,11 +186,12 @@
 }
 
 // eligibleUpstreams returns the currently announced upstreams that may take the call. A stream that has begun goes on
-// at its version, also if a rollout excludes that version from new calls.
+// at its version, also if a rollout excludes that version from new calls. It does not go on at an upstream that has
+// crashed: what listens at its address now may be of another version, which nothing says before its record arrives.
 func (x *exchange) eligibleUpstreams() []wire.Member {
 	t, c := x.s.table.Load(), x.constraint()
 	if c.Pinned() {
-		return c.Filter(t.allVersions[x.service.Name])
+		return slices.DeleteFunc(c.Filter(t.allVersions[x.service.Name]), func(m wire.Member) bool { return x.s.crashDetector.Crashed(m.Start()) })
 	}
 	return c.Filter(t.announced[x.service.Name])
 }
--- a/node/quarantine/crash_detector.go
+++ b/node/quarantine/crash_detector.go
@@ -120,6 +120,14 @@
 	}
 }
 
+// Crashed reports whether this incarnation of an upstream is known to have crashed within crashTTL.
+func (d *CrashDetector) Crashed(start wire.Start) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	check := d.checks[start]
+	return check != nil && check.crashed && d.clock.Since(check.updatedAt) <= crashTTL
+}
+
 // UpdateMembers takes the new membership. A start whose address now belongs to another start has ended.
 func (d *CrashDetector) UpdateMembers(members memberset.Set) {
 	d.mu.Lock()
--- a/node/upstream/ending.go
+++ b/node/upstream/ending.go
@@ -77,7 +77,7 @@
 	if leaving {
 		hold = leavingProbeHold
 	}
-	return probe(func() error { return dialAndHold(address, hold) }, func() { time.Sleep(probeInterval) })
+	return processState(probeWithin(address, hold))
 }
 
 // dialAndHold connects to an address and returns syscall.ECONNRESET unless the connection stays open for the given time.
@@ -95,13 +95,17 @@
 	return nil
 }
 
-func probe(dial func() error, pause func()) ProcessState {
+func probeWithin(address string, hold time.Duration) error {
+	return probe(func() error { return dialAndHold(address, hold) }, func() { time.Sleep(probeInterval) })
+}
+
+func probe(dial func() error, pause func()) error {
 	err := dial()
 	for n := 1; n < maxProbes && errors.Is(err, syscall.ECONNRESET); n++ {
 		pause()
 		err = dial()
 	}
-	return processState(err)
+	return err
 }
 
 func processState(err error) ProcessState {
--- a/node/upstream/ending_test.go
+++ b/node/upstream/ending_test.go
@@ -23,7 +23,7 @@
 		"unreachable":     {[]error{syscall.EHOSTUNREACH}, ProcessUnknown},
 	} {
 		dials := 0
-		got := probe(func() error { dials++; return c.results[dials-1] }, func() {})
+		got := processState(probe(func() error { dials++; return c.results[dials-1] }, func() {}))
 		if got != c.want || dials != len(c.results) {
 			t.Errorf("%s: %v after %d attempts", name, got, dials)
 		}
--- a/node/upstream/pool.go
+++ b/node/upstream/pool.go
@@ -151,18 +151,8 @@
 	return c, nil
 }
 
-// Probe connects to an address and closes the connection at once. A nil error means that a process listens
-// there.
-func (p *Pool) Probe(address string) error { return dialOnce(address) }
-
-func dialOnce(address string) error {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	c, err := d.Dial("tcp", address)
-	if err != nil {
-		return err
-	}
-	return c.Close()
-}
+// Probe connects to an address. A nil error means that a process listens there.
+func (p *Pool) Probe(address string) error { return probeWithin(address, probeHold) }
 
 // unconnected stands in for a connection that could not be made.
 type unconnected struct{ net.Conn }
