soak: silent connections of a replaced upstream stay open

By reading: nothing refers to an upstream that was replaced at its address, so the collector closes its silent connections in order, which tells the process what a silent one never would, beside a successor that listens.

--- a/e2e/harness/silence.go
+++ b/e2e/harness/silence.go
@@ -7,7 +7,7 @@
 )
 
 // SilentListener is a listener whose open connections can be made silent for good: they stay open and carry nothing more,
-// in either direction, while new ones work.
+// in either direction, while new ones work. It must be kept as long as they are to stay open.
 type SilentListener struct {
 	net.Listener
 
