peer: idle polls exchange no pings, and a silent connection is not used again

Client.Poll names how long the answer may be held back, and the connection is checked only after that.

An idempotent call could be sent three times over the connection that had just fallen silent, and end with "context canceled": the connection was taken out of use by another goroutine. TestIdlePollSendsNoPings and TestSilentPollMoves are new.

--- a/node/configsync/configsync.go
+++ b/node/configsync/configsync.go
@@ -74,7 +74,7 @@
 
 // source is a control process that serves synchronization.
 type source interface {
-	CallIdempotent(ctx context.Context, method string, params, result any) error
+	Poll(ctx context.Context, wait time.Duration, method string, params, result any) error
 	Address() string
 	// BytesReceived returns the number of bytes received from it so far.
 	BytesReceived() uint64
--- a/node/configsync/loop.go
+++ b/node/configsync/loop.go
@@ -159,7 +159,7 @@
 	asked := s.clock.Now()
 	var reply wire.SyncReply
 	answer := make(chan error, 1)
-	go func() { answer <- src.CallIdempotent(ctx, MethodSync, req, &reply) }()
+	go func() { answer <- src.Poll(ctx, p.wait, MethodSync, req, &reply) }()
 	deadline := s.clock.NewTimer(p.wait + p.grace)
 	defer deadline.Stop()
 	received := src.BytesReceived()
@@ -247,7 +247,7 @@
 	for ctx.Err() == nil {
 		asked := s.clock.Now()
 		var reply wire.SyncReply
-		if src.CallIdempotent(ctx, MethodSync, s.holder.Request(unrenewedWait), &reply) != nil {
+		if src.Poll(ctx, unrenewedWait, MethodSync, s.holder.Request(unrenewedWait), &reply) != nil {
 			return false
 		}
 		s.holder.Apply(&reply, asked) // advances the next request; listeners are no longer called
--- a/node/configsync/loop_test.go
+++ b/node/configsync/loop_test.go
@@ -73,7 +73,7 @@
 	calls   int
 }
 
-func (a *scriptedSource) CallIdempotent(_ context.Context, _ string, _, result any) error {
+func (a *scriptedSource) Poll(_ context.Context, _ time.Duration, _ string, _, result any) error {
 	*result.(*wire.SyncReply) = a.replies[min(a.calls, len(a.replies)-1)]
 	a.calls++
 	return nil
@@ -119,7 +119,7 @@
 	asked   chan struct{}
 }
 
-func (h *hangingSource) CallIdempotent(ctx context.Context, _ string, _, _ any) error {
+func (h *hangingSource) Poll(ctx context.Context, _ time.Duration, _ string, _, _ any) error {
 	h.asked <- struct{}{}
 	<-ctx.Done()
 	return ctx.Err()
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -97,6 +97,9 @@
 		c.current.close()
 		c.current = nil
 		return nil
+	case <-c.current.silenced:
+		c.retire(c.current)
+		return nil
 	default:
 	}
 	begin(c.current)
@@ -123,8 +126,14 @@
 // CallIdempotent is Call for a call that may be received several times: it is sent again, over a new connection, when the
 // one that carries it falls silent or breaks. The error is ErrUnreachable only if it was never sent.
 func (c *Client) CallIdempotent(ctx context.Context, method string, params, result any) error {
+	return c.Poll(ctx, 0, method, params, result)
+}
+
+// Poll is CallIdempotent for a call whose answer the server may hold back for the given time. The connection is not checked
+// during that time, so that idle processes exchange no pings.
+func (c *Client) Poll(ctx context.Context, wait time.Duration, method string, params, result any) error {
 	for sends := 1; ; sends++ {
-		l, err := c.acquire(ctx, (*link).beginCall)
+		l, err := c.acquire(ctx, func(l *link) { l.beginPoll(wait) })
 		if err != nil && sends > 1 {
 			return errors.Errorf("peer: connection lost during a call, then: %v", err)
 		}
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -115,11 +115,14 @@
 }
 
 // beginCall counts a call, until endCall.
-func (l *link) beginCall() {
+func (l *link) beginCall() { l.beginPoll(0) }
+
+// beginPoll is beginCall for a call that may be held back.
+func (l *link) beginPoll(wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
-	l.owe(pingAfterCall)
+	l.owe(wait + pingAfterCall)
 }
 
 // endCall reports whether no other call is in progress. What the peer owes to a caller that has given up is still owed.
--- a/node/peer/replacement.go
+++ b/node/peer/replacement.go
@@ -13,16 +13,22 @@
 	reconnectInterval = 200 * time.Millisecond
 )
 
-// replace takes a silent connection out of use. Without calls in progress it is closed at once.
+// retire takes a connection that fell silent out of use. The caller holds c.mu.
+func (c *Client) retire(old *link) {
+	if c.current != old {
+		return
+	}
+	c.current = nil
+	c.unheard++
+	if old.everReceived() {
+		c.unheard = 0
+	}
+}
+
+// replace opens a connection in place of one that fell silent and has calls in progress. Without any it is closed at once.
 func (c *Client) replace(old *link) {
 	c.mu.Lock()
-	if c.current == old {
-		c.current = nil
-		c.unheard++
-		if old.everReceived() {
-			c.unheard = 0
-		}
-	}
+	c.retire(old)
 	inUse := old.inUse()
 	if inUse {
 		c.replaced[old] = struct{}{}
--- a/node/peer/silent_test.go
+++ b/node/peer/silent_test.go
@@ -106,6 +106,7 @@
 	held     chan struct{} // receives a token for each call of "hold"
 	release  chan struct{} // closed to answer them
 	pong     chan struct{} // pings are answered once it is closed
+	pings    atomic.Int32
 }
 
 func newSilentSystem(t *testing.T) *silentSystem {
@@ -119,6 +120,7 @@
 		return m, nil
 	})
 	Handle(server, MethodPing, func(context.Context, *Empty) (*Empty, error) {
+		s.pings.Add(1)
 		<-s.pong
 		return &Empty{}, nil
 	})
@@ -224,6 +226,35 @@
 	})
 }
 
+// TestIdlePollSendsNoPings guards against idle processes that exchange pings while their polls are held back.
+func TestIdlePollSendsNoPings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSilentSystem(t)
+		const wait = time.Second
+		time.AfterFunc(wait, func() { close(s.release) })
+		var got echoMessage
+		if err := s.client.Poll(t.Context(), wait, "hold", echoMessage{"a"}, &got); err != nil || got.Text != "a" || s.pings.Load() > 0 {
+			t.Fatalf("%q, %v, %d pings", got.Text, err, s.pings.Load())
+		}
+	})
+}
+
+// TestSilentPollMoves guards against a poll that is lost with its connection.
+func TestSilentPollMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSilentSystem(t)
+		done := make(chan error, 1)
+		go func() { done <- s.client.Poll(t.Context(), time.Second, "hold", echoMessage{}, nil) }()
+		<-s.held
+		s.listener.silence()
+		<-s.held
+		close(s.release)
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 // TestStoppedProcessKeepsItsCalls guards against calls that fail, or many new connections, while a process is stopped: it
 // answers on no connection.
 func TestStoppedProcessKeepsItsCalls(t *testing.T) {
