peer: an overloaded process does not get ever more connections

Cause: a new connection was given up 0.45 s after its first call. The relay of the case takes longer than that to accept one on a busy machine, and each further one adds to its work: 4 to 5 connections a second were given up by four processes, for as long as the script ran (peer_connections_silent 113 to 144 a process, none proven dead; the relay at 145% of a processor).

Change: 2 s for the first byte on a new connection; all time-outs double, three times at most, until a silence is proven to be of the connection; the proof is sought for connections without calls as well.

Why it works: a slow acceptor is asked again after 2, 4 and 8 s only, and a dead connection that is proven as such resets the doubling, so that a series of silences is found as fast as one.

Failed before: TestSlowProcessGetsFewConnections is new with this design.

--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -21,14 +21,14 @@
 
 	mu       sync.Mutex
 	current  *link
-	replaced map[*link]struct{} // silent connections with calls in progress
-	unheard  int                // consecutive connections that fell silent before anything was received
+	replaced map[*link]bool // connections that fell silent; true while it is not known whether they are dead
+	silences atomic.Int32   // consecutive ones that were not proven to be of the connection
 	received atomic.Uint64
 }
 
 // NewClient returns a client. It connects on the first call.
 func NewClient(address string, dial Dialer) *Client {
-	return &Client{address: address, dial: dial, dialing: make(chan struct{}, 1), replaced: map[*link]struct{}{}}
+	return &Client{address: address, dial: dial, dialing: make(chan struct{}, 1), replaced: map[*link]bool{}}
 }
 
 // BytesReceived returns the number of bytes received from the address so far. It grows while an answer is being
@@ -58,8 +58,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	timeout := pingTimeout << min(c.unheard, maxTimeoutDoublings)
-	l := newLink(raw, timeout, c.replace, &c.received)
+	l := newLink(raw, c.doublings, c.replace, &c.received)
 	begin(l)
 	c.current = l
 	return l, nil
@@ -188,7 +187,7 @@
 func (c *Client) endCall(l *link) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, replaced := c.replaced[l]; l.endCall() && replaced {
+	if unproven, replaced := c.replaced[l]; l.endCall() && replaced && !unproven {
 		delete(c.replaced, l)
 		l.close()
 	}
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -19,8 +19,10 @@
 	// pingTimeout is how long a connection may carry nothing after a ping before it is considered silent: above a round
 	// trip between regions, with the retransmission of a lost packet (200 ms).
 	pingTimeout = 300 * time.Millisecond
-	// maxTimeoutDoublings bounds the time-out of connections that follow others on which nothing was ever received: the
-	// process itself is stopped or unreachable.
+	// firstAnswerTimeout is pingTimeout for a connection on which nothing was received yet: an overloaded process, or what
+	// stands before it, may take long to accept one, and each further one would add to its load.
+	firstAnswerTimeout = 2 * time.Second
+	// maxTimeoutDoublings bounds the doublings of the time-outs after silences that were not proven.
 	maxTimeoutDoublings = 3
 	// maxTimerDelay is how late a check may be. A later one starts again, since this process was stopped as well.
 	maxTimerDelay = 100 * time.Millisecond
@@ -39,7 +41,7 @@
 // connection or the process is at fault is for the Client to find out.
 type link struct {
 	conn      *jsonrpc2.Conn
-	timeout   time.Duration // of a ping
+	doublings func() int32  // of the time-outs
 	onSilent  func(*link)   // called each time the connection falls silent
 	silenced  chan struct{} // closed when the connection falls silent for the first time
 	closeOnce sync.Once
@@ -58,8 +60,8 @@
 }
 
 // newLink starts the protocol on a connection.
-func newLink(raw net.Conn, timeout time.Duration, onSilent func(*link), received *atomic.Uint64) *link {
-	l := &link{timeout: timeout, onSilent: onSilent, silenced: make(chan struct{}), closed: make(chan struct{}), reading: true}
+func newLink(raw net.Conn, doublings func() int32, onSilent func(*link), received *atomic.Uint64) *link {
+	l := &link{doublings: doublings, onSilent: onSilent, silenced: make(chan struct{}), closed: make(chan struct{}), reading: true}
 	refuse := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end only calls"}
 	})
@@ -185,7 +187,7 @@
 	case l.replyDue.IsZero() && now.Before(l.pingDue):
 		l.schedule(l.pingDue)
 	case l.replyDue.IsZero():
-		l.replyDue = latest(now, l.drained).Add(l.timeout)
+		l.replyDue = latest(now, l.drained).Add(l.timeout())
 		l.schedule(l.replyDue)
 		go l.ping(context.Background())
 	case now.Before(l.replyDue):
@@ -201,6 +203,14 @@
 	}
 }
 
+// timeout returns the time-out of a ping. The caller holds l.mu.
+func (l *link) timeout() time.Duration {
+	if l.received {
+		return pingTimeout << l.doublings()
+	}
+	return firstAnswerTimeout << l.doublings()
+}
+
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
@@ -230,12 +240,6 @@
 	return l.silent
 }
 
-func (l *link) everReceived() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.received
-}
-
 func (l *link) isClosed() bool {
 	select {
 	case <-l.closed:
--- a/node/peer/replacement.go
+++ b/node/peer/replacement.go
@@ -15,36 +15,41 @@
 
 // retire takes a connection that fell silent out of use. The caller holds c.mu.
 func (c *Client) retire(old *link) {
-	if c.current != old {
-		return
-	}
-	c.current = nil
-	c.unheard++
-	if old.everReceived() {
-		c.unheard = 0
+	if c.current == old {
+		c.current = nil
+		c.silences.Add(1)
 	}
 }
 
-// replace opens a connection in place of one that fell silent and has calls in progress. Without any it is closed at once.
+// doublings returns how often the time-outs are doubled: a process that is slow or stopped must not get ever more
+// connections.
+func (c *Client) doublings() int32 { return min(c.silences.Load(), maxTimeoutDoublings) }
+
+// replace finds out whether a connection that fell silent is dead, and closes it then, or once its calls are over.
 func (c *Client) replace(old *link) {
+	silentVar.Add("silent", 1)
 	c.mu.Lock()
 	c.retire(old)
-	inUse := old.inUse()
-	if inUse {
-		c.replaced[old] = struct{}{}
-	}
+	c.replaced[old] = true
 	c.mu.Unlock()
-	silentVar.Add("silent", 1)
-	if !inUse {
-		c.drop(old)
+	dead := c.isDead(old)
+	if dead {
+		c.silences.Store(0)
+		silentVar.Add("dead", 1)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if dead || !old.inUse() {
+		delete(c.replaced, old)
+		old.close()
 		return
 	}
-	c.awaitProof(old)
+	c.replaced[old] = false
 }
 
-// awaitProof closes a silent connection once the process has answered on a new one. It returns when the connection is
-// closed or carries bytes again.
-func (c *Client) awaitProof(old *link) {
+// isDead reports whether the process answers on a new connection while the old one stays silent. It tries until the old
+// one is closed or carries bytes again; once if that has no calls in progress.
+func (c *Client) isDead(old *link) bool {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
@@ -58,12 +63,12 @@
 		next, err := c.acquire(ctx, (*link).beginPing)
 		if err == nil && next.ping(ctx) == nil {
 			sleep(ctx, silenceGrace)
-			if old.isSilent() && ctx.Err() == nil {
-				silentVar.Add("dead", 1)
-				c.drop(old)
-			}
-			return
+			return old.isSilent() && ctx.Err() == nil
+		}
+		if !old.inUse() {
+			return false
 		}
 		sleep(ctx, reconnectInterval)
 	}
+	return false
 }
--- a/node/peer/silent_test.go
+++ b/node/peer/silent_test.go
@@ -110,7 +110,7 @@
 }
 
 func newSilentSystem(t *testing.T) *silentSystem {
-	s := &silentSystem{listener: newPipeListener(), held: make(chan struct{}, 100), release: make(chan struct{}), pong: make(chan struct{})}
+	s := &silentSystem{listener: newPipeListener(), held: make(chan struct{}, 1000), release: make(chan struct{}), pong: make(chan struct{})}
 	close(s.pong)
 	server := NewServer()
 	Handle(server, "echo", func(_ context.Context, m *echoMessage) (*echoMessage, error) { return m, nil })
@@ -189,6 +189,7 @@
 		s := newSilentSystem(t)
 		for range 5 {
 			s.call(t, s.client.CallIdempotent, "echo", time.Second)
+			time.Sleep(time.Second)
 			s.listener.silence()
 		}
 		s.call(t, s.client.CallIdempotent, "echo", time.Second)
@@ -199,6 +200,7 @@
 func TestCallOnADeadConnectionFails(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSilentSystem(t)
+		s.call(t, s.client.Call, "echo", time.Second)
 		done := make(chan error, 1)
 		go func() { done <- s.client.Call(context.Background(), "hold", echoMessage{}, nil) }()
 		<-s.held
@@ -239,6 +241,28 @@
 	})
 }
 
+// TestSlowProcessGetsFewConnections guards against connections that are given up before an overloaded process has answered,
+// which add to its load.
+func TestSlowProcessGetsFewConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSilentSystem(t)
+		s.call(t, s.client.Call, "echo", time.Second)
+		s.pong = make(chan struct{})
+		stop := time.Now().Add(30 * time.Second)
+		for time.Now().Before(stop) {
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			s.client.Call(ctx, "hold", echoMessage{}, nil)
+			cancel()
+		}
+		n := s.listener.dials()
+		close(s.pong)
+		close(s.release)
+		if n > 6 {
+			t.Fatalf("%d connections in 30 s", n)
+		}
+	})
+}
+
 // TestSilentPollMoves guards against a poll that is lost with its connection.
 func TestSilentPollMoves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -266,7 +290,7 @@
 			close(s.release)
 		})
 		s.call(t, s.client.Call, "hold", time.Minute)
-		if n := s.listener.dials(); n > 10 {
+		if n := s.listener.dials(); n > 5 {
 			t.Fatalf("%d connections", n)
 		}
 	})
@@ -277,7 +301,9 @@
 func TestLongMessageIsNoSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSilentSystem(t)
+		s.call(t, s.client.Call, "echo", time.Second)
 		s.pong = make(chan struct{})
+		defer close(s.pong)
 		l, err := s.client.acquire(t.Context(), (*link).beginCall)
 		if err != nil {
 			t.Fatal(err)
@@ -292,6 +318,5 @@
 		if !l.isSilent() {
 			t.Fatal("not silent after the message was sent")
 		}
-		close(s.pong)
 	})
 }
