peer: a call that was sent twice is not reported as not accepted

What callers could be told: "not run" for a change that took effect. A call to the leader is sent again when its connection falls silent; if the second copy was refused by a process that no longer leads, CallLeader said ErrNotAccepted, though the first copy may have been accepted and its answer lost.

Change: an error after a second send is also ErrSentBefore, which proves nothing about the first.

Failed before: TestResentCallIsNotReportedAsNotAccepted (without the check: "peer: call not accepted" after one lost and several refused copies).

--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -128,23 +128,30 @@
 	return c.Poll(ctx, 0, method, params, result)
 }
 
+// ErrSentBefore says, in addition to another error, that the call was also sent over a connection that was lost: what the
+// error says holds for the last time only.
+const ErrSentBefore = errors.ConstError("peer: also sent over a connection that was lost")
+
 // Poll is CallIdempotent for a call whose answer the server may hold back for the given time. The connection is not checked
 // during that time, so that idle processes exchange no pings.
 func (c *Client) Poll(ctx context.Context, wait time.Duration, method string, params, result any) error {
 	for sends := 1; ; sends++ {
 		l, err := c.acquire(ctx, func(l *link) { l.beginPoll(wait) })
 		if err != nil && sends > 1 {
-			return errors.Errorf("peer: connection lost during a call, then: %v", err)
+			return errors.WithType(errors.Errorf("peer: connection lost during a call, then: %v", err), ErrSentBefore)
 		}
 		if err != nil {
 			return err
 		}
 		err = c.callUntilSilent(ctx, l, method, params, result)
 		if answered(err) || ctx.Err() != nil || sends == maxSends {
-			if err != nil {
-				return decodeError(err)
+			switch {
+			case err == nil:
+				return nil
+			case sends > 1:
+				return errors.WithType(decodeError(err), ErrSentBefore)
 			}
-			return nil
+			return decodeError(err)
 		}
 	}
 }
--- a/node/peer/control.go
+++ b/node/peer/control.go
@@ -128,6 +128,9 @@
 
 // notAccepted reports whether err proves that the call was not accepted.
 func notAccepted(err error) bool {
+	if errors.Is(err, ErrSentBefore) {
+		return false
+	}
 	var nl *ErrNotLeader
 	var v *verdict.Error
 	return errors.As(err, &nl) || errors.Is(err, ErrUnreachable) || errors.As(err, &v) && v.Verdict == verdict.NotRun
--- a/node/peer/silent_test.go
+++ b/node/peer/silent_test.go
@@ -320,3 +320,36 @@
 		}
 	})
 }
+
+// TestResentCallIsNotReportedAsNotAccepted guards against a call that is reported as not accepted, since its second copy is
+// refused, although the first one was accepted and its answer was lost.
+func TestResentCallIsNotReportedAsNotAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener, arrived, release := newPipeListener(), 0, make(chan struct{})
+		server := NewServer()
+		Handle(server, "echo", func(_ context.Context, m *echoMessage) (*echoMessage, error) { return m, nil })
+		Handle(server, "put", func(context.Context, *echoMessage) (*echoMessage, error) {
+			if arrived++; arrived == 1 {
+				listener.silence()
+				<-release
+				return &echoMessage{}, nil
+			}
+			return nil, &ErrNotLeader{}
+		})
+		Handle(server, MethodPing, Ping)
+		go server.Serve(listener)
+		c := NewLeaderClient([]string{"x"}, listener.dial)
+		defer func() {
+			close(release)
+			c.Close()
+			listener.Close()
+			server.Close()
+		}()
+		if err := c.CallLeader(t.Context(), "echo", echoMessage{}, nil); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.CallLeader(t.Context(), "put", echoMessage{}, nil); err == nil || errors.Is(err, ErrNotAccepted) {
+			t.Fatalf("got %v after %d arrivals", err, arrived)
+		}
+	})
+}
--- a/node/upstream/ending.go
+++ b/node/upstream/ending.go
@@ -70,8 +70,9 @@
 	leavingProbeHold = 150 * time.Millisecond
 )
 
-// Probe connects to the address of an upstream, which leaves or not, and tells whether a process listens there. It takes at most dialTimeout, besides the
-// repeats: the kernel may accept connections to a process that is ending, and resets them once it closes the listener.
+// Probe connects to the address of an upstream, which leaves or not, and tells whether a process listens there. It takes at
+// most dialTimeout, besides the repeats: the kernel may accept connections to a process that is ending, and resets them once
+// it closes the listener.
 func Probe(address string, leaving bool) ProcessState {
 	hold := probeHold
 	if leaving {
