--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -61,6 +61,7 @@
 	l := newLink(raw, c.doublings, c.replace, &c.received)
 	begin(l)
 	c.current = l
+	openedVar.Add(1)
 	return l, nil
 }
 
--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -187,7 +187,7 @@
 	case l.replyDue.IsZero() && now.Before(l.pingDue):
 		l.schedule(l.pingDue)
 	case l.replyDue.IsZero():
-		l.replyDue = latest(now, l.drained).Add(l.timeout())
+		l.replyDue = now.Add(max(0, l.drained.Sub(now)) + l.timeout())
 		l.schedule(l.replyDue)
 		go l.ping(context.Background())
 	case now.Before(l.replyDue):
@@ -211,13 +211,6 @@
 	return firstAnswerTimeout << l.doublings()
 }
 
-func latest(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // ping returns once the peer has answered, or the connection is closed.
 func (l *link) ping(ctx context.Context) error {
 	err := l.conn.Call(ctx, MethodPing, Empty{}, nil)
--- a/node/peer/replacement.go
+++ b/node/peer/replacement.go
@@ -47,6 +47,16 @@
 	c.replaced[old] = false
 }
 
+// closeUnused closes the current connection if it has no calls in progress: it may have been opened after Close.
+func (c *Client) closeUnused(l *link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == l && !l.inUse() {
+		c.current = nil
+		l.close()
+	}
+}
+
 // isDead reports whether the process answers on a new connection while the old one stays silent. It tries until the old
 // one is closed or carries bytes again; once if that has no calls in progress.
 func (c *Client) isDead(old *link) bool {
@@ -61,6 +71,10 @@
 	}()
 	for old.isSilent() && ctx.Err() == nil {
 		next, err := c.acquire(ctx, (*link).beginPing)
+		if err == nil && ctx.Err() != nil {
+			c.closeUnused(next)
+			return false
+		}
 		if err == nil && next.ping(ctx) == nil {
 			sleep(ctx, silenceGrace)
 			return old.isSilent() && ctx.Err() == nil
--- a/node/proxy/ending_test.go
+++ b/node/proxy/ending_test.go
@@ -247,26 +247,7 @@
 // TestAnswerOfACrashedUpstreamIsNotWhole guards against an upstream that ends in the middle of an answer without a length
 // or chunks: the kernel closes its connection in order.
 func TestAnswerOfACrashedUpstreamIsNotWhole(t *testing.T) {
-	for cut := range len(wholeStream) {
-		for _, kind := range callersOfChunks {
-			f := newFixture(t)
-			f.rawUpstream("llm", "crashes", func(string) rawAnswer {
-				return rawAnswer{bytes: frame(upstream.FramedByClose, typeOfStream, wholeStream[:cut]), crash: true}
-			})
-			what := fmt.Sprintf("stream, crashed after %d bytes, %s", cut, kind.name)
-			status, got, err := kind.ask(f, "/chat/")
-			if checkAnswer(t, what, status, got, wholeStream, err) {
-				t.Fatalf("%s: %q looks complete", what, got)
-			}
-		}
-	}
-	for cut := range len(wholePlainBody) {
-		f := newFixture(t)
-		f.rawUpstream("desk", "crashes", func(string) rawAnswer {
-			return rawAnswer{bytes: frame(upstream.FramedByClose, typeOfPlain, wholePlainBody[:cut]), crash: true}
-		})
-		f.wantStatus(http.StatusBadGateway, http.MethodPost, "/confirm/", nil)
-	}
+	testAnswersOfAGoneUpstream(t, "stays")
 	for cut := range len(wholePlainBody) {
 		f := newFixture(t)
 		var calls atomic.Int32
@@ -288,29 +269,35 @@
 // middle of an answer without a length or chunks, whatever is known of its leaving.
 func TestAnswerOfALeavingUpstreamThatIsGoneIsNotWhole(t *testing.T) {
 	for _, state := range []string{"leaves", "has left"} {
-		for cut := range len(wholeStream) {
-			for _, kind := range append(callersOfChunks, callersOfHTTP10...) {
-				f := newFixture(t)
-				f.rawUpstream("llm", "u1", func(string) rawAnswer {
-					f.leave("llm", state)
-					return rawAnswer{bytes: frame(upstream.FramedByClose, typeOfStream, wholeStream[:cut]), crash: true}
-				})
-				what := fmt.Sprintf("%s, gone after %d bytes, %s", state, cut, kind.name)
-				status, got, err := kind.ask(f, "/chat/")
-				if checkAnswer(t, what, status, got, wholeStream, err) {
-					t.Fatalf("%s: %q looks complete", what, got)
-				}
-			}
-		}
-		for cut := range len(wholePlainBody) {
+		testAnswersOfAGoneUpstream(t, state)
+	}
+}
+
+// testAnswersOfAGoneUpstream has an upstream end at each byte of a stream and of a plain answer.
+func testAnswersOfAGoneUpstream(t *testing.T, state string) {
+	t.Helper()
+	for cut := range len(wholeStream) {
+		for _, kind := range append(callersOfChunks, callersOfHTTP10...) {
 			f := newFixture(t)
-			f.rawUpstream("desk", "u1", func(string) rawAnswer {
-				f.leave("desk", state)
-				return rawAnswer{bytes: frame(upstream.FramedByClose, typeOfPlain, wholePlainBody[:cut]), crash: true}
+			f.rawUpstream("llm", "crashes", func(string) rawAnswer {
+				f.leave("llm", state)
+				return rawAnswer{bytes: frame(upstream.FramedByClose, typeOfStream, wholeStream[:cut]), crash: true}
 			})
-			f.wantStatus(http.StatusBadGateway, http.MethodPost, "/confirm/", nil)
+			what := fmt.Sprintf("stream of one that %s, gone after %d bytes, %s", state, cut, kind.name)
+			status, got, err := kind.ask(f, "/chat/")
+			if checkAnswer(t, what, status, got, wholeStream, err) {
+				t.Fatalf("%s: %q looks complete", what, got)
+			}
 		}
 	}
+	for cut := range len(wholePlainBody) {
+		f := newFixture(t)
+		f.rawUpstream("desk", "crashes", func(string) rawAnswer {
+			f.leave("desk", state)
+			return rawAnswer{bytes: frame(upstream.FramedByClose, typeOfPlain, wholePlainBody[:cut]), crash: true}
+		})
+		f.wantStatus(http.StatusBadGateway, http.MethodPost, "/confirm/", nil)
+	}
 }
 
 // leave has the first upstream of the service leave while calls are at it: it is marked, or no longer a member.
--- a/node/proxy/send.go
+++ b/node/proxy/send.go
@@ -141,7 +141,7 @@
 	if !x.route.Streaming || !x.route.Repeatable() || x.route.Attempts < 2 || x.route.MaxGap <= 0 {
 		return upstream.SilenceCheck{}
 	}
-	return upstream.SilenceCheck{After: max(minSilence, 2*x.route.Goal, maxGapsToSilence*x.route.MaxGap), Path: x.service.HealthPath}
+	return upstream.SilenceCheck{After: max(minSilence, 2*x.route.Goal, maxGapsToSilence*x.route.MaxGap), Path: x.service.HealthPath, MaxConnections: x.maxConnections()}
 }
 
 // setEngineOutcome records what is reported to the stage owner about the engine that it chose, even if another engine
--- a/node/upstream/silence.go
+++ b/node/upstream/silence.go
@@ -19,6 +19,9 @@
 type SilenceCheck struct {
 	After time.Duration // since when nothing was received
 	Path  string        // which the upstream answers at once, however busy it is
+	// MaxConnections bounds the connections to the upstream, that of the check included; zero is no limit. At the bound
+	// nothing is checked.
+	MaxConnections int
 }
 
 // healthTimeout is how long an upstream may take for a health check that proves its connection silent.
@@ -102,7 +105,7 @@
 			if next > 0 {
 				continue
 			}
-			if c.silent(ctx, since, check.Path) {
+			if c.silent(ctx, since, check) {
 				silentVar.Add(1)
 				c.reads.endSilent()
 				c.pool.CloseIdle(c.address)
@@ -118,8 +121,8 @@
 // silent reports whether the connection has gone silent: since the given time nothing was received over it or any other
 // connection to the upstream that was open then, but the upstream answers at once over a new one. One that pauses this
 // answer alone still sends on others.
-func (c *conn) silent(ctx context.Context, since time.Time, path string) bool {
-	if c.pool.receivedAfter(c.address, since) || !c.pool.answers(ctx, c.address, path) {
+func (c *conn) silent(ctx context.Context, since time.Time, check SilenceCheck) bool {
+	if c.pool.receivedAfter(c.address, since) || !c.pool.answers(ctx, c.address, check) {
 		return false
 	}
 	return c.reads.waitingSince().Equal(since) && !c.pool.receivedAfter(c.address, since)
@@ -138,16 +141,16 @@
 }
 
 // answers reports whether the upstream answers a health check over a new connection within healthTimeout.
-func (p *Pool) answers(ctx context.Context, address, path string) bool {
+func (p *Pool) answers(ctx context.Context, address string, check SilenceCheck) bool {
 	ctx, cancel := context.WithTimeout(ctx, p.healthTimeout)
 	defer cancel()
-	c, err := p.get(ctx, address, 0, true)
+	c, err := p.get(ctx, address, check.MaxConnections, true)
 	if err != nil {
 		return false
 	}
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
-	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, address); err != nil {
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", check.Path, address); err != nil {
 		return false
 	}
 	c.head.begin()
--- a/node/upstream/silence_test.go
+++ b/node/upstream/silence_test.go
@@ -94,12 +94,16 @@
 }
 
 // TestPausedUpstreamIsNotSilent guards against a call that is taken from an upstream that is stopped, or that pauses it
-// while it sends others.
+// while it sends others, and against a check beyond the upstream's limit of connections.
 func TestPausedUpstreamIsNotSilent(t *testing.T) {
-	for name, c := range map[string]struct{ stopped, sendsOthers, want bool }{
-		"silent":              {false, false, true},
-		"stopped":             {true, false, false},
-		"sends other answers": {false, true, false},
+	for name, c := range map[string]struct {
+		stopped, sendsOthers, want bool
+		limit                      int
+	}{
+		"silent":              {false, false, true, 3},
+		"stopped":             {true, false, false, 3},
+		"sends other answers": {false, true, false, 3},
+		"at its limit":        {false, false, false, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			u, p := newSilentUpstream(t, c.stopped), newSilencePool()
@@ -115,7 +119,7 @@
 					t.Fatal(err)
 				}
 			}
-			if got := r.conn.silent(context.Background(), since, "/health"); got != c.want {
+			if got := r.conn.silent(context.Background(), since, SilenceCheck{Path: "/health", MaxConnections: c.limit}); got != c.want {
 				t.Fatalf("silent: %v", got)
 			}
 		})
