--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -561,7 +561,7 @@
 			t.Fatalf("job %+v", j)
 		}
 	})
-	t.Run("jobs name their customer only with fair_stages", func(t *testing.T) {
+	t.Run("jobs name their customer only with fair_stages, and have its priority in any case", func(t *testing.T) {
 		for _, fair := range []bool{false, true} {
 			f := newFixture(t)
 			f.service.set.Proxy.FairStages = fair
@@ -575,7 +575,7 @@
 			next := f.view
 			f.service.applyView(&next)
 			f.wantStatus(http.StatusOK, http.MethodPost, "/quote/", pieces)
-			want := []stagework.Job{{}, {}}
+			want := []stagework.Job{{}, {Priority: 3}}
 			if fair {
 				want = []stagework.Job{{Customer: "foundry", Weight: 1}, {Customer: "foundry", Weight: 2.5, Priority: 3}}
 			}
--- a/node/proxy/stream.go
+++ b/node/proxy/stream.go
@@ -282,9 +282,9 @@
 
 func (x *exchange) job() (job stagework.Job, pieces int) {
 	job = stagework.Job{ID: x.call.ID, Key: x.call.PieceKey, TimeLeft: time.Until(x.deadline),
-		Goal: time.Until(x.began.Add(x.route.Goal - engineTime(x.call.Prefix))), DataCenter: x.engineDataCenter(), Priority: x.route.Priority, Within: x.allowed}
-	if x.s.set.Proxy.FairStages {
-		x.setCustomer(&job)
+		Goal: time.Until(x.began.Add(x.route.Goal - engineTime(x.call.Prefix))), DataCenter: x.engineDataCenter(), Priority: x.priority(), Within: x.allowed}
+	if x.s.set.Proxy.FairStages && x.customer != nil {
+		job.Customer, job.Weight = x.customer.Name, x.customer.Share
 	}
 	if len(x.call.Prefix) > 0 {
 		job.FirstEvent = time.Until(x.began.Add(x.route.Goal))
@@ -301,16 +301,12 @@
 	return job, pieces
 }
 
-// setCustomer sets what the stage owner needs to share capacity between customers. Jobs of public routes have no
-// customer.
-func (x *exchange) setCustomer(job *stagework.Job) {
-	if x.customer == nil {
-		return
-	}
-	job.Customer, job.Weight = x.customer.Name, x.customer.Share
-	if x.customer.Priority != optext.NoPriority {
-		job.Priority = x.customer.Priority
+// priority is the rank of the call: that of its customer, or else of its route.
+func (x *exchange) priority() int {
+	if x.customer != nil && x.customer.Priority != optext.NoPriority {
+		return x.customer.Priority
 	}
+	return x.route.Priority
 }
 
 // engineDataCenter returns the data centre of the engine to which the call would go now, where large results are best
