--- a/node/proxy/connections.go
+++ b/node/proxy/connections.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// maxConnectionWait bounds how long a call of a route without a goal waits for a connection to an upstream.
-	maxConnectionWait = time.Second
+	// connectionWaitDivisor sets the part of the caller's time for which a call may wait for a connection to an upstream:
+	// a half. The rest is for another process, which may have a connection left.
+	connectionWaitDivisor = 2
 	// refusedWait is the wait that counts for a call that finds too many others waiting. It is clearly above the delay from
 	// which on a process is congested.
 	refusedWait = 100 * time.Millisecond
@@ -118,7 +119,7 @@
 }
 
 // awaitConnection waits until a connection to an upstream of the call's service may be free, in total no longer than half
-// of the time within which the call should be answered. It returns an error if waiting is of no use.
+// of the time that the caller has. It returns an error if waiting is of no use.
 func (x *exchange) awaitConnection(ctx context.Context, list []wire.Member, c criteria, waited *time.Duration) (again bool, err *verdict.Error) {
 	e, service := x.s.endpoints, x.service.Name
 	began := time.Now()
@@ -131,11 +132,8 @@
 		x.s.noteConnectionWait(service, refusedWait)
 		return false, x.noConnectionError()
 	}
-	limit := maxConnectionWait
-	if x.route.Goal > 0 {
-		limit = x.route.Goal / 2
-	}
-	timer := time.NewTimer(min(limit-*waited, time.Until(x.deadline)-minTimeLeft))
+	left := time.Until(x.abandoned())
+	timer := time.NewTimer(min((left+*waited)/connectionWaitDivisor-*waited, left-minTimeLeft))
 	defer timer.Stop()
 	select {
 	case <-turn:
--- a/node/proxy/connections_test.go
+++ b/node/proxy/connections_test.go
@@ -3,13 +3,17 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"caperdrum.org/api/wire"
 	"caperdrum.org/node/memberset"
+	"caperdrum.org/node/retry"
 	"caperdrum.org/node/upstream"
 )
 
@@ -105,16 +109,47 @@
 	}
 }
 
+// TestWaitForAConnectionFollowsTheCallersTime guards against calls that are refused after half of the route's goal although
+// their callers have time: the connection is released after ten goals.
+func TestWaitForAConnectionFollowsTheCallersTime(t *testing.T) {
+	h := newHeldCalls(t, 4)
+	h.service.repeats = retry.NewQuota(retry.Limit{Window: time.Second}, clockwork.NewRealClock(), h.service.peers) // none
+	for i := range h.view.Config.Routes {
+		h.view.Config.Routes[i].Goal = 2 * time.Millisecond
+	}
+	first := []<-chan string{h.call(), h.call()}
+	<-h.arrived
+	<-h.arrived
+	second := h.call()
+	h.awaitWaiting(1)
+	time.Sleep(20 * time.Millisecond)
+	h.release <- struct{}{}
+	<-h.arrived
+	h.release <- struct{}{}
+	h.release <- struct{}{}
+	for _, c := range append(first, second) {
+		if got := h.answer(c); !strings.HasPrefix(got, "200") {
+			t.Errorf("got %s", got)
+		}
+	}
+	h.wg.Wait()
+}
+
 // TestWaitForAConnectionEnds guards against calls that wait for a connection until their deadlines, and against a turn that
 // is lost with the call whose turn it was.
 func TestWaitForAConnectionEnds(t *testing.T) {
 	h := newHeldCalls(t, 4)
-	for i := range h.view.Config.Routes {
-		h.view.Config.Routes[i].Goal = 40 * time.Millisecond
-	}
 	first := []<-chan string{h.call(), h.call()}
 	<-h.arrived
 	<-h.arrived
+	config := *h.view.Config
+	config.Routes = slices.Clone(config.Routes)
+	for i := range config.Routes {
+		config.Routes[i].Timeout = 200 * time.Millisecond
+	}
+	h.view.Config, h.view.Version = &config, h.view.Version+1
+	next := h.view
+	h.service.applyView(&next)
 	if got := h.answer(h.call()); !strings.HasPrefix(got, "503") {
 		t.Errorf("got %s", got)
 	}
