--- a/api/optext/route.go
+++ b/api/optext/route.go
@@ -58,7 +58,7 @@
 
 	Attempts int           `ini:"attempts"` // maximum number of upstreams that one call is sent to
 	Timeout  time.Duration `ini:"timeout" required:"true"`
-	Goal     time.Duration `ini:"goal"`     // target time to the first byte of the answer; a later answer is worth less
+	Goal     time.Duration `ini:"goal"`     // target time to the first byte of the answer
 	MaxGap   time.Duration `ini:"max_gap"`  // target for the longest gap between events of a stream
 	Priority int           `ini:"priority"` // 0 is the highest
 	Public   bool          `ini:"public"`   // requires no customer key
--- a/node/ingress/limiter.go
+++ b/node/ingress/limiter.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// maxDelay is the delay above which this process is congested. The shortest calls cross its link and its processor some
-	// four times, and have goals from 100 ms on.
+	// maxDelay is the delay above which this process is congested. A call crosses its link and its processor some four
+	// times, so that it takes 0.1 s longer then: more than a caller needs to connect to another process.
 	maxDelay = 25 * time.Millisecond
 	// recoveredDelay is the delay below which a congested process may take more calls again.
 	recoveredDelay = maxDelay / 2
--- a/node/proxy/startup.go
+++ b/node/proxy/startup.go
@@ -11,9 +11,8 @@
 
 const (
 	// maxStartupWait is how long after its start this process lets calls wait for its first configuration. After a
-	// power loss, which restarts all processes, it arrives 0.35 s to 0.9 s after the start, election included. A call
-	// that waits that long still meets the goals of streams; one that is refused does not, as its Retry-After would
-	// have to cover the same time.
+	// power loss, which restarts all processes, it arrives 0.35 s to 0.9 s after the start, election included. A caller
+	// that is refused would have to return after as long a time. A caller with less time waits as long as it has.
 	maxStartupWait = 1200 * time.Millisecond
 	// maxWaitingCalls bounds the memory of waiting calls to 10 MB: some 2 kB for the headers and 20 kB for the
 	// goroutines of each. It is eight times the calls that reach a process in maxStartupWait at 53 a second.
--- a/node/stagework/rate.go
+++ b/node/stagework/rate.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// rateWindow is the time constant of the decay: some bursts last no longer than 3 s, and with
-// fewer events rates and shares jump.
+// rateWindow is the time constant of the decay. It spans several calls of an upstream, which take up to half a second
+// each, and is shorter than the time that callers have, so that they are judged by the present load.
 const rateWindow = 2 * time.Second
 
 // rate is an exponentially decaying count of events. Its zero value is ready to use.
--- a/node/stagework/ttft.go
+++ b/node/stagework/ttft.go
@@ -7,7 +7,7 @@
 
 const (
 	// initialPrefillRate is the assumed prefill rate of engines in tokens a second until calls are
-	// observed: somewhat below that of the slowest that users describe, 36,000 a second.
+	// observed: a low rate, so that the first calls are spread over engines.
 	initialPrefillRate = 30_000
 	// ttftWeight is the weight of one call in the fit: about the last fifty calls determine it.
 	ttftWeight = 0.02
