--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -128,8 +128,8 @@
 
 // waitAt predicts how long a stage of a job waits at its service for the call that takes its last piece, and how long
 // that call takes. Pieces that will come once the job has reached the service, and go before its own, are taken to come as
-// often as in a past time as long as the job has. A priority is passed over by maxPassedOver calls at most, so it waits no longer than
-// for that many times its own pieces.
+// often as in a past time as long as the job has. A rank is passed over by maxPassedOver calls at most, so it waits no
+// longer than for that many times its own pieces.
 func (s *scheduler) waitAt(now time.Time, q *serviceQueue, st Stage, j *job, reached time.Duration) (wait, runTime time.Duration) {
 	ahead := s.piecesAhead(q, j)
 	if idle := q.idleWorkers(now); ahead == 0 && idle > 0 { // the pieces are spread over the idle upstreams
@@ -154,12 +154,12 @@
 	}
 	before, own := 0.0, 0.0
 	for _, c := range q.backlog {
-		if !j.late && c.priority >= j.rank() {
+		if !j.late && c.rank >= j.rank() {
 			break
 		}
 		perSecond := c.arrivals.perSecond(now, window)
 		before += perSecond
-		if c.priority == j.rank() {
+		if c.rank == j.rank() {
 			own = perSecond
 		}
 	}
--- a/node/stagework/backlog.go
+++ b/node/stagework/backlog.go
@@ -11,22 +11,24 @@
 	backlogStep = ownerTick
 	// backlogSteps is the number of steps tracked, 20 s. Later times count in the last step.
 	backlogSteps = 1024
+	// maxRanks is the number of ranks of a service from which on those without pieces are dropped: each takes 19 kB.
+	maxRanks = 64
 )
 
 // backlog sums the work ahead of a new job, so that admission need not walk over all jobs:
-// the pieces not done yet, by service, by priority, and by the time step of their jobs' goals, or of
+// the pieces not done yet, by service, by rank, and by the time step of their jobs' goals, or of
 // their deadlines once they are late. A job counts until it is answered.
 type backlog struct {
 	firstStep int64                // the current step; earlier steps are dropped
 	byStep    [backlogSteps][]*job // by the step of their goals, or deadlines once late
 }
 
-// serviceBacklog is the backlog of one service, the most urgent priority first.
-type serviceBacklog []*priorityBacklog
+// serviceBacklog is the backlog of one service, the most urgent rank first.
+type serviceBacklog []*rankBacklog
 
-// priorityBacklog counts the pieces of one service and priority that are not done yet.
-type priorityBacklog struct {
-	priority int
+// rankBacklog counts the pieces of one service and rank that are not done yet.
+type rankBacklog struct {
+	rank     int
 	inTime   stepCounts // of jobs that can reach their goal, by its step
 	late     stepCounts // of the others, by the step of their deadline
 	arrivals arrivals   // of jobs that were admitted in time
@@ -73,15 +75,23 @@
 	return min(max(stepAt(at), b.firstStep), b.firstStep+backlogSteps-1)
 }
 
-// of returns the backlog of a priority.
-func (b *serviceBacklog) of(priority int) *priorityBacklog {
-	i, found := slices.BinarySearchFunc(*b, priority, func(c *priorityBacklog, p int) int { return cmp.Compare(c.priority, p) })
+// of returns the backlog of a rank.
+func (b *serviceBacklog) of(rank int) *rankBacklog {
+	i, found := b.find(rank)
+	if !found && len(*b) >= maxRanks {
+		*b = slices.DeleteFunc(*b, func(c *rankBacklog) bool { return c.inTime.total+c.late.total == 0 })
+		i, _ = b.find(rank)
+	}
 	if !found {
-		*b = slices.Insert(*b, i, &priorityBacklog{priority: priority})
+		*b = slices.Insert(*b, i, &rankBacklog{rank: rank})
 	}
 	return (*b)[i]
 }
 
+func (b *serviceBacklog) find(rank int) (i int, found bool) {
+	return slices.BinarySearchFunc(*b, rank, func(c *rankBacklog, r int) int { return cmp.Compare(c.rank, r) })
+}
+
 // advanceBacklog moves the current step to now. Jobs whose goals have passed become late.
 func (s *scheduler) advanceBacklog(now time.Time) {
 	b, present := &s.backlog, stepAt(now)
@@ -152,20 +162,20 @@
 	sum := 0
 	for _, c := range q.backlog {
 		switch {
-		case j.late && c.priority < j.rank():
+		case j.late && c.rank < j.rank():
 			sum += c.inTime.total + c.late.total
-		case j.late && c.priority == j.rank():
+		case j.late && c.rank == j.rank():
 			sum += c.inTime.total + c.late.upTo(first, deadline)
-		case j.late, c.priority < j.rank():
+		case j.late, c.rank < j.rank():
 			sum += c.inTime.total
-		case c.priority == j.rank():
+		case c.rank == j.rank():
 			sum += c.inTime.upTo(first, goal)
 		}
 	}
 	return max(0, sum-q.running(func(o *job) bool { return j.goesBefore(o, goal, deadline) }))
 }
 
-// ownPiecesAhead is the part of piecesAhead with the priority of the job, calls in progress included.
+// ownPiecesAhead is the part of piecesAhead with the rank of the job, calls in progress included.
 func (s *scheduler) ownPiecesAhead(q *serviceQueue, j *job) int {
 	first, c := s.backlog.firstStep, q.backlog.of(j.rank())
 	if j.late {
--- a/node/stagework/backlog_test.go
+++ b/node/stagework/backlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -115,3 +116,15 @@
 		})
 	}
 }
+
+// TestBacklogOfRanksIsBounded guards against memory that grows with every priority that was ever configured.
+func TestBacklogOfRanksIsBounded(t *testing.T) {
+	var b serviceBacklog
+	b.of(-1).inTime.add(0, 1)
+	for rank := range 10 * maxRanks {
+		b.of(rank)
+	}
+	if len(b) > maxRanks || b.of(-1).inTime.total != 1 || !slices.IsSortedFunc(b, func(x, y *rankBacklog) int { return x.rank - y.rank }) {
+		t.Fatalf("%d ranks", len(b))
+	}
+}
--- a/node/stagework/order.go
+++ b/node/stagework/order.go
@@ -9,13 +9,13 @@
 	"caperdrum.org/api/optext"
 )
 
-// maxPassedOver is how many calls in a row may leave out the pieces of a priority that wait. The next call takes them
+// maxPassedOver is how many calls in a row may leave out the pieces of a rank that wait. The next call takes them
 // first, so that a flood of more urgent callers slows the others down and never starves them. The queue of an agent
 // has the same bound (package gate).
 const maxPassedOver = 16
 
-// compare orders the waiting pieces: first those of a priority that was passed over too often; then those of jobs
-// that can still reach their goal, as late ones must not make others late; then by priority; then by the latest time
+// compare orders the waiting pieces: first those of a rank that was passed over too often; then those of jobs
+// that can still reach their goal, as late ones must not make others late; then by rank; then by the latest time
 // at which they must start, for the goal or, once late, for the deadline.
 func (q *serviceQueue) compare(a, b *piece, now time.Time) int {
 	aStart, aLate := a.latestStart(now, q.spec)
@@ -42,30 +42,30 @@
 	return at, true
 }
 
-// passes counts, by priority, how often in a row a priority that waits was passed over.
+// passes counts, by rank, how often in a row a rank that waits was passed over.
 type passes map[int]int
 
-// exhausted reports whether a priority was passed over so often that it goes first.
-func (p passes) exhausted(priority int) bool { return p[priority] >= maxPassedOver }
+// exhausted reports whether a rank was passed over so often that it goes first.
+func (p passes) exhausted(rank int) bool { return p[rank] >= maxPassedOver }
 
-// record counts that the taken priorities were served while the waiting ones were not. It reports whether this
-// changes which priorities are exhausted.
+// record counts that the taken ranks were served while the waiting ones were not. It reports whether this
+// changes which ranks are exhausted.
 func (p passes) record(taken, waiting map[int]bool) (changed bool) {
-	for priority := range taken {
-		changed = changed || p.exhausted(priority)
-		delete(p, priority)
+	for rank := range taken {
+		changed = changed || p.exhausted(rank)
+		delete(p, rank)
 	}
-	for priority := range waiting {
-		if !taken[priority] {
-			p[priority]++
-			changed = changed || p[priority] == maxPassedOver
+	for rank := range waiting {
+		if !taken[rank] {
+			p[rank]++
+			changed = changed || p[rank] == maxPassedOver
 		}
 	}
-	maps.DeleteFunc(p, func(priority, _ int) bool { return !waiting[priority] })
+	maps.DeleteFunc(p, func(rank, _ int) bool { return !waiting[rank] })
 	return changed
 }
 
-// recordPasses counts which priorities a new call takes, and which it leaves waiting.
+// recordPasses counts which ranks a new call takes, and which it leaves waiting.
 func (q *serviceQueue) recordPasses(c *call) {
 	taken, waiting := map[int]bool{}, map[int]bool{}
 	for _, p := range c.pieces {
--- a/node/stagework/postponed.go
+++ b/node/stagework/postponed.go
@@ -12,8 +12,8 @@
 // would hold results there that others need the room for, and lose them before it gets on. So it starts once each of
 // its services gets to its pieces when it reaches them.
 type postponed struct {
-	jobs    []*job    // by priority and deadline
-	passes  passes    // of priorities whose jobs did not start
+	jobs    []*job    // by rank and the time at which their callers leave
+	passes  passes    // of ranks whose jobs did not start
 	checked time.Time // when it was last checked which jobs can start
 }
 
@@ -99,7 +99,7 @@
 	}
 }
 
-// inOrder returns the jobs, those of priorities that were passed over too often first.
+// inOrder returns the jobs, those of ranks that were passed over too often first.
 func (p *postponed) inOrder() []*job {
 	out := slices.Clone(p.jobs)
 	if len(p.passes) > 0 {
@@ -110,8 +110,8 @@
 	return out
 }
 
-// recordStart counts that a job of a priority started while those of others wait.
-func (p *postponed) recordStart(priority int) {
+// recordStart counts that a job of a rank started while those of others wait.
+func (p *postponed) recordStart(rank int) {
 	waiting := map[int]bool{}
 	for _, j := range p.jobs {
 		waiting[j.rank()] = true
@@ -119,7 +119,7 @@
 	if p.passes == nil {
 		p.passes = passes{}
 	}
-	p.passes.record(map[int]bool{priority: true}, waiting)
+	p.passes.record(map[int]bool{rank: true}, waiting)
 }
 
 // serviceLoads are the loads of services by name, as far as they were needed.
