--- a/node/proxy/connections.go
+++ b/node/proxy/connections.go
@@ -132,8 +132,7 @@
 		x.s.noteConnectionWait(service, refusedWait)
 		return false, x.noConnectionError()
 	}
-	left := time.Until(x.abandoned())
-	timer := time.NewTimer(min((left+*waited)/connectionWaitDivisor-*waited, left-minTimeLeft))
+	timer := time.NewTimer(connectionWait(time.Until(x.abandoned()), *waited))
 	defer timer.Stop()
 	select {
 	case <-turn:
@@ -149,6 +148,12 @@
 	return false, x.noConnectionError()
 }
 
+// connectionWait is how long a call may still wait for a connection, by the time that its caller has left and the time that
+// it has waited.
+func connectionWait(left, waited time.Duration) time.Duration {
+	return min((left+waited)/connectionWaitDivisor-waited, left-minTimeLeft)
+}
+
 // noConnectionError returns the error for a call for which this process has no connection left.
 func (x *exchange) noConnectionError() *verdict.Error {
 	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "all connections are in use that this process may have to upstreams of service %s: %d to each, %d in all over %d processes",
--- a/node/proxy/connections_test.go
+++ b/node/proxy/connections_test.go
@@ -186,6 +186,21 @@
 	}
 }
 
+// TestConnectionWaitIsHalfOfTheCallersTime guards against calls that wait for a connection until their callers have no time
+// left for another process.
+func TestConnectionWaitIsHalfOfTheCallersTime(t *testing.T) {
+	for _, c := range []struct{ left, waited, want time.Duration }{
+		{2 * time.Second, 0, time.Second},
+		{1500 * time.Millisecond, 500 * time.Millisecond, 500 * time.Millisecond},
+		{900 * time.Millisecond, 1100 * time.Millisecond, -100 * time.Millisecond},
+		{40 * time.Millisecond, 0, 10 * time.Millisecond},
+	} {
+		if got := connectionWait(c.left, c.waited); got != c.want {
+			t.Errorf("%s left, waited %s: %s, want %s", c.left, c.waited, got, c.want)
+		}
+	}
+}
+
 func isClosedChannel(c chan struct{}) bool {
 	select {
 	case <-c:
--- a/node/stagework/postponed.go
+++ b/node/stagework/postponed.go
@@ -128,7 +128,7 @@
 // serviceLoad is the work at a service that goes before the late jobs that have not started.
 type serviceLoad struct {
 	pieces float64       // not in a call yet
-	rate   float64       // in pieces a second
+	rate   float64       // in pieces a second, in full calls
 	call   time.Duration // of a full batch
 	free   time.Duration // until an upstream can take a call
 }
@@ -143,7 +143,7 @@
 		return l
 	}
 	q := s.services[service]
-	l := &serviceLoad{pieces: float64(q.startedLate), rate: q.throughput(0, 0), call: fullCall(q.spec), free: never}
+	l := &serviceLoad{pieces: float64(q.startedLate), rate: q.nominalThroughput(), call: fullCall(q.spec), free: never}
 	for _, w := range q.list {
 		l.free = min(l.free, w.freeIn(q, now))
 	}
--- a/node/stagework/rate.go
+++ b/node/stagework/rate.go
@@ -27,9 +27,6 @@
 	return r.events
 }
 
-// perSecond is the mean number of events a second.
-func (r *rate) perSecond(now time.Time) float64 { return r.lately(now) / rateWindow.Seconds() }
-
 func (r *rate) decay(now time.Time) {
 	r.events *= math.Exp(-now.Sub(r.at).Seconds() / rateWindow.Seconds())
 	r.at = now
