--- a/node/proxy/connections_test.go
+++ b/node/proxy/connections_test.go
@@ -65,6 +65,21 @@
 	}
 }
 
+// releaseAll ends two calls in flight and then the one that waits for a connection, and checks that all are served.
+func (h *heldCalls) releaseAll(calls []<-chan string) {
+	h.t.Helper()
+	h.release <- struct{}{}
+	<-h.arrived
+	h.release <- struct{}{}
+	h.release <- struct{}{}
+	for _, c := range calls {
+		if got := h.answer(c); !strings.HasPrefix(got, "200") {
+			h.t.Errorf("got %s", got)
+		}
+	}
+	h.wg.Wait()
+}
+
 func (h *heldCalls) waiting() int {
 	e := h.service.endpoints
 	e.mu.Lock()
@@ -94,16 +109,7 @@
 	if !strings.HasPrefix(third, "503") || !strings.Contains(third, "2 to each, 4 in all over 1 processes") {
 		t.Errorf("a call that finds too many waiting: %s", third)
 	}
-	h.release <- struct{}{}
-	<-h.arrived
-	h.release <- struct{}{}
-	h.release <- struct{}{}
-	for _, c := range append(first, second) {
-		if got := h.answer(c); !strings.HasPrefix(got, "200") {
-			t.Errorf("got %s", got)
-		}
-	}
-	h.wg.Wait()
+	h.releaseAll(append(first, second))
 	if n := h.service.endpoints.queue("llm").inUse; n != 0 {
 		t.Errorf("%d calls count as in flight after all have ended", n)
 	}
@@ -123,16 +129,7 @@
 	second := h.call()
 	h.awaitWaiting(1)
 	time.Sleep(20 * time.Millisecond)
-	h.release <- struct{}{}
-	<-h.arrived
-	h.release <- struct{}{}
-	h.release <- struct{}{}
-	for _, c := range append(first, second) {
-		if got := h.answer(c); !strings.HasPrefix(got, "200") {
-			t.Errorf("got %s", got)
-		}
-	}
-	h.wg.Wait()
+	h.releaseAll(append(first, second))
 }
 
 // TestWaitForAConnectionEnds guards against calls that wait for a connection until their deadlines, and against a turn that
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -258,7 +258,7 @@
 		}))
 		if _, taken := s.scheduler.jobs[j.SubmissionID]; !taken {
 			jobsVar.Add(jobRefused, 1)
-			s.log.Info("job refused", "request", j.ID, "jobs", len(s.scheduler.jobs), "estimate", s.scheduler.lastEstimate, "service", s.scheduler.lastService, "goal", j.Goal, "owner", s.scheduler.owner,
+			s.log.Info("job refused", "request", j.ID, "jobs", len(s.scheduler.jobs), "estimate", s.scheduler.lastEstimate, "service", s.scheduler.lastService, "goal", j.Goal, "left", j.TimeLeft, "patience", j.Patience, "owner", s.scheduler.owner,
 				"customer", j.Customer, "over_share", s.scheduler.lastOverShare)
 		}
 	})
