--- a/node/stagework/metrics.go
+++ b/node/stagework/metrics.go
@@ -28,6 +28,8 @@
 	permitsUnansweredVar = expvar.NewInt("stagework_permits_unanswered") // requests for a permit that the owner did not answer
 	fetchesVar           = expvar.NewInt("stagework_fetches")            // calls for which an engine fetches prompt parts
 	overShareVar         = expvar.NewMap("stagework_refused_over_share") // jobs put behind others because their customers are over their shares, by service
+	predictionsVar       = expvar.NewMap("stagework_predictions")        // jobs that ended, by what was predicted at admission/their outcome
+	pieceLabelsVar       = expvar.NewMap("stagework_pieces_by_label")    // pieces in calls, by service/whether their jobs could still reach their goals
 	ownerSince           = expvar.NewString("stagework_owner_since")
 	waitingVar           = expvar.NewMap("stagework_waiting")    // pieces, by service; at the owner
 	roomVar              = expvar.NewMap("stagework_room_free")  // bytes at all healthy upstreams, by service; at the owner
@@ -69,16 +71,43 @@
 	m.Set(name, v)
 }
 
+// pieceCounts counts pieces by whether their jobs could reach their goals when the call started.
+type pieceCounts struct{ inTime, late int }
+
+func (n pieceCounts) minus(o pieceCounts) pieceCounts {
+	return pieceCounts{n.inTime - o.inTime, n.late - o.late}
+}
+
 // countCall counts a call and its pieces.
-func (q *serviceQueue) countCall(c *call) {
+func (q *serviceQueue) countCall(now time.Time, c *call) {
 	callsVar.Add(q.spec.Name, 1)
 	piecesVar.Add(q.spec.Name, int64(len(c.pieces)))
+	var n pieceCounts
+	for _, p := range c.pieces {
+		if _, late := p.latestStart(now, q.spec); late {
+			n.late++
+		} else {
+			n.inTime++
+		}
+	}
+	q.taken.inTime += n.inTime
+	q.taken.late += n.late
+	pieceLabelsVar.Add(q.spec.Name+"/"+jobInTime, int64(n.inTime))
+	pieceLabelsVar.Add(q.spec.Name+"/"+jobLate, int64(n.late))
 	if c.leftWaiting >= q.spec.Batch {
 		batchSlotsVar.Add(q.spec.Name, int64(q.spec.Batch))
 		batchSlotsUsedVar.Add(q.spec.Name, int64(len(c.pieces)))
 	}
 }
 
+// prediction is the metric label for what was predicted of the job at its admission.
+func (j *job) prediction() string {
+	if j.predictedLate {
+		return jobLate
+	}
+	return jobInTime
+}
+
 // outcomeOf is the metric label for how a job ended.
 func (j *job) outcomeOf(now time.Time, r Result, err error) string {
 	switch {
--- a/node/stagework/metrics_test.go
+++ b/node/stagework/metrics_test.go
@@ -49,3 +49,21 @@
 		}
 	}
 }
+
+// TestPredictionsOfJobsAreCountedWithTheirPieces checks the metric labels that tell wrong predictions from right ones, and
+// late work from work in time.
+func TestPredictionsOfJobsAreCountedWithTheirPieces(t *testing.T) {
+	g := gomega.NewWithT(t)
+	inTime, late := mapValue(pieceLabelsVar, "a/in_time"), mapValue(pieceLabelsVar, "a/late")
+	now := time.Unix(1000, 0)
+	q := &serviceQueue{spec: services["a"]}
+	onTime, overdue := &job{goal: now.Add(time.Minute), minRemaining: []time.Duration{0}}, &job{late: true, predictedLate: true, minRemaining: []time.Duration{0}, times: make([]stageTimes, 1)}
+	onTime.Stages, overdue.Stages = []Stage{{Service: "a", Pieces: 2}}, []Stage{{Service: "a", Pieces: 1}}
+	q.countCall(now, &call{pieces: []*piece{{job: onTime}, {job: onTime}}})
+	overdue.recordStart(0, now, q)
+	q.countCall(now, &call{pieces: []*piece{{job: overdue}}})
+	g.Expect(mapValue(pieceLabelsVar, "a/in_time") - inTime).To(gomega.BeEquivalentTo(2))
+	g.Expect(mapValue(pieceLabelsVar, "a/late") - late).To(gomega.BeEquivalentTo(1))
+	g.Expect(overdue.passedBy()).To(gomega.Equal("0:2+0"))
+	g.Expect([]string{onTime.prediction(), overdue.prediction()}).To(gomega.Equal([]string{jobInTime, jobLate}))
+}
--- a/node/stagework/progress.go
+++ b/node/stagework/progress.go
@@ -33,6 +33,7 @@
 	restarts      int
 	moving        bool                // it moves to another owner once its calls have ended
 	late          bool                // cannot reach its goal, so that it goes behind those in time
+	predictedLate bool                // it was late when it was admitted
 	postponed     bool                // late, and not started
 	path          string              // of its stages, once it was postponed
 	overShare     bool                // late because its customer is over its share
@@ -46,7 +47,9 @@
 // stageTimes are the times at which a stage of a job reached each state; zero: not yet.
 type stageTimes struct {
 	ready, begun, done time.Time
-	expires            time.Time // its first result, at the earliest
+	expires            time.Time   // its first result, at the earliest
+	takenBefore        pieceCounts // in calls of its service until it was ready
+	wentBefore         pieceCounts // in calls of its service from then until it began
 }
 
 // inputsExpire is when the first inputs of a stage expire at their upstreams at the earliest; zero if it has none or
@@ -74,10 +77,10 @@
 }
 
 // recordStart records the time at which the first pieces of a stage are in a call.
-func (j *job) recordStart(stage int, now time.Time, ttl time.Duration) {
+func (j *job) recordStart(stage int, now time.Time, q *serviceQueue) {
 	if t := &j.times[stage]; t.begun.IsZero() {
-		t.begun = now
-		if ttl > 0 {
+		t.begun, t.wentBefore = now, q.taken.minus(t.takenBefore)
+		if ttl := q.spec.ResultTTL; ttl > 0 {
 			t.expires = now.Add(ttl)
 		}
 	}
@@ -107,6 +110,22 @@
 	return b.String()
 }
 
+// passedBy formats for each stage how many pieces went into calls of its service while it waited: of jobs in time, and of
+// late ones.
+func (j *job) passedBy() string {
+	var b strings.Builder
+	for i, t := range j.times {
+		if t.begun.IsZero() {
+			continue
+		}
+		if b.Len() > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%d:%d+%d", i, t.wentBefore.inTime, t.wentBefore.late)
+	}
+	return b.String()
+}
+
 // assignedEngine is the engine chosen for the job's call; empty: none.
 func (j *job) assignedEngine() wire.MemberID {
 	if j.assignment == nil {
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -35,6 +35,7 @@
 	backlog      serviceBacklog
 	startedLate  int // pieces not done yet of late jobs that have started
 	passes       passes
+	taken        pieceCounts // in calls so far
 
 	name                string
 	split               *rollout.Splitter // of this owner's calls between versions
@@ -243,7 +244,7 @@
 		for _, p := range group {
 			taken[p] = true
 			p.beginCall()
-			p.job.recordStart(p.stage, now, q.spec.ResultTTL)
+			p.job.recordStart(p.stage, now, q)
 			c.longestWait = max(c.longestWait, now.Sub(p.queued))
 			c.pieces = append(c.pieces, p)
 			c.request = append(c.request, p.request(now))
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -112,6 +112,7 @@
 	}
 	s.advanceBacklog(now)
 	s.jobs[j.SubmissionID] = n
+	n.predictedLate = n.late
 	if n.late {
 		s.postpone(n)
 	}
@@ -218,9 +219,9 @@
 			continue
 		}
 		j.started[i] = true
-		j.times[i].ready = now
 		s.startPending = true
 		q := s.services[st.Service]
+		j.times[i].ready, j.times[i].takenBefore = now, q.taken
 		home := j.preferredDataCenter(i)
 		for k := range st.Pieces {
 			q.enqueue(&piece{job: j, stage: i, number: k, epoch: j.restarts, preferredDataCenter: home, queued: now})
@@ -408,5 +409,5 @@
 	s.reachability.recordCall(now, c.worker.member.DataCenter)
 	s.trackInputs(c)
 	s.trackDuration(q, c)
-	q.countCall(c)
+	q.countCall(now, c)
 }
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -280,12 +280,14 @@
 		return // handleRun logs refusals
 	}
 	now, level := time.Now(), logging.Routine
-	jobsVar.Add(n.outcomeOf(now, r, err), 1)
+	outcome := n.outcomeOf(now, r, err)
+	jobsVar.Add(outcome, 1)
+	predictionsVar.Add(n.prediction()+"/"+outcome, 1)
 	if err == nil && now.Before(n.goal) {
 		level = logging.Detail
 	}
 	s.log.V(level).Info("job ended", "request", j.ID, "priority", j.Priority, "after", now.Sub(n.arrived), "to_goal", n.goal.Sub(now),
-		"waited_and_made_ms", n.stageTimings(), "estimate", n.estimate, "late", n.late, "customer", j.Customer, "over_share", n.overShare, "restarts", n.restarts, "engine", n.assignedEngine(), "error", err)
+		"waited_and_made_ms", n.stageTimings(), "passed_by", n.passedBy(), "estimate", n.estimate, "predicted", n.prediction(), "late", n.late, "customer", j.Customer, "over_share", n.overShare, "restarts", n.restarts, "engine", n.assignedEngine(), "error", err)
 }
 
 func (s *Service) handleDone(_ context.Context, d *Done) (*control.Empty, error) {
