--- a/node/stagework/loadmodel_test.go
+++ b/node/stagework/loadmodel_test.go
@@ -96,6 +96,7 @@
 	inTimeOfRetry bool          // within its goal from the last time that it was sent
 	served        bool          // answered before its deadline
 	wait          time.Duration // from its arrival to the answer
+	predicted     string        // at its admission, see prediction; empty: it was not admitted
 	first         time.Duration // from the end of the stages to the first event
 }
 
@@ -255,12 +256,16 @@
 		return // the owner was lost meanwhile
 	}
 	delete(m.waiting, handed)
+	predicted := ""
+	if j := owner.jobs[handed]; j != nil {
+		predicted = j.prediction()
+	}
 	if err != nil {
 		m.ownerEvent(owner, func() { m.free(owner, owner.handleDone(m.now, Done{SubmissionID: handed})) })
 		if m.retryLater(c, err) {
 			return
 		}
-		m.ended = append(m.ended, modelEnd{kind: c.kind.name, customer: c.kind.customer, arrived: c.arrived, sent: c.sent(), refused: verdict.Of(err) == verdict.NotRun})
+		m.ended = append(m.ended, modelEnd{kind: c.kind.name, customer: c.kind.customer, arrived: c.arrived, sent: c.sent(), refused: verdict.Of(err) == verdict.NotRun, predicted: predicted})
 		return
 	}
 	engine := r.Engine
@@ -270,7 +275,7 @@
 	first := m.timeToFirstEvent(engine, c.prompt)
 	m.after(first, func() {
 		m.ownerEvent(owner, func() { m.free(owner, owner.handleDone(m.now, Done{SubmissionID: handed, Engine: EngineStarted})) })
-		m.ended = append(m.ended, modelEnd{kind: c.kind.name, customer: c.kind.customer, arrived: c.arrived, sent: c.sent(), inTime: m.now.Sub(c.arrived) <= c.kind.goal, inTimeOfRetry: m.now.Sub(c.sent()) <= c.kind.goal, served: m.now.Sub(c.arrived) <= c.kind.left, wait: m.now.Sub(c.arrived), first: first})
+		m.ended = append(m.ended, modelEnd{kind: c.kind.name, customer: c.kind.customer, arrived: c.arrived, sent: c.sent(), inTime: m.now.Sub(c.arrived) <= c.kind.goal, inTimeOfRetry: m.now.Sub(c.sent()) <= c.kind.goal, served: m.now.Sub(c.arrived) <= c.kind.left, wait: m.now.Sub(c.arrived), first: first, predicted: predicted})
 	})
 }
 
