--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -1,6 +1,7 @@
 package stagework
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -24,9 +25,10 @@
 	engines        *engines
 	split          *rollout.Splitter
 	counter        *rollout.Counter
-	postponed      postponed
+	pending        pendingJobs
+	lateStarts     leftover
 	fetchingInputs []*call // calls whose upstreams are still fetching inputs
-	backlog        backlog
+	goals          goals
 	gaugesSet      time.Time
 	reachability   *reachability
 	permits        *permits
@@ -110,19 +112,19 @@
 			return nil
 		}
 	}
-	s.advanceBacklog(now)
+	s.advanceGoals(now)
 	s.jobs[j.SubmissionID] = n
-	n.predictedLate = n.late
-	if n.late {
-		s.postpone(n)
+	if !n.late {
+		s.goals.watch(n)
 	}
-	s.updateBacklog(n)
+	if n.untouched() && n.pieces() > 0 {
+		s.wait(now, n)
+	}
+	s.updateReleased(n)
 	if j.Resubmitted {
 		n.countResubmitted()
 	}
-	if n.postponed && len(s.postponed.jobs) == 1 { // the others wait for the next tick
-		s.startPostponed(now)
-	}
+	s.startReady(now)
 	s.advance(now, n)
 	return s.releaseInputs(n)
 }
@@ -207,7 +209,7 @@
 // advance queues the stages whose inputs are ready, and answers the job when all stages
 // are completed.
 func (s *scheduler) advance(now time.Time, j *job) {
-	if j.postponed {
+	if j.waitsToStart || j.answer == nil {
 		return
 	}
 	all := true
@@ -227,9 +229,11 @@
 			q.enqueue(&piece{job: j, stage: i, number: k, epoch: j.restarts, preferredDataCenter: home, queued: now})
 		}
 	}
+	s.updateReleased(j)
 	if all {
 		j.expires = now.Add(max(s.longestTTL(j), assignmentTTL))
 		s.chooseEngine(now, j)
+		s.recordOverrun(now, j)
 		s.endJob(j, j.result(), nil)
 	}
 }
@@ -265,8 +269,8 @@
 	}
 	j.answer(r, err)
 	j.answer = nil
-	s.postponed.remove(j)
-	s.updateBacklog(j)
+	s.pending.remove(j)
+	s.updateReleased(j)
 	s.dequeue(j)
 }
 
@@ -274,7 +278,7 @@
 func (s *scheduler) dequeue(j *job) {
 	for _, st := range j.Stages {
 		if q := s.services[st.Service]; q != nil {
-			q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool { return p.job == j })
+			q.removeWaiting(func(p *piece) bool { return p.job == j })
 		}
 	}
 }
@@ -335,7 +339,6 @@
 	}
 	if len(out) > 0 {
 		j.results = kept
-		s.updateBacklog(j)
 	}
 	return out
 }
@@ -346,37 +349,54 @@
 	s.startPending = true // pauses of upstreams end without an event
 	s.reachability.expireFailures(now)
 	s.markOverdue(now)
-	s.advanceBacklog(now)
+	s.advanceGoals(now)
 	out := s.collectFetchedInputs(now)
-	for _, j := range s.jobs {
+	for _, j := range s.jobsToEnd(now) {
 		switch {
-		case j.answer != nil && !now.Before(j.deadline):
+		case j.answer == nil:
+			s.releaseEngine(now, j, EngineUnknown)
+			s.recordFreed(s.forgetJob(j))
+		case !now.Before(j.deadline):
 			s.endJob(j, Result{}, errDeadlineExceeded())
 			out = append(out, s.forgetJob(j)...)
-		case j.answer != nil && s.serviceWithoutWorker(j) != "":
+		case s.serviceWithoutWorker(j) != "":
 			s.endJob(j, Result{}, errNoAllowedUpstream(s.serviceWithoutWorker(j), j.Within))
 			out = append(out, s.forgetJob(j)...)
-		case j.answer != nil && j.calls == 0 && now.Add(s.unloadedTime(j)).After(j.mustEnd()):
+		case s.withoutTime(now, j):
 			// No upstream can do it in time any more. Its caller learns so now, and its results take no room.
 			s.endJob(j, Result{}, errOverloaded(s.retryAfter(j.deadline.Sub(now), never)))
 			out = append(out, s.forgetJob(j)...)
-		case j.answer != nil && !j.moving && j.waitsForExpiredInputs(now):
-			// The call would find them gone. The job gives the room back, and starts anew if it has time.
-			if j.restarts >= maxRestarts {
-				s.endJob(j, Result{}, errStageFailed(string(upstream.InputGone)))
-				out = append(out, s.forgetJob(j)...)
-				continue
-			}
+		case j.restarts >= maxRestarts:
+			s.endJob(j, Result{}, errStageFailed(string(upstream.InputGone)))
+			out = append(out, s.forgetJob(j)...)
+		default: // a call would find its inputs gone: it gives the room back, and starts anew if it has time
 			out = append(out, s.restartJob(now, j)...)
-		case j.answer == nil && !j.expires.IsZero() && now.After(j.expires):
-			s.releaseEngine(now, j, EngineUnknown)
-			s.recordFreed(s.forgetJob(j))
 		}
 	}
-	s.startPostponed(now)
+	s.startReady(now)
 	return out
 }
 
+// jobsToEnd returns the jobs that have no time left, no upstream or no inputs any more, or are answered and forgotten by
+// their upstreams, in the order in which they came.
+func (s *scheduler) jobsToEnd(now time.Time) []*job {
+	var out []*job
+	for _, j := range s.jobs {
+		switch {
+		case j.answer == nil && !j.expires.IsZero() && now.After(j.expires),
+			j.answer != nil && (!now.Before(j.deadline) || s.serviceWithoutWorker(j) != "" || s.withoutTime(now, j) || !j.moving && j.waitsForExpiredInputs(now)):
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, func(a, b *job) int { return cmp.Compare(a.serial, b.serial) })
+	return out
+}
+
+// withoutTime reports whether no upstream can do a job in time any more that is in no call.
+func (s *scheduler) withoutTime(now time.Time, j *job) bool {
+	return j.calls == 0 && now.Add(s.unloadedTime(j)).After(j.mustEnd())
+}
+
 // startCalls returns the calls to make now. It looks at the queues only after an event that
 // may allow a new call: under overload, sorting the queues is most of the owner's work, and
 // two events in three change nothing about them.
@@ -400,6 +420,7 @@
 			out = append(out, c)
 		}
 		q.updateBusy()
+		q.updateIdle(now, len(q.waiting) > 0 || s.pending.needs(name))
 	}
 	return append(out, s.hedgeOverdueCalls(now)...)
 }
