--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -33,102 +33,42 @@
 	if pause := s.upstreamPause(now, j); pause > 0 && now.Add(pause+s.unloadedTime(j)).After(j.mustEnd()) {
 		return pause, true
 	}
-	j.late = now.Add(s.unloadedTime(j)).After(j.goal)
-	estimate, late, bottleneck := s.predict(now, j)
-	if s.fairness.judge(now, j, bottleneck) != "" {
+	s.advanceBacklog(now)
+	estimate, bottleneck := s.estimate(now, j)
+	behind := ""
+	if now.Add(estimate).After(j.goal) {
+		j.late, behind = true, bottleneck
+	}
+	if s.fairness.judge(now, j, behind) != "" {
 		j.late, j.overShare = true, true
-		estimate, late, bottleneck = s.predict(now, j)
 	}
-	j.estimate, j.predictedLate = estimate, late
+	if j.late {
+		estimate, bottleneck = s.estimate(now, j)
+	}
+	j.estimate = estimate
 	s.lastEstimate, s.lastService, s.lastOverShare = estimate, bottleneck, j.overShare
 	if now.Add(estimate).After(j.mustEnd()) {
 		return s.retryAfter(j.TimeLeft, estimate-s.unloadedTime(j)), true
 	}
-	return 0, false
-}
-
-// predict predicts how long the stages of a new job take, and whether it misses its goal because of a service for which it
-// waits.
-func (s *scheduler) predict(now time.Time, j *job) (estimate time.Duration, late bool, service string) {
-	if !j.late {
-		wait, blockedBy := s.pending.waitOf(now, j, s.startBy(j))
-		estimate = max(wait+s.unloadedTime(j), s.queueEstimate(now, j))
-		if wait <= time.Duration(sureShare*float64(s.startBy(j).Sub(now)-s.margin(j))) && !now.Add(estimate).After(j.goal) {
-			return estimate, false, ""
-		}
-		service = blockedBy
-	}
-	return max(s.lateEstimate(now, j), s.queueEstimate(now, j)), true, service
-}
-
-// sureShare is the part of the time that a job can wait to start within which its predicted wait must be: waits vary, and
-// what is admitted is to start in time.
-const sureShare = 0.7
-
-// queueEstimate is the least time that the stages of a new job take behind the pieces that go before them.
-func (s *scheduler) queueEstimate(now time.Time, j *job) time.Duration {
-	startBy := j.abandonedAt
 	if !j.late {
-		startBy = s.startBy(j)
-	}
-	longest := time.Duration(0)
-	for i, st := range j.Stages {
-		q := s.services[st.Service]
-		if st.Pieces == 0 || len(st.DependsOn) > 0 {
-			continue // what is ahead now does not hold up later stages for sure
-		}
-		ahead := s.pending.piecesAhead(q, j, startBy)
-		wait, call := time.Duration(0), shortestCall(q.spec)
-		if ahead > 0 || q.idleWorkers(now) == 0 {
-			wait = q.startsAfter(now, ahead/q.spec.Batch)
-			call = q.spec.CallTime + time.Duration(min(st.Pieces, q.spec.Batch))*q.spec.PieceTime
-		}
-		longest = max(longest, wait+call+j.minRemaining[i])
-	}
-	return longest
-}
-
-// startsAfter is how long until the service starts a call that has that many others before it.
-func (q *serviceQueue) startsAfter(now time.Time, calls int) time.Duration {
-	free := make([]time.Duration, 0, len(q.list))
-	for _, w := range q.list {
-		if w.healthy() {
-			free = append(free, w.freeIn(q, now))
-		}
+		s.countArrival(now, j)
 	}
-	if len(free) == 0 {
-		return drainTime(float64((calls+1)*q.spec.Batch), q.slowestThroughput())
-	}
-	slices.Sort(free)
-	return min(free[calls%len(free)]+time.Duration(calls/len(free))*fullCall(q.spec), never)
+	return 0, false
 }
 
-// lateEstimate predicts how long the stages of a job take that does not start in time for its goal: late jobs get what is
-// left over, which is expected to be as much as lately.
-func (s *scheduler) lateEstimate(now time.Time, j *job) time.Duration {
-	leftover := s.lateStarts.perSecond(now) + s.idleRate(now, j)
-	return min(never, drainTime(float64(s.pending.lateAhead(j)+1), leftover)) + s.unloadedTime(j)
-}
+// mustEnd is the latest time at which the stages must be completed, so that the engine begins its answer before the
+// caller's time is over.
+func (j *job) mustEnd() time.Time { return j.abandonedAt.Add(-j.engineTime) }
 
-// idleRate is how many jobs like this one a second the services could have done lately besides what they did.
-func (s *scheduler) idleRate(now time.Time, j *job) float64 {
-	least := math.Inf(1)
-	pieces := map[string]int{}
+// countArrival counts the pieces of a job that is admitted in time.
+func (s *scheduler) countArrival(now time.Time, j *job) {
 	for _, st := range j.Stages {
-		pieces[st.Service] += st.Pieces
-	}
-	for service, n := range pieces {
-		if q := s.services[service]; n > 0 && q != nil {
-			least = min(least, q.idleShare(now)*q.nominalThroughput()/float64(n))
+		if st.Pieces > 0 {
+			s.services[st.Service].backlog.of(j.rank()).arrivals.count(now, st.Pieces)
 		}
 	}
-	return least
 }
 
-// mustEnd is the latest time at which the stages must be completed, so that the engine begins its answer before the
-// caller's time is over.
-func (j *job) mustEnd() time.Time { return j.abandonedAt.Add(-j.engineTime) }
-
 // upstreamPause is how long until each service that the job needs has an upstream that accepts calls.
 func (s *scheduler) upstreamPause(now time.Time, j *job) time.Duration {
 	var longest time.Duration
@@ -147,6 +87,108 @@
 	return time.Duration(float64(at) * (1 - retryAfterSpread*s.random()))
 }
 
+// estimate predicts how long the stages of a new job take: for each service, the work that goes
+// before the job plus the job's remaining stages. bottleneck is the service with the longest time.
+// The backlog must be advanced to now.
+func (s *scheduler) estimate(now time.Time, j *job) (estimate time.Duration, bottleneck string) {
+	var longest time.Duration
+	reached, rest := s.reachedAfter(j), s.remainingTimes(now, j)
+	for i, st := range j.Stages {
+		if st.Pieces == 0 {
+			continue
+		}
+		wait, runTime := s.waitAt(now, s.services[st.Service], st, j, reached[i])
+		if total := min(wait, never) + runTime + rest[i]; total > longest {
+			longest, bottleneck = total, st.Service
+		}
+	}
+	return max(longest, s.unloadedTime(j)+s.waitForWorkers(now, j)), bottleneck
+}
+
+// remainingTimes predicts for each stage of a new job how long the calls of the stages after it take: full ones at
+// services without an idle upstream, as others join them there.
+func (s *scheduler) remainingTimes(now time.Time, j *job) []time.Duration {
+	rest := make([]time.Duration, len(j.Stages))
+	for i := len(j.Stages) - 1; i >= 0; i-- {
+		st := j.Stages[i]
+		if st.Pieces == 0 {
+			continue
+		}
+		q := s.services[st.Service]
+		runTime := fullCall(q.spec)
+		if q.idleWorkers(now) > 0 {
+			runTime = q.callDuration(min(st.Pieces, q.spec.Batch))
+		}
+		for _, k := range st.DependsOn {
+			rest[k] = max(rest[k], rest[i]+runTime)
+		}
+	}
+	return rest
+}
+
+// waitAt predicts how long a stage of a job waits at its service for the call that takes its last piece, and how long
+// that call takes. Pieces that will come once the job has reached the service, and go before its own, are taken to come as
+// often as in a past time as long as the job has. A rank is passed over by maxPassedOver calls at most, so it waits no
+// longer than for that many times its own pieces.
+func (s *scheduler) waitAt(now time.Time, q *serviceQueue, st Stage, j *job, reached time.Duration) (wait, runTime time.Duration) {
+	ahead := s.piecesAhead(q, j)
+	if idle := q.idleWorkers(now); ahead == 0 && idle > 0 { // the pieces are spread over the idle upstreams
+		return 0, q.callDuration(min(q.spec.Batch, (st.Pieces+idle-1)/idle))
+	}
+	rate := q.throughput(st.ResultBytes, resultHoldTime)
+	if rate <= 0 {
+		rate = q.slowestThroughput()
+	}
+	wait = q.startsAfter(now, (ahead+st.Pieces-1)/q.spec.Batch, rate)
+	if !j.late && j.goal.Before(j.mustEnd()) {
+		// To count as in time, a job must be so even if all work ahead is done first. What is late instead is not lost.
+		wait = max(wait, drainTime(float64(ahead)+q.unfinished(now), rate))
+	}
+	if wait == 0 {
+		return 0, q.callDuration(min(q.spec.Batch, ahead%q.spec.Batch+st.Pieces))
+	}
+	runTime = fullCall(q.spec) // others join it meanwhile
+	window := j.goal.Sub(now)
+	if j.late {
+		window = j.mustEnd().Sub(now)
+	}
+	before, own := 0.0, 0.0
+	for _, c := range q.backlog {
+		if !j.late && c.rank >= j.rank() {
+			break
+		}
+		perSecond := c.arrivals.perSecond(now, window)
+		before += perSecond
+		if c.rank == j.rank() {
+			own = perSecond
+		}
+	}
+	if before > 0 && wait > reached {
+		wait = reached + drainTime((wait-reached).Seconds()*rate, rate-before)
+	}
+	if before > own {
+		const share = 1.0 / (maxPassedOver + 1)
+		wait = min(wait, drainTime(float64(s.ownPiecesAhead(q, j)+st.Pieces), rate*share-own))
+	}
+	return wait, runTime
+}
+
+// startsAfter is how long until the service starts a call that has that many others before it.
+func (q *serviceQueue) startsAfter(now time.Time, calls int, rate float64) time.Duration {
+	free := make([]time.Duration, 0, len(q.list))
+	for _, w := range q.list {
+		if w.healthy() {
+			free = append(free, w.freeIn(q, now))
+		}
+	}
+	if len(free) == 0 {
+		return drainTime(float64((calls+1)*q.spec.Batch), rate)
+	}
+	slices.Sort(free)
+	round := drainTime(float64(len(free)*q.spec.Batch), rate)
+	return min(free[calls%len(free)]+time.Duration(min(float64(calls/len(free))*float64(round), float64(never))), never)
+}
+
 // freeIn is how long until an upstream can take another call.
 func (w *worker) freeIn(q *serviceQueue, now time.Time) time.Duration {
 	left := max(w.backoffUntil.Sub(now), w.pausedUntil.Sub(now), 0)
@@ -176,6 +218,29 @@
 	return longest
 }
 
+// waitForWorkers is how long a job waits for upstreams to become free, besides the work queued
+// ahead of it: a quarter of a call's fixed time at each service without an idle upstream.
+func (s *scheduler) waitForWorkers(now time.Time, j *job) time.Duration {
+	var sum time.Duration
+	for _, st := range j.Stages {
+		if q := s.services[st.Service]; st.Pieces > 0 && q.idleWorkers(now) == 0 {
+			sum += q.spec.CallTime / 4
+		}
+	}
+	return sum
+}
+
+// unfinished is the number of pieces of the calls in progress at healthy upstreams that are not done yet.
+func (q *serviceQueue) unfinished(now time.Time) float64 {
+	sum := 0.0
+	for _, w := range q.list {
+		if c := w.lastCall; c != nil && w.runningCalls > 0 && w.healthy() {
+			sum += float64(len(c.pieces)) * (1 - min(1, now.Sub(c.started).Seconds()/w.freeAt.Sub(c.started).Seconds()))
+		}
+	}
+	return sum
+}
+
 // updateEfficiency records how full a call is that was made while at least another batch waited.
 func (q *serviceQueue) updateEfficiency(c *call) {
 	if c.leftWaiting < q.spec.Batch {
--- a/node/stagework/admission_test.go
+++ b/node/stagework/admission_test.go
@@ -42,8 +42,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		o := newOverloadFixture(t)
 		for range 2 {
-			if !o.offer("late", "k", 4) || !o.s.jobs["late"].predictedLate || !o.s.jobs["late"].waitsToStart {
-				t.Fatal("a job that misses its goal is not admitted late")
+			if !o.offer("late", "k", 4) || !o.s.jobs["late"].late || !o.s.jobs["late"].postponed {
+				t.Fatal("a job that misses its goal is not postponed")
 			}
 			o.s.handleDone(o.now, Done{SubmissionID: "late"})
 			delete(o.ended, "late")
@@ -62,7 +62,7 @@
 func TestRefusedCallersAreForgotten(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		o := newOverloadFixture(t)
-		before, postponed := len(o.s.jobs), o.s.pending.jobs
+		before, postponed := len(o.s.jobs), len(o.s.postponed.jobs)
 		for i := range 30 {
 			id := fmt.Sprint("refused", i)
 			o.s.submit(o.now, Job{ID: id, SubmissionID: id, Key: id, TimeLeft: 300 * time.Millisecond, Goal: 300 * time.Millisecond, Stages: []Stage{{Service: "a", Pieces: 4, ResultBytes: 10}}},
@@ -71,7 +71,7 @@
 				t.Fatal("a job without time was admitted")
 			}
 		}
-		if len(o.s.jobs) != before || o.s.pending.jobs != postponed {
+		if len(o.s.jobs) != before || len(o.s.postponed.jobs) != postponed {
 			t.Fatalf("%d jobs, %d before", len(o.s.jobs), before)
 		}
 	})
@@ -139,11 +139,11 @@
 		// starts is at most its work for the first stage, one call and one job more.
 		q, started := w.s.services["b"], 0
 		for _, j := range w.s.jobs {
-			if !j.waitsToStart {
+			if !j.postponed {
 				started++
 			}
 		}
-		most := q.nominalThroughput()*(shortestCall(services["a"])+fullCall(q.spec)).Seconds()/6 + 1
+		most := q.nominalThroughput()*(w.s.stageTime(Stage{Service: "a", Pieces: 1})+fullCall(q.spec)).Seconds()/6 + 1
 		if started == 0 || float64(started) > most {
 			t.Fatalf("%d jobs started, at most %.1f may", started, most)
 		}
@@ -159,7 +159,7 @@
 			id := fmt.Sprint("hopeless", i)
 			o.s.submit(o.now, Job{ID: id, SubmissionID: id, Key: id, TimeLeft: 20 * time.Second, Goal: services["a"].CallTime / 2, Stages: []Stage{{Service: "a", Pieces: 1, ResultBytes: 10}}},
 				func(_ Result, err error) { o.ended[id] = err })
-			if j := o.s.jobs[id]; j == nil || !j.late || !j.waitsToStart {
+			if j := o.s.jobs[id]; j == nil || !j.late || !j.postponed {
 				t.Fatalf("%s competes with jobs that are in time, or was refused: %v", id, o.ended[id])
 			}
 		}
@@ -171,9 +171,9 @@
 func TestEstimateWithAnIdleUpstreamHasNoQueueingTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newSchedulerSimulation(t)
-		j := &job{Job: Job{TimeLeft: time.Minute, Stages: []Stage{{Service: "a", Pieces: 1}}}, arrived: w.now, goal: w.now.Add(time.Minute)}
+		j := &job{Job: Job{TimeLeft: time.Minute, Stages: []Stage{{Service: "a", Pieces: 1}}}, goal: w.now.Add(time.Minute)}
 		w.s.reset(j)
-		if got, _, _ := w.s.predict(w.now, j); got != w.s.unloadedTime(j) {
+		if got, _ := w.s.estimate(w.now, j); got != w.s.unloadedTime(j) {
 			t.Fatalf("estimate %s, unloaded time %s", got, w.s.unloadedTime(j))
 		}
 	})
@@ -195,7 +195,7 @@
 		}
 		s.expireJobs(now.Add(ownerTick))
 		for _, j := range s.jobs {
-			if !j.waitsToStart {
+			if !j.postponed {
 				n++
 			}
 		}
@@ -256,8 +256,8 @@
 		t.Fatal("started anew too early")
 	}
 	c.advance(2 * time.Millisecond)
-	if j.restarts != 1 || !j.waitsToStart || len(c.freed) != 1 || j.answer == nil {
-		t.Fatalf("%d restarts, postponed %v, freed %v", j.restarts, j.waitsToStart, c.freed)
+	if j.restarts != 1 || !j.postponed || len(c.freed) != 1 || j.answer == nil {
+		t.Fatalf("%d restarts, postponed %v, freed %v", j.restarts, j.postponed, c.freed)
 	}
 }
 
--- a/node/stagework/backlog_test.go
+++ b/node/stagework/backlog_test.go
@@ -7,28 +7,39 @@
 	"time"
 )
 
-// releasedPieces computes from all jobs how many released pieces of each rank a service has in no call.
-func releasedPieces(s *scheduler, service string) map[int]int {
-	out := map[int]int{}
-	for _, p := range s.services[service].waiting {
-		out[p.job.rank()]++
+// sumOverJobs computes from all jobs how many pieces go before those of a job, by service.
+func sumOverJobs(s *scheduler, n *job) map[string]int {
+	ahead := map[string]int{}
+	before := func(j *job) bool {
+		switch {
+		case j.late != n.late:
+			return n.late // those in time go before all late ones
+		case j.rank() != n.rank():
+			return j.rank() < n.rank()
+		case n.late:
+			return s.backlog.clampStep(j.abandonedAt) <= s.backlog.clampStep(n.abandonedAt)
+		}
+		return s.backlog.clampStep(j.goal) <= s.backlog.clampStep(n.goal)
+	}
+	counted := func(j *job) bool {
+		return j.answer != nil && (before(j) || n.late && j.rank() < n.rank())
 	}
 	for _, j := range s.jobs {
 		for i, st := range j.Stages {
-			if st.Service == service && j.answer != nil && !j.waitsToStart && !j.started[i] {
-				out[j.rank()] += j.missing[i]
+			if counted(j) {
+				ahead[st.Service] += j.missing[i]
 			}
 		}
 	}
-	return out
-}
-
-// jobsAhead computes from all jobs how many start before one in its group.
-func jobsAhead(s *scheduler, n *job, late bool, startBy time.Time) int {
-	ahead := 0
-	for _, j := range s.jobs {
-		if j.waitsToStart && j.pending == n.pendingKey(late) && !j.startBy.After(startBy) {
-			ahead++
+	for service, q := range s.services {
+		for _, w := range q.list {
+			if c := w.lastCall; c != nil && w.runningCalls > 0 {
+				for _, p := range c.pieces {
+					if counted(p.job) && !p.done && p.epoch == p.job.restarts {
+						ahead[service]--
+					}
+				}
+			}
 		}
 	}
 	return ahead
@@ -50,47 +61,35 @@
 				if steps++; s == nil || steps%every != 0 {
 					return
 				}
-				s.advanceGoals(m.now)
-				for _, j := range s.jobs {
-					if j.answer != nil && !j.late && j.goal.Before(m.now.Add(-goalStep)) {
-						t.Fatalf("the goal of a job in time has passed: %+v", j)
-					}
-				}
+				s.advanceBacklog(m.now)
 				for _, d := range []time.Duration{-time.Second, 0, 300 * time.Millisecond, 2 * time.Second, time.Minute} {
-					priority, late, startBy := steps/every%4, steps%2 == 0, m.now.Add(d)
-					n := &job{Job: Job{Priority: priority, Stages: chainChats.stages(m.rand)}}
-					if got, want := s.pending.ahead(n.pendingKey(late), startBy), jobsAhead(s, n, late, startBy); got != want {
-						t.Fatalf("before %s, priority %d, late %v: %d jobs, over all jobs %d", d, priority, late, got, want)
+					priority := steps / every % 4
+					n := &job{Job: Job{Priority: priority}, goal: m.now.Add(d), abandonedAt: m.now.Add(d + 4*time.Second), late: steps%2 == 0}
+					ahead := sumOverJobs(s, n)
+					for service, q := range s.services {
+						if got := s.piecesAhead(q, n); got != ahead[service] {
+							t.Fatalf("%s before %s, priority %d, late %v: backlog %d, over all jobs %d", service, d, priority, n.late, got, ahead[service])
+						}
 					}
 				}
 				for service, q := range s.services {
-					released := releasedPieces(s, service)
-					for _, c := range q.backlog {
-						if c.released != released[c.rank] {
-							t.Fatalf("%s: %d pieces of rank %d wait or will come, over all jobs %d", service, c.released, c.rank, released[c.rank])
+					late := 0
+					for _, j := range s.jobs {
+						for i, st := range j.Stages {
+							if st.Service == service && j.answer != nil && j.late && !j.postponed {
+								late += j.missing[i]
+							}
 						}
-						delete(released, c.rank)
 					}
-					for rank, n := range released {
-						if n != 0 {
-							t.Fatalf("%s: %d pieces of rank %d are not counted", service, n, rank)
-						}
+					if late != q.startedLate {
+						t.Fatalf("%s: %d pieces of late jobs that have started, over all jobs %d", service, q.startedLate, late)
 					}
 				}
-				waiting := 0
-				for _, g := range s.pending.groups {
-					if waiting += len(g.jobs); len(g.jobs) == 0 || !slices.IsSortedFunc(g.jobs, comparePending) {
-						t.Fatalf("a group without jobs, or out of order: %+v", g)
-					}
-					for _, j := range g.jobs {
-						if !j.waitsToStart || j.answer == nil || j.late != g.late || j.rank() != g.rank || s.jobs[j.SubmissionID] != j {
-							t.Fatalf("pending: %+v", j)
-						}
+				for _, j := range s.postponed.jobs {
+					if !j.postponed || !j.late || j.answer == nil || s.jobs[j.SubmissionID] != j {
+						t.Fatalf("postponed: %+v", j)
 					}
 				}
-				if waiting != s.pending.jobs || !slices.IsSortedFunc(s.pending.groups, func(a, b *pendingGroup) int { return comparePendingKeys(a.pendingKey, b.pendingKey) }) {
-					t.Fatalf("%d jobs wait to start, counted %d", waiting, s.pending.jobs)
-				}
 			}
 			day(m)
 			m.run(7 * time.Second)
@@ -100,21 +99,23 @@
 	}
 }
 
-// BenchmarkPredict predicts the time of a job beside n others: the cost must not grow with n.
-func BenchmarkPredict(b *testing.B) {
+// BenchmarkEstimate estimates a job beside n others: the cost must not grow with n.
+func BenchmarkEstimate(b *testing.B) {
 	for _, n := range []int{100, 1000, 10000} {
 		b.Run(fmt.Sprintf("jobs=%d", n), func(b *testing.B) {
 			m := newChainModel(1)
+			newJob := func(i int) Job {
+				return Job{ID: fmt.Sprint(i), SubmissionID: fmt.Sprint(i), Stages: chainChats.stages(m.rand), TimeLeft: 12 * time.Second, Goal: 2 * time.Second}
+			}
 			var last *job
 			for i := range n { // past admission, which would refuse most of them
-				last = &job{Job: Job{ID: fmt.Sprint(i), SubmissionID: fmt.Sprint(i), Stages: chainChats.stages(m.rand), TimeLeft: 12 * time.Second, Goal: 2 * time.Second},
-					answer: func(Result, error) {}, arrived: m.now, deadline: m.now.Add(12 * time.Second), abandonedAt: m.now.Add(12 * time.Second), goal: m.now.Add(2 * time.Second)}
+				last = &job{Job: newJob(i), answer: func(Result, error) {}, deadline: m.now.Add(12 * time.Second), abandonedAt: m.now.Add(12 * time.Second), goal: m.now.Add(2 * time.Second)}
 				m.owner.reset(last)
 				m.owner.jobs[last.ID] = last
-				m.owner.wait(m.now, last)
+				m.owner.updateBacklog(last)
 			}
 			for b.Loop() {
-				m.owner.predict(m.now, last)
+				m.owner.estimate(m.now, last)
 			}
 		})
 	}
@@ -123,11 +124,11 @@
 // TestBacklogOfRanksIsBounded guards against memory that grows with every priority that was ever configured.
 func TestBacklogOfRanksIsBounded(t *testing.T) {
 	var b serviceBacklog
-	b.of(-1).released = 1
+	b.of(-1).inTime.add(0, 1)
 	for rank := range 10 * maxRanks {
 		b.of(rank)
 	}
-	if len(b) > maxRanks || b.of(-1).released != 1 || !slices.IsSortedFunc(b, func(x, y *rankBacklog) int { return x.rank - y.rank }) {
+	if len(b) > maxRanks || b.of(-1).inTime.total != 1 || !slices.IsSortedFunc(b, func(x, y *rankBacklog) int { return x.rank - y.rank }) {
 		t.Fatalf("%d ranks", len(b))
 	}
 }
--- a/node/stagework/fairness_test.go
+++ b/node/stagework/fairness_test.go
@@ -461,7 +461,7 @@
 		s.scheduler.setServices(services, map[string][]wire.Member{"a": {{ID: "a1"}}})
 		s.setOwnership(now, owner, true, "view")
 		s.scheduler.services["a"].workers["a1"].backoffUntil = now.Add(time.Second) // it takes no call meanwhile
-		s.scheduler.advanceGoals(now)                                               // with jobs it would walk over all steps since 1970
+		s.scheduler.advanceBacklog(now)                                             // with jobs it would walk over all steps since 1970
 		for i := range 8 {
 			s.scheduler.jobs[fmt.Sprint("answered-", i)] = &job{}
 		}
--- a/node/stagework/outcome.go
+++ b/node/stagework/outcome.go
@@ -112,6 +112,7 @@
 	j.results = append(j.results, m)
 	j.handles[p.stage][p.number] = m.handle
 	j.missing[p.stage]--
+	s.updateBacklog(j)
 	if j.missing[p.stage] > 0 {
 		return nil
 	}
@@ -195,10 +196,10 @@
 	out := j.results
 	j.results = nil
 	s.reset(j)
-	if j.late && j.calls == 0 && !j.waitsToStart {
-		s.wait(now, j)
+	if j.late && j.calls == 0 && !j.postponed {
+		s.postpone(j)
 	}
-	s.updateReleased(j)
+	s.updateBacklog(j)
 	s.advance(now, j)
 	return out
 }
--- a/node/stagework/progress.go
+++ b/node/stagework/progress.go
@@ -34,18 +34,14 @@
 	moving        bool                // it moves to another owner once its calls have ended
 	late          bool                // cannot reach its goal, so that it goes behind those in time
 	predictedLate bool                // it was late when it was admitted
-	waitsToStart  bool                // it is in the scheduler's pending jobs
-	pending       pendingKey          // where it is there
-	startedInTime bool                // and neither ended nor became late since
-	startedAt     time.Time           // zero: it has not
-	startBy       time.Time           // the latest time at which it may start for its goal or, once late, for its caller
-	path          []string            // the services of its stages, once it was pending
-	upcoming      []int               // by stage: its pieces that count in the backlog of the stage's service, until they are queued
+	postponed     bool                // late, and not started
+	path          string              // of its stages, once it was postponed
 	overShare     bool                // late because its customer is over its share
 	assignment    *assignment         // nil until an engine is chosen
 	estimate      time.Duration       // of its stages, at admission; zero if nothing was estimated
 	answer        func(Result, error) // nil once called
-	expires       time.Time           // when its results have expired at the upstreams
+	backlogEntry  backlogEntry
+	expires       time.Time // when its results have expired at the upstreams
 }
 
 // stageTimes are the times at which a stage of a job reached each state; zero: not yet.
@@ -84,7 +80,6 @@
 func (j *job) recordStart(stage int, now time.Time, q *serviceQueue) {
 	if t := &j.times[stage]; t.begun.IsZero() {
 		t.begun, t.wentBefore = now, q.taken.minus(t.takenBefore)
-		q.recordWait(now.Sub(t.ready))
 		if ttl := q.spec.ResultTTL; ttl > 0 {
 			t.expires = now.Add(ttl)
 		}
--- a/node/stagework/queue.go
+++ b/node/stagework/queue.go
@@ -33,6 +33,7 @@
 	members      []wire.Member // from which workers was built
 	workersKnown bool          // whether members was set
 	backlog      serviceBacklog
+	startedLate  int // pieces not done yet of late jobs that have started
 	passes       passes
 	taken        pieceCounts // in calls so far
 
@@ -45,10 +46,7 @@
 
 	meter       throughputMeter // of the throughput reached while pieces wait
 	scheduler   *scheduler
-	idle        idleMeter
-	meanWait    time.Duration // of stages for their first call, as a moving average
-	meanCall    time.Duration // of calls that succeeded, as a moving average; zero before the first one
-	efficiency  float64       // share of the nominal throughput by how full calls are, as a moving average
+	efficiency  float64 // share of the nominal throughput by how full calls are, as a moving average
 	hedgeBudget hedgeBudget
 }
 
@@ -129,21 +127,9 @@
 // enqueue adds a piece to the queue.
 func (q *serviceQueue) enqueue(p *piece) {
 	q.waiting = append(q.waiting, p)
-	q.backlog.of(p.job.rank()).released++
 	q.sortedAt = time.Time{}
 }
 
-// removeWaiting removes pieces from the queue.
-func (q *serviceQueue) removeWaiting(removed func(*piece) bool) {
-	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool {
-		if !removed(p) {
-			return false
-		}
-		q.backlog.of(p.job.rank()).released--
-		return true
-	})
-}
-
 // splitSize is the number of pieces for each call when a group is to be split, or zero to keep
 // it together. A group is split only if it would miss its goal as one call, meets it in calls
 // of that size, enough upstreams are idle for all of them and no other pieces wait: more calls
@@ -267,7 +253,7 @@
 	if len(c.pieces) == 0 {
 		return nil
 	}
-	q.removeWaiting(func(p *piece) bool { return taken[p] })
+	q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool { return taken[p] })
 	c.leftWaiting = len(q.waiting)
 	q.recordPasses(c)
 	q.updateEfficiency(c)
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -1,7 +1,6 @@
 package stagework
 
 import (
-	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -25,10 +24,9 @@
 	engines        *engines
 	split          *rollout.Splitter
 	counter        *rollout.Counter
-	pending        pendingJobs
-	lateStarts     leftover
+	postponed      postponed
 	fetchingInputs []*call // calls whose upstreams are still fetching inputs
-	goals          goals
+	backlog        backlog
 	gaugesSet      time.Time
 	reachability   *reachability
 	permits        *permits
@@ -112,19 +110,19 @@
 			return nil
 		}
 	}
-	s.advanceGoals(now)
+	s.advanceBacklog(now)
 	s.jobs[j.SubmissionID] = n
-	if !n.late {
-		s.goals.watch(n)
+	n.predictedLate = n.late
+	if n.late {
+		s.postpone(n)
 	}
-	if n.untouched() && n.pieces() > 0 {
-		s.wait(now, n)
-	}
-	s.updateReleased(n)
+	s.updateBacklog(n)
 	if j.Resubmitted {
 		n.countResubmitted()
 	}
-	s.startReady(now)
+	if n.postponed && len(s.postponed.jobs) == 1 { // the others wait for the next tick
+		s.startPostponed(now)
+	}
 	s.advance(now, n)
 	return s.releaseInputs(n)
 }
@@ -209,7 +207,7 @@
 // advance queues the stages whose inputs are ready, and answers the job when all stages
 // are completed.
 func (s *scheduler) advance(now time.Time, j *job) {
-	if j.waitsToStart || j.answer == nil {
+	if j.postponed {
 		return
 	}
 	all := true
@@ -229,11 +227,9 @@
 			q.enqueue(&piece{job: j, stage: i, number: k, epoch: j.restarts, preferredDataCenter: home, queued: now})
 		}
 	}
-	s.updateReleased(j)
 	if all {
 		j.expires = now.Add(max(s.longestTTL(j), assignmentTTL))
 		s.chooseEngine(now, j)
-		s.recordOverrun(now, j)
 		s.endJob(j, j.result(), nil)
 	}
 }
@@ -269,8 +265,8 @@
 	}
 	j.answer(r, err)
 	j.answer = nil
-	s.pending.remove(j)
-	s.updateReleased(j)
+	s.postponed.remove(j)
+	s.updateBacklog(j)
 	s.dequeue(j)
 }
 
@@ -278,7 +274,7 @@
 func (s *scheduler) dequeue(j *job) {
 	for _, st := range j.Stages {
 		if q := s.services[st.Service]; q != nil {
-			q.removeWaiting(func(p *piece) bool { return p.job == j })
+			q.waiting = slices.DeleteFunc(q.waiting, func(p *piece) bool { return p.job == j })
 		}
 	}
 }
@@ -339,6 +335,7 @@
 	}
 	if len(out) > 0 {
 		j.results = kept
+		s.updateBacklog(j)
 	}
 	return out
 }
@@ -349,54 +346,37 @@
 	s.startPending = true // pauses of upstreams end without an event
 	s.reachability.expireFailures(now)
 	s.markOverdue(now)
-	s.advanceGoals(now)
+	s.advanceBacklog(now)
 	out := s.collectFetchedInputs(now)
-	for _, j := range s.jobsToEnd(now) {
+	for _, j := range s.jobs {
 		switch {
-		case j.answer == nil:
-			s.releaseEngine(now, j, EngineUnknown)
-			s.recordFreed(s.forgetJob(j))
-		case !now.Before(j.deadline):
+		case j.answer != nil && !now.Before(j.deadline):
 			s.endJob(j, Result{}, errDeadlineExceeded())
 			out = append(out, s.forgetJob(j)...)
-		case s.serviceWithoutWorker(j) != "":
+		case j.answer != nil && s.serviceWithoutWorker(j) != "":
 			s.endJob(j, Result{}, errNoAllowedUpstream(s.serviceWithoutWorker(j), j.Within))
 			out = append(out, s.forgetJob(j)...)
-		case s.withoutTime(now, j):
+		case j.answer != nil && j.calls == 0 && now.Add(s.unloadedTime(j)).After(j.mustEnd()):
 			// No upstream can do it in time any more. Its caller learns so now, and its results take no room.
 			s.endJob(j, Result{}, errOverloaded(s.retryAfter(j.deadline.Sub(now), never)))
 			out = append(out, s.forgetJob(j)...)
-		case j.restarts >= maxRestarts:
-			s.endJob(j, Result{}, errStageFailed(string(upstream.InputGone)))
-			out = append(out, s.forgetJob(j)...)
-		default: // a call would find its inputs gone: it gives the room back, and starts anew if it has time
+		case j.answer != nil && !j.moving && j.waitsForExpiredInputs(now):
+			// The call would find them gone. The job gives the room back, and starts anew if it has time.
+			if j.restarts >= maxRestarts {
+				s.endJob(j, Result{}, errStageFailed(string(upstream.InputGone)))
+				out = append(out, s.forgetJob(j)...)
+				continue
+			}
 			out = append(out, s.restartJob(now, j)...)
+		case j.answer == nil && !j.expires.IsZero() && now.After(j.expires):
+			s.releaseEngine(now, j, EngineUnknown)
+			s.recordFreed(s.forgetJob(j))
 		}
 	}
-	s.startReady(now)
-	return out
-}
-
-// jobsToEnd returns the jobs that have no time left, no upstream or no inputs any more, or are answered and forgotten by
-// their upstreams, in the order in which they came.
-func (s *scheduler) jobsToEnd(now time.Time) []*job {
-	var out []*job
-	for _, j := range s.jobs {
-		switch {
-		case j.answer == nil && !j.expires.IsZero() && now.After(j.expires),
-			j.answer != nil && (!now.Before(j.deadline) || s.serviceWithoutWorker(j) != "" || s.withoutTime(now, j) || !j.moving && j.waitsForExpiredInputs(now)):
-			out = append(out, j)
-		}
-	}
-	slices.SortFunc(out, func(a, b *job) int { return cmp.Compare(a.serial, b.serial) })
+	s.startPostponed(now)
 	return out
 }
 
-// withoutTime reports whether no upstream can do a job in time any more that is in no call.
-func (s *scheduler) withoutTime(now time.Time, j *job) bool {
-	return j.calls == 0 && now.Add(s.unloadedTime(j)).After(j.mustEnd())
-}
-
 // startCalls returns the calls to make now. It looks at the queues only after an event that
 // may allow a new call: under overload, sorting the queues is most of the owner's work, and
 // two events in three change nothing about them.
@@ -420,7 +400,6 @@
 			out = append(out, c)
 		}
 		q.updateBusy()
-		q.updateIdle(now, len(q.waiting) > 0 || s.pending.needs(name))
 	}
 	return append(out, s.hedgeOverdueCalls(now)...)
 }
--- a/node/stagework/throughput.go
+++ b/node/stagework/throughput.go
@@ -12,8 +12,6 @@
 	// priorTime is the busy time for which the assumed share outweighs the measured one: with less, a single
 	// call would decide.
 	priorTime = 300 * time.Millisecond
-	// waitWeight is the weight of one stage in the mean wait of its service.
-	waitWeight = 0.02
 	// maxShare bounds the measured share. It exceeds 1 while upstreams that do not count as healthy still
 	// complete calls.
 	maxShare = 2.0
@@ -93,9 +91,6 @@
 	if !s.unaffectedByStall(c) || c.hedgeOf != nil { // the pieces of a hedge are counted with the call that it repeats
 		return
 	}
-	if o.results != nil {
-		q.recordDuration(now.Sub(c.started))
-	}
 	made := 0
 	for _, r := range o.results {
 		if r.Handle != "" {
@@ -105,27 +100,6 @@
 	q.meter.add(made)
 }
 
-// recordDuration adds the duration of a successful call to the mean.
-func (q *serviceQueue) recordDuration(d time.Duration) {
-	if q.meanCall == 0 {
-		q.meanCall = fullCall(q.spec)
-	}
-	q.meanCall += time.Duration(efficiencyWeight * float64(d-q.meanCall))
-}
-
-// recordWait adds the wait of a stage for its first call to the mean.
-func (q *serviceQueue) recordWait(d time.Duration) {
-	q.meanWait += time.Duration(waitWeight * float64(min(d, fullCall(q.spec))-q.meanWait))
-}
-
-// expectedCall is how long a call takes now.
-func (q *serviceQueue) expectedCall() time.Duration {
-	if q.meanCall == 0 {
-		return fullCall(q.spec)
-	}
-	return q.meanCall
-}
-
 // skipMeters leaves the time until now out of all measurements.
 func (s *scheduler) skipMeters(now time.Time) {
 	for _, q := range s.services {
