stagework: late and less urgent work does not decide whether a job is in time

Cause: a job counted as in time only if it reached its goal after all work ahead, late and less urgent work included, which the order puts behind it. The label decides the order, so a job that was wrongly labelled went behind less urgent ones and became late, and its late work made the next estimates darker.

Correcting the estimate by errors could not help, as the label made itself true.

Now: an estimate counts what goes before the job, as the order says.

--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -140,10 +140,6 @@
 		rate = q.slowestThroughput()
 	}
 	wait = q.startsAfter(now, (ahead+st.Pieces-1)/q.spec.Batch, rate)
-	if !j.late && j.goal.Before(j.mustEnd()) {
-		// To count as in time, a job must be so even if all work ahead is done first. What is late instead is not lost.
-		wait = max(wait, drainTime(float64(ahead)+q.unfinished(now), rate))
-	}
 	if wait == 0 {
 		return 0, q.callDuration(min(q.spec.Batch, ahead%q.spec.Batch+st.Pieces))
 	}
