--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -226,17 +226,6 @@
 	return sum
 }
 
-// unfinished is the number of pieces of the calls in progress at healthy upstreams that are not done yet.
-func (q *serviceQueue) unfinished(now time.Time) float64 {
-	sum := 0.0
-	for _, w := range q.list {
-		if c := w.lastCall; c != nil && w.runningCalls > 0 && w.healthy() {
-			sum += float64(len(c.pieces)) * (1 - min(1, now.Sub(c.started).Seconds()/w.freeAt.Sub(c.started).Seconds()))
-		}
-	}
-	return sum
-}
-
 // updateEfficiency records how full a call is that was made while at least another batch waited.
 func (q *serviceQueue) updateEfficiency(c *call) {
 	if c.leftWaiting < q.spec.Batch {
