--- a/node/stagework/overload_test.go
+++ b/node/stagework/overload_test.go
@@ -100,35 +100,58 @@
 	return out
 }
 
+// overloads are the multiples of the load that are played.
+var overloads = []float64{1, 1.25, 1.5, 2, 3}
+
+// playAll plays all multiples of the load.
+func (x overloadMix) playAll(t *testing.T) []overloadResult {
+	results := make([]overloadResult, len(overloads))
+	var wg sync.WaitGroup
+	for i, load := range overloads {
+		wg.Go(func() { results[i] = x.play(t, load) })
+	}
+	wg.Wait()
+	return results
+}
+
+// expectGoodput checks that at each load at least 0.95 of the best rate so far are in time, or of all that come.
+func expectGoodput(g *gomega.WithT, results []overloadResult) {
+	best := 0.0
+	for i, r := range results {
+		asked := r.perSecond / r.inTime[""]
+		best = max(best, r.perSecond)
+		g.Expect(r.perSecond).To(gomega.BeNumerically(">=", 0.95*min(asked, best)), fmt.Sprint("load ", overloads[i]))
+	}
+}
+
+// TestGoodputHoldsWhereTheFirstServiceIsFull guards against late and less urgent work that makes others late: the more callers come,
+// the fewer were in time.
+func TestGoodputHoldsWhereTheFirstServiceIsFull(t *testing.T) {
+	if testing.Short() { // one goroutine: the race detector finds nothing here, and takes minutes
+		t.Skip("the load model is played without the race detector only")
+	}
+	expectGoodput(gomega.NewWithT(t), overloadMixes[0].playAll(t))
+}
+
 // TestOverloadDoesNotMakeMoreCallersLate guards against goodput that falls as more callers come, and against a more urgent
 // kind with a longer chain that is served less often than a less urgent one.
 func TestOverloadDoesNotMakeMoreCallersLate(t *testing.T) {
 	if testing.Short() { // one goroutine: the race detector finds nothing here, and takes minutes
 		t.Skip("the load model is played without the race detector only")
 	}
-	loads := []float64{1, 1.25, 1.5, 2, 3}
 	for _, x := range overloadMixes {
 		t.Run(x.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			results := make([]overloadResult, len(loads))
-			var wg sync.WaitGroup
-			for i, load := range loads {
-				wg.Go(func() { results[i] = x.play(t, load) })
-			}
-			wg.Wait()
-			best := 0.0
-			for i, load := range loads {
-				r := results[i]
-				asked := r.perSecond / r.inTime[""]
-				best = max(best, r.perSecond)
-				g.Expect(r.perSecond).To(gomega.BeNumerically(">=", 0.95*min(asked, best)), fmt.Sprint("load ", load))
+			results := x.playAll(t)
+			expectGoodput(g, results)
+			for i, r := range results {
 				kinds := x.kinds()
 				for k := 1; k < x.shared; k++ {
 					more, less := kinds[k-1].name, kinds[k].name
-					g.Expect(r.inTime[more]).To(gomega.BeNumerically(">=", r.inTime[less]-1.0/(maxPassedOver+1)), fmt.Sprintf("load %g: %s and %s", load, more, less))
+					g.Expect(r.inTime[more]).To(gomega.BeNumerically(">=", r.inTime[less]-1.0/(maxPassedOver+1)), fmt.Sprintf("load %g: %s and %s", overloads[i], more, less))
 				}
 				for _, k := range kinds {
-					g.Expect(r.inTime[k.name]).To(gomega.BeNumerically(">=", r.inTime[""]/4), fmt.Sprintf("load %g: %s", load, k.name))
+					g.Expect(r.inTime[k.name]).To(gomega.BeNumerically(">=", r.inTime[""]/4), fmt.Sprintf("load %g: %s", overloads[i], k.name))
 				}
 			}
 		})
