--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -34,16 +34,18 @@
 		return pause, true
 	}
 	s.advanceBacklog(now)
-	estimate, bottleneck := s.estimate(now, j)
+	estimate, bottleneck := s.estimate(now, j, true)
 	behind := ""
+	s.lastPresent = jobInTime
 	if now.Add(estimate).After(j.goal) {
 		j.late, behind = true, bottleneck
+		s.lastPresent = s.predictionByWorkAhead(now, j)
 	}
 	if s.fairness.judge(now, j, behind) != "" {
 		j.late, j.overShare = true, true
 	}
 	if j.late {
-		estimate, bottleneck = s.estimate(now, j)
+		estimate, bottleneck = s.estimate(now, j, true)
 	}
 	j.estimate = estimate
 	s.lastEstimate, s.lastService, s.lastOverShare = estimate, bottleneck, j.overShare
@@ -56,6 +58,17 @@
 	return 0, false
 }
 
+// predictionByWorkAhead predicts whether a job that was not admitted as in time would be so if nothing else came.
+func (s *scheduler) predictionByWorkAhead(now time.Time, j *job) string {
+	j.late = false
+	estimate, _ := s.estimate(now, j, false)
+	j.late = true
+	if now.Add(estimate).After(j.goal) {
+		return jobLate
+	}
+	return jobInTime
+}
+
 // mustEnd is the latest time at which the stages must be completed, so that the engine begins its answer before the
 // caller's time is over.
 func (j *job) mustEnd() time.Time { return j.abandonedAt.Add(-j.engineTime) }
@@ -89,15 +102,15 @@
 
 // estimate predicts how long the stages of a new job take: for each service, the work that goes
 // before the job plus the job's remaining stages. bottleneck is the service with the longest time.
-// The backlog must be advanced to now.
-func (s *scheduler) estimate(now time.Time, j *job) (estimate time.Duration, bottleneck string) {
+// arrivals says whether to count work that is yet to come. The backlog must be advanced to now.
+func (s *scheduler) estimate(now time.Time, j *job, arrivals bool) (estimate time.Duration, bottleneck string) {
 	var longest time.Duration
 	reached, rest := s.reachedAfter(j), s.remainingTimes(now, j)
 	for i, st := range j.Stages {
 		if st.Pieces == 0 {
 			continue
 		}
-		wait, runTime := s.waitAt(now, s.services[st.Service], st, j, reached[i])
+		wait, runTime := s.waitAt(now, s.services[st.Service], st, j, reached[i], arrivals)
 		if total := min(wait, never) + runTime + rest[i]; total > longest {
 			longest, bottleneck = total, st.Service
 		}
@@ -130,7 +143,7 @@
 // that call takes. Pieces that will come once the job has reached the service, and go before its own, are taken to come as
 // often as in a past time as long as the job has. A rank is passed over by maxPassedOver calls at most, so it waits no
 // longer than for that many times its own pieces.
-func (s *scheduler) waitAt(now time.Time, q *serviceQueue, st Stage, j *job, reached time.Duration) (wait, runTime time.Duration) {
+func (s *scheduler) waitAt(now time.Time, q *serviceQueue, st Stage, j *job, reached time.Duration, arrivals bool) (wait, runTime time.Duration) {
 	ahead := s.piecesAhead(q, j)
 	if idle := q.idleWorkers(now); ahead == 0 && idle > 0 { // the pieces are spread over the idle upstreams
 		return 0, q.callDuration(min(q.spec.Batch, (st.Pieces+idle-1)/idle))
@@ -144,6 +157,9 @@
 		return 0, q.callDuration(min(q.spec.Batch, ahead%q.spec.Batch+st.Pieces))
 	}
 	runTime = fullCall(q.spec) // others join it meanwhile
+	if !arrivals {
+		return wait, runTime
+	}
 	window := j.goal.Sub(now)
 	if j.late {
 		window = j.mustEnd().Sub(now)
--- a/node/stagework/admission_test.go
+++ b/node/stagework/admission_test.go
@@ -173,7 +173,7 @@
 		w := newSchedulerSimulation(t)
 		j := &job{Job: Job{TimeLeft: time.Minute, Stages: []Stage{{Service: "a", Pieces: 1}}}, goal: w.now.Add(time.Minute)}
 		w.s.reset(j)
-		if got, _ := w.s.estimate(w.now, j); got != w.s.unloadedTime(j) {
+		if got, _ := w.s.estimate(w.now, j, true); got != w.s.unloadedTime(j) {
 			t.Fatalf("estimate %s, unloaded time %s", got, w.s.unloadedTime(j))
 		}
 	})
--- a/node/stagework/backlog_test.go
+++ b/node/stagework/backlog_test.go
@@ -115,7 +115,7 @@
 				m.owner.updateBacklog(last)
 			}
 			for b.Loop() {
-				m.owner.estimate(m.now, last)
+				m.owner.estimate(m.now, last, true)
 			}
 		})
 	}
--- a/node/stagework/metrics_test.go
+++ b/node/stagework/metrics_test.go
@@ -67,3 +67,22 @@
 	g.Expect(overdue.passedBy()).To(gomega.Equal("0:2+0"))
 	g.Expect([]string{onTime.prediction(), overdue.prediction()}).To(gomega.Equal([]string{jobInTime, jobLate}))
 }
+
+// TestWaitsAreCountedByRank checks the metrics that compare predicted and actual times of a rank, and name the service at which a
+// goal passed.
+func TestWaitsAreCountedByRank(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	j := &job{Job: Job{Priority: 3, RoutePriority: 1, Stages: []Stage{{Service: "a", Pieces: 1}, {Service: "b", Pieces: 1}}}, arrived: now.Add(-2 * time.Second), goal: now.Add(-time.Second), estimate: 700 * time.Millisecond,
+		times: []stageTimes{{done: now.Add(-1500 * time.Millisecond)}, {done: now}}}
+	counts := func() []int64 {
+		return []int64{mapValue(rankPredictionsVar, "3.1/in_time/late"), mapValue(predictedTimeVar, "3.1"), mapValue(actualTimeVar, "3.1"), mapValue(goalPassedVar, "3.1/b")}
+	}
+	before := counts()
+	j.countEnd(now, jobLate)
+	for i, n := range []int64{1, 700, 2000, 1} {
+		g.Expect(counts()[i] - before[i]).To(gomega.Equal(n))
+	}
+	j.countEnd(now, jobFailed) // has no actual time
+	g.Expect(mapValue(actualTimeVar, "3.1") - before[2]).To(gomega.BeEquivalentTo(2000))
+}
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -258,7 +258,8 @@
 		}))
 		if _, taken := s.scheduler.jobs[j.SubmissionID]; !taken {
 			jobsVar.Add(jobRefused, 1)
-			s.log.Info("job refused", "request", j.ID, "jobs", len(s.scheduler.jobs), "estimate", s.scheduler.lastEstimate, "service", s.scheduler.lastService, "goal", j.Goal, "left", j.TimeLeft, "patience", j.Patience, "owner", s.scheduler.owner,
+			rankRefusedVar.Add(j.rankLabel()+"/"+s.scheduler.lastPresent, 1)
+			s.log.Info("job refused", "request", j.ID, "jobs", len(s.scheduler.jobs), "rank", j.rankLabel(), "estimate", s.scheduler.lastEstimate, "by_work_ahead", s.scheduler.lastPresent, "service", s.scheduler.lastService, "goal", j.Goal, "left", j.TimeLeft, "patience", j.Patience, "owner", s.scheduler.owner,
 				"customer", j.Customer, "over_share", s.scheduler.lastOverShare)
 		}
 	})
@@ -282,12 +283,12 @@
 	now, level := time.Now(), logging.Routine
 	outcome := n.outcomeOf(now, r, err)
 	jobsVar.Add(outcome, 1)
-	predictionsVar.Add(n.prediction()+"/"+outcome, 1)
+	n.countEnd(now, outcome)
 	if err == nil && now.Before(n.goal) {
 		level = logging.Detail
 	}
 	s.log.V(level).Info("job ended", "request", j.ID, "priority", j.Priority, "after", now.Sub(n.arrived), "to_goal", n.goal.Sub(now),
-		"waited_and_made_ms", n.stageTimings(), "passed_by", n.passedBy(), "estimate", n.estimate, "predicted", n.prediction(), "late", n.late, "customer", j.Customer, "over_share", n.overShare, "restarts", n.restarts, "engine", n.assignedEngine(), "error", err)
+		"waited_and_made_ms", n.stageTimings(), "passed_by", n.passedBy(), "estimate", n.estimate, "predicted", n.prediction(), "late", n.late, "rank", n.rankLabel(), "goal_passed_at", n.goalPassedAt(), "customer", j.Customer, "over_share", n.overShare, "restarts", n.restarts, "engine", n.assignedEngine(), "error", err)
 }
 
 func (s *Service) handleDone(_ context.Context, d *Done) (*control.Empty, error) {
