--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -24,7 +24,8 @@
 	engines        *engines
 	split          *rollout.Splitter
 	counter        *rollout.Counter
-	postponed      postponed
+	pending        pending
+	margins        map[int]time.Duration
 	fetchingInputs []*call // calls whose upstreams are still fetching inputs
 	backlog        backlog
 	gaugesSet      time.Time
@@ -114,16 +115,14 @@
 	s.advanceBacklog(now)
 	s.jobs[j.SubmissionID] = n
 	n.predictedLate = n.late
-	if n.late {
-		s.postpone(n)
+	if n.untouched() && n.pieces() > 0 {
+		s.wait(now, n)
 	}
 	s.updateBacklog(n)
 	if j.Resubmitted {
 		n.countResubmitted()
 	}
-	if n.postponed && len(s.postponed.jobs) == 1 { // the others wait for the next tick
-		s.startPostponed(now)
-	}
+	s.startNew(now, n) // the others wait for the next tick
 	s.advance(now, n)
 	return s.releaseInputs(n)
 }
@@ -208,7 +207,7 @@
 // advance queues the stages whose inputs are ready, and answers the job when all stages
 // are completed.
 func (s *scheduler) advance(now time.Time, j *job) {
-	if j.postponed {
+	if j.pending {
 		return
 	}
 	all := true
@@ -231,6 +230,7 @@
 	if all {
 		j.expires = now.Add(max(s.longestTTL(j), assignmentTTL))
 		s.chooseEngine(now, j)
+		s.learn(j, now.Sub(j.startedAt) > j.expected+s.margins[j.rank()])
 		s.endJob(j, j.result(), nil)
 	}
 }
@@ -266,7 +266,7 @@
 	}
 	j.answer(r, err)
 	j.answer = nil
-	s.postponed.remove(j)
+	s.pending.remove(j)
 	s.updateBacklog(j)
 	s.dequeue(j)
 }
@@ -374,7 +374,7 @@
 			s.recordFreed(s.forgetJob(j))
 		}
 	}
-	s.startPostponed(now)
+	s.startReady(now)
 	return out
 }
 
