--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -34,7 +34,7 @@
 		return pause, true
 	}
 	s.advanceBacklog(now)
-	estimate, bottleneck := s.estimate(now, j, false)
+	estimate, bottleneck := s.estimate(now, j, true)
 	behind := ""
 	s.lastPresent = jobInTime
 	if now.Add(estimate).After(j.goal) {
@@ -45,7 +45,7 @@
 		j.late, j.overShare = true, true
 	}
 	if j.late {
-		estimate, bottleneck = s.estimate(now, j, false)
+		estimate, bottleneck = s.estimate(now, j, true)
 	}
 	j.estimate = estimate
 	s.lastEstimate, s.lastService, s.lastOverShare = estimate, bottleneck, j.overShare
@@ -69,14 +69,9 @@
 	return jobInTime
 }
 
-// mustEnd is the latest time at which the stages must be completed, so that the engine begins its answer before the caller
-// leaves, and completes it by the deadline.
-func (j *job) mustEnd() time.Time {
-	if whole := j.deadline.Add(-j.AnswerTime); whole.Before(j.abandonedAt) {
-		return whole.Add(-j.engineTime)
-	}
-	return j.abandonedAt.Add(-j.engineTime)
-}
+// mustEnd is the latest time at which the stages must be completed, so that the engine begins its answer before the
+// caller's time is over.
+func (j *job) mustEnd() time.Time { return j.abandonedAt.Add(-j.engineTime) }
 
 // countArrival counts the pieces of a job that is admitted in time.
 func (s *scheduler) countArrival(now time.Time, j *job) {
@@ -132,7 +127,11 @@
 		if st.Pieces == 0 {
 			continue
 		}
-		runTime := s.runTime(now, st)
+		q := s.services[st.Service]
+		runTime := fullCall(q.spec)
+		if q.idleWorkers(now) > 0 {
+			runTime = q.callDuration(min(st.Pieces, q.spec.Batch))
+		}
 		for _, k := range st.DependsOn {
 			rest[k] = max(rest[k], rest[i]+runTime)
 		}
@@ -140,15 +139,6 @@
 	return rest
 }
 
-// runTime predicts how long a call with the pieces of a stage takes.
-func (s *scheduler) runTime(now time.Time, st Stage) time.Duration {
-	if q := s.services[st.Service]; q.idleWorkers(now) > 0 {
-		return q.callDuration(min(st.Pieces, q.spec.Batch))
-	} else {
-		return fullCall(q.spec)
-	}
-}
-
 // waitAt predicts how long a stage of a job waits at its service for the call that takes its last piece, and how long
 // that call takes. Pieces that will come once the job has reached the service, and go before its own, are taken to come as
 // often as in a past time as long as the job has. A rank is passed over by maxPassedOver calls at most, so it waits no
--- a/node/stagework/admission_test.go
+++ b/node/stagework/admission_test.go
@@ -42,7 +42,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		o := newOverloadFixture(t)
 		for range 2 {
-			if !o.offer("late", "k", 4) || !o.s.jobs["late"].late || !o.s.jobs["late"].pending {
+			if !o.offer("late", "k", 4) || !o.s.jobs["late"].late || !o.s.jobs["late"].postponed {
 				t.Fatal("a job that misses its goal is not postponed")
 			}
 			o.s.handleDone(o.now, Done{SubmissionID: "late"})
@@ -62,7 +62,7 @@
 func TestRefusedCallersAreForgotten(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		o := newOverloadFixture(t)
-		before, postponed := len(o.s.jobs), len(o.s.pending.jobs)
+		before, postponed := len(o.s.jobs), len(o.s.postponed.jobs)
 		for i := range 30 {
 			id := fmt.Sprint("refused", i)
 			o.s.submit(o.now, Job{ID: id, SubmissionID: id, Key: id, TimeLeft: 300 * time.Millisecond, Goal: 300 * time.Millisecond, Stages: []Stage{{Service: "a", Pieces: 4, ResultBytes: 10}}},
@@ -71,7 +71,7 @@
 				t.Fatal("a job without time was admitted")
 			}
 		}
-		if len(o.s.jobs) != before || len(o.s.pending.jobs) != postponed {
+		if len(o.s.jobs) != before || len(o.s.postponed.jobs) != postponed {
 			t.Fatalf("%d jobs, %d before", len(o.s.jobs), before)
 		}
 	})
@@ -139,7 +139,7 @@
 		// starts is at most its work for the first stage, one call and one job more.
 		q, started := w.s.services["b"], 0
 		for _, j := range w.s.jobs {
-			if !j.pending {
+			if !j.postponed {
 				started++
 			}
 		}
@@ -159,7 +159,7 @@
 			id := fmt.Sprint("hopeless", i)
 			o.s.submit(o.now, Job{ID: id, SubmissionID: id, Key: id, TimeLeft: 20 * time.Second, Goal: services["a"].CallTime / 2, Stages: []Stage{{Service: "a", Pieces: 1, ResultBytes: 10}}},
 				func(_ Result, err error) { o.ended[id] = err })
-			if j := o.s.jobs[id]; j == nil || !j.late || !j.pending {
+			if j := o.s.jobs[id]; j == nil || !j.late || !j.postponed {
 				t.Fatalf("%s competes with jobs that are in time, or was refused: %v", id, o.ended[id])
 			}
 		}
@@ -195,7 +195,7 @@
 		}
 		s.expireJobs(now.Add(ownerTick))
 		for _, j := range s.jobs {
-			if !j.pending {
+			if !j.postponed {
 				n++
 			}
 		}
@@ -256,8 +256,8 @@
 		t.Fatal("started anew too early")
 	}
 	c.advance(2 * time.Millisecond)
-	if j.restarts != 1 || !j.pending || len(c.freed) != 1 || j.answer == nil {
-		t.Fatalf("%d restarts, postponed %v, freed %v", j.restarts, j.pending, c.freed)
+	if j.restarts != 1 || !j.postponed || len(c.freed) != 1 || j.answer == nil {
+		t.Fatalf("%d restarts, postponed %v, freed %v", j.restarts, j.postponed, c.freed)
 	}
 }
 
--- a/node/stagework/backlog.go
+++ b/node/stagework/backlog.go
@@ -30,7 +30,6 @@
 type rankBacklog struct {
 	rank     int
 	inTime   stepCounts // of jobs that can reach their goal, by its step
-	started  int        // pieces of these jobs that have started
 	late     stepCounts // of the others, by the step of their deadline
 	arrivals arrivals   // of jobs that were admitted in time
 }
@@ -106,7 +105,7 @@
 		for _, j := range passed {
 			j.backlogEntry.listed = false
 			if j.answer != nil && !j.late && stepAt(j.goal) < b.firstStep {
-				s.makeLate(now, j)
+				s.makeLate(j)
 			}
 			s.updateBacklog(j)
 		}
@@ -122,7 +121,7 @@
 	if j.answer == nil {
 		return
 	}
-	e.late, e.started = j.late, !j.pending
+	e.late, e.started = j.late, !j.postponed
 	if e.late {
 		e.step = b.clampStep(j.abandonedAt)
 	} else {
@@ -152,9 +151,6 @@
 			}
 		} else {
 			c.inTime.add(e.step, sign*n)
-			if e.started {
-				c.started += sign * n
-			}
 		}
 	}
 }
@@ -217,28 +213,6 @@
 	return n
 }
 
-// runningPieces counts pieces in calls in progress.
-type runningPieces struct {
-	inTime map[int]int // by rank
-	late   int
-}
-
-// runningByRank counts the pieces in calls in progress that the backlog counts.
-func (q *serviceQueue) runningByRank() runningPieces {
-	out := runningPieces{inTime: map[int]int{}}
-	q.running(func(o *job) bool {
-		switch e := &o.backlogEntry; {
-		case len(e.pieces) == 0:
-		case e.late:
-			out.late++
-		default:
-			out.inTime[o.rank()]++
-		}
-		return false
-	})
-	return out
-}
-
 // arrivals counts pieces by the time at which their jobs were admitted. Its zero value is ready to use.
 type arrivals struct {
 	last  int64             // the latest step counted
--- a/node/stagework/backlog_test.go
+++ b/node/stagework/backlog_test.go
@@ -76,7 +76,7 @@
 					late := 0
 					for _, j := range s.jobs {
 						for i, st := range j.Stages {
-							if st.Service == service && j.answer != nil && j.late && !j.pending {
+							if st.Service == service && j.answer != nil && j.late && !j.postponed {
 								late += j.missing[i]
 							}
 						}
@@ -85,8 +85,8 @@
 						t.Fatalf("%s: %d pieces of late jobs that have started, over all jobs %d", service, q.startedLate, late)
 					}
 				}
-				for _, j := range s.pending.jobs {
-					if !j.pending || !j.late || j.answer == nil || s.jobs[j.SubmissionID] != j {
+				for _, j := range s.postponed.jobs {
+					if !j.postponed || !j.late || j.answer == nil || s.jobs[j.SubmissionID] != j {
 						t.Fatalf("postponed: %+v", j)
 					}
 				}
--- a/node/stagework/handover_test.go
+++ b/node/stagework/handover_test.go
@@ -280,12 +280,12 @@
 				if submit(fmt.Sprint("without hope", again), 300*time.Millisecond, again, nil) != nil {
 					t.Fatalf("a job that misses its deadline was admitted, resubmitted %v", again)
 				}
-				if j := submit(fmt.Sprint("late", again), 9*time.Second, again, nil); j == nil || !j.late || !j.pending {
+				if j := submit(fmt.Sprint("late", again), 9*time.Second, again, nil); j == nil || !j.late || !j.postponed {
 					t.Fatalf("a job that has time: %+v, resubmitted %v", j, again)
 				}
 			}
 			done := []CompletedStage{{Stage: 0, Pieces: []ResultLocation{{Upstream: "a0", Handle: "w"}, {Upstream: "a0", Handle: "x"}, {Upstream: "a1", Handle: "y"}, {Upstream: "a1", Handle: "z"}}}}
-			if j := submit("continues", 9*time.Second, true, done); j == nil || j.pending {
+			if j := submit("continues", 9*time.Second, true, done); j == nil || j.postponed {
 				t.Fatal("a job with a completed stage was refused or has to wait")
 			}
 		})
@@ -299,8 +299,8 @@
 		for i := range 9 {
 			id := fmt.Sprint("j", i)
 			w.s.submit(w.now, Job{ID: id, SubmissionID: id, Key: id, Resubmitted: true, TimeLeft: time.Minute, Goal: time.Minute / 2, Stages: []Stage{{Service: "a", Pieces: 1, ResultBytes: 10}}}, func(Result, error) {})
-			if j := w.s.jobs[id]; j == nil || j.late || len(w.s.pending.jobs) > 0 {
-				t.Fatalf("%+v, %d postponed", j, len(w.s.pending.jobs))
+			if j := w.s.jobs[id]; j == nil || j.late || len(w.s.postponed.jobs) > 0 {
+				t.Fatalf("%+v, %d postponed", j, len(w.s.postponed.jobs))
 			}
 		}
 	})
--- a/node/stagework/job.go
+++ b/node/stagework/job.go
@@ -23,7 +23,6 @@
 	Patience     time.Duration `json:"patience,omitempty"`    // until the caller abandons a call whose answer has not begun; zero: at the deadline
 	Goal         time.Duration `json:"goal"`                  // until the latency goal; negative once that has passed
 	FirstEvent   time.Duration `json:"first_event,omitempty"` // until the first event of the call's answer is due
-	AnswerTime   time.Duration `json:"answer,omitempty"`      // expected from the first event of the call's answer to its end; zero: unknown
 	DataCenter   string        `json:"data_center"`
 	Priority     int           `json:"priority,omitempty"` // the customer's if it has one, else the route's; 0 is the most urgent
 	// RoutePriority ranks jobs of the same priority.
--- a/node/stagework/outcome.go
+++ b/node/stagework/outcome.go
@@ -196,8 +196,8 @@
 	out := j.results
 	j.results = nil
 	s.reset(j)
-	if j.calls == 0 && !j.pending && !j.moving && j.answer != nil {
-		s.wait(now, j)
+	if j.late && j.calls == 0 && !j.postponed {
+		s.postpone(j)
 	}
 	s.updateBacklog(j)
 	s.advance(now, j)
--- a/node/stagework/progress.go
+++ b/node/stagework/progress.go
@@ -31,15 +31,11 @@
 	results       []storedResult
 	hedgedCalls   []*call // with hedged pieces of it
 	restarts      int
-	moving        bool // it moves to another owner once its calls have ended
-	late          bool // cannot reach its goal, so that it goes behind those in time
-	predictedLate bool // it was late when it was admitted
-	pending       bool // it waits to start
-	startedAt     time.Time
-	expected      time.Duration
-	learned       bool
-	startBy       time.Time           // while it waits: when it must start, see comparePending
-	path          string              // of its stages, once it waited
+	moving        bool                // it moves to another owner once its calls have ended
+	late          bool                // cannot reach its goal, so that it goes behind those in time
+	predictedLate bool                // it was late when it was admitted
+	postponed     bool                // late, and not started
+	path          string              // of its stages, once it was postponed
 	overShare     bool                // late because its customer is over its share
 	assignment    *assignment         // nil until an engine is chosen
 	estimate      time.Duration       // of its stages, at admission; zero if nothing was estimated
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -24,8 +24,7 @@
 	engines        *engines
 	split          *rollout.Splitter
 	counter        *rollout.Counter
-	pending        pending
-	margins        map[int]time.Duration
+	postponed      postponed
 	fetchingInputs []*call // calls whose upstreams are still fetching inputs
 	backlog        backlog
 	gaugesSet      time.Time
@@ -115,14 +114,16 @@
 	s.advanceBacklog(now)
 	s.jobs[j.SubmissionID] = n
 	n.predictedLate = n.late
-	if n.untouched() && n.pieces() > 0 {
-		s.wait(now, n)
+	if n.late {
+		s.postpone(n)
 	}
 	s.updateBacklog(n)
 	if j.Resubmitted {
 		n.countResubmitted()
 	}
-	s.startNew(now, n) // the others wait for the next tick
+	if n.postponed && len(s.postponed.jobs) == 1 { // the others wait for the next tick
+		s.startPostponed(now)
+	}
 	s.advance(now, n)
 	return s.releaseInputs(n)
 }
@@ -207,7 +208,7 @@
 // advance queues the stages whose inputs are ready, and answers the job when all stages
 // are completed.
 func (s *scheduler) advance(now time.Time, j *job) {
-	if j.pending {
+	if j.postponed {
 		return
 	}
 	all := true
@@ -230,7 +231,6 @@
 	if all {
 		j.expires = now.Add(max(s.longestTTL(j), assignmentTTL))
 		s.chooseEngine(now, j)
-		s.learn(j, now.Sub(j.startedAt) > j.expected+s.margins[j.rank()])
 		s.endJob(j, j.result(), nil)
 	}
 }
@@ -266,7 +266,7 @@
 	}
 	j.answer(r, err)
 	j.answer = nil
-	s.pending.remove(j)
+	s.postponed.remove(j)
 	s.updateBacklog(j)
 	s.dequeue(j)
 }
@@ -374,7 +374,7 @@
 			s.recordFreed(s.forgetJob(j))
 		}
 	}
-	s.startReady(now)
+	s.startPostponed(now)
 	return out
 }
 
