--- a/node/proxy/stopping.go
+++ b/node/proxy/stopping.go
@@ -6,8 +6,8 @@
 	"caperdrum.org/api/verdict"
 )
 
-// rotationDivisor sets the largest part of the time until a stopping process ends for which it still takes calls: half of it, the
-// rest is left for them to end.
+// rotationDivisor sets the largest part of the time until a stopping process ends for which it still takes calls: half of
+// it. The rest is left for them to end.
 const rotationDivisor = 2
 
 // rotation is how long a stopping process still takes calls.
@@ -48,8 +48,8 @@
 	return left
 }
 
-// repeatOutlastsStop reports whether a repeat of the call would probably outlast this process. A stream that has begun goes on
-// where it is.
+// repeatOutlastsStop reports whether a repeat of the call would probably outlast this process. A stream that has begun only
+// needs the rest of its time.
 func (x *exchange) repeatOutlastsStop() bool {
 	at, stopping := x.s.finalResponsesAt()
 	if !stopping {
--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -36,10 +36,10 @@
 	s.advanceBacklog(now)
 	estimate, bottleneck := s.estimate(now, j, true)
 	behind := ""
-	s.lastPresent = jobInTime
+	s.lastByWorkAhead = jobInTime
 	if now.Add(estimate).After(j.goal) {
 		j.late, behind = true, bottleneck
-		s.lastPresent = s.predictionByWorkAhead(now, j)
+		s.lastByWorkAhead = s.predictionByWorkAhead(now, j)
 	}
 	if s.fairness.judge(now, j, behind) != "" {
 		j.late, j.overShare = true, true
--- a/node/stagework/scheduler.go
+++ b/node/stagework/scheduler.go
@@ -37,11 +37,11 @@
 	fairness *fairness // nil: customers are not told apart
 	measured bool      // admission uses measured throughput, see throughput.go
 
-	random        func() float64 // uniform in [0, 1), for retry-after times
-	lastEstimate  time.Duration  // of the last job submitted
-	lastOverShare bool           // whether its customer is over its share
-	lastPresent   string         // whether it reaches its goal by the work that is ahead now, without arrivals; jobInTime or jobLate
-	lastService   string         // with the longest time in that estimate; empty: nothing was estimated
+	random          func() float64 // uniform in [0, 1), for retry-after times
+	lastEstimate    time.Duration  // of the last job submitted
+	lastOverShare   bool           // whether its customer is over its share
+	lastByWorkAhead string         // whether it reaches its goal by the work that is ahead now, without arrivals; jobInTime or jobLate
+	lastService     string         // with the longest time in that estimate; empty: nothing was estimated
 }
 
 func newScheduler() *scheduler {
@@ -74,7 +74,7 @@
 // submit queues the first stages of a job, or those after the stages completed under a
 // previous owner. answer is called exactly once. It returns results to be freed.
 func (s *scheduler) submit(now time.Time, j Job, answer func(Result, error)) []storedResult {
-	s.lastService, s.lastOverShare, s.lastPresent = "", false, ""
+	s.lastService, s.lastOverShare, s.lastByWorkAhead = "", false, ""
 	if !s.owner {
 		answer(Result{}, errNotOwner())
 		return nil
--- a/node/stagework/service.go
+++ b/node/stagework/service.go
@@ -258,8 +258,8 @@
 		}))
 		if _, taken := s.scheduler.jobs[j.SubmissionID]; !taken {
 			jobsVar.Add(jobRefused, 1)
-			rankRefusedVar.Add(j.rankLabel()+"/"+s.scheduler.lastPresent, 1)
-			s.log.Info("job refused", "request", j.ID, "jobs", len(s.scheduler.jobs), "rank", j.rankLabel(), "estimate", s.scheduler.lastEstimate, "by_work_ahead", s.scheduler.lastPresent, "service", s.scheduler.lastService, "goal", j.Goal, "left", j.TimeLeft, "patience", j.Patience, "owner", s.scheduler.owner,
+			rankRefusedVar.Add(j.rankLabel()+"/"+s.scheduler.lastByWorkAhead, 1)
+			s.log.Info("job refused", "request", j.ID, "jobs", len(s.scheduler.jobs), "rank", j.rankLabel(), "estimate", s.scheduler.lastEstimate, "by_work_ahead", s.scheduler.lastByWorkAhead, "service", s.scheduler.lastService, "goal", j.Goal, "left", j.TimeLeft, "patience", j.Patience, "owner", s.scheduler.owner,
 				"customer", j.Customer, "over_share", s.scheduler.lastOverShare)
 		}
 	})
