proxy, stagework: a refusal at a stop says what is known; a prediction without changing the job

What callers and on-call engineers saw: 'this process stops before the call would end', also where nothing was known of what such calls take; now the time until the process ends its calls, and the time that the call may take. The prediction by the work ahead set and reset the job's label; it is made before the label now. No decision changes. Tests of stops, refusals, predictions and callers of both packages pass.

--- a/node/proxy/stopping.go
+++ b/node/proxy/stopping.go
@@ -30,8 +30,8 @@
 	if !stopping {
 		return nil
 	}
-	if time.Now().Add(x.expectedTime()).After(at) {
-		return verdict.New(verdict.NotRun, verdict.CodeShuttingDown, "this process stops before the call would end").WithRetryAfter(defaultRetryAfter)
+	if expected := x.expectedTime(); time.Now().Add(expected).After(at) {
+		return verdict.New(verdict.NotRun, verdict.CodeShuttingDown, "this process ends its calls in %s, and the call may take %s", time.Until(at), expected).WithRetryAfter(defaultRetryAfter)
 	}
 	if x.deadline.After(at) {
 		x.deadline = at
--- a/node/stagework/admission.go
+++ b/node/stagework/admission.go
@@ -38,8 +38,8 @@
 	behind := ""
 	s.lastByWorkAhead = jobInTime
 	if now.Add(estimate).After(j.goal) {
-		j.late, behind = true, bottleneck
 		s.lastByWorkAhead = s.predictionByWorkAhead(now, j)
+		j.late, behind = true, bottleneck
 	}
 	if s.fairness.judge(now, j, behind) != "" {
 		j.late, j.overShare = true, true
@@ -58,11 +58,9 @@
 	return 0, false
 }
 
-// predictionByWorkAhead predicts whether a job that was not admitted as in time would be so if nothing else came.
+// predictionByWorkAhead predicts whether a job reaches its goal if nothing else comes.
 func (s *scheduler) predictionByWorkAhead(now time.Time, j *job) string {
-	j.late = false
 	estimate, _ := s.estimate(now, j, false)
-	j.late = true
 	if now.Add(estimate).After(j.goal) {
 		return jobLate
 	}
