proxy: whether the process stops follows from when it ends its calls; streams and stages at a stop

Found in a last reading: a flag beside the time of the final responses, from which it follows; now one state.

TestCallsAreTakenByWhatIsLeftOfTheGrace: plain calls, streams, and streams with stages are taken with a grace of 8 s and refused with one of 2 s, before any stage or upstream is reached. With the refusal taken out it fails; all tests of proxy pass, those of stops and readiness under the race detector too.

--- a/node/proxy/proxy.go
+++ b/node/proxy/proxy.go
@@ -133,7 +133,6 @@
 	endpoints      *endpoints
 	table          atomic.Pointer[table]
 	startup        *startupWait
-	stopping       atomic.Bool
 	rotated        <-chan time.Time       // when the load balancer has noticed that the process is not ready; set by BeginStop
 	notReadyReason atomic.Pointer[string] // last reported state: why this process is not ready, empty if it is; nil before the first report
 	callsContext   context.Context        // cancelled when calls must get their final response
@@ -254,12 +253,11 @@
 
 // BeginStop implements kernel.Drainer. The process reports from now on that it is not ready.
 func (s *Service) BeginStop() {
-	if s.stopping.Swap(true) {
+	at := time.Now().Add(s.set.Node.DrainTimeout - finalResponseTime)
+	if !s.stopAt.CompareAndSwap(nil, &at) {
 		return
 	}
 	s.rotated = time.After(s.rotation())
-	at := time.Now().Add(s.set.Node.DrainTimeout - finalResponseTime)
-	s.stopAt.Store(&at)
 	s.views.SetLeaving(true)
 	s.log.Info("readiness changed", "ready", false, "reason", "stopping")
 }
@@ -328,7 +326,7 @@
 	x := &exchange{s: s, w: w, r: r, began: time.Now(), memory: callMemory{budget: s.memory}}
 	x.loadTable()
 	defer x.memory.release()
-	if s.stopping.Load() || s.ingress != nil && s.ingress.Limited() {
+	if s.stopping() || s.ingress != nil && s.ingress.Limited() {
 		w.Header().Set("Connection", "close") // sends the caller's next call to another process
 	}
 	if err := x.admit(); err != nil {
--- a/node/proxy/proxy_test.go
+++ b/node/proxy/proxy_test.go
@@ -686,7 +686,7 @@
 		ready  bool
 	}{
 		"everything works":                   {func(*fixture) {}, true},
-		"stopping":                           {func(f *fixture) { f.service.stopping.Store(true) }, false},
+		"stopping":                           {func(f *fixture) { f.service.BeginStop() }, false},
 		"no configuration yet":               {func(f *fixture) { f.service.table.Store(nil) }, false},
 		"no quorum for a short time":         {func(f *fixture) { f.views.age = 3 * time.Second }, true},
 		"no quorum, keys no longer count":    {func(f *fixture) { f.views.age = 5 * time.Second }, false},
--- a/node/proxy/ready.go
+++ b/node/proxy/ready.go
@@ -15,7 +15,7 @@
 func (s *Service) notReady() string {
 	t := s.table.Load()
 	switch {
-	case s.stopping.Load():
+	case s.stopping():
 		return "stopping"
 	case !t.configured():
 		return "no configuration yet"
--- a/node/proxy/stopping.go
+++ b/node/proxy/stopping.go
@@ -15,6 +15,8 @@
 	return min(s.set.Proxy.Rotation, s.set.Node.DrainTimeout/rotationDivisor)
 }
 
+func (s *Service) stopping() bool { return s.stopAt.Load() != nil }
+
 // finalResponsesAt returns when the process gives the calls that are left their final responses, if it is stopping.
 func (s *Service) finalResponsesAt() (at time.Time, stopping bool) {
 	if t := s.stopAt.Load(); t != nil {
--- a/node/proxy/stopping_test.go
+++ b/node/proxy/stopping_test.go
@@ -29,6 +29,45 @@
 	}
 }
 
+// TestCallsAreTakenByWhatIsLeftOfTheGrace guards against calls that are passed on, or whose stages are run, by a process that ends
+// before them, and against refusals of those for which there is time: plain ones, streams, and streams with stages.
+func TestCallsAreTakenByWhatIsLeftOfTheGrace(t *testing.T) {
+	const expected = 1900 * time.Millisecond
+	for _, c := range []struct {
+		name    string
+		drain   time.Duration
+		status  int
+		reaches bool
+	}{{"grace of 8 s", 7600 * time.Millisecond, http.StatusOK, true}, {"grace of 2 s", 1600 * time.Millisecond, http.StatusServiceUnavailable, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			var reached atomic.Int32
+			answer := func(w http.ResponseWriter, r *http.Request) {
+				reached.Add(1)
+				w.Header().Set("Content-Type", "text/event-stream")
+				w.Write([]byte("data: x\n\n"))
+			}
+			f.upstream("desk", "d1", answer)
+			f.upstream("llm", "l1", answer)
+			f.upstream("trace", "t1", answer)
+			for _, route := range []string{"confirm", "chat", "quote"} {
+				f.service.callTimes.Record(route, expected)
+			}
+			f.service.set.Node.DrainTimeout = c.drain
+			f.service.BeginStop()
+			for _, path := range []string{"/confirm/x", "/chat/x", "/quote/x"} {
+				f.wantStatus(c.status, http.MethodPost, path, map[string]string{"Caperdrum-Pieces": "1"})
+			}
+			if got := reached.Load() > 0; got != c.reaches {
+				t.Errorf("calls reached their upstreams: %v", got)
+			}
+			if got := len(f.stages.jobs) > 0; got != c.reaches {
+				t.Errorf("stages were run: %v", got)
+			}
+		})
+	}
+}
+
 // TestStoppingProcessTakesCallsThatEnd guards against a stop that refuses calls for which there is time.
 func TestStoppingProcessTakesCallsThatEnd(t *testing.T) {
 	f := newFixture(t)
